--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+EXAMPLE ?= monteverde
+PACKAGES := $(patsubst %,-e packages/%,savorylead savorylead-daemon savorylead-ctl savorylead-standins)
+
+.PHONY: demo test lint format bench venv clean
+
+venv: $(VENV)/installed
+
+$(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c constraints.txt -r requirements-dev.txt
+	$(BIN)/pip install -q -c constraints.txt --no-build-isolation $(PACKAGES)
+	touch $@
+
+demo: venv
+	$(BIN)/python -m savorylead_standins.demo --config examples/$(EXAMPLE).json
+
+lint: venv
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+
+format: venv
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+test: lint
+	$(BIN)/python -m pytest -n 8
+
+bench: venv
+	$(BIN)/python -m bench
+
+clean:
+	rm -rf $(VENV) out
--- /dev/null
+++ b/packages/savorylead-ctl/savorylead_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The savoryctl command line."""
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The savoryleadd daemon: gateway, leads, and the links between them."""
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/services/__init__.py
@@ -0,0 +1,45 @@
+"""What a gateway does for callers and operators, apart from HTTP."""
+
+from ._callers import (
+    Admitted,
+    CallerService,
+    RefusedError,
+    RequestName,
+    SubmitReply,
+    TaskDocument,
+    TaskPage,
+    TaskView,
+)
+from ._operators import (
+    ConfigApplied,
+    ConfigConflict,
+    ConfigFault,
+    ConfigRejected,
+    ConfigView,
+    MemberView,
+    OperatorService,
+    ShardView,
+    TeamView,
+    WorkerView,
+)
+
+__all__ = [
+    "Admitted",
+    "CallerService",
+    "ConfigApplied",
+    "ConfigConflict",
+    "ConfigFault",
+    "ConfigRejected",
+    "ConfigView",
+    "MemberView",
+    "OperatorService",
+    "RefusedError",
+    "RequestName",
+    "ShardView",
+    "SubmitReply",
+    "TaskDocument",
+    "TaskPage",
+    "TaskView",
+    "TeamView",
+    "WorkerView",
+]
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/services/_callers.py
@@ -0,0 +1,118 @@
+"""What a gateway does for callers, apart from HTTP."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Literal, NamedTuple, NotRequired, TypedDict
+
+from savorylead.config import ResourcesDocument
+from savorylead.contracts import TaskId
+from savorylead.outcomes import NotRun, Outcome, Refusal, Unknown
+
+
+class TaskDocument(TypedDict):
+    """One task as a caller submits it."""
+
+    #: Unique within the workspace; a repeat with equal fields is idempotent.
+    request: str
+    workspace: str
+    queue: str
+    kind: Literal["service", "batch", "all_at_once"]
+    resources: ResourcesDocument
+    #: Must be the key's team if given.
+    team: NotRequired[str]
+    repeatable: NotRequired[bool]
+    urgent: NotRequired[bool]
+    run_time_s: NotRequired[float]
+    #: Seconds from the submit after which it must not start any more.
+    start_within_s: NotRequired[float]
+    #: Number of members; only for all_at_once.
+    members: NotRequired[int]
+    payload: NotRequired[str]
+
+
+class RequestName(NamedTuple):
+    """Names a task within the team of the key."""
+
+    workspace: str
+    request: str
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """The task is accepted for good, or already was."""
+
+    task: TaskId
+
+
+#: The answer to one submitted task.
+SubmitReply = Admitted | NotRun | Unknown
+
+
+class TaskView(NamedTuple):
+    """One task as callers and operators see it."""
+
+    task: TaskId
+    #: A value of savorylead.journal.Phase, or "absent".
+    phase: str
+    shard: str
+    worker: str
+    attempt: int
+    #: Unix time in milliseconds; 0 when absent.
+    accepted_at_ms: int
+    #: None until the final answer is known.
+    outcome: Outcome | None
+
+
+class TaskPage(NamedTuple):
+    """A part of a list of tasks."""
+
+    tasks: tuple[TaskView, ...]
+    #: Where the next part begins; empty at the end.
+    next_after: str
+
+
+class RefusedError(Exception):
+    """The whole call is refused and nothing was accepted."""
+
+    def __init__(self, reason: Refusal, detail: str = "", path: str = "$") -> None:
+        super().__init__(f"{reason}: {detail}")
+        self.reason = reason
+        self.detail = detail
+        #: JSON path of the field at fault.
+        self.path = path
+
+
+class CallerService(ABC):
+    """Takes, answers, lists and cancels tasks of the team that a key belongs to.
+
+    ``key`` is the text of the caller's key. Every method may raise RefusedError.
+    """
+
+    @abstractmethod
+    async def submit(
+        self, key: str, tasks: Sequence[TaskDocument]
+    ) -> list[SubmitReply]:
+        """Accept tasks; one reply per task, each durable or proved."""
+
+    @abstractmethod
+    async def answers(
+        self, key: str, requests: Sequence[RequestName], wait: timedelta
+    ) -> list[TaskView]:
+        """Return tasks, waiting up to ``wait`` until one of them has its outcome."""
+
+    @abstractmethod
+    async def cancel(self, key: str, requests: Sequence[RequestName]) -> list[TaskView]:
+        """Cancel tasks; a task that is unknown is given a tombstone."""
+
+    @abstractmethod
+    async def list_tasks(
+        self, key: str, workspace: str, phase: str, limit: int, after: str
+    ) -> TaskPage:
+        """Return a workspace's tasks, sorted by id, after the id ``after``.
+
+        An empty ``phase`` means all.
+        """
--- /dev/null
+++ b/packages/savorylead/savorylead/contracts/_identity.py
@@ -0,0 +1,23 @@
+"""How tasks are named."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class TaskId(NamedTuple):
+    """Names one task for ever; a repeated request has the same id."""
+
+    team: str
+    workspace: str
+    #: Chosen by the caller, unique within the workspace.
+    request: str
+    #: Position within an all-at-once job; 0 for every other task.
+    member: int = 0
+
+    def job(self) -> TaskId:
+        """Return the id of the first member, which stands for the whole job."""
+        return self if self.member == 0 else self._replace(member=0)
+
+    def __str__(self) -> str:
+        return f"{self.team}/{self.workspace}/{self.request}/{self.member}"
--- /dev/null
+++ b/packages/savorylead/savorylead/contracts/_task.py
@@ -0,0 +1,42 @@
+"""What a caller asks for."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+from savorylead.resources import Resources
+
+from ._identity import TaskId
+
+
+class TaskKind(enum.StrEnum):
+    """Which placement policy applies."""
+
+    #: Runs until it is cancelled; spread over racks.
+    SERVICE = "service"
+    #: Runs to an end; packed tightly.
+    BATCH = "batch"
+    #: One of several members that must all start together or not at all.
+    ALL_AT_ONCE = "all_at_once"
+
+
+class TaskSpec(NamedTuple):
+    """One task as accepted; never changed afterwards."""
+
+    id: TaskId
+    kind: TaskKind
+    resources: Resources
+    queue: str
+    #: Whether a second attempt is allowed once the first surely no longer runs.
+    repeatable: bool = True
+    #: Urgent tasks may checkpoint batch tasks to make room.
+    urgent: bool = False
+    #: Declared run time in milliseconds; 0 when not declared.
+    run_time_ms: int = 0
+    #: Unix time in milliseconds by which it must start; 0 for no deadline.
+    start_by_ms: int = 0
+    #: Number of members of an all-at-once job; 1 for every other task.
+    members: int = 1
+    #: Opaque to the scheduler; handed to the worker.
+    payload: str = ""
--- /dev/null
+++ b/packages/savorylead/savorylead/journal/_state.py
@@ -0,0 +1,187 @@
+"""A shard's state as the fold of its journal."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from savorylead.contracts import TaskId, TaskSpec
+from savorylead.outcomes import NotRun, Outcome, Refusal
+
+from ._events import (
+    Accepted,
+    CancelAsked,
+    Ended,
+    EpochBegan,
+    Event,
+    Forgotten,
+    Moved,
+    OfferDeclined,
+    Offered,
+    Placed,
+    Requeued,
+    Resigned,
+    Tombstoned,
+)
+
+
+class Phase(enum.StrEnum):
+    """Where a task stands in its shard."""
+
+    QUEUED = "queued"
+    PLACED = "placed"
+    OFFERED = "offered"
+    MOVED = "moved"
+    ENDED = "ended"
+    #: Never accepted; kept so that a late copy is refused.
+    TOMBSTONED = "tombstoned"
+
+
+class TaskRecord(NamedTuple):
+    """All that the shard knows of one task; replaced on each event."""
+
+    #: None only for a tombstone.
+    spec: TaskSpec | None
+    phase: Phase
+    accepted_at_ms: int
+    #: Number of the latest attempt; 0 before the first.
+    attempt: int = 0
+    #: Where the latest attempt was placed.
+    worker: str = ""
+    #: Incarnation of that worker at the placement.
+    incarnation: str = ""
+    placed_at_ms: int = 0
+    #: Workers where an attempt failed.
+    avoid: tuple[str, ...] = ()
+    cancel_asked: bool = False
+    #: The shard that offered the task; empty if it came from a gateway.
+    origin: str = ""
+    #: The shard that was offered or has taken the task.
+    target: str = ""
+    outcome: Outcome | None = None
+    ended_at_ms: int = 0
+
+
+class UnknownTaskError(Exception):
+    """An event names a task that the state does not hold; the journal is corrupt."""
+
+    def __init__(self, task: TaskId, event: Event) -> None:
+        super().__init__(f"{type(event).__name__} of unknown task {task}")
+        self.task = task
+        self.event = event
+
+
+class ShardState:
+    """The records of one shard, changed only by applying events in order."""
+
+    def __init__(self) -> None:
+        #: The epoch of the lead that wrote last.
+        self.epoch = 0
+        #: Name of the lead of that epoch; empty once it resigned.
+        self.lead = ""
+        #: Every task that is not forgotten.
+        self.records: dict[TaskId, TaskRecord] = {}
+        self._appliers: dict[type, Callable[..., None]] = {
+            EpochBegan: self._apply_epoch_began,
+            Accepted: self._apply_accepted,
+            Placed: self._apply_placed,
+            Requeued: self._apply_requeued,
+            Ended: self._apply_ended,
+            CancelAsked: self._apply_cancel_asked,
+            Tombstoned: self._apply_tombstoned,
+            Offered: self._apply_offered,
+            OfferDeclined: self._apply_offer_declined,
+            Moved: self._apply_moved,
+            Forgotten: self._apply_forgotten,
+            Resigned: self._apply_resigned,
+        }
+
+    def apply_all(self, events: Iterable[Event]) -> None:
+        """Apply events in order; raises UnknownTaskError on a corrupt journal."""
+        for event in events:
+            self.apply(event)
+
+    def apply(self, event: Event) -> None:
+        """Apply one event; raises UnknownTaskError on a corrupt journal."""
+        self._appliers[type(event)](event)
+
+    def _record(self, task: TaskId, event: Event) -> TaskRecord:
+        record = self.records.get(task)
+        if record is None:
+            raise UnknownTaskError(task, event)
+        return record
+
+    def _apply_epoch_began(self, event: EpochBegan) -> None:
+        self.epoch = event.epoch
+        self.lead = event.lead
+
+    def _apply_accepted(self, event: Accepted) -> None:
+        self.records[event.spec.id] = TaskRecord(
+            spec=event.spec,
+            phase=Phase.QUEUED,
+            accepted_at_ms=event.at_ms,
+            origin=event.origin,
+        )
+
+    def _apply_placed(self, event: Placed) -> None:
+        record = self._record(event.task, event)
+        self.records[event.task] = record._replace(
+            phase=Phase.PLACED,
+            attempt=event.attempt,
+            worker=event.worker,
+            incarnation=event.incarnation,
+            placed_at_ms=event.at_ms,
+        )
+
+    def _apply_requeued(self, event: Requeued) -> None:
+        record = self._record(event.task, event)
+        avoid = record.avoid
+        if event.reason.counts_against_worker() and record.worker not in avoid:
+            avoid = (*avoid, record.worker)
+        self.records[event.task] = record._replace(
+            phase=Phase.QUEUED, worker="", avoid=avoid
+        )
+
+    def _apply_ended(self, event: Ended) -> None:
+        record = self._record(event.task, event)
+        self.records[event.task] = record._replace(
+            phase=Phase.ENDED, outcome=event.outcome, ended_at_ms=event.at_ms
+        )
+
+    def _apply_cancel_asked(self, event: CancelAsked) -> None:
+        record = self._record(event.task, event)
+        self.records[event.task] = record._replace(cancel_asked=True)
+
+    def _apply_tombstoned(self, event: Tombstoned) -> None:
+        self.records[event.task] = TaskRecord(
+            spec=None,
+            phase=Phase.TOMBSTONED,
+            accepted_at_ms=event.at_ms,
+            outcome=NotRun(Refusal.TOMBSTONE),
+            ended_at_ms=event.at_ms,
+        )
+
+    def _apply_offered(self, event: Offered) -> None:
+        record = self._record(event.task, event)
+        self.records[event.task] = record._replace(
+            phase=Phase.OFFERED, target=event.target
+        )
+
+    def _apply_offer_declined(self, event: OfferDeclined) -> None:
+        record = self._record(event.task, event)
+        self.records[event.task] = record._replace(phase=Phase.QUEUED, target="")
+
+    def _apply_moved(self, event: Moved) -> None:
+        record = self._record(event.task, event)
+        self.records[event.task] = record._replace(
+            phase=Phase.MOVED, target=event.target, ended_at_ms=event.at_ms
+        )
+
+    def _apply_forgotten(self, event: Forgotten) -> None:
+        for task in event.tasks:
+            self.records.pop(task, None)
+
+    def _apply_resigned(self, event: Resigned) -> None:
+        if event.epoch == self.epoch:
+            self.lead = ""
--- /dev/null
+++ b/packages/savorylead/savorylead/workers/_contract.py
@@ -0,0 +1,188 @@
+"""The contract with the platform's workers."""
+
+from __future__ import annotations
+
+import enum
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import NamedTuple
+
+from savorylead.contracts import TaskId
+from savorylead.resources import Resources
+
+from ._worker import Worker
+
+
+class RunState(enum.StrEnum):
+    """What a worker knows of one attempt."""
+
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+    #: Ended on request, or because its lease lapsed.
+    STOPPED = "stopped"
+    #: Ended with its progress saved; may be started again anywhere.
+    CHECKPOINTED = "checkpointed"
+    #: The worker had no such attempt when asked to stop it, and refuses it from now
+    #: on, so a start that is still under way cannot take effect.
+    NEVER_STARTED = "never_started"
+
+
+class StartOrder(NamedTuple):
+    """Asks a worker to start one attempt of a task."""
+
+    #: The task to run.
+    task: TaskId
+    #: 1 for the first attempt; a task never runs two attempts at once.
+    attempt: int
+    #: What the attempt may use.
+    resources: Resources
+    #: Opaque to the scheduler.
+    payload: str
+    #: How long the attempt may run without a renewal, in milliseconds.
+    lease_ms: int
+
+
+class RunReport(NamedTuple):
+    """What a worker says about one attempt that it knows."""
+
+    task: TaskId
+    attempt: int
+    state: RunState
+    #: The answer or the error text; empty while running.
+    result: str = ""
+    #: Hex digest of the result as the worker computed it; empty while running.
+    digest: str = ""
+    #: Observed use, which lags; zero when not known yet.
+    used: Resources = Resources()
+    #: How long the attempt has run, in milliseconds.
+    ran_ms: int = 0
+
+
+class Inventory(NamedTuple):
+    """All attempts that a worker knows, running or ended but not yet released."""
+
+    #: Random per start of the VM; what ran under an earlier one is gone.
+    incarnation: str
+    #: False while the worker is leaving.
+    accepting: bool
+    #: Every attempt of this incarnation. One that is not listed does not run, but
+    #: may still start unless ``stop`` answered NEVER_STARTED for it.
+    runs: tuple[RunReport, ...]
+
+
+@dataclass(frozen=True)
+class StartAccepted:
+    """The attempt runs, or had already been started by an equal order."""
+
+    task: TaskId
+
+
+@dataclass(frozen=True)
+class StartRefused:
+    """The attempt did not start and never will by this order."""
+
+    task: TaskId
+    reason: str
+
+
+@dataclass(frozen=True)
+class StaleEpoch:
+    """The worker has seen a higher epoch of the shard and did nothing."""
+
+    seen_epoch: int
+
+
+@dataclass(frozen=True)
+class WrongIncarnation:
+    """The VM restarted since the caller last heard of it; nothing was done."""
+
+    incarnation: str
+
+
+class WorkerError(Exception):
+    """Base of a worker's failures; the call may have taken effect."""
+
+
+class WorkerTimeoutError(WorkerError):
+    """No reply came within the deadline."""
+
+
+class WorkerUnavailableError(WorkerError):
+    """The connection was refused or broke."""
+
+
+#: Why a worker did nothing at all.
+Declined = StaleEpoch | WrongIncarnation
+
+
+class WorkerContract(ABC):
+    """What a lead may ask of the workers in its shard.
+
+    A worker remembers the highest epoch of its shard and refuses lower ones, and
+    refuses commands meant for an earlier incarnation. It stops an attempt whose
+    lease lapsed. It keeps the report of an ended attempt until that attempt is
+    released. Every method may raise WorkerError, after which the command may have
+    taken effect or may do so later.
+    """
+
+    @abstractmethod
+    async def renew(
+        self, worker: Worker, epoch: int, lease: timedelta
+    ) -> Inventory | StaleEpoch:
+        """Renew the leases of all running attempts and return the inventory."""
+
+    @abstractmethod
+    async def start(
+        self,
+        worker: Worker,
+        epoch: int,
+        incarnation: str,
+        orders: Sequence[StartOrder],
+    ) -> list[StartAccepted | StartRefused] | Declined:
+        """Start attempts; equal orders are idempotent. One result per order."""
+
+    @abstractmethod
+    async def stop(
+        self,
+        worker: Worker,
+        epoch: int,
+        incarnation: str,
+        attempts: Sequence[tuple[TaskId, int]],
+    ) -> list[RunReport] | Declined:
+        """Stop attempts for good; one report per attempt.
+
+        An attempt that is not known is reported as NEVER_STARTED.
+        """
+
+    @abstractmethod
+    async def checkpoint(
+        self,
+        worker: Worker,
+        epoch: int,
+        incarnation: str,
+        attempts: Sequence[tuple[TaskId, int]],
+    ) -> list[RunReport] | Declined:
+        """Save the progress of attempts and stop them, as ``stop`` does."""
+
+    @abstractmethod
+    async def throttle(
+        self,
+        worker: Worker,
+        epoch: int,
+        incarnation: str,
+        caps: Sequence[tuple[TaskId, int, Resources]],
+    ) -> list[RunReport] | Declined:
+        """Cap what running attempts may use; unknown ones are left out."""
+
+    @abstractmethod
+    async def release(
+        self,
+        worker: Worker,
+        epoch: int,
+        incarnation: str,
+        attempts: Sequence[tuple[TaskId, int]],
+    ) -> None | Declined:
+        """Forget the reports of ended attempts, but never start these again."""
