Give each worker one lease and make orders under way harmless

A start order that is delayed past the lapse of the lease could start an attempt that the lead had already placed elsewhere. A lapse now gives the worker a new incarnation, orders name the incarnation that they were meant for, and a stopped or released attempt is never started again.

--- a/packages/savorylead-standins/savorylead_standins/workers/_memory_worker.py
+++ b/packages/savorylead-standins/savorylead_standins/workers/_memory_worker.py
@@ -63,7 +63,6 @@
     result: str = ""
     ended_at_ms: int = 0
     finish_timer: Timer | None = None
-    lease_timer: Timer | None = None
 
 
 class MemoryWorker:
@@ -86,6 +85,7 @@
         self._rng = rng
         self._epoch = 0
         self._incarnation = self._new_incarnation()
+        self._lease_timer: Timer | None = None
         self._runs: dict[tuple[TaskId, int], _Run] = {}
         self._never_start: set[tuple[TaskId, int]] = set()
 
@@ -103,9 +103,7 @@
         if epoch < self._epoch:
             return StaleEpoch(self._epoch)
         self._epoch = epoch
-        for key, run in self._runs.items():
-            if run.state is RunState.RUNNING:
-                self._set_lease(key, run, lease)
+        self._set_lease(lease)
         return self.inventory()
 
     def stop(
@@ -154,9 +152,10 @@
 
     def crash(self) -> None:
         """Lose everything, as a VM that dies; executions stay for checkers."""
-        for key, run in list(self._runs.items()):
-            if run.state is RunState.RUNNING:
-                self._end(key, run, RunState.STOPPED, "")
+        if self._lease_timer is not None:
+            self._lease_timer.cancel()
+            self._lease_timer = None
+        self._stop_all()
         self._runs.clear()
         self._never_start.clear()
         self._epoch = 0
@@ -187,6 +186,8 @@
             return StartAccepted(order.task)
         if key in self._never_start:
             return StartRefused(order.task, "stopped before its start")
+        if self._lease_timer is None:
+            return StartRefused(order.task, "no lease")
         if not self.accepting:
             return StartRefused(order.task, "leaving")
         if not order.resources.fits(self.worker.capacity.minus(self.held())):
@@ -195,11 +196,10 @@
         self.starts[order.task] += 1
         run = _Run(order, to_millis(self._clock.now()))
         self._runs[key] = run
-        self._set_lease(key, run, timedelta(milliseconds=order.lease_ms))
-        self._schedule_finish(key, run)
+        self._schedule_finish(run)
         return StartAccepted(order.task)
 
-    def _schedule_finish(self, key: tuple[TaskId, int], run: _Run) -> None:
+    def _schedule_finish(self, run: _Run) -> None:
         payload = _read_payload(run.order.payload)
         failing = payload.fail or self.broken
         state = RunState.FAILED if failing else RunState.DONE
@@ -208,16 +208,22 @@
         if run_ms is None:
             return
         delay = timedelta(milliseconds=run_ms)
-        run.finish_timer = self._clock.call_later(
-            delay, self._end, key, run, state, result
-        )
+        run.finish_timer = self._clock.call_later(delay, self._end, run, state, result)
 
-    def _set_lease(self, key: tuple[TaskId, int], run: _Run, lease: timedelta) -> None:
-        if run.lease_timer is not None:
-            run.lease_timer.cancel()
-        run.lease_timer = self._clock.call_later(
-            lease, self._end, key, run, RunState.STOPPED, ""
-        )
+    def _set_lease(self, lease: timedelta) -> None:
+        if self._lease_timer is not None:
+            self._lease_timer.cancel()
+        self._lease_timer = self._clock.call_later(lease, self._lapse)
+
+    def _lapse(self) -> None:
+        """Stop everything and refuse orders that were given before."""
+        self._lease_timer = None
+        self._stop_all()
+        self._incarnation = self._new_incarnation()
+
+    def _stop_all(self) -> None:
+        for run in list(self._runs.values()):
+            self._end(run, RunState.STOPPED, "")
 
     def _end_each(
         self,
@@ -236,18 +242,15 @@
                 self._never_start.add(key)
                 reports.append(RunReport(*key, RunState.NEVER_STARTED))
                 continue
-            self._end(key, run, state, "")
+            self._end(run, state, "")
             reports.append(self._report(run))
         return reports
 
-    def _end(
-        self, key: tuple[TaskId, int], run: _Run, state: RunState, result: str
-    ) -> None:
+    def _end(self, run: _Run, state: RunState, result: str) -> None:
         if run.state is not RunState.RUNNING:
             return
-        for timer in (run.finish_timer, run.lease_timer):
-            if timer is not None:
-                timer.cancel()
+        if run.finish_timer is not None:
+            run.finish_timer.cancel()
         run.state = state
         run.result = result
         run.ended_at_ms = to_millis(self._clock.now())
--- a/packages/savorylead/savorylead/workers/_contract.py
+++ b/packages/savorylead/savorylead/workers/_contract.py
@@ -41,8 +41,6 @@
     resources: Resources
     #: Opaque to the scheduler.
     payload: str
-    #: How long the attempt may run without a renewal, in milliseconds.
-    lease_ms: int
 
 
 class RunReport(NamedTuple):
@@ -64,12 +62,14 @@
 class Inventory(NamedTuple):
     """All attempts that a worker knows, running or ended but not yet released."""
 
-    #: Random per start of the VM; what ran under an earlier one is gone.
+    #: Random, and chosen anew when the VM starts and when its lease lapses; nothing
+    #: of an earlier incarnation runs any more.
     incarnation: str
     #: False while the worker is leaving.
     accepting: bool
-    #: Every attempt of this incarnation. One that is not listed does not run, but
-    #: may still start unless ``stop`` answered NEVER_STARTED for it.
+    #: Every attempt since the VM started. One that is not listed does not run; it
+    #: may still start if its order names this incarnation, unless ``stop`` has
+    #: answered NEVER_STARTED for it.
     runs: tuple[RunReport, ...]
 
 
@@ -97,7 +97,7 @@
 
 @dataclass(frozen=True)
 class WrongIncarnation:
-    """The VM restarted since the caller last heard of it; nothing was done."""
+    """The VM restarted or its lease lapsed since the caller heard; nothing was done."""
 
     incarnation: str
 
@@ -122,17 +122,23 @@
     """What a lead may ask of the workers in its shard.
 
     A worker remembers the highest epoch of its shard and refuses lower ones, and
-    refuses commands meant for an earlier incarnation. It stops an attempt whose
-    lease lapsed. It keeps the report of an ended attempt until that attempt is
-    released. Every method may raise WorkerError, after which the command may have
-    taken effect or may do so later.
+    refuses commands meant for an earlier incarnation. Each worker has one lease,
+    which ``renew`` extends. When it lapses the worker stops every attempt and takes
+    a new incarnation, so that an order which was under way can't start anything
+    afterwards; a renewal that arrives after the lapse doesn't undo it. The worker
+    keeps the report of an ended attempt until that attempt is released. Every method
+    may raise WorkerError, after which the command may have taken effect or may do so
+    later.
     """
 
     @abstractmethod
     async def renew(
         self, worker: Worker, epoch: int, lease: timedelta
     ) -> Inventory | StaleEpoch:
-        """Renew the leases of all running attempts and return the inventory."""
+        """Renew the worker's lease for ``lease`` from now, and return the inventory.
+
+        A caretaker may renew at the shard's last known epoch.
+        """
 
     @abstractmethod
     async def start(
