Keep a tombstone's reason and the shards that declined a task

A refusal at the lead must stay true for late copies of the same submit, so it is journaled as a tombstone; repeats get the same reason.

--- a/packages/savorylead/savorylead/journal/_events.py
+++ b/packages/savorylead/savorylead/journal/_events.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from savorylead.contracts import TaskId, TaskSpec
-from savorylead.outcomes import Outcome
+from savorylead.outcomes import Outcome, Refusal
 
 
 class EpochBegan(NamedTuple):
@@ -82,6 +82,8 @@
     """The id was never accepted here and never will be."""
 
     task: TaskId
+    #: What the caller is told, now and on each repeat.
+    reason: Refusal
     at_ms: int
 
 
--- a/packages/savorylead/savorylead/journal/_state.py
+++ b/packages/savorylead/savorylead/journal/_state.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from savorylead.contracts import TaskId, TaskSpec
-from savorylead.outcomes import NotRun, Outcome, Refusal
+from savorylead.outcomes import NotRun, Outcome
 
 from ._events import (
     Accepted,
@@ -54,6 +54,8 @@
     placed_at_ms: int = 0
     #: Workers where an attempt failed.
     avoid: tuple[str, ...] = ()
+    #: Shards that declined the task.
+    declined: tuple[str, ...] = ()
     cancel_asked: bool = False
     #: The shard that offered the task; empty if it came from a gateway.
     origin: str = ""
@@ -158,7 +160,7 @@
             spec=None,
             phase=Phase.TOMBSTONED,
             accepted_at_ms=event.at_ms,
-            outcome=NotRun(Refusal.TOMBSTONE),
+            outcome=NotRun(event.reason),
             ended_at_ms=event.at_ms,
         )
 
@@ -170,7 +172,9 @@
 
     def _apply_offer_declined(self, event: OfferDeclined) -> None:
         record = self._record(event.task, event)
-        self.records[event.task] = record._replace(phase=Phase.QUEUED, target="")
+        self.records[event.task] = record._replace(
+            phase=Phase.QUEUED, target="", declined=(*record.declined, event.target)
+        )
 
     def _apply_moved(self, event: Moved) -> None:
         record = self._record(event.task, event)
