Add the interface of escrowed upper limits

What is held is pulled at the moment of a decision: a pushed figure could be older than a placement, and a give-back based on it would cut below what runs. What is wanted is pushed, since it only affects when a grant comes.

--- a/packages/savorylead/savorylead/contracts/__init__.py
+++ b/packages/savorylead/savorylead/contracts/__init__.py
@@ -2,5 +2,21 @@
 
 from ._identity import TaskId
 from ._task import TaskKind, TaskSpec
+from ._team_limits import (
+    UNLIMITED,
+    UNLIMITED_RESOURCES,
+    GrantHolder,
+    TeamLimits,
+    limit_from_amounts,
+)
 
-__all__ = ["TaskId", "TaskKind", "TaskSpec"]
+__all__ = [
+    "UNLIMITED",
+    "UNLIMITED_RESOURCES",
+    "GrantHolder",
+    "TaskId",
+    "TaskKind",
+    "TaskSpec",
+    "TeamLimits",
+    "limit_from_amounts",
+]
