--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_ledger.py
@@ -0,0 +1,121 @@
+"""A shard's records together with what of them is durable."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Sequence
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from savorylead.contracts import TaskId
+from savorylead.journal import Accepted, Event, Forgotten, Journal, ShardState
+
+
+class ShardLedger:
+    """Applies events at once and tells when they are durable.
+
+    Nothing that depends on an event may leave the lead before the event is durable;
+    ``settled`` is how everyone waits for that.
+    """
+
+    def __init__(self, journal: Journal, state: ShardState) -> None:
+        self.state = state
+        self._journal = journal
+        self._undurable: Counter[TaskId] = Counter()
+        self._settled_waiters: dict[TaskId, list[Deferred[None]]] = defaultdict(list)
+        self._outcome_waiters: dict[TaskId, set[Deferred[None]]] = defaultdict(set)
+        self._failure: Failure | None = None
+
+    def commit(self, events: Sequence[Event]) -> Deferred[None]:
+        """Apply events; fires once they are durable, or fails with DeposedError."""
+        self.state.apply_all(events)
+        tasks = list(_tasks_of(events))
+        self._undurable.update(tasks)
+        done = self._journal.append(events)
+        done.addCallbacks(self._on_durable, self._on_failed, callbackArgs=(tasks,))
+        return done
+
+    def is_settled(self, task: TaskId) -> bool:
+        """Return whether every event of the task so far is durable."""
+        return task not in self._undurable
+
+    def settled(self, task: TaskId) -> Deferred[None]:
+        """Fire once every event of the task so far is durable."""
+        waiter: Deferred[None] = Deferred()
+        if self._failure is not None:
+            waiter.errback(self._failure)
+        elif self.is_settled(task):
+            waiter.callback(None)
+        else:
+            self._settled_waiters[task].append(waiter)
+        return waiter
+
+    def has_outcome(self, task: TaskId) -> bool:
+        """Return whether the task has a durable final answer here."""
+        record = self.state.records.get(task)
+        if record is None or record.outcome is None:
+            return False
+        return self.is_settled(task)
+
+    def any_outcome(self, tasks: Iterable[TaskId]) -> Deferred[None]:
+        """Fire once one of the tasks gets a durable outcome; may be cancelled."""
+        names = list(tasks)
+        waiter: Deferred[None] = Deferred(lambda d: self._drop_waiter(names, d))
+        for task in names:
+            self._outcome_waiters[task].add(waiter)
+        return waiter
+
+    def fail(self, failure: Failure) -> None:
+        """Fail every waiter, since this lead is deposed or closed."""
+        if self._failure is None:
+            self._failure = failure
+        waiters = [w for ws in self._settled_waiters.values() for w in ws]
+        waiters += {w for ws in self._outcome_waiters.values() for w in ws}
+        self._settled_waiters.clear()
+        self._outcome_waiters.clear()
+        for waiter in waiters:
+            if not waiter.called:
+                waiter.errback(failure)
+
+    def _on_durable(self, _: None, tasks: list[TaskId]) -> None:
+        for task in tasks:
+            self._undurable[task] -= 1
+            if self._undurable[task] == 0:
+                del self._undurable[task]
+                self._wake(task)
+
+    def _on_failed(self, failure: Failure) -> Failure:
+        self.fail(failure)
+        return failure
+
+    def _wake(self, task: TaskId) -> None:
+        for waiter in self._settled_waiters.pop(task, ()):
+            waiter.callback(None)
+        if task in self._outcome_waiters and self.has_outcome(task):
+            for waiter in list(self._outcome_waiters.get(task, ())):
+                if not waiter.called:
+                    waiter.callback(None)
+
+    def _drop_waiter(self, tasks: list[TaskId], waiter: Deferred[None]) -> None:
+        for task in tasks:
+            waiters = self._outcome_waiters.get(task)
+            if waiters is None:
+                continue
+            waiters.discard(waiter)
+            if not waiters:
+                del self._outcome_waiters[task]
+
+    def forget_waiter(self, tasks: Iterable[TaskId], waiter: Deferred[None]) -> None:
+        """Drop a waiter of ``any_outcome`` that has fired or is no longer needed."""
+        self._drop_waiter(list(tasks), waiter)
+
+
+def _tasks_of(events: Sequence[Event]) -> Iterable[TaskId]:
+    for event in events:
+        if isinstance(event, Accepted):
+            yield event.spec.id
+        elif isinstance(event, Forgotten):
+            yield from event.tasks
+        elif hasattr(event, "task"):
+            yield event.task
--- a/packages/savorylead-standins/savorylead_standins/workers/_memory_worker.py
+++ b/packages/savorylead-standins/savorylead_standins/workers/_memory_worker.py
@@ -103,7 +103,8 @@
         if epoch < self._epoch:
             return StaleEpoch(self._epoch)
         self._epoch = epoch
-        self._set_lease(lease)
+        if lease > timedelta(0):
+            self._set_lease(lease)
         return self.inventory()
 
     def stop(
--- a/packages/savorylead-standins/savorylead_standins/workers/tests/test_memory_worker.py
+++ b/packages/savorylead-standins/savorylead_standins/workers/tests/test_memory_worker.py
@@ -90,6 +90,16 @@
     assert bench.renew().runs[0].state is RunState.STOPPED
 
 
+def test_report_without_lease_renews_nothing():
+    bench = Bench()
+    bench.renew()
+    bench.start()
+    bench.time.advance(14)
+    assert bench.worker.renew(1, timedelta(0)).runs[0].state is RunState.RUNNING
+    bench.time.advance(1)
+    assert bench.worker.running() == []
+
+
 @pytest.mark.parametrize(
     ("cores_milli", "expected"), [(3000, StartAccepted), (3001, StartRefused)]
 )
--- a/packages/savorylead/savorylead/workers/_contract.py
+++ b/packages/savorylead/savorylead/workers/_contract.py
@@ -137,7 +137,8 @@
     ) -> Inventory | StaleEpoch:
         """Renew the worker's lease for ``lease`` from now, and return the inventory.
 
-        A caretaker may renew at the shard's last known epoch.
+        A lease of zero only reports and leaves the worker's lease as it is. A
+        caretaker may renew at the shard's last known epoch.
         """
 
     @abstractmethod
