Add settings, JSON-line logs, metrics and the command line of savoryleadd

Every fault of the settings is listed with its path: those of the schema and of the endpoints together, then those across fields.

--- a/packages/savorylead-daemon/savorylead_daemon/main.py
+++ b/packages/savorylead-daemon/savorylead_daemon/main.py
@@ -2,7 +2,64 @@
 
 from __future__ import annotations
 
+import argparse
+import sys
+from collections.abc import Sequence
+from importlib.metadata import version
+from pathlib import Path
 
-def main() -> None:
-    """Run the daemon."""
-    raise SystemExit("not wired yet")
+from savorylead_daemon.settings import Settings, SettingsError, load_settings
+
+EXIT_OK = 0
+EXIT_BAD_SETTINGS = 2
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="savoryleadd",
+        description="Takes callers' tasks and leads shards of the cell.",
+        epilog="Exit codes: 0 after a planned stop, 1 after a failure, "
+        "2 for a wrong command line or wrong settings.",
+    )
+    parser.add_argument(
+        "--config",
+        required=True,
+        type=Path,
+        metavar="FILE",
+        help="settings of this daemon, in JSON",
+    )
+    parser.add_argument(
+        "--check-config",
+        action="store_true",
+        help="check the settings, print every fault with its path, and stop",
+    )
+    parser.add_argument(
+        "--version",
+        action="version",
+        version=f"%(prog)s {version('savorylead-daemon')}",
+    )
+    return parser
+
+
+def main(argv: Sequence[str] | None = None) -> None:
+    """Run the daemon until it is stopped; leaves through SystemExit."""
+    args = build_parser().parse_args(argv)
+    try:
+        settings = load_settings(args.config)
+    except SettingsError as exc:
+        for path, message in exc.faults:
+            print(f"{args.config}: {path}: {message}", file=sys.stderr)
+        raise SystemExit(EXIT_BAD_SETTINGS) from exc
+    if args.check_config:
+        print(f"{args.config}: ok")
+        raise SystemExit(EXIT_OK)
+    raise SystemExit(_run(settings))
+
+
+def _run(settings: Settings) -> int:
+    """Wire the daemon and run it; return the exit code."""
+    # Only a daemon that runs needs the reactor and everything behind it.
+    from savorylead_daemon.composition import compose
+
+    return compose(settings)
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/_event_log.py
@@ -0,0 +1,156 @@
+"""Logs as JSON lines, with a bound on how often one event is written."""
+
+from __future__ import annotations
+
+import logging as standard_logging
+from datetime import UTC, datetime, timedelta
+from typing import Any, NamedTuple
+
+import msgspec
+from absl import flags, logging
+from twisted.logger import (
+    FilteringLogObserver,
+    LogLevel as TwistedLevel,
+    LogLevelFilterPredicate,
+    STDLibLogObserver,
+    globalLogBeginner,
+)
+
+from savorylead.clock import Clock
+from savorylead.contracts import TaskId
+from savorylead_daemon.settings import LogLevel
+
+_SEVERITIES = {
+    LogLevel.DEBUG: logging.DEBUG,
+    LogLevel.INFO: logging.INFO,
+    LogLevel.WARNING: logging.WARNING,
+    LogLevel.ERROR: logging.ERROR,
+}
+#: Events without a line for this long start counting anew.
+RATE_WINDOW = timedelta(seconds=1)
+
+
+class LogSubject(NamedTuple):
+    """What a line is about; fields that are None are left out."""
+
+    task: TaskId | None = None
+    team: str | None = None
+    shard: str | None = None
+    epoch: int | None = None
+    revision: int | None = None
+
+    def fields(self) -> dict[str, Any]:
+        """Return the fields that are set, as they are written."""
+        fields = {k: v for k, v in self._asdict().items() if v is not None}
+        if self.task is not None:
+            fields["task"] = str(self.task)
+            fields.setdefault("team", self.task.team)
+        return fields
+
+
+_NO_SUBJECT = LogSubject()
+
+
+class _JsonLineFormatter(standard_logging.Formatter):
+    """Writes each record, also those of libraries, as one JSON object."""
+
+    def __init__(self, daemon: str) -> None:
+        super().__init__()
+        self._daemon = daemon
+
+    def format(self, record: standard_logging.LogRecord) -> str:
+        """Return the line without its end."""
+        line: dict[str, Any] = {
+            "time": datetime.fromtimestamp(record.created, UTC).isoformat(),
+            "level": record.levelname.lower(),
+            "daemon": self._daemon,
+        }
+        fields = getattr(record, "event_fields", None)
+        if fields is None:
+            line["event"] = "message"
+            line["logger"] = record.name
+            line["detail"] = record.getMessage()
+        else:
+            line.update(fields)
+        if record.exc_info:
+            line["traceback"] = self.formatException(record.exc_info)
+        return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+def configure_logging(daemon: str, level: LogLevel) -> None:
+    """Write JSON lines to standard error, those of Twisted from warnings on."""
+    # The command line is parsed by argparse, so absl's own flags keep their values.
+    flags.FLAGS.mark_as_parsed()
+    flags.FLAGS.logtostderr = True
+    logging.use_absl_handler()
+    logging.set_verbosity(_SEVERITIES[level])
+    logging.get_absl_handler().setFormatter(_JsonLineFormatter(daemon))
+    warnings_on = LogLevelFilterPredicate(defaultLogLevel=TwistedLevel.warn)
+    observer = FilteringLogObserver(STDLibLogObserver(), [warnings_on])
+    globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False)
+
+
+class _Window:
+    """Lines of one event since the window began."""
+
+    __slots__ = ("began_at", "suppressed", "written")
+
+    def __init__(self, began_at: datetime) -> None:
+        self.began_at = began_at
+        self.written = 0
+        self.suppressed = 0
+
+
+class EventLog:
+    """Writes events; one that comes too often is counted instead of written.
+
+    The next line of that event tells in ``suppressed`` how many were left out.
+    """
+
+    def __init__(self, clock: Clock, lines_per_event_per_s: int) -> None:
+        self._clock = clock
+        self._lines_per_window = lines_per_event_per_s
+        self._windows: dict[str, _Window] = {}
+
+    def log_event(
+        self,
+        level: LogLevel,
+        event: str,
+        subject: LogSubject = _NO_SUBJECT,
+        **details: Any,
+    ) -> bool:
+        """Write one line unless its event exceeds the rate; tell if it was written.
+
+        ``event`` is a fixed name in snake case; what varies goes into ``details``,
+        whose values are encoded as JSON. Errors are never left out.
+        """
+        severity = _SEVERITIES[level]
+        if not logging.get_absl_logger().isEnabledFor(
+            logging.converter.absl_to_standard(severity)
+        ):
+            return False
+        suppressed = self._admit(event, exempt=level is LogLevel.ERROR)
+        if suppressed is None:
+            return False
+        fields = {"event": event, **subject.fields(), **details}
+        if suppressed:
+            fields["suppressed"] = suppressed
+        logging.log(severity, "%s", event, extra={"event_fields": fields})
+        return True
+
+    def _admit(self, event: str, exempt: bool) -> int | None:
+        """Return how many lines were left out before this one, None if it is too."""
+        now = self._clock.now()
+        window = self._windows.get(event)
+        if window is None:
+            window = self._windows[event] = _Window(now)
+        if now - window.began_at >= RATE_WINDOW:
+            window.began_at = now
+            window.written = 0
+        if window.written >= self._lines_per_window and not exempt:
+            window.suppressed += 1
+            return None
+        window.written += 1
+        suppressed = window.suppressed
+        window.suppressed = 0
+        return suppressed
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/settings/__init__.py
@@ -0,0 +1,29 @@
+"""Settings of one daemon: read from JSON and checked as a whole."""
+
+from ._load import SettingsError, load_settings, parse_settings
+from ._settings import (
+    Endpoint,
+    LeaseSettings,
+    LimitSettings,
+    ListenSettings,
+    LogLevel,
+    LogSettings,
+    PlatformSettings,
+    PollSettings,
+    Settings,
+)
+
+__all__ = [
+    "Endpoint",
+    "LeaseSettings",
+    "LimitSettings",
+    "ListenSettings",
+    "LogLevel",
+    "LogSettings",
+    "PlatformSettings",
+    "PollSettings",
+    "Settings",
+    "SettingsError",
+    "load_settings",
+    "parse_settings",
+]
