--- a/examples/test_examples.py
+++ b/examples/tests/test_examples.py
@@ -8,7 +8,7 @@
 
 
 def read(name):
-    return json.loads((Path(__file__).parent / f"{name}.json").read_text())
+    return json.loads((Path(__file__).parents[1] / f"{name}.json").read_text())
 
 
 @pytest.mark.parametrize("name", EXAMPLES)
