--- /dev/null
+++ b/packages/savorylead/savorylead/links/_connection_pool.py
@@ -0,0 +1,220 @@
+"""The connections of one link."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from datetime import datetime, timedelta
+from typing import NamedTuple
+
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import Clock
+
+from ._backoff import Backoff
+from ._counts import LinkCount
+from ._deadline import Deadline, DeadlineExceededError, within
+from ._errors import (
+    LinkClosedError,
+    LinkError,
+    LinkOverloadedError,
+    LinkTimeoutError,
+    LinkUnavailableError,
+)
+from ._link import Connection, Transport
+from ._settings import LinkSettings
+
+
+class _Idle(NamedTuple):
+    """A connection that nobody uses."""
+
+    conn: Connection
+    heard_at: datetime
+
+
+class ConnectionPool:
+    """Hands out connections, one caller at a time each, the last used first.
+
+    After a failure to connect, nobody tries again before a jittered delay, so
+    the rate of tries does not grow with the number of callers.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        transport: Transport,
+        backoff: Backoff,
+        settings: LinkSettings,
+        counts: Counter[LinkCount],
+    ) -> None:
+        self._clock = clock
+        self._transport = transport
+        self._backoff = backoff
+        self._settings = settings
+        self._counts = counts
+        self._idle: list[_Idle] = []
+        self._busy: set[Connection] = set()
+        self._connecting: set[Deferred[Connection]] = set()
+        self._slots_used = 0
+        self._waiting: deque[Deferred[None]] = deque()
+        self._connect_not_before = clock.now()
+        self._closed = False
+        self._waking = False
+
+    async def acquire(self, deadline: Deadline) -> Connection:
+        """Return a connection for one caller; raises LinkError with sent False."""
+        self._raise_if_closed()
+        idle = self.take_idle()
+        if idle is not None:
+            return idle
+        if self._slots_used >= self._settings.max_connections:
+            await self._wait_for_slot(deadline)
+            idle = self.take_idle()
+            if idle is not None:
+                return idle
+        return await self._open(deadline)
+
+    def take_idle(self) -> Connection | None:
+        """Return the idle connection that was used last, if there is one."""
+        while self._idle:
+            conn = self._idle.pop().conn
+            if not conn.is_closed():
+                self._busy.add(conn)
+                return conn
+            self._free_slot()
+        return None
+
+    def release(self, conn: Connection) -> None:
+        """Take a connection back, on which a reply was heard just now."""
+        if self._closed or conn.is_closed():
+            self.discard(conn)
+            return
+        self._busy.discard(conn)
+        self._idle.append(_Idle(conn, self._clock.now()))
+        self._wake_waiting()
+
+    def discard(self, conn: Connection) -> None:
+        """Close a connection that is in use."""
+        if conn in self._busy:
+            self._busy.discard(conn)
+            self._free_slot()
+        conn.close()
+
+    def drop_unheard_since(self, moment: datetime) -> None:
+        """Close idle connections on which nothing was heard since ``moment``.
+
+        When one connection went silent, whatever forgot it may have forgotten
+        the others as well.
+        """
+        suspects = [idle for idle in self._idle if idle.heard_at < moment]
+        self._drop(suspects, LinkCount.SUSPECT_CLOSED)
+
+    def drop_spares(self) -> None:
+        """Close every idle connection."""
+        self._drop(list(self._idle), LinkCount.SPARE_CLOSED)
+
+    def close(self) -> None:
+        """Close every connection and fail every waiting caller."""
+        self._closed = True
+        for idle in self._idle:
+            idle.conn.close()
+        for conn in list(self._busy):
+            conn.close()
+        self._idle.clear()
+        for pending in [*self._connecting, *self._waiting]:
+            pending.cancel()
+
+    def _drop(self, dropped: list[_Idle], reason: LinkCount) -> None:
+        for idle in dropped:
+            self._idle.remove(idle)
+            self._counts[reason] += 1
+            idle.conn.close()
+            self._free_slot()
+
+    async def _open(self, deadline: Deadline) -> Connection:
+        self._raise_if_closed()
+        self._slots_used += 1
+        try:
+            await self._wait_for_turn(deadline)
+            conn = await self._connect(deadline)
+        except BaseException:
+            self._free_slot()
+            raise
+        self._busy.add(conn)
+        return conn
+
+    async def _wait_for_turn(self, deadline: Deadline) -> None:
+        """Wait until the delay after the last failure to connect is over."""
+        delay = self._connect_not_before - self._clock.now()
+        if delay <= timedelta(0):
+            return
+        if delay >= deadline.remaining(self._clock):
+            raise LinkUnavailableError("the other end was unreachable just now")
+        await self._clock.sleep(delay)
+
+    async def _connect(self, deadline: Deadline) -> Connection:
+        limit = min(self._settings.connect_timeout, deadline.remaining(self._clock))
+        pending = self._transport.connect()
+        self._connecting.add(pending)
+        try:
+            conn = await within(self._clock, limit, pending)
+        except DeadlineExceededError:
+            self._note_connect_failure()
+            raise LinkUnavailableError("connecting took too long") from None
+        except LinkError:
+            self._note_connect_failure()
+            raise
+        except Exception:
+            self._raise_if_closed()
+            raise
+        finally:
+            self._connecting.discard(pending)
+        self._backoff.reset()
+        self._counts[LinkCount.CONNECTED] += 1
+        return conn
+
+    def _note_connect_failure(self) -> None:
+        self._raise_if_closed()
+        self._counts[LinkCount.CONNECT_FAILED] += 1
+        now = self._clock.now()
+        if now >= self._connect_not_before:
+            self._connect_not_before = now + self._backoff.next_delay()
+
+    def _raise_if_closed(self) -> None:
+        if self._closed:
+            raise LinkClosedError("the link is closed", sent=False) from None
+
+    async def _wait_for_slot(self, deadline: Deadline) -> None:
+        if len(self._waiting) >= self._settings.max_waiting:
+            raise LinkOverloadedError("too many calls wait for a connection")
+        turn: Deferred[None] = Deferred()
+        self._waiting.append(turn)
+        try:
+            await within(self._clock, deadline.remaining(self._clock), turn)
+        except DeadlineExceededError:
+            raise LinkTimeoutError("no connection became free", sent=False) from None
+        except Exception:
+            self._raise_if_closed()
+            raise
+        finally:
+            if turn in self._waiting:
+                self._waiting.remove(turn)
+
+    def _free_slot(self) -> None:
+        self._slots_used -= 1
+        self._wake_waiting()
+
+    def _wake_waiting(self) -> None:
+        """Let callers go on while there is something for them.
+
+        A caller may fail at once and so free its slot for the next one. The loop
+        keeps a long queue from becoming a deep recursion.
+        """
+        if self._waking:
+            return
+        self._waking = True
+        while self._waiting and self._has_room():
+            self._waiting.popleft().callback(None)
+        self._waking = False
+
+    def _has_room(self) -> bool:
+        return bool(self._idle) or self._slots_used < self._settings.max_connections
