State when a decision takes a task out of the queue

A lead has to know whether an overflowed task may still be placed here. Ageing is stated as turns that ignore shares: adding waiting time to shares would let the longest queue win over every share once a backlog is minutes old.

--- a/packages/savorylead/savorylead/placement/_planner.py
+++ b/packages/savorylead/savorylead/placement/_planner.py
@@ -22,7 +22,8 @@
     packing_weight: float = 1.0
     #: How strongly tasks without accelerators avoid workers that have some.
     accelerator_guard_weight: float = 1.0
-    #: Seconds of waiting that outweigh one whole fleet of share distance.
+    #: Seconds of waiting after which a task gets turns that ignore shares, and a
+    #: reservation if nothing has room for it.
     ageing_s: float = 60.0
     #: Whether urgent tasks may checkpoint batch tasks.
     preemption: bool = True
@@ -90,7 +91,11 @@
     A planner is pure: it never reads a clock and its decisions depend only on the
     calls made before. Times are Unix milliseconds. All capacity that it hands out
     is held from the decision until ``remove``. The members of an all-at-once job
-    are placed by one ``plan`` or ``place_now`` call, or not at all.
+    are placed by one ``plan`` or ``place_now`` call, or not at all. Place, Reject
+    and Overflow take the task out of the queue; a task that no other shard took
+    after an Overflow is queued again by ``add_pending``. A member that ran and is
+    queued again waits until no member of its job runs, then all that wait start
+    together.
     """
 
     @abstractmethod
