Add the naive planner as the exact baseline

It scans all tasks and workers for each decision and keeps no index. Services spread over racks, batch takes the tightest worker, accelerator workers come last for plain work, teams are ordered by weighted dominant share, every 64th placement goes to the longest waiting task, jobs start whole and hold one reservation.

--- a/packages/savorylead/savorylead/placement/__init__.py
+++ b/packages/savorylead/savorylead/placement/__init__.py
@@ -1,5 +1,6 @@
 """Placement: which pending task goes to which worker, and when."""
 
+from ._naive import NaivePlanner
 from ._planner import (
     Decision,
     Overflow,
@@ -13,6 +14,7 @@
 
 __all__ = [
     "Decision",
+    "NaivePlanner",
     "Overflow",
     "PendingTask",
     "Place",
--- /dev/null
+++ b/packages/savorylead/savorylead/placement/_naive.py
@@ -0,0 +1,230 @@
+"""The naive planner: exact and plain, it scans everything for each decision."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Hashable, Iterable
+
+from savorylead.contracts import TaskId
+from savorylead.outcomes import Refusal
+from savorylead.resources import ZERO
+from savorylead.workers import WorkerState
+
+from . import _rules as rules
+from ._naive_book import QueuedTask, total
+from ._naive_clearing import NaiveClearing
+from ._planner import Decision, Overflow, PendingTask, Place, Preempt, Reject
+
+
+class NaivePlanner(NaiveClearing):
+    """Decides by the rules with no index; the baseline of every other planner."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._placements = 0
+        self._overflowed_ms: dict[TaskId, int] = {}
+        self._overflow_check_ms = 0
+
+    def place_now(self, tasks: Collection[PendingTask], now_ms: int) -> list[Decision]:
+        """Decide on tasks on arrival; those without a decision are queued."""
+        arrivals = {task.spec.id for task in tasks}
+        for task in tasks:
+            self.add_pending(task)
+        self._keep_house(now_ms)
+        decisions = [*self._refuse_late(now_ms, arrivals), *self._refuse_impossible()]
+        while True:
+            chosen = self._next_start(now_ms)
+            if arrivals.isdisjoint(_subject(decision) for decision in chosen):
+                return decisions
+            self._commit(chosen, now_ms)
+            decisions.extend(chosen)
+
+    def plan(self, now_ms: int, max_decisions: int) -> list[Decision]:
+        """Decide on queued tasks, best first."""
+        self._keep_house(now_ms)
+        late = self._refuse_late(now_ms, self._pending)
+        decisions = [*late, *self._refuse_impossible()]
+        reserved = self._reserved_start(now_ms)
+        self._commit(reserved, now_ms)
+        decisions.extend(reserved)
+        while len(decisions) < max_decisions:
+            chosen = self._next_start(now_ms)
+            if not chosen:
+                decisions.extend(self._send_elsewhere(now_ms))
+                break
+            self._commit(chosen, now_ms)
+            decisions.extend(chosen)
+        return decisions
+
+    # -- what leaves the queue without a start
+
+    def _refuse_late(self, now_ms: int, among: Iterable[TaskId]) -> list[Decision]:
+        late = set()
+        for task_id in among:
+            queued = self._pending.get(task_id)
+            if queued and 0 < queued.task.spec.start_by_ms < now_ms:
+                late.add(self._unit(queued.task))
+        members = [q for q in self._in_order() if self._unit(q.task) in late]
+        for queued in members:
+            self.remove(queued.task.spec.id)
+        return [Reject(q.task.spec.id, Refusal.DEADLINE_PASSED) for q in members]
+
+    def _refuse_impossible(self) -> list[Decision]:
+        if not self._workers:
+            return []
+        impossible = set()
+        for queued in self._pending.values():
+            if not self.ever_fits(queued.task.spec):
+                impossible.add(self._unit(queued.task))
+        members = [q for q in self._in_order() if self._unit(q.task) in impossible]
+        for queued in members:
+            self.remove(queued.task.spec.id)
+        return [Overflow(q.task.spec.id) for q in members]
+
+    def _send_elsewhere(self, now_ms: int) -> list[Decision]:
+        """Return tasks that waited long and for which the other shards have room."""
+        if now_ms < self._overflow_check_ms:
+            return []
+        self._overflow_check_ms = now_ms + rules.OVERFLOW_CHECK_MS
+        for task_id, at_ms in list(self._overflowed_ms.items()):
+            if now_ms - at_ms >= rules.OVERFLOW_AGAIN_MS:
+                del self._overflowed_ms[task_id]
+        room = self._fleet.minus(self._capacity()).minus(
+            total(list(self._elsewhere.values()))
+        )
+        chosen: list[Decision] = []
+        seen: set[Hashable] = set()
+        for queued in self._in_order():
+            spec = queued.task.spec
+            limit = rules.URGENT_OVERFLOW_MS if spec.urgent else rules.OVERFLOW_MS
+            kind = (spec.id.team, rules.equivalence_class(queued.task))
+            if rules.is_gang(queued.task) or kind in seen:
+                continue
+            seen.add(kind)
+            waited_ms = now_ms - queued.queued_at_ms
+            if waited_ms < limit or spec.id in self._overflowed_ms:
+                continue
+            if spec.id in self._claims or not spec.resources.fits(room):
+                continue
+            if len(chosen) == rules.MAX_OVERFLOWS:
+                break
+            room = room.minus(spec.resources)
+            chosen.append(Overflow(spec.id))
+        for decision in chosen:
+            self.remove(decision.task)
+            self._overflowed_ms[decision.task] = now_ms
+        return chosen
+
+    # -- what starts
+
+    def _next_start(self, now_ms: int) -> list[Decision]:
+        """Return the best start, all members of a job together, or nothing."""
+        claimed = self._claimed_start()
+        if claimed:
+            return claimed
+        for urgent in (True, False):
+            chosen = self._aged_start(now_ms) if not urgent else []
+            chosen = chosen or self._best_by_share(urgent, now_ms)
+            if chosen:
+                return chosen
+            if urgent and self._policy.preemption:
+                chosen = self._preemption(now_ms)
+            if chosen:
+                return chosen
+        return []
+
+    def _claimed_start(self) -> list[Decision]:
+        for task_id, claim in sorted(self._claims.items()):
+            queued = self._pending[task_id]
+            need = queued.task.spec.resources
+            ready = self._states.get(claim.worker) is WorkerState.READY
+            if not ready or not self._admitted([queued.task]):
+                continue
+            if need.fits(self._free(claim.worker)):
+                return [Place(task_id, claim.worker)]
+        return []
+
+    def _aged_start(self, now_ms: int) -> list[Decision]:
+        """Return the longest waiting start if it is its turn."""
+        if self._placements % rules.AGEING_TURN != rules.AGEING_TURN - 1:
+            return []
+        limit_ms = now_ms - int(self._policy.ageing_s * 1000)
+        aged = [q for q in self._in_order() if q.queued_at_ms <= limit_ms]
+        return self._first_start([q for q in aged if not q.task.spec.urgent], now_ms)
+
+    def _best_by_share(self, urgent: bool, now_ms: int) -> list[Decision]:
+        for team in self._teams():
+            queue = [
+                queued
+                for queued in self._in_order()
+                if queued.task.spec.id.team == team
+                and queued.task.spec.urgent is urgent
+            ]
+            chosen = self._first_start(queue, now_ms)
+            if chosen:
+                return chosen
+        return []
+
+    def _first_start(self, queue: list[QueuedTask], now_ms: int) -> list[Decision]:
+        seen: set[Hashable] = set()
+        for queued in queue:
+            task = queued.task
+            kind = (task.spec.id.team, rules.equivalence_class(task))
+            if kind in seen:
+                continue
+            seen.add(kind)
+            members = self._members(task)
+            chosen = self._start_of(members, now_ms) if self._admitted(members) else []
+            if chosen:
+                return chosen
+        return []
+
+    def _preemption(self, now_ms: int) -> list[Decision]:
+        """Return what makes room for the first urgent task that has no claim."""
+        if len(self._claims) >= rules.MAX_CLAIMS:
+            return []
+        for team in self._teams():
+            seen: set[Hashable] = set()
+            for queued in self._in_order():
+                task = queued.task
+                spec = task.spec
+                if spec.id.team != team or not spec.urgent or rules.is_gang(task):
+                    continue
+                kind = rules.equivalence_class(task)
+                if spec.id in self._claims or kind in seen:
+                    continue
+                seen.add(kind)
+                victims = self._victims(task) if self._admitted([task]) else []
+                if victims:
+                    return [Preempt(v.task.spec.id, v.worker, spec.id) for v in victims]
+        return []
+
+    def _commit(self, chosen: list[Decision], now_ms: int) -> None:
+        for decision in chosen:
+            if isinstance(decision, Place):
+                queued = self._pending.pop(decision.task)
+                self._claims.pop(decision.task, None)
+                self.add_running(queued.task, decision.worker, now_ms)
+                self._placements += 1
+            elif isinstance(decision, Preempt):
+                self._stopping.add(decision.task)
+                until_ms = now_ms + int(self._policy.reservation_s * 1000)
+                need = self._pending[decision.beneficiary].task.spec.resources
+                claim = rules.Claim(decision.worker, need, until_ms)
+                self._claims[decision.beneficiary] = claim
+
+    def _teams(self) -> list[str]:
+        """Return the teams that wait, the one furthest below its share first."""
+        names = {queued.task.spec.id.team for queued in self._pending.values()}
+        return sorted(names, key=lambda name: (self._share(name), name))
+
+    def _share(self, team: str) -> float:
+        elsewhere = self._elsewhere.get(team, ZERO)
+        used = self.held_by_team(team).plus(elsewhere)
+        return rules.weighted_share(used, self._fleet, self._weights.get(team, 0.0))
+
+
+def _subject(decision: Decision) -> TaskId:
+    """Return the waiting task that the decision is for."""
+    if isinstance(decision, Preempt):
+        return decision.beneficiary
+    return decision.task
--- /dev/null
+++ b/packages/savorylead/savorylead/placement/_naive_clearing.py
@@ -0,0 +1,269 @@
+"""How the naive planner finds workers and clears room on them."""
+
+from __future__ import annotations
+
+from collections.abc import Hashable, Iterable
+
+from savorylead.contracts import TaskId, TaskKind, TaskSpec
+from savorylead.resources import ZERO, Resources
+from savorylead.workers import WorkerState
+
+from . import _rules as rules
+from ._naive_book import NaiveBook, QueuedTask, RunningTask, total
+from ._planner import Decision, PendingTask, Place
+
+
+class NaiveClearing(NaiveBook):
+    """Searches all workers for room, claims it and reserves it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        #: Jobs whose reservation ran out, with the time of their next turn.
+        self._cooling_ms: dict[TaskId, int] = {}
+        self._reservation_check_ms = 0
+
+    def ever_fits(self, spec: TaskSpec) -> bool:
+        """Return whether some worker of this shard could hold the task when empty."""
+        need = spec.resources
+        return any(need.fits(worker.capacity) for worker in self._workers.values())
+
+    # -- housekeeping by time
+
+    def _keep_house(self, now_ms: int) -> None:
+        for task_id, claim in list(self._claims.items()):
+            ready = self._states.get(claim.worker) is WorkerState.READY
+            if now_ms >= claim.until_ms or not ready:
+                del self._claims[task_id]
+        self._end_reservation(now_ms)
+        if self._reservation is None and now_ms >= self._reservation_check_ms:
+            self._reservation_check_ms = now_ms + rules.RESERVATION_CHECK_MS
+            self._reservation = self._new_reservation(now_ms)
+
+    def _end_reservation(self, now_ms: int) -> None:
+        for job, until_ms in list(self._cooling_ms.items()):
+            if now_ms >= until_ms:
+                del self._cooling_ms[job]
+        reservation = self._reservation
+        if reservation is None:
+            return
+        if not any(self._unit(q.task) == reservation.job for q in self._in_order()):
+            self._reservation = None
+        elif now_ms >= reservation.until_ms:
+            pause_ms = int(self._policy.reservation_s * 1000)
+            self._cooling_ms[reservation.job] = now_ms + pause_ms
+            self._reservation = None
+
+    def _new_reservation(self, now_ms: int) -> rules.Reservation | None:
+        """Reserve workers for the longest waiting unit that cannot start."""
+        aged_ms = now_ms - int(self._policy.ageing_s * 1000)
+        seen: set[Hashable] = set()
+        for queued in self._in_order():
+            task = queued.task
+            kind = (task.spec.id.team, rules.equivalence_class(task))
+            unit = self._unit(task)
+            if kind in seen or unit in self._cooling_ms:
+                continue
+            seen.add(kind)
+            waits_long = queued.queued_at_ms <= aged_ms
+            if not rules.is_gang(task) and not waits_long:
+                continue
+            members = self._members(task)
+            if not self._admitted(members) or self._start_of(members, now_ms):
+                continue
+            workers = self._reservable(members)
+            if workers:
+                until_ms = now_ms + int(self._policy.reservation_s * 1000)
+                return rules.Reservation(unit, frozenset(workers), until_ms)
+        return None
+
+    def _reservable(self, members: list[PendingTask]) -> set[str]:
+        """Return workers that hold all members once their batch work has ended."""
+        order = self._order()
+        rooms = {}
+        for name in self._workers:
+            if self._states[name] is WorkerState.READY:
+                rooms[name] = self._eventual_room(name)
+        names = sorted(rooms, key=lambda n: (-order.key(rooms[n]), self._ranks[n]))
+        chosen = set()
+        for member in members:
+            need = member.spec.resources
+            fitting = (
+                n for n in names if n not in member.avoid and need.fits(rooms[n])
+            )
+            name = next(fitting, None)
+            if name is None:
+                return set()
+            rooms[name] = rooms[name].minus(need)
+            chosen.add(name)
+        return chosen
+
+    def _eventual_room(self, name: str) -> Resources:
+        lasting = [
+            running.task.spec.resources
+            for running in self._running.values()
+            if running.worker == name and running.task.spec.kind is TaskKind.SERVICE
+        ]
+        claimed = [c.need for c in self._claims.values() if c.worker == name]
+        held = total([*lasting, *claimed])
+        return self._workers[name].capacity.minus(held)
+
+    def _reserved_start(self, now_ms: int) -> list[Decision]:
+        """Start the job that holds the reservation, if it fits by now."""
+        if self._reservation is None:
+            return []
+        job = self._reservation.job
+        members = [q.task for q in self._in_order() if self._unit(q.task) == job]
+        members = self._members(members[0])
+        if not self._admitted(members):
+            return []
+        return self._start_of(members, now_ms)
+
+    # -- units that start together
+
+    def _in_order(self) -> list[QueuedTask]:
+        """Return what waits, oldest first."""
+        return sorted(self._pending.values(), key=lambda q: (q.queued_at_ms, q.number))
+
+    def _unit(self, task: PendingTask) -> TaskId:
+        """Return the id of what starts together: the job or the task itself."""
+        if rules.is_gang(task):
+            return task.spec.id.job()
+        return task.spec.id
+
+    def _members(self, task: PendingTask) -> list[PendingTask]:
+        """Return what must start with the task; empty if it is not all there.
+
+        A job whose member has run before waits only for the members that are
+        left; none of them may still be running.
+        """
+        if not rules.is_gang(task):
+            return [task]
+        job = task.spec.id.job()
+        if any(r.task.spec.id.job() == job for r in self._running.values()):
+            return []
+        members = [q.task for q in self._pending.values() if self._unit(q.task) == job]
+        members.sort(key=lambda member: member.spec.id.member)
+        whole = len(members) == task.spec.members
+        again = all(member.next_attempt > 1 for member in members)
+        return members if whole or again else []
+
+    def _admitted(self, members: list[PendingTask]) -> bool:
+        """Return whether preset, grant and urgent reserve let the members start."""
+        if not members:
+            return False
+        spec = members[0].spec
+        if spec.kind is TaskKind.BATCH and not self._policy.admit_batch:
+            return False
+        need = total([member.spec.resources for member in members])
+        grant = self._grants.get(spec.id.team, ZERO)
+        if not self.held_by_team(spec.id.team).plus(need).fits(grant):
+            return False
+        if spec.urgent or self._policy.preemption:
+            return True
+        reserve = rules.urgent_reserve(self._capacity())
+        left = self._shard_free().minus(need)
+        return all(need[i] == 0 or left[i] >= reserve[i] for i in range(len(reserve)))
+
+    def _start_of(self, members: list[PendingTask], now_ms: int) -> list[Decision]:
+        """Return a place for every member, or nothing."""
+        extra: dict[str, Resources] = {}
+        chosen: list[Decision] = []
+        for member in members:
+            worker = self._best_worker(member, now_ms, extra)
+            if worker is None:
+                return []
+            extra[worker] = extra.get(worker, ZERO).plus(member.spec.resources)
+            chosen.append(Place(member.spec.id, worker))
+        return chosen
+
+    # -- workers
+
+    def _best_worker(
+        self, task: PendingTask, now_ms: int, extra: dict[str, Resources]
+    ) -> str | None:
+        """Return the worker of the lowest cost; reserved ones only if none fits."""
+        reservation = self._reservation
+        if reservation is None or reservation.job == self._unit(task):
+            return self._cheapest(task, self._workers, extra)
+        others = [name for name in self._workers if name not in reservation.workers]
+        best = self._cheapest(task, others, extra)
+        ends_ms = now_ms + rules.BACKFILL_RUN_MS
+        fills = self._policy.backfill and rules.may_backfill(task)
+        if best is None and fills and ends_ms <= reservation.until_ms:
+            return self._cheapest(task, reservation.workers, extra)
+        return best
+
+    def _cheapest(
+        self, task: PendingTask, names: Iterable[str], extra: dict[str, Resources]
+    ) -> str | None:
+        need = task.spec.resources
+        order = self._order()
+        best = None
+        for name in names:
+            room = self._room(name, task.spec.id).minus(extra.get(name, ZERO))
+            ready = self._states.get(name) is WorkerState.READY
+            if not ready or name in task.avoid or not need.fits(room):
+                continue
+            cost = self._cost(task, name, room, order)
+            rank = (cost, order.key(room), self._ranks[name])
+            if best is None or rank < best[0]:
+                best = (rank, name)
+        return best[1] if best else None
+
+    def _room(self, name: str, task_id: TaskId) -> Resources:
+        """Return what the task may use of the worker now."""
+        claimed = [
+            claim.need
+            for owner, claim in self._claims.items()
+            if claim.worker == name and owner != task_id
+        ]
+        return self._free(name).minus(total(claimed))
+
+    def _cost(
+        self, task: PendingTask, name: str, room: Resources, order: rules.PackingOrder
+    ) -> float:
+        worker = self._workers[name]
+        need = task.spec.resources
+        leftover = (order.key(room) - order.key(need)) / order.whole
+        same = 0
+        if task.spec.kind is TaskKind.SERVICE:
+            same = self._same_in_rack(task, worker.rack)
+        wastes = worker.capacity.accelerators > 0 and need.accelerators == 0
+        return rules.placement_cost(self._policy, leftover, same, wastes)
+
+    # -- preemption
+
+    def _victims(self, task: PendingTask) -> list[RunningTask]:
+        """Return what to checkpoint on the tightest worker that then has room."""
+        need = task.spec.resources
+        order = self._order()
+        taken = {claim.worker for claim in self._claims.values()}
+        if self._reservation is not None:
+            taken |= self._reservation.workers
+        best = None
+        for name in self._workers:
+            ready = self._states[name] is WorkerState.READY
+            if not ready or name in taken or name in task.avoid:
+                continue
+            potential = self._free(name).plus(
+                total([r.task.spec.resources for r in self._preemptible(name)])
+            )
+            rank = (order.key(potential), self._ranks[name])
+            if need.fits(potential) and (best is None or rank < best[0]):
+                best = (rank, name)
+        if best is None:
+            return []
+        return rules.fewest_victims(
+            need, self._free(best[1]), self._preemptible(best[1])
+        )
+
+    def _preemptible(self, name: str) -> list[RunningTask]:
+        """Return what may be checkpointed on the worker, latest start first."""
+        found = [
+            running
+            for running in self._running.values()
+            if running.worker == name
+            and running.task.spec.id not in self._stopping
+            and rules.is_preemptible(running.task)
+        ]
+        return sorted(found, key=lambda r: (-r.since_ms, -r.number))
--- /dev/null
+++ b/packages/savorylead/savorylead/placement/_rules.py
@@ -0,0 +1,186 @@
+"""The rules of placement that every planner follows, as pure functions."""
+
+from __future__ import annotations
+
+from collections.abc import Hashable, Sequence
+from typing import NamedTuple, Protocol, TypeVar
+
+from savorylead.contracts import TaskId, TaskKind
+from savorylead.resources import Resources
+
+from ._planner import PendingTask, Policy
+
+#: One placement in this many goes to the longest waiting task, whatever its share.
+AGEING_TURN = 64
+#: A task whose declared run time is at most this may run before a reservation.
+BACKFILL_RUN_MS = 10_000
+#: Most urgent tasks for which room is being cleared at once in one shard.
+MAX_CLAIMS = 64
+#: Pause between two searches for a task that needs a reservation.
+RESERVATION_CHECK_MS = 1_000
+#: Pause between two searches for tasks that another shard should take.
+OVERFLOW_CHECK_MS = 1_000
+#: Waiting time after which an urgent task may go to another shard.
+URGENT_OVERFLOW_MS = 2_000
+#: Waiting time after which any other task may go to another shard.
+OVERFLOW_MS = 10_000
+#: Pause before the same task is sent to another shard again.
+OVERFLOW_AGAIN_MS = 60_000
+#: Most tasks sent to other shards by one search.
+MAX_OVERFLOWS = 16
+#: Part of cores and memory kept for urgent work where it may not preempt, in percent.
+URGENT_RESERVE_PERCENT = 2
+
+
+class PackingOrder(NamedTuple):
+    """Orders workers by their free room; the least that suffices is the best fit.
+
+    A key adds the free cores and memory, each as a part of the shard's largest
+    worker. Free accelerators weigh more than everything else, so that a worker
+    whose accelerators are free is the last choice for tasks that need none.
+    """
+
+    cores_weight: int = 1
+    memory_weight: int = 1
+    accelerator_weight: int = 1
+    #: Key of a worker that is as large as the largest in every dimension.
+    whole: int = 1
+
+    @staticmethod
+    def of_largest(largest: Resources) -> PackingOrder:
+        """Return the order for a shard whose largest capacities are given."""
+        cores = max(largest.cores_milli, 1)
+        memory = max(largest.memory_mb, 1)
+        accelerator = 4 * cores * memory
+        return PackingOrder(
+            cores_weight=memory,
+            memory_weight=cores,
+            accelerator_weight=accelerator,
+            whole=2 * cores * memory + accelerator * largest.accelerators,
+        )
+
+    def key(self, room: Resources) -> int:
+        """Return the place of ``room`` in the order."""
+        return (
+            room[0] * self.cores_weight
+            + room[1] * self.memory_weight
+            + room[2] * self.accelerator_weight
+        )
+
+
+def placement_cost(
+    policy: Policy,
+    leftover: float,
+    same_in_rack: int,
+    wastes_accelerators: bool,
+) -> float:
+    """Return how badly a worker suits a task; the lowest cost wins.
+
+    ``leftover`` is the part of a whole worker that stays free, and
+    ``same_in_rack`` counts the services of the same workspace in the rack.
+    """
+    cost = policy.packing_weight * leftover
+    if wastes_accelerators:
+        cost += policy.accelerator_guard_weight
+    return cost + policy.spread_weight * same_in_rack
+
+
+def weighted_share(used: Resources, fleet: Resources, weight: float) -> float:
+    """Return the team's dominant share of the fleet divided by its weight."""
+    if weight <= 0:
+        return float("inf")
+    return used.dominant_share(fleet) / weight
+
+
+def is_gang(task: PendingTask) -> bool:
+    """Return whether the task is a member of an all-at-once job."""
+    return task.spec.kind is TaskKind.ALL_AT_ONCE
+
+
+def may_backfill(task: PendingTask) -> bool:
+    """Return whether the task is declared short enough to run before a reservation."""
+    return 0 < task.spec.run_time_ms <= BACKFILL_RUN_MS
+
+
+def is_preemptible(task: PendingTask) -> bool:
+    """Return whether urgent work may checkpoint the task.
+
+    A task that may not be repeated is never stopped for another.
+    """
+    spec = task.spec
+    return spec.kind is TaskKind.BATCH and spec.repeatable and not spec.urgent
+
+
+def equivalence_class(task: PendingTask) -> Hashable:
+    """Return a key that is equal for a team's tasks that fit the same workers."""
+    spec = task.spec
+    if spec.kind is TaskKind.ALL_AT_ONCE:
+        return spec.id.job()
+    workspace = spec.id.workspace if spec.kind is TaskKind.SERVICE else ""
+    return (
+        spec.kind,
+        spec.urgent,
+        spec.resources,
+        workspace,
+        task.avoid,
+        may_backfill(task),
+    )
+
+
+def urgent_reserve(capacity: Resources) -> Resources:
+    """Return what other work must leave free where urgent work may not preempt."""
+    return Resources(
+        cores_milli=capacity.cores_milli * URGENT_RESERVE_PERCENT // 100,
+        memory_mb=capacity.memory_mb * URGENT_RESERVE_PERCENT // 100,
+    )
+
+
+class Running(Protocol):
+    """What the choice of victims needs to know of a running task."""
+
+    @property
+    def task(self) -> PendingTask:
+        """The task as it was placed."""
+
+
+AnyRunning = TypeVar("AnyRunning", bound=Running)
+
+
+def fewest_victims(
+    need: Resources, free: Resources, candidates: Sequence[AnyRunning]
+) -> list[AnyRunning]:
+    """Return candidates that make room for ``need``, taken in the order given.
+
+    None of the result can be left out. Empty if all of them are not enough.
+    """
+    chosen: list[AnyRunning] = []
+    for candidate in candidates:
+        if need.fits(free):
+            break
+        chosen.append(candidate)
+        free = free.plus(candidate.task.spec.resources)
+    if not need.fits(free):
+        return []
+    for candidate in list(chosen):
+        without = free.minus(candidate.task.spec.resources)
+        if need.fits(without):
+            chosen.remove(candidate)
+            free = without
+    return chosen
+
+
+class Claim(NamedTuple):
+    """Room on one worker that is being cleared for an urgent task."""
+
+    worker: str
+    need: Resources
+    until_ms: int
+
+
+class Reservation(NamedTuple):
+    """Workers that take nothing new until a waiting job fits on them."""
+
+    #: Id of the task, or of the first member of the job.
+    job: TaskId
+    workers: frozenset[str]
+    until_ms: int
