--- a/packages/savorylead/savorylead/journal/_journal.py
+++ b/packages/savorylead/savorylead/journal/_journal.py
@@ -18,14 +18,17 @@
 class DeposedError(JournalError):
     """Another lead has taken the shard; nothing more can be appended here.
 
-    The events of the failed append, and of all appends after it, are not durable
-    and never will be.
+    If ``settled`` is true, the events of the failed append are not durable and
+    never will be. Otherwise that is not known: the journal was closed during the
+    write, or the log went once around the ring before the reply was read back.
     """
 
-    def __init__(self, shard: str, epoch: int) -> None:
+    def __init__(self, shard: str, epoch: int, settled: bool = True) -> None:
         super().__init__(f"epoch {epoch} of shard {shard} is over")
         self.shard = shard
         self.epoch = epoch
+        #: Whether it is proved that the events are not durable.
+        self.settled = settled
 
 
 class Journal(ABC):
@@ -55,7 +58,10 @@
 
     @abstractmethod
     def close(self) -> None:
-        """Stop without resigning; pending appends fail with DeposedError."""
+        """Stop without resigning; pending appends fail with DeposedError.
+
+        The write in flight may still take effect: its appends are not settled.
+        """
 
     @property
     @abstractmethod
