--- a/packages/savorylead/savorylead/journal/__init__.py
+++ b/packages/savorylead/savorylead/journal/__init__.py
@@ -1,5 +1,12 @@
 """How a shard's decisions become durable in the platform's store."""
 
+from ._codec import (
+    JournalFormatError,
+    ShardHead,
+    SnapshotPointer,
+    outcome_from_wire,
+    outcome_to_wire,
+)
 from ._events import (
     Accepted,
     CancelAsked,
@@ -17,10 +24,22 @@
     Tombstoned,
 )
 from ._journal import DeposedError, Journal, JournalError
+from ._layout import HEADS_PREFIX
+from ._reader import (
+    JournalBusyError,
+    ReplayedShard,
+    read_heads,
+    replay_shard,
+)
+from ._ring_journal import RingJournal
+from ._settings import AlreadyOpenError, AppendTooLargeError, JournalSettings
 from ._state import Phase, ShardState, TaskRecord, UnknownTaskError
 
 __all__ = [
+    "HEADS_PREFIX",
     "Accepted",
+    "AlreadyOpenError",
+    "AppendTooLargeError",
     "CancelAsked",
     "DeposedError",
     "Ended",
@@ -28,17 +47,28 @@
     "Event",
     "Forgotten",
     "Journal",
+    "JournalBusyError",
     "JournalError",
+    "JournalFormatError",
+    "JournalSettings",
     "Moved",
     "OfferDeclined",
     "Offered",
     "Phase",
     "Placed",
+    "ReplayedShard",
     "RequeueReason",
     "Requeued",
     "Resigned",
+    "RingJournal",
+    "ShardHead",
     "ShardState",
+    "SnapshotPointer",
     "TaskRecord",
     "Tombstoned",
     "UnknownTaskError",
+    "outcome_from_wire",
+    "outcome_to_wire",
+    "read_heads",
+    "replay_shard",
 ]
--- /dev/null
+++ b/packages/savorylead/savorylead/journal/_codec.py
@@ -0,0 +1,272 @@
+"""How events, log entries, heads and snapshots are written as JSON.
+
+An event is ``[tag, fields]``. Named tuples are arrays, so a field may be added at
+the end if it has a default; any other change needs a new format number.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from typing import Any, NamedTuple, TypeVar
+
+import msgspec
+
+from savorylead.contracts import TaskId, TaskSpec
+from savorylead.outcomes import Cancelled, Done, Failed, NotRun, Outcome, Unknown
+
+from ._events import (
+    Accepted,
+    CancelAsked,
+    Ended,
+    EpochBegan,
+    Event,
+    Forgotten,
+    Moved,
+    OfferDeclined,
+    Offered,
+    Placed,
+    Requeued,
+    Resigned,
+    Tombstoned,
+)
+from ._journal import JournalError
+from ._state import Phase, TaskRecord
+
+T = TypeVar("T")
+
+#: Number of the format that this module writes, and the only one that it reads.
+JOURNAL_FORMAT = 1
+
+
+class JournalFormatError(JournalError):
+    """A value of the journal cannot be read."""
+
+    def __init__(self, key: str, detail: str) -> None:
+        super().__init__(f"{key}: {detail}")
+        self.key = key
+        self.detail = detail
+
+
+class SnapshotPointer(NamedTuple):
+    """Names the newest complete snapshot."""
+
+    snapshot: str
+    chunks: int
+    #: Index of the last log entry that the snapshot contains.
+    covered: int
+    #: Sum of the lengths of the chunks.
+    size_bytes: int
+
+
+class ShardHead(NamedTuple):
+    """The one key that says who leads a shard and where its snapshot is.
+
+    Raising the epoch and moving the snapshot pointer both swap this key, so a
+    new lead's claim also defeats a pointer that an older lead is about to move.
+    """
+
+    format: int
+    epoch: int
+    #: Name of the daemon that leads; empty once it resigned.
+    lead: str
+    #: Random per claim; tells a lead that its claim took effect.
+    claim: str
+    #: Length of the log ring; fixed when the shard is first led.
+    ring_slots: int
+    snapshot: SnapshotPointer | None = None
+
+    @property
+    def covered(self) -> int:
+        """Index of the last entry that need not be kept; 0 for none."""
+        return self.snapshot.covered if self.snapshot else 0
+
+
+class Entry(NamedTuple):
+    """One log entry: a batch of events."""
+
+    format: int
+    #: Counts from 1 over the whole life of the shard.
+    index: int
+    epoch: int
+    #: Random per batch; tells a lead that its write took effect.
+    batch: str
+    #: Whether the batch goes on in the next entry; both count, or neither.
+    more: bool
+    events: list[tuple[str, msgspec.Raw]]
+
+
+class _EndedWire(NamedTuple):
+    task: TaskId
+    outcome: tuple[str, dict[str, Any]]
+    at_ms: int
+
+
+class _RecordWire(NamedTuple):
+    """A task record whose outcome carries its tag; see TaskRecord."""
+
+    spec: TaskSpec | None
+    phase: Phase
+    accepted_at_ms: int
+    attempt: int
+    worker: str
+    incarnation: str
+    placed_at_ms: int
+    avoid: tuple[str, ...]
+    cancel_asked: bool
+    origin: str
+    target: str
+    outcome: tuple[str, dict[str, Any]] | None
+    ended_at_ms: int
+
+
+class _ChunkWire(NamedTuple):
+    format: int
+    epoch: int
+    lead: str
+    records: list[tuple[TaskId, _RecordWire]]
+
+
+class SnapshotChunk(NamedTuple):
+    """A part of a shard's records."""
+
+    epoch: int
+    lead: str
+    records: list[tuple[TaskId, TaskRecord]]
+
+
+_OUTCOME_TAGS: dict[type, str] = {
+    Done: "done",
+    Failed: "failed",
+    Cancelled: "cancelled",
+    NotRun: "not_run",
+    Unknown: "unknown",
+}
+_OUTCOME_TYPES = {tag: kind for kind, tag in _OUTCOME_TAGS.items()}
+_EVENT_TAGS: dict[type, str] = {
+    EpochBegan: "epoch_began",
+    Accepted: "accepted",
+    Placed: "placed",
+    Requeued: "requeued",
+    Ended: "ended",
+    CancelAsked: "cancel_asked",
+    Tombstoned: "tombstoned",
+    Offered: "offered",
+    OfferDeclined: "offer_declined",
+    Moved: "moved",
+    Forgotten: "forgotten",
+    Resigned: "resigned",
+}
+_ENCODER = msgspec.json.Encoder()
+_EVENT_DECODERS = {
+    tag: msgspec.json.Decoder(_EndedWire if kind is Ended else kind)
+    for kind, tag in _EVENT_TAGS.items()
+}
+_HEAD_DECODER = msgspec.json.Decoder(ShardHead)
+_ENTRY_DECODER = msgspec.json.Decoder(Entry)
+_CHUNK_DECODER = msgspec.json.Decoder(_ChunkWire)
+
+
+def outcome_to_wire(outcome: Outcome) -> tuple[str, Outcome]:
+    """Return the outcome with its tag, ready for a JSON encoder."""
+    return _OUTCOME_TAGS[type(outcome)], outcome
+
+
+def outcome_from_wire(wire: tuple[str, dict[str, Any]]) -> Outcome:
+    """Return the outcome of a decoded pair.
+
+    Raises msgspec.ValidationError if the pair is not an outcome.
+    """
+    tag, fields = wire
+    kind = _OUTCOME_TYPES.get(tag)
+    if kind is None:
+        raise msgspec.ValidationError(f"unknown outcome {tag!r}")
+    return msgspec.convert(fields, kind)
+
+
+def encode_event(event: Event) -> bytes:
+    """Return the event as JSON."""
+    tag = _EVENT_TAGS[type(event)]
+    if type(event) is Ended:
+        return _ENCODER.encode(
+            (tag, (event.task, outcome_to_wire(event.outcome), event.at_ms))
+        )
+    return _ENCODER.encode((tag, event))
+
+
+def decode_events(key: str, entry: Entry) -> list[Event]:
+    """Return the events of an entry; raises JournalFormatError."""
+    try:
+        return [_decode_event(tag, fields) for tag, fields in entry.events]
+    except (KeyError, msgspec.MsgspecError) as exc:
+        raise JournalFormatError(key, repr(exc)) from exc
+
+
+def _decode_event(tag: str, fields: msgspec.Raw) -> Event:
+    event = _EVENT_DECODERS[tag].decode(fields)
+    if type(event) is _EndedWire:
+        return Ended(event.task, outcome_from_wire(event.outcome), event.at_ms)
+    return event
+
+
+def encode_entry(
+    index: int, epoch: int, batch: str, more: bool, events: Sequence[bytes]
+) -> bytes:
+    """Return a log entry made of events that are encoded already."""
+    head = _ENCODER.encode((JOURNAL_FORMAT, index, epoch, batch, more))
+    return b"%s,[%s]]" % (head[:-1], b",".join(events))
+
+
+def decode_entry(key: str, value: bytes) -> Entry:
+    """Return a log entry; raises JournalFormatError."""
+    return _decode(_ENTRY_DECODER, key, value)
+
+
+def encode_head(head: ShardHead) -> bytes:
+    """Return the head as JSON."""
+    return _ENCODER.encode(head)
+
+
+def decode_head(key: str, value: bytes) -> ShardHead:
+    """Return a head; raises JournalFormatError."""
+    return _decode(_HEAD_DECODER, key, value)
+
+
+def encode_record(task: TaskId, record: TaskRecord) -> bytes:
+    """Return one record of a snapshot as JSON."""
+    if record.outcome is None:
+        return _ENCODER.encode((task, record))
+    return _ENCODER.encode(
+        (task, record._replace(outcome=outcome_to_wire(record.outcome)))
+    )
+
+
+def encode_chunk(epoch: int, lead: str, records: Iterable[bytes]) -> bytes:
+    """Return a snapshot chunk made of records that are encoded already."""
+    head = _ENCODER.encode((JOURNAL_FORMAT, epoch, lead))
+    return b"%s,[%s]]" % (head[:-1], b",".join(records))
+
+
+def decode_chunk(key: str, value: bytes) -> SnapshotChunk:
+    """Return a snapshot chunk; raises JournalFormatError."""
+    wire = _decode(_CHUNK_DECODER, key, value)
+    try:
+        records = [(task, _record_from_wire(record)) for task, record in wire.records]
+    except msgspec.MsgspecError as exc:
+        raise JournalFormatError(key, str(exc)) from exc
+    return SnapshotChunk(wire.epoch, wire.lead, records)
+
+
+def _record_from_wire(wire: _RecordWire) -> TaskRecord:
+    if wire.outcome is None:
+        return TaskRecord._make(wire)
+    return TaskRecord._make(wire)._replace(outcome=outcome_from_wire(wire.outcome))
+
+
+def _decode(decoder: msgspec.json.Decoder[T], key: str, value: bytes) -> T:
+    try:
+        decoded = decoder.decode(value)
+    except msgspec.MsgspecError as exc:
+        raise JournalFormatError(key, str(exc)) from exc
+    if decoded.format != JOURNAL_FORMAT:
+        raise JournalFormatError(key, f"format {decoded.format} is not known")
+    return decoded
--- /dev/null
+++ b/packages/savorylead/savorylead/journal/_head_writer.py
@@ -0,0 +1,140 @@
+"""A lead's claim of a shard, held in the shard's head."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from savorylead.clock import Clock
+from savorylead.store import (
+    ABSENT,
+    Backoff,
+    KeyValue,
+    Store,
+    StoreError,
+    SwapConflict,
+    Swapped,
+)
+
+from ._codec import (
+    JOURNAL_FORMAT,
+    ShardHead,
+    SnapshotPointer,
+    decode_head,
+    encode_head,
+)
+from ._journal import DeposedError
+from ._layout import JournalLayout
+
+#: Tries of a claim before the store's error is handed on.
+CLAIM_TRIES = 3
+
+
+class HeadWriter:
+    """Raises the epoch, and later changes the head for as long as it is ours."""
+
+    def __init__(
+        self,
+        store: Store,
+        layout: JournalLayout,
+        clock: Clock,
+        rng: random.Random,
+        backoff: Backoff,
+    ) -> None:
+        #: The head as this lead last knew it.
+        self.head = ShardHead(JOURNAL_FORMAT, 0, "", "", 0)
+        self._revision = ABSENT
+        self._store = store
+        self._layout = layout
+        self._clock = clock
+        self._rng = rng
+        self._backoff = backoff
+
+    async def claim(self, lead: str, ring_slots: int) -> None:
+        """Raise the epoch in the name of ``lead``.
+
+        ``ring_slots`` counts only if the shard was never led. Raises StoreError,
+        or DeposedError if another lead claimed the shard at the same time.
+        """
+        claim = f"{self._rng.getrandbits(64):016x}"
+        failures = 0
+        before: int | None = None
+        while True:
+            try:
+                self._take(await self._store.get(self._layout.head_key), ring_slots)
+                if self.head.claim == claim:
+                    return
+                if before is not None and self.head.epoch != before:
+                    raise DeposedError(self._layout.shard, before + 1)
+                before = self.head.epoch
+                if await self._try_claim(lead, claim):
+                    return
+            except StoreError:
+                failures += 1
+                if failures == CLAIM_TRIES:
+                    raise
+                await self._pause(failures)
+
+    async def move_snapshot(self, pointer: SnapshotPointer) -> None:
+        """Point to another snapshot; raises DeposedError."""
+        await self._change(lambda head: head._replace(snapshot=pointer))
+
+    async def release(self) -> None:
+        """Say that nobody leads; raises DeposedError."""
+        await self._change(lambda head: head._replace(lead=""))
+
+    async def _try_claim(self, lead: str, claim: str) -> bool:
+        wanted = self.head._replace(epoch=self.head.epoch + 1, lead=lead, claim=claim)
+        result = await self._swap(wanted)
+        if isinstance(result, SwapConflict):
+            return False
+        self.head = wanted
+        self._revision = result.revision
+        return True
+
+    async def _change(self, change: Callable[[ShardHead], ShardHead]) -> None:
+        claim = self.head.claim
+        failures = 0
+        while True:
+            wanted = change(self.head)
+            try:
+                result = await self._swap(wanted)
+                if not isinstance(result, SwapConflict):
+                    self.head = wanted
+                    self._revision = result.revision
+                    return
+                current = result.current
+            except StoreError:
+                failures += 1
+                await self._pause(failures)
+                current = await self._read_back()
+            self._take(current, self.head.ring_slots)
+            if self.head.claim != claim:
+                raise DeposedError(self._layout.shard, wanted.epoch)
+            if self.head == wanted:
+                return
+
+    async def _swap(self, wanted: ShardHead) -> Swapped | SwapConflict:
+        return await self._store.swap(
+            self._layout.head_key, encode_head(wanted), self._revision
+        )
+
+    async def _read_back(self) -> KeyValue | None:
+        failures = 0
+        while True:
+            try:
+                return await self._store.get(self._layout.head_key)
+            except StoreError:
+                failures += 1
+                await self._pause(failures)
+
+    def _take(self, item: KeyValue | None, ring_slots: int) -> None:
+        if item is None:
+            self.head = ShardHead(JOURNAL_FORMAT, 0, "", "", ring_slots)
+            self._revision = ABSENT
+            return
+        self.head = decode_head(item.key, item.value)
+        self._revision = item.revision
+
+    async def _pause(self, failures: int) -> None:
+        await self._clock.sleep(self._backoff.delay(failures, self._rng))
--- /dev/null
+++ b/packages/savorylead/savorylead/journal/_layout.py
@@ -0,0 +1,35 @@
+"""Where a shard's journal lies in the store."""
+
+from __future__ import annotations
+
+#: Below this prefix lies one head per shard, so that one list reads them all.
+HEADS_PREFIX = "journal/heads/"
+#: Slots that a reader fetches by one list.
+SEGMENT_SLOTS = 32
+
+
+class JournalLayout:
+    """The keys of one shard's journal."""
+
+    def __init__(self, shard: str) -> None:
+        self.shard = shard
+        #: Epoch, lead and snapshot pointer.
+        self.head_key = f"{HEADS_PREFIX}{shard}"
+        #: Every snapshot chunk, also those of unfinished snapshots.
+        self.snapshots_prefix = f"journal/snapshots/{shard}/"
+
+    def segment_prefix(self, slot: int) -> str:
+        """Return the prefix of the segment that holds the slot."""
+        return f"journal/log/{self.shard}/{slot // SEGMENT_SLOTS:04d}/"
+
+    def slot_key(self, slot: int) -> str:
+        """Return the key of a slot of the ring."""
+        return f"{self.segment_prefix(slot)}{slot:06d}"
+
+    def chunk_key(self, snapshot: str, chunk: int) -> str:
+        """Return the key of one chunk of a snapshot."""
+        return f"{self.snapshots_prefix}{snapshot}/{chunk:04d}"
+
+    def snapshot_of(self, chunk_key: str) -> str:
+        """Return the id of the snapshot that a chunk belongs to."""
+        return chunk_key.removeprefix(self.snapshots_prefix).split("/")[0]
--- /dev/null
+++ b/packages/savorylead/savorylead/journal/_log_writer.py
@@ -0,0 +1,167 @@
+"""Appending entries to a shard's log ring."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from savorylead.clock import Clock
+from savorylead.store import ABSENT, Backoff, KeyValue, Store, StoreError
+
+from ._codec import ShardHead, decode_entry, encode_entry
+from ._journal import DeposedError
+from ._layout import SEGMENT_SLOTS, JournalLayout
+from ._slot_writer import SlotConflictError, SlotWriter
+from ._wakeup import Wakeup
+
+
+class LogPosition(NamedTuple):
+    """A place in the log."""
+
+    #: Index of the last entry before it.
+    index: int
+    #: Length of the log up to it, counted from the snapshot that the lead began with.
+    log_bytes: int
+
+
+class LogWriter:
+    """Appends one entry after the other at one epoch.
+
+    An entry overwrites the one that is a whole ring older, so it waits until a
+    snapshot covers that one.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        layout: JournalLayout,
+        clock: Clock,
+        rng: random.Random,
+        backoff: Backoff,
+    ) -> None:
+        #: The end of the log.
+        self.position = LogPosition(0, 0)
+        #: Entries and bytes written by this lead, and tries again, for metrics.
+        self.entries_written = 0
+        self.bytes_written = 0
+        self.retries = 0
+        self._epoch = 0
+        self._ring_slots = 0
+        self._covered = LogPosition(0, 0)
+        self._slot_revisions: dict[int, int] = {}
+        self._store = store
+        self._layout = layout
+        self._clock = clock
+        self._rng = rng
+        self._backoff = backoff
+        self._slots = SlotWriter(store, layout, clock, rng, backoff)
+        self._room = Wakeup(clock)
+        self._fetch_failed = False
+
+    @property
+    def stalled(self) -> bool:
+        """Whether the entry in flight has failed at least once."""
+        return self._slots.stalled or self._fetch_failed
+
+    @property
+    def uncovered(self) -> int:
+        """Number of entries that no snapshot contains."""
+        return self.position.index - self._covered.index
+
+    @property
+    def uncovered_bytes(self) -> int:
+        """Length of the entries that no snapshot contains."""
+        return self.position.log_bytes - self._covered.log_bytes
+
+    def start(self, head: ShardHead, index: int, log_bytes: int) -> None:
+        """Continue, under a new head, the log that ends with entry ``index``.
+
+        ``log_bytes`` is the length of the entries that no snapshot contains.
+        """
+        self._epoch = head.epoch
+        self._ring_slots = head.ring_slots
+        self.position = LogPosition(index, log_bytes)
+        self._covered = LogPosition(head.covered, 0)
+
+    async def prepare(self) -> None:
+        """Read what the next write needs; a failing store is left to that write.
+
+        Raises DeposedError.
+        """
+        try:
+            await self._fetch_revisions(self.position.index + 1)
+        except StoreError:
+            return
+
+    def cover(self, position: LogPosition) -> None:
+        """Tell that a snapshot contains everything before ``position``."""
+        self._covered = position
+        self._room.wake()
+
+    async def write(self, events: Sequence[bytes], more: bool) -> None:
+        """Write the next entry; raises DeposedError."""
+        index = self.position.index + 1
+        while index - self._ring_slots > self._covered.index:
+            await self._room.wait()
+        batch = f"{self._rng.getrandbits(64):016x}"
+        value = encode_entry(index, self._epoch, batch, more, events)
+        slot = index % self._ring_slots
+        expected = await self._expected_revision(index)
+        try:
+            revision = await self._slots.write(slot, value, batch, expected)
+        except SlotConflictError as exc:
+            raise self._deposed(exc, index, more) from exc
+        finally:
+            self.retries += self._slots.take_retries()
+        self._slot_revisions[slot] = revision
+        self.position = LogPosition(index, self.position.log_bytes + len(value))
+        self.entries_written += 1
+        self.bytes_written += len(value)
+
+    def _deposed(
+        self, conflict: SlotConflictError, index: int, more: bool
+    ) -> DeposedError:
+        """Return the error of an entry whose slot holds another lead's entry.
+
+        Another entry with the same index proves that ours never took effect, and
+        its slot no longer has the revision that a late copy of ours expects. A
+        later index proves nothing, since ours may have been there before; but a
+        batch without its last part is dropped by every replay.
+        """
+        found = conflict.index()
+        settled = more or found == index
+        return DeposedError(self._layout.shard, self._epoch, settled)
+
+    async def _expected_revision(self, index: int) -> int:
+        slot = index % self._ring_slots
+        known = self._slot_revisions.get(slot)
+        failures = 0
+        while known is None:
+            try:
+                await self._fetch_revisions(index)
+                known = self._slot_revisions[slot]
+            except StoreError:
+                failures += 1
+                self._fetch_failed = True
+                await self._clock.sleep(self._backoff.delay(failures, self._rng))
+        self._fetch_failed = False
+        return known
+
+    async def _fetch_revisions(self, index: int) -> None:
+        """Read what a former lap left in the rest of the segment."""
+        slot = index % self._ring_slots
+        listed = await self._store.list(self._layout.segment_prefix(slot))
+        items = {item.key: item for item in listed.items}
+        segment_end = (slot // SEGMENT_SLOTS + 1) * SEGMENT_SLOTS
+        for other in range(slot, min(segment_end, self._ring_slots)):
+            if other in self._slot_revisions:
+                break
+            item = items.get(self._layout.slot_key(other))
+            self._check_older(item, index + other - slot)
+            self._slot_revisions[other] = item.revision if item else ABSENT
+
+    def _check_older(self, item: KeyValue | None, index: int) -> None:
+        """Raise DeposedError if another lead has written entry ``index``."""
+        if item and decode_entry(item.key, item.value).index >= index:
+            raise DeposedError(self._layout.shard, self._epoch)
--- /dev/null
+++ b/packages/savorylead/savorylead/journal/_ring_journal.py
@@ -0,0 +1,262 @@
+"""The journal as a ring of log slots and a snapshot in the platform's store."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+
+from twisted.internet.defer import CancelledError, Deferred, fail
+from twisted.python.failure import Failure
+
+from savorylead.clock import Clock
+from savorylead.store import MAX_VALUE_BYTES, Store
+
+from ._append_queue import AppendQueue, PendingAppend, divide, fail_all
+from ._events import Event, Resigned
+from ._head_writer import HeadWriter
+from ._journal import DeposedError, Journal
+from ._layout import JournalLayout
+from ._log_writer import LogPosition, LogWriter
+from ._settings import (
+    MIN_RING_SLOTS,
+    AlreadyOpenError,
+    AppendTooLargeError,
+    JournalSettings,
+)
+from ._snapshot_writer import SnapshotCut, SnapshotWriter
+from ._state import ShardState
+from ._takeover import Takeover
+
+_DEFAULTS = JournalSettings()
+
+
+class RingJournal(Journal):
+    """Keeps a shard's events in the store.
+
+    The journal folds every durable event into a state of its own, from which it
+    cuts snapshots; the state that ``open`` returns is a copy that belongs to the
+    caller. ``on_over`` is called once, when the journal ends for any reason, with
+    the error that later appends fail with.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        shard: str,
+        clock: Clock,
+        rng: random.Random,
+        settings: JournalSettings = _DEFAULTS,
+        on_over: Callable[[Exception], None] | None = None,
+    ) -> None:
+        if not 0 < settings.entry_bytes < MAX_VALUE_BYTES:
+            raise ValueError(f"entry_bytes {settings.entry_bytes}")
+        if settings.ring_slots < MIN_RING_SLOTS:
+            raise ValueError(f"ring_slots {settings.ring_slots}")
+        backoff = settings.backoff
+        layout = JournalLayout(shard)
+        head = HeadWriter(store, layout, clock, rng, backoff)
+        snapshots = SnapshotWriter(
+            store, layout, head, clock, rng, backoff, settings.chunk_bytes
+        )
+        self._shard = shard
+        self._settings = settings
+        self._on_over = on_over
+        self._head = head
+        self._snapshots = snapshots
+        self._takeover = Takeover(store, layout, head, snapshots, clock, rng, backoff)
+        self._log = LogWriter(store, layout, clock, rng, backoff)
+        self._queue = AppendQueue(clock, settings)
+        #: The fold of the log up to ``_applied``.
+        self._state = ShardState()
+        self._applied = LogPosition(0, 0)
+        self._epoch = 0
+        self._opened = False
+        #: Why nothing more can be appended; None while that is possible.
+        self._over: Exception | None = None
+        self._writing: list[PendingAppend] = []
+        self._answering = False
+        self._pump: Deferred[None] | None = None
+        self._snapshot: Deferred[None] | None = None
+
+    @property
+    def epoch(self) -> int:
+        """The epoch of this lead; 0 before ``open`` returned."""
+        return self._epoch
+
+    @property
+    def stalled(self) -> bool:
+        """Whether the write in flight has failed and is tried again."""
+        return self._log.stalled
+
+    @property
+    def entries_written(self) -> int:
+        """Log entries written by this lead, for metrics."""
+        return self._log.entries_written
+
+    @property
+    def log_bytes_written(self) -> int:
+        """Bytes of log entries written by this lead, for metrics."""
+        return self._log.bytes_written
+
+    @property
+    def snapshot_bytes_written(self) -> int:
+        """Bytes of snapshot chunks written by this lead, for metrics."""
+        return self._snapshots.written_bytes
+
+    @property
+    def retries(self) -> int:
+        """Log writes that were tried again, for metrics."""
+        return self._log.retries
+
+    async def open(self, lead: str) -> ShardState:
+        """Take the shard at a new epoch and return a copy of its state.
+
+        See Journal.open. Raises AlreadyOpenError on a second call.
+        """
+        if self._opened:
+            raise AlreadyOpenError(self._shard)
+        self._opened = True
+        replay = await self._takeover.run(lead, self._settings.ring_slots)
+        head = self._head.head
+        self._log.start(head, replay.index, replay.log_bytes)
+        await self._log.prepare()
+        self._state = replay.state
+        self._applied = LogPosition(replay.index, replay.log_bytes)
+        self._epoch = head.epoch
+        if self._over is not None:
+            raise self._over
+        self._snapshot_if_due()
+        return self._state.copy()
+
+    def append(self, events: Sequence[Event]) -> Deferred[None]:
+        """Make events durable; see Journal.append.
+
+        The events of one call become durable together or not at all. Fails at once
+        with AppendTooLargeError if one event is longer than an entry, or all of them
+        are longer than a quarter of the ring.
+        """
+        if self._over is not None or not self._epoch:
+            return fail(self._over or DeposedError(self._shard, self._epoch))
+        append = PendingAppend(events)
+        entry_bytes = self._settings.entry_bytes
+        if append.largest_event > entry_bytes:
+            return fail(
+                AppendTooLargeError(self._shard, append.largest_event, entry_bytes)
+            )
+        limit = entry_bytes * (self._head.head.ring_slots // 8)
+        if append.size > limit:
+            return fail(AppendTooLargeError(self._shard, append.size, limit))
+        self._queue.put(append)
+        if self._pump is None:
+            self._start_pump()
+        return append.done
+
+    async def resign(self) -> None:
+        """Give the shard up after everything pending; raises DeposedError."""
+        await self.append([Resigned(self._epoch)])
+        self._stop_snapshot()
+        await self._head.release()
+        self._end(DeposedError(self._shard, self._epoch), self._unsettled())
+
+    def close(self) -> None:
+        """Stop without resigning; pending appends fail with DeposedError."""
+        self._end(DeposedError(self._shard, self._epoch), self._unsettled())
+
+    def observe_epoch(self, epoch: int) -> None:
+        """Step down if ``epoch``, seen in the shard's head, is a later lead's."""
+        if self._epoch and epoch > self._epoch:
+            self.close()
+
+    def _start_pump(self) -> None:
+        pump = Deferred.fromCoroutine(self._write_all())
+        pump.addCallbacks(lambda _: None, self._end_by_pump)
+        if not pump.called:
+            self._pump = pump
+
+    async def _write_all(self) -> None:
+        while self._queue and self._over is None:
+            self._writing = await self._queue.next_batch()
+            await self._write_batch(self._writing)
+            written, self._writing = self._writing, []
+            for append in written:
+                self._state.apply_all(append.events)
+            self._applied = self._log.position
+            self._snapshot_if_due()
+            self._answer(written)
+        self._pump = None
+
+    def _answer(self, written: list[PendingAppend]) -> None:
+        """Tell the callers; they may append again or close the journal."""
+        self._answering = True
+        for append in written:
+            append.done.callback(None)
+        self._answering = False
+
+    async def _write_batch(self, batch: list[PendingAppend]) -> None:
+        encoded = [event for append in batch for event in append.encoded]
+        if not encoded:
+            return
+        parts = list(divide(encoded, self._settings.entry_bytes))
+        for number, part in enumerate(parts, start=1):
+            await self._log.write(part, more=number < len(parts))
+
+    def _snapshot_if_due(self) -> None:
+        """Start a snapshot if the log after the last one is as long as that one."""
+        if self._snapshot is not None or self._over is not None:
+            return
+        pointer = self._head.head.snapshot
+        least = self._settings.snapshot_log_bytes
+        if pointer is not None:
+            least = max(least, pointer.size_bytes)
+        half_full = self._log.uncovered * 2 >= self._head.head.ring_slots
+        if self._log.uncovered_bytes >= least or half_full:
+            self._start_snapshot()
+
+    def _start_snapshot(self) -> None:
+        cut = SnapshotCut.of(self._state, self._applied.index)
+        snapshot = Deferred.fromCoroutine(self._write_snapshot(cut, self._applied))
+        snapshot.addCallbacks(lambda _: None, self._end_by_snapshot)
+        if not snapshot.called:
+            self._snapshot = snapshot
+
+    async def _write_snapshot(self, cut: SnapshotCut, position: LogPosition) -> None:
+        await self._snapshots.write(cut)
+        self._log.cover(position)
+        await self._snapshots.collect()
+        self._snapshot = None
+        self._snapshot_if_due()
+
+    def _stop_snapshot(self) -> None:
+        snapshot, self._snapshot = self._snapshot, None
+        if snapshot is not None:
+            snapshot.cancel()
+
+    def _end_by_pump(self, failure: Failure) -> None:
+        if not failure.check(CancelledError):
+            self._pump = None
+            self._end(failure.value, failure.value)
+
+    def _end_by_snapshot(self, failure: Failure) -> None:
+        if not failure.check(CancelledError):
+            self._end(failure.value, self._unsettled())
+
+    def _unsettled(self) -> DeposedError:
+        return DeposedError(self._shard, self._epoch, settled=False)
+
+    def _end(self, error: Exception, writing_error: Exception) -> None:
+        """Fail the write in flight, everything pending and every later append."""
+        if self._over is not None:
+            return
+        if isinstance(error, DeposedError):
+            error = DeposedError(self._shard, self._epoch)
+        self._over = error
+        writing, self._writing = self._writing, []
+        waiting = self._queue.clear()
+        pump, self._pump = self._pump, None
+        if pump is not None and not self._answering:
+            pump.cancel()
+        self._stop_snapshot()
+        fail_all(writing, writing_error)
+        fail_all(waiting, error)
+        if self._on_over is not None:
+            self._on_over(error)
--- a/packages/savorylead/savorylead/journal/_state.py
+++ b/packages/savorylead/savorylead/journal/_state.py
@@ -99,6 +99,14 @@
             Resigned: self._apply_resigned,
         }
 
+    def copy(self) -> ShardState:
+        """Return a state that changes on its own; the records are shared."""
+        other = ShardState()
+        other.epoch = self.epoch
+        other.lead = self.lead
+        other.records = dict(self.records)
+        return other
+
     def apply_all(self, events: Iterable[Event]) -> None:
         """Apply events in order; raises UnknownTaskError on a corrupt journal."""
         for event in events:
--- /dev/null
+++ b/packages/savorylead/savorylead/journal/_takeover.py
@@ -0,0 +1,98 @@
+"""Taking a shard: claim its head, replay, fence the older lead."""
+
+from __future__ import annotations
+
+import random
+
+from savorylead.clock import Clock
+from savorylead.store import Backoff, Store
+
+from ._codec import encode_entry, encode_event
+from ._events import EpochBegan
+from ._head_writer import HeadWriter
+from ._journal import DeposedError
+from ._layout import JournalLayout
+from ._reader import EntryLostError, JournalReplay, SnapshotMissingError, read_head
+from ._slot_writer import SlotConflictError, SlotWriter
+from ._snapshot_writer import SnapshotCut, SnapshotWriter
+
+#: Tries of the entry that begins an epoch before the store's error is handed on.
+FENCE_TRIES = 3
+
+
+class Takeover:
+    """Brings a shard under a new epoch; used once.
+
+    The older lead may go on appending until the new lead's entry takes the slot of
+    its next one. Whatever it appended before then is replayed here.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        layout: JournalLayout,
+        head: HeadWriter,
+        snapshots: SnapshotWriter,
+        clock: Clock,
+        rng: random.Random,
+        backoff: Backoff,
+    ) -> None:
+        self._store = store
+        self._layout = layout
+        self._head = head
+        self._snapshots = snapshots
+        self._rng = rng
+        self._slots = SlotWriter(store, layout, clock, rng, backoff)
+
+    async def run(self, lead: str, ring_slots: int) -> JournalReplay:
+        """Return the replay up to and with the entry that begins the epoch.
+
+        Raises StoreError, or DeposedError if another lead came meanwhile.
+        """
+        await self._head.claim(lead, ring_slots)
+        replay = JournalReplay(self._store, self._layout, self._head.head)
+        try:
+            await replay.load_snapshot()
+            self._snapshots.adopt(replay.chunk_revisions, self._head.head.epoch)
+            await replay.read_log()
+            while not await self._fence(replay, lead):
+                await replay.read_log()
+        except (SnapshotMissingError, EntryLostError):
+            await self._raise_if_deposed()
+            raise
+        return replay
+
+    async def _fence(self, replay: JournalReplay, lead: str) -> bool:
+        await self._make_room(replay)
+        head = self._head.head
+        index = replay.index + 1
+        slot = index % head.ring_slots
+        events = [EpochBegan(head.epoch, lead)]
+        batch = f"{self._rng.getrandbits(64):016x}"
+        encoded = [encode_event(event) for event in events]
+        value = encode_entry(index, head.epoch, batch, False, encoded)
+        expected = replay.slot_revisions[slot]
+        try:
+            revision = await self._slots.write(
+                slot, value, batch, expected, FENCE_TRIES
+            )
+        except SlotConflictError as exc:
+            if exc.current is None or not replay.apply_entry(exc.current):
+                raise DeposedError(self._layout.shard, head.epoch) from exc
+            await self._raise_if_deposed()
+            return False
+        replay.adopt_own_entry(index, revision, events, len(value))
+        return True
+
+    async def _make_room(self, replay: JournalReplay) -> None:
+        """Write a snapshot first if the next entry would overwrite a needed one."""
+        head = self._head.head
+        if replay.index + 1 - head.ring_slots <= head.covered:
+            return
+        await self._snapshots.write(SnapshotCut.of(replay.state, replay.applied))
+        replay.log_bytes = 0
+
+    async def _raise_if_deposed(self) -> None:
+        current = await read_head(self._store, self._layout)
+        if current is None or current.head.claim != self._head.head.claim:
+            raise DeposedError(self._layout.shard, self._head.head.epoch)
--- a/packages/savorylead/savorylead/store/__init__.py
+++ b/packages/savorylead/savorylead/store/__init__.py
@@ -1,5 +1,6 @@
 """The platform's key-value service as an interface."""
 
+from ._backoff import Backoff
 from ._store import (
     ABSENT,
     MAX_VALUE_BYTES,
@@ -17,6 +18,7 @@
 
 __all__ = [
     "ABSENT",
+    "Backoff",
     "MAX_VALUE_BYTES",
     "KeyValue",
     "Snapshot",
