Lead one shard: dispatch, offers, views and upkeep

A lead applies events at once and lets nothing leave before they are durable. A refusal is a tombstone, so that it stays true for late copies.

--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/__init__.py
@@ -0,0 +1,24 @@
+"""Leading a shard: records, queue, workers and upper limits at one epoch."""
+
+from ._observer import LeadObserver
+from ._offers import OfferedJob, OfferError, OfferRouter
+from ._parts import CellPolicy, LeadParts
+from ._periodic import Gathered, Periodic
+from ._shard_lead import ShardLead
+from ._times import LeadTimes
+from ._views import ABSENT_PHASE, view_job
+
+__all__ = [
+    "ABSENT_PHASE",
+    "CellPolicy",
+    "Gathered",
+    "LeadObserver",
+    "LeadParts",
+    "LeadTimes",
+    "OfferError",
+    "OfferRouter",
+    "OfferedJob",
+    "Periodic",
+    "ShardLead",
+    "view_job",
+]
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_dispatcher.py
@@ -0,0 +1,441 @@
+"""Turns decisions and reports into events, and durable events into commands."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Sequence
+from datetime import timedelta
+
+from savorylead.clock import Clock, to_millis
+from savorylead.contracts import TaskId, TaskSpec
+from savorylead.journal import (
+    CancelAsked,
+    Ended,
+    Event,
+    Offered,
+    Phase,
+    Placed,
+    Requeued,
+    RequeueReason,
+    TaskRecord,
+)
+from savorylead.outcomes import Cancelled, Failed, NotRun, Outcome
+from savorylead.placement import (
+    Decision,
+    Overflow,
+    PendingTask,
+    Place,
+    Planner,
+    Preempt,
+    Reject,
+)
+from savorylead.workers import Inventory, RunReport, RunState, StartOrder
+
+from ._fleet import ShardFleet
+from ._ledger import ShardLedger
+from ._observer import LeadObserver
+from ._offers import OfferSender
+from ._reconciler import (
+    DiscardAnswer,
+    EndWith,
+    RequeueFor,
+    SendAgain,
+    Verdict,
+    judge_absence,
+    judge_lost_worker,
+    judge_report,
+)
+from ._worker_session import Attempt, WorkerSession
+
+#: Attempts after which a failing task is answered with its failure.
+MAX_ATTEMPTS = 5
+
+
+class TaskDispatcher:
+    """Carries tasks from the queue to a worker and back to an answer.
+
+    State changes at once; a command leaves only when the event behind it is
+    durable.
+    """
+
+    def __init__(
+        self,
+        ledger: ShardLedger,
+        planner: Planner,
+        fleet: ShardFleet,
+        clock: Clock,
+        observer: LeadObserver,
+        offers: OfferSender,
+        plan_soon: Callable[[], None],
+    ) -> None:
+        self._ledger = ledger
+        self._planner = planner
+        self._fleet = fleet
+        self._clock = clock
+        self._observer = observer
+        self._offers = offers
+        self._plan_soon = plan_soon
+        self._placed_on: dict[str, set[TaskId]] = defaultdict(set)
+        #: Attempts whose placement is not durable, so that no order has left.
+        self._uncommitted: set[Attempt] = set()
+        #: Attempts whose start a worker confirmed to this lead.
+        self._started: set[Attempt] = set()
+
+    def restore(self) -> None:
+        """Hand the replayed records to the planner and ask their workers."""
+        for task, record in self._ledger.state.records.items():
+            if record.phase is Phase.QUEUED:
+                self._planner.add_pending(pending_of(record))
+            elif record.phase is Phase.PLACED:
+                self._fleet.ensure_known(record.worker)
+                self._planner.add_running(
+                    pending_of(record), record.worker, record.placed_at_ms
+                )
+                self._placed_on[record.worker].add(task)
+        for job, target in self._offers.unanswered():
+            self._send_offer(job, target)
+
+    def running_on(self, worker: str) -> int:
+        """Return how many tasks are placed on the worker."""
+        return len(self._placed_on.get(worker, ()))
+
+    def decide(self, decisions: Iterable[Decision]) -> list[Event]:
+        """Return the events of decisions; commands follow in ``enact``."""
+        events: list[Event] = []
+        overflow = []
+        for decision in decisions:
+            if isinstance(decision, Place):
+                events.append(self._place(decision))
+            elif isinstance(decision, Reject):
+                outcome = NotRun(decision.reason, decision.detail)
+                events.append(Ended(decision.task, outcome, self._now_ms()))
+            elif isinstance(decision, Preempt):
+                self._preempt(decision)
+            elif isinstance(decision, Overflow):
+                overflow.append(decision.task)
+        return events + self._overflow(overflow)
+
+    def enact(self, events: Sequence[Event]) -> None:
+        """Send the commands of events that have become durable."""
+        for event in events:
+            if isinstance(event, Placed):
+                self._send_order(event)
+            elif isinstance(event, Ended):
+                self._tell_ended(event.task, event.outcome)
+            elif isinstance(event, Offered) and event.task == event.task.job():
+                self._send_offer(event.task, event.target)
+
+    def commit(self, events: Sequence[Event]) -> None:
+        """Make events, and those staged before, durable; enact them afterwards."""
+        if events or self._ledger.has_staged():
+            done = self._ledger.commit(events)
+            done.addCallbacks(lambda _: self.enact(events), lambda _: None)
+
+    def plan(self, max_decisions: int) -> bool:
+        """Run one planning round; True if there may be more to decide."""
+        decisions = self._planner.plan(self._now_ms(), max_decisions)
+        self.commit(self.decide(decisions))
+        return len(decisions) >= max_decisions
+
+    def cancel(self, tasks: Iterable[TaskId]) -> None:
+        """Cancel tasks that have no answer yet."""
+        events: list[Event] = []
+        for task in tasks:
+            record = self._ledger.state.records[task]
+            if record.phase is Phase.QUEUED:
+                self._planner.remove(task)
+                outcome = Cancelled(started=record.attempt > 0)
+                events.append(Ended(task, outcome, self._now_ms()))
+            elif record.phase is Phase.PLACED and not record.cancel_asked:
+                events.append(CancelAsked(task, self._now_ms()))
+        if events:
+            done = self._ledger.commit(events)
+            done.addCallbacks(lambda _: self._after_cancel(events), lambda _: None)
+            self._plan_soon()
+
+    def on_inventory(self, session: WorkerSession, inventory: Inventory) -> None:
+        """Compare what a worker runs with what was placed there."""
+        listed = {(report.task, report.attempt) for report in inventory.runs}
+        self.on_reports(session, inventory.runs)
+        for task in list(self._placed_on.get(session.worker.name, ())):
+            record = self._ledger.state.records[task]
+            attempt = (task, record.attempt)
+            if attempt in listed or attempt in self._uncommitted:
+                continue
+            self._judge_absent(session, record, attempt, inventory.incarnation)
+
+    def on_reports(self, session: WorkerSession, reports: Sequence[RunReport]) -> None:
+        """Take what a worker says about attempts."""
+        for report in reports:
+            record = self._ledger.state.records.get(report.task)
+            if self._is_current(session, record, report):
+                self._take_report(session, record, report)
+            elif report.state is RunState.RUNNING:
+                session.stop((report.task, report.attempt))
+            elif self._ledger.is_settled(report.task):
+                session.release((report.task, report.attempt))
+
+    def on_started(self, attempt: Attempt) -> None:
+        """Take a worker's word that an attempt runs."""
+        record = self._ledger.state.records.get(attempt[0])
+        if record is None or record.spec is None or attempt in self._started:
+            return
+        self._started.add(attempt)
+        self._observer.started(record.spec, self._now_ms() - record.accepted_at_ms)
+
+    def on_start_refused(self, attempt: Attempt, reason: str) -> None:
+        """Take back an attempt that will never start."""
+        record = self._ledger.state.records.get(attempt[0])
+        if not _is_placed_at(record, attempt[1]):
+            return
+        if record.cancel_asked:
+            self._end(record, Cancelled(started=record.attempt > 1))
+        else:
+            self._requeue(record, RequeueReason.WORKER_REFUSED)
+
+    def on_lost(self, session: WorkerSession) -> None:
+        """Take back everything from a worker whose lease surely lapsed."""
+        for task in list(self._placed_on.get(session.worker.name, ())):
+            record = self._ledger.state.records[task]
+            unsent = self._withdraw(session, (task, record.attempt))
+            self._follow(session, record, judge_lost_worker(record, unsent))
+
+    def checkpoint_all(self, session: WorkerSession) -> None:
+        """Move repeatable tasks away from a worker that is leaving."""
+        for task in self._placed_on.get(session.worker.name, ()):
+            record = self._ledger.state.records[task]
+            if record.spec is not None and record.spec.repeatable:
+                session.checkpoint((task, record.attempt))
+
+    def checkpoint(self, task: TaskId) -> None:
+        """Checkpoint a running task, as when a limit was lowered."""
+        record = self._ledger.state.records.get(task)
+        if record is None or record.phase is not Phase.PLACED:
+            return
+        session = self._fleet.session(record.worker)
+        if session is not None:
+            session.checkpoint((task, record.attempt))
+
+    def _overflow(self, tasks: Sequence[TaskId]) -> list[Event]:
+        """Return the offers of jobs that another shard may take; others wait on."""
+        events: list[Event] = []
+        for job in dict.fromkeys(task.job() for task in tasks):
+            record = self._ledger.state.records[job]
+            members = members_of(record.spec)
+            for member in members:
+                self._planner.remove(member)
+            target = None if record.origin else self._offers.choose_target(record.spec)
+            if target is None:
+                self._queue_again(members)
+            else:
+                events += self._offers.offer_events(members, target)
+        return events
+
+    def _send_offer(self, job: TaskId, target: str) -> None:
+        self._offers.send(job, target).addCallback(self._queue_again)
+
+    def _queue_again(self, tasks: Sequence[TaskId]) -> None:
+        for task in tasks:
+            self._planner.add_pending(pending_of(self._ledger.state.records[task]))
+        if tasks:
+            self._plan_soon()
+
+    def _place(self, decision: Place) -> Event:
+        record = self._ledger.state.records[decision.task]
+        session = self._fleet.ensure_known(decision.worker)
+        attempt = record.attempt + 1
+        self._uncommitted.add((decision.task, attempt))
+        self._placed_on[decision.worker].add(decision.task)
+        return Placed(
+            decision.task,
+            attempt,
+            decision.worker,
+            session.incarnation,
+            self._now_ms(),
+        )
+
+    def _preempt(self, decision: Preempt) -> None:
+        record = self._ledger.state.records[decision.task]
+        session = self._fleet.session(decision.worker)
+        if session is not None:
+            session.checkpoint((decision.task, record.attempt))
+
+    def _send_order(self, event: Placed) -> None:
+        attempt = (event.task, event.attempt)
+        self._uncommitted.discard(attempt)
+        record = self._ledger.state.records.get(event.task)
+        session = self._fleet.session(event.worker)
+        if not _is_placed_at(record, event.attempt) or session is None:
+            return
+        self._observer.placed(record.spec, event.at_ms - record.accepted_at_ms)
+        if session.incarnation != event.incarnation:
+            # The order would be declined; the next inventory settles the attempt.
+            self._judge_absent(session, record, attempt, session.incarnation)
+            return
+        session.start(_order_of(record))
+        if record.cancel_asked:
+            session.stop(attempt)
+        if record.spec.run_time_ms:
+            session.expect_end_in(_millis(record.spec.run_time_ms))
+
+    def _judge_absent(
+        self,
+        session: WorkerSession,
+        record: TaskRecord,
+        attempt: Attempt,
+        incarnation: str,
+    ) -> None:
+        if session.has_waiting_order(attempt) and incarnation == record.incarnation:
+            return
+        never_left = incarnation != record.incarnation and (
+            self._withdraw(session, attempt)
+        )
+        self._follow(session, record, judge_absence(record, incarnation, never_left))
+
+    def _withdraw(self, session: WorkerSession, attempt: Attempt) -> bool:
+        """Return whether it is proved that no order of the attempt ever left."""
+        if attempt in self._uncommitted:
+            return True
+        return session.withdraw_order(attempt)
+
+    def _is_current(
+        self, session: WorkerSession, record: TaskRecord | None, report: RunReport
+    ) -> bool:
+        return (
+            _is_placed_at(record, report.attempt)
+            and record.worker == session.worker.name
+        )
+
+    def _take_report(
+        self, session: WorkerSession, record: TaskRecord, report: RunReport
+    ) -> None:
+        if report.state is RunState.RUNNING:
+            self.on_started((report.task, report.attempt))
+            if record.cancel_asked:
+                session.stop((report.task, report.attempt))
+        may_retry = record.attempt < MAX_ATTEMPTS
+        self._follow(session, record, judge_report(record, report, may_retry))
+
+    def _follow(
+        self, session: WorkerSession, record: TaskRecord, verdict: Verdict
+    ) -> None:
+        if isinstance(verdict, EndWith):
+            self._end(record, verdict.outcome)
+        elif isinstance(verdict, RequeueFor):
+            self._requeue(record, verdict.reason)
+        elif isinstance(verdict, SendAgain):
+            session.start(_order_of(record))
+        elif isinstance(verdict, DiscardAnswer):
+            self._observer.answer_discarded(session.worker.name)
+
+    def _end(self, record: TaskRecord, outcome: Outcome) -> None:
+        task = record.spec.id
+        self._leave_worker(record)
+        self._planner.remove(task)
+        events = [Ended(task, outcome, self._now_ms())]
+        done = self._ledger.commit(events)
+        done.addCallbacks(lambda _: self._after_end(record, events), lambda _: None)
+        if isinstance(outcome, Failed) and record.spec.members > 1:
+            self.cancel(self._open_siblings(record.spec))
+        self._plan_soon()
+
+    def _requeue(self, record: TaskRecord, reason: RequeueReason) -> None:
+        task = record.spec.id
+        self._leave_worker(record)
+        event = Requeued(task, record.attempt, reason, self._now_ms())
+        done = self._ledger.commit([event])
+        self._planner.requeue(pending_of(self._ledger.state.records[task]))
+        done.addCallbacks(lambda _: self._release(record), lambda _: None)
+        self._observer.requeued(record.spec, reason)
+        if record.spec.members > 1:
+            self._stop_siblings(record.spec)
+        self._plan_soon()
+
+    def _leave_worker(self, record: TaskRecord) -> None:
+        attempt = (record.spec.id, record.attempt)
+        self._placed_on[record.worker].discard(record.spec.id)
+        self._uncommitted.discard(attempt)
+        self._started.discard(attempt)
+
+    def _after_end(self, record: TaskRecord, events: Sequence[Event]) -> None:
+        self._release(record)
+        self.enact(events)
+
+    def _release(self, record: TaskRecord) -> None:
+        session = self._fleet.session(record.worker)
+        if session is not None:
+            session.release((record.spec.id, record.attempt))
+
+    def _after_cancel(self, events: Sequence[Event]) -> None:
+        """Stop what was placed; answers of what waited are durable now."""
+        for event in events:
+            if isinstance(event, Ended):
+                continue
+            record = self._ledger.state.records.get(event.task)
+            if record is None or record.phase is not Phase.PLACED:
+                continue
+            session = self._fleet.session(record.worker)
+            if session is not None:
+                session.stop((event.task, record.attempt))
+
+    def _open_siblings(self, spec: TaskSpec) -> list[TaskId]:
+        """Return the other members of an all-at-once job that have no answer."""
+        return [m for m in members_of(spec) if m != spec.id and self._is_open(m)]
+
+    def _is_open(self, task: TaskId) -> bool:
+        record = self._ledger.state.records.get(task)
+        return record is not None and record.phase in (Phase.QUEUED, Phase.PLACED)
+
+    def _stop_siblings(self, spec: TaskSpec) -> None:
+        """Stop a job whole when one member must start again."""
+        for task in self._open_siblings(spec):
+            record = self._ledger.state.records[task]
+            session = self._fleet.session(record.worker)
+            if record.phase is Phase.PLACED and session is not None:
+                session.stop((task, record.attempt))
+
+    def _tell_ended(self, task: TaskId, outcome: Outcome) -> None:
+        record = self._ledger.state.records.get(task)
+        if record is not None and record.spec is not None:
+            self._observer.ended(record.spec, outcome)
+            if isinstance(outcome, NotRun):
+                self._observer.refused(record.spec, outcome.reason)
+
+    def _now_ms(self) -> int:
+        return to_millis(self._clock.now())
+
+
+def members_of(spec: TaskSpec) -> list[TaskId]:
+    """Return the ids of all members of the job that the task belongs to."""
+    return [spec.id._replace(member=member) for member in range(spec.members)]
+
+
+def pending_of(record: TaskRecord) -> PendingTask:
+    """Return the record's task as the planner queues it."""
+    return PendingTask(
+        spec=record.spec,
+        queued_at_ms=record.accepted_at_ms,
+        next_attempt=record.attempt + 1,
+        avoid=record.avoid,
+    )
+
+
+def _is_placed_at(record: TaskRecord | None, attempt: int) -> bool:
+    return (
+        record is not None
+        and record.phase is Phase.PLACED
+        and record.attempt == attempt
+    )
+
+
+def _order_of(record: TaskRecord) -> StartOrder:
+    return StartOrder(
+        task=record.spec.id,
+        attempt=record.attempt,
+        resources=record.spec.resources,
+        payload=record.spec.payload,
+    )
+
+
+def _millis(amount: int) -> timedelta:
+    return timedelta(milliseconds=amount)
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_ledger.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_ledger.py
@@ -9,7 +9,7 @@
 from twisted.python.failure import Failure
 
 from savorylead.contracts import TaskId
-from savorylead.journal import Accepted, Event, Forgotten, Journal, ShardState
+from savorylead.journal import Accepted, Event, Forgotten, Journal, Phase, ShardState
 
 
 class ShardLedger:
@@ -22,20 +22,31 @@
     def __init__(self, journal: Journal, state: ShardState) -> None:
         self.state = state
         self._journal = journal
+        self._staged: list[Event] = []
         self._undurable: Counter[TaskId] = Counter()
         self._settled_waiters: dict[TaskId, list[Deferred[None]]] = defaultdict(list)
-        self._outcome_waiters: dict[TaskId, set[Deferred[None]]] = defaultdict(set)
+        self._answer_waiters: dict[TaskId, set[Deferred[None]]] = defaultdict(set)
         self._failure: Failure | None = None
 
-    def commit(self, events: Sequence[Event]) -> Deferred[None]:
-        """Apply events; fires once they are durable, or fails with DeposedError."""
+    def stage(self, events: Sequence[Event]) -> None:
+        """Apply events that the next ``commit`` makes durable together with its own."""
         self.state.apply_all(events)
-        tasks = list(_tasks_of(events))
-        self._undurable.update(tasks)
-        done = self._journal.append(events)
+        self._staged += events
+        self._undurable.update(_tasks_of(events))
+
+    def commit(self, events: Sequence[Event] = ()) -> Deferred[None]:
+        """Apply events; fires once they are durable, or fails with DeposedError."""
+        self.stage(events)
+        staged, self._staged = self._staged, []
+        tasks = list(_tasks_of(staged))
+        done = self._journal.append(staged)
         done.addCallbacks(self._on_durable, self._on_failed, callbackArgs=(tasks,))
         return done
 
+    def has_staged(self) -> bool:
+        """Return whether events wait for the next ``commit``."""
+        return bool(self._staged)
+
     def is_settled(self, task: TaskId) -> bool:
         """Return whether every event of the task so far is durable."""
         return task not in self._undurable
@@ -58,12 +69,19 @@
             return False
         return self.is_settled(task)
 
-    def any_outcome(self, tasks: Iterable[TaskId]) -> Deferred[None]:
-        """Fire once one of the tasks gets a durable outcome; may be cancelled."""
+    def is_answerable(self, task: TaskId) -> bool:
+        """Return whether the task has durably ended here or moved away."""
+        record = self.state.records.get(task)
+        if record is None or not self.is_settled(task):
+            return False
+        return record.outcome is not None or record.phase is Phase.MOVED
+
+    def any_answer(self, tasks: Iterable[TaskId]) -> Deferred[None]:
+        """Fire once one of the tasks becomes answerable; may be cancelled."""
         names = list(tasks)
         waiter: Deferred[None] = Deferred(lambda d: self._drop_waiter(names, d))
         for task in names:
-            self._outcome_waiters[task].add(waiter)
+            self._answer_waiters[task].add(waiter)
         return waiter
 
     def fail(self, failure: Failure) -> None:
@@ -71,9 +89,9 @@
         if self._failure is None:
             self._failure = failure
         waiters = [w for ws in self._settled_waiters.values() for w in ws]
-        waiters += {w for ws in self._outcome_waiters.values() for w in ws}
+        waiters += {w for ws in self._answer_waiters.values() for w in ws}
         self._settled_waiters.clear()
-        self._outcome_waiters.clear()
+        self._answer_waiters.clear()
         for waiter in waiters:
             if not waiter.called:
                 waiter.errback(failure)
@@ -92,22 +110,22 @@
     def _wake(self, task: TaskId) -> None:
         for waiter in self._settled_waiters.pop(task, ()):
             waiter.callback(None)
-        if task in self._outcome_waiters and self.has_outcome(task):
-            for waiter in list(self._outcome_waiters.get(task, ())):
+        if task in self._answer_waiters and self.is_answerable(task):
+            for waiter in list(self._answer_waiters.get(task, ())):
                 if not waiter.called:
                     waiter.callback(None)
 
     def _drop_waiter(self, tasks: list[TaskId], waiter: Deferred[None]) -> None:
         for task in tasks:
-            waiters = self._outcome_waiters.get(task)
+            waiters = self._answer_waiters.get(task)
             if waiters is None:
                 continue
             waiters.discard(waiter)
             if not waiters:
-                del self._outcome_waiters[task]
+                del self._answer_waiters[task]
 
     def forget_waiter(self, tasks: Iterable[TaskId], waiter: Deferred[None]) -> None:
-        """Drop a waiter of ``any_outcome`` that has fired or is no longer needed."""
+        """Drop a waiter of ``any_answer`` that has fired or is no longer needed."""
         self._drop_waiter(list(tasks), waiter)
 
 
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_offers.py
@@ -0,0 +1,135 @@
+"""Hands tasks that this shard cannot place to another shard."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Collection, Iterable
+from datetime import timedelta
+from typing import NamedTuple
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from savorylead.clock import Clock, to_millis
+from savorylead.contracts import TaskId, TaskSpec
+from savorylead.journal import (
+    DeposedError,
+    Event,
+    Moved,
+    OfferDeclined,
+    Offered,
+    Phase,
+)
+
+from ._ledger import ShardLedger
+
+#: Delay before an offer without an answer is repeated.
+OFFER_RETRY = timedelta(seconds=1)
+
+
+class OfferedJob(NamedTuple):
+    """All members of one task or all-at-once job, offered as a whole."""
+
+    specs: tuple[TaskSpec, ...]
+    accepted_at_ms: int
+
+
+class OfferError(Exception):
+    """No answer came; the target may or may not have taken the job."""
+
+
+class OfferRouter(ABC):
+    """Knows the other shards and reaches their leads."""
+
+    @abstractmethod
+    def choose_target(self, spec: TaskSpec, declined: Collection[str]) -> str | None:
+        """Return the shard to offer to, or None if none is worth asking."""
+
+    @abstractmethod
+    async def offer(self, target: str, origin: str, job: OfferedJob) -> bool:
+        """Return whether the target took the job, for good either way.
+
+        Repeating an offer is idempotent. Raises OfferError.
+        """
+
+
+class OfferSender:
+    """Carries each offer through to "moved" or "declined".
+
+    The offer is durable here before it is sent, and its answer is durable at the
+    target before it is given, so at every point one shard at most may run the job.
+    """
+
+    def __init__(
+        self, shard: str, ledger: ShardLedger, router: OfferRouter, clock: Clock
+    ) -> None:
+        self._shard = shard
+        self._ledger = ledger
+        self._router = router
+        self._clock = clock
+        self._closed = False
+
+    def close(self) -> None:
+        """Send nothing any more."""
+        self._closed = True
+
+    def choose_target(self, spec: TaskSpec) -> str | None:
+        """Return a shard that may take the task, or None."""
+        record = self._ledger.state.records.get(spec.id)
+        declined = record.declined if record is not None else ()
+        return self._router.choose_target(spec, declined)
+
+    def offer_events(self, tasks: Iterable[TaskId], target: str) -> list[Event]:
+        """Return the events by which tasks are offered; ``send`` follows."""
+        now_ms = to_millis(self._clock.now())
+        return [Offered(task, target, now_ms) for task in tasks]
+
+    def unanswered(self) -> list[tuple[TaskId, str]]:
+        """Return every offered job and its target, to be sent after a replay."""
+        jobs = {
+            task.job(): record.target
+            for task, record in self._ledger.state.records.items()
+            if record.phase is Phase.OFFERED
+        }
+        return sorted(jobs.items())
+
+    def send(self, job: TaskId, target: str) -> Deferred[list[TaskId]]:
+        """Carry one offer through; fires with the tasks that came back."""
+        result = Deferred.fromCoroutine(self._carry(job, target))
+        result.addErrback(_ignore_deposed)
+        return result
+
+    async def _carry(self, job: TaskId, target: str) -> list[TaskId]:
+        offered = self._offered_job(job)
+        taken = await self._ask_until_answered(target, offered)
+        if taken is None:
+            return []
+        tasks = [spec.id for spec in offered.specs]
+        if taken:
+            now_ms = to_millis(self._clock.now())
+            await self._ledger.commit([Moved(task, target, now_ms) for task in tasks])
+            return []
+        await self._ledger.commit([OfferDeclined(task, target) for task in tasks])
+        return tasks
+
+    async def _ask_until_answered(
+        self, target: str, offered: OfferedJob
+    ) -> bool | None:
+        while not self._closed:
+            try:
+                return await self._router.offer(target, self._shard, offered)
+            except OfferError:
+                await self._clock.sleep(OFFER_RETRY)
+        return None
+
+    def _offered_job(self, job: TaskId) -> OfferedJob:
+        records = self._ledger.state.records
+        first = records[job]
+        members = (job._replace(member=n) for n in range(first.spec.members))
+        specs = tuple(records[member].spec for member in members)
+        return OfferedJob(specs, first.accepted_at_ms)
+
+
+def _ignore_deposed(failure: Failure) -> list[TaskId]:
+    failure.trap(DeposedError)
+    return []
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_parts.py
@@ -0,0 +1,50 @@
+"""What a lead is made of and what it follows."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from savorylead.clock import Clock
+from savorylead.contracts import GrantHolder, TeamLimits
+from savorylead.journal import Journal
+from savorylead.placement import Planner, Policy
+from savorylead.resources import Resources
+from savorylead.workers import VmList, WorkerContract
+
+from ._observer import LeadObserver
+from ._offers import OfferRouter
+from ._times import LeadTimes
+
+
+class CellPolicy(NamedTuple):
+    """What the configuration in force says to a lead."""
+
+    revision: int
+    policy: Policy
+    #: Weight by team.
+    shares: Mapping[str, float]
+    #: Fleet-wide upper limit by team.
+    limits: Mapping[str, Resources]
+    #: Most tasks that may wait in one shard, by queue.
+    max_waiting: Mapping[str, int]
+
+
+class LeadParts(NamedTuple):
+    """What the composition root gives to each lead."""
+
+    journal: Journal
+    planner: Planner
+    contract: WorkerContract
+    vm_list: VmList
+    router: OfferRouter
+    clock: Clock
+    rng: random.Random
+    times: LeadTimes
+    observer: LeadObserver
+    #: Opens the upper limits for a lead of the shard at an epoch.
+    open_limits: Callable[[str, int, GrantHolder], TeamLimits]
+    #: Whether every member is reachable and none can use the store, so that no
+    #: other lead can exist although the epoch cannot be proved.
+    store_is_down_everywhere: Callable[[], bool]
