Define what daemons ask each other

Typed messages and answers with one codec; every message and answer carries the revision of the configuration in force at its sender. All messages are idempotent.

--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/peers/_peer.py
@@ -0,0 +1,70 @@
+"""How daemons reach each other."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
+
+from savorylead.domains import Member
+
+from ._codec import decode_answer, decode_message, encode_answer, encode_message
+from ._messages import PeerAnswer, PeerMessage
+
+
+class PeerError(Exception):
+    """No answer came; what was asked may have happened or not."""
+
+
+class PeerTransport(ABC):
+    """Carries bytes to a daemon and back."""
+
+    @abstractmethod
+    async def exchange(self, member: Member, body: bytes, idempotent: bool) -> bytes:
+        """Return the answer to ``body``; raises PeerError."""
+
+
+class RevisionExchange(ABC):
+    """The configuration's revision, which every message carries both ways."""
+
+    @abstractmethod
+    def revision(self) -> int:
+        """Return the revision in force here."""
+
+    @abstractmethod
+    def observe(self, revision: int) -> None:
+        """Hear of the revision in force at a peer."""
+
+
+class PeerClient:
+    """Asks other daemons. Every message is idempotent by its design."""
+
+    def __init__(self, transport: PeerTransport, revisions: RevisionExchange) -> None:
+        self._transport = transport
+        self._revisions = revisions
+
+    async def ask(self, member: Member, message: PeerMessage) -> PeerAnswer:
+        """Return the member's answer; raises PeerError or PeerCodecError."""
+        body = encode_message(message, self._revisions.revision())
+        reply = await self._transport.exchange(member, body, idempotent=True)
+        decoded = decode_answer(reply)
+        self._revisions.observe(decoded.revision)
+        return decoded.content
+
+
+class PeerServer:
+    """Answers other daemons."""
+
+    def __init__(
+        self,
+        handle: Callable[[PeerMessage], Awaitable[PeerAnswer]],
+        revisions: RevisionExchange,
+    ) -> None:
+        self._handle = handle
+        self._revisions = revisions
+
+    async def answer(self, body: bytes) -> bytes:
+        """Return the answer to one message; raises PeerCodecError."""
+        decoded = decode_message(body)
+        self._revisions.observe(decoded.revision)
+        answer = await self._handle(decoded.content)
+        return encode_answer(answer, self._revisions.revision())
--- a/packages/savorylead/savorylead/outcomes/__init__.py
+++ b/packages/savorylead/savorylead/outcomes/__init__.py
@@ -1,5 +1,12 @@
 """Answers and refusals as closed sets of types."""
 
+from ._codec import (
+    UnknownOutcomeError,
+    WireOutcome,
+    outcome_from_wire,
+    outcome_tag,
+    outcome_to_wire,
+)
 from ._outcomes import Cancelled, Done, Failed, NotRun, Outcome, Refusal, Unknown
 
 __all__ = [
@@ -10,4 +17,9 @@
     "Outcome",
     "Refusal",
     "Unknown",
+    "UnknownOutcomeError",
+    "WireOutcome",
+    "outcome_from_wire",
+    "outcome_tag",
+    "outcome_to_wire",
 ]
