--- a/packages/savorylead/savorylead/journal/_codec.py
+++ b/packages/savorylead/savorylead/journal/_codec.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
-from typing import Any, NamedTuple, TypeVar
+from typing import Any, NamedTuple, TypeVar, get_type_hints
 
 import msgspec
 
-from savorylead.contracts import TaskId, TaskSpec
+from savorylead.contracts import TaskId
 from savorylead.outcomes import Cancelled, Done, Failed, NotRun, Outcome, Unknown
 
 from ._events import (
@@ -30,7 +30,7 @@
     Tombstoned,
 )
 from ._journal import JournalError
-from ._state import Phase, TaskRecord
+from ._state import TaskRecord
 
 T = TypeVar("T")
 
@@ -101,22 +101,16 @@
     at_ms: int
 
 
-class _RecordWire(NamedTuple):
-    """A task record whose outcome carries its tag; see TaskRecord."""
-
-    spec: TaskSpec | None
-    phase: Phase
-    accepted_at_ms: int
-    attempt: int
-    worker: str
-    incarnation: str
-    placed_at_ms: int
-    avoid: tuple[str, ...]
-    cancel_asked: bool
-    origin: str
-    target: str
-    outcome: tuple[str, dict[str, Any]] | None
-    ended_at_ms: int
+def _make_record_wire() -> type:
+    """Return TaskRecord with an outcome that carries its tag."""
+    hints = get_type_hints(TaskRecord)
+    hints["outcome"] = tuple[str, dict[str, Any]] | None
+    return NamedTuple("_RecordWire", [(name, hints[name]) for name in hints])
+
+
+_RecordWire = _make_record_wire()
+_RecordWire.__new__.__defaults__ = TaskRecord.__new__.__defaults__
+_RecordWire._field_defaults = TaskRecord._field_defaults
 
 
 class _ChunkWire(NamedTuple):
