--- a/packages/savorylead/savorylead/journal/__init__.py
+++ b/packages/savorylead/savorylead/journal/__init__.py
@@ -4,8 +4,6 @@
     JournalFormatError,
     ShardHead,
     SnapshotPointer,
-    outcome_from_wire,
-    outcome_to_wire,
 )
 from ._events import (
     Accepted,
@@ -67,8 +65,6 @@
     "TaskRecord",
     "Tombstoned",
     "UnknownTaskError",
-    "outcome_from_wire",
-    "outcome_to_wire",
     "read_heads",
     "replay_shard",
 ]
