--- a/packages/savorylead-daemon/savorylead_daemon/http/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/__init__.py
@@ -7,6 +7,7 @@
     JsonResource,
     JsonResponse,
     JsonSite,
+    is_body_too_large,
     json_response,
 )
 
@@ -17,5 +18,6 @@
     "JsonResource",
     "JsonResponse",
     "JsonSite",
+    "is_body_too_large",
     "json_response",
 ]
