--- a/packages/savorylead/savorylead/store/__init__.py
+++ b/packages/savorylead/savorylead/store/__init__.py
@@ -1,6 +1,6 @@
 """The platform's key-value service as an interface."""
 
-from ._backoff import Backoff
+from ._retry import RetryPauses, RetryPolicy
 from ._store import (
     ABSENT,
     MAX_VALUE_BYTES,
@@ -18,9 +18,10 @@
 
 __all__ = [
     "ABSENT",
-    "Backoff",
     "MAX_VALUE_BYTES",
     "KeyValue",
+    "RetryPauses",
+    "RetryPolicy",
     "Snapshot",
     "Store",
     "StoreError",
