Add membership, the lead directory and the assignment of leads

Members are keys bound to a store lease of 3 s, read by watch and poll. Each lapse doubles the time for which a daemon counts as unsettled, so one that keeps pausing does not pull shards to and fro. Leads are assigned by rendezvous within even shares: plain rendezvous was ruled out because three shards among six daemons fall on fewer than three daemons in 44 % of cases (1 - 6*5*4/6^3).

A shard's lead is known by name; a restarted daemon opens what its predecessor left and resigns it if it is another's turn, since the others see a live lead of that name.

--- a/packages/savorylead/savorylead/journal/__init__.py
+++ b/packages/savorylead/savorylead/journal/__init__.py
@@ -26,6 +26,7 @@
 from ._reader import (
     JournalBusyError,
     ReplayedShard,
+    decode_heads,
     read_heads,
     replay_shard,
 )
@@ -65,6 +66,7 @@
     "TaskRecord",
     "Tombstoned",
     "UnknownTaskError",
+    "decode_heads",
     "read_heads",
     "replay_shard",
 ]
--- a/packages/savorylead/savorylead/journal/_log_writer.py
+++ b/packages/savorylead/savorylead/journal/_log_writer.py
@@ -6,14 +6,13 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from savorylead.clock import Clock
+from savorylead.clock import Clock, Wakeup
 from savorylead.store import ABSENT, KeyValue, RetryPolicy, Store, StoreError
 
 from ._codec import ShardHead, decode_entry, encode_entry
 from ._journal import DeposedError
 from ._layout import SEGMENT_SLOTS, JournalLayout
 from ._slot_writer import SlotConflictError, SlotWriter
-from ._wakeup import Wakeup
 
 
 class LogPosition(NamedTuple):
--- a/packages/savorylead/savorylead/store/__init__.py
+++ b/packages/savorylead/savorylead/store/__init__.py
@@ -15,6 +15,7 @@
     Swapped,
     Watch,
 )
+from ._watched_prefix import WatchedPrefix, WatchSettings
 
 __all__ = [
     "ABSENT",
@@ -31,4 +32,6 @@
     "SwapConflict",
     "Swapped",
     "Watch",
+    "WatchSettings",
+    "WatchedPrefix",
 ]
