--- a/packages/savorylead/savorylead/store/_watched_prefix.py
+++ b/packages/savorylead/savorylead/store/_watched_prefix.py
@@ -20,7 +20,9 @@
 
     #: Mean time between two reads when the watch tells nothing.
     poll: timedelta = timedelta(milliseconds=1500)
-    #: Share of ``poll`` by which each wait varies, so that readers spread out.
+    #: Mean time from a failed read to the next one.
+    retry: timedelta = timedelta(milliseconds=375)
+    #: Share by which each wait varies, so that readers spread out.
     jitter: float = 0.2
     #: Least time between two reads, however often the watch tells of changes.
     least: timedelta = timedelta(milliseconds=50)
@@ -30,8 +32,8 @@
     """Reads a prefix after each hint of its watch, and at least every ``poll``.
 
     ``on_snapshot`` is called with each answer that is not older than the last one.
-    The first read starts with ``start``. A failed read is tried again after the
-    next poll, so polls never add to the load of a store that is slow or down.
+    The first read starts with ``start``. One read is in flight at a time, so polls
+    do not pile up on a store that is slow or down.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         self._read_again = False
         self._sent_at = clock.now() - settings.least
         self._running = False
+        self._failed = False
 
     def start(self) -> None:
         """Begin to watch and to poll; the first read is sent at once."""
@@ -119,7 +122,9 @@
             snapshot = await self._store.list(self._prefix)
         except StoreError:
             self.failures += 1
+            self._failed = True
             return
+        self._failed = False
         if snapshot.revision < self.revision:
             self.outdated_answers += 1
             return
@@ -135,7 +140,8 @@
             self.read_soon()
         else:
             spread = 1 + self._settings.jitter * (2 * self._rng.random() - 1)
-            self._schedule(self._settings.poll * spread)
+            pause = self._settings.retry if self._failed else self._settings.poll
+            self._schedule(pause * spread)
         return result
 
 
