--- a/packages/savorylead-standins/savorylead_standins/services/__init__.py
+++ b/packages/savorylead-standins/savorylead_standins/services/__init__.py
@@ -1,5 +1,6 @@
 """Stand-ins of what a daemon does behind its HTTP interface."""
 
+from ._loopback_gateway import LoopbackGateway, ReplyFault
 from ._memory_callers import MemoryCallerService
 from ._memory_connection import HttpReply, MemoryConnection
 from ._memory_gateway import (
@@ -17,10 +18,12 @@
     "OPERATOR_KEY",
     "PLANNING_KEY",
     "HttpReply",
+    "LoopbackGateway",
     "MemoryCallerService",
     "MemoryConnection",
     "MemoryGateway",
     "MemoryOperatorService",
+    "ReplyFault",
     "small_cell",
     "small_limits",
 ]
--- a/packages/savorylead-standins/savorylead_standins/services/_memory_gateway.py
+++ b/packages/savorylead-standins/savorylead_standins/services/_memory_gateway.py
@@ -44,6 +44,7 @@
             "dispatch": {"share": 2.0, "limit": {"cores": 64}, "keys": {}},
             "planning": {"share": 1.0, "limit": {}, "keys": {}},
         },
+        "operators": {},
         "workspaces": {
             "dispatch/tours": {"team": "dispatch", "home_region": "monteverde"}
         },
