Use the library's checks, differences and keys of the configuration

savoryctl and the daemon's settings had their own; a key made by savoryctl now has the form that the key ring expects.

--- a/packages/savorylead-ctl/savorylead_ctl/commands/_config.py
+++ b/packages/savorylead-ctl/savorylead_ctl/commands/_config.py
@@ -10,9 +10,8 @@
 
 import msgspec
 
-from savorylead.config import CellDocument
-from savorylead_ctl._check import check_document
-from savorylead_ctl._diff import diff_documents
+from savorylead.config import CellDocument, check_document, diff_documents
+from savorylead_ctl._changes import change_documents, change_lines
 from savorylead_ctl.client import ConfigAtRevision
 from savorylead_ctl.exit_codes import ExitCode
 
@@ -72,10 +71,10 @@
         document = read_checked_file(context.args.file)
         current = context.client.read_config()
         changes = diff_documents(current.document, document)
-        lines = [str(change) for change in changes] or ["no difference"]
+        lines = change_lines(changes) or ["no difference"]
         content = {
             "revision": current.revision,
-            "changes": [change._asdict() for change in changes],
+            "changes": change_documents(changes),
         }
         context.printer.result(content, "\n".join(lines))
         context.printer.note(f"against revision {current.revision}")
@@ -116,7 +115,7 @@
     context: Context, document: CellDocument, current: ConfigAtRevision
 ) -> ExitCode:
     """Tell what the file would undo or change; nothing was sent."""
-    changes = [str(change) for change in diff_documents(document, current.document)]
+    changes = change_lines(diff_documents(document, current.document))
     context.printer.failure(
         "config_conflict",
         f"nothing was changed: the cell is at revision {current.revision}, "
--- a/packages/savorylead-ctl/savorylead_ctl/commands/_edit.py
+++ b/packages/savorylead-ctl/savorylead_ctl/commands/_edit.py
@@ -9,8 +9,8 @@
 from types import MappingProxyType
 from typing import Any
 
-from savorylead.config import CellDocument
-from savorylead_ctl._diff import diff_documents
+from savorylead.config import CellDocument, diff_documents
+from savorylead_ctl._changes import change_lines
 from savorylead_ctl.client import (
     Applied,
     ApplyConflict,
@@ -83,7 +83,7 @@
 def _tell_conflict(
     context: Context, base: ConfigAtRevision, current: ConfigAtRevision
 ) -> ExitCode:
-    changes = [str(c) for c in diff_documents(base.document, current.document)]
+    changes = change_lines(diff_documents(base.document, current.document))
     context.printer.failure(
         "config_conflict",
         f"nothing was changed: revision {base.revision} was replaced by "
--- a/packages/savorylead-ctl/savorylead_ctl/commands/_keys.py
+++ b/packages/savorylead-ctl/savorylead_ctl/commands/_keys.py
@@ -4,9 +4,9 @@
 
 import argparse
 import copy
+import random
 
-from savorylead.config import CellDocument, KeyDocument
-from savorylead_ctl._keys import make_key
+from savorylead.config import CellDocument, KeyDocument, grant_key
 from savorylead_ctl._printer import Column
 from savorylead_ctl.exit_codes import ExitCode
 
@@ -66,12 +66,8 @@
         keys = (
             document["operators"] if team is None else document["teams"][team]["keys"]
         )
-        new = make_key()
-        keys[new.key_id] = KeyDocument(
-            sha256=new.sha256(),
-            granted_at=context.clock.now().isoformat(),
-            withdrawn=False,
-        )
+        new = grant_key(random.SystemRandom(), context.clock.now())
+        keys[new.key_id] = new.document
         return apply_change(
             context,
             base,
@@ -104,4 +100,4 @@
     """Return the keys of every team and of the operators, with their holder."""
     teams = sorted(document["teams"].items())
     keys = [(name, team["keys"]) for name, team in teams]
-    return [*keys, (OPERATORS, document.get("operators", {}))]
+    return [*keys, (OPERATORS, document["operators"])]
--- a/packages/savorylead-daemon/savorylead_daemon/callers/_bodies.py
+++ b/packages/savorylead-daemon/savorylead_daemon/callers/_bodies.py
@@ -125,8 +125,8 @@
         if earlier != index:
             yield CallFault(
                 CallErrorCode.DUPLICATE_REQUEST,
-                json_path([*_parts(index, single), "request"]),
-                f"the same task as at {json_path([earlier])}",
+                json_path(*_parts(index, single), "request"),
+                f"the same task as at {json_path(earlier)}",
             )
         if (task["kind"] == "all_at_once") != ("members" in task):
             yield _members_fault(task, [*_parts(index, single), "members"])
@@ -135,10 +135,10 @@
 def _members_fault(task: TaskDocument, parts: list[str | int]) -> CallFault:
     if "members" in task:
         return CallFault(
-            CallErrorCode.UNKNOWN_FIELD, json_path(parts), "only for all_at_once"
+            CallErrorCode.UNKNOWN_FIELD, json_path(*parts), "only for all_at_once"
         )
     return CallFault(
-        CallErrorCode.MISSING_FIELD, json_path(parts), "all_at_once needs it"
+        CallErrorCode.MISSING_FIELD, json_path(*parts), "all_at_once needs it"
     )
 
 
--- a/packages/savorylead-daemon/savorylead_daemon/routing/_checked_decoder.py
+++ b/packages/savorylead-daemon/savorylead_daemon/routing/_checked_decoder.py
@@ -84,8 +84,8 @@
         try:
             msgspec.convert(value, self._shape)
         except msgspec.ValidationError as exc:
-            return CallFault(CallErrorCode.WRONG_TYPE, json_path(parts), str(exc))
-        return CallFault(CallErrorCode.UNKNOWN_FIELD, json_path(parts), "")
+            return CallFault(CallErrorCode.WRONG_TYPE, json_path(*parts), str(exc))
+        return CallFault(CallErrorCode.UNKNOWN_FIELD, json_path(*parts), "")
 
     @cached_property
     def _validator(self) -> Validator:
@@ -136,14 +136,14 @@
     if code is CallErrorCode.UNKNOWN_FIELD:
         for name in error.instance:
             if name not in error.schema["properties"]:
-                yield CallFault(code, json_path([*place, name]), "unknown field")
+                yield CallFault(code, json_path(*place, name), "unknown field")
         return
     if code is CallErrorCode.MISSING_FIELD:
         for name in error.validator_value:
             if name not in error.instance:
-                yield CallFault(code, json_path([*place, name]), "missing field")
+                yield CallFault(code, json_path(*place, name), "missing field")
         return
-    yield CallFault(code, json_path(place), _detail(error))
+    yield CallFault(code, json_path(*place), _detail(error))
 
 
 def _detail(error: Any) -> str:
--- a/packages/savorylead/savorylead/config/__init__.py
+++ b/packages/savorylead/savorylead/config/__init__.py
@@ -28,7 +28,7 @@
     Envelope,
     decode_envelope,
 )
-from ._faults import DocumentFault
+from ._faults import DocumentFault, json_path
 from ._in_force import InForce, InForceConfig, InForceSettings, PeerSight
 from ._keys import (
     GrantedKey,
@@ -81,4 +81,5 @@
     "diff_documents",
     "grant_key",
     "hash_key",
+    "json_path",
 ]
