Reach the platform over HTTP: transport, store, workers, VM list

One HTTP connection is one object that its link can close when it falls silent. A watch is a chain of long polls that go on from the last revision, so that what was written while it heard nothing is told once it hears again.

Agent also hides which connection carried a call, so whoever notices silence could not close it.

--- a/packages/savorylead-daemon/savorylead_daemon/http/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/__init__.py
@@ -1,5 +1,10 @@
 """HTTP with JSON between the system's processes and towards callers."""
 
+from ._http_links import HttpLinks
+from ._http_store import HttpStore, StoreTimeouts
+from ._http_transport import HttpConnection, HttpEndpoint, HttpTransport
+from ._http_vm_list import HttpVmList
+from ._http_worker_contract import HttpWorkerContract, WorkerTimeouts
 from ._json_resource import (
     HttpError,
     JsonHandler,
@@ -7,17 +12,27 @@
     JsonResource,
     JsonResponse,
     JsonSite,
-    is_body_too_large,
     json_response,
 )
+from ._polling_watch import PollingWatch, WatchSettings
 
 __all__ = [
+    "HttpConnection",
+    "HttpEndpoint",
     "HttpError",
+    "HttpLinks",
+    "HttpStore",
+    "HttpTransport",
+    "HttpVmList",
+    "HttpWorkerContract",
     "JsonHandler",
     "JsonRequest",
     "JsonResource",
     "JsonResponse",
     "JsonSite",
-    "is_body_too_large",
+    "PollingWatch",
+    "StoreTimeouts",
+    "WatchSettings",
+    "WorkerTimeouts",
     "json_response",
 ]
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/http/_http_links.py
@@ -0,0 +1,53 @@
+"""Opens resilient HTTP links that share a clock, randomness and headers."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Mapping
+
+from twisted.internet.interfaces import IReactorTCP
+
+from savorylead.clock import Clock
+from savorylead.links import LinkCount, LinkSettings, ResilientLink, RetryBudget
+
+from ._http_transport import HttpTransport
+
+#: Retries allowed per success, and saved up for a burst.
+DEFAULT_RETRY_SHARE = 0.1
+DEFAULT_RETRY_BURST = 10
+
+
+class HttpLinks:
+    """Opens links of one kind, such as those to workers.
+
+    They share one retry budget and one set of counts, so a fleet of links has
+    one row of metrics, and one dead end uses up no more than its share.
+    """
+
+    def __init__(
+        self,
+        reactor: IReactorTCP,
+        clock: Clock,
+        rng: random.Random,
+        headers: Mapping[str, str],
+        settings: LinkSettings = LinkSettings(),  # noqa: B008 - immutable.
+    ) -> None:
+        self.counts: Counter[LinkCount] = Counter()
+        self.budget = RetryBudget(DEFAULT_RETRY_SHARE, DEFAULT_RETRY_BURST)
+        self._reactor = reactor
+        self._clock = clock
+        self._rng = rng
+        self._headers = headers
+        self._settings = settings
+
+    def open(self, endpoint: str) -> ResilientLink:
+        """Return a new link to "IP:port" or "IP:port/prefix"."""
+        return ResilientLink(
+            self._clock,
+            self._rng,
+            HttpTransport(self._reactor, endpoint, self._headers),
+            self.budget,
+            self._settings,
+            self.counts,
+        )
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/http/_http_transport.py
@@ -0,0 +1,265 @@
+"""Persistent HTTP connections, each an object of its own.
+
+``Agent`` hides its connections in a pool, where a silent one can't be closed by
+whoever noticed, and costs twice the processor time per request. This uses the
+protocol that ``Agent`` itself is built from.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any, NamedTuple
+from urllib.parse import urlsplit
+
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
+from twisted.internet.interfaces import IConsumer, IReactorTCP
+from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
+from twisted.web.client import (
+    HTTP11ClientProtocol,
+    Request,
+    RequestNotSent,
+    Response,
+    ResponseDone,
+)
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
+from zope.interface import implementer
+
+from savorylead.links import (
+    Connection,
+    LinkBrokenError,
+    LinkReply,
+    LinkRequest,
+    LinkUnavailableError,
+    Transport,
+)
+
+#: The largest reply body that a connection takes unless told otherwise.
+DEFAULT_MAX_REPLY_BYTES = 8_000_000
+#: After this long the operating system's connection attempt is given up.
+_CONNECT_TIMEOUT_S = 10
+_NO_HEADERS: Mapping[str, str] = MappingProxyType({})
+
+
+class HttpEndpoint(NamedTuple):
+    """Where a server answers."""
+
+    #: An IP number.
+    host: str
+    port: int
+    #: Goes before every path; empty or "/" and a name, without a "/" at its end.
+    prefix: str = ""
+
+    @classmethod
+    def parse(cls, text: str) -> HttpEndpoint:
+        """Read "IP:port" or "IP:port/prefix"; raises ValueError."""
+        parts = urlsplit(f"//{text}")
+        if not parts.hostname or not parts.port:
+            raise ValueError(f"not an IP:port: {text!r}")
+        return cls(parts.hostname, parts.port, parts.path.rstrip("/"))
+
+
+class HttpTransport(Transport):
+    """Opens HTTP connections to one server."""
+
+    def __init__(
+        self,
+        reactor: IReactorTCP,
+        endpoint: str,
+        headers: Mapping[str, str] = _NO_HEADERS,
+        max_reply_bytes: int = DEFAULT_MAX_REPLY_BYTES,
+    ) -> None:
+        """Prepare for ``endpoint``, which is "IP:port" or "IP:port/prefix"."""
+        self._endpoint = HttpEndpoint.parse(endpoint)
+        self._headers = Headers({name: [value] for name, value in headers.items()})
+        self._headers.setRawHeaders("host", [self._endpoint.host])
+        self._max_reply_bytes = max_reply_bytes
+        self._client = _client_endpoint(reactor, self._endpoint)
+        self._factory = Factory.forProtocol(_ClientProtocol)
+
+    def connect(self) -> Deferred[Connection]:
+        """Open a connection; fails with LinkUnavailableError."""
+        opening = self._client.connect(self._factory)
+        opening.addCallbacks(self._connected, _fail_to_connect)
+        return opening
+
+    def heartbeat(self) -> LinkRequest:
+        """Return a request that every server of the system answers."""
+        return LinkRequest("GET", "/healthz", idempotent=True)
+
+    def _connected(self, protocol: _ClientProtocol) -> Connection:
+        return HttpConnection(
+            protocol, self._endpoint.prefix, self._headers, self._max_reply_bytes
+        )
+
+
+class HttpConnection(Connection):
+    """One HTTP/1.1 connection, which carries one request at a time."""
+
+    def __init__(
+        self,
+        protocol: _ClientProtocol,
+        prefix: str,
+        headers: Headers,
+        max_reply_bytes: int,
+    ) -> None:
+        self._protocol = protocol
+        self._prefix = prefix
+        self._headers = headers
+        self._max_reply_bytes = max_reply_bytes
+
+    def call(self, request: LinkRequest) -> Deferred[LinkReply]:
+        """Send the request and return its whole reply."""
+        exchange = _Exchange(self._protocol, self._max_reply_bytes)
+        exchange.send(
+            Request(
+                request.method.encode(),
+                (self._prefix + request.path).encode(),
+                self._headers,
+                _BytesProducer(request.body) if request.body else None,
+                persistent=True,
+            )
+        )
+        return exchange.reply
+
+    def close(self) -> None:
+        """Drop the connection at once."""
+        self._protocol.drop()
+
+    def is_closed(self) -> bool:
+        """Return whether the connection can't carry another request."""
+        return not self._protocol.is_ready
+
+
+class _ClientProtocol(HTTP11ClientProtocol):
+    """Knows whether it can take another request."""
+
+    def __init__(self) -> None:
+        super().__init__(self._become_ready)
+        self.is_ready = True
+
+    def connectionMade(self) -> None:  # noqa: N802 - the name is Twisted's.
+        """Send small requests without delay."""
+        super().connectionMade()
+        self.transport.setTcpNoDelay(True)
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """Note that nothing can be sent any more."""
+        self.is_ready = False
+        super().connectionLost(reason)
+
+    def drop(self) -> None:
+        """Cut the connection without waiting for the other end."""
+        self.is_ready = False
+        self.transport.abortConnection()
+
+    def _become_ready(self, _: HTTP11ClientProtocol) -> None:
+        self.is_ready = True
+
+
+class _Exchange:
+    """One request and its reply."""
+
+    def __init__(self, protocol: _ClientProtocol, max_reply_bytes: int) -> None:
+        self.reply: Deferred[LinkReply] = Deferred(lambda _: protocol.drop())
+        self._protocol = protocol
+        self._max_reply_bytes = max_reply_bytes
+
+    def send(self, request: Request) -> None:
+        """Send the request; ``reply`` fires later."""
+        self._protocol.is_ready = False
+        sending = self._protocol.request(request)
+        sending.addCallbacks(self._read_body, self._fail_to_send)
+        sending.addErrback(self.fail)
+
+    def finish(self, status: int, body: bytes) -> None:
+        """Tell the reply."""
+        if not self.reply.called:
+            self.reply.callback(LinkReply(status, body))
+
+    def fail(self, failure: Failure) -> None:
+        """Tell that the connection is of no use and the call may have run."""
+        self._break(str(failure.value), sent=True)
+
+    def refuse_body(self) -> None:
+        """Give up a reply that is too large."""
+        self._break("the reply is over the limit", sent=True)
+
+    def _read_body(self, response: Response) -> None:
+        length = response.length
+        if length is not UNKNOWN_LENGTH and length > self._max_reply_bytes:
+            self.refuse_body()
+            return
+        response.deliverBody(_BodyReader(self, response.code, self._max_reply_bytes))
+
+    def _fail_to_send(self, failure: Failure) -> None:
+        self._break(str(failure.value), sent=not failure.check(RequestNotSent))
+
+    def _break(self, detail: str, sent: bool) -> None:
+        self._protocol.drop()
+        if not self.reply.called:
+            self.reply.errback(LinkBrokenError(detail, sent))
+
+
+class _BodyReader(Protocol):
+    """Collects the body of one reply."""
+
+    def __init__(self, exchange: _Exchange, status: int, max_bytes: int) -> None:
+        self._exchange = exchange
+        self._status = status
+        self._room_bytes = max_bytes
+        self._parts: list[bytes] = []
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Keep a part, unless the whole is too large."""
+        self._room_bytes -= len(data)
+        if self._room_bytes < 0:
+            self._exchange.refuse_body()
+            return
+        self._parts.append(data)
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """Tell the whole body, or that it was cut off.
+
+        A body of unstated length that ends with the connection may have been
+        cut off too, so it counts as broken.
+        """
+        if reason.check(ResponseDone):
+            self._exchange.finish(self._status, b"".join(self._parts))
+        else:
+            self._exchange.fail(reason)
+
+
+@implementer(IBodyProducer)
+class _BytesProducer:
+    """Sends a body that is in memory in one piece."""
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer: IConsumer) -> Deferred[None]:  # noqa: N802
+        """Write the body."""
+        consumer.write(self._body)
+        return succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Do nothing: all is written."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Do nothing: all is written."""
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: all is written."""
+
+
+def _client_endpoint(reactor: IReactorTCP, endpoint: HttpEndpoint) -> Any:
+    kind = TCP6ClientEndpoint if ":" in endpoint.host else TCP4ClientEndpoint
+    return kind(reactor, endpoint.host, endpoint.port, timeout=_CONNECT_TIMEOUT_S)
+
+
+def _fail_to_connect(failure: Failure) -> None:
+    raise LinkUnavailableError(str(failure.value)) from failure.value
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/http/_polling_watch.py
@@ -0,0 +1,137 @@
+"""A watch made of long polls."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from datetime import timedelta
+from typing import NamedTuple
+from urllib.parse import urlencode
+
+import msgspec
+from absl import logging
+from twisted.internet.defer import CancelledError, Deferred
+
+from savorylead.clock import Clock
+from savorylead.links import DecorrelatedJitterBackoff, Link, LinkError, LinkRequest
+from savorylead.store import Watch
+
+from .store_wire import WatchReply
+
+_OK = 200
+_ONE_MILLISECOND = timedelta(milliseconds=1)
+#: Asks the store to begin at the revision at which the poll arrives.
+_FROM_NOW = -1
+
+
+class WatchSettings(NamedTuple):
+    """Rates of a watch."""
+
+    #: The store answers a poll after this long even if nothing changed.
+    wait: timedelta = timedelta(seconds=10)
+    #: A poll is silent if it is overdue by this much.
+    grace: timedelta = timedelta(seconds=1)
+    #: Shortest time between two polls, which merges changes that follow closely.
+    min_interval: timedelta = timedelta(milliseconds=100)
+    #: Shortest and longest delay after a failure.
+    backoff_base: timedelta = timedelta(milliseconds=100)
+    backoff_cap: timedelta = timedelta(seconds=1)
+
+
+class PollingWatch(Watch):
+    """Asks again and again what changed since the last answer.
+
+    A silent connection is noticed after ``wait`` and ``grace``, and the next poll
+    goes on from the same revision, so what changed meanwhile is told then.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random,
+        link: Link,
+        prefix: str,
+        on_change: Callable[[str], None],
+        settings: WatchSettings = WatchSettings(),  # noqa: B008 - immutable.
+    ) -> None:
+        self._clock = clock
+        self._link = link
+        self._prefix = prefix
+        self._on_change = on_change
+        self._settings = settings
+        self._backoff = DecorrelatedJitterBackoff(
+            rng, settings.backoff_base, settings.backoff_cap
+        )
+        self._after = _FROM_NOW
+        self._failed = False
+        self._cancelled = False
+        self._heard_at = clock.now()
+        self._telling = False
+        self._running = Deferred.fromCoroutine(self._run())
+        self._running.addErrback(lambda failure: failure.trap(CancelledError))
+
+    def cancel(self) -> None:
+        """Stop calling back and give up the poll under way."""
+        self._cancelled = True
+        if not self._telling:
+            self._running.cancel()
+
+    def silent_for(self) -> timedelta:
+        """Return how long no poll was answered."""
+        return self._clock.now() - self._heard_at
+
+    async def _run(self) -> None:
+        while not self._cancelled:
+            started_at = self._clock.now()
+            reply = await self._poll()
+            if reply is None:
+                self._failed = True
+                await self._clock.sleep(self._backoff.next_delay())
+                continue
+            self._take(reply)
+            left = started_at + self._settings.min_interval - self._clock.now()
+            if left > timedelta(0) and not self._cancelled:
+                await self._clock.sleep(left)
+
+    async def _poll(self) -> WatchReply | None:
+        query = {
+            "prefix": self._prefix,
+            "after": self._after,
+            "wait_ms": self._settings.wait // _ONE_MILLISECOND,
+        }
+        # The watch itself decides when to ask again, so the link must not.
+        request = LinkRequest("GET", f"/watch?{urlencode(query)}")
+        timeout = self._settings.wait + self._settings.grace
+        try:
+            reply = await self._link.call(request, timeout)
+        except LinkError:
+            return None
+        if reply.status != _OK:
+            return None
+        try:
+            return msgspec.json.decode(reply.body, type=WatchReply)
+        except msgspec.DecodeError:
+            return None
+
+    def _take(self, reply: WatchReply) -> None:
+        began_late = self._failed and self._after == _FROM_NOW
+        self._heard_at = self._clock.now()
+        self._backoff.reset()
+        self._failed = False
+        self._after = reply.revision
+        if began_late:
+            # What changed while the first polls failed is not known.
+            self._tell(self._prefix)
+        for key in reply.keys:
+            self._tell(key)
+
+    def _tell(self, key: str) -> None:
+        if self._cancelled:
+            return
+        self._telling = True
+        try:
+            self._on_change(key)
+        except Exception:
+            logging.exception("A watcher of %s failed", self._prefix)
+        finally:
+            self._telling = False
--- a/packages/savorylead-daemon/savorylead_daemon/settings/_schema.py
+++ b/packages/savorylead-daemon/savorylead_daemon/settings/_schema.py
@@ -5,8 +5,6 @@
 from typing import Any
 
 _NAME = {"type": "string", "pattern": r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$"}
-#: As the configuration names regions and failure domains.
-_PLACE = {"type": "string", "pattern": r"^[A-Za-z0-9][A-Za-z0-9_-]{0,62}$"}
 _ENDPOINT = {"type": "string", "minLength": 1}
 _SHA256 = {"type": "string", "pattern": "^[0-9a-f]{64}$"}
 _COUNT = {"type": "integer", "minimum": 1}
@@ -60,8 +58,8 @@
     **_section(
         {
             "name": _NAME,
-            "region": _PLACE,
-            "domain": _PLACE,
+            "region": _NAME,
+            "domain": _NAME,
             "listen": _section(
                 {
                     "callers": _ENDPOINT,
--- a/packages/savorylead/savorylead/journal/__init__.py
+++ b/packages/savorylead/savorylead/journal/__init__.py
@@ -4,6 +4,8 @@
     JournalFormatError,
     ShardHead,
     SnapshotPointer,
+    outcome_from_wire,
+    outcome_to_wire,
 )
 from ._events import (
     Accepted,
@@ -26,7 +28,6 @@
 from ._reader import (
     JournalBusyError,
     ReplayedShard,
-    decode_heads,
     read_heads,
     replay_shard,
 )
@@ -66,7 +67,8 @@
     "TaskRecord",
     "Tombstoned",
     "UnknownTaskError",
-    "decode_heads",
+    "outcome_from_wire",
+    "outcome_to_wire",
     "read_heads",
     "replay_shard",
 ]
--- a/packages/savorylead/savorylead/journal/_head_writer.py
+++ b/packages/savorylead/savorylead/journal/_head_writer.py
@@ -5,10 +5,11 @@
 import random
 from collections.abc import Callable
 
+from savorylead.clock import Clock
 from savorylead.store import (
     ABSENT,
+    Backoff,
     KeyValue,
-    RetryPolicy,
     Store,
     StoreError,
     SwapConflict,
@@ -36,16 +37,18 @@
         self,
         store: Store,
         layout: JournalLayout,
+        clock: Clock,
         rng: random.Random,
-        retry: RetryPolicy,
+        backoff: Backoff,
     ) -> None:
         #: The head as this lead last knew it.
         self.head = ShardHead(JOURNAL_FORMAT, 0, "", "", 0)
         self._revision = ABSENT
         self._store = store
         self._layout = layout
+        self._clock = clock
         self._rng = rng
-        self._retry = retry
+        self._backoff = backoff
 
     async def claim(self, lead: str, ring_slots: int) -> None:
         """Raise the epoch in the name of ``lead``.
@@ -54,7 +57,7 @@
         or DeposedError if another lead claimed the shard at the same time.
         """
         claim = f"{self._rng.getrandbits(64):016x}"
-        pauses = self._retry.begin()
+        failures = 0
         before: int | None = None
         while True:
             try:
@@ -67,9 +70,10 @@
                 if await self._try_claim(lead, claim):
                     return
             except StoreError:
-                if pauses.failures + 1 == CLAIM_TRIES:
+                failures += 1
+                if failures == CLAIM_TRIES:
                     raise
-                await pauses.wait()
+                await self._pause(failures)
 
     async def move_snapshot(self, pointer: SnapshotPointer) -> None:
         """Point to another snapshot; raises DeposedError."""
@@ -90,7 +94,7 @@
 
     async def _change(self, change: Callable[[ShardHead], ShardHead]) -> None:
         claim = self.head.claim
-        pauses = self._retry.begin()
+        failures = 0
         while True:
             wanted = change(self.head)
             try:
@@ -101,7 +105,8 @@
                     return
                 current = result.current
             except StoreError:
-                await pauses.wait()
+                failures += 1
+                await self._pause(failures)
                 current = await self._read_back()
             self._take(current, self.head.ring_slots)
             if self.head.claim != claim:
@@ -115,12 +120,13 @@
         )
 
     async def _read_back(self) -> KeyValue | None:
-        pauses = self._retry.begin()
+        failures = 0
         while True:
             try:
                 return await self._store.get(self._layout.head_key)
             except StoreError:
-                await pauses.wait()
+                failures += 1
+                await self._pause(failures)
 
     def _take(self, item: KeyValue | None, ring_slots: int) -> None:
         if item is None:
@@ -129,3 +135,6 @@
             return
         self.head = decode_head(item.key, item.value)
         self._revision = item.revision
+
+    async def _pause(self, failures: int) -> None:
+        await self._clock.sleep(self._backoff.delay(failures, self._rng))
--- a/packages/savorylead/savorylead/journal/_log_writer.py
+++ b/packages/savorylead/savorylead/journal/_log_writer.py
@@ -6,13 +6,14 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from savorylead.clock import Clock, Wakeup
-from savorylead.store import ABSENT, KeyValue, RetryPolicy, Store, StoreError
+from savorylead.clock import Clock
+from savorylead.store import ABSENT, Backoff, KeyValue, Store, StoreError
 
 from ._codec import ShardHead, decode_entry, encode_entry
 from ._journal import DeposedError
 from ._layout import SEGMENT_SLOTS, JournalLayout
 from ._slot_writer import SlotConflictError, SlotWriter
+from ._wakeup import Wakeup
 
 
 class LogPosition(NamedTuple):
@@ -37,7 +38,7 @@
         layout: JournalLayout,
         clock: Clock,
         rng: random.Random,
-        retry: RetryPolicy,
+        backoff: Backoff,
     ) -> None:
         #: The end of the log.
         self.position = LogPosition(0, 0)
@@ -51,9 +52,10 @@
         self._slot_revisions: dict[int, int] = {}
         self._store = store
         self._layout = layout
+        self._clock = clock
         self._rng = rng
-        self._retry = retry
-        self._slots = SlotWriter(store, layout, retry)
+        self._backoff = backoff
+        self._slots = SlotWriter(store, layout, clock, rng, backoff)
         self._room = Wakeup(clock)
         self._fetch_failed = False
 
@@ -134,14 +136,15 @@
     async def _expected_revision(self, index: int) -> int:
         slot = index % self._ring_slots
         known = self._slot_revisions.get(slot)
-        pauses = self._retry.begin()
+        failures = 0
         while known is None:
             try:
                 await self._fetch_revisions(index)
                 known = self._slot_revisions[slot]
             except StoreError:
+                failures += 1
                 self._fetch_failed = True
-                await pauses.wait()
+                await self._clock.sleep(self._backoff.delay(failures, self._rng))
         self._fetch_failed = False
         return known
 
--- a/packages/savorylead/savorylead/journal/_slot_writer.py
+++ b/packages/savorylead/savorylead/journal/_slot_writer.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import random
+
+from savorylead.clock import Clock
 from savorylead.store import (
     ABSENT,
+    Backoff,
     KeyValue,
-    RetryPolicy,
     Store,
     StoreError,
     SwapConflict,
@@ -37,14 +40,18 @@
         self,
         store: Store,
         layout: JournalLayout,
-        retry: RetryPolicy,
+        clock: Clock,
+        rng: random.Random,
+        backoff: Backoff,
     ) -> None:
         #: Whether the write in flight has failed at least once.
         self.stalled = False
         self._retries = 0
         self._store = store
         self._layout = layout
-        self._retry = retry
+        self._clock = clock
+        self._rng = rng
+        self._backoff = backoff
 
     def take_retries(self) -> int:
         """Return the number of tries again since the last call, for metrics."""
@@ -61,44 +68,35 @@
         the store's error is raised and the write may still land late.
         """
         key = self._layout.slot_key(slot)
-        pauses = self._retry.begin()
+        failures = 0
         try:
             while True:
                 try:
-                    revision = None
-                    if pauses.failures:
-                        revision = await self._read_back(key, batch, expected)
-                    if revision is None:
-                        revision = await self._try_write(key, value, batch, expected)
-                    return revision
+                    return await self._try_write(key, value, batch, expected, failures)
                 except StoreError:
-                    if pauses.failures + 1 == max_tries:
+                    failures += 1
+                    if failures == max_tries:
                         raise
                     self.stalled = True
                     self._retries += 1
-                    await pauses.wait()
+                    await self._clock.sleep(self._backoff.delay(failures, self._rng))
         finally:
             self.stalled = False
 
-    async def _read_back(self, key: str, batch: str, expected: int) -> int | None:
-        """Return the revision of our entry, or None if the slot is unchanged."""
-        current = await self._store.get(key)
-        revision = current.revision if current else ABSENT
-        if revision == expected:
-            return None
-        return _own_revision(current, batch)
-
     async def _try_write(
-        self, key: str, value: bytes, batch: str, expected: int
+        self, key: str, value: bytes, batch: str, expected: int, failures: int
     ) -> int:
+        if failures:
+            current = await self._store.get(key)
+            revision = current.revision if current else ABSENT
+            if revision != expected:
+                return self._own_revision(current, batch)
         result = await self._store.swap(key, value, expected)
         if isinstance(result, SwapConflict):
-            return _own_revision(result.current, batch)
+            return self._own_revision(result.current, batch)
         return result.revision
 
-
-def _own_revision(current: KeyValue | None, batch: str) -> int:
-    """Return the revision of our entry; raises SlotConflictError if it isn't ours."""
-    if current and decode_entry(current.key, current.value).batch == batch:
-        return current.revision
-    raise SlotConflictError(current)
+    def _own_revision(self, current: KeyValue | None, batch: str) -> int:
+        if current and decode_entry(current.key, current.value).batch == batch:
+            return current.revision
+        raise SlotConflictError(current)
--- a/packages/savorylead/savorylead/journal/_snapshot_writer.py
+++ b/packages/savorylead/savorylead/journal/_snapshot_writer.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from savorylead.clock import Clock
 from savorylead.contracts import TaskId
-from savorylead.store import ABSENT, RetryPolicy, Store, StoreError, SwapConflict
+from savorylead.store import ABSENT, Backoff, Store, StoreError, SwapConflict
 
 from ._codec import SnapshotPointer, encode_chunk, encode_record
 from ._head_writer import HeadWriter
@@ -39,7 +41,9 @@
         store: Store,
         layout: JournalLayout,
         head: HeadWriter,
-        retry: RetryPolicy,
+        clock: Clock,
+        rng: random.Random,
+        backoff: Backoff,
         chunk_bytes: int,
     ) -> None:
         #: Bytes written in chunks, for metrics.
@@ -51,7 +55,9 @@
         self._store = store
         self._layout = layout
         self._head = head
-        self._retry = retry
+        self._clock = clock
+        self._rng = rng
+        self._backoff = backoff
         self._chunk_bytes = chunk_bytes
 
     def adopt(self, chunk_revisions: dict[str, int], epoch: int) -> None:
@@ -111,12 +117,13 @@
         yield encode_chunk(cut.epoch, cut.lead, records)
 
     async def _put(self, key: str, chunk: bytes) -> int:
-        pauses = self._retry.begin()
+        failures = 0
         while True:
             try:
                 result = await self._store.swap(key, chunk, ABSENT)
             except StoreError:
-                await pauses.wait()
+                failures += 1
+                await self._clock.sleep(self._backoff.delay(failures, self._rng))
                 continue
             self.written_bytes += len(chunk)
             # The key names this lead's epoch: a chunk that lies there is ours,
--- a/packages/savorylead/savorylead/journal/_takeover.py
+++ b/packages/savorylead/savorylead/journal/_takeover.py
@@ -4,7 +4,8 @@
 
 import random
 
-from savorylead.store import RetryPolicy, Store
+from savorylead.clock import Clock
+from savorylead.store import Backoff, Store
 
 from ._codec import encode_entry, encode_event
 from ._events import EpochBegan
@@ -32,15 +33,16 @@
         layout: JournalLayout,
         head: HeadWriter,
         snapshots: SnapshotWriter,
+        clock: Clock,
         rng: random.Random,
-        retry: RetryPolicy,
+        backoff: Backoff,
     ) -> None:
         self._store = store
         self._layout = layout
         self._head = head
         self._snapshots = snapshots
         self._rng = rng
-        self._slots = SlotWriter(store, layout, retry)
+        self._slots = SlotWriter(store, layout, clock, rng, backoff)
 
     async def run(self, lead: str, ring_slots: int) -> JournalReplay:
         """Return the replay up to and with the entry that begins the epoch.
--- a/packages/savorylead/savorylead/clock/_wakeup.py
+++ b/packages/savorylead/savorylead/journal/_wakeup.py
@@ -6,7 +6,7 @@
 
 from twisted.internet.defer import Deferred
 
-from ._clock import Clock
+from savorylead.clock import Clock
 
 
 class Wakeup:
--- a/packages/savorylead/savorylead/links/_resilient_link.py
+++ b/packages/savorylead/savorylead/links/_resilient_link.py
@@ -43,8 +43,10 @@
         transport: Transport,
         budget: RetryBudget,
         settings: LinkSettings = LinkSettings(),  # noqa: B008 - it is immutable.
+        counts: Counter[LinkCount] | None = None,
     ) -> None:
-        self.counts: Counter[LinkCount] = Counter()
+        """Count into ``counts``, which several links may share."""
+        self.counts = Counter() if counts is None else counts
         self._clock = clock
         self._rng = rng
         self._transport = transport
--- a/packages/savorylead/savorylead/placement/__init__.py
+++ b/packages/savorylead/savorylead/placement/__init__.py
@@ -1,6 +1,5 @@
 """Placement: which pending task goes to which worker, and when."""
 
-from ._indexed import IndexedPlanner
 from ._naive import NaivePlanner
 from ._planner import (
     Decision,
@@ -15,7 +14,6 @@
 
 __all__ = [
     "Decision",
-    "IndexedPlanner",
     "NaivePlanner",
     "Overflow",
     "PendingTask",
