--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/loopback.py
@@ -0,0 +1,34 @@
+"""Runs coroutines on a real reactor from tests that are plain functions."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
+
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.threads import blockingCallFromThread
+
+T = TypeVar("T")
+
+_lock = threading.Lock()
+
+
+def run_on_reactor(work: Callable[[], Coroutine[Any, Any, T]]) -> T:
+    """Run ``work()`` on the reactor's thread and return its result."""
+    _start_reactor()
+    return blockingCallFromThread(reactor, lambda: Deferred.fromCoroutine(work()))
+
+
+def _start_reactor() -> None:
+    """Start the reactor in a thread that ends with the process."""
+    with _lock:
+        if reactor.running:
+            return
+        started = threading.Event()
+        reactor.callWhenRunning(started.set)
+        threading.Thread(
+            target=reactor.run, args=(False,), name="reactor", daemon=True
+        ).start()
+        started.wait()
--- a/packages/savorylead-standins/savorylead_standins/store/_memory_store.py
+++ b/packages/savorylead-standins/savorylead_standins/store/_memory_store.py
@@ -25,6 +25,8 @@
     Watch,
 )
 
+from ._change_log import ChangeLog
+
 T = TypeVar("T")
 
 
@@ -115,6 +117,8 @@
         self.faults = faults or FaultPlan()
         #: Calls by method, a waiting watch counting as one.
         self.calls: Counter[str] = Counter()
+        #: Every write, whatever befalls the watches.
+        self.changes = ChangeLog()
         self._clock = clock
         self._rng = rng
         self._revision = 0
@@ -243,6 +247,7 @@
         else:
             self._items[key] = KeyValue(key, value, self._revision)
             self._bind(key, lease_id)
+        self.changes.note(self._revision, key)
         self._notify(key)
 
     def _unbind(self, key: str) -> None:
--- a/packages/savorylead-standins/savorylead_standins/workers/_memory_worker.py
+++ b/packages/savorylead-standins/savorylead_standins/workers/_memory_worker.py
@@ -87,6 +87,7 @@
         self._incarnation = self._new_incarnation()
         self._lease_timer: Timer | None = None
         self._runs: dict[tuple[TaskId, int], _Run] = {}
+        self._held = ZERO
         self._never_start: set[tuple[TaskId, int]] = set()
 
     def start(
@@ -164,11 +165,7 @@
 
     def held(self) -> Resources:
         """Return what running attempts hold."""
-        held = ZERO
-        for run in self._runs.values():
-            if run.state is RunState.RUNNING:
-                held = held.plus(run.order.resources)
-        return held
+        return self._held
 
     def _new_incarnation(self) -> str:
         return f"{self._rng.getrandbits(64):016x}"
@@ -197,6 +194,7 @@
         self.starts[order.task] += 1
         run = _Run(order, to_millis(self._clock.now()))
         self._runs[key] = run
+        self._held = self._held.plus(order.resources)
         self._schedule_finish(run)
         return StartAccepted(order.task)
 
@@ -252,6 +250,7 @@
             return
         if run.finish_timer is not None:
             run.finish_timer.cancel()
+        self._held = self._held.minus(run.order.resources)
         run.state = state
         run.result = result
         run.ended_at_ms = to_millis(self._clock.now())
