--- /dev/null
+++ b/packages/savorylead-ctl/savorylead_ctl/_changes.py
@@ -0,0 +1,35 @@
+"""Shows what differs between two configurations."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from savorylead.config import ABSENT_FIELD, DocumentChange
+
+
+def change_lines(changes: Iterable[DocumentChange]) -> list[str]:
+    """Return one line for each field that differs."""
+    return [
+        f"{change.path}: {_text(change.before)} -> {_text(change.after)}"
+        for change in changes
+    ]
+
+
+def change_documents(changes: Iterable[DocumentChange]) -> list[dict[str, Any]]:
+    """Return the changes for programs; a side without the field is left out."""
+    return [
+        {name: side for name, side in change._asdict().items() if _is_there(side)}
+        for change in changes
+    ]
+
+
+def _is_there(side: Any) -> bool:
+    return side is not ABSENT_FIELD
+
+
+def _text(side: Any) -> str:
+    if not _is_there(side):
+        return "absent"
+    return json.dumps(side, ensure_ascii=False)
--- /dev/null
+++ b/packages/savorylead-ctl/savorylead_ctl/_printer.py
@@ -0,0 +1,94 @@
+"""Prints results for people or for programs."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Sequence
+from typing import Any, NamedTuple, TextIO
+
+from savorylead.contracts import UNLIMITED
+
+
+class Column(NamedTuple):
+    """One column of a table."""
+
+    title: str
+    #: Fields of the row, from the outer to the inner.
+    field: tuple[str, ...]
+    #: Divides a number before it is shown; 0 shows the value as it is.
+    divisor: int = 0
+
+
+class Printer:
+    """Writes one result: a table or a sentence, or one JSON document."""
+
+    def __init__(self, as_json: bool, out: TextIO, err: TextIO) -> None:
+        self._as_json = as_json
+        self._out = out
+        self._err = err
+
+    def result(self, document: Any, sentence: str) -> None:
+        """Print the document to programs and the sentence to people."""
+        if self._as_json:
+            self._print_json(document)
+        else:
+            print(sentence, file=self._out)
+
+    def table(
+        self, document: Any, rows: Iterable[Any], columns: Sequence[Column]
+    ) -> None:
+        """Print the document to programs and a table of its rows to people."""
+        if self._as_json:
+            self._print_json(document)
+            return
+        lines = [[column.title for column in columns]]
+        lines += [[_cell(row, column) for column in columns] for row in rows]
+        for line in _aligned(lines):
+            print(line, file=self._out)
+
+    def note(self, text: str) -> None:
+        """Print what is not part of the result to the standard error."""
+        print(text, file=self._err)
+
+    def failure(self, code: str, detail: str, **fields: Any) -> None:
+        """Print why the command failed."""
+        if self._as_json:
+            self._print_json({"error": {"code": code, "detail": detail, **fields}})
+            return
+        print(f"savoryctl: {detail}", file=self._err)
+        for name, value in fields.items():
+            if isinstance(value, list):
+                for each in value:
+                    print(f"  {each}", file=self._err)
+            else:
+                print(f"  {name}: {value}", file=self._err)
+
+    def _print_json(self, document: Any) -> None:
+        print(json.dumps(document, ensure_ascii=False), file=self._out)
+
+
+def _cell(row: Any, column: Column) -> str:
+    value = row
+    for field in column.field:
+        value = value.get(field, "") if isinstance(value, dict) else ""
+    if column.divisor and isinstance(value, int | float):
+        if value >= UNLIMITED:
+            return "-"
+        value = value / column.divisor
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:g}"
+    return _one_line(str(value)) or "-"
+
+
+def _one_line(text: str) -> str:
+    """Return the text without what could move the cursor of a terminal."""
+    return "".join(c if c.isprintable() else repr(c)[1:-1] for c in text)
+
+
+def _aligned(lines: list[list[str]]) -> Iterable[str]:
+    widths = [max(map(len, cells)) for cells in zip(*lines, strict=True)]
+    for cells in lines:
+        padded = (cell.ljust(width) for cell, width in zip(cells, widths, strict=True))
+        yield "  ".join(padded).rstrip()
--- /dev/null
+++ b/packages/savorylead-ctl/savorylead_ctl/client/_cell_client.py
@@ -0,0 +1,191 @@
+"""Typed calls to the cell."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any, NamedTuple
+from urllib.parse import urlencode
+
+import msgspec
+
+from savorylead.config import CellDocument
+
+from ._endpoints import Endpoint
+from ._errors import ChangeUnknownError, RefusedCallError, UnreachableError
+from ._transport import NoReplyError, NotSentError, Reply, Transport
+
+#: Codes of a daemon that did nothing and that another one may do better than.
+_PASS_OVER_CODES = frozenset(
+    {"overloaded", "shutting_down", "config_stale", "no_lead", "damaged_answer"}
+)
+_CONFIG_PATH = "/v1/operators/config"
+
+
+class ConfigAtRevision(NamedTuple):
+    """A configuration and the revision that it has."""
+
+    document: CellDocument
+    revision: int
+
+
+@dataclass(frozen=True)
+class Applied:
+    """The change is accepted."""
+
+    revision: int
+
+
+@dataclass(frozen=True)
+class ApplyConflict:
+    """Another change came first; this one was not made."""
+
+    current: ConfigAtRevision
+
+
+class CellClient:
+    """Calls the cell through its endpoints, in an order that is shuffled once.
+
+    An endpoint that cannot be connected to is passed over. A call that was sent is
+    sent again elsewhere only if it is idempotent.
+    """
+
+    def __init__(
+        self,
+        endpoints: Sequence[Endpoint],
+        key: str,
+        transport: Transport,
+        deadline: timedelta,
+        rng: random.Random,
+    ) -> None:
+        self._endpoints = list(endpoints)
+        rng.shuffle(self._endpoints)
+        self._headers = {
+            "Authorization": f"Bearer {key}",
+            "Content-Type": "application/json",
+        }
+        self._transport = transport
+        self._deadline = deadline
+
+    def get(self, path: str, **parameters: Any) -> Any:
+        """Return the document at a path; parameters that are empty are left out."""
+        given = {name: value for name, value in parameters.items() if value != ""}
+        query = f"?{urlencode(given)}" if given else ""
+        return self._read("GET", path + query, b"", self._deadline)
+
+    def ask(self, path: str, content: Any, wait: timedelta = timedelta(0)) -> Any:
+        """Return the answer to a question that may take ``wait`` longer."""
+        body = msgspec.json.encode(content)
+        return self._read("POST", path, body, self._deadline + wait)
+
+    def change(self, path: str, content: Any) -> Any:
+        """Return the answer to a change that names its requests.
+
+        Such a change is idempotent, so it is sent to another endpoint if no reply
+        comes. Raises ChangeUnknownError if no answer tells what became of it.
+        """
+        body = msgspec.json.encode(content)
+        sent: list[str] = []
+        try:
+            return self._everywhere("POST", path, body, self._deadline, sent)
+        except (RefusedCallError, UnreachableError) as exc:
+            if not sent:
+                raise
+            # An earlier copy may have taken effect, whatever the last one met.
+            raise ChangeUnknownError(f"no reply from {', '.join(sent)}; {exc}") from exc
+
+    def read_config(self) -> ConfigAtRevision:
+        """Return the newest configuration."""
+        document = self.get(_CONFIG_PATH)
+        return ConfigAtRevision(document["document"], document["revision"])
+
+    def apply_config(
+        self, document: CellDocument, expected_revision: int
+    ) -> Applied | ApplyConflict:
+        """Replace the configuration once, without ever repeating the call.
+
+        Raises ChangeUnknownError if it was sent and no answer tells what became
+        of it.
+        """
+        content = {"document": document, "expected_revision": expected_revision}
+        try:
+            answer = self._once("POST", _CONFIG_PATH, msgspec.json.encode(content))
+        except RefusedCallError as exc:
+            if exc.code == "config_conflict":
+                current = ConfigAtRevision(
+                    exc.document["document"], exc.document["revision"]
+                )
+                return ApplyConflict(current)
+            if exc.status in (500, 502, 504):
+                raise ChangeUnknownError(str(exc)) from exc
+            raise
+        return Applied(answer["revision"])
+
+    def _read(self, method: str, path: str, body: bytes, deadline: timedelta) -> Any:
+        return self._everywhere(method, path, body, deadline, [])
+
+    def _everywhere(
+        self, method: str, path: str, body: bytes, deadline: timedelta, sent: list[str]
+    ) -> Any:
+        """Try every endpoint until one gives an answer that counts.
+
+        Endpoints that got the call but gave no reply are added to ``sent``.
+        """
+        reasons: dict[str, str] = {}
+        refused: RefusedCallError | None = None
+        for endpoint in self._endpoints:
+            try:
+                return self._exchange(endpoint, method, path, body, deadline)
+            except NotSentError as exc:
+                reasons[str(endpoint)] = str(exc)
+            except NoReplyError as exc:
+                reasons[str(endpoint)] = str(exc)
+                sent.append(str(endpoint))
+            except RefusedCallError as exc:
+                if exc.code not in _PASS_OVER_CODES:
+                    raise
+                refused = exc
+        if refused is not None:
+            raise refused
+        raise UnreachableError(reasons)
+
+    def _once(self, method: str, path: str, body: bytes) -> Any:
+        """Send the call to the first endpoint that can be connected to."""
+        reasons: dict[str, str] = {}
+        for endpoint in self._endpoints:
+            try:
+                return self._exchange(endpoint, method, path, body, self._deadline)
+            except NotSentError as exc:
+                reasons[str(endpoint)] = str(exc)
+            except NoReplyError as exc:
+                raise ChangeUnknownError(f"{endpoint}: {exc}") from exc
+        raise UnreachableError(reasons)
+
+    def _exchange(
+        self,
+        endpoint: Endpoint,
+        method: str,
+        path: str,
+        body: bytes,
+        deadline: timedelta,
+    ) -> Any:
+        reply = self._transport.exchange(
+            endpoint, method, path, self._headers, body, deadline
+        )
+        document = _decode(reply)
+        if reply.status == 200:
+            return document
+        raise RefusedCallError(reply.status, document)
+
+
+def _decode(reply: Reply) -> Mapping[str, Any]:
+    """Return the body as an object; what is none did not come from the cell."""
+    try:
+        document = msgspec.json.decode(reply.body)
+    except msgspec.DecodeError as exc:
+        raise NoReplyError(f"status {reply.status} without JSON") from exc
+    if not isinstance(document, dict):
+        raise NoReplyError(f"status {reply.status} without an object")
+    return document
--- /dev/null
+++ b/packages/savorylead-ctl/savorylead_ctl/commands/_tasks.py
@@ -0,0 +1,238 @@
+"""Commands on tasks, for submitters and operators."""
+
+from __future__ import annotations
+
+import argparse
+import hashlib
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from savorylead_ctl._printer import Column
+from savorylead_ctl.client import RefusedCallError
+from savorylead_ctl.exit_codes import ExitCode
+
+from ._command import Command, Context, UsageError
+
+#: Tasks read in one call.
+PAGE_TASKS = 500
+#: Longest wait that one call asks for.
+CALL_WAIT = timedelta(seconds=20)
+#: Pause before a wait is asked again that ended at once without an outcome.
+MIN_POLL = timedelta(milliseconds=200)
+
+_COLUMNS = (
+    Column("TASK", ("task", "id")),
+    Column("PHASE", ("phase",)),
+    Column("SHARD", ("shard",)),
+    Column("WORKER", ("worker",)),
+    Column("ATTEMPT", ("attempt",)),
+    Column("OUTCOME", ("outcome", "status")),
+)
+
+
+class ListTasks(Command):
+    """Shows tasks of a workspace, or of teams to an operator."""
+
+    name = "list"
+    help = "show tasks: of a workspace with a team's key, or with an operator's key"
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Add what to show."""
+        parser.add_argument("--workspace", help="of the key's own team")
+        parser.add_argument("--team", default="", help="needs an operator's key")
+        parser.add_argument("--phase", default="", help="such as queued or placed")
+        parser.add_argument("--limit", type=int, default=200, metavar="N")
+        parser.add_argument("--after", default="", metavar="ID")
+
+    def run(self, context: Context) -> ExitCode:
+        """Read pages until there are enough."""
+        args = context.args
+        path = "/v1/operators/tasks"
+        parameters = {"team": args.team, "phase": args.phase}
+        if args.workspace:
+            path = "/v1/tasks"
+            parameters = {"workspace": args.workspace, "phase": args.phase}
+        tasks: list[Any] = []
+        after = args.after
+        while True:
+            limit = min(PAGE_TASKS, args.limit - len(tasks))
+            page = context.client.get(path, **parameters, limit=limit, after=after)
+            tasks += page["tasks"]
+            after = page["next_after"]
+            if not after or len(tasks) >= args.limit:
+                break
+        context.printer.table({"tasks": tasks, "next_after": after}, tasks, _COLUMNS)
+        if after:
+            context.printer.note(f"more: --after '{after}'")
+        return ExitCode.OK
+
+
+class NamedTasksCommand(Command):
+    """Works on tasks that are named."""
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Add the names."""
+        parser.add_argument("tasks", nargs="+", metavar="WORKSPACE/REQUEST")
+
+
+class ShowTasks(NamedTasksCommand):
+    """Shows tasks with their outcomes."""
+
+    name = "show"
+    help = "show tasks of the key's team with their outcomes"
+
+    def run(self, context: Context) -> ExitCode:
+        """Show them."""
+        body = {"requests": _names(context.args.tasks)}
+        return _show(context, context.client.ask("/v1/answers", body))
+
+
+class CancelTasks(NamedTasksCommand):
+    """Cancels tasks."""
+
+    name = "cancel"
+    help = "cancel tasks; one that never came is refused from then on"
+
+    def run(self, context: Context) -> ExitCode:
+        """Cancel them."""
+        body = {"requests": _names(context.args.tasks)}
+        return _show(context, context.client.change("/v1/cancel", body))
+
+
+class SubmitTasks(Command):
+    """Submits tasks from a file."""
+
+    name = "submit"
+    help = "submit a task or an array of tasks in JSON"
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Add the file."""
+        parser.add_argument("file", help="tasks in JSON; '-' for standard input")
+
+    def run(self, context: Context) -> ExitCode:
+        """Submit them; a repeat of the command is safe."""
+        tasks = _read_tasks(context)
+        replies = context.client.change("/v1/tasks", tasks)["replies"]
+        rows = [
+            {"request": task.get("request", ""), **reply}
+            for task, reply in zip(tasks, replies, strict=True)
+        ]
+        columns = (
+            Column("REQUEST", ("request",)),
+            Column("STATUS", ("status",)),
+            Column("REASON", ("reason",)),
+            Column("DETAIL", ("detail",)),
+        )
+        context.printer.table({"replies": replies}, rows, columns)
+        statuses = {reply["status"] for reply in replies}
+        if "unknown" in statuses:
+            return ExitCode.UNKNOWN
+        return ExitCode.REFUSED if "not_run" in statuses else ExitCode.OK
+
+
+class WaitTasks(NamedTasksCommand):
+    """Waits until tasks have their outcomes."""
+
+    name = "wait"
+    help = "wait until every task has its outcome"
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Add the names and the bound."""
+        super().add_arguments(parser)
+        parser.add_argument(
+            "--wait",
+            type=float,
+            default=60.0,
+            metavar="SECONDS",
+            help="how long to wait (default: %(default)s)",
+        )
+
+    def run(self, context: Context) -> ExitCode:
+        """Ask for those without an outcome until there are none."""
+        names = _names(context.args.tasks)
+        deadline = context.clock.now() + timedelta(seconds=context.args.wait)
+        views: dict[tuple[str, str], Any] = {}
+        waiting = names
+        while True:
+            began_at = context.clock.now()
+            wait = min(max(deadline - began_at, timedelta(0)), CALL_WAIT)
+            body = {"requests": waiting, "wait_s": wait.total_seconds()}
+            answer = context.client.ask("/v1/answers", body, wait)
+            for view in answer["tasks"]:
+                views[_name_of(view)] = view
+            waiting = [n for n in names if _is_waiting(views, n)]
+            now = context.clock.now()
+            if not waiting or now >= deadline:
+                break
+            if now - began_at < MIN_POLL:
+                context.clock.sleep(MIN_POLL)
+        tasks = [views[n["workspace"], n["request"]] for n in names]
+        code = _show(context, {"tasks": tasks})
+        if waiting:
+            return ExitCode.TIMED_OUT
+        return code
+
+
+def _show(context: Context, answer: Any) -> ExitCode:
+    """Print tasks; the code tells whether one ended otherwise than done."""
+    tasks = answer["tasks"]
+    for view in tasks:
+        _check_whole(view)
+    columns = (*_COLUMNS, Column("RESULT", ("outcome", "result")))
+    context.printer.table({"tasks": tasks}, tasks, columns)
+    statuses = {view["outcome"]["status"] for view in tasks if view["outcome"]}
+    return ExitCode.OK if statuses <= {"done"} else ExitCode.NOT_DONE
+
+
+def _check_whole(view: Any) -> None:
+    outcome = view["outcome"]
+    if not outcome or outcome["status"] != "done":
+        return
+    digest = hashlib.sha256(outcome["result"].encode()).hexdigest()
+    if digest != outcome["digest"]:
+        detail = f"the result of {view['task']['id']} does not match its digest"
+        error = {"code": "damaged_answer", "detail": detail}
+        raise RefusedCallError(502, {"error": error})
+
+
+def _is_waiting(views: dict[tuple[str, str], Any], name: dict[str, str]) -> bool:
+    return views[name["workspace"], name["request"]]["outcome"] is None
+
+
+def _name_of(view: Any) -> tuple[str, str]:
+    return view["task"]["workspace"], view["task"]["request"]
+
+
+def _names(texts: list[str]) -> list[dict[str, str]]:
+    """Return names from "workspace/request" or from the ids that lists show."""
+    names = []
+    for text in texts:
+        parts = text.split("/")
+        if len(parts) == 4 and all(parts):
+            parts = parts[1:3]
+        if len(parts) != 2 or not all(parts):
+            raise UsageError(f"{text} is not WORKSPACE/REQUEST")
+        name = {"workspace": parts[0], "request": parts[1]}
+        if name not in names:
+            names.append(name)
+    return names
+
+
+def _read_tasks(context: Context) -> list[Any]:
+    """Return the tasks of the file as an array."""
+    try:
+        if context.args.file == "-":
+            text = context.stdin.read()
+        else:
+            text = Path(context.args.file).read_text()
+        tasks = msgspec.json.decode(text)
+    except (OSError, UnicodeDecodeError, msgspec.DecodeError) as exc:
+        raise UsageError(f"cannot read {context.args.file}: {exc}") from exc
+    if isinstance(tasks, dict):
+        return [tasks]
+    if isinstance(tasks, list) and all(isinstance(task, dict) for task in tasks):
+        return tasks
+    raise UsageError("the file holds neither a task nor an array of tasks")
--- /dev/null
+++ b/packages/savorylead-ctl/savorylead_ctl/commands/_views.py
@@ -0,0 +1,126 @@
+"""Commands that show a part of the cell."""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Mapping
+from typing import Any
+
+from savorylead_ctl._printer import Column
+from savorylead_ctl.exit_codes import ExitCode
+
+from ._command import Command, Context
+
+_MILLI = 1_000
+
+
+class ViewCommand(Command):
+    """Shows one list that the daemons keep."""
+
+    def __init__(
+        self, name: str, help_text: str, resource: str, columns: tuple[Column, ...]
+    ) -> None:
+        self.name = name
+        self.help = help_text
+        self._resource = resource
+        self._columns = columns
+
+    def parameters(self, args: argparse.Namespace) -> Mapping[str, Any]:
+        """Return the parameters of the query."""
+        return {}
+
+    def run(self, context: Context) -> ExitCode:
+        """Show it."""
+        path = f"/v1/operators/{self._resource}"
+        document = context.client.get(path, **self.parameters(context.args))
+        context.printer.table(document, document[self._resource], self._columns)
+        return ExitCode.OK
+
+
+class WorkersCommand(ViewCommand):
+    """Shows workers, of one shard if wanted."""
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Add the shard."""
+        parser.add_argument("--shard", default="", help="only this shard's workers")
+
+    def parameters(self, args: argparse.Namespace) -> Mapping[str, Any]:
+        """Return the shard."""
+        return {"shard": args.shard}
+
+
+def _usage(prefix: str) -> tuple[Column, ...]:
+    title = prefix.upper()
+    return (
+        Column(f"{title} CORES", (prefix, "cores_milli"), _MILLI),
+        Column(f"{title} MB", (prefix, "memory_mb"), 1),
+        Column(f"{title} ACC", (prefix, "accelerators"), 1),
+    )
+
+
+TEAMS = ViewCommand(
+    "list",
+    "show every team's share, upper limit, grants and use",
+    "teams",
+    (
+        Column("TEAM", ("name",)),
+        Column("SHARE", ("share",)),
+        *_usage("limit"),
+        *_usage("granted"),
+        *_usage("held"),
+        Column("KEYS", ("keys",)),
+    ),
+)
+SHARES = ViewCommand(
+    "list",
+    "show every team's share and what it holds",
+    "teams",
+    (Column("TEAM", ("name",)), Column("SHARE", ("share",)), *_usage("held")),
+)
+LIMITS = ViewCommand(
+    "list",
+    "show every team's upper limit and what it holds",
+    "teams",
+    (Column("TEAM", ("name",)), *_usage("limit"), *_usage("held")),
+)
+WORKERS = WorkersCommand(
+    "list",
+    "show workers, their health and what they hold",
+    "workers",
+    (
+        Column("WORKER", ("name",)),
+        Column("SHARD", ("shard",)),
+        Column("RACK", ("rack",)),
+        Column("STATE", ("state",)),
+        *_usage("capacity"),
+        *_usage("held"),
+        Column("RUNNING", ("running",)),
+    ),
+)
+SHARDS = ViewCommand(
+    "list",
+    "show shards and their leads",
+    "shards",
+    (
+        Column("SHARD", ("name",)),
+        Column("REGION", ("region",)),
+        Column("DOMAIN", ("domain",)),
+        Column("LEAD", ("lead",)),
+        Column("EPOCH", ("epoch",)),
+        Column("WORKERS", ("workers",)),
+        Column("RUNNING", ("running",)),
+        Column("WAITING", ("waiting",)),
+    ),
+)
+MEMBERS = ViewCommand(
+    "list",
+    "show daemons and the revision in force at each; -1 means no answer",
+    "members",
+    (
+        Column("MEMBER", ("name",)),
+        Column("REGION", ("region",)),
+        Column("DOMAIN", ("domain",)),
+        Column("ENDPOINT", ("endpoint",)),
+        Column("REVISION", ("revision",)),
+    ),
+)
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/callers/_bodies.py
@@ -0,0 +1,147 @@
+"""Reads the bodies of callers, each as a whole before any service is called."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+from savorylead_daemon.documents import json_path
+from savorylead_daemon.routing import (
+    MAX_FAULTS,
+    MAX_FAULTY_ITEMS,
+    CallError,
+    CallErrorCode,
+    CallFault,
+    CheckedDecoder,
+    decode_json,
+    raise_faults,
+)
+from savorylead_daemon.services import RequestName, TaskDocument
+
+from ._shapes import AnswersBody, CancelBody, TaskBody
+
+_TASK = CheckedDecoder(TaskBody)
+_TASKS = CheckedDecoder(list[TaskBody])
+_ANSWERS = CheckedDecoder(AnswersBody)
+_CANCEL = CheckedDecoder(CancelBody)
+
+
+class SubmitBody(NamedTuple):
+    """The tasks of one submit."""
+
+    tasks: list[TaskDocument]
+    #: True if the body was one object and not an array.
+    single: bool
+
+
+class AnswersRequest(NamedTuple):
+    """The tasks that a caller asks about, and how long it waits."""
+
+    names: list[RequestName]
+    wait: timedelta
+
+
+class BodyReader:
+    """Reads bodies; every method raises CallError with all faults of the body."""
+
+    def __init__(self, max_items: int, max_wait: timedelta) -> None:
+        self._max_items = max_items
+        self._max_wait = max_wait
+
+    def read_submit(self, body: bytes) -> SubmitBody:
+        """Return the tasks of a submit, all checked."""
+        value = decode_json(body)
+        if isinstance(value, dict):
+            return SubmitBody(self._read_tasks([value], single=True), True)
+        if not isinstance(value, list):
+            detail = "must be a task or an array of tasks"
+            raise CallError(CallErrorCode.WRONG_TYPE, detail)
+        return SubmitBody(self._read_tasks(value, single=False), False)
+
+    def read_answers(self, body: bytes) -> AnswersRequest:
+        """Return the names and the wait, which is cut to the longest allowed."""
+        value = decode_json(body)
+        typed = self._read_names(value, _ANSWERS)
+        wait_s = typed.get("wait_s", 0)
+        wait = min(timedelta(seconds=wait_s), self._max_wait)
+        return AnswersRequest(_names(typed), wait)
+
+    def read_cancel(self, body: bytes) -> list[RequestName]:
+        """Return the names of the tasks to cancel."""
+        return _names(self._read_names(decode_json(body), _CANCEL))
+
+    def _read_tasks(self, values: list[Any], single: bool) -> list[TaskDocument]:
+        self._check_length(len(values), "$")
+        tasks = _TASKS.convert(values)
+        if tasks is None:
+            raise_faults(_faults_of_items(values, single))
+        raise_faults(list(_faults_across_fields(tasks, single)))
+        return tasks
+
+    def _read_names(self, value: Any, decoder: CheckedDecoder) -> Any:
+        if isinstance(value, dict) and isinstance(value.get("requests"), list):
+            self._check_length(len(value["requests"]), "$.requests")
+        typed = decoder.convert(value)
+        if typed is None:
+            raise_faults(decoder.faults(value))
+        return typed
+
+    def _check_length(self, length: int, path: str) -> None:
+        if length == 0:
+            raise CallError(CallErrorCode.OUT_OF_RANGE, "must not be empty", path)
+        if length > self._max_items:
+            detail = f"{length} items; at most {self._max_items} in one call"
+            raise CallError(CallErrorCode.TOO_MANY_ITEMS, detail, path)
+
+
+def _names(body: Any) -> list[RequestName]:
+    """Return each name once, in the order of the body."""
+    names = (RequestName(e["workspace"], e["request"]) for e in body["requests"])
+    return list(dict.fromkeys(names))
+
+
+def _faults_of_items(values: list[Any], single: bool) -> list[CallFault]:
+    """Return the faults of the first bad items."""
+    faults: list[CallFault] = []
+    bad_items = 0
+    for index, value in enumerate(values):
+        if _TASK.convert(value) is not None:
+            continue
+        faults.extend(_TASK.faults(value, _parts(index, single)))
+        bad_items += 1
+        if bad_items >= MAX_FAULTY_ITEMS or len(faults) >= MAX_FAULTS:
+            break
+    return faults
+
+
+def _faults_across_fields(
+    tasks: list[TaskDocument], single: bool
+) -> Iterator[CallFault]:
+    first_index: dict[tuple[str, str], int] = {}
+    for index, task in enumerate(tasks):
+        name = (task["workspace"], task["request"])
+        earlier = first_index.setdefault(name, index)
+        if earlier != index:
+            yield CallFault(
+                CallErrorCode.DUPLICATE_REQUEST,
+                json_path(*_parts(index, single), "request"),
+                f"the same task as at {json_path(earlier)}",
+            )
+        if (task["kind"] == "all_at_once") != ("members" in task):
+            yield _members_fault(task, [*_parts(index, single), "members"])
+
+
+def _members_fault(task: TaskDocument, parts: list[str | int]) -> CallFault:
+    if "members" in task:
+        return CallFault(
+            CallErrorCode.UNKNOWN_FIELD, json_path(*parts), "only for all_at_once"
+        )
+    return CallFault(
+        CallErrorCode.MISSING_FIELD, json_path(*parts), "all_at_once needs it"
+    )
+
+
+def _parts(index: int, single: bool) -> tuple[str | int, ...]:
+    """Return where a task stands in the body."""
+    return () if single else (index,)
--- a/packages/savorylead-daemon/savorylead_daemon/documents/_faults.py
+++ b/packages/savorylead-daemon/savorylead_daemon/documents/_faults.py
@@ -2,40 +2,17 @@
 
 from __future__ import annotations
 
-import re
-from collections.abc import Iterable
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any
+
+from savorylead.config import DocumentFault, json_path
 
 if TYPE_CHECKING:
     from jsonschema.protocols import Validator
 
-_PLAIN_NAME = re.compile(r"[A-Za-z_][A-Za-z0-9_]*\Z")
-
 #: Longest text of one fault; a message quotes the value at fault.
 MAX_MESSAGE_CHARS = 200
 
 
-class DocumentFault(NamedTuple):
-    """One thing wrong with a document."""
-
-    #: JSON path of the field, such as "$.listen.callers" or "$[3].resources".
-    path: str
-    message: str
-
-
-def json_path(parts: Iterable[str | int]) -> str:
-    """Return the JSON path made of keys and indexes below the root."""
-    path = "$"
-    for part in parts:
-        if isinstance(part, int):
-            path += f"[{part}]"
-        elif _PLAIN_NAME.match(part):
-            path += f".{part}"
-        else:
-            path += f"[{part!r}]"
-    return path
-
-
 def list_faults(validator: Validator, document: Any) -> list[DocumentFault]:
     """Return every fault that the schema finds, sorted by path.
 
@@ -54,16 +31,14 @@
         known = error.schema.get("properties", {})
         unknown = [name for name in error.instance if name not in known]
         return [
-            DocumentFault(json_path([*parts, name]), "unknown field")
-            for name in unknown
+            DocumentFault(json_path(*parts, name), "unknown field") for name in unknown
         ]
     if error.validator == "required":
         missing = [name for name in error.validator_value if name not in error.instance]
         return [
-            DocumentFault(json_path([*parts, name]), "missing field")
-            for name in missing
+            DocumentFault(json_path(*parts, name), "missing field") for name in missing
         ]
-    return [DocumentFault(json_path(parts), _shorten(error.message))]
+    return [DocumentFault(json_path(*parts), _shorten(error.message))]
 
 
 def _shorten(message: str) -> str:
--- a/packages/savorylead-daemon/savorylead_daemon/http/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/__init__.py
@@ -12,6 +12,7 @@
     JsonResource,
     JsonResponse,
     JsonSite,
+    is_body_too_large,
     json_response,
 )
 from ._polling_watch import PollingWatch, WatchSettings
@@ -34,5 +35,6 @@
     "StoreTimeouts",
     "WatchSettings",
     "WorkerTimeouts",
+    "is_body_too_large",
     "json_response",
 ]
--- a/packages/savorylead-daemon/savorylead_daemon/http/_json_resource.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/_json_resource.py
@@ -107,14 +107,26 @@
         self._error_mapping = error_mapping
 
     def render(self, request: Request) -> int:
-        """Start the handler for one request."""
-        if getattr(request, "body_too_large", False):
-            error = HttpError(413, "body_too_large", "the body is over the limit")
-            _write(request, error.response())
+        """Start the handler for one request, unless it is refused before."""
+        refusal = self.refuse(request)
+        if refusal is not None:
+            _write(request, refusal)
             return NOT_DONE_YET
         _Exchange(request, self._error_mapping).run(self._handler(_read(request)))
         return NOT_DONE_YET
 
+    def refuse(self, request: Request) -> JsonResponse | None:
+        """Return the answer to a request that the handler must not see, or None."""
+        if not is_body_too_large(request):
+            return None
+        error = HttpError(413, "body_too_large", "the body is over the limit")
+        return error.response()
+
+
+def is_body_too_large(request: Request) -> bool:
+    """Return whether the body exceeded the site's limit and was dropped."""
+    return getattr(request, "body_too_large", False)
+
 
 class _Exchange:
     """One request whose handler runs."""
@@ -189,10 +201,13 @@
     """
 
     def __init__(
-        self, resource: Resource, max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+        self,
+        resource: Resource,
+        max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
     ) -> None:
         factory = functools.partial(_LimitedRequest, max_body_bytes)
-        super().__init__(resource, factory, timeout=IDLE_TIMEOUT_S)
+        super().__init__(resource, factory, timeout=idle_timeout_s)
         self.displayTracebacks = False
 
     def log(self, request: Request) -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/observability/_metrics.py
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/_metrics.py
@@ -63,8 +63,8 @@
         self._refusals = self._counter(
             "refusals_total", "Tasks and calls refused, by reason.", "reason"
         )
-        self._bad_requests = self._counter(
-            "bad_requests_total", "Calls with a bad body or path, by code.", "code"
+        self._call_errors = self._counter(
+            "call_errors_total", "Calls that the interface itself refused.", "code"
         )
         self._requeues = self._counter(
             "requeues_total", "Attempts that went back to the queue.", "reason"
@@ -108,9 +108,9 @@
         """Count tasks or whole calls that were refused."""
         self._refusals.add(count, reason)
 
-    def count_bad_request(self, code: str) -> None:
-        """Count a call that is wrong in itself, by its stable error code."""
-        self._bad_requests.add(1, code)
+    def count_call_error(self, code: str) -> None:
+        """Count a call that was refused before it reached a service, by its code."""
+        self._call_errors.add(1, code)
 
     def count_requeue(self, reason: RequeueReason, count: int = 1) -> None:
         """Count attempts that went back to the queue."""
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/operators/_probes.py
@@ -0,0 +1,42 @@
+"""The balancer's probes and the metrics."""
+
+from __future__ import annotations
+
+from savorylead_daemon.http import JsonRequest, JsonResponse, json_response
+from savorylead_daemon.observability import Metrics, Readiness
+from savorylead_daemon.routing import Route
+
+
+def probe_routes(metrics: Metrics, readiness: Readiness) -> list[Route]:
+    """Return the routes that need no key and are never refused for load."""
+    probes = _Probes(metrics, readiness)
+    return [
+        Route("GET", "/healthz", "healthz", probes.healthz),
+        Route("GET", "/readyz", "readyz", probes.readyz),
+        Route("GET", "/metrics", "metrics", probes.metrics),
+    ]
+
+
+class _Probes:
+    """One method for each route."""
+
+    def __init__(self, metrics: Metrics, readiness: Readiness) -> None:
+        self._metrics = metrics
+        self._readiness = readiness
+
+    async def healthz(self, request: JsonRequest) -> JsonResponse:
+        """Answer as long as the process serves requests at all."""
+        return json_response(200, {"status": "ok"})
+
+    async def readyz(self, request: JsonRequest) -> JsonResponse:
+        """Tell the balancer whether to send callers here."""
+        reasons = self._readiness.reasons()
+        if reasons:
+            return json_response(503, {"status": "not_ready", "reasons": reasons})
+        return json_response(200, {"status": "ready", "reasons": []})
+
+    async def metrics(self, request: JsonRequest) -> JsonResponse:
+        """Return all metrics as text."""
+        self._metrics.set_ready(self._readiness.is_ready())
+        body, content_type = self._metrics.render()
+        return JsonResponse(200, body, {"content-type": content_type})
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/routing/__init__.py
@@ -0,0 +1,42 @@
+"""The HTTP entrance of a daemon: routes, admission, errors and their counting."""
+
+from ._admission import AdmissionGate
+from ._authorization import read_key
+from ._checked_decoder import (
+    MAX_FAULTS,
+    MAX_FAULTY_ITEMS,
+    CheckedDecoder,
+    decode_json,
+    raise_faults,
+)
+from ._errors import (
+    CallError,
+    CallErrorCode,
+    CallFault,
+    call_error_response,
+    refusal_status,
+)
+from ._parameters import Parameters
+from ._retry_after import RetryAfter
+from ._router import Route, Router
+from ._shield import shielded
+
+__all__ = [
+    "MAX_FAULTS",
+    "MAX_FAULTY_ITEMS",
+    "AdmissionGate",
+    "CallError",
+    "CallErrorCode",
+    "CallFault",
+    "CheckedDecoder",
+    "Parameters",
+    "RetryAfter",
+    "Route",
+    "Router",
+    "call_error_response",
+    "decode_json",
+    "raise_faults",
+    "read_key",
+    "refusal_status",
+    "shielded",
+]
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/routing/_checked_decoder.py
@@ -0,0 +1,160 @@
+"""Decodes a JSON value into a typed one, or lists its faults."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from functools import cached_property
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from savorylead_daemon.documents import json_path
+
+from ._errors import CallError, CallErrorCode, CallFault
+
+if TYPE_CHECKING:
+    from jsonschema.protocols import Validator
+
+#: Faults that are listed of one call; the rest shows once these are mended.
+MAX_FAULTS = 50
+#: Items whose faults are listed; listing is far slower than checking.
+MAX_FAULTY_ITEMS = 10
+
+_CODES = {
+    "type": CallErrorCode.WRONG_TYPE,
+    "additionalProperties": CallErrorCode.UNKNOWN_FIELD,
+    "required": CallErrorCode.MISSING_FIELD,
+    "enum": CallErrorCode.BAD_VALUE,
+    "pattern": CallErrorCode.BAD_VALUE,
+}
+
+
+def decode_json(body: bytes) -> Any:
+    """Return the JSON value of a body; raises CallError."""
+    try:
+        return msgspec.json.decode(body)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        detail = str(exc) or "the body is no JSON"
+        raise CallError(CallErrorCode.BAD_JSON, detail) from exc
+
+
+def raise_faults(faults: Sequence[CallFault]) -> None:
+    """Raise one CallError for all faults, or return if there is none."""
+    if not faults:
+        return
+    first, *more = faults[:MAX_FAULTS]
+    code = CallErrorCode(first.code)
+    raise CallError(code, first.detail, first.path, more)
+
+
+class CheckedDecoder:
+    """Checks values against one of the shapes.
+
+    A good value is checked by msgspec alone. Only a bad one goes through
+    jsonschema, with the schema that msgspec derives from the same type.
+    """
+
+    def __init__(self, shape: Any) -> None:
+        self._shape = shape
+
+    def convert(self, value: Any) -> Any | None:
+        """Return the typed value, or None if it is bad."""
+        try:
+            typed = msgspec.convert(value, self._shape)
+        except msgspec.ValidationError:
+            return None
+        # A TypedDict drops fields that it doesn't know, so they show as missing.
+        if not _same_fields(value, typed):
+            return None
+        return typed
+
+    def faults(self, value: Any, parts: Sequence[str | int] = ()) -> list[CallFault]:
+        """Return what is wrong with a value that stands at ``parts`` of the body."""
+        faults = []
+        for error in self._validator.iter_errors(value):
+            faults.extend(_faults_of(error, parts))
+            if len(faults) >= MAX_FAULTS:
+                break
+        if not faults and self.convert(value) is None:
+            faults.append(self._remaining_fault(value, parts))
+        return sorted(set(faults), key=lambda fault: (fault.path, fault.code))
+
+    def _remaining_fault(self, value: Any, parts: Sequence[str | int]) -> CallFault:
+        """Return what msgspec objects to, should the schema not find it."""
+        try:
+            msgspec.convert(value, self._shape)
+        except msgspec.ValidationError as exc:
+            return CallFault(CallErrorCode.WRONG_TYPE, json_path(*parts), str(exc))
+        return CallFault(CallErrorCode.UNKNOWN_FIELD, json_path(*parts), "")
+
+    @cached_property
+    def _validator(self) -> Validator:
+        # Daemons that never see a bad body don't load this library for callers.
+        from jsonschema import Draft202012Validator
+        from jsonschema.validators import extend
+
+        types = Draft202012Validator.TYPE_CHECKER.redefine("integer", _is_integer)
+        strict = extend(Draft202012Validator, type_checker=types)
+        return strict(_closed(msgspec.json.schema(self._shape)))
+
+
+def _same_fields(value: Any, typed: Any) -> bool:
+    """Return whether no field of an object was dropped, at any depth."""
+    if isinstance(value, dict):
+        if len(value) != len(typed):
+            return False
+        return all(
+            _same_fields(each, typed[name])
+            for name, each in value.items()
+            if isinstance(each, dict | list)
+        )
+    if isinstance(value, list):
+        return all(map(_same_fields, value, typed))
+    return True
+
+
+def _is_integer(_: Any, value: Any) -> bool:
+    """Return whether a value is whole as written; 1.0 is not."""
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _closed(schema: Any) -> Any:
+    """Return the schema with every object closed to unknown fields."""
+    if isinstance(schema, dict):
+        closed = {name: _closed(part) for name, part in schema.items()}
+        if "properties" in schema:
+            closed["additionalProperties"] = False
+        return closed
+    if isinstance(schema, list):
+        return [_closed(part) for part in schema]
+    return schema
+
+
+def _faults_of(error: Any, parts: Sequence[str | int]) -> Iterable[CallFault]:
+    code = _CODES.get(error.validator, CallErrorCode.OUT_OF_RANGE)
+    place = [*parts, *error.absolute_path]
+    if code is CallErrorCode.UNKNOWN_FIELD:
+        for name in error.instance:
+            if name not in error.schema["properties"]:
+                yield CallFault(code, json_path(*place, name), "unknown field")
+        return
+    if code is CallErrorCode.MISSING_FIELD:
+        for name in error.validator_value:
+            if name not in error.instance:
+                yield CallFault(code, json_path(*place, name), "missing field")
+        return
+    yield CallFault(code, json_path(*place), _detail(error))
+
+
+def _detail(error: Any) -> str:
+    """Return what was expected, without quoting what came."""
+    expected = error.validator_value
+    match error.validator:
+        case "type":
+            return f"must be {expected}"
+        case "enum":
+            return f"must be one of {', '.join(map(str, expected))}"
+        case "pattern":
+            return "has a character that is not allowed"
+        case _:
+            return f"{error.validator} is {expected}"
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/routing/_router.py
@@ -0,0 +1,141 @@
+"""Dispatches requests to routes, and turns every failure into a counted answer."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from absl import logging
+from twisted.internet.defer import CancelledError
+from twisted.python.failure import Failure
+from twisted.web.server import Request
+
+from savorylead.outcomes import Refusal
+from savorylead_daemon.http import (
+    JsonHandler,
+    JsonRequest,
+    JsonResource,
+    JsonResponse,
+    is_body_too_large,
+)
+from savorylead_daemon.observability import Metrics
+from savorylead_daemon.services import RefusedError
+
+from ._admission import AdmissionGate
+from ._errors import (
+    CallError,
+    CallErrorCode,
+    CallFault,
+    call_error_response,
+    refusal_status,
+)
+from ._retry_after import RetryAfter
+
+#: Labels of requests that reached no route.
+NO_ROUTE = "none"
+
+
+class Route(NamedTuple):
+    """One method of one path."""
+
+    method: str
+    path: str
+    #: Name of the route in metrics.
+    name: str
+    handler: JsonHandler
+    #: Bounds the calls that are served at once; None for probes.
+    gate: AdmissionGate | None = None
+
+
+class Router(JsonResource):
+    """The root resource of the callers' endpoint."""
+
+    def __init__(
+        self, routes: Iterable[Route], metrics: Metrics, retry_after: RetryAfter
+    ) -> None:
+        super().__init__(self._handle)
+        self._metrics = metrics
+        self._retry_after = retry_after
+        self._routes: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            self._routes.setdefault(route.path, {})[route.method] = route
+
+    def refuse(self, request: Request) -> JsonResponse | None:
+        """Return the answer to a request that no route must see, or None."""
+        error = _early_error(request)
+        if error is None:
+            return None
+        response = self._explain(error)
+        self._metrics.count_request(NO_ROUTE, response.status)
+        return response
+
+    async def _handle(self, request: JsonRequest) -> JsonResponse:
+        name = NO_ROUTE
+        try:
+            route = self._find(request)
+            name = route.name
+            response = await _run(route, request)
+        except CancelledError:
+            self._metrics.count_call_error(CallErrorCode.CLIENT_GONE)
+            self._metrics.count_request(name, 499)
+            raise
+        except Exception as exc:
+            response = self._explain(exc)
+        self._metrics.count_request(name, response.status)
+        return response
+
+    def _find(self, request: JsonRequest) -> Route:
+        methods = self._routes.get(request.path)
+        if methods is None:
+            raise CallError(CallErrorCode.NOT_FOUND, "no such path")
+        route = methods.get(request.method)
+        if route is None:
+            allowed = ", ".join(sorted(methods))
+            raise CallError(CallErrorCode.METHOD_NOT_ALLOWED, f"allowed: {allowed}")
+        return route
+
+    def _explain(self, exc: Exception) -> JsonResponse:
+        if isinstance(exc, CallError):
+            return self._explain_call_error(exc)
+        if isinstance(exc, RefusedError):
+            return self._explain_refusal(exc)
+        logging.error("Request failed: %s", Failure(exc).getTraceback())
+        # The text of an unforeseen exception may hold what callers must not see.
+        error = CallError(CallErrorCode.INTERNAL, "the daemon failed; see its log")
+        return self._explain_call_error(error)
+
+    def _explain_call_error(self, exc: CallError) -> JsonResponse:
+        self._metrics.count_call_error(exc.code)
+        if exc.status == 400:
+            self._metrics.count_refusal(Refusal.BAD_REQUEST)
+        fault = CallFault(exc.code, exc.path, exc.detail)
+        return call_error_response(
+            exc.status, fault, exc.more, retry_after_s=self._retry_after.seconds()
+        )
+
+    def _explain_refusal(self, exc: RefusedError) -> JsonResponse:
+        self._metrics.count_refusal(exc.reason)
+        return call_error_response(
+            refusal_status(exc.reason),
+            CallFault(exc.reason, exc.path, exc.detail),
+            retry_after_s=self._retry_after.seconds(exc.reason),
+        )
+
+
+def _early_error(request: Request) -> CallError | None:
+    if is_body_too_large(request):
+        return CallError(CallErrorCode.BODY_TOO_LARGE, "the body is over the limit")
+    keys = request.requestHeaders.getRawHeaders(b"authorization", [])
+    if len(keys) > 1:
+        # Proxies may forward either, so neither is believed.
+        return CallError(
+            CallErrorCode.BAD_AUTHORIZATION, "more than one header Authorization"
+        )
+    return None
+
+
+async def _run(route: Route, request: JsonRequest) -> JsonResponse:
+    if route.gate is None:
+        return await route.handler(request)
+    with route.gate:
+        return await route.handler(request)
--- a/packages/savorylead-daemon/savorylead_daemon/settings/_schema.py
+++ b/packages/savorylead-daemon/savorylead_daemon/settings/_schema.py
@@ -5,6 +5,8 @@
 from typing import Any
 
 _NAME = {"type": "string", "pattern": r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$"}
+#: As the configuration names regions and failure domains.
+_PLACE = {"type": "string", "pattern": r"^[A-Za-z0-9][A-Za-z0-9_-]{0,62}$"}
 _ENDPOINT = {"type": "string", "minLength": 1}
 _SHA256 = {"type": "string", "pattern": "^[0-9a-f]{64}$"}
 _COUNT = {"type": "integer", "minimum": 1}
@@ -58,8 +60,8 @@
     **_section(
         {
             "name": _NAME,
-            "region": _NAME,
-            "domain": _NAME,
+            "region": _PLACE,
+            "domain": _PLACE,
             "listen": _section(
                 {
                     "callers": _ENDPOINT,
--- a/packages/savorylead-daemon/savorylead_daemon/settings/_semantics.py
+++ b/packages/savorylead-daemon/savorylead_daemon/settings/_semantics.py
@@ -20,7 +20,6 @@
         *_listen_faults(settings),
         *_platform_faults(settings),
         *_lease_faults(settings),
-        *_limit_faults(settings),
     ]
 
 
@@ -70,15 +69,5 @@
         )
 
 
-def _limit_faults(settings: Settings) -> Iterator[DocumentFault]:
-    limits = settings.limits
-    if limits.connection_idle <= limits.answer_wait:
-        yield DocumentFault(
-            "$.limits.connection_idle_s",
-            f"must exceed answer_wait_s of {_seconds(limits.answer_wait)} s, "
-            "or waiting callers are cut off",
-        )
-
-
 def _seconds(duration: timedelta) -> str:
     return f"{duration.total_seconds():g}"
--- a/packages/savorylead-daemon/savorylead_daemon/settings/_settings.py
+++ b/packages/savorylead-daemon/savorylead_daemon/settings/_settings.py
@@ -86,7 +86,7 @@
     waits_at_once: int
     #: Longest wait for an answer in one call.
     answer_wait: timedelta
-    #: A connection that sends or reads nothing for this long is closed.
+    #: A connection without a request for this long is closed; a wait is a request.
     connection_idle: timedelta
     #: Tasks that one shard led here may keep waiting.
     waiting_per_shard: int
--- a/packages/savorylead-daemon/savorylead_daemon/settings/tests/test_settings.py
+++ b/packages/savorylead-daemon/savorylead_daemon/settings/tests/test_settings.py
@@ -110,7 +110,7 @@
             ["$.leases.member_renew_every_s"],
         ),
         ([("leases.drift_bound_s", 3)], ["$.leases.drift_bound_s"]),
-        ([("limits.connection_idle_s", 30)], ["$.limits.connection_idle_s"]),
+        ([("limits.connection_idle_s", 0)], ["$.limits.connection_idle_s"]),
         # Faults of schema, endpoints and several sections are listed together.
         (
             [
--- a/packages/savorylead/savorylead/clock/__init__.py
+++ b/packages/savorylead/savorylead/clock/__init__.py
@@ -2,5 +2,6 @@
 
 from ._clock import Clock, Timer, to_millis
 from ._twisted_clock import TwistedClock
+from ._wakeup import Wakeup
 
-__all__ = ["Clock", "Timer", "TwistedClock", "to_millis"]
+__all__ = ["Clock", "Timer", "TwistedClock", "Wakeup", "to_millis"]
--- a/packages/savorylead/savorylead/journal/_wakeup.py
+++ b/packages/savorylead/savorylead/clock/_wakeup.py
@@ -6,7 +6,7 @@
 
 from twisted.internet.defer import Deferred
 
-from savorylead.clock import Clock
+from ._clock import Clock
 
 
 class Wakeup:
--- /dev/null
+++ b/packages/savorylead/savorylead/config/_diff.py
@@ -0,0 +1,53 @@
+"""What differs between two documents."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+
+from ._faults import json_path
+
+
+class _Absent:
+    """Stands for a field that one of the documents does not have."""
+
+    def __repr__(self) -> str:
+        return "ABSENT_FIELD"
+
+
+#: Value of a field that is not there.
+ABSENT_FIELD = _Absent()
+
+
+class DocumentChange(NamedTuple):
+    """One field that differs."""
+
+    #: JSON path of the field.
+    path: str
+    #: ABSENT_FIELD if the field was added.
+    before: Any
+    #: ABSENT_FIELD if the field was removed.
+    after: Any
+
+
+def diff_documents(before: object, after: object) -> list[DocumentChange]:
+    """Return the fields that differ, sorted by path.
+
+    Objects are compared field by field; arrays and other values as a whole. A number
+    is the same with and without a decimal point.
+    """
+    return sorted(_changes((), before, after), key=lambda change: change.path)
+
+
+def _changes(
+    parts: tuple[str, ...], before: Any, after: Any
+) -> Iterator[DocumentChange]:
+    if isinstance(before, dict) and isinstance(after, dict):
+        for name in before.keys() | after.keys():
+            yield from _changes(
+                (*parts, name),
+                before.get(name, ABSENT_FIELD),
+                after.get(name, ABSENT_FIELD),
+            )
+    elif before != after or isinstance(before, bool) != isinstance(after, bool):
+        yield DocumentChange(json_path(*parts), before, after)
--- a/packages/savorylead/savorylead/config/_document.py
+++ b/packages/savorylead/savorylead/config/_document.py
@@ -16,7 +16,7 @@
 
 
 class KeyDocument(TypedDict):
-    """One key of a team; only its hash is kept."""
+    """One key of a team or of an operator; only its hash is kept."""
 
     #: Hex SHA-256 of the key as it was shown once.
     sha256: str
@@ -86,6 +86,8 @@
     cell: str
     shards: dict[str, ShardDocument]
     teams: dict[str, TeamDocument]
+    #: Keys of operators, by key id.
+    operators: dict[str, KeyDocument]
     #: By "team/workspace".
     workspaces: dict[str, WorkspaceDocument]
     queues: dict[str, QueueDocument]
--- /dev/null
+++ b/packages/savorylead/savorylead/config/_schema.py
@@ -0,0 +1,70 @@
+"""Checks of a document's structure, by a schema made from its types."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from functools import cache
+from typing import Any
+
+import jsonschema
+import msgspec
+from jsonschema.exceptions import ValidationError
+
+from ._document import CellDocument
+from ._faults import DocumentFault, json_path
+
+
+@cache
+def cell_schema() -> dict[str, Any]:
+    """Return the JSON schema of a cell's document; no field may be added to it."""
+    schema = msgspec.json.schema(CellDocument)
+    for definition in schema["$defs"].values():
+        if "properties" not in definition:
+            continue
+        definition["additionalProperties"] = False
+        for field in definition["properties"].values():
+            _require_every_name(field)
+    return schema
+
+
+def _require_every_name(field: dict[str, Any]) -> None:
+    """Change a map from a closed set of names into an object with these fields."""
+    names = field.pop("propertyNames", {}).get("enum")
+    if names is None:
+        return
+    value = field["additionalProperties"]
+    field["properties"] = dict.fromkeys(names, value)
+    field["required"] = names
+    field["additionalProperties"] = False
+
+
+@cache
+def _validator() -> jsonschema.Draft202012Validator:
+    return jsonschema.Draft202012Validator(cell_schema())
+
+
+def structure_faults(
+    raw: object,
+) -> Iterator[tuple[tuple[str, ...], DocumentFault]]:
+    """Yield every way in which ``raw`` differs from a cell's document.
+
+    Each fault comes with the names that lead to its field.
+    """
+    for error in _validator().iter_errors(raw):
+        for parts, message in _faults_of(error):
+            yield parts, DocumentFault(json_path(*parts), message)
+
+
+def _faults_of(error: ValidationError) -> Iterator[tuple[tuple[str, ...], str]]:
+    """Yield one fault for each field, where jsonschema joins several in one error."""
+    parts = tuple(error.absolute_path)
+    if error.validator == "additionalProperties":
+        for name in error.instance:
+            if name not in error.schema.get("properties", {}):
+                yield (*parts, name), "unknown field"
+    elif error.validator == "required":
+        # jsonschema reports each missing field by an error of its own.
+        name = error.message.split("'")[1]
+        yield (*parts, name), "missing field"
+    else:
+        yield parts, error.message
--- /dev/null
+++ b/packages/savorylead/savorylead/domains/_lead_assignment.py
@@ -0,0 +1,128 @@
+"""Which daemon should lead which shard."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from ._domain import Shard
+from ._member_record import MemberRecord
+from ._rendezvous import rendezvous_order
+
+
+class LeadAssignment(NamedTuple):
+    """What should happen to the lead of one shard."""
+
+    shard: str
+    #: Name of the daemon that should lead; empty if the region has none.
+    lead: str
+    #: Whether that daemon should take the shard now. Otherwise it already leads,
+    #: or must wait until the present lead resigns or leaves the list.
+    vacant: bool
+
+
+def assign_leads(
+    shards: Iterable[Shard],
+    records: Iterable[MemberRecord],
+    leads: Mapping[str, str],
+    now_ms: int,
+) -> dict[str, LeadAssignment]:
+    """Return the assignment of each shard, by its name.
+
+    ``leads`` holds the name in each shard's head; empty or missing means nobody.
+    The result depends on nothing else, so daemons that see the same members and
+    heads agree without talking; while they don't, the journal admits one lead.
+
+    A daemon leads in its own region only, and no daemon leads more than its even
+    share of the region's shards. A shard whose lead is gone goes to another daemon
+    at once. A shard that has a lead moves only to a daemon that is settled, so that
+    one which keeps pausing does not pull shards to and fro.
+    """
+    members = list(records)
+    present = {record.member.name for record in members}
+    by_region: dict[str, list[Shard]] = {}
+    for shard in shards:
+        by_region.setdefault(shard.region, []).append(shard)
+    result = {}
+    for region, group in by_region.items():
+        candidates = [r for r in members if r.member.region == region]
+        owners = _owners(group, _eligible(group, candidates, leads, now_ms))
+        for shard in group:
+            owner = owners.get(shard.name, "")
+            lead = leads.get(shard.name, "")
+            vacant = bool(owner) and lead not in present
+            result[shard.name] = LeadAssignment(shard.name, owner, vacant)
+    return result
+
+
+def _eligible(
+    shards: list[Shard],
+    candidates: list[MemberRecord],
+    leads: Mapping[str, str],
+    now_ms: int,
+) -> list[str]:
+    """Return the daemons that may be given shards.
+
+    These are the settled ones and those that lead already; all, if there are none.
+    """
+    leading = {leads.get(shard.name, "") for shard in shards}
+    willing = [record for record in candidates if record.member.leading]
+    names = [
+        record.member.name
+        for record in willing
+        if record.settled(now_ms) or record.member.name in leading
+    ]
+    return names or [record.member.name for record in willing]
+
+
+def _owners(shards: list[Shard], names: list[str]) -> dict[str, str]:
+    """Return the best daemon by rendezvous for each shard, within even shares."""
+    if not names:
+        return {}
+    most = -(-len(shards) // len(names))
+    load = dict.fromkeys(names, 0)
+    owners = {}
+    for shard in sorted(shards, key=lambda s: s.name):
+        for name in rendezvous_order(shard.name, names):
+            if load[name] < most:
+                owners[shard.name] = name
+                load[name] += 1
+                break
+    return owners
+
+
+class LeadSteps(NamedTuple):
+    """What one daemon should do next about its leads; both are sorted."""
+
+    #: Shards whose journal it should open.
+    to_open: tuple[str, ...]
+    #: Shards that it should resign.
+    to_resign: tuple[str, ...]
+
+
+def next_lead_steps(
+    me: str,
+    held: Iterable[str],
+    assignments: Mapping[str, LeadAssignment],
+    leads: Mapping[str, str],
+) -> LeadSteps:
+    """Return the steps of the daemon ``me``, which holds or opens ``held``.
+
+    A shard whose head names this daemon although it does not hold it was led by a
+    process before it, which died without resigning. It is opened here, and resigned
+    afterwards if another daemon should lead it.
+
+    Call this only with a list of members that is not stale.
+    """
+    held_now = set(held)
+    to_open = {
+        shard
+        for shard, step in assignments.items()
+        if step.lead == me and step.vacant or leads.get(shard) == me
+    }
+    to_resign = {
+        shard
+        for shard in held_now & assignments.keys()
+        if assignments[shard].lead not in ("", me)
+    }
+    return LeadSteps(tuple(sorted(to_open - held_now)), tuple(sorted(to_resign)))
--- /dev/null
+++ b/packages/savorylead/savorylead/domains/_lead_directory.py
@@ -0,0 +1,70 @@
+"""Who leads each shard, as the heads in the store tell."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+from types import MappingProxyType
+
+from savorylead.clock import Clock
+from savorylead.journal import HEADS_PREFIX, ShardHead, decode_heads
+from savorylead.store import Snapshot, Store, WatchedPrefix, WatchSettings
+
+_DEFAULTS = WatchSettings(poll=timedelta(seconds=1))
+
+
+class LeadDirectory:
+    """Keeps every shard's head up to date by a watch and by polling.
+
+    ``on_change`` is called with all heads after each change of an epoch or a lead.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        rng: random.Random,
+        on_change: Callable[[Mapping[str, ShardHead]], None],
+        settings: WatchSettings = _DEFAULTS,
+    ) -> None:
+        self._heads: dict[str, ShardHead] = {}
+        self._on_change = on_change
+        self._watched = WatchedPrefix(
+            store, HEADS_PREFIX, clock, rng, self._take, settings
+        )
+
+    @property
+    def heads(self) -> Mapping[str, ShardHead]:
+        """The newest head of each shard that was ever led, by shard."""
+        return MappingProxyType(self._heads)
+
+    def leads(self) -> dict[str, str]:
+        """Return the name of each shard's lead; empty if it resigned."""
+        return {shard: head.lead for shard, head in self._heads.items()}
+
+    def age(self) -> timedelta | None:
+        """Return the time since the heads were confirmed; None before."""
+        return self._watched.age()
+
+    def start(self) -> None:
+        """Begin to read the heads."""
+        self._watched.start()
+
+    def stop(self) -> None:
+        """Stop reading."""
+        self._watched.stop()
+
+    def read_soon(self) -> None:
+        """Read again, as after a call to a lead that leads no more."""
+        self._watched.read_soon()
+
+    def _take(self, snapshot: Snapshot) -> None:
+        before = self._heads
+        self._heads = decode_heads(snapshot)
+        if _leaders(before) != _leaders(self._heads):
+            self._on_change(self.heads)
+
+
+def _leaders(heads: Mapping[str, ShardHead]) -> dict[str, tuple[int, str]]:
+    return {shard: (head.epoch, head.lead) for shard, head in heads.items()}
--- /dev/null
+++ b/packages/savorylead/savorylead/domains/_registration.py
@@ -0,0 +1,202 @@
+"""A daemon's own key in the list of members."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import datetime, timedelta
+from typing import NamedTuple
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure
+
+from savorylead.clock import Clock, Wakeup, to_millis
+from savorylead.store import (
+    ABSENT,
+    RetryPolicy,
+    Store,
+    StoreError,
+    StoreLeaseLostError,
+    SwapConflict,
+)
+
+from ._domain import Member
+from ._member_record import MemberRecord, decode_member, encode_member, member_key
+
+
+class RegistrationSettings(NamedTuple):
+    """Times of a daemon's own lease."""
+
+    #: The list loses the daemon this long after its last renewal.
+    ttl: timedelta = timedelta(seconds=3)
+    #: Time between two renewals.
+    renewal: timedelta = timedelta(seconds=1)
+    #: How long a new registration counts as unsettled.
+    settling: timedelta = timedelta(seconds=30)
+    #: Longest time for which it does after repeated lapses.
+    settling_cap: timedelta = timedelta(minutes=10)
+
+
+class Registration:
+    """Keeps the daemon's key alive under a lease, and writes it again after a lapse.
+
+    Each lapse doubles the time for which the daemon counts as unsettled, and every
+    settled stretch that is twice as long as the cap starts over. A key that another
+    process of the same name has written is left to that process: ``on_superseded``
+    is called once and the registration ends.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        retry: RetryPolicy,
+        member: Member,
+        on_superseded: Callable[[], None],
+        settings: RegistrationSettings = RegistrationSettings(),  # noqa: B008
+    ) -> None:
+        #: Revision of the own key; 0 while it is not known to be there.
+        self.revision = 0
+        #: Times that the lease lapsed, for metrics.
+        self.lapses = 0
+        #: When the newest call was sent that the store answered; None before.
+        self.answered_at: datetime | None = None
+        self._store = store
+        self._clock = clock
+        self._retry = retry
+        self._member = member
+        self._on_superseded = on_superseded
+        self._settings = settings
+        self._lease_id = ""
+        self._wanted = member
+        self._settled_at_ms = 0
+        self._settling = settings.settling
+        self._registered_at = clock.now()
+        self._has_registered = False
+        self._superseded = False
+        self._wakeup = Wakeup(clock)
+        self._task: Deferred[None] | None = None
+
+    @property
+    def member(self) -> Member:
+        """The member as it should be in the list."""
+        return self._wanted
+
+    def start(self) -> None:
+        """Begin to register, renew and register again."""
+        self._task = Deferred.fromCoroutine(self._keep())
+        self._task.addErrback(_drop_cancelled)
+
+    def change(self, member: Member) -> None:
+        """Write other facts into the key at once, such as ``leading``."""
+        self._wanted = member
+        self._wakeup.wake()
+
+    def observe(self, record: MemberRecord | None, revision: int) -> None:
+        """Take note of the own key as a list at ``revision`` shows it.
+
+        A key that is gone is written again; one of a later process ends this
+        registration.
+        """
+        if not self.revision or revision < self.revision:
+            return
+        if record is None:
+            self.revision = 0
+            self._wakeup.wake()
+        elif record.member.incarnation != self._member.incarnation:
+            self.stop()
+            self._end_superseded()
+
+    def registered_until(self) -> datetime | None:
+        """Return when the lease may lapse at the earliest; None before the first."""
+        if self.answered_at is None or not self.revision:
+            return None
+        return self.answered_at + self._settings.ttl
+
+    async def leave(self) -> None:
+        """Stop and take the daemon off the list; raises StoreError."""
+        self.stop()
+        lease_id, self._lease_id = self._lease_id, ""
+        if lease_id:
+            await self._store.revoke_lease(lease_id)
+
+    def stop(self) -> None:
+        """Stop renewing; the daemon leaves the list when the lease lapses."""
+        self.revision = 0
+        task, self._task = self._task, None
+        if task is not None:
+            task.cancel()
+
+    async def _keep(self) -> None:
+        pauses = self._retry.begin()
+        while True:
+            try:
+                if not self._lease_id:
+                    await self._take_lease()
+                if not self.revision or self._wanted != self._member:
+                    await self._write_key()
+                if self._superseded:
+                    return
+                await self._wakeup.wait(self._settings.renewal)
+                await self._renew()
+                pauses = self._retry.begin()
+            except StoreLeaseLostError:
+                self._note_lapse()
+            except StoreError:
+                await pauses.wait()
+
+    async def _take_lease(self) -> None:
+        sent_at = self._clock.now()
+        self._lease_id = await self._store.grant_lease(self._settings.ttl)
+        self.answered_at = sent_at
+        self._registered_at = sent_at
+        self._settled_at_ms = to_millis(sent_at + self._settling)
+
+    async def _renew(self) -> None:
+        sent_at = self._clock.now()
+        await self._store.renew_lease(self._lease_id)
+        self.answered_at = sent_at
+
+    def _note_lapse(self) -> None:
+        self.lapses += 1
+        self.revision = 0
+        self._lease_id = ""
+        steady = self._clock.now() - self._registered_at
+        if steady > 2 * self._settings.settling_cap:
+            self._settling = self._settings.settling
+        else:
+            self._settling = min(2 * self._settling, self._settings.settling_cap)
+
+    async def _write_key(self) -> None:
+        """Write the key over whatever is there, unless a later process wrote it."""
+        member = self._wanted
+        key = member_key(member.name)
+        record = MemberRecord(member, self._settled_at_ms)
+        current = await self._store.get(key)
+        while True:
+            if current is not None and self._is_successor(current.key, current.value):
+                self._end_superseded()
+                return
+            revision = current.revision if current else ABSENT
+            value = encode_member(record)
+            result = await self._store.swap(key, value, revision, self._lease_id)
+            if not isinstance(result, SwapConflict):
+                break
+            current = result.current
+        self.revision = result.revision
+        self._has_registered = True
+        self._member = member
+
+    def _end_superseded(self) -> None:
+        self._superseded = True
+        self._on_superseded()
+
+    def _is_successor(self, key: str, value: bytes) -> bool:
+        """Return whether a process that started later holds the key."""
+        record = decode_member(key, value)
+        if record.member.incarnation == self._member.incarnation:
+            return False
+        return self._has_registered
+
+
+def _drop_cancelled(failure: Failure) -> None:
+    failure.trap(CancelledError)
--- a/packages/savorylead/savorylead/domains/_rendezvous.py
+++ b/packages/savorylead/savorylead/domains/_rendezvous.py
@@ -9,7 +9,7 @@
 
 def rendezvous_score(key: str, candidate: str) -> int:
     """Return the 64-bit weight of ``candidate`` for ``key``."""
-    return xxhash.xxh64_intdigest(f"{key}\x00{candidate}")
+    return xxhash.xxh64_intdigest(f"{key}\x00{candidate}".encode())
 
 
 def rendezvous_order(key: str, candidates: Iterable[str]) -> list[str]:
--- a/packages/savorylead/savorylead/journal/__init__.py
+++ b/packages/savorylead/savorylead/journal/__init__.py
@@ -4,8 +4,6 @@
     JournalFormatError,
     ShardHead,
     SnapshotPointer,
-    outcome_from_wire,
-    outcome_to_wire,
 )
 from ._events import (
     Accepted,
@@ -28,6 +26,7 @@
 from ._reader import (
     JournalBusyError,
     ReplayedShard,
+    decode_heads,
     read_heads,
     replay_shard,
 )
@@ -67,8 +66,7 @@
     "TaskRecord",
     "Tombstoned",
     "UnknownTaskError",
-    "outcome_from_wire",
-    "outcome_to_wire",
+    "decode_heads",
     "read_heads",
     "replay_shard",
 ]
--- a/packages/savorylead/savorylead/journal/_append_queue.py
+++ b/packages/savorylead/savorylead/journal/_append_queue.py
@@ -7,12 +7,11 @@
 
 from twisted.internet.defer import Deferred
 
-from savorylead.clock import Clock
+from savorylead.clock import Clock, Wakeup
 
 from ._codec import encode_event
 from ._events import Accepted, Event
 from ._settings import JournalSettings
-from ._wakeup import Wakeup
 
 
 class PendingAppend:
--- a/packages/savorylead/savorylead/journal/_codec.py
+++ b/packages/savorylead/savorylead/journal/_codec.py
@@ -7,12 +7,17 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
-from typing import Any, NamedTuple, TypeVar, get_type_hints
+from typing import NamedTuple, TypeVar, get_type_hints
 
 import msgspec
 
 from savorylead.contracts import TaskId
-from savorylead.outcomes import Cancelled, Done, Failed, NotRun, Outcome, Unknown
+from savorylead.outcomes import (
+    UnknownOutcomeError,
+    WireOutcome,
+    outcome_from_wire,
+    outcome_to_wire,
+)
 
 from ._events import (
     Accepted,
@@ -97,14 +102,14 @@
 
 class _EndedWire(NamedTuple):
     task: TaskId
-    outcome: tuple[str, dict[str, Any]]
+    outcome: WireOutcome
     at_ms: int
 
 
 def _make_record_wire() -> type:
     """Return TaskRecord with an outcome that carries its tag."""
     hints = get_type_hints(TaskRecord)
-    hints["outcome"] = tuple[str, dict[str, Any]] | None
+    hints["outcome"] = WireOutcome | None
     return NamedTuple("_RecordWire", [(name, hints[name]) for name in hints])
 
 
@@ -128,14 +133,6 @@
     records: list[tuple[TaskId, TaskRecord]]
 
 
-_OUTCOME_TAGS: dict[type, str] = {
-    Done: "done",
-    Failed: "failed",
-    Cancelled: "cancelled",
-    NotRun: "not_run",
-    Unknown: "unknown",
-}
-_OUTCOME_TYPES = {tag: kind for kind, tag in _OUTCOME_TAGS.items()}
 _EVENT_TAGS: dict[type, str] = {
     EpochBegan: "epoch_began",
     Accepted: "accepted",
@@ -160,23 +157,6 @@
 _CHUNK_DECODER = msgspec.json.Decoder(_ChunkWire)
 
 
-def outcome_to_wire(outcome: Outcome) -> tuple[str, Outcome]:
-    """Return the outcome with its tag, ready for a JSON encoder."""
-    return _OUTCOME_TAGS[type(outcome)], outcome
-
-
-def outcome_from_wire(wire: tuple[str, dict[str, Any]]) -> Outcome:
-    """Return the outcome of a decoded pair.
-
-    Raises msgspec.ValidationError if the pair is not an outcome.
-    """
-    tag, fields = wire
-    kind = _OUTCOME_TYPES.get(tag)
-    if kind is None:
-        raise msgspec.ValidationError(f"unknown outcome {tag!r}")
-    return msgspec.convert(fields, kind)
-
-
 def encode_event(event: Event) -> bytes:
     """Return the event as JSON."""
     tag = _EVENT_TAGS[type(event)]
@@ -191,7 +171,7 @@
     """Return the events of an entry; raises JournalFormatError."""
     try:
         return [_decode_event(tag, fields) for tag, fields in entry.events]
-    except (KeyError, msgspec.MsgspecError) as exc:
+    except (KeyError, UnknownOutcomeError, msgspec.MsgspecError) as exc:
         raise JournalFormatError(key, repr(exc)) from exc
 
 
@@ -245,7 +225,7 @@
     wire = _decode(_CHUNK_DECODER, key, value)
     try:
         records = [(task, _record_from_wire(record)) for task, record in wire.records]
-    except msgspec.MsgspecError as exc:
+    except (UnknownOutcomeError, msgspec.MsgspecError) as exc:
         raise JournalFormatError(key, str(exc)) from exc
     return SnapshotChunk(wire.epoch, wire.lead, records)
 
--- a/packages/savorylead/savorylead/journal/_head_writer.py
+++ b/packages/savorylead/savorylead/journal/_head_writer.py
@@ -5,11 +5,10 @@
 import random
 from collections.abc import Callable
 
-from savorylead.clock import Clock
 from savorylead.store import (
     ABSENT,
-    Backoff,
     KeyValue,
+    RetryPolicy,
     Store,
     StoreError,
     SwapConflict,
@@ -37,18 +36,16 @@
         self,
         store: Store,
         layout: JournalLayout,
-        clock: Clock,
         rng: random.Random,
-        backoff: Backoff,
+        retry: RetryPolicy,
     ) -> None:
         #: The head as this lead last knew it.
         self.head = ShardHead(JOURNAL_FORMAT, 0, "", "", 0)
         self._revision = ABSENT
         self._store = store
         self._layout = layout
-        self._clock = clock
         self._rng = rng
-        self._backoff = backoff
+        self._retry = retry
 
     async def claim(self, lead: str, ring_slots: int) -> None:
         """Raise the epoch in the name of ``lead``.
@@ -57,7 +54,7 @@
         or DeposedError if another lead claimed the shard at the same time.
         """
         claim = f"{self._rng.getrandbits(64):016x}"
-        failures = 0
+        pauses = self._retry.begin()
         before: int | None = None
         while True:
             try:
@@ -70,10 +67,9 @@
                 if await self._try_claim(lead, claim):
                     return
             except StoreError:
-                failures += 1
-                if failures == CLAIM_TRIES:
+                if pauses.failures + 1 == CLAIM_TRIES:
                     raise
-                await self._pause(failures)
+                await pauses.wait()
 
     async def move_snapshot(self, pointer: SnapshotPointer) -> None:
         """Point to another snapshot; raises DeposedError."""
@@ -94,7 +90,7 @@
 
     async def _change(self, change: Callable[[ShardHead], ShardHead]) -> None:
         claim = self.head.claim
-        failures = 0
+        pauses = self._retry.begin()
         while True:
             wanted = change(self.head)
             try:
@@ -105,8 +101,7 @@
                     return
                 current = result.current
             except StoreError:
-                failures += 1
-                await self._pause(failures)
+                await pauses.wait()
                 current = await self._read_back()
             self._take(current, self.head.ring_slots)
             if self.head.claim != claim:
@@ -120,13 +115,12 @@
         )
 
     async def _read_back(self) -> KeyValue | None:
-        failures = 0
+        pauses = self._retry.begin()
         while True:
             try:
                 return await self._store.get(self._layout.head_key)
             except StoreError:
-                failures += 1
-                await self._pause(failures)
+                await pauses.wait()
 
     def _take(self, item: KeyValue | None, ring_slots: int) -> None:
         if item is None:
@@ -135,6 +129,3 @@
             return
         self.head = decode_head(item.key, item.value)
         self._revision = item.revision
-
-    async def _pause(self, failures: int) -> None:
-        await self._clock.sleep(self._backoff.delay(failures, self._rng))
--- a/packages/savorylead/savorylead/journal/_log_writer.py
+++ b/packages/savorylead/savorylead/journal/_log_writer.py
@@ -6,14 +6,13 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from savorylead.clock import Clock
-from savorylead.store import ABSENT, Backoff, KeyValue, Store, StoreError
+from savorylead.clock import Clock, Wakeup
+from savorylead.store import ABSENT, KeyValue, RetryPolicy, Store, StoreError
 
 from ._codec import ShardHead, decode_entry, encode_entry
 from ._journal import DeposedError
 from ._layout import SEGMENT_SLOTS, JournalLayout
 from ._slot_writer import SlotConflictError, SlotWriter
-from ._wakeup import Wakeup
 
 
 class LogPosition(NamedTuple):
@@ -38,7 +37,7 @@
         layout: JournalLayout,
         clock: Clock,
         rng: random.Random,
-        backoff: Backoff,
+        retry: RetryPolicy,
     ) -> None:
         #: The end of the log.
         self.position = LogPosition(0, 0)
@@ -52,10 +51,9 @@
         self._slot_revisions: dict[int, int] = {}
         self._store = store
         self._layout = layout
-        self._clock = clock
         self._rng = rng
-        self._backoff = backoff
-        self._slots = SlotWriter(store, layout, clock, rng, backoff)
+        self._retry = retry
+        self._slots = SlotWriter(store, layout, retry)
         self._room = Wakeup(clock)
         self._fetch_failed = False
 
@@ -136,15 +134,14 @@
     async def _expected_revision(self, index: int) -> int:
         slot = index % self._ring_slots
         known = self._slot_revisions.get(slot)
-        failures = 0
+        pauses = self._retry.begin()
         while known is None:
             try:
                 await self._fetch_revisions(index)
                 known = self._slot_revisions[slot]
             except StoreError:
-                failures += 1
                 self._fetch_failed = True
-                await self._clock.sleep(self._backoff.delay(failures, self._rng))
+                await pauses.wait()
         self._fetch_failed = False
         return known
 
--- a/packages/savorylead/savorylead/journal/_reader.py
+++ b/packages/savorylead/savorylead/journal/_reader.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from savorylead.store import ABSENT, KeyValue, Store
+from savorylead.store import ABSENT, KeyValue, Snapshot, Store
 
 from ._codec import (
     Entry,
@@ -71,7 +71,11 @@
 
     Raises StoreError and JournalFormatError.
     """
-    snapshot = await store.list(HEADS_PREFIX)
+    return decode_heads(await store.list(HEADS_PREFIX))
+
+
+def decode_heads(snapshot: Snapshot) -> dict[str, ShardHead]:
+    """Return the heads in a list of HEADS_PREFIX, by shard."""
     return {
         item.key.removeprefix(HEADS_PREFIX): decode_head(item.key, item.value)
         for item in snapshot.items
--- a/packages/savorylead/savorylead/journal/_ring_journal.py
+++ b/packages/savorylead/savorylead/journal/_ring_journal.py
@@ -9,7 +9,7 @@
 from twisted.python.failure import Failure
 
 from savorylead.clock import Clock
-from savorylead.store import MAX_VALUE_BYTES, Store
+from savorylead.store import MAX_VALUE_BYTES, RetryPolicy, Store
 
 from ._append_queue import AppendQueue, PendingAppend, divide, fail_all
 from ._events import Event, Resigned
@@ -52,19 +52,17 @@
             raise ValueError(f"entry_bytes {settings.entry_bytes}")
         if settings.ring_slots < MIN_RING_SLOTS:
             raise ValueError(f"ring_slots {settings.ring_slots}")
-        backoff = settings.backoff
+        retry = RetryPolicy(clock, rng, settings.retry_base, settings.retry_cap)
         layout = JournalLayout(shard)
-        head = HeadWriter(store, layout, clock, rng, backoff)
-        snapshots = SnapshotWriter(
-            store, layout, head, clock, rng, backoff, settings.chunk_bytes
-        )
+        head = HeadWriter(store, layout, rng, retry)
+        snapshots = SnapshotWriter(store, layout, head, retry, settings.chunk_bytes)
         self._shard = shard
         self._settings = settings
         self._on_over = on_over
         self._head = head
         self._snapshots = snapshots
-        self._takeover = Takeover(store, layout, head, snapshots, clock, rng, backoff)
-        self._log = LogWriter(store, layout, clock, rng, backoff)
+        self._takeover = Takeover(store, layout, head, snapshots, rng, retry)
+        self._log = LogWriter(store, layout, clock, rng, retry)
         self._queue = AppendQueue(clock, settings)
         #: The fold of the log up to ``_applied``.
         self._state = ShardState()
--- a/packages/savorylead/savorylead/journal/_settings.py
+++ b/packages/savorylead/savorylead/journal/_settings.py
@@ -5,8 +5,6 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from savorylead.store import Backoff
-
 from ._journal import JournalError
 
 #: The shortest ring, so that a snapshot can be written while appends go on.
@@ -28,8 +26,9 @@
     gather: timedelta = timedelta(0)
     #: This many waiting events are written without waiting for ``gather``.
     gather_events: int = 64
-    #: Waiting times while the store fails.
-    backoff: Backoff = Backoff()
+    #: Shortest and longest pause between tries while the store fails.
+    retry_base: timedelta = timedelta(milliseconds=100)
+    retry_cap: timedelta = timedelta(seconds=2)
 
 
 class AlreadyOpenError(JournalError):
--- a/packages/savorylead/savorylead/journal/_slot_writer.py
+++ b/packages/savorylead/savorylead/journal/_slot_writer.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-import random
-
-from savorylead.clock import Clock
 from savorylead.store import (
     ABSENT,
-    Backoff,
     KeyValue,
+    RetryPolicy,
     Store,
     StoreError,
     SwapConflict,
@@ -40,18 +37,14 @@
         self,
         store: Store,
         layout: JournalLayout,
-        clock: Clock,
-        rng: random.Random,
-        backoff: Backoff,
+        retry: RetryPolicy,
     ) -> None:
         #: Whether the write in flight has failed at least once.
         self.stalled = False
         self._retries = 0
         self._store = store
         self._layout = layout
-        self._clock = clock
-        self._rng = rng
-        self._backoff = backoff
+        self._retry = retry
 
     def take_retries(self) -> int:
         """Return the number of tries again since the last call, for metrics."""
@@ -68,35 +61,44 @@
         the store's error is raised and the write may still land late.
         """
         key = self._layout.slot_key(slot)
-        failures = 0
+        pauses = self._retry.begin()
         try:
             while True:
                 try:
-                    return await self._try_write(key, value, batch, expected, failures)
+                    revision = None
+                    if pauses.failures:
+                        revision = await self._read_back(key, batch, expected)
+                    if revision is None:
+                        revision = await self._try_write(key, value, batch, expected)
+                    return revision
                 except StoreError:
-                    failures += 1
-                    if failures == max_tries:
+                    if pauses.failures + 1 == max_tries:
                         raise
                     self.stalled = True
                     self._retries += 1
-                    await self._clock.sleep(self._backoff.delay(failures, self._rng))
+                    await pauses.wait()
         finally:
             self.stalled = False
 
+    async def _read_back(self, key: str, batch: str, expected: int) -> int | None:
+        """Return the revision of our entry, or None if the slot is unchanged."""
+        current = await self._store.get(key)
+        revision = current.revision if current else ABSENT
+        if revision == expected:
+            return None
+        return _own_revision(current, batch)
+
     async def _try_write(
-        self, key: str, value: bytes, batch: str, expected: int, failures: int
+        self, key: str, value: bytes, batch: str, expected: int
     ) -> int:
-        if failures:
-            current = await self._store.get(key)
-            revision = current.revision if current else ABSENT
-            if revision != expected:
-                return self._own_revision(current, batch)
         result = await self._store.swap(key, value, expected)
         if isinstance(result, SwapConflict):
-            return self._own_revision(result.current, batch)
+            return _own_revision(result.current, batch)
         return result.revision
 
-    def _own_revision(self, current: KeyValue | None, batch: str) -> int:
-        if current and decode_entry(current.key, current.value).batch == batch:
-            return current.revision
-        raise SlotConflictError(current)
+
+def _own_revision(current: KeyValue | None, batch: str) -> int:
+    """Return the revision of our entry; raises SlotConflictError if it isn't ours."""
+    if current and decode_entry(current.key, current.value).batch == batch:
+        return current.revision
+    raise SlotConflictError(current)
--- a/packages/savorylead/savorylead/journal/_snapshot_writer.py
+++ b/packages/savorylead/savorylead/journal/_snapshot_writer.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from savorylead.clock import Clock
 from savorylead.contracts import TaskId
-from savorylead.store import ABSENT, Backoff, Store, StoreError, SwapConflict
+from savorylead.store import ABSENT, RetryPolicy, Store, StoreError, SwapConflict
 
 from ._codec import SnapshotPointer, encode_chunk, encode_record
 from ._head_writer import HeadWriter
@@ -41,9 +39,7 @@
         store: Store,
         layout: JournalLayout,
         head: HeadWriter,
-        clock: Clock,
-        rng: random.Random,
-        backoff: Backoff,
+        retry: RetryPolicy,
         chunk_bytes: int,
     ) -> None:
         #: Bytes written in chunks, for metrics.
@@ -55,9 +51,7 @@
         self._store = store
         self._layout = layout
         self._head = head
-        self._clock = clock
-        self._rng = rng
-        self._backoff = backoff
+        self._retry = retry
         self._chunk_bytes = chunk_bytes
 
     def adopt(self, chunk_revisions: dict[str, int], epoch: int) -> None:
@@ -117,13 +111,12 @@
         yield encode_chunk(cut.epoch, cut.lead, records)
 
     async def _put(self, key: str, chunk: bytes) -> int:
-        failures = 0
+        pauses = self._retry.begin()
         while True:
             try:
                 result = await self._store.swap(key, chunk, ABSENT)
             except StoreError:
-                failures += 1
-                await self._clock.sleep(self._backoff.delay(failures, self._rng))
+                await pauses.wait()
                 continue
             self.written_bytes += len(chunk)
             # The key names this lead's epoch: a chunk that lies there is ours,
--- a/packages/savorylead/savorylead/journal/_takeover.py
+++ b/packages/savorylead/savorylead/journal/_takeover.py
@@ -4,8 +4,7 @@
 
 import random
 
-from savorylead.clock import Clock
-from savorylead.store import Backoff, Store
+from savorylead.store import RetryPolicy, Store
 
 from ._codec import encode_entry, encode_event
 from ._events import EpochBegan
@@ -33,16 +32,15 @@
         layout: JournalLayout,
         head: HeadWriter,
         snapshots: SnapshotWriter,
-        clock: Clock,
         rng: random.Random,
-        backoff: Backoff,
+        retry: RetryPolicy,
     ) -> None:
         self._store = store
         self._layout = layout
         self._head = head
         self._snapshots = snapshots
         self._rng = rng
-        self._slots = SlotWriter(store, layout, clock, rng, backoff)
+        self._slots = SlotWriter(store, layout, retry)
 
     async def run(self, lead: str, ring_slots: int) -> JournalReplay:
         """Return the replay up to and with the entry that begins the epoch.
--- a/packages/savorylead/savorylead/placement/__init__.py
+++ b/packages/savorylead/savorylead/placement/__init__.py
@@ -1,5 +1,6 @@
 """Placement: which pending task goes to which worker, and when."""
 
+from ._indexed import IndexedPlanner
 from ._naive import NaivePlanner
 from ._planner import (
     Decision,
@@ -14,6 +15,7 @@
 
 __all__ = [
     "Decision",
+    "IndexedPlanner",
     "NaivePlanner",
     "Overflow",
     "PendingTask",
--- /dev/null
+++ b/packages/savorylead/savorylead/placement/_indexed_shapes.py
@@ -0,0 +1,116 @@
+"""Sets of task shapes as bit masks, so that one lookup tells which of them fit."""
+
+from __future__ import annotations
+
+from savorylead.resources import ZERO, Resources
+
+#: Idle shapes are forgotten once there are more shapes than this.
+MAX_SHAPES = 512
+
+
+def size_bucket(amount: int) -> int:
+    """Return the bucket of an amount: exact below 16, then eight per doubling."""
+    length = amount.bit_length()
+    if length < 4:
+        return amount
+    return (length - 4) * 8 + (amount >> (length - 4))
+
+
+#: Bit of all-at-once jobs, which are never taken as not fitting without a try.
+JOB_BIT = 1
+
+
+class Shape:
+    """What decides which workers fit: amounts, workers to avoid, and backfill."""
+
+    __slots__ = ("avoid", "bit", "key", "need", "short", "users")
+
+    def __init__(
+        self, need: Resources, avoid: tuple[str, ...], short: bool, bit: int
+    ) -> None:
+        self.need = need
+        self.avoid = avoid
+        self.short = short
+        self.key = (need, avoid, short)
+        #: A power of two that is unique among the shapes in use.
+        self.bit = bit
+        #: How many classes of waiting tasks have the shape.
+        self.users = 0
+
+
+#: Stands for the members of any job.
+JOB_SHAPE = Shape(ZERO, (), False, JOB_BIT)
+
+
+class ShapeMasks:
+    """Gives shapes their bits and finds those that may fit in a given room.
+
+    Amounts are rounded to buckets, so ``fitting`` may name a shape that is up to
+    an eighth too large, but never leaves one out.
+    """
+
+    def __init__(self) -> None:
+        self._shapes: dict[object, Shape] = {}
+        #: Shapes without users, the longest idle first.
+        self._idle: dict[object, Shape] = {}
+        self._next_bit = JOB_BIT << 1
+        #: Bits of the shapes that may run before a reservation.
+        self.short_mask = 0
+        #: By dimension and bucket, the shapes that need at most the bucket.
+        self._tables: list[list[int]] = [[JOB_BIT] for _ in Resources._fields]
+
+    def acquire(self, need: Resources, avoid: tuple[str, ...], short: bool) -> Shape:
+        """Return the shape and count one more user of it."""
+        key = (need, avoid, short)
+        shape = self._shapes.get(key)
+        if shape is None:
+            shape = Shape(need, avoid, short, self._free_bit())
+            self._shapes[key] = shape
+            self._add(shape)
+        elif shape.users == 0:
+            del self._idle[key]
+        shape.users += 1
+        return shape
+
+    def release(self, shape: Shape) -> None:
+        """Count one user less."""
+        shape.users -= 1
+        if shape.users == 0:
+            self._idle[shape.key] = shape
+
+    def fitting(self, room: Resources) -> int:
+        """Return the bits of all shapes that fit in ``room``, and of some more."""
+        mask = -1
+        for table, amount in zip(self._tables, room, strict=True):
+            if amount < 0:
+                return 0
+            bucket = size_bucket(amount)
+            mask &= table[bucket] if bucket < len(table) else table[-1]
+        return mask
+
+    def _free_bit(self) -> int:
+        if len(self._shapes) < MAX_SHAPES or not self._idle:
+            bit = self._next_bit
+            self._next_bit <<= 1
+            return bit
+        key = next(iter(self._idle))
+        shape = self._idle.pop(key)
+        del self._shapes[key]
+        self._clear(shape.bit)
+        return shape.bit
+
+    def _add(self, shape: Shape) -> None:
+        if shape.short:
+            self.short_mask |= shape.bit
+        for table, amount in zip(self._tables, shape.need, strict=True):
+            first = size_bucket(amount)
+            missing = first + 1 - len(table)
+            table.extend([table[-1]] * missing)
+            for bucket in range(first, len(table)):
+                table[bucket] |= shape.bit
+
+    def _clear(self, bit: int) -> None:
+        self.short_mask &= ~bit
+        for table in self._tables:
+            for bucket, mask in enumerate(table):
+                table[bucket] = mask & ~bit
--- a/packages/savorylead/savorylead/placement/_naive.py
+++ b/packages/savorylead/savorylead/placement/_naive.py
@@ -31,9 +31,12 @@
             self.add_pending(task)
         self._keep_house(now_ms)
         decisions = [*self._refuse_late(now_ms, arrivals), *self._refuse_impossible()]
+        reserved = self._reserved_start(now_ms)
+        self._commit(reserved, now_ms)
+        decisions.extend(reserved)
         while True:
             chosen = self._next_start(now_ms)
-            if arrivals.isdisjoint(_subject(decision) for decision in chosen):
+            if arrivals.isdisjoint(rules.subject(decision) for decision in chosen):
                 return decisions
             self._commit(chosen, now_ms)
             decisions.extend(chosen)
@@ -62,8 +65,8 @@
         for task_id in among:
             queued = self._pending.get(task_id)
             if queued and 0 < queued.task.spec.start_by_ms < now_ms:
-                late.add(self._unit(queued.task))
-        members = [q for q in self._in_order() if self._unit(q.task) in late]
+                late.add(rules.unit_of(queued.task))
+        members = [q for q in self._in_order() if rules.unit_of(q.task) in late]
         for queued in members:
             self.remove(queued.task.spec.id)
         return [Reject(q.task.spec.id, Refusal.DEADLINE_PASSED) for q in members]
@@ -74,8 +77,8 @@
         impossible = set()
         for queued in self._pending.values():
             if not self.ever_fits(queued.task.spec):
-                impossible.add(self._unit(queued.task))
-        members = [q for q in self._in_order() if self._unit(q.task) in impossible]
+                impossible.add(rules.unit_of(queued.task))
+        members = [q for q in self._in_order() if rules.unit_of(q.task) in impossible]
         for queued in members:
             self.remove(queued.task.spec.id)
         return [Overflow(q.task.spec.id) for q in members]
@@ -221,10 +224,3 @@
         elsewhere = self._elsewhere.get(team, ZERO)
         used = self.held_by_team(team).plus(elsewhere)
         return rules.weighted_share(used, self._fleet, self._weights.get(team, 0.0))
-
-
-def _subject(decision: Decision) -> TaskId:
-    """Return the waiting task that the decision is for."""
-    if isinstance(decision, Preempt):
-        return decision.beneficiary
-    return decision.task
--- a/packages/savorylead/savorylead/placement/_naive_book.py
+++ b/packages/savorylead/savorylead/placement/_naive_book.py
@@ -51,6 +51,7 @@
         self._states: dict[str, WorkerState] = {}
         #: Order in which workers were first seen, which breaks ties.
         self._ranks: dict[str, int] = {}
+        self._next_rank = 0
         self._pending: dict[TaskId, QueuedTask] = {}
         self._running: dict[TaskId, RunningTask] = {}
         self._claims: dict[TaskId, Claim] = {}
@@ -80,12 +81,21 @@
         """Add a worker or change its state or capacity."""
         self._workers[worker.name] = worker
         self._states[worker.name] = state
-        self._ranks.setdefault(worker.name, len(self._ranks))
+        if worker.name not in self._ranks:
+            self._ranks[worker.name] = self._next_rank
+            self._next_rank += 1
 
     def drop_worker(self, name: str) -> None:
         """Remove a worker; its tasks must have been removed before."""
         self._workers.pop(name, None)
         self._states.pop(name, None)
+        self._ranks.pop(name, None)
+        for owner in [o for o, c in self._claims.items() if c.worker == name]:
+            del self._claims[owner]
+        reservation = self._reservation
+        if reservation is not None:
+            left = reservation.workers - {name}
+            self._reservation = reservation._replace(workers=left)
 
     def add_pending(self, task: PendingTask) -> None:
         """Queue a task."""
--- a/packages/savorylead/savorylead/placement/_naive_clearing.py
+++ b/packages/savorylead/savorylead/placement/_naive_clearing.py
@@ -46,7 +46,7 @@
         reservation = self._reservation
         if reservation is None:
             return
-        if not any(self._unit(q.task) == reservation.job for q in self._in_order()):
+        if not any(rules.unit_of(q.task) == reservation.job for q in self._in_order()):
             self._reservation = None
         elif now_ms >= reservation.until_ms:
             pause_ms = int(self._policy.reservation_s * 1000)
@@ -56,12 +56,13 @@
     def _new_reservation(self, now_ms: int) -> rules.Reservation | None:
         """Reserve workers for the longest waiting unit that cannot start."""
         aged_ms = now_ms - int(self._policy.ageing_s * 1000)
+        tries = rules.RESERVATION_TRIES
         seen: set[Hashable] = set()
         for queued in self._in_order():
             task = queued.task
             kind = (task.spec.id.team, rules.equivalence_class(task))
-            unit = self._unit(task)
-            if kind in seen or unit in self._cooling_ms:
+            unit = rules.unit_of(task)
+            if kind in seen or unit in self._cooling_ms or unit in self._claims:
                 continue
             seen.add(kind)
             waits_long = queued.queued_at_ms <= aged_ms
@@ -74,6 +75,9 @@
             if workers:
                 until_ms = now_ms + int(self._policy.reservation_s * 1000)
                 return rules.Reservation(unit, frozenset(workers), until_ms)
+            tries -= 1
+            if tries == 0:
+                return None
         return None
 
     def _reservable(self, members: list[PendingTask]) -> set[str]:
@@ -109,11 +113,11 @@
 
     def _reserved_start(self, now_ms: int) -> list[Decision]:
         """Start the job that holds the reservation, if it fits by now."""
-        if self._reservation is None:
+        if self._reservation is None or self._reservation.job in self._claims:
             return []
         job = self._reservation.job
-        members = [q.task for q in self._in_order() if self._unit(q.task) == job]
-        members = self._members(members[0])
+        members = [q.task for q in self._in_order() if rules.unit_of(q.task) == job]
+        members = self._members(members[0]) if members else []
         if not self._admitted(members):
             return []
         return self._start_of(members, now_ms)
@@ -124,12 +128,6 @@
         """Return what waits, oldest first."""
         return sorted(self._pending.values(), key=lambda q: (q.queued_at_ms, q.number))
 
-    def _unit(self, task: PendingTask) -> TaskId:
-        """Return the id of what starts together: the job or the task itself."""
-        if rules.is_gang(task):
-            return task.spec.id.job()
-        return task.spec.id
-
     def _members(self, task: PendingTask) -> list[PendingTask]:
         """Return what must start with the task; empty if it is not all there.
 
@@ -141,7 +139,9 @@
         job = task.spec.id.job()
         if any(r.task.spec.id.job() == job for r in self._running.values()):
             return []
-        members = [q.task for q in self._pending.values() if self._unit(q.task) == job]
+        members = [
+            q.task for q in self._pending.values() if rules.unit_of(q.task) == job
+        ]
         members.sort(key=lambda member: member.spec.id.member)
         whole = len(members) == task.spec.members
         again = all(member.next_attempt > 1 for member in members)
@@ -183,7 +183,7 @@
     ) -> str | None:
         """Return the worker of the lowest cost; reserved ones only if none fits."""
         reservation = self._reservation
-        if reservation is None or reservation.job == self._unit(task):
+        if reservation is None or reservation.job == rules.unit_of(task):
             return self._cheapest(task, self._workers, extra)
         others = [name for name in self._workers if name not in reservation.workers]
         best = self._cheapest(task, others, extra)
--- a/packages/savorylead/savorylead/placement/_planner.py
+++ b/packages/savorylead/savorylead/placement/_planner.py
@@ -142,7 +142,8 @@
     def place_now(self, tasks: Collection[PendingTask], now_ms: int) -> list[Decision]:
         """Decide on tasks on arrival; those without a decision are queued.
 
-        A task is placed at once only if nothing that waits should go before it.
+        A task is placed at once only if nothing that waits should go before it. A
+        job for which workers are reserved may start too, if it fits by now.
         """
 
     @abstractmethod
--- a/packages/savorylead/savorylead/placement/_rules.py
+++ b/packages/savorylead/savorylead/placement/_rules.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable, Sequence
+from collections.abc import Hashable, Iterable, Sequence
 from typing import NamedTuple, Protocol, TypeVar
 
 from savorylead.contracts import TaskId, TaskKind
-from savorylead.resources import Resources
+from savorylead.resources import ZERO, Resources
 
-from ._planner import PendingTask, Policy
+from ._planner import Decision, PendingTask, Policy, Preempt
 
 #: One placement in this many goes to the longest waiting task, whatever its share.
 AGEING_TURN = 64
@@ -18,6 +18,8 @@
 MAX_CLAIMS = 64
 #: Pause between two searches for a task that needs a reservation.
 RESERVATION_CHECK_MS = 1_000
+#: Most waiting tasks or jobs for which one search looks at all workers.
+RESERVATION_TRIES = 4
 #: Pause between two searches for tasks that another shard should take.
 OVERFLOW_CHECK_MS = 1_000
 #: Waiting time after which an urgent task may go to another shard.
@@ -97,6 +99,27 @@
     return task.spec.kind is TaskKind.ALL_AT_ONCE
 
 
+def unit_of(task: PendingTask) -> TaskId:
+    """Return the id of what starts together: the job or the task itself."""
+    task_id = task.spec.id
+    return task_id.job() if is_gang(task) else task_id
+
+
+def total_need(tasks: Iterable[PendingTask]) -> Resources:
+    """Return what the tasks need together."""
+    need = ZERO
+    for task in tasks:
+        need = need.plus(task.spec.resources)
+    return need
+
+
+def subject(decision: Decision) -> TaskId:
+    """Return the waiting task that the decision is for."""
+    if isinstance(decision, Preempt):
+        return decision.beneficiary
+    return decision.task
+
+
 def may_backfill(task: PendingTask) -> bool:
     """Return whether the task is declared short enough to run before a reservation."""
     return 0 < task.spec.run_time_ms <= BACKFILL_RUN_MS
--- /dev/null
+++ b/packages/savorylead/savorylead/placement/tests/test_equal_decisions.py
@@ -0,0 +1,277 @@
+"""The indexed planner decides as the naive one does, and both keep the limits."""
+
+from collections import Counter
+from random import Random
+from types import SimpleNamespace
+
+from hypothesis import event, given, settings, strategies as st
+
+from savorylead.contracts import TaskId, TaskKind, TaskSpec
+from savorylead.placement import (
+    IndexedPlanner,
+    NaivePlanner,
+    Overflow,
+    PendingTask,
+    Place,
+    Policy,
+    Preempt,
+    Reject,
+)
+from savorylead.resources import ZERO, Resources
+from savorylead.workers import Worker, WorkerState
+
+TEAMS = ("kennel", "route", "signs")
+SIZES = (
+    Resources(8_000, 32_000, 0, 4, 16),
+    Resources(16_000, 64_000, 0, 8, 64),
+    Resources(16_000, 64_000, 4, 8, 64),
+)
+NEED_CHOICES = (
+    (0, 250, 1_000, 3_900, 4_000, 8_000, 15_900),
+    (0, 500, 4_000, 30_000),
+    (0, 0, 0, 0, 0, 1, 4),
+    (0, 1, 1, 1, 2),
+    (0, 1, 8),
+)
+GRANT_CHOICES = (
+    (0, 20_000, 60_000, 10**9, 10**9),
+    (80_000, 10**9),
+    (4, 10**6),
+    (10, 10**6),
+    (10**6,),
+)
+POLICY_CHOICES = {
+    "spread_weight": (0.0, 1.0, 0.1),
+    "packing_weight": (0.0, 1.0, 3.0),
+    "accelerator_guard_weight": (0.0, 0.05, 1.0),
+    "ageing_s": (0.0, 3.0, 60.0),
+    "preemption": (True, False),
+    "backfill": (True, False),
+    "reservation_s": (4.0, 30.0),
+    "admit_batch": (True, True, True, False),
+}
+STEPS = {
+    "arrive": 12,
+    "now": 8,
+    "plan": 10,
+    "end": 5,
+    "requeue": 3,
+    "cancel": 2,
+    "wait": 8,
+    "worker": 1,
+    "drop": 1,
+    "grant": 1,
+    "share": 1,
+    "fleet": 1,
+    "policy": 1,
+    "recover": 1,
+}
+
+
+class Cell:
+    """Drives both planners with the same calls and keeps account by itself."""
+
+    def __init__(self, random):
+        self.random = random
+        self.choice = random.choice
+        self.planners = (IndexedPlanner(), NaivePlanner())
+        self.now_ms = 1_000
+        self.count = 0
+        self.workers = {}
+        self.states = {}
+        self.grants = {}
+        self.pending = {}
+        self.running = {}
+        self.seen = set()
+
+    def both(self, name, *args):
+        found = [getattr(planner, name)(*args) for planner in self.planners]
+        assert found[0] == found[1], name
+        return found[0]
+
+    def amounts(self, choices):
+        return Resources(*(self.choice(of) for of in choices))
+
+    def worker(self):
+        index = self.random.randrange(6)
+        size = self.choice(SIZES)
+        name = f"w{index}"
+        if name in self.workers:
+            size = self.workers[name].capacity
+        state = self.choice([*WorkerState] + ["ready"] * 6)
+        worker = Worker(name, "east", f"r{index % 3}", size)
+        self.workers[name] = worker
+        self.states[name] = WorkerState(state)
+        self.both("put_worker", worker, self.states[name])
+
+    def drop(self):
+        idle = set(self.workers) - {worker for _, worker in self.running.values()}
+        if idle:
+            name = self.choice(sorted(idle))
+            del self.workers[name], self.states[name]
+            self.both("drop_worker", name)
+
+    def grant(self):
+        team, grant = self.choice(TEAMS), self.amounts(GRANT_CHOICES)
+        self.grants[team] = grant
+        self.both("set_grant", team, grant)
+
+    def share(self):
+        weight = self.choice([0.0, 0.5, 1.0, 4.0])
+        self.both("set_share", self.choice(TEAMS), weight)
+
+    def fleet(self):
+        whole = Resources(*(sum(c) for c in zip(*SIZES, strict=True))).times(4)
+        elsewhere = {team: self.amounts(NEED_CHOICES) for team in TEAMS}
+        self.both("set_fleet", whole, elsewhere)
+
+    def policy(self):
+        chosen = {name: self.choice(of) for name, of in POLICY_CHOICES.items()}
+        self.both("set_policy", Policy(**chosen))
+
+    def new_tasks(self):
+        self.count += 1
+        kind = self.choice(["batch", "batch", "service", "all_at_once"])
+        members = self.random.randint(1, 4) if kind == "all_at_once" else 1
+        need = self.amounts(NEED_CHOICES)
+        base = TaskId(
+            self.choice(TEAMS),
+            self.choice(["day", "night"]),
+            f"t{self.count}",
+        )
+        spec = TaskSpec(
+            base,
+            TaskKind(kind),
+            need,
+            "open",
+            repeatable=self.choice((True, False)),
+            urgent=self.choice([False, False, True]),
+            run_time_ms=self.choice([0, 2_000, 90_000]),
+            start_by_ms=self.choice([0, 0, self.now_ms + 3_000]),
+            members=members,
+        )
+        queued_at_ms = self.now_ms - self.choice([0, 0, 500, 20_000])
+        avoid = self.choice([(), (), ("w1",), ("w0", "w2")])
+        return [
+            PendingTask(
+                spec._replace(id=base._replace(member=i)), queued_at_ms, 1, avoid
+            )
+            for i in range(members)
+        ]
+
+    def arrive(self):
+        for task in self.new_tasks():
+            self.pending[task.spec.id] = task
+            self.both("add_pending", task)
+
+    def now(self):
+        tasks = self.new_tasks()
+        self.pending.update({task.spec.id: task for task in tasks})
+        self.take(self.both("place_now", tasks, self.now_ms))
+
+    def plan(self):
+        self.take(self.both("plan", self.now_ms, self.random.randrange(9)))
+
+    def wait(self):
+        self.now_ms += self.choice([1, 400, 1_500, 12_000, 70_000])
+
+    def end(self):
+        if self.running:
+            task_id = self.choice(sorted(self.running))
+            del self.running[task_id]
+            assert self.both("remove", task_id)
+            assert not self.both("remove", task_id)
+
+    def requeue(self):
+        if self.running:
+            task_id = self.choice(sorted(self.running))
+            task, worker = self.running.pop(task_id)
+            again = task._replace(next_attempt=2, avoid=(*task.avoid, worker))
+            self.pending[task_id] = again
+            self.both("requeue", again)
+
+    def cancel(self):
+        if self.pending:
+            task_id = self.choice(sorted(self.pending))
+            del self.pending[task_id]
+            assert self.both("remove", task_id)
+
+    def recover(self):
+        """Tell both of a task that a former lead started, if there is room."""
+        task = self.new_tasks()[0]
+        for name, worker in sorted(self.workers.items()):
+            room = worker.capacity.minus(self.held_on(name))
+            if task.spec.members == 1 and task.spec.resources.fits(room):
+                self.running[task.spec.id] = (task, name)
+                self.both("add_running", task, name, self.now_ms)
+                return
+
+    def held_on(self, name):
+        held = ZERO
+        for task, at in self.running.values():
+            if at == name:
+                held = held.plus(task.spec.resources)
+        return held
+
+    def take(self, decisions):
+        """Apply decisions to the account and check what each may do."""
+        placed = Counter()
+        for decision in decisions:
+            self.seen.add(type(decision).__name__)
+            if isinstance(decision, Preempt):
+                victim = self.running[decision.task][0].spec
+                assert victim.kind is TaskKind.BATCH
+                assert victim.repeatable and not victim.urgent
+                assert self.pending[decision.beneficiary].spec.urgent
+                continue
+            assert isinstance(decision, Place | Reject | Overflow)
+            task = self.pending.pop(decision.task)
+            if isinstance(decision, Place):
+                assert self.states[decision.worker] is WorkerState.READY
+                assert decision.worker not in task.avoid
+                self.running[decision.task] = (task, decision.worker)
+                placed[decision.task.job()] += 1
+                self.check_grant(decision.task.team)
+        for job in placed:
+            assert not any(task_id.job() == job for task_id in self.pending)
+
+    def check_grant(self, team):
+        held = ZERO
+        for task, _ in self.running.values():
+            if task.spec.id.team == team:
+                held = held.plus(task.spec.resources)
+        assert held.fits(self.grants.get(team, ZERO))
+
+    def check_account(self):
+        """Compare the planners' sums with the account of this test."""
+        assert self.both("pending_count") == len(self.pending)
+        for name, worker in self.workers.items():
+            assert self.held_on(name).fits(worker.capacity)
+        for team in TEAMS:
+            held = self.both("held_by_team", team)
+            wanted = self.both("wanted_by_team", team)
+            sums = SimpleNamespace(held=ZERO, wanted=ZERO)
+            for task, _ in self.running.values():
+                if task.spec.id.team == team:
+                    sums.held = sums.held.plus(task.spec.resources)
+            for task in self.pending.values():
+                if task.spec.id.team == team:
+                    sums.wanted = sums.wanted.plus(task.spec.resources)
+            assert (held, wanted) == (sums.held, sums.wanted)
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(st.integers(0, 2**32), st.integers(1, 150), st.integers(1, 6))
+def test_indexed_decides_as_naive(seed, steps, workers):
+    cell = Cell(Random(seed))
+    for team in TEAMS:
+        cell.grants[team] = Resources(10**9, 10**9, 10**6, 10**6, 10**6)
+        cell.both("set_grant", team, cell.grants[team])
+        cell.both("set_share", team, 1.0)
+    for _ in range(workers):
+        cell.worker()
+    for step in cell.random.choices([*STEPS], [*STEPS.values()], k=steps):
+        getattr(cell, step)()
+        cell.check_account()
+    for name in cell.seen:
+        event(name)
--- a/packages/savorylead/savorylead/placement/tests/test_planners.py
+++ b/packages/savorylead/savorylead/placement/tests/test_planners.py
@@ -5,6 +5,7 @@
 from savorylead.contracts import TaskId, TaskKind, TaskSpec
 from savorylead.outcomes import Refusal
 from savorylead.placement import (
+    IndexedPlanner,
     NaivePlanner,
     Overflow,
     PendingTask,
@@ -17,7 +18,7 @@
 from savorylead.resources import ZERO, Resources
 from savorylead.workers import Worker, WorkerState
 
-PLANNERS = [NaivePlanner]
+PLANNERS = [NaivePlanner, IndexedPlanner]
 LARGE = Resources(10**9, 10**9, 10**6, 10**6, 10**6)
 NODE = Resources(16_000, 64_000, 0, 8, 64)
 GPU_NODE = Resources(32_000, 128_000, 8, 8, 64)
--- a/packages/savorylead/savorylead/store/__init__.py
+++ b/packages/savorylead/savorylead/store/__init__.py
@@ -1,6 +1,6 @@
 """The platform's key-value service as an interface."""
 
-from ._backoff import Backoff
+from ._retry import RetryPauses, RetryPolicy
 from ._store import (
     ABSENT,
     MAX_VALUE_BYTES,
@@ -15,12 +15,14 @@
     Swapped,
     Watch,
 )
+from ._watched_prefix import WatchedPrefix, WatchSettings
 
 __all__ = [
     "ABSENT",
-    "Backoff",
     "MAX_VALUE_BYTES",
     "KeyValue",
+    "RetryPauses",
+    "RetryPolicy",
     "Snapshot",
     "Store",
     "StoreError",
@@ -30,4 +32,6 @@
     "SwapConflict",
     "Swapped",
     "Watch",
+    "WatchSettings",
+    "WatchedPrefix",
 ]
--- /dev/null
+++ b/packages/savorylead/savorylead/store/_watched_prefix.py
@@ -0,0 +1,149 @@
+"""A prefix of the store that is kept up to date by a watch and by polling."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from datetime import datetime, timedelta
+from typing import NamedTuple
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.python.failure import Failure
+
+from savorylead.clock import Clock, Timer
+
+from ._store import Snapshot, Store, StoreError, Watch
+
+
+class WatchSettings(NamedTuple):
+    """How often a watched prefix is read."""
+
+    #: Mean time between two reads when the watch tells nothing.
+    poll: timedelta = timedelta(milliseconds=1500)
+    #: Mean time from a failed read to the next one.
+    retry: timedelta = timedelta(milliseconds=375)
+    #: Share by which each wait varies, so that readers spread out.
+    jitter: float = 0.2
+    #: Least time between two reads, however often the watch tells of changes.
+    least: timedelta = timedelta(milliseconds=50)
+
+
+class WatchedPrefix:
+    """Reads a prefix after each hint of its watch, and at least every ``poll``.
+
+    ``on_snapshot`` is called with each answer that is not older than the last one.
+    The first read starts with ``start``. One read is in flight at a time, so polls
+    do not pile up on a store that is slow or down.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        prefix: str,
+        clock: Clock,
+        rng: random.Random,
+        on_snapshot: Callable[[Snapshot], None],
+        settings: WatchSettings = WatchSettings(),  # noqa: B008
+    ) -> None:
+        #: Store revision of the newest answer.
+        self.revision = 0
+        #: When the read that confirmed the newest answer was sent; None before.
+        self.confirmed_at: datetime | None = None
+        #: Answers dropped because an earlier one was newer, for metrics.
+        self.outdated_answers = 0
+        #: Reads that failed, for metrics.
+        self.failures = 0
+        self._store = store
+        self._prefix = prefix
+        self._clock = clock
+        self._rng = rng
+        self._on_snapshot = on_snapshot
+        self._settings = settings
+        self._watch: Watch | None = None
+        self._timer: Timer | None = None
+        self._read: Deferred[None] | None = None
+        self._read_again = False
+        self._sent_at = clock.now() - settings.least
+        self._running = False
+        self._failed = False
+
+    def start(self) -> None:
+        """Begin to watch and to poll; the first read is sent at once."""
+        self._running = True
+        self._watch = self._store.watch(self._prefix, self._changed)
+        self._send()
+
+    def stop(self) -> None:
+        """End the watch, the polling and the read in flight."""
+        self._running = False
+        if self._watch is not None:
+            self._watch.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
+        read, self._read = self._read, None
+        if read is not None:
+            read.cancel()
+
+    def read_soon(self) -> None:
+        """Read at once, or as soon as the read in flight and ``least`` allow."""
+        if not self._running:
+            return
+        if self._read is not None:
+            self._read_again = True
+            return
+        self._schedule(self._sent_at + self._settings.least - self._clock.now())
+
+    def age(self) -> timedelta | None:
+        """Return the time since the last confirming read was sent; None before."""
+        if self.confirmed_at is None:
+            return None
+        return self._clock.now() - self.confirmed_at
+
+    def _changed(self, key: str) -> None:
+        self.read_soon()
+
+    def _schedule(self, delay: timedelta) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._clock.call_later(max(delay, timedelta(0)), self._send)
+
+    def _send(self) -> None:
+        if not self._running or self._read is not None:
+            return
+        self._sent_at = self._clock.now()
+        self._read_again = False
+        read = Deferred.fromCoroutine(self._read_once(self._sent_at))
+        self._read = read
+        read.addErrback(_drop_cancelled)
+        read.addBoth(self._read_done)
+
+    async def _read_once(self, sent_at: datetime) -> None:
+        try:
+            snapshot = await self._store.list(self._prefix)
+        except StoreError:
+            self.failures += 1
+            self._failed = True
+            return
+        self._failed = False
+        if snapshot.revision < self.revision:
+            self.outdated_answers += 1
+            return
+        self.revision = snapshot.revision
+        self.confirmed_at = sent_at
+        self._on_snapshot(snapshot)
+
+    def _read_done(self, result: object) -> object:
+        self._read = None
+        if not self._running:
+            return result
+        if self._read_again:
+            self.read_soon()
+        else:
+            spread = 1 + self._settings.jitter * (2 * self._rng.random() - 1)
+            pause = self._settings.retry if self._failed else self._settings.poll
+            self._schedule(pause * spread)
+        return result
+
+
+def _drop_cancelled(failure: Failure) -> None:
+    failure.trap(CancelledError)
