--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_directory.py
@@ -0,0 +1,101 @@
+"""Which daemon leads which shard, as far as this daemon knows."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from datetime import datetime
+from typing import NamedTuple
+
+from savorylead.domains import Member, Shard, rendezvous_order
+from savorylead_daemon.peers import DigestAnswer, ShardDigest
+
+
+class KnownDigest(NamedTuple):
+    """The last digest of a daemon, and when it came."""
+
+    digest: DigestAnswer
+    heard_at: datetime
+
+
+class ShardDirectory:
+    """Follows members and their digests; answers who probably leads a shard.
+
+    It may be wrong: a daemon that does not lead says so, and the next one is tried.
+    """
+
+    def __init__(self, own_name: str) -> None:
+        self._own_name = own_name
+        self._members: dict[str, Member] = {}
+        self._shards: dict[str, Shard] = {}
+        self._digests: dict[str, KnownDigest] = {}
+        self._denied: set[tuple[str, str]] = set()
+
+    @property
+    def shards(self) -> Mapping[str, Shard]:
+        """Every shard of the configuration in force."""
+        return self._shards
+
+    @property
+    def members(self) -> Mapping[str, Member]:
+        """Every live daemon, this one included."""
+        return self._members
+
+    @property
+    def digests(self) -> Mapping[str, KnownDigest]:
+        """The last digest of each live daemon."""
+        return self._digests
+
+    def set_shards(self, shards: Iterable[Shard]) -> None:
+        """Use the shards of a configuration."""
+        self._shards = {shard.name: shard for shard in shards}
+
+    def set_members(self, members: Iterable[Member]) -> None:
+        """Use a list of live daemons."""
+        self._members = {member.name: member for member in members}
+        for name in set(self._digests) - set(self._members):
+            del self._digests[name]
+
+    def take_digest(self, digest: DigestAnswer, heard_at: datetime) -> None:
+        """Remember what a daemon says it leads."""
+        self._digests[digest.name] = KnownDigest(digest, heard_at)
+        for shard in digest.shards:
+            self._denied.discard((shard.view.name, digest.name))
+
+    def deny(self, shard: str, member: str) -> None:
+        """Remember that a daemon said it does not lead the shard."""
+        self._denied.add((shard, member))
+
+    def candidates(self, shard: str) -> list[Member]:
+        """Return daemons that may lead the shard, the most likely first."""
+        known = self._shards.get(shard)
+        names = self._claimants(shard)
+        same_region = [
+            m.name for m in self._members.values() if known and m.region == known.region
+        ]
+        names += rendezvous_order(shard, same_region)
+        names += rendezvous_order(shard, self._members)
+        ordered = list(dict.fromkeys(names))
+        likely = [n for n in ordered if (shard, n) not in self._denied]
+        if not likely:
+            self._denied = {d for d in self._denied if d[0] != shard}
+            likely = ordered
+        return [self._members[name] for name in likely]
+
+    def shard_digests(self) -> dict[str, ShardDigest]:
+        """Return the newest digest of each shard that some daemon claims."""
+        newest: dict[str, ShardDigest] = {}
+        for known in self._digests.values():
+            for digest in known.digest.shards:
+                other = newest.get(digest.view.name)
+                if other is None or other.view.epoch < digest.view.epoch:
+                    newest[digest.view.name] = digest
+        return newest
+
+    def _claimants(self, shard: str) -> list[str]:
+        claims = [
+            (digest.view.epoch, name)
+            for name, known in self._digests.items()
+            for digest in known.digest.shards
+            if digest.view.name == shard and name in self._members
+        ]
+        return [name for _, name in sorted(claims, reverse=True)]
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_router.py
@@ -0,0 +1,85 @@
+"""Finds the lead of a shard and asks it, across changes of leads."""
+
+from __future__ import annotations
+
+import random
+from datetime import datetime, timedelta
+
+from savorylead.clock import Clock
+from savorylead.domains import Member
+from savorylead_daemon.peers import (
+    LeadLost,
+    NotLead,
+    PeerAnswer,
+    PeerClient,
+    PeerCodecError,
+    PeerError,
+    PeerMessage,
+)
+
+from ._directory import ShardDirectory
+from ._message_handler import MessageHandler
+
+#: Delay before the next daemon is asked after all were asked once.
+ROUND_DELAY = timedelta(milliseconds=200)
+
+
+class NoLeadError(Exception):
+    """No lead of the shard answered in time."""
+
+    def __init__(self, shard: str, maybe_done: bool) -> None:
+        super().__init__(f"no lead of {shard} answered")
+        self.shard = shard
+        #: Whether some daemon may have done what was asked, or may do so later.
+        self.maybe_done = maybe_done
+
+
+class ShardRouter:
+    """Asks the lead of a shard, here or at a peer, until a deadline."""
+
+    def __init__(
+        self,
+        own_name: str,
+        directory: ShardDirectory,
+        local: MessageHandler,
+        client: PeerClient,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._own_name = own_name
+        self._directory = directory
+        self._local = local
+        self._client = client
+        self._clock = clock
+        self._rng = rng
+
+    async def ask(
+        self, shard: str, message: PeerMessage, until: datetime
+    ) -> PeerAnswer:
+        """Return the lead's answer; raises NoLeadError after ``until``."""
+        maybe_done = False
+        while True:
+            for member in self._directory.candidates(shard):
+                answer = await self._ask_one(member, message)
+                if answer is None or isinstance(answer, LeadLost):
+                    maybe_done = True
+                    self._directory.deny(shard, member.name)
+                elif isinstance(answer, NotLead):
+                    self._directory.deny(shard, member.name)
+                else:
+                    return answer
+                if self._clock.now() >= until:
+                    raise NoLeadError(shard, maybe_done)
+            delay = ROUND_DELAY * (0.5 + self._rng.random())
+            if self._clock.now() + delay >= until:
+                raise NoLeadError(shard, maybe_done)
+            await self._clock.sleep(delay)
+
+    async def _ask_one(self, member: Member, message: PeerMessage) -> PeerAnswer | None:
+        """Return one daemon's answer, or None if none came."""
+        if member.name == self._own_name:
+            return await self._local.handle(message)
+        try:
+            return await self._client.ask(member, message)
+        except (PeerError, PeerCodecError):
+            return None
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_dispatcher.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_dispatcher.py
@@ -29,6 +29,7 @@
     Preempt,
     Reject,
 )
+from savorylead.resources import ZERO, Resources
 from savorylead.workers import Inventory, RunReport, RunState, StartOrder
 
 from ._fleet import ShardFleet
@@ -99,6 +100,13 @@
         """Return how many tasks are placed on the worker."""
         return len(self._placed_on.get(worker, ()))
 
+    def held_on(self, worker: str) -> Resources:
+        """Return what the tasks placed on the worker ask for in all."""
+        held = ZERO
+        for task in self._placed_on.get(worker, ()):
+            held = held.plus(self._ledger.state.records[task].spec.resources)
+        return held
+
     def decide(self, decisions: Iterable[Decision]) -> list[Event]:
         """Return the events of decisions; commands follow in ``enact``."""
         events: list[Event] = []
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_shard_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_shard_lead.py
@@ -137,6 +137,14 @@
         """Return how many tasks are placed on a worker."""
         return self._dispatcher.running_on(worker)
 
+    def held_on(self, worker: str) -> Resources:
+        """Return what placed tasks hold on a worker."""
+        return self._dispatcher.held_on(worker)
+
+    def teams(self) -> list[str]:
+        """Return the teams of the configuration in force."""
+        return sorted(self._policy.shares)
+
     def running_count(self) -> int:
         """Return how many tasks are placed in the shard."""
         return sum(self.running_on(s.worker.name) for s in self._fleet)
@@ -169,7 +177,8 @@
         fresh: list[PendingTask] = []
         events: list[Event] = []
         for spec in specs:
-            if spec.id in self.records:
+            # A tombstone stands for all members of an all-at-once job.
+            if spec.id.job() in self.records:
                 continue
             refusal = self._refusal_of(spec)
             if refusal is None:
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/cell/_network.py
@@ -0,0 +1,130 @@
+"""The network between daemons and workers, with its failures."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import NamedTuple, TypeVar
+
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import Clock
+from savorylead_standins.store import CallFate
+
+T = TypeVar("T")
+
+
+class NetworkCall(NamedTuple):
+    """One call as a fault plan sees it."""
+
+    source: str
+    target: str
+    #: Name of the contract's method or of the message's type.
+    method: str
+
+
+class CallLostError(Exception):
+    """No reply came; the call may have taken effect or may do so later."""
+
+
+@dataclass
+class NetworkPlan:
+    """Decides the fate and duration of each call; tests replace its fields."""
+
+    latency: timedelta = timedelta(milliseconds=1)
+    #: After this long without a reply the caller sees an error.
+    deadline: timedelta = timedelta(seconds=3)
+    #: How long after the deadline a late call is applied.
+    late_by: timedelta = timedelta(seconds=2)
+    fate: Callable[[NetworkCall], CallFate] = lambda call: CallFate.ANSWERED
+    #: Pairs of ends between which nothing passes, in either direction.
+    cut: set[frozenset[str]] = field(default_factory=set)
+    #: Pairs (source, target) from which requests arrive but replies do not.
+    half_open: set[tuple[str, str]] = field(default_factory=set)
+    #: Ends that nothing reaches and that answer nothing.
+    dead: set[str] = field(default_factory=set)
+
+    def fate_of(self, call: NetworkCall) -> CallFate:
+        """Return what happens to a call."""
+        if frozenset((call.source, call.target)) in self.cut:
+            return CallFate.LOST
+        if call.target in self.dead:
+            return CallFate.LOST
+        if (call.source, call.target) in self.half_open:
+            return CallFate.REPLY_LOST
+        return self.fate(call)
+
+
+class Network:
+    """Carries calls under a plan."""
+
+    def __init__(self, clock: Clock, rng: random.Random, plan: NetworkPlan) -> None:
+        self.plan = plan
+        #: Calls by method.
+        self.calls: Counter[str] = Counter()
+        self._clock = clock
+        self._rng = rng
+
+    async def call(self, call: NetworkCall, apply: Callable[[], Awaitable[T]]) -> T:
+        """Run one call; raises CallLostError."""
+        self.calls[call.method] += 1
+        fate = self.plan.fate_of(call)
+        if fate in (CallFate.LOST, CallFate.REFUSED):
+            return await self._lose(fate)
+        if fate is CallFate.LANDS_LATE:
+            late = self.plan.deadline + self.plan.late_by
+            self._clock.call_later(late, self._apply_late, call, apply)
+            return await self._lose(fate)
+        await self._clock.sleep(self._one_way())
+        if call.target in self.plan.dead:
+            return await self._lose(CallFate.LOST)
+        reply = Deferred.fromCoroutine(_as_coroutine(apply))
+        if fate is CallFate.REPLY_LOST:
+            reply.addErrback(lambda _: None)
+            return await self._lose(fate)
+        result = await self._within_deadline(reply)
+        await self._clock.sleep(self._one_way())
+        if self.plan.fate_of(call) is CallFate.LOST:
+            return await self._lose(CallFate.LOST)
+        return result
+
+    def _one_way(self) -> timedelta:
+        return self.plan.latency * (0.5 + self._rng.random())
+
+    async def _lose(self, fate: CallFate) -> T:
+        if fate is not CallFate.REFUSED:
+            await self._clock.sleep(self.plan.deadline)
+        raise CallLostError(fate.value)
+
+    async def _within_deadline(self, reply: Deferred[T]) -> T:
+        """Wait for a reply, which may go on being computed after the deadline."""
+        result: Deferred[T] = Deferred()
+        timer = self._clock.call_later(
+            self.plan.deadline + _long_poll_allowance(),
+            lambda: result.called or result.errback(CallLostError("deadline")),
+        )
+        reply.addCallbacks(
+            lambda value: result.called or result.callback(value),
+            lambda failure: result.called or result.errback(failure),
+        )
+        try:
+            return await result
+        finally:
+            timer.cancel()
+
+    def _apply_late(self, call: NetworkCall, apply: Callable[[], Awaitable[T]]) -> None:
+        if call.target not in self.plan.dead:
+            late = Deferred.fromCoroutine(_as_coroutine(apply))
+            late.addErrback(lambda _: None)
+
+
+async def _as_coroutine(apply: Callable[[], Awaitable[T]]) -> T:
+    return await apply()
+
+
+def _long_poll_allowance() -> timedelta:
+    """Return how much longer than the deadline a call that waits may take."""
+    return timedelta(seconds=60)
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/cell/_process.py
@@ -0,0 +1,109 @@
+"""A daemon as a process that can be paused, resumed and killed."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from datetime import datetime, timedelta
+from typing import Any, TypeVar
+
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import Clock, Timer
+
+T = TypeVar("T")
+
+
+class _HeldTimer(Timer):
+    """A timer whose call waits while its process is paused."""
+
+    def __init__(self, process: Process, func: Callable[[], None]) -> None:
+        self._process = process
+        self._func: Callable[[], None] | None = func
+        self.inner: Timer | None = None
+
+    def cancel(self) -> None:
+        self._func = None
+        if self.inner is not None:
+            self.inner.cancel()
+
+    def fire(self) -> None:
+        """Run the call, or leave it to the moment when the process resumes."""
+        if self._process.dead or self._func is None:
+            return
+        if self._process.paused:
+            self._process.hold(self.fire)
+            return
+        func, self._func = self._func, None
+        func()
+
+
+class ProcessClock(Clock):
+    """The shared clock as one process sees it: time goes on while it is paused."""
+
+    def __init__(self, shared: Clock, process: Process) -> None:
+        self._shared = shared
+        self._process = process
+
+    def now(self) -> datetime:
+        """Return the current time, aware and in UTC."""
+        return self._shared.now() + self._process.clock_offset
+
+    def call_later(
+        self, delay: timedelta, func: Callable[..., Any], *args: Any
+    ) -> Timer:
+        """Call ``func(*args)`` once after ``delay``, unless paused or dead then."""
+        timer = _HeldTimer(self._process, lambda: func(*args))
+        timer.inner = self._shared.call_later(delay, timer.fire)
+        return timer
+
+
+class Process:
+    """One process. Nothing reaches it while it is paused, and nothing once dead."""
+
+    def __init__(self, name: str, shared: Clock) -> None:
+        self.name = name
+        self.paused = False
+        self.dead = False
+        #: By how much this process's clock is off.
+        self.clock_offset = timedelta(0)
+        self.clock = ProcessClock(shared, self)
+        self._held: list[Callable[[], None]] = []
+
+    def hold(self, func: Callable[[], None]) -> None:
+        """Call ``func`` when the process resumes."""
+        self._held.append(func)
+
+    def pause(self) -> None:
+        """Stop running, as on SIGSTOP."""
+        self.paused = True
+
+    def resume(self) -> None:
+        """Run everything that came due meanwhile, in order."""
+        self.paused = False
+        held, self._held = self._held, []
+        for func in held:
+            if not self.dead:
+                func()
+
+    def kill(self) -> None:
+        """End for good; nothing that it waits for ever comes."""
+        self.dead = True
+        self._held.clear()
+
+    def gate(self) -> Deferred[None]:
+        """Fire when the process runs: at once, on resume, or never."""
+        result: Deferred[None] = Deferred()
+        if self.dead:
+            return result
+        if self.paused:
+            self.hold(lambda: None if result.called else result.callback(None))
+        else:
+            result.callback(None)
+        return result
+
+    async def receive(self, reply: Awaitable[T]) -> T:
+        """Return or raise what a call brings, once the process runs."""
+        try:
+            return await reply
+        finally:
+            await self.gate()
