--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_lead_supervisor.py
@@ -0,0 +1,157 @@
+"""Keeps this daemon leading the shards that it should lead, and no others."""
+
+from __future__ import annotations
+
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable, Mapping
+from datetime import datetime, timedelta
+
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import Clock
+from savorylead.domains import Shard
+from savorylead.journal import DeposedError, JournalError
+from savorylead.store import StoreError
+from savorylead.workers import VmListError
+from savorylead_daemon.lead import Periodic, ShardLead
+
+#: Time between checks of who should lead what.
+CHECK_INTERVAL = timedelta(milliseconds=500)
+#: Least and most delay after a failed attempt to take a shard.
+RETRY_DELAY = timedelta(milliseconds=500)
+MAX_RETRY_DELAY = timedelta(seconds=8)
+
+
+class LeadDuty(ABC):
+    """Says which shards this daemon should take or give up."""
+
+    @abstractmethod
+    async def to_take(self, leading: frozenset[str]) -> list[Shard]:
+        """Return shards to take now; raises StoreError."""
+
+    @abstractmethod
+    def to_resign(self, leading: frozenset[str]) -> list[str]:
+        """Return shards that another daemon should lead by now."""
+
+
+class LeadSupervisor:
+    """Opens, keeps and closes the leads of this daemon."""
+
+    def __init__(
+        self,
+        duty: LeadDuty,
+        open_lead: Callable[[Shard, Callable[[ShardLead], None]], Awaitable[ShardLead]],
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._duty = duty
+        self._open_lead = open_lead
+        self._clock = clock
+        self._rng = rng
+        self._leads: dict[str, ShardLead] = {}
+        self._opening: dict[str, Deferred[None]] = {}
+        self._failures: dict[str, int] = {}
+        self._not_before: dict[str, datetime] = {}
+        self._checking = False
+        self._closed = False
+        self._series: Periodic | None = None
+
+    @property
+    def leads(self) -> Mapping[str, ShardLead]:
+        """The shards that this daemon leads now."""
+        return self._leads
+
+    def begin(self) -> None:
+        """Check now, and every so often from now on."""
+        self._series = Periodic(self._clock, CHECK_INTERVAL, self.check)
+        self.check()
+
+    def check(self) -> None:
+        """Take and give up what is due, unless a check is under way."""
+        if not self._checking and not self._closed:
+            self._checking = True
+            Deferred.fromCoroutine(self._check()).addBoth(self._after_check)
+
+    async def resign_all(self) -> None:
+        """Take nothing more and hand every shard over; errors of the store are left.
+
+        A shard whose resignation can't be written is taken over after the lapse.
+        """
+        self._stop()
+        for lead in list(self._leads.values()):
+            await self._resign(lead)
+
+    def close(self) -> None:
+        """Drop every lead without a word, as a process that dies."""
+        self._stop()
+        for lead in list(self._leads.values()):
+            lead.close()
+        self._leads.clear()
+
+    def _stop(self) -> None:
+        self._closed = True
+        if self._series is not None:
+            self._series.close()
+        for opening in list(self._opening.values()):
+            opening.cancel()
+
+    def _after_check(self, result: object) -> object:
+        self._checking = False
+        return result
+
+    async def _check(self) -> None:
+        leading = frozenset(self._leads)
+        for name in self._duty.to_resign(leading):
+            await self._resign(self._leads[name])
+        try:
+            wanted = await self._duty.to_take(frozenset(self._leads))
+        except StoreError:
+            return
+        for shard in wanted:
+            self._take(shard)
+
+    def _take(self, shard: Shard) -> None:
+        name = shard.name
+        if self._closed or name in self._leads or name in self._opening:
+            return
+        if self._clock.now() < self._not_before.get(name, self._clock.now()):
+            return
+        opening = Deferred.fromCoroutine(self._open(shard))
+        if not opening.called:
+            self._opening[name] = opening
+        opening.addErrback(lambda _: None)
+
+    async def _open(self, shard: Shard) -> None:
+        try:
+            lead = await self._open_lead(shard, self._on_deposed)
+        except (StoreError, JournalError, VmListError):
+            self._delay_next(shard.name)
+            return
+        finally:
+            self._opening.pop(shard.name, None)
+        if self._closed:
+            await lead.resign()
+            return
+        self._failures.pop(shard.name, None)
+        self._leads[shard.name] = lead
+
+    def _delay_next(self, shard: str) -> None:
+        """Wait longer after each failure, so that a slow store is left alone."""
+        failures = self._failures.get(shard, 0)
+        self._failures[shard] = failures + 1
+        delay = min(RETRY_DELAY * 2**failures, MAX_RETRY_DELAY)
+        jittered = delay * (0.5 + self._rng.random())
+        self._not_before[shard] = self._clock.now() + jittered
+
+    def _on_deposed(self, lead: ShardLead) -> None:
+        if self._leads.get(lead.shard.name) is lead:
+            del self._leads[lead.shard.name]
+        self._delay_next(lead.shard.name)
+
+    async def _resign(self, lead: ShardLead) -> None:
+        self._leads.pop(lead.shard.name, None)
+        try:
+            await lead.resign()
+        except (DeposedError, StoreError):
+            lead.close()
--- a/packages/savorylead-daemon/savorylead_daemon/peers/_peer.py
+++ b/packages/savorylead-daemon/savorylead_daemon/peers/_peer.py
@@ -44,11 +44,21 @@
 
     async def ask(self, member: Member, message: PeerMessage) -> PeerAnswer:
         """Return the member's answer; raises PeerError or PeerCodecError."""
+        answer, _ = await self.ask_with_revision(member, message)
+        return answer
+
+    async def ask_with_revision(
+        self, member: Member, message: PeerMessage
+    ) -> tuple[PeerAnswer, int]:
+        """Return the member's answer and the revision in force there.
+
+        Raises PeerError or PeerCodecError.
+        """
         body = encode_message(message, self._revisions.revision())
         reply = await self._transport.exchange(member, body, idempotent=True)
         decoded = decode_answer(reply)
         self._revisions.observe(decoded.revision)
-        return decoded.content
+        return decoded.content, decoded.revision
 
 
 class PeerServer:
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/checkers/__init__.py
@@ -0,0 +1,25 @@
+"""Judges of what workers executed and callers saw; one for each invariant."""
+
+from ._checkers import CHECKERS, Violation, check_all
+from ._history import (
+    Answer,
+    Departure,
+    KeyWithdrawal,
+    LimitChange,
+    RevisionSample,
+    RunHistory,
+    Submission,
+)
+
+__all__ = [
+    "CHECKERS",
+    "Answer",
+    "Departure",
+    "KeyWithdrawal",
+    "LimitChange",
+    "RevisionSample",
+    "RunHistory",
+    "Submission",
+    "Violation",
+    "check_all",
+]
