--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_cell_policy.py
@@ -0,0 +1,31 @@
+"""What the configuration in force means for leads and for the directory."""
+
+from __future__ import annotations
+
+from savorylead.config import CellDocument
+from savorylead.contracts import limit_from_amounts
+from savorylead.domains import Shard
+from savorylead.placement import Policy
+from savorylead_daemon.lead import CellPolicy
+
+
+def policy_of(document: CellDocument, revision: int) -> CellPolicy:
+    """Return what a lead follows; the preset in force sets the weights."""
+    teams = document["teams"]
+    return CellPolicy(
+        revision=revision,
+        policy=Policy(**document["presets"][document["preset"]]),
+        shares={name: team["share"] for name, team in teams.items()},
+        limits={name: limit_from_amounts(t["limit"]) for name, t in teams.items()},
+        max_waiting={
+            name: queue["max_waiting"] for name, queue in document["queues"].items()
+        },
+    )
+
+
+def shards_of(document: CellDocument) -> list[Shard]:
+    """Return the shards of a configuration, sorted by name."""
+    return [
+        Shard(name, shard["region"], shard["domain"], tuple(shard["racks"]))
+        for name, shard in sorted(document["shards"].items())
+    ]
--- a/packages/savorylead-daemon/savorylead_daemon/cell/_lead_supervisor.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_lead_supervisor.py
@@ -27,8 +27,8 @@
     """Says which shards this daemon should take or give up."""
 
     @abstractmethod
-    async def to_take(self, leading: frozenset[str]) -> list[Shard]:
-        """Return shards to take now; raises StoreError."""
+    def to_take(self, leading: frozenset[str]) -> list[Shard]:
+        """Return shards to take now."""
 
     @abstractmethod
     def to_resign(self, leading: frozenset[str]) -> list[str]:
@@ -104,11 +104,7 @@
         leading = frozenset(self._leads)
         for name in self._duty.to_resign(leading):
             await self._resign(self._leads[name])
-        try:
-            wanted = await self._duty.to_take(frozenset(self._leads))
-        except StoreError:
-            return
-        for shard in wanted:
+        for shard in self._duty.to_take(frozenset(self._leads)):
             self._take(shard)
 
     def _take(self, shard: Shard) -> None:
