--- a/packages/savorylead-daemon/savorylead_daemon/cell/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/__init__.py
@@ -1,15 +1,45 @@
 """What one daemon knows of the cell, and how it reaches the leads of shards."""
 
+from ._cell_config import (
+    ConfigConfirmation,
+    ConfigDoorkeeper,
+    ConfigOperatorDesk,
+    ConfigRevisions,
+    age_ms,
+)
+from ._cell_policy import policy_of, shards_of
+from ._digest_poller import DigestPoller, DigestTimes
 from ._directory import KnownDigest, ShardDirectory
-from ._message_handler import MessageHandler
+from ._doors import ConfigDesk, Doorkeeper, TeamKey
+from ._lead_supervisor import LeadDuty, LeadSupervisor
+from ._message_handler import MessageHandler, StoreSight
+from ._observed_store import ObservedStore
 from ._offer_router import PeerOfferRouter
+from ._region_duty import AssignedLeadDuty
 from ._router import NoLeadError, ShardRouter
 
 __all__ = [
+    "AssignedLeadDuty",
+    "ConfigConfirmation",
+    "ConfigDesk",
+    "ConfigDoorkeeper",
+    "ConfigOperatorDesk",
+    "ConfigRevisions",
+    "DigestPoller",
+    "DigestTimes",
+    "Doorkeeper",
     "KnownDigest",
+    "LeadDuty",
+    "LeadSupervisor",
     "MessageHandler",
     "NoLeadError",
+    "ObservedStore",
     "PeerOfferRouter",
     "ShardDirectory",
     "ShardRouter",
+    "StoreSight",
+    "TeamKey",
+    "age_ms",
+    "policy_of",
+    "shards_of",
 ]
--- a/packages/savorylead-daemon/savorylead_daemon/cell/_digest_poller.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_digest_poller.py
@@ -1,12 +1,15 @@
-"""Asks the other daemons what they lead and how they fare."""
+"""Asks the other daemons what they lead and how they see the store."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from datetime import datetime, timedelta
+from typing import NamedTuple
 
 from twisted.internet.defer import Deferred
 
 from savorylead.clock import Clock
+from savorylead.config import PeerSight
 from savorylead.domains import Member
 from savorylead_daemon.lead import Periodic
 from savorylead_daemon.peers import (
@@ -21,8 +24,29 @@
 from ._message_handler import MessageHandler
 
 
+class DigestTimes(NamedTuple):
+    """How often the others are asked."""
+
+    #: While all is well.
+    every: timedelta = timedelta(seconds=4)
+    #: While the store does not answer here, since then only the others can tell
+    #: whether the configuration is still the newest.
+    every_in_outage: timedelta = timedelta(seconds=1)
+    #: The store counts as down for a daemon that it has not answered for this long.
+    outage_after: timedelta = timedelta(seconds=2)
+    #: A digest that is older says nothing about the store any more.
+    sight_max_age: timedelta = timedelta(seconds=5)
+
+
+class TimedSight(NamedTuple):
+    """What a peer said of the store, and when it was asked."""
+
+    asked_at: datetime
+    sight: PeerSight
+
+
 class DigestPoller:
-    """Keeps the directory's digests fresh, and knows which daemons answer."""
+    """Keeps the directory's digests and the peers' sights of the store fresh."""
 
     def __init__(
         self,
@@ -31,20 +55,28 @@
         local: MessageHandler,
         client: PeerClient,
         clock: Clock,
-        every: timedelta,
+        times: DigestTimes,
+        own_store_age: Callable[[], timedelta | None],
+        on_sight: Callable[[], None],
     ) -> None:
         self._own_name = own_name
         self._directory = directory
         self._local = local
         self._client = client
         self._clock = clock
-        self._every = every
+        self._times = times
+        self._own_store_age = own_store_age
+        self._on_sight = on_sight
         self._asked: set[str] = set()
+        self._sights: dict[str, TimedSight] = {}
         self._series: Periodic | None = None
+        self._last_round = clock.now() - times.every
 
     def begin(self) -> None:
         """Ask everyone now, and every so often from now on."""
-        self._series = Periodic(self._clock, self._every, self.poll)
+        self._series = Periodic(
+            self._clock, self._times.every_in_outage, self._poll_if_due
+        )
         self.poll()
 
     def close(self) -> None:
@@ -54,43 +86,73 @@
 
     def poll(self) -> None:
         """Ask every daemon that has no question open."""
+        self._last_round = self._clock.now()
         self._directory.take_digest(self._local.digest(), self._clock.now())
         for member in list(self._directory.members.values()):
             if member.name != self._own_name and member.name not in self._asked:
                 self._asked.add(member.name)
                 Deferred.fromCoroutine(self._ask(member))
 
-    def unreachable(self, now: datetime) -> list[str]:
-        """Return the members that have not answered for three rounds."""
-        oldest = now - 3 * self._every
-        return [
-            name
-            for name in sorted(self._directory.members)
-            if name != self._own_name and not self._heard_since(name, oldest)
-        ]
-
-    def store_is_down_everywhere(self, now: datetime) -> bool:
+    def peers(self) -> list[str]:
+        """Return the names of all other members."""
+        return [n for n in sorted(self._directory.members) if n != self._own_name]
+
+    def sights(self) -> dict[str, TimedSight]:
+        """Return what each peer said last, as far as it is recent."""
+        oldest = self._clock.now() - self._times.sight_max_age
+        return {
+            name: timed
+            for name, timed in self._sights.items()
+            if timed.asked_at >= oldest and name in self._directory.members
+        }
+
+    def store_is_down_here(self) -> bool:
+        """Return whether the store has not answered this daemon of late."""
+        age = self._own_store_age()
+        return age is None or age >= self._times.outage_after
+
+    def store_is_down_everywhere(self) -> bool:
         """Return whether all members answer and none can use the store.
 
         Nobody can then have become a lead or changed the configuration.
         """
-        if self.unreachable(now):
-            return False
-        digests = self._directory.digests
-        peers = [name for name in self._directory.members if name != self._own_name]
-        own_down = self._local.digest().store_down
-        return own_down and all(digests[n].digest.store_down for n in peers)
+        sights = self.sights()
+        return self.store_is_down_here() and all(
+            name in sights and self._sees_outage(sights[name].sight)
+            for name in self.peers()
+        )
 
-    def _heard_since(self, name: str, oldest: datetime) -> bool:
-        known = self._directory.digests.get(name)
-        return known is not None and known.heard_at >= oldest
+    def _sees_outage(self, sight: PeerSight) -> bool:
+        age = sight.store_age
+        return age is None or age >= self._times.outage_after
+
+    def _poll_if_due(self) -> None:
+        due_at = self._last_round + self._times.every
+        if self.store_is_down_here() or self._clock.now() >= due_at:
+            self.poll()
 
     async def _ask(self, member: Member) -> None:
+        asked_at = self._clock.now()
         try:
-            answer = await self._client.ask(member, DigestMessage(self._own_name))
+            answer, revision = await self._client.ask_with_revision(
+                member, DigestMessage(self._own_name)
+            )
         except (PeerError, PeerCodecError):
             return
         finally:
             self._asked.discard(member.name)
-        if isinstance(answer, DigestAnswer):
-            self._directory.take_digest(answer, self._clock.now())
+        if not isinstance(answer, DigestAnswer):
+            return
+        self._directory.take_digest(answer, self._clock.now())
+        sight = PeerSight(
+            member.name,
+            revision,
+            _millis(answer.confirmed_age_ms),
+            _millis(answer.store_age_ms),
+        )
+        self._sights[member.name] = TimedSight(asked_at, sight)
+        self._on_sight()
+
+
+def _millis(amount: int | None) -> timedelta | None:
+    return None if amount is None else timedelta(milliseconds=amount)
--- a/packages/savorylead-daemon/savorylead_daemon/cell/_message_handler.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_message_handler.py
@@ -5,6 +5,7 @@
 import heapq
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from datetime import timedelta
+from typing import NamedTuple
 
 from savorylead.contracts import TaskId, TaskSpec
 from savorylead.journal import DeposedError, Phase
@@ -39,6 +40,13 @@
 KeyRecheck = Callable[[str, str], Refusal | None]
 
 
+class StoreSight(NamedTuple):
+    """What a daemon knows of the store; see DigestAnswer."""
+
+    confirmed_age_ms: int | None
+    store_age_ms: int | None
+
+
 class MessageHandler:
     """Hands each message to the lead of its shard."""
 
@@ -47,12 +55,12 @@
         own_name: str,
         leads: Mapping[str, ShardLead],
         recheck_key: KeyRecheck,
-        store_down: Callable[[], bool],
+        store_sight: Callable[[], StoreSight],
     ) -> None:
         self._own_name = own_name
         self._leads = leads
         self._recheck_key = recheck_key
-        self._store_down = store_down
+        self._store_sight = store_sight
         self._handlers: dict[type, Callable[..., Awaitable[PeerAnswer]]] = {
             SubmitMessage: self._submit,
             AnswersMessage: self._answers,
@@ -78,7 +86,10 @@
     def digest(self) -> DigestAnswer:
         """Return what this daemon leads."""
         shards = tuple(_digest_shard(lead, self._own_name) for lead in self._all())
-        return DigestAnswer(self._own_name, shards, self._store_down())
+        sight = self._store_sight()
+        return DigestAnswer(
+            self._own_name, shards, sight.confirmed_age_ms, sight.store_age_ms
+        )
 
     def _all(self) -> list[ShardLead]:
         return [self._leads[name] for name in sorted(self._leads)]
--- a/packages/savorylead-daemon/savorylead_daemon/cell/_store_health.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_observed_store.py
@@ -1,19 +1,17 @@
-"""The store with its calls counted and its failures remembered."""
+"""The store with its calls and failures counted."""
 
 from __future__ import annotations
 
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from datetime import datetime, timedelta
+from datetime import timedelta
 from typing import TypeVar
 
-from savorylead.clock import Clock
 from savorylead.store import (
     KeyValue,
     Snapshot,
     Store,
     StoreError,
-    StoreLeaseLostError,
     SwapConflict,
     Swapped,
     Watch,
@@ -23,22 +21,14 @@
 
 
 class ObservedStore(Store):
-    """Passes every call on; knows since when the store has failed."""
+    """Passes every call on and counts it."""
 
-    def __init__(self, inner: Store, clock: Clock) -> None:
+    def __init__(self, inner: Store) -> None:
         #: Calls by method, a waiting watch counting as one.
         self.calls: Counter[str] = Counter()
         #: Failed calls by the error's type.
         self.failures: Counter[str] = Counter()
         self._inner = inner
-        self._clock = clock
-        self._failing_since: datetime | None = None
-
-    def is_down(self, for_at_least: timedelta) -> bool:
-        """Return whether every call has failed for that long."""
-        if self._failing_since is None:
-            return False
-        return self._clock.now() - self._failing_since >= for_at_least
 
     async def get(self, key: str) -> KeyValue | None:
         """Return the key, or None if it does not exist."""
@@ -79,15 +69,7 @@
     async def _observe(self, method: str, call: Awaitable[T]) -> T:
         self.calls[method] += 1
         try:
-            result = await call
-        except StoreLeaseLostError:
-            # The store has answered, so it is not down.
-            self._failing_since = None
-            raise
+            return await call
         except StoreError as exc:
             self.failures[type(exc).__name__] += 1
-            if self._failing_since is None:
-                self._failing_since = self._clock.now()
             raise
-        self._failing_since = None
-        return result
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/daemon/_daemon.py
@@ -0,0 +1,252 @@
+"""One daemon, wired from its parts; it knows no sockets."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from savorylead.clock import Clock
+from savorylead.config import ConfigEditor, InForce, InForceConfig, InForceSettings
+from savorylead.contracts import GrantHolder, TeamLimits
+from savorylead.domains import (
+    LeadDirectory,
+    Member,
+    MemberList,
+    Membership,
+    MembershipSettings,
+    Shard,
+)
+from savorylead.journal import JournalSettings, RingJournal
+from savorylead.placement import Planner
+from savorylead.store import Store, StoreError
+from savorylead.workers import VmEntry, VmList, Worker, WorkerContract
+from savorylead_daemon.cell import (
+    AssignedLeadDuty,
+    ConfigConfirmation,
+    ConfigDoorkeeper,
+    ConfigOperatorDesk,
+    ConfigRevisions,
+    DigestPoller,
+    DigestTimes,
+    LeadSupervisor,
+    MessageHandler,
+    PeerOfferRouter,
+    ShardDirectory,
+    ShardRouter,
+    StoreSight,
+    age_ms,
+    policy_of,
+    shards_of,
+)
+from savorylead_daemon.gateway import CallerGateway, GatewayTimes, OperatorGateway
+from savorylead_daemon.lead import LeadObserver, LeadParts, LeadTimes, ShardLead
+from savorylead_daemon.peers import PeerClient, PeerServer, PeerTransport
+
+
+class DaemonTimes(NamedTuple):
+    """Every duration and size that the parts are given."""
+
+    lead: LeadTimes = LeadTimes()
+    gateway: GatewayTimes = GatewayTimes()
+    digests: DigestTimes = DigestTimes()
+    membership: MembershipSettings = MembershipSettings()
+    config: InForceSettings = InForceSettings()
+    journal: JournalSettings = JournalSettings()
+
+
+class DaemonParts(NamedTuple):
+    """What differs between a process with sockets and one in a test."""
+
+    member: Member
+    clock: Clock
+    rng: random.Random
+    store: Store
+    contract: WorkerContract
+    vm_list: VmList
+    transport: PeerTransport
+    open_planner: Callable[[], Planner]
+    #: Opens the upper limits for a lead of the shard at an epoch.
+    open_limits: Callable[[str, int, GrantHolder], TeamLimits]
+    observer: LeadObserver
+    #: Hex SHA-256 of keys that may operate the cell before it has a configuration.
+    bootstrap_sha256: frozenset[str]
+    times: DaemonTimes
+    #: Called once if another process took this daemon's name.
+    on_superseded: Callable[[], None]
+
+
+class RememberedVmList(VmList):
+    """Passes the platform's list on and remembers the last reading."""
+
+    def __init__(self, inner: VmList) -> None:
+        self._inner = inner
+        self._entries: tuple[VmEntry, ...] = ()
+
+    def workers(self) -> list[Worker]:
+        """Return the workers of the last reading, leaving ones left out."""
+        return [entry.worker for entry in self._entries if not entry.leaving]
+
+    async def read(self) -> list[VmEntry]:
+        """Return the VMs that are live or leaving; raises VmListError."""
+        entries = await self._inner.read()
+        self._entries = tuple(entries)
+        return entries
+
+
+class Daemon:
+    """A gateway for callers and operators, and the lead of some shards."""
+
+    def __init__(self, parts: DaemonParts) -> None:
+        self._parts = parts
+        self._vm_list = RememberedVmList(parts.vm_list)
+        clock, rng, store, times = parts.clock, parts.rng, parts.store, parts.times
+        name = parts.member.name
+        self.config = InForceConfig(store, clock, rng, times.config)
+        self.directory = ShardDirectory(name)
+        self.membership = Membership(
+            store,
+            clock,
+            rng,
+            parts.member,
+            self._on_members,
+            parts.on_superseded,
+            times.membership,
+        )
+        self._heads = LeadDirectory(store, clock, rng, lambda _: self._check_duty())
+        duty = AssignedLeadDuty(
+            self.membership,
+            self._heads,
+            lambda: list(self.directory.shards.values()),
+            clock,
+        )
+        self.supervisor = LeadSupervisor(duty, self._open_lead, clock, rng)
+        doorkeeper = ConfigDoorkeeper(self.config)
+        self._handler = MessageHandler(
+            name, self.supervisor.leads, doorkeeper.recheck, self._store_sight
+        )
+        revisions = ConfigRevisions(self.config)
+        client = PeerClient(parts.transport, revisions)
+        self.peer_server = PeerServer(self._handler.handle, revisions)
+        self._router = ShardRouter(
+            name, self.directory, self._handler, client, clock, rng
+        )
+        self.poller = DigestPoller(
+            name,
+            self.directory,
+            self._handler,
+            client,
+            clock,
+            times.digests,
+            self.membership.store_age,
+            self._on_sight,
+        )
+        self._confirmation = ConfigConfirmation(self.config, self.poller)
+        self.callers = CallerGateway(doorkeeper, self._router, clock, times.gateway)
+        editor = ConfigEditor(store, clock, rng, self.config.observe)
+        self.operators = OperatorGateway(
+            name,
+            ConfigOperatorDesk(self.config, editor, parts.bootstrap_sha256),
+            self.directory,
+            self._router,
+            client,
+            clock,
+        )
+
+    def start(self) -> None:
+        """Join the cell; shards and callers follow as soon as the store answers."""
+        self.config.add_listener(self._on_config)
+        self.config.start()
+        self.membership.start()
+        self._heads.start()
+        self.supervisor.begin()
+        self.poller.begin()
+
+    async def hand_over(self) -> None:
+        """Take no shard any more and give up those led, each at once.
+
+        Callers are still served, through the leads elsewhere.
+        """
+        self.membership.take_no_shards()
+        await self.supervisor.resign_all()
+
+    async def leave(self) -> None:
+        """Leave the cell after ``hand_over``; the process may end then."""
+        self.close()
+        try:
+            await self.membership.leave()
+        except StoreError:
+            # The lease lapses by itself.
+            return
+
+    def close(self) -> None:
+        """Stop every part without a word to anybody."""
+        self.poller.close()
+        self.supervisor.close()
+        self._heads.stop()
+        self.config.stop()
+        self.membership.stop()
+
+    def _on_config(self, current: InForce) -> None:
+        self.directory.set_shards(shards_of(current.document))
+        policy = policy_of(current.document, current.revision)
+        for lead in list(self.supervisor.leads.values()):
+            lead.apply_policy(policy)
+        self._check_duty()
+
+    def _on_members(self, members: MemberList) -> None:
+        self.directory.set_members(record.member for record in members.records)
+        self._check_duty()
+
+    def _on_sight(self) -> None:
+        self._confirmation.take_sights()
+
+    def _check_duty(self) -> None:
+        self.supervisor.check()
+
+    def _store_sight(self) -> StoreSight:
+        return StoreSight(
+            age_ms(self.config.age()), age_ms(self.membership.store_age())
+        )
+
+    async def _open_lead(
+        self, shard: Shard, on_deposed: Callable[[ShardLead], None]
+    ) -> ShardLead:
+        current = self.config.current
+        lead = await ShardLead.open(
+            shard,
+            self._parts.member.name,
+            self._lead_parts(shard),
+            policy_of(current.document, current.revision),
+            on_deposed,
+        )
+        # The configuration may have changed while the journal was replayed.
+        newest = self.config.current
+        lead.apply_policy(policy_of(newest.document, newest.revision))
+        return lead
+
+    def _lead_parts(self, shard: Shard) -> LeadParts:
+        parts = self._parts
+        journal = RingJournal(
+            parts.store, shard.name, parts.clock, parts.rng, parts.times.journal
+        )
+        router = PeerOfferRouter(
+            shard.name,
+            self.directory,
+            lambda: self._router,
+            self._vm_list.workers,
+            parts.clock,
+        )
+        return LeadParts(
+            journal=journal,
+            planner=parts.open_planner(),
+            contract=parts.contract,
+            vm_list=self._vm_list,
+            router=router,
+            clock=parts.clock,
+            rng=parts.rng,
+            times=parts.times.lead,
+            observer=parts.observer,
+            open_limits=parts.open_limits,
+            store_is_down_everywhere=self.poller.store_is_down_everywhere,
+        )
--- a/packages/savorylead-daemon/savorylead_daemon/gateway/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/gateway/__init__.py
@@ -1,13 +1,13 @@
 """Serving callers and operators from any daemon."""
 
-from ._caller_gateway import CallerGateway, Doorkeeper, GatewayTimes, TeamKey
+from ._caller_gateway import CallerGateway, GatewayTimes
 from ._homes import by_home, home_shard
+from ._operator_gateway import OperatorGateway
 
 __all__ = [
     "CallerGateway",
-    "Doorkeeper",
     "GatewayTimes",
-    "TeamKey",
+    "OperatorGateway",
     "by_home",
     "home_shard",
 ]
--- a/packages/savorylead-daemon/savorylead_daemon/gateway/_caller_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/gateway/_caller_gateway.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-from abc import ABC, abstractmethod
 from collections.abc import Sequence
 from datetime import datetime, timedelta
 from typing import NamedTuple, TypeVar
 
 from savorylead.clock import Clock, to_millis
-from savorylead.config import CellDocument
 from savorylead.contracts import TaskId, TaskSpec
 from savorylead.journal import Phase
 from savorylead.outcomes import NotRun, Refusal, Unknown
-from savorylead_daemon.cell import NoLeadError, ShardRouter
+from savorylead_daemon.cell import Doorkeeper, NoLeadError, ShardRouter, TeamKey
 from savorylead_daemon.lead import ABSENT_PHASE
 from savorylead_daemon.peers import (
     AnswersMessage,
@@ -44,25 +42,6 @@
 AnswerT = TypeVar("AnswerT")
 
 
-class TeamKey(NamedTuple):
-    """A key that was checked."""
-
-    team: str
-    key_id: str
-
-
-class Doorkeeper(ABC):
-    """Knows the configuration in force and whether it may be relied on."""
-
-    @abstractmethod
-    def document(self) -> CellDocument:
-        """Return the configuration; raises RefusedError if it may be out of date."""
-
-    @abstractmethod
-    def check_key(self, key: str) -> TeamKey:
-        """Return whose key it is; raises RefusedError."""
-
-
 class GatewayTimes(NamedTuple):
     """Deadlines of one call."""
 
--- a/packages/savorylead-daemon/savorylead_daemon/gateway/_operator_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/gateway/_operator_gateway.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from abc import ABC, abstractmethod
 from datetime import timedelta
 
 from savorylead.clock import Clock
@@ -10,7 +9,7 @@
 from savorylead.contracts import limit_from_amounts
 from savorylead.outcomes import Refusal
 from savorylead.resources import ZERO, Resources
-from savorylead_daemon.cell import NoLeadError, ShardDirectory, ShardRouter
+from savorylead_daemon.cell import ConfigDesk, NoLeadError, ShardDirectory, ShardRouter
 from savorylead_daemon.peers import (
     DigestAnswer,
     DigestMessage,
@@ -44,28 +43,6 @@
 NO_REVISION = -1
 
 
-class ConfigDesk(ABC):
-    """Reads and changes the configuration in the store."""
-
-    @abstractmethod
-    def check_operator(self, key: str) -> None:
-        """Raise RefusedError unless the key is an operator's."""
-
-    @abstractmethod
-    def in_force(self) -> ConfigView:
-        """Return what is in force at this daemon."""
-
-    @abstractmethod
-    async def read(self) -> ConfigView:
-        """Return the newest configuration; raises StoreError."""
-
-    @abstractmethod
-    async def apply(
-        self, document: CellDocument, expected_revision: int
-    ) -> ConfigApplied | ConfigConflict | ConfigRejected:
-        """Replace the configuration; raises StoreError if the fate is unknown."""
-
-
 class OperatorGateway(OperatorService):
     """Answers operators; any daemon can."""
 
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_dispatcher.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_dispatcher.py
@@ -48,6 +48,8 @@
 )
 from ._worker_session import Attempt, WorkerSession
 
+#: A run that is overdue is asked about again after this part of its delay.
+OVERDUE_DIVISOR = 2
 #: Attempts after which a failing task is answered with its failure.
 MAX_ATTEMPTS = 5
 
@@ -183,13 +185,14 @@
             elif self._ledger.is_settled(report.task):
                 session.release((report.task, report.attempt))
 
-    def on_started(self, attempt: Attempt) -> None:
+    def on_started(self, session: WorkerSession, attempt: Attempt) -> None:
         """Take a worker's word that an attempt runs."""
         record = self._ledger.state.records.get(attempt[0])
         if record is None or record.spec is None or attempt in self._started:
             return
         self._started.add(attempt)
         self._observer.started(record.spec, self._now_ms() - record.accepted_at_ms)
+        self._expect_end(session, record, 0)
 
     def on_start_refused(self, attempt: Attempt, reason: str) -> None:
         """Take back an attempt that will never start."""
@@ -283,8 +286,6 @@
         session.start(_order_of(record))
         if record.cancel_asked:
             session.stop(attempt)
-        if record.spec.run_time_ms:
-            session.expect_end_in(_millis(record.spec.run_time_ms))
 
     def _judge_absent(
         self,
@@ -318,12 +319,24 @@
         self, session: WorkerSession, record: TaskRecord, report: RunReport
     ) -> None:
         if report.state is RunState.RUNNING:
-            self.on_started((report.task, report.attempt))
+            self.on_started(session, (report.task, report.attempt))
+            self._expect_end(session, record, report.ran_ms)
             if record.cancel_asked:
                 session.stop((report.task, report.attempt))
         may_retry = record.attempt < MAX_ATTEMPTS
         self._follow(session, record, judge_report(record, report, may_retry))
 
+    def _expect_end(
+        self, session: WorkerSession, record: TaskRecord, ran_ms: int
+    ) -> None:
+        """Fetch the answer when the run should be over; rarer the later it is."""
+        if not record.spec.run_time_ms:
+            return
+        left_ms = record.spec.run_time_ms - ran_ms
+        if left_ms < 0:
+            left_ms = -left_ms // OVERDUE_DIVISOR
+        session.expect_end_in(timedelta(milliseconds=left_ms))
+
     def _follow(
         self, session: WorkerSession, record: TaskRecord, verdict: Verdict
     ) -> None:
@@ -443,7 +456,3 @@
         resources=record.spec.resources,
         payload=record.spec.payload,
     )
-
-
-def _millis(amount: int) -> timedelta:
-    return timedelta(milliseconds=amount)
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_shard_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_shard_lead.py
@@ -271,7 +271,7 @@
 
     def on_started(self, session: WorkerSession, attempt: Attempt) -> None:
         """Take a worker's word that an attempt runs."""
-        self._dispatcher.on_started(attempt)
+        self._dispatcher.on_started(session, attempt)
 
     def on_start_refused(
         self, session: WorkerSession, attempt: Attempt, reason: str
--- a/packages/savorylead-daemon/savorylead_daemon/peers/_messages.py
+++ b/packages/savorylead-daemon/savorylead_daemon/peers/_messages.py
@@ -154,12 +154,14 @@
 
 
 class DigestAnswer(NamedTuple):
-    """What a daemon leads, and whether it can use the store."""
+    """What a daemon leads, and what it knows of the store."""
 
     name: str
     shards: tuple[ShardDigest, ...]
-    #: Whether its calls to the store have failed of late.
-    store_down: bool
+    #: Milliseconds since its configuration was confirmed; None if it never was.
+    confirmed_age_ms: int | None
+    #: Milliseconds since the store last answered it; None if it never did.
+    store_age_ms: int | None
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/cell/__init__.py
@@ -0,0 +1,34 @@
+"""A whole cell in one process: daemons, workers, store and network with faults."""
+
+from ._documents import (
+    OPERATOR_KEY,
+    REGION,
+    CellShape,
+    document_of,
+    domain_names,
+    key_of,
+    workers_of,
+)
+from ._fake_cell import CellVariant, FakeCell, RunningDaemon
+from ._network import CallLostError, Network, NetworkCall, NetworkPlan
+from ._process import Process
+from ._unshared_limits import UnsharedTeamLimits
+
+__all__ = [
+    "OPERATOR_KEY",
+    "REGION",
+    "CallLostError",
+    "CellShape",
+    "CellVariant",
+    "FakeCell",
+    "Network",
+    "NetworkCall",
+    "NetworkPlan",
+    "Process",
+    "RunningDaemon",
+    "UnsharedTeamLimits",
+    "document_of",
+    "domain_names",
+    "key_of",
+    "workers_of",
+]
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/cell/_documents.py
@@ -0,0 +1,114 @@
+"""A small cell's configuration."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from savorylead.config import (
+    CellDocument,
+    KeyDocument,
+    PresetDocument,
+    QueueDocument,
+    ResourcesDocument,
+    ShardDocument,
+    TeamDocument,
+    WorkspaceDocument,
+    hash_key,
+)
+from savorylead.resources import Resources
+from savorylead.workers import Worker
+
+#: What every worker of the cell can hold.
+WORKER_CAPACITY = Resources(
+    cores_milli=4000, memory_mb=8192, accelerators=0, slots=8, connections=64
+)
+#: The key of an operator of the cell.
+OPERATOR_KEY = "operator.secret"
+REGION = "north"
+
+
+class CellShape(NamedTuple):
+    """How large the cell is."""
+
+    daemons: int = 3
+    domains: int = 3
+    workers_per_domain: int = 2
+    teams: tuple[str, ...] = ("dispatch", "planning")
+    #: Upper limit of each team, in cores.
+    limit_cores: int = 16
+
+
+def key_of(team: str) -> str:
+    """Return the text of a team's key."""
+    return f"{team}.secret"
+
+
+def domain_names(shape: CellShape) -> list[str]:
+    """Return the failure domains; each is one shard of the same name."""
+    return [f"dom{number}" for number in range(1, shape.domains + 1)]
+
+
+def workers_of(shape: CellShape) -> list[Worker]:
+    """Return every worker."""
+    return [
+        Worker(
+            name=f"{domain}-w{number}",
+            domain=domain,
+            rack=f"{domain}-r{number % 2}",
+            capacity=WORKER_CAPACITY,
+            endpoint=f"{domain}-w{number}",
+        )
+        for domain in domain_names(shape)
+        for number in range(1, shape.workers_per_domain + 1)
+    ]
+
+
+def document_of(shape: CellShape) -> CellDocument:
+    """Return the cell's first configuration."""
+    return CellDocument(
+        cell="test",
+        shards={
+            domain: ShardDocument(region=REGION, domain=domain, racks=[])
+            for domain in domain_names(shape)
+        },
+        teams={team: _team(team, shape.limit_cores) for team in shape.teams},
+        workspaces={
+            f"{team}/main": WorkspaceDocument(team=team, home_region=REGION)
+            for team in shape.teams
+        },
+        queues={"day": QueueDocument(open=True, teams=[], max_waiting=1000)},
+        presets={
+            "ordinary": _preset(packing_weight=1.0),
+            "peak": _preset(packing_weight=0.5),
+            "maintenance": _preset(packing_weight=2.0),
+        },
+        preset="ordinary",
+        operators={"operator": _key(OPERATOR_KEY)},
+    )
+
+
+def _team(team: str, limit_cores: int) -> TeamDocument:
+    return TeamDocument(
+        share=1.0,
+        limit=ResourcesDocument(cores=limit_cores),
+        keys={key_of(team).partition(".")[0]: _key(key_of(team))},
+    )
+
+
+def _key(text: str) -> KeyDocument:
+    return KeyDocument(
+        sha256=hash_key(text), granted_at="2026-01-01T00:00:00+00:00", withdrawn=False
+    )
+
+
+def _preset(packing_weight: float) -> PresetDocument:
+    return PresetDocument(
+        spread_weight=1.0,
+        packing_weight=packing_weight,
+        accelerator_guard_weight=1.0,
+        ageing_s=60.0,
+        preemption=True,
+        backfill=True,
+        reservation_s=30.0,
+        admit_batch=True,
+    )
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/cell/_fake_cell.py
@@ -0,0 +1,254 @@
+"""Whole daemons, workers and the store in one process, on a clock that jumps."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Coroutine
+from datetime import UTC, datetime, timedelta
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from savorylead.clock import TwistedClock, to_millis
+from savorylead.config import CONFIG_KEY, ConfigEditor
+from savorylead.contracts import GrantHolder, TeamLimits
+from savorylead.domains import Member
+from savorylead.placement import NaivePlanner, Planner
+from savorylead.workers import VmEntry
+from savorylead_daemon.daemon import Daemon, DaemonParts, DaemonTimes
+from savorylead_daemon.lead import LeadObserver
+from savorylead_daemon.peers import PeerServer
+from savorylead_standins.checkers import RevisionSample, RunHistory
+from savorylead_standins.store import FaultPlan, MemoryStore
+from savorylead_standins.time import SteppedTime
+from savorylead_standins.workers import MemoryWorker
+
+from ._documents import REGION, CellShape, document_of, domain_names, workers_of
+from ._links import (
+    LaggingVmList,
+    NetworkPeerTransport,
+    NetworkWorkerContract,
+    ProcessStore,
+)
+from ._network import Network, NetworkPlan
+from ._process import Process
+from ._unshared_limits import UnsharedTeamLimits
+
+#: When every run begins.
+BEGINNING = datetime(2026, 1, 1, tzinfo=UTC)
+#: Time between two samples of the configuration in force.
+SAMPLE_INTERVAL = timedelta(milliseconds=500)
+
+
+class CellVariant:
+    """How daemons are built; deliberately broken variants override parts of it."""
+
+    def open_planner(self) -> Planner:
+        """Return a planner for one lead."""
+        return NaivePlanner()
+
+    def open_limits(
+        self, cell: FakeCell, process: Process, shard: str, epoch: int, holder: object
+    ) -> TeamLimits:
+        """Return the upper limits of one lead."""
+        return UnsharedTeamLimits(holder)
+
+    def times(self) -> DaemonTimes:
+        """Return the durations that all daemons use."""
+        return DaemonTimes()
+
+
+class RunningDaemon:
+    """One process and the daemon in it."""
+
+    def __init__(self, process: Process, daemon: Daemon) -> None:
+        self.process = process
+        self.daemon = daemon
+
+
+class FakeCell:
+    """A cell under test; everything in it is driven by ``run``."""
+
+    def __init__(
+        self,
+        seed: int,
+        shape: CellShape = CellShape(),  # noqa: B008
+        variant: CellVariant | None = None,
+    ) -> None:
+        self.shape = shape
+        self.time = SteppedTime()
+        self.clock = TwistedClock(self.time, BEGINNING)
+        self.rng = random.Random(seed)
+        self.store_faults = FaultPlan()
+        self.store = MemoryStore(self.clock, self.rng, self.store_faults)
+        self.network_plan = NetworkPlan()
+        self.network = Network(self.clock, self.rng, self.network_plan)
+        self.variant = variant or CellVariant()
+        self.workers = {
+            worker.name: MemoryWorker(worker, self.clock, self.rng)
+            for worker in workers_of(shape)
+        }
+        self.vm_lag = timedelta(seconds=2)
+        self.daemons: dict[str, RunningDaemon] = {}
+        #: Errors that no part expected; a run with any has failed.
+        self.errors: list[Failure] = []
+        self.history = RunHistory(
+            {name: w.worker.capacity for name, w in self.workers.items()}
+        )
+        self._servers: dict[str, tuple[Process, PeerServer]] = {}
+        self._vm_changes: list[tuple[datetime, str, str]] = []
+        self._starts = 0
+
+    def begin(self) -> None:
+        """Write the first configuration and start every daemon."""
+        store = self.store.client("setup")
+        editor = ConfigEditor(store, self.clock, self.rng, lambda revision: None)
+        self.do(editor.apply(document_of(self.shape), 0))
+        self.run(1)
+        for number in range(1, self.shape.daemons + 1):
+            self.start_daemon(f"d{number}")
+        self._sample()
+
+    def start_daemon(self, name: str) -> RunningDaemon:
+        """Start a daemon as a new process."""
+        self._starts += 1
+        process = Process(name, self.clock)
+        domains = domain_names(self.shape)
+        number = int(name.removeprefix("d")) - 1
+        member = Member(
+            name=name,
+            region=REGION,
+            domain=domains[number % len(domains)],
+            endpoint=f"{name}#{self._starts}",
+            incarnation=f"{name}#{self._starts}",
+        )
+        daemon = Daemon(self._parts(process, member))
+        self._servers[member.endpoint] = (process, daemon.peer_server)
+        running = RunningDaemon(process, daemon)
+        self.daemons[name] = running
+        daemon.start()
+        return running
+
+    def kill(self, name: str) -> None:
+        """End a daemon as SIGKILL does."""
+        running = self.daemons.pop(name)
+        running.process.kill()
+
+    def pause(self, name: str) -> None:
+        """Stop a daemon as SIGSTOP does."""
+        self.daemons[name].process.pause()
+
+    def resume(self, name: str) -> None:
+        """Let a paused daemon go on."""
+        self.daemons[name].process.resume()
+
+    def shut_down(self, name: str) -> None:
+        """Stop a daemon as SIGTERM does."""
+
+        async def stop(running: RunningDaemon) -> None:
+            await running.daemon.hand_over()
+            await self.clock.sleep(timedelta(seconds=5))
+            await running.daemon.leave()
+            running.process.kill()
+            if self.daemons.get(name) is running:
+                del self.daemons[name]
+
+        self.do(stop(self.daemons[name]))
+
+    def kill_worker(self, name: str) -> None:
+        """Let a VM die."""
+        self.workers[name].crash()
+        self.network_plan.dead.add(name)
+
+    def revive_worker(self, name: str) -> None:
+        """Let a VM start again, empty."""
+        self.network_plan.dead.discard(name)
+
+    def leave_worker(self, name: str) -> None:
+        """Let a VM begin to leave; the list tells it after a while."""
+        self._vm_changes.append((self.clock.now(), name, "leaving"))
+
+    def vm_entries(self) -> list[VmEntry]:
+        """Return the list of VMs as it was ``vm_lag`` ago."""
+        leaving = {
+            name for at, name, _ in self._vm_changes if at + self.vm_lag <= self.now()
+        }
+        return [
+            VmEntry(worker.worker, name in leaving)
+            for name, worker in sorted(self.workers.items())
+        ]
+
+    def now(self) -> datetime:
+        """Return the time of the cell."""
+        return self.clock.now()
+
+    def now_ms(self) -> int:
+        """Return the time of the cell in Unix milliseconds."""
+        return to_millis(self.clock.now())
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        self.time.advance(seconds)
+
+    def do(
+        self,
+        coroutine: Coroutine[Any, Any, Any],
+        on_result: Callable[[Any], None] = lambda result: None,
+    ) -> None:
+        """Run a coroutine beside everything else; its errors fail the run."""
+        done = Deferred.fromCoroutine(coroutine)
+        done.addCallback(on_result)
+        done.addErrback(self.errors.append)
+
+    def leads(self) -> dict[str, list[str]]:
+        """Return the daemons that believe they lead each shard."""
+        leads: dict[str, list[str]] = {name: [] for name in domain_names(self.shape)}
+        for name, running in sorted(self.daemons.items()):
+            for shard in running.daemon.supervisor.leads:
+                leads[shard].append(name)
+        return leads
+
+    def finish(self, settled: bool = True) -> RunHistory:
+        """Return what happened."""
+        history = self.history
+        history.ended_at_ms = self.now_ms()
+        history.settled = settled
+        for name, worker in self.workers.items():
+            history.executions += worker.executions + worker.running()
+            history.over_capacity_refusals[name] = worker.over_capacity_refusals
+        return history
+
+    def config_revision(self) -> int:
+        """Return the revision in the store."""
+        return self.store.get(CONFIG_KEY).revision
+
+    def _sample(self) -> None:
+        """Note what is in force at every daemon that runs, and go on doing so."""
+        for running in self.daemons.values():
+            process, revision = running.process, running.daemon.config.revision
+            if not process.paused and revision:
+                incarnation = running.daemon.membership.member.incarnation
+                sample = RevisionSample(incarnation, self.now_ms(), revision)
+                self.history.samples.append(sample)
+        self.clock.call_later(SAMPLE_INTERVAL, self._sample)
+
+    def _parts(self, process: Process, member: Member) -> DaemonParts:
+        def open_limits(shard: str, epoch: int, holder: GrantHolder) -> TeamLimits:
+            return self.variant.open_limits(self, process, shard, epoch, holder)
+
+        return DaemonParts(
+            member=member,
+            clock=process.clock,
+            rng=random.Random(self.rng.getrandbits(64)),
+            store=ProcessStore(self.store.client(process.name), process),
+            contract=NetworkWorkerContract(process, self.network, self.workers),
+            vm_list=LaggingVmList(process, self.vm_entries),
+            transport=NetworkPeerTransport(process, self.network, self._servers),
+            open_planner=self.variant.open_planner,
+            open_limits=open_limits,
+            observer=LeadObserver(),
+            bootstrap_sha256=frozenset(),
+            times=self.variant.times(),
+            on_superseded=process.kill,
+        )
--- a/packages/savorylead/savorylead/config/__init__.py
+++ b/packages/savorylead/savorylead/config/__init__.py
@@ -19,6 +19,7 @@
     EditConflict,
     EditRejected,
     EditUncertainError,
+    EditView,
 )
 from ._envelope import (
     CONFIG_KEY,
@@ -56,6 +57,7 @@
     "EditRecord",
     "EditRejected",
     "EditUncertainError",
+    "EditView",
     "Envelope",
     "GrantedKey",
     "InForce",
--- a/packages/savorylead/savorylead/config/_editor.py
+++ b/packages/savorylead/savorylead/config/_editor.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import NamedTuple
 
 from savorylead.clock import Clock
 from savorylead.store import (
@@ -36,6 +37,14 @@
 EDIT_DEADLINE = timedelta(seconds=8)
 
 
+class EditView(NamedTuple):
+    """What an operator is about to change."""
+
+    document: CellDocument
+    #: To be expected by the change.
+    revision: int
+
+
 @dataclass(frozen=True)
 class EditApplied:
     """The change is accepted."""
@@ -98,6 +107,16 @@
         self._on_applied = on_applied
         self._deadline = deadline
 
+    async def read(self) -> EditView:
+        """Return the newest document in the store; raises StoreError.
+
+        Its revision is 0 and it is empty if none was ever written.
+        """
+        current = await self._store.get(CONFIG_KEY)
+        if current is None:
+            return EditView({}, 0)
+        return EditView(decode_envelope(current)["document"], current.revision)
+
     async def apply(
         self,
         raw: object,
