--- a/packages/savorylead-daemon/savorylead_daemon/http/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/__init__.py
@@ -1,6 +1,7 @@
 """HTTP with JSON between the system's processes and towards callers."""
 
 from ._http_links import HttpLinks
+from ._http_peer_transport import PEER_PATH, HttpPeerTransport, peer_resource
 from ._http_store import HttpStore, StoreTimeouts
 from ._http_transport import HttpConnection, HttpEndpoint, HttpTransport
 from ._http_vm_list import HttpVmList
@@ -18,10 +19,12 @@
 from ._polling_watch import PollingWatch, WatchSettings
 
 __all__ = [
+    "PEER_PATH",
     "HttpConnection",
     "HttpEndpoint",
     "HttpError",
     "HttpLinks",
+    "HttpPeerTransport",
     "HttpStore",
     "HttpTransport",
     "HttpVmList",
@@ -37,4 +40,5 @@
     "WorkerTimeouts",
     "is_body_too_large",
     "json_response",
+    "peer_resource",
 ]
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/http/tests/test_http_peer_transport.py
@@ -0,0 +1,100 @@
+"""Daemons that ask each other, over loopback connections."""
+
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+
+import pytest
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import TwistedClock
+from savorylead.domains import Member
+from savorylead.links import LinkCount, LinkSettings
+from savorylead_daemon.http import (
+    HttpLinks,
+    HttpPeerTransport,
+    JsonSite,
+    peer_resource,
+)
+from savorylead_daemon.peers import PeerCodecError, PeerError
+from savorylead_standins.loopback import run_on_reactor
+
+_PATIENT = timedelta(seconds=20)
+_HASTY = timedelta(seconds=0.3)
+
+
+class _Server:
+    """Stands for a PeerServer; the codec has tests of its own."""
+
+    def __init__(self):
+        self.asked = []
+
+    async def answer(self, body):
+        self.asked.append(body)
+        if body == b"bad":
+            raise PeerCodecError("bad")
+        if body == b"silent":
+            await Deferred()
+        return body[::-1]
+
+
+def _run(test, timeout=_PATIENT):
+    async def work():
+        server = _Server()
+        site = JsonSite(peer_resource(server))
+        port = reactor.listenTCP(0, site, interface="127.0.0.1")
+        endpoint = f"127.0.0.1:{port.getHost().port}"
+        member = Member("d1", "r", "f", endpoint, "i")
+        settings = LinkSettings(attempt_timeout=timeout / 3)
+        clock = TwistedClock.starting_now(reactor)
+        links = HttpLinks(reactor, clock, random.Random(1), {}, settings)
+        transport = HttpPeerTransport(links.open, timeout)
+        try:
+            await test(transport, member, server, links)
+        finally:
+            transport.close()
+            await port.stopListening()
+
+    run_on_reactor(work)
+
+
+def test_a_message_is_answered():
+    async def test(transport, member, server, links):
+        assert await transport.exchange(member, b"abc", idempotent=False) == b"cba"
+
+    _run(test)
+
+
+def test_a_message_that_cannot_be_read_fails_without_a_repeat():
+    async def test(transport, member, server, links):
+        with pytest.raises(PeerError, match="400"):
+            await transport.exchange(member, b"bad", idempotent=True)
+        assert server.asked == [b"bad"]
+
+    _run(test)
+
+
+@pytest.mark.parametrize(("idempotent", "asked"), [(False, 1), (True, 3)])
+def test_only_an_idempotent_message_reaches_a_silent_peer_again(idempotent, asked):
+    async def test(transport, member, server, links):
+        with pytest.raises(PeerError):
+            await transport.exchange(member, b"silent", idempotent)
+        assert len(server.asked) <= asked
+        assert (len(server.asked) > 1) is idempotent
+
+    _run(test, timeout=_HASTY)
+
+
+def test_links_to_members_that_left_are_closed():
+    async def test(transport, member, server, links):
+        await transport.exchange(member, b"abc", idempotent=True)
+        transport.keep_only(frozenset({member.endpoint}))
+        await transport.exchange(member, b"abc", idempotent=True)
+        assert links.counts[LinkCount.CONNECTED] == 1
+        transport.keep_only(frozenset())
+        await transport.exchange(member, b"abc", idempotent=True)
+        assert links.counts[LinkCount.CONNECTED] == 2
+
+    _run(test)
