Check bodies by closed structures and search names as a whole

Cause: at 1,000 tasks a call the checks cost 4.1 times what decoding and encoding cost (20.4 us a task against 5.0). The profile put half of it into comparing each object with its typed copy to find dropped fields, a quarter into matching a pattern for each name, and the rest into the replies. Change: msgspec's closed structures refuse unknown fields while they check, names are searched for forbidden characters once per body, replies are built without _asdict. A single submit is the cost of one HTTP request, so callers should batch. Ruled out: leaving unknown fields unseen, which the interface promises to refuse.

--- a/packages/savorylead-daemon/savorylead_daemon/callers/_bodies.py
+++ b/packages/savorylead-daemon/savorylead_daemon/callers/_bodies.py
@@ -13,18 +13,18 @@
     CallError,
     CallErrorCode,
     CallFault,
-    CheckedDecoder,
+    ShapeChecker,
     decode_json,
     raise_faults,
 )
 from savorylead_daemon.services import RequestName, TaskDocument
 
-from ._shapes import AnswersBody, CancelBody, TaskBody
+from ._shapes import AnswersBody, CancelBody, TaskBody, names_are_good
 
-_TASK = CheckedDecoder(TaskBody)
-_TASKS = CheckedDecoder(list[TaskBody])
-_ANSWERS = CheckedDecoder(AnswersBody)
-_CANCEL = CheckedDecoder(CancelBody)
+_TASK = ShapeChecker(TaskBody)
+_TASKS = ShapeChecker(list[TaskBody])
+_ANSWERS = ShapeChecker(AnswersBody)
+_CANCEL = ShapeChecker(CancelBody)
 
 
 class SubmitBody(NamedTuple):
@@ -62,30 +62,31 @@
     def read_answers(self, body: bytes) -> AnswersRequest:
         """Return the names and the wait, which is cut to the longest allowed."""
         value = decode_json(body)
-        typed = self._read_names(value, _ANSWERS)
-        wait_s = typed.get("wait_s", 0)
-        wait = min(timedelta(seconds=wait_s), self._max_wait)
-        return AnswersRequest(_names(typed), wait)
+        names = self._read_names(value, _ANSWERS)
+        wait = min(timedelta(seconds=value.get("wait_s", 0)), self._max_wait)
+        return AnswersRequest(names, wait)
 
     def read_cancel(self, body: bytes) -> list[RequestName]:
         """Return the names of the tasks to cancel."""
-        return _names(self._read_names(decode_json(body), _CANCEL))
+        return self._read_names(decode_json(body), _CANCEL)
 
     def _read_tasks(self, values: list[Any], single: bool) -> list[TaskDocument]:
         self._check_length(len(values), "$")
-        tasks = _TASKS.convert(values)
-        if tasks is None:
+        if not _TASKS.is_good(values) or not names_are_good(_names_in(values)):
             raise_faults(_faults_of_items(values, single))
-        raise_faults(list(_faults_across_fields(tasks, single)))
-        return tasks
+        raise_faults(list(_faults_across_fields(values, single)))
+        return values
 
-    def _read_names(self, value: Any, decoder: CheckedDecoder) -> Any:
+    def _read_names(self, value: Any, checker: ShapeChecker) -> list[RequestName]:
+        """Return each name once, in the order of the body."""
         if isinstance(value, dict) and isinstance(value.get("requests"), list):
             self._check_length(len(value["requests"]), "$.requests")
-        typed = decoder.convert(value)
-        if typed is None:
-            raise_faults(decoder.faults(value))
-        return typed
+        if not checker.is_good(value):
+            raise_faults(checker.faults(value))
+        names = [RequestName(e["workspace"], e["request"]) for e in value["requests"]]
+        if not names_are_good(part for name in names for part in name):
+            raise_faults(checker.faults(value))
+        return list(dict.fromkeys(names))
 
     def _check_length(self, length: int, path: str) -> None:
         if length == 0:
@@ -95,10 +96,14 @@
             raise CallError(CallErrorCode.TOO_MANY_ITEMS, detail, path)
 
 
-def _names(body: Any) -> list[RequestName]:
-    """Return each name once, in the order of the body."""
-    names = (RequestName(e["workspace"], e["request"]) for e in body["requests"])
-    return list(dict.fromkeys(names))
+def _names_in(tasks: list[TaskDocument]) -> Iterator[str]:
+    """Yield the names that tasks of the right shape hold."""
+    for task in tasks:
+        yield task["request"]
+        yield task["workspace"]
+        yield task["queue"]
+        if "team" in task:
+            yield task["team"]
 
 
 def _faults_of_items(values: list[Any], single: bool) -> list[CallFault]:
@@ -106,7 +111,7 @@
     faults: list[CallFault] = []
     bad_items = 0
     for index, value in enumerate(values):
-        if _TASK.convert(value) is not None:
+        if _TASK.is_good(value) and names_are_good(_names_in([value])):
             continue
         faults.extend(_TASK.faults(value, _parts(index, single)))
         bad_items += 1
--- a/packages/savorylead-daemon/savorylead_daemon/callers/_encoding.py
+++ b/packages/savorylead-daemon/savorylead_daemon/callers/_encoding.py
@@ -38,7 +38,14 @@
 
 def task_document(task: TaskId) -> dict[str, Any]:
     """Return the JSON form of an id; "id" is its text."""
-    return {"id": str(task), **task._asdict()}
+    team, workspace, request, member = task
+    return {
+        "id": str(task),
+        "team": team,
+        "workspace": workspace,
+        "request": request,
+        "member": member,
+    }
 
 
 def task_view_document(view: TaskView) -> dict[str, Any]:
--- a/packages/savorylead-daemon/savorylead_daemon/callers/_shapes.py
+++ b/packages/savorylead-daemon/savorylead_daemon/callers/_shapes.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Literal, NotRequired, TypedDict
+import re
+from collections.abc import Iterable
+from typing import Annotated, Literal
 
-from msgspec import Meta
+from msgspec import UNSET, Meta, Struct, UnsetType
 
 #: Longest name of a request, in characters.
 MAX_REQUEST_CHARS = 200
@@ -21,31 +23,37 @@
 #: Longest duration, about 30 years.
 MAX_DURATION_S = 1_000_000_000
 
-#: Neither "/", which separates the parts of an id, nor control characters.
-_NAME_PATTERN = r"\A[^/\x00-\x1f\x7f-\x9f\u2028\u2029]*\Z"
+#: "/" separates the parts of an id; the others could forge lines of text.
+_FORBIDDEN = r"/\x00-\x1f\x7f-\x9f\u2028\u2029"
+_FORBIDDEN_CHARACTER = re.compile(f"[{_FORBIDDEN}]")
+#: The schema alone looks at the characters of each name; a good body is searched
+#: as a whole, because one search costs less than a match for each name.
+_NAME_SCHEMA = {"pattern": rf"\A[^{_FORBIDDEN}]*\Z"}
 
 RequestText = Annotated[
-    str, Meta(min_length=1, max_length=MAX_REQUEST_CHARS, pattern=_NAME_PATTERN)
+    str,
+    Meta(min_length=1, max_length=MAX_REQUEST_CHARS, extra_json_schema=_NAME_SCHEMA),
 ]
 NameText = Annotated[
-    str, Meta(min_length=1, max_length=MAX_NAME_CHARS, pattern=_NAME_PATTERN)
+    str,
+    Meta(min_length=1, max_length=MAX_NAME_CHARS, extra_json_schema=_NAME_SCHEMA),
 ]
 _Amount = Annotated[int, Meta(ge=0, le=MAX_AMOUNT)]
 _Cores = Annotated[float, Meta(ge=0, le=MAX_AMOUNT)]
 _Duration = Annotated[float, Meta(ge=0, le=MAX_DURATION_S)]
 
 
-class ResourcesBody(TypedDict):
+class ResourcesBody(Struct, forbid_unknown_fields=True):
     """What a task asks for; a dimension that is left out is zero."""
 
-    cores: NotRequired[_Cores]
-    memory_mb: NotRequired[_Amount]
-    accelerators: NotRequired[_Amount]
-    slots: NotRequired[_Amount]
-    connections: NotRequired[_Amount]
+    cores: _Cores | UnsetType = UNSET
+    memory_mb: _Amount | UnsetType = UNSET
+    accelerators: _Amount | UnsetType = UNSET
+    slots: _Amount | UnsetType = UNSET
+    connections: _Amount | UnsetType = UNSET
 
 
-class TaskBody(TypedDict):
+class TaskBody(Struct, forbid_unknown_fields=True):
     """One task; see savorylead_daemon.services.TaskDocument."""
 
     request: RequestText
@@ -53,30 +61,35 @@
     queue: NameText
     kind: Literal["service", "batch", "all_at_once"]
     resources: ResourcesBody
-    team: NotRequired[NameText]
-    repeatable: NotRequired[bool]
-    urgent: NotRequired[bool]
-    run_time_s: NotRequired[_Duration]
-    start_within_s: NotRequired[_Duration]
-    members: NotRequired[Annotated[int, Meta(ge=1, le=MAX_MEMBERS)]]
-    payload: NotRequired[Annotated[str, Meta(max_length=MAX_PAYLOAD_CHARS)]]
+    team: NameText | UnsetType = UNSET
+    repeatable: bool | UnsetType = UNSET
+    urgent: bool | UnsetType = UNSET
+    run_time_s: _Duration | UnsetType = UNSET
+    start_within_s: _Duration | UnsetType = UNSET
+    members: Annotated[int, Meta(ge=1, le=MAX_MEMBERS)] | UnsetType = UNSET
+    payload: Annotated[str, Meta(max_length=MAX_PAYLOAD_CHARS)] | UnsetType = UNSET
 
 
-class RequestNameBody(TypedDict):
+class RequestNameBody(Struct, forbid_unknown_fields=True):
     """Names a task within the team of the key."""
 
     workspace: NameText
     request: RequestText
 
 
-class AnswersBody(TypedDict):
+class AnswersBody(Struct, forbid_unknown_fields=True):
     """Asks for tasks and, if wanted, waits for an outcome."""
 
     requests: list[RequestNameBody]
-    wait_s: NotRequired[_Duration]
+    wait_s: _Duration | UnsetType = UNSET
 
 
-class CancelBody(TypedDict):
+class CancelBody(Struct, forbid_unknown_fields=True):
     """Names the tasks to cancel."""
 
     requests: list[RequestNameBody]
+
+
+def names_are_good(names: Iterable[str]) -> bool:
+    """Return whether no name has a character that names must not have."""
+    return _FORBIDDEN_CHARACTER.search(" ".join(names)) is None
--- a/packages/savorylead-daemon/savorylead_daemon/callers/tests/test_submit.py
+++ b/packages/savorylead-daemon/savorylead_daemon/callers/tests/test_submit.py
@@ -2,6 +2,7 @@
 
 import typing
 
+import msgspec
 import pytest
 from twisted.internet.defer import Deferred
 
@@ -33,14 +34,15 @@
 
 
 def test_the_bounds_cover_every_field_of_a_task():
-    assert TaskBody.__annotations__.keys() == TaskDocument.__annotations__.keys()
-    assert optional_fields(TaskBody) == optional_fields(TaskDocument)
-
-
-def optional_fields(shape):
-    hints = typing.get_type_hints(shape, include_extras=True)
-    origins = {name: typing.get_origin(hint) for name, hint in hints.items()}
-    return {name for name, origin in origins.items() if origin is typing.NotRequired}
+    hints = typing.get_type_hints(TaskDocument, include_extras=True)
+    needed = {
+        name
+        for name, hint in hints.items()
+        if typing.get_origin(hint) is not typing.NotRequired
+    }
+    fields = msgspec.structs.fields(TaskBody)
+    assert {field.name for field in fields} == hints.keys()
+    assert {field.name for field in fields if field.required} == needed
 
 
 def test_one_task_is_admitted():
--- a/packages/savorylead-daemon/savorylead_daemon/operators/_routes.py
+++ b/packages/savorylead-daemon/savorylead_daemon/operators/_routes.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Coroutine, Sequence
-from typing import Annotated, Any, NamedTuple, TypedDict, TypeVar
+from typing import Annotated, Any, NamedTuple, TypeVar
 
-from msgspec import Meta
+from msgspec import Meta, Struct
 
 from savorylead.journal import Phase
 from savorylead.outcomes import Refusal
@@ -18,10 +18,10 @@
     CallError,
     CallErrorCode,
     CallFault,
-    CheckedDecoder,
     Parameters,
     RetryAfter,
     Route,
+    ShapeChecker,
     call_error_response,
     decode_json,
     raise_faults,
@@ -45,7 +45,7 @@
 MAX_PAGE_TASKS = 1_000
 
 
-class ApplyBody(TypedDict):
+class ApplyBody(Struct, forbid_unknown_fields=True):
     """A whole configuration and the revision that it replaces."""
 
     #: Checked by the service, which knows the rules of a configuration.
@@ -53,7 +53,7 @@
     expected_revision: Annotated[int, Meta(ge=0)]
 
 
-_APPLY = CheckedDecoder(ApplyBody)
+_APPLY = ShapeChecker(ApplyBody)
 
 
 def operator_routes(
@@ -100,10 +100,9 @@
     async def apply(self, request: JsonRequest) -> JsonResponse:
         """Replace the configuration if its revision is the expected one."""
         key = read_key(request)
-        value = decode_json(request.body)
-        body = _APPLY.convert(value)
-        if body is None:
-            raise_faults(_APPLY.faults(value))
+        body = decode_json(request.body)
+        if not _APPLY.is_good(body):
+            raise_faults(_APPLY.faults(body))
         applying = self._service.apply_config(
             key, body["document"], body["expected_revision"]
         )
--- a/packages/savorylead-daemon/savorylead_daemon/routing/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/routing/__init__.py
@@ -2,13 +2,6 @@
 
 from ._admission import AdmissionGate
 from ._authorization import read_key
-from ._checked_decoder import (
-    MAX_FAULTS,
-    MAX_FAULTY_ITEMS,
-    CheckedDecoder,
-    decode_json,
-    raise_faults,
-)
 from ._errors import (
     CallError,
     CallErrorCode,
@@ -19,6 +12,13 @@
 from ._parameters import Parameters
 from ._retry_after import RetryAfter
 from ._router import Route, Router
+from ._shape_checker import (
+    MAX_FAULTS,
+    MAX_FAULTY_ITEMS,
+    ShapeChecker,
+    decode_json,
+    raise_faults,
+)
 from ._shield import shielded
 
 __all__ = [
@@ -28,11 +28,11 @@
     "CallError",
     "CallErrorCode",
     "CallFault",
-    "CheckedDecoder",
     "Parameters",
     "RetryAfter",
     "Route",
     "Router",
+    "ShapeChecker",
     "call_error_response",
     "decode_json",
     "raise_faults",
--- a/packages/savorylead-daemon/savorylead_daemon/routing/_checked_decoder.py
+++ b/packages/savorylead-daemon/savorylead_daemon/routing/_shape_checker.py
@@ -1,4 +1,4 @@
-"""Decodes a JSON value into a typed one, or lists its faults."""
+"""Checks decoded JSON, and lists the faults of what is bad."""
 
 from __future__ import annotations
 
@@ -47,8 +47,8 @@
     raise CallError(code, first.detail, first.path, more)
 
 
-class CheckedDecoder:
-    """Checks values against one of the shapes.
+class ShapeChecker:
+    """Checks decoded JSON against a type of msgspec whose objects are closed.
 
     A good value is checked by msgspec alone. Only a bad one goes through
     jsonschema, with the schema that msgspec derives from the same type.
@@ -57,35 +57,34 @@
     def __init__(self, shape: Any) -> None:
         self._shape = shape
 
-    def convert(self, value: Any) -> Any | None:
-        """Return the typed value, or None if it is bad."""
+    def is_good(self, value: Any) -> bool:
+        """Return whether a value has the shape."""
         try:
-            typed = msgspec.convert(value, self._shape)
+            msgspec.convert(value, self._shape)
         except msgspec.ValidationError:
-            return None
-        # A TypedDict drops fields that it doesn't know, so they show as missing.
-        if not _same_fields(value, typed):
-            return None
-        return typed
+            return False
+        return True
 
     def faults(self, value: Any, parts: Sequence[str | int] = ()) -> list[CallFault]:
         """Return what is wrong with a value that stands at ``parts`` of the body."""
-        faults = []
+        faults: list[CallFault] = []
         for error in self._validator.iter_errors(value):
             faults.extend(_faults_of(error, parts))
             if len(faults) >= MAX_FAULTS:
                 break
-        if not faults and self.convert(value) is None:
-            faults.append(self._remaining_fault(value, parts))
+        if not faults:
+            faults = self._remaining_faults(value, parts)
         return sorted(set(faults), key=lambda fault: (fault.path, fault.code))
 
-    def _remaining_fault(self, value: Any, parts: Sequence[str | int]) -> CallFault:
-        """Return what msgspec objects to, should the schema not find it."""
+    def _remaining_faults(
+        self, value: Any, parts: Sequence[str | int]
+    ) -> list[CallFault]:
+        """Return what msgspec objects to and the schema does not find."""
         try:
             msgspec.convert(value, self._shape)
         except msgspec.ValidationError as exc:
-            return CallFault(CallErrorCode.WRONG_TYPE, json_path(*parts), str(exc))
-        return CallFault(CallErrorCode.UNKNOWN_FIELD, json_path(*parts), "")
+            return [CallFault(CallErrorCode.WRONG_TYPE, json_path(*parts), str(exc))]
+        return []
 
     @cached_property
     def _validator(self) -> Validator:
@@ -95,22 +94,7 @@
 
         types = Draft202012Validator.TYPE_CHECKER.redefine("integer", _is_integer)
         strict = extend(Draft202012Validator, type_checker=types)
-        return strict(_closed(msgspec.json.schema(self._shape)))
-
-
-def _same_fields(value: Any, typed: Any) -> bool:
-    """Return whether no field of an object was dropped, at any depth."""
-    if isinstance(value, dict):
-        if len(value) != len(typed):
-            return False
-        return all(
-            _same_fields(each, typed[name])
-            for name, each in value.items()
-            if isinstance(each, dict | list)
-        )
-    if isinstance(value, list):
-        return all(map(_same_fields, value, typed))
-    return True
+        return strict(msgspec.json.schema(self._shape))
 
 
 def _is_integer(_: Any, value: Any) -> bool:
@@ -118,18 +102,6 @@
     return isinstance(value, int) and not isinstance(value, bool)
 
 
-def _closed(schema: Any) -> Any:
-    """Return the schema with every object closed to unknown fields."""
-    if isinstance(schema, dict):
-        closed = {name: _closed(part) for name, part in schema.items()}
-        if "properties" in schema:
-            closed["additionalProperties"] = False
-        return closed
-    if isinstance(schema, list):
-        return [_closed(part) for part in schema]
-    return schema
-
-
 def _faults_of(error: Any, parts: Sequence[str | int]) -> Iterable[CallFault]:
     code = _CODES.get(error.validator, CallErrorCode.OUT_OF_RANGE)
     place = [*parts, *error.absolute_path]
