Wait longer at each attempt, and show that the tests of links can fail

Every attempt of an idempotent call waited equally long, so an end that answers in 1.8 s was never heard through attempts of 1 s, however long the call's deadline; now each attempt waits twice as long as the one before.

One row found that a budget of 0.1 tokens per success needed eleven successes for a retry, because ten times 0.1 is less than 1 in binary fractions; tokens are now whole millionths.

--- a/packages/savorylead-daemon/savorylead_daemon/http/_http_store.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/_http_store.py
@@ -38,10 +38,11 @@
 class StoreTimeouts(NamedTuple):
     """Longest waits of a store's caller."""
 
-    read: timedelta = timedelta(seconds=2)
+    #: Enough for a second attempt that waits twice as long as the first.
+    read: timedelta = timedelta(seconds=3)
     #: A write is sent once, so this is also how long its fate may be unclear.
     write: timedelta = timedelta(seconds=1)
-    lease: timedelta = timedelta(seconds=2)
+    lease: timedelta = timedelta(seconds=3)
 
 
 class HttpStore(Store):
--- a/packages/savorylead-standins/savorylead_standins/links/__init__.py
+++ b/packages/savorylead-standins/savorylead_standins/links/__init__.py
@@ -1,5 +1,13 @@
-"""A stand-in of the network below a link."""
+"""A stand-in of the network below a link, and a link over it."""
 
+from ._link_rig import READ, WRITE, LinkRig
 from ._memory_transport import ConnectionFate, MemoryConnection, MemoryTransport
 
-__all__ = ["ConnectionFate", "MemoryConnection", "MemoryTransport"]
+__all__ = [
+    "READ",
+    "WRITE",
+    "ConnectionFate",
+    "LinkRig",
+    "MemoryConnection",
+    "MemoryTransport",
+]
--- a/packages/savorylead/savorylead/links/_connection_pool.py
+++ b/packages/savorylead/savorylead/links/_connection_pool.py
@@ -85,9 +85,6 @@
 
     def release(self, conn: Connection) -> None:
         """Take a connection back, on which a reply was heard just now."""
-        if self._closed or conn.is_closed():
-            self.discard(conn)
-            return
         self._busy.discard(conn)
         self._idle.append(_Idle(conn, self._clock.now()))
         self._wake_waiting()
--- a/packages/savorylead/savorylead/links/_resilient_link.py
+++ b/packages/savorylead/savorylead/links/_resilient_link.py
@@ -70,7 +70,7 @@
         attempt = 1
         while True:
             try:
-                reply = await self._attempt(request, deadline)
+                reply = await self._attempt(request, attempt, deadline)
             except LinkError as exc:
                 sent = sent or exc.sent
                 backoff = backoff or self._new_backoff()
@@ -99,14 +99,17 @@
             self._rng, settings.backoff_base, settings.backoff_cap
         )
 
-    async def _attempt(self, request: LinkRequest, deadline: Deadline) -> LinkReply:
+    async def _attempt(
+        self, request: LinkRequest, attempt: int, deadline: Deadline
+    ) -> LinkReply:
         conn = await self._pool.acquire(deadline)
         limit = deadline.remaining(self._clock)
         if limit == _NO_TIME:
             self._pool.release(conn)
             raise LinkTimeoutError("no connection in time", sent=False)
         if request.idempotent:
-            limit = min(limit, self._settings.attempt_timeout)
+            # Doubled each time, so that a slow answer comes in the end.
+            limit = min(limit, self._settings.attempt_timeout * 2 ** (attempt - 1))
         return await self._call_on(conn, request, limit)
 
     async def _call_on(
--- a/packages/savorylead/savorylead/links/_retry_budget.py
+++ b/packages/savorylead/savorylead/links/_retry_budget.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+#: Tokens are counted in whole millionths: sums of fractions would fall short.
+_TOKEN = 1_000_000
+
 
 class RetryBudget:
     """A token bucket that successes fill and retries empty.
@@ -14,9 +17,9 @@
     def __init__(self, share: float, burst: float) -> None:
         if share < 0 or burst < 0:
             raise ValueError("share and burst must not be negative")
-        self._share = share
-        self._burst = burst
-        self._tokens = burst
+        self._share = round(share * _TOKEN)
+        self._burst = round(burst * _TOKEN)
+        self._tokens = self._burst
         #: Retries that were allowed.
         self.spent = 0
         #: Retries that were refused.
@@ -25,7 +28,7 @@
     @property
     def tokens(self) -> float:
         """How many retries are allowed now."""
-        return self._tokens
+        return self._tokens / _TOKEN
 
     def earn(self) -> None:
         """Note one success."""
@@ -33,9 +36,9 @@
 
     def try_spend(self) -> bool:
         """Return whether one retry is allowed, and take its token if so."""
-        if self._tokens < 1:
+        if self._tokens < _TOKEN:
             self.refused += 1
             return False
-        self._tokens -= 1
+        self._tokens -= _TOKEN
         self.spent += 1
         return True
--- a/packages/savorylead/savorylead/links/_settings.py
+++ b/packages/savorylead/savorylead/links/_settings.py
@@ -11,8 +11,9 @@
 
     #: Longest wait for a new connection.
     connect_timeout: timedelta = timedelta(seconds=1)
-    #: Longest wait for the reply to one attempt of an idempotent call. A call that
-    #: may not be repeated waits until its own deadline.
+    #: Longest wait for the reply to the first attempt of an idempotent call; each
+    #: further attempt waits twice as long. A call that may not be repeated waits
+    #: until its own deadline.
     attempt_timeout: timedelta = timedelta(seconds=1)
     #: Attempts of one call, the first included.
     max_attempts: int = 3
