--- a/packages/savorylead-ctl/savorylead_ctl/tests/test_main.py
+++ b/packages/savorylead-ctl/savorylead_ctl/tests/test_main.py
@@ -585,6 +585,15 @@
     assert "damaged_answer" in err
 
 
+def test_a_result_that_was_altered_on_its_way_is_not_shown(ctl, server):
+    submit(server, "a")
+    server.gateway.callers.end(TaskId("dispatch", "tours", "a"), "route 7")
+    server.alter = lambda body: body.replace(b"route 7", b"route 8")
+    code, out, err = ctl("tasks", "show", "tours/a", key=DISPATCH_KEY)
+    assert (code, out) == (ExitCode.REFUSED, "")
+    assert "damaged_answer" in err
+
+
 def test_control_characters_of_a_result_do_not_reach_the_terminal(ctl, server):
     submit(server, "a")
     result = "\x1b[2Jgone\nTASK  forged"
--- a/packages/savorylead-standins/savorylead_standins/services/_loopback_gateway.py
+++ b/packages/savorylead-standins/savorylead_standins/services/_loopback_gateway.py
@@ -4,6 +4,7 @@
 
 import enum
 import threading
+from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, HTTPServer
 from types import TracebackType
 from typing import Any
@@ -40,6 +41,8 @@
         self.faults: dict[tuple[str, str], ReplyFault] = {}
         #: Every call that was received, as (method, path).
         self.calls: list[tuple[str, str]] = []
+        #: Changes the body of every reply on its way.
+        self.alter: Callable[[bytes], bytes] = bytes
         self._server = HTTPServer(("127.0.0.1", 0), self._handler_class())
         self._thread = threading.Thread(
             target=self._server.serve_forever, args=(POLL_S,), daemon=True
@@ -88,7 +91,7 @@
         fault = self.faults.get(call)
         if fault is ReplyFault.LOST:
             return
-        content = reply.body
+        content = self.alter(reply.body)
         if fault is ReplyFault.NOT_JSON:
             content = b"<html>Bad gateway</html>"
         request.send_response(reply.status)
