Keep upper limits by escrowed grants

One record per team divides the limit among the shards; a lead starts work only within its shard's grant.

A write whose reply is missing may land late, so the smaller amount counts until a newer revision was read. A new lead claims the record before it counts on the grant, which makes late writes of its predecessor conflict.

Found on the way by the tests: a lowered limit let work start until the next step, and two shards that each gathered half of what one job needs waited for each other; both are mended.

--- a/packages/savorylead/savorylead/contracts/__init__.py
+++ b/packages/savorylead/savorylead/contracts/__init__.py
@@ -1,6 +1,9 @@
 """What teams and the cell promise each other: identities, limits and shares."""
 
+from ._escrowed_limit import EscrowedLimit
+from ._escrowed_limits import EscrowedLimits
 from ._identity import TaskId
+from ._limit_record import LimitRecord, ShardGrant
 from ._task import TaskKind, TaskSpec
 from ._team_limits import (
     UNLIMITED,
@@ -11,6 +14,10 @@
 )
 
 __all__ = [
+    "EscrowedLimit",
+    "EscrowedLimits",
+    "LimitRecord",
+    "ShardGrant",
     "UNLIMITED",
     "UNLIMITED_RESOURCES",
     "GrantHolder",
--- /dev/null
+++ b/packages/savorylead/savorylead/contracts/_escrowed_limits.py
@@ -0,0 +1,268 @@
+"""The upper limits of all teams as one shard's lead holds them."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Mapping
+
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import Clock, to_millis
+from savorylead.resources import ZERO, Resources
+from savorylead.store import Snapshot, Store, StoreError, Watch
+
+from ._escrowed_limit import EscrowedLimit
+from ._limit_policy import GrantView, choose_grant
+from ._limit_record import LIMITS_PREFIX, WANTS_PREFIX
+from ._limit_wants import WantBoard
+from ._limited_team import LimitedTeam
+from ._team_limits import GrantHolder, TeamLimits
+from ._write_budget import WriteBudget
+
+#: How often the wants of all teams are read, with one call.
+WANT_POLL_MS = 2_000
+#: How often all records are read while this shard lacks something.
+RECORD_POLL_MS = 4_000
+#: Store writes a second for all teams of the shard, on average.
+WRITES_PER_S = 6.0
+#: Store writes that may be made at once, as after a takeover.
+WRITE_BURST = 48
+#: Attempts to write one grant in a row when other shards write the same record.
+MAX_CONFLICTS = 4
+
+
+class EscrowedLimits(TeamLimits):
+    """Escrow in the store: one record per team divides its limit among shards.
+
+    Safe whatever the store, the other leads and former leads of the shard do, as
+    long as ``holder.held`` is true and the journal lets one lead start tasks at a
+    time. Store calls: one list of wants every WANT_POLL_MS, one list of records
+    every RECORD_POLL_MS while something is lacking, and at most WRITES_PER_S
+    writes on average.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        rng: random.Random,
+        holder: GrantHolder,
+        shard: str,
+        epoch: int,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._holder = holder
+        self._shard = shard
+        self._epoch = epoch
+        self._teams: dict[str, LimitedTeam] = {}
+        self._config_revision = 0
+        self._wants = WantBoard(store, shard, epoch)
+        self._wants_read_at_ms = 0
+        self._records_read_at_ms = 0
+        self._wants_are_stale = True
+        self._budget = WriteBudget(WRITES_PER_S, WRITE_BURST, self._now_ms())
+        self._failed = False
+        self._next_team = 0
+        # Leads that start together do not read together.
+        self._poll_jitter_ms = rng.randrange(WANT_POLL_MS // 2)
+        self._closed = False
+        self._watches: list[Watch] = [
+            store.watch(LIMITS_PREFIX, self._on_record_hint),
+            store.watch(WANTS_PREFIX, self._on_want_hint),
+        ]
+        #: Store calls and their failures by kind, for metrics.
+        self.counters: Counter[str] = Counter()
+
+    def set_limits(self, config_revision: int, limits: Mapping[str, Resources]) -> None:
+        """Use the limits of a configuration; older revisions are ignored."""
+        if config_revision <= self._config_revision:
+            return
+        self._config_revision = config_revision
+        for team in {*limits, *self._teams}:
+            state = self._state(team)
+            state.limit.set_limit(config_revision, limits.get(team, ZERO))
+            # A lowered limit lets nothing start from now on, before any write.
+            state.limit.set_cap(choose_grant(self._view(team, state)).cap)
+
+    def set_demand(self, team: str, wanted: Resources) -> None:
+        """Tell what the team's waiting tasks ask for in all, beyond what is held."""
+        state = self._state(team)
+        grew = not wanted.fits(state.wanted)
+        state.wanted = wanted
+        if not grew or state.limit.busy or state.refused_since_ms:
+            return
+        if self._holder.held(team).plus(wanted).fits(state.limit.usable):
+            return
+        Deferred.fromCoroutine(self._step_team(team, state))
+
+    def grant(self, team: str) -> Resources:
+        """Return the most that the team may hold in this shard; zero if unknown."""
+        state = self._teams.get(team)
+        return ZERO if state is None else state.limit.usable
+
+    def excess(self, team: str) -> Resources:
+        """Return what should be checkpointed or stopped because a limit sank."""
+        state = self._teams.get(team)
+        if state is None:
+            return ZERO
+        return state.excess(self._holder.held(team))
+
+    async def step(self) -> None:
+        """Do what is due; to be called once a second, one call at a time."""
+        self._failed = False
+        await self._read_wants()
+        await self._read_records()
+        teams = list(self._teams.items())
+        for offset in range(len(teams)):
+            if self._closed or self._failed:
+                # A store that fails would hold up every team in turn.
+                self._next_team += offset
+                return
+            team, state = teams[(self._next_team + offset) % len(teams)]
+            await self._step_team(team, state)
+
+    def close(self) -> None:
+        """Write nothing any more and make no further callbacks."""
+        self._closed = True
+        for watch in self._watches:
+            watch.cancel()
+        self._watches = []
+
+    def _state(self, team: str) -> LimitedTeam:
+        state = self._teams.get(team)
+        if state is None:
+            limit = EscrowedLimit(
+                self._store,
+                team,
+                self._shard,
+                self._epoch,
+                lambda usable: self._tell_holder(team, usable),
+            )
+            state = self._teams[team] = LimitedTeam(limit, self._shard)
+        return state
+
+    def _tell_holder(self, team: str, usable: Resources) -> None:
+        if not self._closed:
+            self._holder.grant_changed(team, usable)
+
+    def _on_record_hint(self, key: str) -> None:
+        state = self._teams.get(key.removeprefix(LIMITS_PREFIX))
+        if state is not None:
+            state.is_stale = True
+
+    def _on_want_hint(self, key: str) -> None:
+        if not key.endswith(f"/{self._shard}"):
+            self._wants_are_stale = True
+
+    def _now_ms(self) -> int:
+        return to_millis(self._clock.now())
+
+    async def _read_wants(self) -> None:
+        """Read all wants when a poll is due or a watch told of a change."""
+        now_ms = self._now_ms()
+        due_at_ms = self._wants_read_at_ms + WANT_POLL_MS
+        if not self._wants_are_stale and now_ms < due_at_ms:
+            return
+        self._wants_read_at_ms = now_ms + self._poll_jitter_ms
+        self._poll_jitter_ms = 0
+        self._wants_are_stale = False
+        self.counters["list_wants"] += 1
+        try:
+            await self._wants.read(now_ms)
+        except StoreError as exc:
+            self._count_failure(exc)
+
+    async def _read_records(self) -> None:
+        """Read all records at once while some of them may have changed in vain."""
+        now_ms = self._now_ms()
+        if now_ms < self._records_read_at_ms + RECORD_POLL_MS:
+            return
+        if self._records_read_at_ms and not any(
+            state.refused_since_ms or state.exceeded_since_ms
+            for state in self._teams.values()
+        ):
+            return
+        self.counters["list_records"] += 1
+        try:
+            self._adopt_records(await self._store.list(LIMITS_PREFIX))
+        except StoreError as exc:
+            self._count_failure(exc)
+        else:
+            self._records_read_at_ms = now_ms
+
+    def _adopt_records(self, snapshot: Snapshot) -> None:
+        for item in snapshot.items:
+            team = item.key.removeprefix(LIMITS_PREFIX)
+            self._state(team).limit.adopt(item)
+
+    async def _step_team(self, team: str, state: LimitedTeam) -> None:
+        """Bring one team's grant and want up to date."""
+        if state.limit.busy or state.limit.deposed:
+            return
+        if state.limit.in_doubt or (state.is_stale and state.refused_since_ms):
+            state.is_stale = False
+            if not await self._refresh(state):
+                return
+        await self._attempt(team, state)
+        if not self._failed:
+            await self._write_want(team, state)
+
+    async def _refresh(self, state: LimitedTeam) -> bool:
+        self.counters["get_record"] += 1
+        try:
+            await state.limit.refresh()
+        except StoreError as exc:
+            self._count_failure(exc)
+            return False
+        return True
+
+    async def _attempt(self, team: str, state: LimitedTeam) -> None:
+        """Decide on a team's grant and write it if it should change."""
+        for _ in range(MAX_CONFLICTS):
+            if self._closed or state.limit.busy or state.limit.deposed:
+                return
+            view = state.with_idle(self._view(team, state))
+            choice = choose_grant(view)
+            state.limit.set_cap(choice.cap)
+            settle = state.waited_for_trims(view)
+            if not state.needs_write(view, choice, settle):
+                return
+            if not self._budget.try_take(view.now_ms):
+                return
+            self.counters["write_grant"] += 1
+            try:
+                if await state.limit.write(choice, view.held, settle):
+                    return
+            except StoreError as exc:
+                self._count_failure(exc)
+                return
+            self.counters["grant_conflict"] += 1
+
+    def _view(self, team: str, state: LimitedTeam) -> GrantView:
+        now_ms = self._now_ms()
+        held = self._holder.held(team)
+        return state.view(held, self._wants.others(team, now_ms), now_ms)
+
+    async def _write_want(self, team: str, state: LimitedTeam) -> None:
+        """Tell the other shards what is lacking here, or that nothing is."""
+        if self._closed or state.limit.deposed:
+            return
+        view = self._view(team, state)
+        state.note_refusal(view)
+        lacking = state.lacking(view)
+        if not self._wants.is_due(team, lacking, view.now_ms):
+            return
+        if not self._budget.try_take(view.now_ms):
+            return
+        self.counters["write_want"] += 1
+        since_ms = view.stuck_since_ms
+        try:
+            await self._wants.write(team, lacking, since_ms, view.now_ms)
+        except StoreError as exc:
+            self._count_failure(exc)
+
+    def _count_failure(self, exc: StoreError) -> None:
+        self._failed = True
+        self.counters[type(exc).__name__] += 1
--- /dev/null
+++ b/packages/savorylead/savorylead/contracts/_limit_wants.py
@@ -0,0 +1,129 @@
+"""What shards were refused, so that others give back what they leave idle."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from savorylead.resources import Resources
+from savorylead.store import ABSENT, KeyValue, Snapshot, Store, SwapConflict
+
+from ._limit_record import (
+    WANTS_PREFIX,
+    Want,
+    decode_want,
+    encode_record,
+    team_and_shard,
+    want_key,
+)
+
+#: A want that has not been written again for so long is ignored: its shard has
+#: no lead, or its lead cannot reach the store.
+WANT_TTL_MS = 45_000
+#: How often a want that stays is written again.
+WANT_REFRESH_MS = 15_000
+
+
+class _SeenWant(NamedTuple):
+    """A want of another shard and when this lead first saw that revision."""
+
+    want: Want
+    revision: int
+    seen_at_ms: int
+
+
+class _OwnWant(NamedTuple):
+    """The want of this shard as last written."""
+
+    amount: Resources
+    revision: int
+    written_at_ms: int
+
+
+class WantBoard:
+    """Reads the wants of all shards and writes those of one shard.
+
+    Wants only decide who gives back sooner. A wrong or late one costs time, never
+    a limit, so a failed write is left as it is until the next refresh.
+    """
+
+    def __init__(self, store: Store, shard: str, epoch: int) -> None:
+        self._store = store
+        self._shard = shard
+        self._epoch = epoch
+        self._seen: dict[str, dict[str, _SeenWant]] = {}
+        self._own: dict[str, _OwnWant] = {}
+
+    async def read(self, now_ms: int) -> None:
+        """Read the wants of all teams with one call; raises StoreError."""
+        self.adopt(await self._store.list(WANTS_PREFIX), now_ms)
+
+    def adopt(self, snapshot: Snapshot, now_ms: int) -> None:
+        """Take over all wants as they were read together."""
+        seen: dict[str, dict[str, _SeenWant]] = {}
+        for item in snapshot.items:
+            team, shard = team_and_shard(item.key)
+            if shard == self._shard:
+                self._adopt_own(team, item)
+                continue
+            before = self._seen.get(team, {}).get(shard)
+            if before is None or before.revision != item.revision:
+                before = _SeenWant(decode_want(item.value), item.revision, now_ms)
+            seen.setdefault(team, {})[shard] = before
+        self._seen = seen
+
+    def others(self, team: str, now_ms: int) -> dict[str, Want]:
+        """Return the live wants of other shards, by shard."""
+        return {
+            shard: seen.want
+            for shard, seen in self._seen.get(team, {}).items()
+            if now_ms - seen.seen_at_ms < WANT_TTL_MS
+        }
+
+    def teams(self) -> set[str]:
+        """Return the teams for which another shard wants something."""
+        return set(self._seen)
+
+    def is_due(self, team: str, amount: Resources, now_ms: int) -> bool:
+        """Return whether the own want should be written or deleted now."""
+        own = self._own.get(team)
+        if not any(amount):
+            return own is not None
+        if own is None or now_ms - own.written_at_ms >= WANT_REFRESH_MS:
+            return True
+        return any(
+            new > 2 * old or 2 * new < old
+            for new, old in zip(amount, own.amount, strict=True)
+        )
+
+    async def write(
+        self, team: str, amount: Resources, since_ms: int, now_ms: int
+    ) -> None:
+        """Write the own want, or delete it if ``amount`` is zero.
+
+        Raises StoreError.
+        """
+        own = self._own.get(team)
+        expected = ABSENT if own is None else own.revision
+        value = None
+        if any(amount):
+            value = encode_record(Want(amount, since_ms, self._epoch))
+        reply = await self._store.swap(want_key(team, self._shard), value, expected)
+        if isinstance(reply, SwapConflict):
+            self._adopt_conflict(team, reply.current)
+        elif value is None:
+            self._own.pop(team, None)
+        else:
+            self._own[team] = _OwnWant(amount, reply.revision, now_ms)
+
+    def _adopt_conflict(self, team: str, current: KeyValue | None) -> None:
+        if current is None:
+            self._own.pop(team, None)
+        else:
+            self._adopt_own(team, current)
+
+    def _adopt_own(self, team: str, item: KeyValue) -> None:
+        own = self._own.get(team)
+        if own is None or item.revision > own.revision:
+            # Due at once: an earlier lead, or a write without reply, left it.
+            amount = decode_want(item.value).amount
+            self._own[team] = _OwnWant(amount, item.revision, -WANT_REFRESH_MS)
--- /dev/null
+++ b/packages/savorylead/savorylead/contracts/_write_budget.py
@@ -0,0 +1,23 @@
+"""Bounds the store writes of one lead."""
+
+from __future__ import annotations
+
+
+class WriteBudget:
+    """A token bucket: writes are earned steadily and may be made in bursts."""
+
+    def __init__(self, rate_per_s: float, burst: int, now_ms: int) -> None:
+        self._rate_per_s = rate_per_s
+        self._burst = float(burst)
+        self._tokens = float(burst)
+        self._filled_at_ms = now_ms
+
+    def try_take(self, now_ms: int) -> bool:
+        """Take one write; False if none is left now."""
+        earned = (now_ms - self._filled_at_ms) / 1000 * self._rate_per_s
+        self._tokens = min(self._burst, self._tokens + earned)
+        self._filled_at_ms = now_ms
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
