Bound what clients may make a daemon hold

Cause: Twisted's idle timeout starts anew with every byte, so a client that sends one byte now and then held its connection for ever; connections were unbounded; and each of them could hold a body of 4 MB that was never finished. Change: a request has one deadline as a whole, counted from the answer before it; connections and the bytes of unanswered bodies are bounded for the site as a whole. A body without room is answered with 503 'overloaded'. Answers may take any time. Tests: a byte now and then is cut, room is given back by answers and by clients that leave.

--- a/packages/savorylead-daemon/savorylead_daemon/entrance.py
+++ b/packages/savorylead-daemon/savorylead_daemon/entrance.py
@@ -5,7 +5,7 @@
 import random
 
 from savorylead_daemon.callers import caller_routes
-from savorylead_daemon.http import JsonSite
+from savorylead_daemon.http import ClientLimits, JsonSite
 from savorylead_daemon.observability import Metrics, Readiness
 from savorylead_daemon.operators import operator_routes, probe_routes
 from savorylead_daemon.routing import RetryAfter, Router
@@ -29,5 +29,9 @@
         *operator_routes(operators, metrics, retry_after),
     ]
     router = Router(routes, metrics, retry_after)
-    idle_timeout_s = limits.connection_idle.total_seconds()
-    return JsonSite(router, limits.body_bytes, idle_timeout_s)
+    client_limits = ClientLimits(
+        buffered_bytes=limits.buffered_bytes,
+        connections=limits.connections,
+        request_s=limits.connection_idle.total_seconds(),
+    )
+    return JsonSite(router, limits.body_bytes, client_limits)
--- a/packages/savorylead-daemon/savorylead_daemon/http/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/__init__.py
@@ -12,14 +12,15 @@
     JsonRequest,
     JsonResource,
     JsonResponse,
-    JsonSite,
-    is_body_too_large,
     json_response,
 )
+from ._json_site import BodyFault, ClientLimits, JsonSite, body_fault
 from ._polling_watch import PollingWatch, WatchSettings
 
 __all__ = [
     "PEER_PATH",
+    "BodyFault",
+    "ClientLimits",
     "HttpConnection",
     "HttpEndpoint",
     "HttpError",
@@ -38,7 +39,7 @@
     "StoreTimeouts",
     "WatchSettings",
     "WorkerTimeouts",
-    "is_body_too_large",
+    "body_fault",
     "json_response",
     "peer_resource",
 ]
--- a/packages/savorylead-daemon/savorylead_daemon/http/_json_resource.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/_json_resource.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import functools
-import io
 from collections.abc import Callable, Coroutine, Mapping
 from types import MappingProxyType
 from typing import Any, NamedTuple
@@ -14,12 +12,10 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
 from twisted.web.resource import Resource
-from twisted.web.server import NOT_DONE_YET, Request, Site
+from twisted.web.server import NOT_DONE_YET, Request
+
+from ._json_site import BodyFault, body_fault
 
-#: The largest request body that a site takes unless told otherwise.
-DEFAULT_MAX_BODY_BYTES = 4_000_000
-#: After this long without a request, a connection is closed.
-IDLE_TIMEOUT_S = 90
 _NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 
 
@@ -117,17 +113,15 @@
 
     def refuse(self, request: Request) -> JsonResponse | None:
         """Return the answer to a request that the handler must not see, or None."""
-        if not is_body_too_large(request):
+        fault = body_fault(request)
+        if fault is None:
             return None
+        if fault is BodyFault.NO_ROOM:
+            return HttpError(503, "overloaded", "no room for the body").response()
         error = HttpError(413, "body_too_large", "the body is over the limit")
         return error.response()
 
 
-def is_body_too_large(request: Request) -> bool:
-    """Return whether the body exceeded the site's limit and was dropped."""
-    return getattr(request, "body_too_large", False)
-
-
 class _Exchange:
     """One request whose handler runs."""
 
@@ -165,55 +159,6 @@
             _write(self._request, response)
 
 
-class _LimitedRequest(Request):
-    """Keeps the body in memory and drops what exceeds the site's limit."""
-
-    body_too_large = False
-
-    def __init__(self, max_body_bytes: int, *args: Any, **kwargs: Any) -> None:
-        super().__init__(*args, **kwargs)
-        self._max_body_bytes = max_body_bytes
-        self._room_bytes = max_body_bytes
-
-    def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Prepare for a body of ``length`` bytes, or of unknown length."""
-        super().gotLength(0)
-        self.content = io.BytesIO()
-        self.body_too_large = length is not None and length > self._room_bytes
-
-    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        """Keep a part of the body."""
-        self._room_bytes -= len(data)
-        if self._room_bytes < -self._max_body_bytes:
-            self.channel.forceAbortClient()
-            return
-        if self._room_bytes < 0:
-            self.body_too_large = True
-        if not self.body_too_large:
-            self.content.write(data)
-
-
-class JsonSite(Site):
-    """A listening factory without an access log and with a body limit.
-
-    A request over the limit is answered with 413, and a connection that sends
-    more than twice the limit is cut.
-    """
-
-    def __init__(
-        self,
-        resource: Resource,
-        max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
-        idle_timeout_s: float = IDLE_TIMEOUT_S,
-    ) -> None:
-        factory = functools.partial(_LimitedRequest, max_body_bytes)
-        super().__init__(resource, factory, timeout=idle_timeout_s)
-        self.displayTracebacks = False
-
-    def log(self, request: Request) -> None:
-        """Write no line per request; metrics count them."""
-
-
 def _read(request: Request) -> JsonRequest:
     path, _, query = request.uri.partition(b"?")
     headers = {
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/http/_json_site.py
@@ -0,0 +1,169 @@
+"""A listening factory that bounds what clients may make it hold."""
+
+from __future__ import annotations
+
+import enum
+import functools
+import io
+from typing import Any, NamedTuple
+
+from twisted.internet.interfaces import IAddress
+from twisted.python.failure import Failure
+from twisted.web.http import HTTPChannel
+from twisted.web.resource import Resource
+from twisted.web.server import Request, Site
+
+#: The largest request body that a site takes unless told otherwise.
+DEFAULT_MAX_BODY_BYTES = 4_000_000
+
+
+class ClientLimits(NamedTuple):
+    """What all clients of one site together may take."""
+
+    #: Most bytes of bodies, over all requests that are not yet answered.
+    buffered_bytes: int = 64_000_000
+    #: Most connections; one more is closed at once.
+    connections: int = 8_192
+    #: A request must have arrived whole this long after its connection was opened
+    #: or the answer before it was given. An answer may take any time.
+    request_s: float = 90.0
+
+
+_DEFAULT_LIMITS = ClientLimits()
+
+
+class BodyFault(enum.Enum):
+    """Why the body of a request was dropped."""
+
+    TOO_LARGE = enum.auto()
+    #: The bodies of other requests fill the site's buffers.
+    NO_ROOM = enum.auto()
+
+
+def body_fault(request: Request) -> BodyFault | None:
+    """Return why the body was dropped, or None if it is whole."""
+    return getattr(request, "body_fault", None)
+
+
+class _BoundedRequest(Request):
+    """Keeps the body in memory as far as the site's limits allow."""
+
+    body_fault: BodyFault | None = None
+
+    def __init__(self, max_body_bytes: int, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._max_body_bytes = max_body_bytes
+        self._room_bytes = max_body_bytes
+        self._held_bytes = 0
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Prepare for a body of ``length`` bytes, or of unknown length."""
+        super().gotLength(0)
+        self.content = io.BytesIO()
+        if length is not None and length > self._max_body_bytes:
+            self.body_fault = BodyFault.TOO_LARGE
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Keep a part of the body."""
+        self._room_bytes -= len(data)
+        if self._room_bytes < -self._max_body_bytes:
+            self.channel.forceAbortClient()
+            return
+        if self._room_bytes < 0:
+            self.body_fault = BodyFault.TOO_LARGE
+        if self.body_fault is None and not self.channel.site.hold(len(data)):
+            self.body_fault = BodyFault.NO_ROOM
+        if self.body_fault is not None:
+            self._drop_body()
+            return
+        self._held_bytes += len(data)
+        self.content.write(data)
+
+    def _drop_body(self) -> None:
+        self._release()
+        self.content = io.BytesIO()
+
+    def finish(self) -> None:
+        """End the answer and give the body's room back."""
+        self._release()
+        super().finish()
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """Give the body's room back."""
+        self._release()
+        super().connectionLost(reason)
+
+    def _release(self) -> None:
+        if self._held_bytes:
+            self.channel.site.release(self._held_bytes)
+            self._held_bytes = 0
+
+
+class _BoundedChannel(HTTPChannel):
+    """One connection, whose requests each have one deadline as a whole."""
+
+    def resetTimeout(self) -> None:  # noqa: N802
+        """Do nothing, or a client could hold a connection by sending slowly."""
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """Make room for another connection."""
+        self.site.connection_ended()
+        super().connectionLost(reason)
+
+
+class JsonSite(Site):
+    """A listening factory without an access log and with limits.
+
+    A request over the limit of a body is answered with 413, and a connection that
+    sends more than twice the limit is cut.
+    """
+
+    protocol = _BoundedChannel
+
+    def __init__(
+        self,
+        resource: Resource,
+        max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
+        limits: ClientLimits = _DEFAULT_LIMITS,
+    ) -> None:
+        factory = functools.partial(_BoundedRequest, max_body_bytes)
+        super().__init__(resource, factory, timeout=limits.request_s)
+        self.displayTracebacks = False
+        self._limits = limits
+        self._buffered_bytes = 0
+        self._connections = 0
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of bodies that are held now."""
+        return self._buffered_bytes
+
+    @property
+    def connections(self) -> int:
+        """Connections that are open now."""
+        return self._connections
+
+    def buildProtocol(self, addr: IAddress | None) -> _BoundedChannel | None:  # noqa: N802
+        """Return the protocol of a new connection, or None to close it."""
+        if self._connections >= self._limits.connections:
+            return None
+        self._connections += 1
+        return super().buildProtocol(addr)
+
+    def connection_ended(self) -> None:
+        """Make room for another connection."""
+        self._connections -= 1
+
+    def hold(self, size: int) -> bool:
+        """Take room for a part of a body; False if there is none."""
+        if self._buffered_bytes + size > self._limits.buffered_bytes:
+            return False
+        self._buffered_bytes += size
+        return True
+
+    def release(self, size: int) -> None:
+        """Give room back."""
+        self._buffered_bytes -= size
+
+    def log(self, request: Request) -> None:
+        """Write no line per request; metrics count them."""
--- a/packages/savorylead-daemon/savorylead_daemon/routing/_router.py
+++ b/packages/savorylead-daemon/savorylead_daemon/routing/_router.py
@@ -12,11 +12,12 @@
 
 from savorylead.outcomes import Refusal
 from savorylead_daemon.http import (
+    BodyFault,
     JsonHandler,
     JsonRequest,
     JsonResource,
     JsonResponse,
-    is_body_too_large,
+    body_fault,
 )
 from savorylead_daemon.observability import Metrics
 from savorylead_daemon.services import RefusedError
@@ -123,7 +124,10 @@
 
 
 def _early_error(request: Request) -> CallError | None:
-    if is_body_too_large(request):
+    fault = body_fault(request)
+    if fault is BodyFault.NO_ROOM:
+        return CallError(CallErrorCode.OVERLOADED, "other bodies fill the buffers")
+    if fault is BodyFault.TOO_LARGE:
         return CallError(CallErrorCode.BODY_TOO_LARGE, "the body is over the limit")
     keys = request.requestHeaders.getRawHeaders(b"authorization", [])
     if len(keys) > 1:
--- a/packages/savorylead-daemon/savorylead_daemon/routing/tests/test_router.py
+++ b/packages/savorylead-daemon/savorylead_daemon/routing/tests/test_router.py
@@ -151,6 +151,57 @@
     assert conn.is_cut()
 
 
+def test_a_caller_that_sends_a_byte_now_and_then_is_cut():
+    gateway = MemoryGateway(connection_idle_s=5)
+    conn = gateway.connect()
+    conn.send(b"POST /v1/tasks HTTP/1.1\r\nContent-Length: 100\r\n\r\n")
+    for _ in range(4):
+        conn.time.advance(1)
+        conn.send(b" ")
+    assert not conn.is_cut()
+    conn.time.advance(1.1)
+    assert conn.is_cut()
+
+
+def test_each_request_of_a_connection_has_its_own_deadline():
+    gateway = MemoryGateway(connection_idle_s=5)
+    conn = gateway.connect()
+    for _ in range(4):
+        conn.time.advance(4)
+        assert conn.call("GET", "/healthz").status == 200
+    conn.time.advance(5.1)
+    assert conn.is_cut()
+
+
+def test_connections_are_bounded_and_room_is_given_back():
+    gateway = MemoryGateway(connections=2)
+    conns = [gateway.connect(), gateway.connect()]
+    assert gateway.site.buildProtocol(None) is None
+    conns[0].leave()
+    assert gateway.connect().call("GET", "/healthz").status == 200
+    assert gateway.site.connections == 2
+
+
+def test_bodies_together_are_bounded_and_room_is_given_back():
+    gateway = MemoryGateway(body_bytes=2_000, buffered_bytes=3_000)
+    head = (
+        b"POST /v1/tasks HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer a.b\r\n"
+        b"Content-Length: 2000\r\n\r\n"
+    )
+    slow = [gateway.connect() for _ in range(2)]
+    for conn in slow:
+        conn.send(head + b" " * 1_400)
+    assert gateway.site.buffered_bytes == 2_800
+    refused = gateway.connect().call("POST", "/v1/tasks", b" " * 300, DISPATCH_KEY)
+    assert error_of(refused) == (503, "overloaded", "$")
+    assert int(refused.headers["retry-after"]) >= 1
+    slow[0].leave()
+    assert gateway.site.buffered_bytes == 1_400
+    slow[1].send(b" " * 600)
+    assert error_of(slow[1].replies()[0]) == (400, "bad_json", "$")
+    assert gateway.site.buffered_bytes == 0
+
+
 def test_a_request_that_arrives_byte_by_byte_is_served():
     gateway = MemoryGateway()
     fast, slow = gateway.connect(), gateway.connect()
--- a/packages/savorylead-daemon/savorylead_daemon/settings/_schema.py
+++ b/packages/savorylead-daemon/savorylead_daemon/settings/_schema.py
@@ -43,6 +43,8 @@
     },
     "limits": {
         "body_bytes": 4_000_000,
+        "buffered_bytes": 64_000_000,
+        "connections": 8_192,
         "tasks_per_call": 1_000,
         "calls_at_once": 256,
         "waits_at_once": 4_096,
@@ -99,6 +101,8 @@
                         "minimum": 1_024,
                         "maximum": 64_000_000,
                     },
+                    "buffered_bytes": _COUNT,
+                    "connections": _COUNT,
                     "tasks_per_call": {**_COUNT, "maximum": 100_000},
                     "calls_at_once": _COUNT,
                     "waits_at_once": _COUNT,
--- a/packages/savorylead-daemon/savorylead_daemon/settings/_semantics.py
+++ b/packages/savorylead-daemon/savorylead_daemon/settings/_semantics.py
@@ -20,6 +20,7 @@
         *_listen_faults(settings),
         *_platform_faults(settings),
         *_lease_faults(settings),
+        *_limit_faults(settings),
     ]
 
 
@@ -69,5 +70,14 @@
         )
 
 
+def _limit_faults(settings: Settings) -> Iterator[DocumentFault]:
+    limits = settings.limits
+    if limits.buffered_bytes < limits.body_bytes:
+        yield DocumentFault(
+            "$.limits.buffered_bytes",
+            f"must be at least body_bytes of {limits.body_bytes}",
+        )
+
+
 def _seconds(duration: timedelta) -> str:
     return f"{duration.total_seconds():g}"
--- a/packages/savorylead-daemon/savorylead_daemon/settings/_settings.py
+++ b/packages/savorylead-daemon/savorylead_daemon/settings/_settings.py
@@ -78,6 +78,10 @@
 
     #: Largest request body.
     body_bytes: int
+    #: Most bytes of bodies over all requests that are not yet answered.
+    buffered_bytes: int
+    #: Most connections of callers and operators; one more is closed at once.
+    connections: int
     #: Most tasks or names in one call.
     tasks_per_call: int
     #: Calls of callers and operators that are served at once; others are refused.
@@ -86,7 +90,8 @@
     waits_at_once: int
     #: Longest wait for an answer in one call.
     answer_wait: timedelta
-    #: A connection without a request for this long is closed; a wait is a request.
+    #: A connection that brings no whole request for this long is closed, also if
+    #: parts of one arrive; a wait that is being served does not count.
     connection_idle: timedelta
     #: Tasks that one shard led here may keep waiting.
     waiting_per_shard: int
--- a/packages/savorylead-daemon/savorylead_daemon/settings/tests/test_settings.py
+++ b/packages/savorylead-daemon/savorylead_daemon/settings/tests/test_settings.py
@@ -111,6 +111,8 @@
         ),
         ([("leases.drift_bound_s", 3)], ["$.leases.drift_bound_s"]),
         ([("limits.connection_idle_s", 0)], ["$.limits.connection_idle_s"]),
+        ([("limits.buffered_bytes", 3_999_999)], ["$.limits.buffered_bytes"]),
+        ([("limits.connections", 0)], ["$.limits.connections"]),
         # Faults of schema, endpoints and several sections are listed together.
         (
             [
--- a/packages/savorylead-standins/savorylead_standins/services/_memory_connection.py
+++ b/packages/savorylead-standins/savorylead_standins/services/_memory_connection.py
@@ -32,7 +32,6 @@
     def __init__(self, site: Site) -> None:
         #: Drives the timeouts of the connection.
         self.time = Clock()
-        site._reactor = self.time
         self._conn = site.buildProtocol(None)
         self._conn.callLater = self.time.callLater
         self._transport = StringTransport()
