--- a/packages/savorylead/savorylead/placement/_indexed.py
+++ b/packages/savorylead/savorylead/placement/_indexed.py
@@ -108,7 +108,7 @@
             if now_ms - at_ms >= rules.OVERFLOW_AGAIN_MS:
                 del self._overflowed_ms[task_id]
         room = self._order.fleet.minus(self._capacity).minus(self._elsewhere_total)
-        if min(room) < 0:
+        if min(room) < 0 or not any(room):
             return []
         entries = [
             (queued_at_ms, number, cls)
@@ -145,24 +145,30 @@
             if claimed:
                 return claimed
             self._claims_failed_at = self._growth
-        mask = self._open.mask()
-        if self._backfills(now_ms):
-            mask |= self._open_reserved.mask() & self._shapes.short_mask
         if self._urgent_count:
-            chosen = self._urgent_start(mask, now_ms)
+            chosen = self._urgent_start(now_ms)
             if chosen:
                 return chosen
         if self._placements % rules.AGEING_TURN == rules.AGEING_TURN - 1:
-            chosen = self._aged_start(mask, now_ms)
+            chosen = self._aged_start(now_ms)
             if chosen:
                 return chosen
+        mask = self._open_mask(now_ms)
         for _, _, team in self._order.current():
             if team.normal.mask & mask:
                 chosen = self._first_start(team, team.normal, mask, now_ms)
                 if chosen:
                     return chosen
+                mask = self._open_mask(now_ms)
         return []
 
+    def _open_mask(self, now_ms: int) -> int:
+        """Return the shapes that may find room, reserved or not."""
+        mask = self._open.mask()
+        if self._reservation is not None and self._backfills(now_ms):
+            mask |= self._open_reserved.mask() & self._shapes.short_mask
+        return mask
+
     def _claimed_start(self) -> list[Decision]:
         for task_id, claim in sorted(self._claims.items()):
             queued_at_ms, number, cls = self._pending[task_id]
@@ -174,12 +180,14 @@
                 return [Place(task_id, claim.worker)]
         return []
 
-    def _urgent_start(self, mask: int, now_ms: int) -> list[Decision]:
+    def _urgent_start(self, now_ms: int) -> list[Decision]:
+        mask = self._open_mask(now_ms)
         for _, _, team in self._order.current():
             if team.urgent.mask & mask:
                 chosen = self._first_start(team, team.urgent, mask, now_ms)
                 if chosen:
                     return chosen
+                mask = self._open_mask(now_ms)
         if not self._policy.preemption or len(self._claims) >= rules.MAX_CLAIMS:
             return []
         if self._preemption_failed_at == self._growth:
@@ -205,8 +213,9 @@
         found.sort()
         return found
 
-    def _aged_start(self, mask: int, now_ms: int) -> list[Decision]:
+    def _aged_start(self, now_ms: int) -> list[Decision]:
         """Return the longest waiting start, whatever the shares."""
+        mask = self._open_mask(now_ms)
         limit_ms = now_ms - int(self._policy.ageing_s * 1000)
         aged: list[tuple[int, int, TaskClass]] = []
         for _, _, team in self._order.current():
@@ -220,9 +229,11 @@
                     aged.append(entry)
         aged.sort(key=lambda entry: entry[:2])
         for _, _, cls in aged:
-            chosen = self._try(cls, now_ms)
-            if chosen:
-                return chosen
+            if cls.shape.bit & mask:
+                chosen = self._try(cls, now_ms)
+                if chosen:
+                    return chosen
+                mask = self._open_mask(now_ms)
         return []
 
     def _usable(self, team: Team, lane: Lane, mask: int) -> int:
--- a/packages/savorylead/savorylead/placement/_indexed_book.py
+++ b/packages/savorylead/savorylead/placement/_indexed_book.py
@@ -150,7 +150,7 @@
         """Forget a worker that is neither known nor holds a task."""
         if row.worker is None and not row.tasks:
             del self._rows[row.name]
-            del self._index.rows[row.rank]
+            self._index.forget(row)
 
     def _place_row(self, row: WorkerRow) -> None:
         """Bring the indexes up to date after any change of a worker."""
@@ -184,7 +184,7 @@
     def _recheck_order(self) -> None:
         columns = zip(*self._capacities, strict=True)
         largest = Resources(*(max(column, default=0) for column in columns))
-        order = rules.PackingOrder.of_largest(largest)
+        order = rules.PackingOrder.of_largest(largest, 0)
         if order != self._index.order:
             self._index.rebuild(order)
 
@@ -265,8 +265,9 @@
             return JOB_SHAPE
         short = rules.may_backfill(task)
         shape = self._shapes.acquire(task.spec.resources, task.avoid, short)
-        self._open.reopen(shape.bit)
-        self._open_reserved.reopen(shape.bit)
+        if shape.users == 1:
+            self._open.reopen(shape.bit)
+            self._open_reserved.reopen(shape.bit)
         return shape
 
     def pending_count(self) -> int:
--- a/packages/savorylead/savorylead/placement/_indexed_clearing.py
+++ b/packages/savorylead/savorylead/placement/_indexed_clearing.py
@@ -10,7 +10,8 @@
 
 from . import _rules as rules
 from ._indexed_holdings import IndexedHoldings
-from ._indexed_rows import RANK_BITS, RANK_MASK, WorkerRow
+from ._indexed_rooms import RANK_BITS, RANK_MASK
+from ._indexed_rows import WorkerRow
 from ._indexed_teams import TaskClass
 from ._planner import Decision, PendingTask, Place, Preempt
 
@@ -84,12 +85,12 @@
             if not need.fits(row.room):
                 continue
             key = order.key(row.room)
-            wastes = row.worker.capacity[2] > 0 and need[2] == 0
+            accelerated = row.worker.capacity[2] > 0
             cost = rules.placement_cost(
                 self._policy,
-                (key - least) / order.whole,
+                order.leftover(key, least, accelerated),
                 racks.get(row.worker.rack, 0),
-                wastes,
+                accelerated and need[2] == 0,
             )
             found = (cost, key << RANK_BITS | row.rank)
             if best is None or found < best:
--- a/packages/savorylead/savorylead/placement/_indexed_holdings.py
+++ b/packages/savorylead/savorylead/placement/_indexed_holdings.py
@@ -85,7 +85,7 @@
             row.preemptible = row.preemptible.minus(need)
         if row.reserved:
             self._open_reserved.grew(row)
-        elif row.placed_in is not None:
+        elif row.groups is not None:
             self._open.grew(row)
         self._growth += 1
         if row.worker is None:
--- a/packages/savorylead/savorylead/placement/_indexed_open.py
+++ b/packages/savorylead/savorylead/placement/_indexed_open.py
@@ -5,8 +5,10 @@
 from ._indexed_rows import WorkerRow
 from ._indexed_shapes import ShapeMasks
 
-#: So many workers with new room are looked at one by one; beyond, all shapes reopen.
+#: Shapes that fit on more grown workers than this are searched for everywhere.
 MAX_GROWN = 32
+#: With more grown workers than this, every shape is searched for everywhere.
+MAX_LOOKED_AT = 128
 
 
 class OpenShapes:
@@ -42,9 +44,14 @@
     def shrank(self, row: WorkerRow) -> None:
         """Note that the worker has less room than before."""
         mask = self._grown.get(row)
-        if mask is not None:
-            self._grown[row] = mask & self._shapes.fitting(row.room)
-            self._union_stale = True
+        if mask is None:
+            return
+        mask &= self._shapes.fitting(row.room)
+        self._union_stale = True
+        if self._may_reopen and not mask & self._shapes.live_mask:
+            del self._grown[row]
+        else:
+            self._grown[row] = mask
 
     def left(self, row: WorkerRow) -> None:
         """Note that the worker takes no work any more."""
@@ -73,17 +80,34 @@
     def close(self, bit: int) -> None:
         """Note that no worker has room for the shape."""
         self._anywhere &= ~bit
-        for row, mask in self._grown.items():
-            self._grown[row] = mask & ~bit
+        if not self._union & bit:
+            return
         self._union &= ~bit
+        live = self._shapes.live_mask
+        for row, mask in list(self._grown.items()):
+            if mask & bit:
+                self._grown[row] = mask & ~bit
+                if self._may_reopen and not mask & ~bit & live:
+                    del self._grown[row]
 
     def _look_at_unseen(self) -> None:
         together = len(self._unseen) + len(self._grown)
-        if self._may_reopen and together > MAX_GROWN:
+        if self._may_reopen and together > MAX_LOOKED_AT:
             self._anywhere = -1
             self._grown.clear()
-        else:
-            for row in self._unseen:
-                self._grown[row] = self._shapes.fitting(row.room)
+            self._unseen.clear()
+            self._union_stale = True
+            return
+        live = self._shapes.live_mask
+        for row in self._unseen:
+            mask = self._shapes.fitting(row.room)
+            if mask & live or not self._may_reopen:
+                self._grown[row] = mask
+            else:
+                self._grown.pop(row, None)
         self._unseen.clear()
         self._union_stale = True
+        if self._may_reopen and len(self._grown) > MAX_GROWN:
+            for mask in self._grown.values():
+                self._anywhere |= mask
+            self._grown.clear()
--- /dev/null
+++ b/packages/savorylead/savorylead/placement/_indexed_rooms.py
@@ -0,0 +1,117 @@
+"""Workers grouped by their free room, so that a search looks at few of them."""
+
+from __future__ import annotations
+
+from bisect import bisect_left, insort
+from collections.abc import Callable, Iterator, Mapping
+
+from savorylead.resources import Resources
+
+from ._rules import PackingOrder
+
+#: Low bits of an entry, which tell the worker's rank; the high bits are its key.
+RANK_BITS = 24
+RANK_MASK = (1 << RANK_BITS) - 1
+#: Buckets of an amount: two for each doubling.
+BUCKETS = 96
+
+
+def half_octave(amount: int) -> int:
+    """Return the bucket of an amount; never falls while the amount rises."""
+    if amount < 2:
+        return 1 if amount == 1 else 0
+    length = amount.bit_length()
+    return 2 * length - 2 + ((amount >> (length - 2)) & 1)
+
+
+#: Free accelerators, the list within them, and the entry in the list.
+Spot = tuple[int, int, int]
+
+
+class RoomGroups:
+    """Entries by free accelerators, then by bucket of the plentiful resource.
+
+    Each list is in the packing order, so the first entry that fits is the best
+    of its list, and a binary search skips those whose scarce resource is short.
+    """
+
+    def __init__(self, order: PackingOrder) -> None:
+        self._order = order
+        #: By free accelerators: one list for each bucket.
+        self._levels: dict[int, list[list[int]]] = {}
+        #: Keys of ``_levels`` in order.
+        self._sorted_levels: list[int] = []
+
+    def add(self, room: Resources, rank: int) -> Spot:
+        """Add a worker and return what ``discard`` needs."""
+        level = room[2]
+        lists = self._levels.get(level)
+        if lists is None:
+            lists = self._levels[level] = [[] for _ in range(BUCKETS)]
+            insort(self._sorted_levels, level)
+        bucket = half_octave(room[self._order.plentiful])
+        entry = self._order.key(room) << RANK_BITS | rank
+        insort(lists[bucket], entry)
+        return level, bucket, entry
+
+    def discard(self, spot: Spot) -> None:
+        """Remove a worker."""
+        level, bucket, entry = spot
+        entries = self._levels[level][bucket]
+        del entries[bisect_left(entries, entry)]
+
+    def first(
+        self,
+        need: Resources,
+        rooms: Mapping[int, Resources],
+        accepts: Callable[[int], bool] | None,
+    ) -> int | None:
+        """Return the least entry that fits and whose rank is accepted, or None.
+
+        ``rooms`` tells the room by rank.
+        """
+        cores, memory, _, slots, connections = need
+        least_bucket = half_octave(need[self._order.plentiful])
+        for level, start_entry in self._suitable(need):
+            best: int | None = None
+            for entries in self._levels[level][least_bucket:]:
+                if not entries or (best is not None and entries[-1] < start_entry):
+                    continue
+                for position in range(bisect_left(entries, start_entry), len(entries)):
+                    entry = entries[position]
+                    if best is not None and entry >= best:
+                        break
+                    room = rooms[entry & RANK_MASK]
+                    if (
+                        memory <= room[1]
+                        and cores <= room[0]
+                        and slots <= room[3]
+                        and connections <= room[4]
+                        and (accepts is None or accepts(entry & RANK_MASK))
+                    ):
+                        best = entry
+                        break
+            if best is not None:
+                return best
+        return None
+
+    def each(self, need: Resources) -> Iterator[Iterator[int]]:
+        """Yield entries that may fit, each iterator in the packing order."""
+        least_bucket = half_octave(need[self._order.plentiful])
+        for level, start_entry in self._suitable(need):
+            for entries in self._levels[level][least_bucket:]:
+                if entries:
+                    start = bisect_left(entries, start_entry)
+                    yield iter(entries[start:])
+
+    def _suitable(self, need: Resources) -> list[tuple[int, int]]:
+        """Return levels with enough accelerators and the least entry of each."""
+        order = self._order
+        base = need[order.scarce] * order.scarce_weight + need[order.plentiful]
+        weight = order.accelerator_weight
+        least = need[2]
+        return [
+            (level, (base + level * weight) << RANK_BITS)
+            for level in self._sorted_levels
+            if level >= least
+        ]
--- a/packages/savorylead/savorylead/placement/_indexed_rows.py
+++ b/packages/savorylead/savorylead/placement/_indexed_rows.py
@@ -2,21 +2,17 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left, insort
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from savorylead.contracts import TaskId
 from savorylead.resources import ZERO, Resources
 from savorylead.workers import Worker, WorkerState
 
+from ._indexed_rooms import RANK_BITS, RANK_MASK, RoomGroups, Spot
 from ._planner import PendingTask, Policy
 from ._rules import Claim, PackingOrder, placement_cost
 
-#: Low bits of an index entry, which tell the worker; the high bits are its key.
-RANK_BITS = 24
-RANK_MASK = (1 << RANK_BITS) - 1
-
 
 class RunningEntry(NamedTuple):
     """A task that holds capacity."""
@@ -33,16 +29,16 @@
 
     __slots__ = (
         "claim",
-        "entry",
+        "groups",
         "held",
         "lasting",
         "name",
-        "placed_in",
         "potential",
         "preemptible",
         "rank",
         "reserved",
         "room",
+        "spot",
         "state",
         "tasks",
         "worker",
@@ -64,11 +60,11 @@
         self.claim: Claim | None = None
         self.reserved = False
         self.tasks: dict[TaskId, RunningEntry] = {}
-        #: The list and entry by which the room is indexed.
-        self.placed_in: list[int] | None = None
-        self.entry = 0
-        #: The entry by which room and preemptible work are indexed together.
-        self.potential: int | None = None
+        #: Where the room is indexed.
+        self.groups: RoomGroups | None = None
+        self.spot: Spot = (0, 0, 0)
+        #: Where room and preemptible work are indexed together.
+        self.potential: Spot | None = None
 
     def update_room(self) -> None:
         """Work out ``room`` from the capacity, what is held and what is claimed."""
@@ -80,56 +76,59 @@
 
 
 class RoomIndex:
-    """Sorted lists of workers by free room; a change costs two binary searches."""
+    """Finds the best worker for a task without looking at all of them."""
 
     def __init__(self) -> None:
         self.order = PackingOrder()
         #: Every known worker by its rank.
         self.rows: dict[int, WorkerRow] = {}
-        #: By whether the worker has accelerators and whether it has free slots.
-        self._lists: tuple[list[int], ...] = ([], [], [], [])
-        self._potentials: list[int] = []
+        #: What a search may use of each worker, by rank.
+        self._rooms: dict[int, Resources] = {}
+        self._potential_rooms: dict[int, Resources] = {}
+        self.rebuild(self.order)
 
     def rebuild(self, order: PackingOrder) -> None:
         """Order the workers by other weights."""
         self.order = order
-        for entries in (*self._lists, self._potentials):
-            entries.clear()
+        #: By whether the worker has accelerators, then whether it has free slots.
+        self._groups = tuple(
+            (RoomGroups(order), RoomGroups(order)) for _ in (False, True)
+        )
+        self._potentials = RoomGroups(order)
         for row in self.rows.values():
-            row.placed_in = None
+            row.groups = None
             row.potential = None
             self.update(row)
             self.update_potential(row)
 
+    def forget(self, row: WorkerRow) -> None:
+        """Remove a worker that is in no index any more."""
+        del self.rows[row.rank]
+        self._rooms.pop(row.rank, None)
+        self._potential_rooms.pop(row.rank, None)
+
     def update(self, row: WorkerRow) -> None:
         """Move the worker to where its room belongs."""
-        placed_in = row.placed_in
-        if placed_in is not None:
-            del placed_in[bisect_left(placed_in, row.entry)]
-            row.placed_in = None
+        if row.groups is not None:
+            row.groups.discard(row.spot)
+            row.groups = None
         if row.state is not WorkerState.READY or row.reserved:
             return
         room = row.room
-        row.entry = self.order.key(room) << RANK_BITS | row.rank
-        row.placed_in = self._lists[
-            (2 if row.worker.capacity[2] else 0) + (1 if room[3] > 0 else 0)
-        ]
-        insort(row.placed_in, row.entry)
+        groups = self._groups[row.worker.capacity[2] > 0][room[3] > 0]
+        row.groups = groups
+        row.spot = groups.add(room, row.rank)
+        self._rooms[row.rank] = room
 
     def update_potential(self, row: WorkerRow) -> None:
         """Move the worker to where its room after all preemptions belongs."""
-        entry = None
-        claimed = row.claim is not None or row.reserved
-        if row.state is WorkerState.READY and not claimed:
-            room = row.room.plus(row.preemptible)
-            entry = self.order.key(room) << RANK_BITS | row.rank
-        if entry == row.potential:
-            return
         if row.potential is not None:
-            del self._potentials[bisect_left(self._potentials, row.potential)]
-        row.potential = entry
-        if entry is not None:
-            insort(self._potentials, entry)
+            self._potentials.discard(row.potential)
+            row.potential = None
+        if row.state is WorkerState.READY and row.claim is None and not row.reserved:
+            room = row.room.plus(row.preemptible)
+            row.potential = self._potentials.add(room, row.rank)
+            self._potential_rooms[row.rank] = room
 
     def best(
         self,
@@ -145,88 +144,80 @@
         tasks that need no spreading. ``fewest_in_rack`` is their lowest count.
         """
         best: tuple[float, int] | None = None
-        least = self.order.key(need)
         for accelerated in (False, True):
             if need[2] and not accelerated:
                 continue
-            wastes = accelerated and not need[2]
             for with_slots in (True, False):
                 if need[3] and not with_slots:
                     continue
-                entries = self._lists[2 * accelerated + with_slots]
+                groups = self._groups[accelerated][with_slots]
                 if racks is None:
-                    found = self._tightest(entries, need, avoid)
-                    if found is not None:
-                        leftover = ((found >> RANK_BITS) - least) / self.order.whole
-                        cost = placement_cost(policy, leftover, 0, wastes)
-                        if best is None or (cost, found) < best:
-                            best = (cost, found)
+                    found = self._tightest(groups, policy, need, avoid, accelerated)
                 else:
-                    best = self._most_spread(
-                        entries, policy, need, avoid, racks, fewest_in_rack, best
+                    found = self._most_spread(
+                        groups, policy, need, avoid, accelerated, racks, fewest_in_rack
                     )
+                if found is not None and (best is None or found < best):
+                    best = found
         return best
 
     def tightest_potential(
         self, need: Resources, avoid: tuple[str, ...]
     ) -> WorkerRow | None:
         """Return the tightest worker with room once its preemptible work is gone."""
-        entries = self._potentials
-        start = bisect_left(entries, self.order.key(need) << RANK_BITS)
-        for position in range(start, len(entries)):
-            row = self.rows[entries[position] & RANK_MASK]
-            if row.name not in avoid and need.fits(row.room.plus(row.preemptible)):
-                return row
-        return None
+        accepts = self._accepts(avoid)
+        found = self._potentials.first(need, self._potential_rooms, accepts)
+        return None if found is None else self.rows[found & RANK_MASK]
 
-    def _tightest(
-        self, entries: list[int], need: Resources, avoid: tuple[str, ...]
-    ) -> int | None:
+    def _accepts(self, avoid: tuple[str, ...]) -> Callable[[int], bool] | None:
+        if not avoid:
+            return None
         rows = self.rows
-        cores, memory, accelerators, slots, connections = need
-        start = bisect_left(entries, self.order.key(need) << RANK_BITS)
-        for position in range(start, len(entries)):
-            entry = entries[position]
-            row = rows[entry & RANK_MASK]
-            room = row.room
-            if (
-                memory <= room[1]
-                and cores <= room[0]
-                and accelerators <= room[2]
-                and slots <= room[3]
-                and connections <= room[4]
-                and (not avoid or row.name not in avoid)
-            ):
-                return entry
-        return None
+        return lambda rank: rows[rank].name not in avoid
+
+    def _tightest(
+        self,
+        groups: RoomGroups,
+        policy: Policy,
+        need: Resources,
+        avoid: tuple[str, ...],
+        accelerated: bool,
+    ) -> tuple[float, int] | None:
+        entry = groups.first(need, self._rooms, self._accepts(avoid))
+        if entry is None:
+            return None
+        order = self.order
+        leftover = order.leftover(entry >> RANK_BITS, order.key(need), accelerated)
+        wastes = accelerated and not need[2]
+        return placement_cost(policy, leftover, 0, wastes), entry
 
     def _most_spread(
         self,
-        entries: list[int],
+        groups: RoomGroups,
         policy: Policy,
         need: Resources,
         avoid: tuple[str, ...],
+        accelerated: bool,
         racks: Mapping[str, int],
         fewest_in_rack: int,
-        best: tuple[float, int] | None,
     ) -> tuple[float, int] | None:
-        """Search until no worker further on can cost less than the best."""
-        least = self.order.key(need)
-        whole = self.order.whole
-        start = bisect_left(entries, least << RANK_BITS)
-        for position in range(start, len(entries)):
-            entry = entries[position]
-            row = self.rows[entry & RANK_MASK]
-            worker = row.worker
-            leftover = ((entry >> RANK_BITS) - least) / whole
-            wastes = worker.capacity[2] > 0 and need[2] == 0
-            if best is not None:
-                bound = placement_cost(policy, leftover, fewest_in_rack, wastes)
-                if (bound, entry) >= best:
-                    break
-            if row.name in avoid or not need.fits(row.room):
-                continue
-            cost = placement_cost(policy, leftover, racks.get(worker.rack, 0), wastes)
-            if best is None or (cost, entry) < best:
-                best = (cost, entry)
+        """Search each list until no worker further on can cost less."""
+        order = self.order
+        need_key = order.key(need)
+        wastes = accelerated and not need[2]
+        best: tuple[float, int] | None = None
+        for entries in groups.each(need):
+            for entry in entries:
+                leftover = order.leftover(entry >> RANK_BITS, need_key, accelerated)
+                if best is not None:
+                    bound = placement_cost(policy, leftover, fewest_in_rack, wastes)
+                    if (bound, entry) >= best:
+                        break
+                row = self.rows[entry & RANK_MASK]
+                if row.name in avoid or not need.fits(row.room):
+                    continue
+                same = racks.get(row.worker.rack, 0)
+                cost = placement_cost(policy, leftover, same, wastes)
+                if best is None or (cost, entry) < best:
+                    best = (cost, entry)
         return best
--- a/packages/savorylead/savorylead/placement/_indexed_shapes.py
+++ b/packages/savorylead/savorylead/placement/_indexed_shapes.py
@@ -56,6 +56,8 @@
         self._next_bit = JOB_BIT << 1
         #: Bits of the shapes that may run before a reservation.
         self.short_mask = 0
+        #: Bits of the shapes in use.
+        self.live_mask = 0
         #: By dimension and bucket, the shapes that need at most the bucket.
         self._tables: list[list[int]] = [[JOB_BIT] for _ in Resources._fields]
 
@@ -70,6 +72,7 @@
         elif shape.users == 0:
             del self._idle[key]
         shape.users += 1
+        self.live_mask |= shape.bit
         return shape
 
     def release(self, shape: Shape) -> None:
@@ -77,6 +80,7 @@
         shape.users -= 1
         if shape.users == 0:
             self._idle[shape.key] = shape
+            self.live_mask &= ~shape.bit
 
     def fitting(self, room: Resources) -> int:
         """Return the bits of all shapes that fit in ``room``, and of some more."""
--- a/packages/savorylead/savorylead/placement/_naive.py
+++ b/packages/savorylead/savorylead/placement/_naive.py
@@ -94,6 +94,8 @@
         room = self._fleet.minus(self._capacity()).minus(
             total(list(self._elsewhere.values()))
         )
+        if not any(room):
+            return []
         chosen: list[Decision] = []
         seen: set[Hashable] = set()
         for queued in self._in_order():
--- a/packages/savorylead/savorylead/placement/_naive_book.py
+++ b/packages/savorylead/savorylead/placement/_naive_book.py
@@ -163,7 +163,7 @@
     def _order(self) -> PackingOrder:
         capacities = [worker.capacity for worker in self._workers.values()]
         largest = [max(column, default=0) for column in zip(*capacities, strict=True)]
-        return PackingOrder.of_largest(Resources(*largest))
+        return PackingOrder.of_largest(Resources(*largest), 0)
 
     def _same_in_rack(self, task: PendingTask, rack: str) -> int:
         """Count running services of the task's workspace in the rack."""
--- a/packages/savorylead/savorylead/placement/_naive_clearing.py
+++ b/packages/savorylead/savorylead/placement/_naive_clearing.py
@@ -224,11 +224,12 @@
     ) -> float:
         worker = self._workers[name]
         need = task.spec.resources
-        leftover = (order.key(room) - order.key(need)) / order.whole
+        accelerated = worker.capacity.accelerators > 0
+        leftover = order.leftover(order.key(room), order.key(need), accelerated)
         same = 0
         if task.spec.kind is TaskKind.SERVICE:
             same = self._same_in_rack(task, worker.rack)
-        wastes = worker.capacity.accelerators > 0 and need.accelerators == 0
+        wastes = accelerated and need.accelerators == 0
         return rules.placement_cost(self._policy, leftover, same, wastes)
 
     # -- preemption
--- a/packages/savorylead/savorylead/placement/_rules.py
+++ b/packages/savorylead/savorylead/placement/_rules.py
@@ -37,38 +37,48 @@
 class PackingOrder(NamedTuple):
     """Orders workers by their free room; the least that suffices is the best fit.
 
-    A key adds the free cores and memory, each as a part of the shard's largest
-    worker. Free accelerators weigh more than everything else, so that a worker
-    whose accelerators are free is the last choice for tasks that need none.
+    Free accelerators count first, so that a worker whose accelerators are free is
+    the last choice for tasks that need none; then the free amount of the scarcer
+    of cores and memory, then that of the other.
     """
 
-    cores_weight: int = 1
-    memory_weight: int = 1
+    #: Index of the scarcer of cores and memory in Resources, and of the other.
+    scarce: int = 0
+    plentiful: int = 1
+    scarce_weight: int = 1
     accelerator_weight: int = 1
-    #: Key of a worker that is as large as the largest in every dimension.
+    #: Key of the largest worker without its accelerators, and with them.
     whole: int = 1
+    whole_accelerated: int = 1
 
     @staticmethod
-    def of_largest(largest: Resources) -> PackingOrder:
+    def of_largest(largest: Resources, scarce: int) -> PackingOrder:
         """Return the order for a shard whose largest capacities are given."""
-        cores = max(largest.cores_milli, 1)
-        memory = max(largest.memory_mb, 1)
-        accelerator = 4 * cores * memory
+        plentiful = 1 - scarce
+        scarce_weight = largest[plentiful] + 1
+        whole = max((largest[scarce] + 1) * scarce_weight, 1)
         return PackingOrder(
-            cores_weight=memory,
-            memory_weight=cores,
-            accelerator_weight=accelerator,
-            whole=2 * cores * memory + accelerator * largest.accelerators,
+            scarce=scarce,
+            plentiful=plentiful,
+            scarce_weight=scarce_weight,
+            accelerator_weight=whole,
+            whole=whole,
+            whole_accelerated=whole * (largest.accelerators + 1),
         )
 
     def key(self, room: Resources) -> int:
         """Return the place of ``room`` in the order."""
         return (
-            room[0] * self.cores_weight
-            + room[1] * self.memory_weight
-            + room[2] * self.accelerator_weight
+            room[2] * self.accelerator_weight
+            + room[self.scarce] * self.scarce_weight
+            + room[self.plentiful]
         )
 
+    def leftover(self, room_key: int, need_key: int, accelerated: bool) -> float:
+        """Return what stays free, as a part of the largest worker of the kind."""
+        whole = self.whole_accelerated if accelerated else self.whole
+        return (room_key - need_key) / whole
+
 
 def placement_cost(
     policy: Policy,
