Bound the calls of one key

Waits last up to 30 s each, so one team's crowd of waits could hold all places and lock the other teams out of their answers. Each key has a bound of its own below the one for all; wrong keys end at once and leave no entry.

--- a/packages/savorylead-daemon/savorylead_daemon/callers/_routes.py
+++ b/packages/savorylead-daemon/savorylead_daemon/callers/_routes.py
@@ -18,7 +18,6 @@
     RetryAfter,
     Route,
     call_error_response,
-    read_key,
     refusal_status,
     shielded,
 )
@@ -50,8 +49,8 @@
 ) -> list[Route]:
     """Return the routes of the callers' interface."""
     handlers = _CallerHandlers(service, metrics, limits, retry_after)
-    calls = AdmissionGate(limits.calls_at_once)
-    waits = AdmissionGate(limits.waits_at_once)
+    calls = AdmissionGate(limits.calls_at_once, limits.calls_at_once_per_key)
+    waits = AdmissionGate(limits.waits_at_once, limits.waits_at_once_per_key)
     return [
         Route("POST", "/v1/tasks", "submit", handlers.submit, calls),
         Route("GET", "/v1/tasks", "list_tasks", handlers.list_tasks, calls),
@@ -75,9 +74,8 @@
         self._bodies = BodyReader(limits.tasks_per_call, limits.answer_wait)
         self._retry_after = retry_after
 
-    async def submit(self, request: JsonRequest) -> JsonResponse:
+    async def submit(self, request: JsonRequest, key: str) -> JsonResponse:
         """Accept one task or an array of tasks."""
-        key = read_key(request)
         body = self._bodies.read_submit(request.body)
         try:
             replies = await shielded(self._service.submit(key, body.tasks))
@@ -92,24 +90,21 @@
             return self._single_response(replies[0], documents)
         return json_response(200, documents)
 
-    async def answers(self, request: JsonRequest) -> JsonResponse:
+    async def answers(self, request: JsonRequest, key: str) -> JsonResponse:
         """Return tasks, waiting for the first outcome among them."""
-        key = read_key(request)
         asked = self._bodies.read_answers(request.body)
         # A wait changes nothing, so it ends when its client leaves.
         views = await self._service.answers(key, asked.names, asked.wait)
         return self._matched_response(views, asked.names)
 
-    async def cancel(self, request: JsonRequest) -> JsonResponse:
+    async def cancel(self, request: JsonRequest, key: str) -> JsonResponse:
         """Cancel tasks."""
-        key = read_key(request)
         names = self._bodies.read_cancel(request.body)
         views = await shielded(self._service.cancel(key, names))
         return self._matched_response(views, names)
 
-    async def list_tasks(self, request: JsonRequest) -> JsonResponse:
+    async def list_tasks(self, request: JsonRequest, key: str) -> JsonResponse:
         """Return a part of the list of a workspace's tasks."""
-        key = read_key(request)
         query = Parameters(request.query, ("workspace", "phase", "limit", "after"))
         page = await self._service.list_tasks(
             key,
--- a/packages/savorylead-daemon/savorylead_daemon/callers/tests/test_answers.py
+++ b/packages/savorylead-daemon/savorylead_daemon/callers/tests/test_answers.py
@@ -3,6 +3,7 @@
 import pytest
 
 from savorylead.contracts import TaskId
+from savorylead_daemon.routing import AdmissionGate, CallError
 from savorylead_standins.services import DISPATCH_KEY, PLANNING_KEY, MemoryGateway
 
 
@@ -121,6 +122,31 @@
     assert conn.replies()[-1].status == 200
 
 
+def test_one_key_does_not_lock_the_others_out():
+    gateway = gateway_with("a", waits_at_once=4, waits_at_once_per_key=2)
+    for _ in range(2):
+        gateway.connect().request("POST", "/v1/answers", ask("a"), DISPATCH_KEY)
+    conn = gateway.connect()
+    refused = conn.call("POST", "/v1/answers", ask("a"), DISPATCH_KEY)
+    assert error_of(refused) == (503, "overloaded", "$")
+    conn.request("POST", "/v1/answers", ask("a", wait_s=1), PLANNING_KEY)
+    gateway.time.advance(1)
+    assert conn.replies()[-1].status == 200
+    # The first two are answered in the end, and their places are free again.
+    gateway.callers.end(task_id("a"), "ready")
+    assert conn.call("POST", "/v1/answers", ask("a"), DISPATCH_KEY).status == 200
+
+
+def test_wrong_keys_leave_nothing_behind():
+    gate = AdmissionGate(capacity=2, capacity_per_key=1)
+    for number in range(100):
+        with gate.admit(f"guess-{number}"):
+            pass
+    with gate.admit("a"), gate.admit("b"), pytest.raises(CallError):
+        gate.admit("c").__enter__()
+    assert vars(gate)["_admitted_by_key"] == {}
+
+
 @pytest.mark.parametrize(
     "digest", ["", "0" * 64, "not a digest"], ids=["empty", "other", "text"]
 )
--- a/packages/savorylead-daemon/savorylead_daemon/operators/_probes.py
+++ b/packages/savorylead-daemon/savorylead_daemon/operators/_probes.py
@@ -24,18 +24,18 @@
         self._metrics = metrics
         self._readiness = readiness
 
-    async def healthz(self, request: JsonRequest) -> JsonResponse:
+    async def healthz(self, request: JsonRequest, key: str) -> JsonResponse:
         """Answer as long as the process serves requests at all."""
         return json_response(200, {"status": "ok"})
 
-    async def readyz(self, request: JsonRequest) -> JsonResponse:
+    async def readyz(self, request: JsonRequest, key: str) -> JsonResponse:
         """Tell the balancer whether to send callers here."""
         reasons = self._readiness.reasons()
         if reasons:
             return json_response(503, {"status": "not_ready", "reasons": reasons})
         return json_response(200, {"status": "ready", "reasons": []})
 
-    async def metrics(self, request: JsonRequest) -> JsonResponse:
+    async def metrics(self, request: JsonRequest, key: str) -> JsonResponse:
         """Return all metrics as text."""
         self._metrics.set_ready(self._readiness.is_ready())
         body, content_type = self._metrics.render()
--- a/packages/savorylead-daemon/savorylead_daemon/operators/_routes.py
+++ b/packages/savorylead-daemon/savorylead_daemon/operators/_routes.py
@@ -25,7 +25,6 @@
     call_error_response,
     decode_json,
     raise_faults,
-    read_key,
     shielded,
 )
 from savorylead_daemon.services import (
@@ -41,6 +40,8 @@
 #: Operators' calls that are served at once, apart from those of callers, so that
 #: a crowd of callers can't lock the operators out.
 OPERATOR_CALLS_AT_ONCE = 32
+#: Of these, calls with the same key.
+OPERATOR_CALLS_AT_ONCE_PER_KEY = 16
 DEFAULT_PAGE_TASKS = 100
 MAX_PAGE_TASKS = 1_000
 
@@ -61,7 +62,7 @@
 ) -> list[Route]:
     """Return the routes of the operators' interface."""
     handlers = _OperatorHandlers(service, metrics, retry_after)
-    gate = AdmissionGate(OPERATOR_CALLS_AT_ONCE)
+    gate = AdmissionGate(OPERATOR_CALLS_AT_ONCE, OPERATOR_CALLS_AT_ONCE_PER_KEY)
     reads = {
         "config": handlers.read_config,
         "members": handlers.members,
@@ -90,16 +91,14 @@
         self._metrics = metrics
         self._retry_after = retry_after
 
-    async def read_config(self, request: JsonRequest) -> JsonResponse:
+    async def read_config(self, request: JsonRequest, key: str) -> JsonResponse:
         """Return the newest configuration and its revision."""
-        key = read_key(request)
         Parameters(request.query, ())
         view = await self._read(self._service.read_config(key))
         return json_response(200, view._asdict())
 
-    async def apply(self, request: JsonRequest) -> JsonResponse:
+    async def apply(self, request: JsonRequest, key: str) -> JsonResponse:
         """Replace the configuration if its revision is the expected one."""
-        key = read_key(request)
         body = decode_json(request.body)
         if not _APPLY.is_good(body):
             raise_faults(_APPLY.faults(body))
@@ -117,34 +116,29 @@
             ) from exc
         return self._applied_response(result)
 
-    async def members(self, request: JsonRequest) -> JsonResponse:
+    async def members(self, request: JsonRequest, key: str) -> JsonResponse:
         """Return every daemon."""
-        key = read_key(request)
         Parameters(request.query, ())
         return _list_response("members", await self._read(self._service.members(key)))
 
-    async def shards(self, request: JsonRequest) -> JsonResponse:
+    async def shards(self, request: JsonRequest, key: str) -> JsonResponse:
         """Return every shard."""
-        key = read_key(request)
         Parameters(request.query, ())
         return _list_response("shards", await self._read(self._service.shards(key)))
 
-    async def workers(self, request: JsonRequest) -> JsonResponse:
+    async def workers(self, request: JsonRequest, key: str) -> JsonResponse:
         """Return the workers of one shard or of all."""
-        key = read_key(request)
         shard = Parameters(request.query, ("shard",)).text("shard")
         views = await self._read(self._service.workers(key, shard))
         return _list_response("workers", views)
 
-    async def teams(self, request: JsonRequest) -> JsonResponse:
+    async def teams(self, request: JsonRequest, key: str) -> JsonResponse:
         """Return every team."""
-        key = read_key(request)
         Parameters(request.query, ())
         return _list_response("teams", await self._read(self._service.teams(key)))
 
-    async def tasks(self, request: JsonRequest) -> JsonResponse:
+    async def tasks(self, request: JsonRequest, key: str) -> JsonResponse:
         """Return tasks of one team or of all."""
-        key = read_key(request)
         query = Parameters(request.query, ("team", "phase", "limit", "after"))
         reading = self._service.tasks(
             key,
--- a/packages/savorylead-daemon/savorylead_daemon/routing/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/routing/__init__.py
@@ -1,7 +1,6 @@
 """The HTTP entrance of a daemon: routes, admission, errors and their counting."""
 
 from ._admission import AdmissionGate
-from ._authorization import read_key
 from ._errors import (
     CallError,
     CallErrorCode,
@@ -36,7 +35,6 @@
     "call_error_response",
     "decode_json",
     "raise_faults",
-    "read_key",
     "refusal_status",
     "shielded",
 ]
--- a/packages/savorylead-daemon/savorylead_daemon/routing/_router.py
+++ b/packages/savorylead-daemon/savorylead_daemon/routing/_router.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from typing import NamedTuple
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any, NamedTuple
 
 from absl import logging
 from twisted.internet.defer import CancelledError
@@ -13,7 +13,6 @@
 from savorylead.outcomes import Refusal
 from savorylead_daemon.http import (
     BodyFault,
-    JsonHandler,
     JsonRequest,
     JsonResource,
     JsonResponse,
@@ -23,6 +22,7 @@
 from savorylead_daemon.services import RefusedError
 
 from ._admission import AdmissionGate
+from ._authorization import read_key
 from ._errors import (
     CallError,
     CallErrorCode,
@@ -32,6 +32,8 @@
 )
 from ._retry_after import RetryAfter
 
+#: Answers one request; the key is empty for probes.
+KeyedHandler = Callable[[JsonRequest, str], Coroutine[Any, Any, JsonResponse]]
 #: Labels of requests that reached no route.
 NO_ROUTE = "none"
 
@@ -43,8 +45,8 @@
     path: str
     #: Name of the route in metrics.
     name: str
-    handler: JsonHandler
-    #: Bounds the calls that are served at once; None for probes.
+    handler: KeyedHandler
+    #: Bounds the calls that are served at once; None for probes, which need no key.
     gate: AdmissionGate | None = None
 
 
@@ -140,6 +142,7 @@
 
 async def _run(route: Route, request: JsonRequest) -> JsonResponse:
     if route.gate is None:
-        return await route.handler(request)
-    with route.gate:
-        return await route.handler(request)
+        return await route.handler(request, "")
+    key = read_key(request)
+    with route.gate.admit(key):
+        return await route.handler(request, key)
--- a/packages/savorylead-daemon/savorylead_daemon/settings/_settings.py
+++ b/packages/savorylead-daemon/savorylead_daemon/settings/_settings.py
@@ -84,10 +84,13 @@
     connections: int
     #: Most tasks or names in one call.
     tasks_per_call: int
-    #: Calls of callers and operators that are served at once; others are refused.
+    #: Calls of callers that are served at once; others are refused.
     calls_at_once: int
     #: Calls that wait for answers at once, apart from ``calls_at_once``.
     waits_at_once: int
+    #: Of the calls and waits, those with the same key.
+    calls_at_once_per_key: int
+    waits_at_once_per_key: int
     #: Longest wait for an answer in one call.
     answer_wait: timedelta
     #: A connection that brings no whole request for this long is closed, also if
