--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import json
 import random
 import time
 from collections.abc import Callable, Sequence
@@ -15,6 +14,7 @@
 from twisted.internet.testing import StringTransport
 from twisted.web.server import Site
 
+from bench._report import report
 from savorylead.contracts import TaskId, TaskKind
 from savorylead_daemon.entrance import build_entrance
 from savorylead_daemon.http import (
@@ -127,26 +127,13 @@
     return quickest * 1e6
 
 
-def report(metric: str, value: float, unit: str, baseline: float | None = None) -> None:
-    ratio = None if baseline is None else round(value / baseline, 3)
-    line = {
-        "bench": "gateway",
-        "metric": metric,
-        "value": round(value, 3),
-        "unit": unit,
-        "baseline": None if baseline is None else round(baseline, 3),
-        "ratio": ratio,
-    }
-    print(json.dumps(line), flush=True)
-
-
 def measure_submits() -> None:
     checked, unchecked = checked_site(), unchecked_site()
     for size in (1, 10, 100, 1000):
         body = msgspec.json.encode([task(n) for n in range(size)])
         cost = cpu_us(Client(checked, body, 200).call) / size
         baseline = cpu_us(Client(unchecked, body, 200).call) / size
-        report(f"submit_cpu_per_task_batch_{size}", cost, "us", baseline)
+        report("gateway", f"submit_cpu_per_task_batch_{size}", cost, "us", baseline)
 
 
 def measure_bad_bodies() -> None:
@@ -158,7 +145,7 @@
     every = [{**each, "colour": "red", "urgent": "no"} for each in tasks]
     for name, bad in (("last", last), ("every", every)):
         cost = cpu_us(Client(site, msgspec.json.encode(bad), 400).call)
-        report(f"refuse_100_tasks_{name}_one_bad", cost, "us", good)
+        report("gateway", f"refuse_100_tasks_{name}_one_bad", cost, "us", good)
 
 
 def measure_metrics() -> None:
@@ -178,10 +165,15 @@
 
     cost = cpu_us(observe) / 1000
     baseline = cpu_us(observe_by_library) / 1000
-    report("observe_wait", cost, "us", baseline)
+    report("gateway", "observe_wait", cost, "us", baseline)
     metrics.set_share_distances({f"team-{n}": 0.0 for n in range(46)})
     metrics.set_leads({f"shard-{n}": 1 for n in range(7)})
-    report("render_metrics_46_teams", cpu_us(lambda: metrics.render() and None), "us")
+    report(
+        "gateway",
+        "render_metrics_46_teams",
+        cpu_us(lambda: metrics.render() and None),
+        "us",
+    )
 
 
 def main() -> None:
