--- a/packages/savorylead-ctl/savorylead_ctl/commands/_registry.py
+++ b/packages/savorylead-ctl/savorylead_ctl/commands/_registry.py
@@ -36,30 +36,58 @@
 LIST_KEYS = ListKeys()
 
 COMMAND_GROUPS = (
-    CommandGroup("teams", "teams", (TEAMS, AddTeam(), RemoveTeam()), TEAMS),
-    CommandGroup("keys", "keys", (LIST_KEYS, GrantKey(), WithdrawKey()), LIST_KEYS),
-    CommandGroup("shares", "teams' weights", (SHARES, SetShare()), SHARES),
-    CommandGroup("limits", "teams' upper limits", (LIMITS, SetLimit()), LIMITS),
-    CommandGroup("queues", "queues", (QUEUES, SetQueue(), RemoveQueue()), QUEUES),
+    CommandGroup(
+        "teams", "show, add and remove teams", (TEAMS, AddTeam(), RemoveTeam()), TEAMS
+    ),
+    CommandGroup(
+        "keys",
+        "show, grant and withdraw keys of teams and operators",
+        (LIST_KEYS, GrantKey(), WithdrawKey()),
+        LIST_KEYS,
+    ),
+    CommandGroup(
+        "shares",
+        "show and set teams' weights for when the fleet is full",
+        (SHARES, SetShare()),
+        SHARES,
+    ),
+    CommandGroup(
+        "limits", "show and set teams' upper limits", (LIMITS, SetLimit()), LIMITS
+    ),
+    CommandGroup(
+        "queues",
+        "show, set and remove queues",
+        (QUEUES, SetQueue(), RemoveQueue()),
+        QUEUES,
+    ),
     CommandGroup(
         "workspaces",
-        "workspaces",
+        "show, set and remove workspaces",
         (WORKSPACES, SetWorkspace(), RemoveWorkspace()),
         WORKSPACES,
     ),
-    CommandGroup("presets", "presets", (PRESETS, UsePreset()), PRESETS),
-    CommandGroup("workers", "workers and their health", (WORKERS,)),
-    CommandGroup("shards", "shards and their leads", (SHARDS,)),
-    CommandGroup("members", "daemons", (MEMBERS,)),
+    CommandGroup(
+        "presets",
+        "show presets and choose the one in force",
+        (PRESETS, UsePreset()),
+        PRESETS,
+    ),
+    CommandGroup("workers", "show workers and their health", (WORKERS,)),
+    CommandGroup("shards", "show shards and their leads", (SHARDS,)),
+    CommandGroup("members", "show daemons and their revisions", (MEMBERS,)),
     CommandGroup(
         "tasks",
-        "tasks",
+        "list, show, submit, wait for and cancel tasks",
         (ListTasks(), ShowTasks(), CancelTasks(), SubmitTasks(), WaitTasks()),
     ),
     CommandGroup(
         "config",
-        "the configuration as a whole",
+        "show, check, compare and apply the whole configuration",
         (ShowConfig(), CheckConfig(), DiffConfig(), ApplyConfig()),
     ),
-    CommandGroup("wait-in-force", "wait for a revision", (WaitInForce(),)),
+    CommandGroup(
+        "wait-in-force",
+        "wait until a revision is in force everywhere",
+        (WaitInForce(),),
+    ),
 )
