--- a/packages/savorylead-daemon/savorylead_daemon/callers/tests/test_answers.py
+++ b/packages/savorylead-daemon/savorylead_daemon/callers/tests/test_answers.py
@@ -92,6 +92,18 @@
     assert reply.document()["tasks"][0]["outcome"]["result"] == "ready"
 
 
+def test_open_requests_are_counted_until_they_end_or_their_client_leaves():
+    gateway = gateway_with("a")
+    conns = [gateway.connect() for _ in range(3)]
+    for conn in conns:
+        conn.request("POST", "/v1/answers", ask("a"), DISPATCH_KEY)
+    assert gateway.site.open_requests == 3
+    conns[0].leave()
+    assert gateway.site.open_requests == 2
+    gateway.callers.end(task_id("a"), "ready")
+    assert gateway.site.open_requests == 0
+
+
 def test_a_wait_outlasts_the_idle_timeout_of_its_connection():
     gateway = gateway_with("a", connection_idle_s=2)
     conn = gateway.connect()
--- a/packages/savorylead-daemon/savorylead_daemon/http/_json_resource.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/_json_resource.py
@@ -14,7 +14,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request
 
-from ._json_site import BodyFault, body_fault
+from ._json_site import BodyFault, JsonSite, body_fault
 
 _NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 
@@ -133,11 +133,22 @@
     def run(self, handling: Coroutine[Any, Any, JsonResponse]) -> None:
         """Answer with the result of the handler, unless the client leaves first."""
         answer = Deferred.fromCoroutine(handling)
+        self._count_open(+1)
+        answer.addBoth(self._after_handling)
         self._request.notifyFinish().addErrback(self._cancel, answer)
         answer.addErrback(self._explain)
         answer.addCallback(self._respond)
         answer.addErrback(_log_unwritten)
 
+    def _count_open(self, change: int) -> None:
+        site = self._request.site
+        if isinstance(site, JsonSite):
+            site.open_requests += change
+
+    def _after_handling(self, result: Any) -> Any:
+        self._count_open(-1)
+        return result
+
     def _cancel(self, _: Failure, answer: Deferred[JsonResponse]) -> None:
         self._disconnected = True
         answer.cancel()
--- a/packages/savorylead-daemon/savorylead_daemon/http/_json_site.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/_json_site.py
@@ -129,6 +129,8 @@
         factory = functools.partial(_BoundedRequest, max_body_bytes)
         super().__init__(resource, factory, timeout=limits.request_s)
         self.displayTracebacks = False
+        #: Requests whose handlers run, for a planned stop to wait for.
+        self.open_requests = 0
         self._limits = limits
         self._buffered_bytes = 0
         self._connections = 0
--- a/packages/savorylead-daemon/savorylead_daemon/main.py
+++ b/packages/savorylead-daemon/savorylead_daemon/main.py
@@ -63,3 +63,7 @@
     from savorylead_daemon.composition import compose
 
     return compose(settings)
+
+
+if __name__ == "__main__":
+    main()
