Let a site end its connections without cutting off an answer

That a handler has ended does not mean that its answer is written: a planned stop that looks at open requests alone may cut a long answer to a slow client.

--- a/packages/savorylead-daemon/savorylead_daemon/callers/tests/test_answers.py
+++ b/packages/savorylead-daemon/savorylead_daemon/callers/tests/test_answers.py
@@ -104,6 +104,19 @@
     assert gateway.site.open_requests == 0
 
 
+def test_a_planned_stop_closes_idle_connections_and_cuts_no_answer():
+    gateway = gateway_with("a")
+    idle, waiting = gateway.connect(), gateway.connect()
+    idle.call("GET", "/healthz")
+    waiting.request("POST", "/v1/answers", ask("a"), DISPATCH_KEY)
+    gateway.site.end_connections()
+    assert idle.is_cut()
+    assert not waiting.is_cut()
+    gateway.callers.end(task_id("a"), "ready")
+    assert waiting.replies()[0].status == 200
+    assert waiting.is_cut()
+
+
 def test_a_wait_outlasts_the_idle_timeout_of_its_connection():
     gateway = gateway_with("a", connection_idle_s=2)
     conn = gateway.connect()
--- a/packages/savorylead-daemon/savorylead_daemon/http/_json_site.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/_json_site.py
@@ -107,9 +107,16 @@
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
         """Make room for another connection."""
-        self.site.connection_ended()
+        self.site.connection_ended(self)
         super().connectionLost(reason)
 
+    def end(self) -> None:
+        """Close after the answer that is being given, or now if there is none."""
+        self.persistent = False
+        if not self.requests:
+            # Bytes of the last answer are still written before the close.
+            self.transport.loseConnection()
+
 
 class JsonSite(Site):
     """A listening factory without an access log and with limits.
@@ -133,7 +140,7 @@
         self.open_requests = 0
         self._limits = limits
         self._buffered_bytes = 0
-        self._connections = 0
+        self._channels: set[_BoundedChannel] = set()
 
     @property
     def buffered_bytes(self) -> int:
@@ -143,18 +150,28 @@
     @property
     def connections(self) -> int:
         """Connections that are open now."""
-        return self._connections
+        return len(self._channels)
 
     def buildProtocol(self, addr: IAddress | None) -> _BoundedChannel | None:  # noqa: N802
         """Return the protocol of a new connection, or None to close it."""
-        if self._connections >= self._limits.connections:
+        if len(self._channels) >= self._limits.connections:
             return None
-        self._connections += 1
-        return super().buildProtocol(addr)
+        channel = super().buildProtocol(addr)
+        self._channels.add(channel)
+        return channel
 
-    def connection_ended(self) -> None:
+    def connection_ended(self, channel: _BoundedChannel) -> None:
         """Make room for another connection."""
-        self._connections -= 1
+        self._channels.discard(channel)
+
+    def end_connections(self) -> None:
+        """Close each connection once its answer is written, idle ones now.
+
+        A planned stop calls it after the site has stopped listening and waits until
+        ``connections`` is 0, so that no answer is cut off.
+        """
+        for channel in list(self._channels):
+            channel.end()
 
     def hold(self, size: int) -> bool:
         """Take room for a part of a body; False if there is none."""
