--- a/packages/savorylead-ctl/savorylead_ctl/_printer.py
+++ b/packages/savorylead-ctl/savorylead_ctl/_printer.py
@@ -78,10 +78,15 @@
     if isinstance(value, bool):
         return "yes" if value else "no"
     if isinstance(value, float):
-        return f"{value:g}"
+        return _plain_number(value)
     return _one_line(str(value)) or "-"
 
 
+def _plain_number(value: float) -> str:
+    """Return the number with up to three decimals and without an exponent."""
+    return f"{value:.3f}".rstrip("0").rstrip(".")
+
+
 def _one_line(text: str) -> str:
     """Return the text without what could move the cursor of a terminal."""
     return "".join(c if c.isprintable() else repr(c)[1:-1] for c in text)
--- a/packages/savorylead-ctl/savorylead_ctl/main.py
+++ b/packages/savorylead-ctl/savorylead_ctl/main.py
@@ -176,7 +176,7 @@
             for name in ("faults", "config_faults"):
                 if name in exc.document:
                     fields[name] = exc.document[name]
-            printer.failure(exc.code, f"refused: {exc}", **fields)
+            printer.failure(exc.code, f"refused: {exc.code}: {exc.detail}", **fields)
             return ExitCode.REFUSED
         case UnreachableError():
             printer.failure("unreachable", str(exc))
--- a/packages/savorylead-ctl/savorylead_ctl/tests/test_main.py
+++ b/packages/savorylead-ctl/savorylead_ctl/tests/test_main.py
@@ -144,7 +144,7 @@
         ["workers", "--shard", "mv-1"],
         "WORKER  SHARD  RACK  STATE  CAPACITY CORES  CAPACITY MB  CAPACITY ACC"
         "  HELD CORES  HELD MB  HELD ACC  RUNNING\n"
-        "w-1     mv-1   r-1   ready  16              0            0           "
+        "w-1     mv-1   r-1   ready  16              1200000      0           "
         "  0.25        0        0         1\n",
     ),
     (["keys"], "KEY  TEAM  GRANTED  WITHDRAWN\n"),
@@ -155,7 +155,13 @@
 def test_tables_for_people(ctl, server, argv, table):
     server.gateway.operators.worker_views = [
         WorkerView(
-            f"w-{n}", f"mv-{n}", "r-1", "ready", Resources(16_000), Resources(250), 1
+            f"w-{n}",
+            f"mv-{n}",
+            "r-1",
+            "ready",
+            Resources(16_000, 1_200_000),
+            Resources(250),
+            1,
         )
         for n in (1, 2)
     ]
--- a/packages/savorylead-daemon/savorylead_daemon/observability/_metrics.py
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/_metrics.py
@@ -3,17 +3,24 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from aioprometheus import Counter, Gauge, Registry
 from aioprometheus.renderer import render
 
 from savorylead.contracts import TaskKind
 from savorylead.journal import RequeueReason
+from savorylead.links import LinkCount
 from savorylead.outcomes import Refusal
 
 from ._wait_histogram import WaitHistogram, WaitStage
 
+#: Events of links that are repeated calls, with the reason for the repeat.
+_RETRY_REASONS = {
+    LinkCount.RETRIED_NOT_SENT: "not_sent",
+    LinkCount.RETRIED_SILENT: "silent",
+    LinkCount.RETRIED_BROKEN: "broken",
+}
 #: Counts by the values of the labels, in the order of the label names.
 _Counts = dict[tuple[str, ...], float]
 
@@ -72,6 +79,9 @@
         self._retries = self._counter(
             "retries_total", "Calls repeated, by link and reason.", "link", "reason"
         )
+        self._link_events = self._counter(
+            "link_events_total", "What happened on links.", "link", "event"
+        )
         self._requests = self._counter(
             "http_requests_total", "Requests served.", "route", "status"
         )
@@ -124,6 +134,16 @@
         """Count a repeated call; ``link`` is "store", "peer", "worker" or "vm_list"."""
         self._retries.add(1, link, str(reason))
 
+    def set_link_counts(self, link: str, counts: Mapping[LinkCount, int]) -> None:
+        """Set what happened so far on all links of one kind.
+
+        Calls that were tried again also appear among the retries, by reason.
+        """
+        for event, total in counts.items():
+            self._link_events.set(total, link, event)
+            if event in _RETRY_REASONS:
+                self._retries.set(total, link, _RETRY_REASONS[event])
+
     def count_request(self, route: str, status: int) -> None:
         """Count one HTTP request by its route, never by its path."""
         self._requests.add(1, route, str(status))
@@ -132,6 +152,10 @@
         """Count a call to the store by its kind, such as "swap", and its result."""
         self._store_calls.add(1, call, result)
 
+    def set_store_calls(self, call: str, result: str, total: int) -> None:
+        """Set how many calls of a kind had a result so far."""
+        self._store_calls.set(total, call, result)
+
     def count_control_bytes(self, link: str, received: int, sent: int) -> None:
         """Count control traffic in bytes."""
         self._control_bytes.add(received, link, "received")
--- a/packages/savorylead-daemon/savorylead_daemon/observability/tests/test_metrics.py
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/tests/test_metrics.py
@@ -2,6 +2,7 @@
 
 from savorylead.contracts import TaskKind
 from savorylead.journal import RequeueReason
+from savorylead.links import LinkCount
 from savorylead.outcomes import Refusal
 from savorylead_daemon.observability import Metrics, Readiness, WaitStage
 
@@ -42,6 +43,18 @@
             lambda m: m.count_retry("store", "timeout"),
             'savorylead_retries_total{link="store",reason="timeout"} 1',
         ),
+        (
+            lambda m: m.set_link_counts("peer", {LinkCount.SILENT_CLOSED: 3}),
+            'savorylead_link_events_total{event="silent_closed",link="peer"} 3',
+        ),
+        (
+            lambda m: m.set_link_counts("store", {LinkCount.RETRIED_SILENT: 2}),
+            'savorylead_retries_total{link="store",reason="silent"} 2',
+        ),
+        (
+            lambda m: m.set_store_calls("list", "ok", 9),
+            'savorylead_store_calls_total{call="list",result="ok"} 9',
+        ),
         (
             lambda m: m.count_request("tasks", 200),
             'savorylead_http_requests_total{route="tasks",status="200"} 1',
@@ -79,6 +92,14 @@
     assert line in lines_of(metrics)
 
 
+@pytest.mark.parametrize("event", list(LinkCount))
+def test_only_repeated_calls_of_a_link_are_retries(event):
+    metrics = new_metrics()
+    metrics.set_link_counts("store", {event: 5})
+    retries = [line for line in lines_of(metrics) if "_retries_total{" in line]
+    assert len(retries) == event.value.startswith("retried_")
+
+
 def test_waiting_times_are_cumulated_by_kind():
     metrics = new_metrics()
     for waited_ms in (5, 6, 8_000, 4_000_000):
