--- a/packages/savorylead/savorylead/journal/_head_writer.py
+++ b/packages/savorylead/savorylead/journal/_head_writer.py
@@ -42,6 +42,7 @@
         #: The head as this lead last knew it.
         self.head = ShardHead(JOURNAL_FORMAT, 0, "", "", 0)
         self._revision = ABSENT
+        self._claim = ""
         self._store = store
         self._layout = layout
         self._rng = rng
@@ -53,18 +54,18 @@
         ``ring_slots`` counts only if the shard was never led. Raises StoreError,
         or DeposedError if another lead claimed the shard at the same time.
         """
-        claim = f"{self._rng.getrandbits(64):016x}"
+        self._claim = f"{self._rng.getrandbits(64):016x}"
         pauses = self._retry.begin()
         before: int | None = None
         while True:
             try:
                 self._take(await self._store.get(self._layout.head_key), ring_slots)
-                if self.head.claim == claim:
+                if self.head.claim == self._claim:
                     return
                 if before is not None and self.head.epoch != before:
                     raise DeposedError(self._layout.shard, before + 1)
                 before = self.head.epoch
-                if await self._try_claim(lead, claim):
+                if await self._try_claim(lead):
                     return
             except StoreError:
                 if pauses.failures + 1 == CLAIM_TRIES:
@@ -79,8 +80,10 @@
         """Say that nobody leads; raises DeposedError."""
         await self._change(lambda head: head._replace(lead=""))
 
-    async def _try_claim(self, lead: str, claim: str) -> bool:
-        wanted = self.head._replace(epoch=self.head.epoch + 1, lead=lead, claim=claim)
+    async def _try_claim(self, lead: str) -> bool:
+        wanted = self.head._replace(
+            epoch=self.head.epoch + 1, lead=lead, claim=self._claim
+        )
         result = await self._swap(wanted)
         if isinstance(result, SwapConflict):
             return False
@@ -89,7 +92,6 @@
         return True
 
     async def _change(self, change: Callable[[ShardHead], ShardHead]) -> None:
-        claim = self.head.claim
         pauses = self._retry.begin()
         while True:
             wanted = change(self.head)
@@ -103,9 +105,9 @@
             except StoreError:
                 await pauses.wait()
                 current = await self._read_back()
-            self._take(current, self.head.ring_slots)
-            if self.head.claim != claim:
+            if not self._is_ours(current):
                 raise DeposedError(self._layout.shard, wanted.epoch)
+            self._take(current, self.head.ring_slots)
             if self.head == wanted:
                 return
 
@@ -122,6 +124,9 @@
             except StoreError:
                 await pauses.wait()
 
+    def _is_ours(self, item: KeyValue | None) -> bool:
+        return bool(item and decode_head(item.key, item.value).claim == self._claim)
+
     def _take(self, item: KeyValue | None, ring_slots: int) -> None:
         if item is None:
             self.head = ShardHead(JOURNAL_FORMAT, 0, "", "", ring_slots)
--- a/packages/savorylead/savorylead/journal/_ring_journal.py
+++ b/packages/savorylead/savorylead/journal/_ring_journal.py
@@ -69,6 +69,7 @@
         self._applied = LogPosition(0, 0)
         self._epoch = 0
         self._opened = False
+        self._resigning = False
         #: Why nothing more can be appended; None while that is possible.
         self._over: Exception | None = None
         self._writing: list[PendingAppend] = []
@@ -131,9 +132,9 @@
 
         The events of one call become durable together or not at all. Fails at once
         with AppendTooLargeError if one event is longer than an entry, or all of them
-        are longer than a quarter of the ring.
+        are longer than the entries of an eighth of the ring.
         """
-        if self._over is not None or not self._epoch:
+        if self._over is not None or self._resigning or not self._epoch:
             return fail(self._over or DeposedError(self._shard, self._epoch))
         append = PendingAppend(events)
         entry_bytes = self._settings.entry_bytes
@@ -150,11 +151,18 @@
         return append.done
 
     async def resign(self) -> None:
-        """Give the shard up after everything pending; raises DeposedError."""
-        await self.append([Resigned(self._epoch)])
+        """Give the shard up after everything pending; raises DeposedError.
+
+        Later appends fail at once.
+        """
+        resigned = self.append([Resigned(self._epoch)])
+        self._resigning = True
+        await resigned
         self._stop_snapshot()
-        await self._head.release()
-        self._end(DeposedError(self._shard, self._epoch), self._unsettled())
+        try:
+            await self._head.release()
+        finally:
+            self.close()
 
     def close(self) -> None:
         """Stop without resigning; pending appends fail with DeposedError."""
@@ -202,6 +210,9 @@
         """Start a snapshot if the log after the last one is as long as that one."""
         if self._snapshot is not None or self._over is not None:
             return
+        if self._applied.index <= self._head.head.covered:
+            # The entries after it are parts of an append that is not whole yet.
+            return
         pointer = self._head.head.snapshot
         least = self._settings.snapshot_log_bytes
         if pointer is not None:
--- a/packages/savorylead/savorylead/journal/_takeover.py
+++ b/packages/savorylead/savorylead/journal/_takeover.py
@@ -61,6 +61,10 @@
         return replay
 
     async def _fence(self, replay: JournalReplay, lead: str) -> bool:
+        head = self._head.head
+        if replay.state.epoch > head.epoch:
+            # A later lead has begun while this one read the log.
+            raise DeposedError(self._layout.shard, head.epoch)
         await self._make_room(replay)
         head = self._head.head
         index = replay.index + 1
--- a/packages/savorylead/savorylead/journal/tests/test_ring_journal.py
+++ b/packages/savorylead/savorylead/journal/tests/test_ring_journal.py
@@ -16,15 +16,19 @@
     DeposedError,
     Ended,
     Forgotten,
+    JournalError,
     JournalSettings,
     Phase,
     RingJournal,
+    _codec,
     read_heads,
     replay_shard,
 )
+from savorylead.journal._head_writer import HeadWriter
 from savorylead.outcomes import Cancelled, Done, Failed, NotRun, Refusal, Unknown
 from savorylead.resources import Resources
 from savorylead.store import StoreError
+from savorylead_standins.nodes import PausableClock, PausableStore, Pause
 from savorylead_standins.store import CallFate, MemoryStore
 
 SETTINGS = JournalSettings(
@@ -367,3 +371,108 @@
     cell.provider.advance(0.005)
     assert urgent.called
     assert late.called
+
+
+def paused_in_a_snapshot(cell):
+    """Return a paused lead whose snapshot is about to be pointed to."""
+    pause = Pause()
+    older = RingJournal(
+        PausableStore(cell.store.client("a"), pause),
+        "s1",
+        PausableClock(cell.clock, pause),
+        random.Random("a"),
+        cell.settings,
+        cell.over.append,
+    )
+    cell.run(older.open("a"))
+    number = 0
+    while not cell.store.peek("journal/snapshots/s1/"):
+        number += 1
+        cell.run(older.append([accepted(f"a{number}")]))
+    pause.begin()
+    return older, pause
+
+
+def test_a_later_claim_defeats_a_pending_snapshot_pointer():
+    cell = Cell(SETTINGS._replace(chunk_bytes=200))
+    _, pause = paused_in_a_snapshot(cell)
+    newer, _ = cell.opened("b")
+    for number in range(40):
+        cell.run(newer.append([accepted(f"b{number}")]))
+    names = cell.names()
+    pause.end()
+    cell.provider.pump([0.01] * 500)
+    assert cell.names() == names
+    assert len(names) > 40
+    assert isinstance(cell.over[0], DeposedError)
+
+
+async def _move_pointer_over_anything(self, change):
+    """Change the head without regard for whose it is."""
+    current = await self._store.get(self._layout.head_key)
+    head = change(_codec.decode_head(current.key, current.value))
+    result = await self._store.swap(
+        current.key, _codec.encode_head(head), current.revision
+    )
+    self.head = head
+    self._revision = result.revision
+
+
+def test_a_pointer_that_ignores_the_claim_loses_events(monkeypatch):
+    cell = Cell(SETTINGS._replace(chunk_bytes=200))
+    _, pause = paused_in_a_snapshot(cell)
+    newer, _ = cell.opened("b")
+    for number in range(40):
+        cell.run(newer.append([accepted(f"b{number}")]))
+    monkeypatch.setattr(HeadWriter, "_change", _move_pointer_over_anything)
+    pause.end()
+    cell.provider.pump([0.01] * 500)
+    with pytest.raises(JournalError):
+        cell.names()
+
+
+def test_nothing_is_appended_after_a_resignation_began():
+    cell = Cell()
+    journal, _ = cell.opened("a")
+    resigning = Deferred.fromCoroutine(journal.resign())
+    late = journal.append([accepted("late")])
+    cell.run(resigning)
+    with pytest.raises(DeposedError):
+        cell.run(late)
+    assert cell.names() == []
+
+
+def test_a_takeover_that_was_overtaken_while_it_read_gives_up():
+    cell = Cell()
+    cell.opened("a")
+    pause = Pause()
+    slow = RingJournal(
+        PausableStore(cell.store.client("b"), pause),
+        "s1",
+        PausableClock(cell.clock, pause),
+        random.Random("b"),
+        cell.settings,
+    )
+    results = []
+    Deferred.fromCoroutine(slow.open("b")).addBoth(results.append)
+    while b'"b"' not in cell.store.peek("journal/heads/")["journal/heads/s1"]:
+        cell.provider.advance(0.001)
+    pause.begin()
+    cell.provider.pump([0.01] * 10)
+    newer, _ = cell.opened("c")
+    pause.end()
+    cell.provider.pump([0.01] * 100)
+    assert results[0].check(DeposedError)
+    cell.run(newer.append([accepted("r1")]))
+    assert cell.names() == ["r1"]
+
+
+def test_a_snapshot_is_not_written_twice_for_the_same_entry():
+    """A long append in several entries must not repeat the snapshot before it."""
+    cell = Cell(SETTINGS._replace(snapshot_log_bytes=300))
+    journal, _ = cell.opened("a")
+    for number in range(10):
+        events = [accepted(f"r{number}-{part}", "x" * 600) for part in range(5)]
+        cell.run(journal.append(events))
+    cell.provider.pump([0.01] * 100)
+    assert len(cell.names()) == 50
