Correct estimates from usage, and tell bad workers from bad jobs

A worker whose jobs fail three times in a row is quarantined, with growing back-off and harmless probes. A job that failed on three workers is bad itself, and its failures are taken off the workers.

--- a/packages/savorylead-standins/savorylead_standins/limits/_limit_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/limits/_limit_cell.py
@@ -55,6 +55,9 @@
         self.wanted: dict[str, Resources] = {}
         #: What it believes to be placed, by number.
         self.placed = dict(shard.journaled)
+        self._held: dict[str, Resources] = {}
+        for task in self.placed.values():
+            self._held[task.team] = self.held(task.team).plus(task.resources)
         #: Placed by it, but not yet in the journal.
         self.unwritten: list[RunningTask] = []
         self.store = cell.store.client(name)
@@ -71,11 +74,7 @@
 
     def held(self, team: str) -> Resources:
         """Return what the lead believes to be placed for the team."""
-        total = ZERO
-        for task in self.placed.values():
-            if task.team == team:
-                total = total.plus(task.resources)
-        return total
+        return self._held.get(team, ZERO)
 
     def grant_changed(self, team: str, grant: Resources) -> None:
         """Remember the grant."""
@@ -92,6 +91,7 @@
         if not after.fits(self.grants.get(task.team, ZERO)):
             return False
         self.placed[task.number] = task
+        self._held[task.team] = after
         self.unwritten.append(task)
         return True
 
@@ -105,7 +105,9 @@
 
     def hear_end(self, number: int) -> None:
         """Learn that a task has ended on its worker."""
-        self.placed.pop(number, None)
+        task = self.placed.pop(number, None)
+        if task is not None:
+            self._held[task.team] = self.held(task.team).minus(task.resources)
 
     def write_end(self, number: int) -> None:
         """Make a task's end durable, unless the lead is deposed."""
--- a/packages/savorylead/savorylead/workers/__init__.py
+++ b/packages/savorylead/savorylead/workers/__init__.py
@@ -1,5 +1,6 @@
 """Workers, what they hold, and the contract for running work on them."""
 
+from ._attempt_budget import AttemptBudget, AttemptsExhausted
 from ._contract import (
     Declined,
     Inventory,
@@ -15,24 +16,52 @@
     WorkerUnavailableError,
     WrongIncarnation,
 )
+from ._estimates import Estimate, UsageEstimator
+from ._overrun import (
+    CheckpointMemory,
+    HarshestOf,
+    OverrunAction,
+    OverrunPolicy,
+    OverrunWatch,
+    RunningUsage,
+    StopRunTime,
+    ThrottleCores,
+)
+from ._quantiles import QuantileSketch
 from ._vm_list import VmEntry, VmList, VmListError
 from ._worker import Worker, WorkerState
+from ._worker_health import HealthState, WorkerHealth
 
 __all__ = [
+    "AttemptBudget",
+    "AttemptsExhausted",
+    "CheckpointMemory",
     "Declined",
+    "Estimate",
+    "HarshestOf",
+    "HealthState",
     "Inventory",
+    "OverrunAction",
+    "OverrunPolicy",
+    "OverrunWatch",
+    "QuantileSketch",
     "RunReport",
     "RunState",
+    "RunningUsage",
     "StaleEpoch",
     "StartAccepted",
     "StartOrder",
     "StartRefused",
+    "StopRunTime",
+    "ThrottleCores",
+    "UsageEstimator",
     "VmEntry",
     "VmList",
     "VmListError",
     "Worker",
     "WorkerContract",
     "WorkerError",
+    "WorkerHealth",
     "WorkerState",
     "WorkerTimeoutError",
     "WorkerUnavailableError",
--- /dev/null
+++ b/packages/savorylead/savorylead/workers/_worker_health.py
@@ -0,0 +1,176 @@
+"""Quarantines workers that fail what they start."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+from savorylead.contracts import TaskId, TaskSpec
+
+#: Jobs in a row that fail on a worker before it is quarantined.
+FAILED_JOBS_TO_QUARANTINE = 3
+#: Failed jobs remembered for a worker that can't be quarantined now.
+FAILED_JOBS_REMEMBERED = 12
+#: First quarantine, in milliseconds; each further one lasts twice as long.
+FIRST_QUARANTINE_MS = 30_000
+#: Longest quarantine, in milliseconds.
+LONGEST_QUARANTINE_MS = 1_800_000
+#: Probes in a row that must succeed before a worker is trusted again.
+PROBES_TO_TRUST = 2
+#: Jobs that succeed in a row before earlier quarantines are forgotten.
+SUCCESSES_TO_FORGET = 20
+#: Workers on which a job fails before its failures are held against the job.
+WORKERS_TO_BLAME_JOB = 3
+#: Part of the workers, as a divisor, that may be in quarantine together: when more
+#: fail, the cause is common to them, and waiting for each other would not help.
+QUARANTINED_DIVISOR = 3
+
+
+class HealthState(enum.StrEnum):
+    """Whether a worker may be given work."""
+
+    TRUSTED = "trusted"
+    QUARANTINED = "quarantined"
+    #: Gets one harmless task at a time.
+    PROBED = "probed"
+
+
+class _Health(NamedTuple):
+    """One worker's record; workers without failures have none."""
+
+    state: HealthState = HealthState.TRUSTED
+    #: Jobs that failed since the last success, each once.
+    failed: frozenset[TaskId] = frozenset()
+    successes: int = 0
+    quarantines: int = 0
+    until_ms: int = 0
+    #: The probe that is under way.
+    probe: TaskId | None = None
+
+
+class WorkerHealth:
+    """Tells bad workers from bad jobs by which jobs failed where. Pure.
+
+    A job that failed on WORKERS_TO_BLAME_JOB workers is bad itself, and its
+    failures are taken off all workers, also off those quarantined for them.
+    """
+
+    def __init__(self, workers: int) -> None:
+        #: Number of workers in the shard; bounds the quarantines.
+        self.workers = workers
+        self._health: dict[str, _Health] = {}
+        self._failed_on: dict[TaskId, frozenset[str]] = {}
+
+    def state(self, worker: str, now_ms: int) -> HealthState:
+        """Return whether the worker may be given work now."""
+        health = self._health.get(worker, _Health())
+        if health.state is HealthState.QUARANTINED and now_ms >= health.until_ms:
+            health = health._replace(state=HealthState.PROBED, successes=0)
+            self._health[worker] = health
+        return health.state
+
+    def may_start(self, worker: str, spec: TaskSpec, now_ms: int) -> bool:
+        """Return whether this task may be started on the worker now."""
+        state = self.state(worker, now_ms)
+        if state is HealthState.TRUSTED:
+            return True
+        if state is HealthState.QUARANTINED:
+            return False
+        if self._health[worker].probe not in (None, spec.id):
+            return False
+        return spec.repeatable and not spec.urgent and spec.members == 1
+
+    def started(self, worker: str, task: TaskId, now_ms: int) -> None:
+        """Note that a task was placed on the worker."""
+        if self.state(worker, now_ms) is HealthState.PROBED:
+            self._health[worker] = self._health[worker]._replace(probe=task)
+
+    def succeeded(self, worker: str, task: TaskId, now_ms: int) -> None:
+        """Note that a task ran well there."""
+        self._failed_on.pop(task, None)
+        health = self._health.get(worker)
+        if health is None:
+            return
+        health = health._replace(
+            failed=frozenset(),
+            successes=health.successes + 1,
+            probe=None if health.probe == task else health.probe,
+        )
+        trusted = health.state is HealthState.TRUSTED
+        if health.state is HealthState.PROBED and health.successes >= PROBES_TO_TRUST:
+            health = health._replace(state=HealthState.TRUSTED, successes=0)
+        if trusted and health.successes >= SUCCESSES_TO_FORGET:
+            del self._health[worker]
+        else:
+            self._health[worker] = health
+
+    def failed(self, worker: str, task: TaskId, now_ms: int) -> None:
+        """Note that a task failed there."""
+        where = self._failed_on.get(task, frozenset()) | {worker}
+        self._failed_on[task] = where
+        state = self.state(worker, now_ms)
+        health = self._health.get(worker, _Health())
+        probe = None if health.probe == task else health.probe
+        failed = health.failed
+        if len(failed) < FAILED_JOBS_REMEMBERED:
+            failed = failed | {task}
+        health = health._replace(failed=failed, successes=0, probe=probe)
+        self._health[worker] = health
+        if len(where) >= WORKERS_TO_BLAME_JOB:
+            self._blame_job(task, where)
+        elif state is HealthState.PROBED or (
+            state is HealthState.TRUSTED
+            and len(health.failed) >= FAILED_JOBS_TO_QUARANTINE
+        ):
+            self._quarantine(worker, now_ms)
+
+    def unstarted(self, worker: str, task: TaskId) -> None:
+        """Note that a task left the worker without success or failure."""
+        health = self._health.get(worker)
+        if health is not None and health.probe == task:
+            self._health[worker] = health._replace(probe=None)
+
+    def forget_job(self, task: TaskId) -> None:
+        """Drop a job that has its final answer; its failures still count."""
+        self._failed_on.pop(task, None)
+
+    def forget_worker(self, worker: str) -> None:
+        """Drop a worker that left, or one that was replaced."""
+        self._health.pop(worker, None)
+
+    def quarantined(self, now_ms: int) -> list[str]:
+        """Return the workers in quarantine, sorted by name."""
+        return sorted(
+            worker
+            for worker in list(self._health)
+            if self.state(worker, now_ms) is HealthState.QUARANTINED
+        )
+
+    def _quarantine(self, worker: str, now_ms: int) -> None:
+        health = self._health[worker]
+        others = [name for name in self.quarantined(now_ms) if name != worker]
+        if len(others) + 1 > max(1, self.workers // QUARANTINED_DIVISOR):
+            return
+        length_ms = FIRST_QUARANTINE_MS * 2 ** min(health.quarantines, 10)
+        self._health[worker] = health._replace(
+            state=HealthState.QUARANTINED,
+            quarantines=health.quarantines + 1,
+            until_ms=now_ms + min(length_ms, LONGEST_QUARANTINE_MS),
+            probe=None,
+        )
+
+    def _blame_job(self, task: TaskId, where: frozenset[str]) -> None:
+        """Take a bad job's failures off the workers; release those left blameless."""
+        for worker in where:
+            health = self._health.get(worker)
+            if health is None:
+                continue
+            failed = health.failed - {task}
+            health = health._replace(failed=failed)
+            enough = len(failed) >= FAILED_JOBS_TO_QUARANTINE
+            if health.state is HealthState.QUARANTINED and not enough:
+                health = health._replace(
+                    state=HealthState.TRUSTED,
+                    quarantines=max(0, health.quarantines - 1),
+                )
+            self._health[worker] = health
