--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/composition.py
@@ -0,0 +1,244 @@
+"""The composition root: builds one daemon with its sockets and runs it."""
+
+from __future__ import annotations
+
+import random
+import signal
+import time
+from collections import Counter
+from datetime import timedelta
+
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IListeningPort
+
+from savorylead.clock import TwistedClock
+from savorylead.config import InForceSettings
+from savorylead.contracts import EscrowedLimits, GrantHolder
+from savorylead.domains import Member, MembershipSettings, RegistrationSettings
+from savorylead.links import LinkCount, LinkSettings
+from savorylead.placement import IndexedPlanner
+from savorylead.store import WatchSettings
+from savorylead_daemon.cell import DigestTimes, ObservedStore
+from savorylead_daemon.daemon import Daemon, DaemonParts, DaemonTimes, MetricsFeed
+from savorylead_daemon.entrance import build_entrance
+from savorylead_daemon.gateway import GatewayTimes
+from savorylead_daemon.http import (
+    HttpLinks,
+    HttpStore,
+    HttpVmList,
+    HttpWorkerContract,
+    JsonSite,
+)
+from savorylead_daemon.lead import LeadTimes, Periodic
+from savorylead_daemon.observability import (
+    EventLog,
+    LeadReporter,
+    Metrics,
+    Readiness,
+    configure_logging,
+)
+from savorylead_daemon.peers import HttpPeerTransport, build_peer_site
+from savorylead_daemon.settings import Endpoint, LogLevel, Settings
+
+#: Bits of the random name of a process start.
+INCARNATION_BITS = 64
+#: Time between two copies of counts into the metrics.
+METRICS_INTERVAL = timedelta(seconds=5)
+#: Time between checks of whether the daemon can serve callers.
+READINESS_INTERVAL = timedelta(milliseconds=200)
+#: How long the balancer needs to see that this daemon is not ready.
+BALANCER_NOTICE = timedelta(seconds=1)
+#: Time between checks of whether open requests have ended.
+DRAIN_CHECK = timedelta(milliseconds=50)
+#: A waiting call holds its connection, so many are needed.
+WAITING_LINK = LinkSettings(max_connections=64, max_waiting=1024)
+PEER_LINK = LinkSettings(attempt_timeout=timedelta(seconds=2), max_connections=8)
+#: The reason for which a daemon without a fresh configuration is not ready.
+CONFIG_NOT_FRESH = "config_not_fresh"
+
+
+def daemon_times(settings: Settings) -> DaemonTimes:
+    """Return the durations of the parts, as the settings give them."""
+    leases, polls, limits = settings.leases, settings.polls, settings.limits
+    return DaemonTimes(
+        lead=LeadTimes(
+            worker_lease=leases.worker,
+            renew_interval=leases.worker_renew_every,
+            drift=leases.drift_bound,
+            epoch_grace=leases.caretaker_bound,
+            vm_list_interval=polls.vm_list,
+        ),
+        gateway=GatewayTimes(answer=limits.submit),
+        digests=DigestTimes(every=polls.digests),
+        membership=MembershipSettings(
+            registration=RegistrationSettings(
+                ttl=leases.member, renewal=leases.member_renew_every
+            ),
+            watch=WatchSettings(poll=polls.members),
+        ),
+        config=InForceSettings(watch=WatchSettings(poll=polls.config)),
+    )
+
+
+class DaemonProcess:
+    """A daemon with its sockets, from its start to its planned stop."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._clock = TwistedClock.starting_now(reactor)
+        self._rng = random.Random(random.SystemRandom().getrandbits(128))
+        self._log = EventLog(self._clock, settings.log.lines_per_event_per_s)
+        self._metrics = Metrics(time.process_time)
+        self._readiness = Readiness()
+        self._links = {
+            name: self._open_links(link)
+            for name, link in {
+                "store": LinkSettings(),
+                "watch": WAITING_LINK,
+                "worker": LinkSettings(),
+                "vm_list": LinkSettings(),
+                "peer": PEER_LINK,
+                "peer_waiting": WAITING_LINK,
+            }.items()
+        }
+        self._store = self._open_store()
+        self._daemon = Daemon(self._parts())
+        self._entrance = build_entrance(
+            self._daemon.callers,
+            self._daemon.operators,
+            self._metrics,
+            self._readiness,
+            settings.limits,
+            self._rng,
+        )
+        self._peer_site = build_peer_site(self._daemon.peer_server)
+        self._feed = MetricsFeed(
+            self._metrics, self._daemon, self._store, self._link_counts()
+        )
+        self._ports: list[IListeningPort] = []
+        self._series: list[Periodic] = []
+        self._stopping = False
+
+    def start(self) -> None:
+        """Listen and join the cell."""
+        listen = self._settings.listen
+        self._listen(listen.peers, self._peer_site)
+        self._listen(listen.callers, self._entrance)
+        self._daemon.start()
+        self._series = [
+            Periodic(self._clock, METRICS_INTERVAL, self._feed.copy),
+            Periodic(self._clock, READINESS_INTERVAL, self._judge_readiness),
+        ]
+        self._log.log_event(
+            LogLevel.INFO, "daemon_started", callers=str(listen.callers)
+        )
+
+    def stop(self) -> None:
+        """Begin the planned stop; the reactor stops when it is through."""
+        if self._stopping:
+            return
+        self._stopping = True
+        self._readiness.block(Readiness.STOPPING)
+        self._metrics.set_ready(False)
+        self._log.log_event(LogLevel.INFO, "daemon_stopping")
+        stopping = Deferred.fromCoroutine(self._stop())
+        stopping.addErrback(self._log_failure)
+        stopping.addBoth(lambda _: reactor.stop())
+
+    async def _stop(self) -> None:
+        """Hand over, answer what is open, and leave."""
+        await self._clock.sleep(BALANCER_NOTICE)
+        self._daemon.callers.drain()
+        await self._daemon.hand_over()
+        for port in self._ports:
+            await port.stopListening()
+        give_up_at = self._clock.now() + self._settings.limits.drain
+        while self._open_requests() and self._clock.now() < give_up_at:
+            await self._clock.sleep(DRAIN_CHECK)
+        for series in self._series:
+            series.close()
+        await self._daemon.leave()
+        self._log.log_event(
+            LogLevel.INFO, "daemon_stopped", open_requests=self._open_requests()
+        )
+
+    def _open_requests(self) -> int:
+        return self._entrance.open_requests + self._peer_site.open_requests
+
+    def _log_failure(self, failure: object) -> None:
+        self._log.log_event(LogLevel.ERROR, "stop_failed", detail=str(failure))
+
+    def _judge_readiness(self) -> None:
+        if self._daemon.config.is_fresh():
+            self._readiness.clear(Readiness.STARTING)
+            self._readiness.clear(CONFIG_NOT_FRESH)
+        else:
+            self._readiness.block(CONFIG_NOT_FRESH)
+        self._metrics.set_ready(self._readiness.is_ready())
+
+    def _listen(self, endpoint: Endpoint, site: JsonSite) -> None:
+        port = reactor.listenTCP(endpoint.port, site, interface=endpoint.host)
+        self._ports.append(port)
+
+    def _open_links(self, link: LinkSettings) -> HttpLinks:
+        headers = {"x-client": self._settings.name}
+        return HttpLinks(reactor, self._clock, self._rng, headers, link)
+
+    def _link_counts(self) -> dict[str, Counter[LinkCount]]:
+        return {name: links.counts for name, links in self._links.items()}
+
+    def _open_store(self) -> ObservedStore:
+        endpoint = str(self._settings.platform.store)
+        calls = self._links["store"].open(endpoint)
+        watches = self._links["watch"].open(endpoint)
+        return ObservedStore(HttpStore(self._clock, self._rng, calls, watches))
+
+    def _open_limits(
+        self, shard: str, epoch: int, holder: GrantHolder
+    ) -> EscrowedLimits:
+        return EscrowedLimits(
+            self._store, self._clock, self._rng, holder, shard, epoch
+        )
+
+    def _parts(self) -> DaemonParts:
+        settings = self._settings
+        vm_link = self._links["vm_list"].open(str(settings.platform.vm_list))
+        return DaemonParts(
+            member=Member(
+                name=settings.name,
+                region=settings.region,
+                domain=settings.domain,
+                endpoint=str(settings.listen.advertised_peers),
+                incarnation=f"{self._rng.getrandbits(INCARNATION_BITS):016x}",
+            ),
+            clock=self._clock,
+            rng=self._rng,
+            store=self._store,
+            contract=HttpWorkerContract(self._links["worker"].open),
+            vm_list=HttpVmList(vm_link),
+            transport=HttpPeerTransport(
+                self._links["peer"].open, self._links["peer_waiting"].open
+            ),
+            open_planner=IndexedPlanner,
+            open_limits=self._open_limits,
+            observer=LeadReporter(self._metrics, self._log),
+            bootstrap_sha256=settings.operator_key_sha256,
+            times=daemon_times(settings),
+            on_superseded=self._on_superseded,
+        )
+
+    def _on_superseded(self) -> None:
+        self._log.log_event(LogLevel.ERROR, "name_taken_by_another_process")
+        self.stop()
+
+
+def compose(settings: Settings) -> int:
+    """Run a daemon until SIGTERM or SIGINT; return the exit code."""
+    configure_logging(settings.name, settings.log.level)
+    process = DaemonProcess(settings)
+    process.start()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: reactor.callFromThread(process.stop))
+    reactor.run(installSignalHandlers=False)
+    return 0
--- a/packages/savorylead-daemon/savorylead_daemon/daemon/_daemon.py
+++ b/packages/savorylead-daemon/savorylead_daemon/daemon/_daemon.py
@@ -41,7 +41,12 @@
 )
 from savorylead_daemon.gateway import CallerGateway, GatewayTimes, OperatorGateway
 from savorylead_daemon.lead import LeadObserver, LeadParts, LeadTimes, ShardLead
-from savorylead_daemon.peers import PeerClient, PeerServer, PeerTransport
+from savorylead_daemon.peers import (
+    PeerClient,
+    PeerServer,
+    PeerTransport,
+    ShardDigest,
+)
 
 
 class DaemonTimes(NamedTuple):
@@ -187,6 +192,10 @@
         self.config.stop()
         self.membership.stop()
 
+    def own_digests(self) -> tuple[ShardDigest, ...]:
+        """Return the digests of the shards that this daemon leads."""
+        return self._handler.digest().shards
+
     def _on_config(self, current: InForce) -> None:
         self.directory.set_shards(shards_of(current.document))
         policy = policy_of(current.document, current.revision)
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/daemon/_metrics_feed.py
@@ -0,0 +1,116 @@
+"""Feeds the metrics from the parts that count by themselves."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+from savorylead.links import LinkCount
+from savorylead.resources import ZERO, Resources
+from savorylead_daemon.cell import ObservedStore
+from savorylead_daemon.observability import Metrics
+from savorylead_daemon.peers import ShardDigest
+
+from ._daemon import Daemon
+
+
+class MetricsFeed:
+    """Copies gauges and the growth of counts into the metrics, every few seconds."""
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        daemon: Daemon,
+        store: ObservedStore,
+        link_counts: Mapping[str, Counter[LinkCount]],
+    ) -> None:
+        self._metrics = metrics
+        self._daemon = daemon
+        self._store = store
+        self._link_counts = link_counts
+        self._seen: Counter[tuple[str, str]] = Counter()
+
+    def copy(self) -> None:
+        """Copy everything once."""
+        self._copy_leads()
+        self._copy_shares()
+        self._copy_store_calls()
+        self._copy_retries()
+        self._metrics.set_revision(self._daemon.config.revision)
+
+    def _copy_leads(self) -> None:
+        leads = self._daemon.supervisor.leads
+        self._metrics.set_leads({name: lead.epoch for name, lead in leads.items()})
+        for name, lead in leads.items():
+            waiting = lead.planner.pending_count()
+            self._metrics.set_shard_load(name, waiting, lead.running_count())
+        digests = self._daemon.own_digests()
+        capacity = _total(digest.capacity for digest in digests)
+        held = _total(digest.held for digest in digests)
+        for resource, whole in capacity._asdict().items():
+            if whole:
+                ratio = getattr(held, resource) / whole
+                self._metrics.set_packing(resource, ratio)
+
+    def _copy_shares(self) -> None:
+        digests = self._daemon.directory.shard_digests().values()
+        self._metrics.set_share_distances(share_distances(digests, self._weights()))
+
+    def _weights(self) -> dict[str, float]:
+        current = self._daemon.config.current
+        if current is None:
+            return {}
+        teams = current.document["teams"]
+        return {name: team["share"] for name, team in teams.items()}
+
+    def _copy_store_calls(self) -> None:
+        for call, count in self._store.calls.items():
+            for _ in range(self._growth("store", call, count)):
+                self._metrics.count_store_call(call)
+        for error, count in self._store.failures.items():
+            for _ in range(self._growth("store_failure", error, count)):
+                self._metrics.count_store_call("any", error)
+
+    def _copy_retries(self) -> None:
+        for link, counts in self._link_counts.items():
+            for reason, count in counts.items():
+                for _ in range(self._growth(link, str(reason), count)):
+                    self._metrics.count_retry(link, reason)
+
+    def _growth(self, kind: str, name: str, count: int) -> int:
+        """Return by how much a count has grown since the last copy."""
+        growth = count - self._seen[kind, name]
+        self._seen[kind, name] = count
+        return growth
+
+
+def share_distances(
+    digests: Iterable[ShardDigest], weights: Mapping[str, float]
+) -> dict[str, float]:
+    """Return each team's dominant share of the fleet minus its weighted part.
+
+    The part is of what all teams hold together, so an idle fleet shows no distance.
+    """
+    known = list(digests)
+    capacity = _total(digest.capacity for digest in known)
+    shares = dict.fromkeys(weights, 0.0)
+    for team in weights:
+        held = _total(
+            usage.held
+            for digest in known
+            for usage in digest.teams
+            if usage.team == team
+        )
+        shares[team] = held.dominant_share(capacity)
+    whole = sum(weights.values())
+    used = sum(shares.values())
+    return {
+        team: share - used * weights[team] / whole for team, share in shares.items()
+    }
+
+
+def _total(amounts: Iterable[Resources]) -> Resources:
+    total = ZERO
+    for amount in amounts:
+        total = total.plus(amount)
+    return total
--- a/packages/savorylead-daemon/savorylead_daemon/gateway/_caller_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/gateway/_caller_gateway.py
@@ -49,6 +49,9 @@
     answer: timedelta = timedelta(seconds=5)
     #: Further time to prove that a submit without an answer was not accepted.
     prove: timedelta = timedelta(seconds=3)
+    #: Longest wait in one message; a waiting call is made of many such slices, so
+    #: that a silent connection or a new lead is noticed.
+    wait_slice: timedelta = timedelta(seconds=5)
 
 
 class CallerGateway(CallerService):
@@ -65,6 +68,11 @@
         self._router = router
         self._clock = clock
         self._times = times
+        self._draining = False
+
+    def drain(self) -> None:
+        """Answer waiting calls soon with what is known, since the daemon stops."""
+        self._draining = True
 
     async def submit(
         self, key: str, tasks: Sequence[TaskDocument]
@@ -167,12 +175,20 @@
         self, shard: str, tasks: Sequence[TaskId], until: datetime
     ) -> list[TaskView]:
         """Ask one shard, and follow tasks that have moved to others."""
-        now = self._clock.now()
-        wait_ms = max(0, int((until - now) / timedelta(milliseconds=1)))
-        message = AnswersMessage(shard, tuple(tasks), wait_ms)
-        answer = await self._ask(shard, message, max(until, now) + self._times.answer)
-        views = list(_expect(answer, ViewsAnswer).views)
-        return await self._follow_moved(shard, views, until)
+        while True:
+            now = self._clock.now()
+            slice_ends = min(until, now + self._times.wait_slice)
+            if self._draining:
+                slice_ends = now
+            wait_ms = max(0, int((slice_ends - now) / timedelta(milliseconds=1)))
+            message = AnswersMessage(shard, tuple(tasks), wait_ms)
+            deadline = max(slice_ends, now) + self._times.answer
+            answer = await self._ask(shard, message, deadline)
+            views = list(_expect(answer, ViewsAnswer).views)
+            views = await self._follow_moved(shard, views, slice_ends)
+            answered = any(view.outcome is not None for view in views)
+            if answered or self._draining or self._clock.now() >= until:
+                return views
 
     async def _follow_moved(
         self, shard: str, views: list[TaskView], until: datetime
--- a/packages/savorylead-daemon/savorylead_daemon/http/_json_site.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/_json_site.py
@@ -138,6 +138,8 @@
         self.displayTracebacks = False
         #: Requests whose handlers run, for a planned stop to wait for.
         self.open_requests = 0
+        #: Requests whose handlers run, for a planned stop to wait for.
+        self.open_requests = 0
         self._limits = limits
         self._buffered_bytes = 0
         self._channels: set[_BoundedChannel] = set()
--- a/packages/savorylead-daemon/savorylead_daemon/peers/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/peers/__init__.py
@@ -7,6 +7,7 @@
     encode_answer,
     encode_message,
 )
+from ._http_peers import HttpPeerTransport, build_peer_site
 from ._messages import (
     AnswersMessage,
     CancelMessage,
@@ -42,6 +43,7 @@
     "CancelMessage",
     "DigestAnswer",
     "DigestMessage",
+    "HttpPeerTransport",
     "LeadLost",
     "NotLead",
     "OfferAnswer",
@@ -64,6 +66,7 @@
     "ViewsAnswer",
     "WorkersAnswer",
     "WorkersMessage",
+    "build_peer_site",
     "decode_answer",
     "decode_message",
     "encode_answer",
--- a/packages/savorylead-daemon/savorylead_daemon/peers/_peer.py
+++ b/packages/savorylead-daemon/savorylead_daemon/peers/_peer.py
@@ -4,6 +4,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 
 from savorylead.domains import Member
 
@@ -19,8 +20,14 @@
     """Carries bytes to a daemon and back."""
 
     @abstractmethod
-    async def exchange(self, member: Member, body: bytes, idempotent: bool) -> bytes:
-        """Return the answer to ``body``; raises PeerError."""
+    async def exchange(
+        self, member: Member, tag: str, body: bytes, wait: timedelta
+    ) -> bytes:
+        """Return the answer to a message; raises PeerError.
+
+        ``tag`` names the kind of message, for counters. ``wait`` is how long the
+        member may hold the answer back on purpose.
+        """
 
 
 class RevisionExchange(ABC):
@@ -55,7 +62,9 @@
         Raises PeerError or PeerCodecError.
         """
         body = encode_message(message, self._revisions.revision())
-        reply = await self._transport.exchange(member, body, idempotent=True)
+        wait = timedelta(milliseconds=getattr(message, "wait_ms", 0))
+        tag = type(message).__name__
+        reply = await self._transport.exchange(member, tag, body, wait)
         decoded = decode_answer(reply)
         self._revisions.observe(decoded.revision)
         return decoded.content, decoded.revision
--- a/packages/savorylead-standins/savorylead_standins/cell/_links.py
+++ b/packages/savorylead-standins/savorylead_standins/cell/_links.py
@@ -173,7 +173,9 @@
         self._network = network
         self._servers = servers
 
-    async def exchange(self, member: Member, body: bytes, idempotent: bool) -> bytes:
+    async def exchange(
+        self, member: Member, tag: str, body: bytes, wait: timedelta
+    ) -> bytes:
         """Return the answer to ``body``; raises PeerError."""
         found = self._servers.get(member.endpoint)
 
@@ -184,7 +186,7 @@
             await target.gate()
             return await target.receive(server.answer(body))
 
-        call = NetworkCall(self._process.name, member.name, body[2:12].decode())
+        call = NetworkCall(self._process.name, member.name, tag)
         try:
             return await self._process.receive(self._network.call(call, apply))
         except CallLostError as exc:
