--- a/packages/savorylead-daemon/savorylead_daemon/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/composition.py
@@ -197,9 +197,7 @@
     def _open_limits(
         self, shard: str, epoch: int, holder: GrantHolder
     ) -> EscrowedLimits:
-        return EscrowedLimits(
-            self._store, self._clock, self._rng, holder, shard, epoch
-        )
+        return EscrowedLimits(self._store, self._clock, self._rng, holder, shard, epoch)
 
     def _parts(self) -> DaemonParts:
         settings = self._settings
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_dispatcher.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_dispatcher.py
@@ -419,8 +419,6 @@
         record = self._ledger.state.records.get(task)
         if record is not None and record.spec is not None:
             self._observer.ended(record.spec, outcome)
-            if isinstance(outcome, NotRun):
-                self._observer.refused(record.spec, outcome.reason)
 
     def _now_ms(self) -> int:
         return to_millis(self._clock.now())
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_observer.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_observer.py
@@ -10,8 +10,8 @@
 class LeadObserver:
     """Hooks for metrics and logs; each does nothing unless it is overridden."""
 
-    def refused(self, spec: TaskSpec | None, reason: Refusal) -> None:
-        """A task was refused and its caller is told so."""
+    def refused(self, spec: TaskSpec, reason: Refusal) -> None:
+        """A task was refused on arrival; the gateway counts what it tells."""
 
     def placed(self, spec: TaskSpec, waited_ms: int) -> None:
         """A placement is durable, ``waited_ms`` after the task was accepted."""
--- a/packages/savorylead-daemon/savorylead_daemon/observability/_lead_reporter.py
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/_lead_reporter.py
@@ -4,7 +4,7 @@
 
 from savorylead.contracts import TaskSpec
 from savorylead.journal import RequeueReason
-from savorylead.outcomes import Outcome, Refusal, outcome_tag
+from savorylead.outcomes import NotRun, Outcome, Refusal, outcome_tag
 from savorylead_daemon.lead import LeadObserver
 from savorylead_daemon.settings import LogLevel
 
@@ -24,9 +24,7 @@
         """Count and log a refusal."""
         self._metrics.count_refusal(reason)
         subject = LogSubject(task=spec.id if spec else None)
-        self._log.log_event(
-            LogLevel.INFO, "task_refused", subject, reason=reason.value
-        )
+        self._log.log_event(LogLevel.INFO, "task_refused", subject, reason=reason.value)
 
     def placed(self, spec: TaskSpec, waited_ms: int) -> None:
         """Count the wait for a placement."""
@@ -40,11 +38,16 @@
         """Count and log an attempt that goes back to the queue."""
         self._metrics.count_requeue(reason)
         self._log.log_event(
-            LogLevel.INFO, "task_requeued", LogSubject(task=spec.id), reason=reason.value
+            LogLevel.INFO,
+            "task_requeued",
+            LogSubject(task=spec.id),
+            reason=reason.value,
         )
 
     def ended(self, spec: TaskSpec, outcome: Outcome) -> None:
-        """Log a final answer."""
+        """Log a final answer; count a refusal that came after the acceptance."""
+        if isinstance(outcome, NotRun):
+            self._metrics.count_refusal(outcome.reason)
         self._log.log_event(
             LogLevel.DEBUG,
             "task_ended",
--- a/packages/savorylead-daemon/savorylead_daemon/settings/_schema.py
+++ b/packages/savorylead-daemon/savorylead_daemon/settings/_schema.py
@@ -33,13 +33,13 @@
         "worker_s": 15.0,
         "worker_renew_every_s": 5.0,
         "drift_bound_s": 0.5,
-        "caretaker_bound_s": 3600.0,
+        "caretaker_bound_s": 20.0,
     },
     "polls": {
         "config_s": 1.5,
         "members_s": 1.0,
         "vm_list_s": 2.0,
-        "digests_s": 2.0,
+        "digests_s": 4.0,
     },
     "limits": {
         "body_bytes": 4_000_000,
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/rig/_processes.py
@@ -0,0 +1,186 @@
+"""A platform and daemons as real processes on loopback."""
+
+from __future__ import annotations
+
+import json
+import socket
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from twisted.internet import error
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IProcessTransport, IReactorProcess
+from twisted.internet.protocol import ProcessProtocol
+from twisted.python.failure import Failure
+
+HOST = "127.0.0.1"
+
+
+class ChildError(Exception):
+    """A child process ended before it was ready."""
+
+
+class Child(ProcessProtocol):
+    """One child process; its standard error goes to a file."""
+
+    def __init__(self, name: str, errors: Path) -> None:
+        self.name = name
+        self.ended: Deferred[int] = Deferred()
+        self.first_line: Deferred[bytes] = Deferred()
+        self.exit_code: int | None = None
+        self._errors = errors.open("ab")
+        self._output = b""
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self.exit_code is None
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._process().pid
+
+    def signal(self, name: str) -> None:
+        """Send a signal such as "KILL"; does nothing once the process ended."""
+        try:
+            self._process().signalProcess(name)
+        except error.ProcessExitedAlready:
+            return
+
+    def outReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take the first line of output; drop the rest."""
+        if self.first_line.called:
+            return
+        self._output += data
+        if b"\n" in self._output:
+            self.first_line.callback(self._output.partition(b"\n")[0])
+
+    def errReceived(self, data: bytes) -> None:  # noqa: N802
+        """Keep log lines."""
+        self._errors.write(data)
+        self._errors.flush()
+
+    def processEnded(self, reason: Failure) -> None:  # noqa: N802
+        """Note the exit code; a signal counts as its negative number."""
+        status = reason.value
+        code = status.exitCode
+        self.exit_code = -(status.signal or 0) if code is None else code
+        self._errors.close()
+        if not self.first_line.called:
+            self.first_line.errback(ChildError(f"{self.name}: {self.exit_code}"))
+        self.ended.callback(self.exit_code)
+
+    def _process(self) -> IProcessTransport:
+        return self.transport
+
+
+class DaemonPorts(NamedTuple):
+    """Where one daemon listens."""
+
+    callers: int
+    peers: int
+
+
+class CellProcesses:
+    """Starts the platform and daemons of an example, and ends all of them."""
+
+    def __init__(
+        self,
+        reactor: IReactorProcess,
+        example: Path,
+        run_limit_s: float,
+        log_level: str = "warning",
+    ) -> None:
+        self.platform_ports: dict[str, str] = {}
+        self.daemons: dict[str, Child] = {}
+        self.ports: dict[str, DaemonPorts] = {}
+        #: Where settings and logs lie; removed by ``end_all``.
+        self.folder = tempfile.TemporaryDirectory(prefix="savorylead-")
+        self._reactor = reactor
+        self._example = example
+        self._run_limit_s = run_limit_s
+        self._log_level = log_level
+        self._children: list[Child] = []
+
+    async def start_platform(self) -> None:
+        """Start the stand-ins; raises ChildError."""
+        child = self._spawn(
+            "platform",
+            [
+                "-m",
+                "savorylead_standins.serve",
+                "--config",
+                str(self._example),
+                "--run-limit-s",
+                str(self._run_limit_s),
+                "--until-stdin-closes",
+            ],
+        )
+        self.platform_ports = json.loads(await child.first_line)
+
+    def start_daemon(self, name: str, region: str, domain: str) -> Child:
+        """Start a daemon; a name that was used before keeps its ports."""
+        ports = self.ports.get(name)
+        if ports is None:
+            ports = self.ports[name] = DaemonPorts(_free_port(), _free_port())
+        settings = Path(self.folder.name, f"{name}.json")
+        settings.write_text(json.dumps(self._settings(name, region, domain, ports)))
+        child = self._spawn(
+            name, ["-m", "savorylead_daemon.main", "--config", str(settings)]
+        )
+        self.daemons[name] = child
+        return child
+
+    def log_text(self, name: str) -> str:
+        """Return what a process has written to standard error."""
+        path = self._log_path(name)
+        return path.read_text() if path.exists() else ""
+
+    async def end_all(self) -> None:
+        """Kill every child that runs, and wait for its end."""
+        for child in self._children:
+            if child.is_running:
+                child.signal("KILL")
+        for child in self._children:
+            if child.is_running:
+                await child.ended
+        self.folder.cleanup()
+
+    def _settings(
+        self, name: str, region: str, domain: str, ports: DaemonPorts
+    ) -> dict[str, Any]:
+        demo = json.loads(self._example.read_text())["demo"]
+        return {
+            "name": name,
+            "region": region,
+            "domain": domain,
+            "listen": {
+                "callers": f"{HOST}:{ports.callers}",
+                "peers": f"{HOST}:{ports.peers}",
+            },
+            "platform": {
+                "store": self.platform_ports["store"],
+                "vm_list": self.platform_ports["vm_list"],
+            },
+            "log": {"level": self._log_level},
+            "operator_key_sha256": [demo["operator_key_sha256"]],
+        }
+
+    def _spawn(self, name: str, arguments: list[str]) -> Child:
+        child = Child(name, self._log_path(name))
+        command = [sys.executable, *arguments]
+        self._reactor.spawnProcess(child, sys.executable, command, env=None)
+        self._children.append(child)
+        return child
+
+    def _log_path(self, name: str) -> Path:
+        return Path(self.folder.name, f"{name}.log")
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
