--- a/packages/savorylead-daemon/savorylead_daemon/cell/_lead_supervisor.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_lead_supervisor.py
@@ -7,14 +7,14 @@
 from collections.abc import Awaitable, Callable, Mapping
 from datetime import datetime, timedelta
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 
 from savorylead.clock import Clock
 from savorylead.domains import Shard
 from savorylead.journal import DeposedError, JournalError
 from savorylead.store import StoreError
 from savorylead.workers import VmListError
-from savorylead_daemon.lead import Periodic, ShardLead
+from savorylead_daemon.lead import LeadObserver, Periodic, ShardLead
 
 #: Time between checks of who should lead what.
 CHECK_INTERVAL = timedelta(milliseconds=500)
@@ -44,7 +44,9 @@
         open_lead: Callable[[Shard, Callable[[ShardLead], None]], Awaitable[ShardLead]],
         clock: Clock,
         rng: random.Random,
+        observer: LeadObserver,
     ) -> None:
+        self._observer = observer
         self._duty = duty
         self._open_lead = open_lead
         self._clock = clock
@@ -111,17 +113,19 @@
         name = shard.name
         if self._closed or name in self._leads or name in self._opening:
             return
-        if self._clock.now() < self._not_before.get(name, self._clock.now()):
+        not_before = self._not_before.get(name)
+        if not_before is not None and self._clock.now() < not_before:
             return
         opening = Deferred.fromCoroutine(self._open(shard))
         if not opening.called:
             self._opening[name] = opening
-        opening.addErrback(lambda _: None)
+        opening.addErrback(lambda failure: failure.trap(CancelledError) and None)
 
     async def _open(self, shard: Shard) -> None:
         try:
             lead = await self._open_lead(shard, self._on_deposed)
-        except (StoreError, JournalError, VmListError):
+        except (StoreError, JournalError, VmListError) as exc:
+            self._observer.takeover_failed(shard.name, type(exc).__name__)
             self._delay_next(shard.name)
             return
         finally:
--- a/packages/savorylead-daemon/savorylead_daemon/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/composition.py
@@ -25,10 +25,12 @@
 from savorylead_daemon.gateway import GatewayTimes
 from savorylead_daemon.http import (
     HttpLinks,
+    HttpPeerTransport,
     HttpStore,
     HttpVmList,
     HttpWorkerContract,
     JsonSite,
+    peer_resource,
 )
 from savorylead_daemon.lead import LeadTimes, Periodic
 from savorylead_daemon.observability import (
@@ -38,7 +40,6 @@
     Readiness,
     configure_logging,
 )
-from savorylead_daemon.peers import HttpPeerTransport, build_peer_site
 from savorylead_daemon.settings import Endpoint, LogLevel, Settings
 
 #: Bits of the random name of a process start.
@@ -54,6 +55,8 @@
 #: A waiting call holds its connection, so many are needed.
 WAITING_LINK = LinkSettings(max_connections=64, max_waiting=1024)
 PEER_LINK = LinkSettings(attempt_timeout=timedelta(seconds=2), max_connections=8)
+#: The largest message between daemons, such as an array of tasks.
+MAX_PEER_MESSAGE_BYTES = 8_000_000
 #: The reason for which a daemon without a fresh configuration is not ready.
 CONFIG_NOT_FRESH = "config_not_fresh"
 
@@ -112,7 +115,9 @@
             settings.limits,
             self._rng,
         )
-        self._peer_site = build_peer_site(self._daemon.peer_server)
+        self._peer_site = JsonSite(
+            peer_resource(self._daemon.peer_server), MAX_PEER_MESSAGE_BYTES
+        )
         self._feed = MetricsFeed(
             self._metrics, self._daemon, self._store, self._link_counts()
         )
--- a/packages/savorylead-daemon/savorylead_daemon/daemon/_daemon.py
+++ b/packages/savorylead-daemon/savorylead_daemon/daemon/_daemon.py
@@ -125,7 +125,9 @@
             lambda: list(self.directory.shards.values()),
             clock,
         )
-        self.supervisor = LeadSupervisor(duty, self._open_lead, clock, rng)
+        self.supervisor = LeadSupervisor(
+            duty, self._open_lead, clock, rng, parts.observer
+        )
         doorkeeper = ConfigDoorkeeper(self.config)
         self._handler = MessageHandler(
             name, self.supervisor.leads, doorkeeper.recheck, self._store_sight
--- a/packages/savorylead-daemon/savorylead_daemon/http/_http_peer_transport.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/_http_peer_transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -18,21 +19,38 @@
 
 
 class HttpPeerTransport(PeerTransport):
-    """Keeps one link to each member's endpoint."""
+    """Keeps one link to each daemon for messages and one for waiting calls.
+
+    A call that waits holds its connection, so on a common link it would keep the
+    others waiting.
+    """
 
     def __init__(
-        self, open_link: Callable[[str], Link], timeout: timedelta = _TIMEOUT
+        self,
+        open_link: Callable[[str], Link],
+        open_waiting_link: Callable[[str], Link],
+        timeout: timedelta = _TIMEOUT,
     ) -> None:
-        """Take ``open_link``, which returns a new link to an endpoint."""
+        """Take two functions that return a new link to an endpoint."""
+        #: Messages sent, by kind.
+        self.messages: Counter[str] = Counter()
         self._open_link = open_link
+        self._open_waiting_link = open_waiting_link
         self._timeout = timeout
-        self._links: dict[str, Link] = {}
-
-    async def exchange(self, member: Member, body: bytes, idempotent: bool) -> bytes:
-        """Return the answer to ``body``; raises PeerError."""
-        request = LinkRequest("POST", PEER_PATH, body, idempotent)
+        self._links: dict[tuple[str, bool], Link] = {}
+
+    async def exchange(
+        self, member: Member, tag: str, body: bytes, wait: timedelta
+    ) -> bytes:
+        """Return the answer to a message; raises PeerError."""
+        self.messages[tag] += 1
+        waiting = wait > timedelta(0)
+        # The link gives one attempt of an idempotent call less time than a wait may
+        # take. A waiting call is not repeated here; its caller asks again.
+        request = LinkRequest("POST", PEER_PATH, body, idempotent=not waiting)
+        link = self._link_to(member.endpoint, waiting)
         try:
-            reply = await self._link_to(member.endpoint).call(request, self._timeout)
+            reply = await link.call(request, wait + self._timeout)
         except LinkError as exc:
             raise PeerError(f"{member.name}: {exc}") from exc
         if reply.status != _OK:
@@ -41,17 +59,19 @@
 
     def keep_only(self, endpoints: frozenset[str]) -> None:
         """Close the links to all other endpoints."""
-        for endpoint in self._links.keys() - endpoints:
-            self._links.pop(endpoint).close()
+        for key in list(self._links):
+            if key[0] not in endpoints:
+                self._links.pop(key).close()
 
     def close(self) -> None:
         """Close every link; calls under way fail."""
         self.keep_only(frozenset())
 
-    def _link_to(self, endpoint: str) -> Link:
-        link = self._links.get(endpoint)
+    def _link_to(self, endpoint: str, waiting: bool) -> Link:
+        link = self._links.get((endpoint, waiting))
         if link is None:
-            link = self._links[endpoint] = self._open_link(endpoint)
+            open_link = self._open_waiting_link if waiting else self._open_link
+            link = self._links[endpoint, waiting] = open_link(endpoint)
         return link
 
 
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_observer.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_observer.py
@@ -31,6 +31,9 @@
     def answer_discarded(self, worker: str) -> None:
         """A worker's answer did not match its digest and was not taken."""
 
+    def takeover_failed(self, shard: str, reason: str) -> None:
+        """This daemon could not take a shard and tries again later."""
+
     def lead_began(self, shard: str, epoch: int, tasks: int) -> None:
         """This daemon leads the shard from now on."""
 
--- a/packages/savorylead-daemon/savorylead_daemon/observability/_lead_reporter.py
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/_lead_reporter.py
@@ -67,6 +67,13 @@
         self._metrics.count_retry("worker", "answer_digest_mismatch")
         self._log.log_event(LogLevel.WARNING, "answer_discarded", worker=worker)
 
+    def takeover_failed(self, shard: str, reason: str) -> None:
+        """Count and log a failed attempt to lead a shard."""
+        self._metrics.count_retry("takeover", reason)
+        self._log.log_event(
+            LogLevel.WARNING, "takeover_failed", LogSubject(shard=shard), reason=reason
+        )
+
     def lead_began(self, shard: str, epoch: int, tasks: int) -> None:
         """Log that this daemon leads a shard."""
         self._log.log_event(
--- a/packages/savorylead-daemon/savorylead_daemon/peers/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/peers/__init__.py
@@ -7,7 +7,6 @@
     encode_answer,
     encode_message,
 )
-from ._http_peers import HttpPeerTransport, build_peer_site
 from ._messages import (
     AnswersMessage,
     CancelMessage,
@@ -43,7 +42,6 @@
     "CancelMessage",
     "DigestAnswer",
     "DigestMessage",
-    "HttpPeerTransport",
     "LeadLost",
     "NotLead",
     "OfferAnswer",
@@ -66,7 +64,6 @@
     "ViewsAnswer",
     "WorkersAnswer",
     "WorkersMessage",
-    "build_peer_site",
     "decode_answer",
     "decode_message",
     "encode_answer",
--- a/packages/savorylead-standins/savorylead_standins/rig/_processes.py
+++ b/packages/savorylead-standins/savorylead_standins/rig/_processes.py
@@ -104,6 +104,8 @@
         self._run_limit_s = run_limit_s
         self._log_level = log_level
         self._children: list[Child] = []
+        reactor.addSystemEventTrigger("before", "shutdown", self.kill_all)
+        reactor.callLater(run_limit_s, self.kill_all)
 
     async def start_platform(self) -> None:
         """Start the stand-ins; raises ChildError."""
@@ -139,11 +141,15 @@
         path = self._log_path(name)
         return path.read_text() if path.exists() else ""
 
-    async def end_all(self) -> None:
-        """Kill every child that runs, and wait for its end."""
+    def kill_all(self) -> None:
+        """Kill every child that runs."""
         for child in self._children:
             if child.is_running:
                 child.signal("KILL")
+
+    async def end_all(self) -> None:
+        """Kill every child that runs, and wait for its end."""
+        self.kill_all()
         for child in self._children:
             if child.is_running:
                 await child.ended
