Move only the shards of a lost lead, and end the churn of takeovers

Cause: when one of three leads died, the even share rose from 1 to 2 and plain rendezvous hashing moved a shard between the two that lived; the daemon that resigned it then read a head from before its resignation, took that for a shard left over by an earlier process, and opened it again, 20 times a second. Before: a shard without a lead for 5 s and more after one kill.

--- a/packages/savorylead-daemon/savorylead_daemon/cell/_lead_supervisor.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_lead_supervisor.py
@@ -10,7 +10,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 
 from savorylead.clock import Clock
-from savorylead.domains import Shard
+from savorylead.domains import LeadSteps
 from savorylead.journal import DeposedError, JournalError
 from savorylead.store import StoreError
 from savorylead.workers import VmListError
@@ -27,12 +27,8 @@
     """Says which shards this daemon should take or give up."""
 
     @abstractmethod
-    def to_take(self, leading: frozenset[str]) -> list[Shard]:
-        """Return shards to take now."""
-
-    @abstractmethod
-    def to_resign(self, leading: frozenset[str]) -> list[str]:
-        """Return shards that another daemon should lead by now."""
+    def steps(self, held: frozenset[str]) -> LeadSteps:
+        """Return what to open and to resign, when ``held`` is led or being opened."""
 
 
 class LeadSupervisor:
@@ -41,7 +37,7 @@
     def __init__(
         self,
         duty: LeadDuty,
-        open_lead: Callable[[Shard, Callable[[ShardLead], None]], Awaitable[ShardLead]],
+        open_lead: Callable[[str, Callable[[ShardLead], None]], Awaitable[ShardLead]],
         clock: Clock,
         rng: random.Random,
         observer: LeadObserver,
@@ -103,38 +99,38 @@
         return result
 
     async def _check(self) -> None:
-        leading = frozenset(self._leads)
-        for name in self._duty.to_resign(leading):
-            await self._resign(self._leads[name])
-        for shard in self._duty.to_take(frozenset(self._leads)):
-            self._take(shard)
-
-    def _take(self, shard: Shard) -> None:
-        name = shard.name
+        steps = self._duty.steps(frozenset(self._leads) | frozenset(self._opening))
+        for name in steps.to_resign:
+            if name in self._leads:
+                await self._resign(self._leads[name])
+        for name in steps.to_open:
+            self._take(name)
+
+    def _take(self, name: str) -> None:
         if self._closed or name in self._leads or name in self._opening:
             return
         not_before = self._not_before.get(name)
         if not_before is not None and self._clock.now() < not_before:
             return
-        opening = Deferred.fromCoroutine(self._open(shard))
+        opening = Deferred.fromCoroutine(self._open(name))
         if not opening.called:
             self._opening[name] = opening
         opening.addErrback(lambda failure: failure.trap(CancelledError) and None)
 
-    async def _open(self, shard: Shard) -> None:
+    async def _open(self, name: str) -> None:
         try:
-            lead = await self._open_lead(shard, self._on_deposed)
+            lead = await self._open_lead(name, self._on_deposed)
         except (StoreError, JournalError, VmListError) as exc:
-            self._observer.takeover_failed(shard.name, type(exc).__name__)
-            self._delay_next(shard.name)
+            self._observer.takeover_failed(name, type(exc).__name__)
+            self._delay_next(name)
             return
         finally:
-            self._opening.pop(shard.name, None)
+            self._opening.pop(name, None)
         if self._closed:
             await lead.resign()
             return
-        self._failures.pop(shard.name, None)
-        self._leads[shard.name] = lead
+        self._failures.pop(name, None)
+        self._leads[name] = lead
 
     def _delay_next(self, shard: str) -> None:
         """Wait longer after each failure, so that a slow store is left alone."""
--- a/packages/savorylead-daemon/savorylead_daemon/cell/_region_duty.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_region_duty.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from datetime import datetime
 
 from savorylead.clock import Clock, to_millis
 from savorylead.domains import (
     LeadAssignment,
     LeadDirectory,
+    LeadSteps,
     Membership,
     Shard,
     assign_leads,
+    next_lead_steps,
 )
 
 from ._lead_supervisor import LeadDuty
@@ -35,46 +38,45 @@
         self._heads = heads
         self._shards = shards
         self._clock = clock
+        self._held: frozenset[str] = frozenset()
+        #: When this daemon stopped leading each shard that it led once.
+        self._stopped_at: dict[str, datetime] = {}
 
-    def to_take(self, leading: frozenset[str]) -> list[Shard]:
-        """Return shards to take now."""
+    def steps(self, held: frozenset[str]) -> LeadSteps:
+        """Return what to open and to resign, when ``held`` is led or being opened."""
+        self._note_held(held)
         if self._membership.current().stale or self._heads.age() is None:
-            return []
+            return LeadSteps((), ())
+        steps = next_lead_steps(
+            self._membership.member.name, held, self._assignments(), self._leads()
+        )
         if not self._membership.member.leading:
-            return []
-        assignments = self._assignments()
-        return [
-            shard
-            for shard in self._shards()
-            if shard.name not in leading and self._is_mine(assignments[shard.name])
-        ]
+            return steps._replace(to_open=())
+        return steps
 
-    def to_resign(self, leading: frozenset[str]) -> list[str]:
-        """Return shards that another settled daemon should lead, or that are gone."""
-        if self._membership.current().stale:
-            return []
-        assignments = self._assignments()
-        return [
-            name
-            for name in sorted(leading)
-            if name not in assignments or self._is_elsewhere(assignments[name])
-        ]
+    def _note_held(self, held: frozenset[str]) -> None:
+        for shard in self._held - held:
+            self._stopped_at[shard] = self._clock.now()
+        self._held = held
 
-    def _is_mine(self, assignment: LeadAssignment) -> bool:
-        own_name = self._membership.member.name
-        # A head with this daemon's name that it doesn't lead is left over from an
-        # earlier process of the same name, and nobody else will take it.
-        if self._heads.leads().get(assignment.shard) == own_name:
-            return True
-        return assignment.vacant and assignment.lead == own_name
+    def _leads(self) -> dict[str, str]:
+        """Return the leads by the heads, but for what this daemon has just left.
 
-    def _is_elsewhere(self, assignment: LeadAssignment) -> bool:
-        return assignment.lead not in ("", self._membership.member.name)
+        A head that was read before that still names this daemon, and must not be
+        taken for one that an earlier process of the same name has left behind.
+        """
+        leads = self._heads.leads()
+        read_at = self._clock.now() - self._heads.age()
+        for shard, stopped_at in self._stopped_at.items():
+            own = leads.get(shard) == self._membership.member.name
+            if own and shard not in self._held and read_at <= stopped_at:
+                leads[shard] = ""
+        return leads
 
     def _assignments(self) -> dict[str, LeadAssignment]:
         return assign_leads(
             self._shards(),
             self._membership.current().records,
-            self._heads.leads(),
+            self._leads(),
             to_millis(self._clock.now()),
         )
--- a/packages/savorylead-daemon/savorylead_daemon/daemon/_daemon.py
+++ b/packages/savorylead-daemon/savorylead_daemon/daemon/_daemon.py
@@ -179,7 +179,7 @@
 
     async def leave(self) -> None:
         """Leave the cell after ``hand_over``; the process may end then."""
-        self.close()
+        self._close_followers()
         try:
             await self.membership.leave()
         except StoreError:
@@ -188,11 +188,14 @@
 
     def close(self) -> None:
         """Stop every part without a word to anybody."""
+        self._close_followers()
+        self.membership.stop()
+
+    def _close_followers(self) -> None:
         self.poller.close()
         self.supervisor.close()
         self._heads.stop()
         self.config.stop()
-        self.membership.stop()
 
     def own_digests(self) -> tuple[ShardDigest, ...]:
         """Return the digests of the shards that this daemon leads."""
@@ -221,8 +224,9 @@
         )
 
     async def _open_lead(
-        self, shard: Shard, on_deposed: Callable[[ShardLead], None]
+        self, name: str, on_deposed: Callable[[ShardLead], None]
     ) -> ShardLead:
+        shard = self.directory.shards[name]
         current = self.config.current
         lead = await ShardLead.open(
             shard,
--- a/packages/savorylead/savorylead/domains/_lead_assignment.py
+++ b/packages/savorylead/savorylead/domains/_lead_assignment.py
@@ -35,8 +35,9 @@
 
     A daemon leads in its own region only, and no daemon leads more than its even
     share of the region's shards. A shard whose lead is gone goes to another daemon
-    at once. A shard that has a lead moves only to a daemon that is settled, so that
-    one which keeps pausing does not pull shards to and fro.
+    at once. A shard that has a lead stays with it, unless that one leads more than
+    its share and another daemon is settled, so that one which keeps pausing does not
+    pull shards to and fro.
     """
     members = list(records)
     present = {record.member.name for record in members}
@@ -46,7 +47,8 @@
     result = {}
     for region, group in by_region.items():
         candidates = [r for r in members if r.member.region == region]
-        owners = _owners(group, _eligible(group, candidates, leads, now_ms))
+        names = _eligible(group, candidates, leads, now_ms)
+        owners = _owners(group, names, leads)
         for shard in group:
             owner = owners.get(shard.name, "")
             lead = leads.get(shard.name, "")
@@ -75,18 +77,32 @@
     return names or [record.member.name for record in willing]
 
 
-def _owners(shards: list[Shard], names: list[str]) -> dict[str, str]:
-    """Return the best daemon by rendezvous for each shard, within even shares."""
+def _owners(
+    shards: list[Shard], names: list[str], leads: Mapping[str, str]
+) -> dict[str, str]:
+    """Return who should lead each shard, so that no daemon has more than its part.
+
+    A lead keeps what it has within its part, so that the death of one daemon moves
+    only the shards of that one. The others go by rendezvous hashing.
+    """
     if not names:
         return {}
     most = -(-len(shards) // len(names))
     load = dict.fromkeys(names, 0)
-    owners = {}
-    for shard in sorted(shards, key=lambda s: s.name):
-        for name in rendezvous_order(shard.name, names):
-            if load[name] < most:
-                owners[shard.name] = name
-                load[name] += 1
+    owners: dict[str, str] = {}
+    by_name = sorted(shard.name for shard in shards)
+    for lead in names:
+        led = [name for name in by_name if leads.get(name) == lead]
+        for name in rendezvous_order(lead, led)[:most]:
+            owners[name] = lead
+            load[lead] += 1
+    for name in by_name:
+        if name in owners:
+            continue
+        for candidate in rendezvous_order(name, names):
+            if load[candidate] < most:
+                owners[name] = candidate
+                load[candidate] += 1
                 break
     return owners
 
