Delete every chunk that the moved pointer does not need

The rule that spared chunks of later epochs had no effect: a lead deletes only after it has moved the pointer, which proves that it has no successor yet. Two tests watch the chunks themselves.

--- a/packages/savorylead/savorylead/journal/_snapshot_writer.py
+++ b/packages/savorylead/savorylead/journal/_snapshot_writer.py
@@ -54,19 +54,19 @@
         self._retry = retry
         self._chunk_bytes = chunk_bytes
 
-    def adopt(self, chunk_revisions: dict[str, int], epoch: int) -> None:
-        """Take over the chunks that earlier leads left.
+    def adopt(self, chunk_revisions: dict[str, int]) -> None:
+        """Take over the chunks that earlier leads left, finished or not.
 
-        Chunks of a lead with an epoch of ``epoch`` or more are left alone: if they
-        exist, that lead has deposed this one.
+        Those that the pointer does not need are deleted only after this lead has
+        moved the pointer. It can then have no successor yet, so none of the chunks
+        that it read before is a successor's.
         """
         pointer = self._head.head.snapshot
         current = pointer.snapshot if pointer else ""
         for key, revision in chunk_revisions.items():
-            snapshot = self._layout.snapshot_of(key)
-            if snapshot == current:
+            if self._layout.snapshot_of(key) == current:
                 self._live[key] = revision
-            elif int(snapshot.split("-")[0]) < epoch:
+            else:
                 self._garbage[key] = revision
 
     async def write(self, cut: SnapshotCut) -> SnapshotPointer:
--- a/packages/savorylead/savorylead/journal/_takeover.py
+++ b/packages/savorylead/savorylead/journal/_takeover.py
@@ -51,7 +51,7 @@
         replay = JournalReplay(self._store, self._layout, self._head.head)
         try:
             await replay.load_snapshot()
-            self._snapshots.adopt(replay.chunk_revisions, self._head.head.epoch)
+            self._snapshots.adopt(replay.chunk_revisions)
             await replay.read_log()
             while not await self._fence(replay, lead):
                 await replay.read_log()
--- a/packages/savorylead/savorylead/journal/tests/test_ring_journal.py
+++ b/packages/savorylead/savorylead/journal/tests/test_ring_journal.py
@@ -468,11 +468,29 @@
 
 
 def test_a_snapshot_is_not_written_twice_for_the_same_entry():
-    """A long append in several entries must not repeat the snapshot before it."""
-    cell = Cell(SETTINGS._replace(snapshot_log_bytes=300))
+    """The parts of a long append are no reason to repeat the snapshot before it."""
+    cell = Cell(SETTINGS._replace(ring_slots=128, snapshot_log_bytes=300))
     journal, _ = cell.opened("a")
-    for number in range(10):
-        events = [accepted(f"r{number}-{part}", "x" * 600) for part in range(5)]
-        cell.run(journal.append(events))
-    cell.provider.pump([0.01] * 100)
-    assert len(cell.names()) == 50
+    journal.append([accepted("first", "x" * 600)])
+    events = [accepted(f"r{number}", "x" * 1500) for number in range(16)]
+    append = journal.append(events)
+    while not append.called:
+        cell.provider.advance(0.001)
+        head = _codec.decode_head("", cell.store.peek()["journal/heads/s1"])
+        if head.snapshot is not None:
+            prefix = f"journal/snapshots/s1/{head.snapshot.snapshot}/"
+            assert len(cell.store.peek(prefix)) == head.snapshot.chunks
+    assert head.snapshot is not None
+    assert cell.names() == ["first", *map(name_of, events)]
+
+
+def test_chunks_that_a_dead_lead_left_are_deleted():
+    cell = Cell(SETTINGS._replace(chunk_bytes=200))
+    paused_in_a_snapshot(cell)
+    left = set(cell.store.peek("journal/snapshots/s1/"))
+    newer, _ = cell.opened("b")
+    for number in range(40):
+        cell.run(newer.append([accepted(f"b{number}")]))
+    cell.provider.pump([0.01] * 500)
+    assert left
+    assert not left & set(cell.store.peek("journal/snapshots/s1/"))
