Count control traffic in bytes, by link

As bytes of HTTP on connections opened and served; tests compare the counts with what went over a loopback connection and over one in memory.

--- a/packages/savorylead-daemon/savorylead_daemon/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/composition.py
@@ -37,6 +37,7 @@
     HttpVmList,
     HttpWorkerContract,
     JsonSite,
+    Traffic,
     peer_resource,
 )
 from savorylead_daemon.lead import LeadTimes, Periodic
@@ -122,7 +123,11 @@
             peer_resource(self._daemon.peer_server), MAX_PEER_MESSAGE_BYTES
         )
         self._feed = MetricsFeed(
-            self._metrics, self._daemon, self._store, self._link_counts()
+            self._metrics,
+            self._daemon,
+            self._store,
+            self._link_counts(),
+            self._traffic(),
         )
         self._ports: list[IListeningPort] = []
         self._series: list[Periodic] = []
@@ -202,6 +207,15 @@
     def _link_counts(self) -> dict[str, Counter[LinkCount]]:
         return {name: links.counts for name, links in self._links.items()}
 
+    def _traffic(self) -> dict[str, Traffic]:
+        """Return the bytes by link; "callers" are those of the entrance."""
+        traffic = {name: links.traffic for name, links in self._links.items()}
+        served = {
+            "callers": self._entrance.traffic,
+            "peer_served": self._peer_site.traffic,
+        }
+        return traffic | served
+
     def _open_store(self) -> ObservedStore:
         endpoint = str(self._settings.platform.store)
         calls = self._links["store"].open(endpoint)
--- a/packages/savorylead-daemon/savorylead_daemon/daemon/_metrics_feed.py
+++ b/packages/savorylead-daemon/savorylead_daemon/daemon/_metrics_feed.py
@@ -8,6 +8,7 @@
 from savorylead.links import LinkCount
 from savorylead.resources import ZERO, Resources
 from savorylead_daemon.cell import ObservedStore
+from savorylead_daemon.http import Traffic
 from savorylead_daemon.observability import Metrics
 from savorylead_daemon.peers import ShardDigest
 
@@ -23,11 +24,13 @@
         daemon: Daemon,
         store: ObservedStore,
         link_counts: Mapping[str, Counter[LinkCount]],
+        traffic: Mapping[str, Traffic],
     ) -> None:
         self._metrics = metrics
         self._daemon = daemon
         self._store = store
         self._link_counts = link_counts
+        self._traffic = traffic
 
     def copy(self) -> None:
         """Copy everything once."""
@@ -71,6 +74,8 @@
     def _copy_links(self) -> None:
         for link, counts in self._link_counts.items():
             self._metrics.set_link_counts(link, counts)
+        for link, traffic in self._traffic.items():
+            self._metrics.set_control_bytes(link, traffic.received, traffic.sent)
 
 
 def share_distances(
--- a/packages/savorylead-daemon/savorylead_daemon/http/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/__init__.py
@@ -16,6 +16,7 @@
 )
 from ._json_site import BodyFault, ClientLimits, JsonSite, body_fault
 from ._polling_watch import PollingWatch, WatchSettings
+from ._traffic import Traffic
 
 __all__ = [
     "PEER_PATH",
@@ -37,6 +38,7 @@
     "JsonSite",
     "PollingWatch",
     "StoreTimeouts",
+    "Traffic",
     "WatchSettings",
     "WorkerTimeouts",
     "body_fault",
--- a/packages/savorylead-daemon/savorylead_daemon/http/_http_links.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/_http_links.py
@@ -12,6 +12,7 @@
 from savorylead.links import LinkCount, LinkSettings, ResilientLink, RetryBudget
 
 from ._http_transport import HttpTransport
+from ._traffic import Traffic
 
 #: Retries allowed per success, and saved up for a burst.
 DEFAULT_RETRY_SHARE = 0.1
@@ -34,6 +35,7 @@
         settings: LinkSettings = LinkSettings(),  # noqa: B008 - immutable.
     ) -> None:
         self.counts: Counter[LinkCount] = Counter()
+        self.traffic = Traffic()
         self.budget = RetryBudget(DEFAULT_RETRY_SHARE, DEFAULT_RETRY_BURST)
         self._reactor = reactor
         self._clock = clock
@@ -46,7 +48,7 @@
         return ResilientLink(
             self._clock,
             self._rng,
-            HttpTransport(self._reactor, endpoint, self._headers),
+            HttpTransport(self._reactor, endpoint, self._headers, traffic=self.traffic),
             self.budget,
             self._settings,
             self.counts,
--- a/packages/savorylead-daemon/savorylead_daemon/http/_http_transport.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/_http_transport.py
@@ -37,6 +37,8 @@
     Transport,
 )
 
+from ._traffic import Traffic, header_bytes
+
 #: The largest reply body that a connection takes unless told otherwise.
 DEFAULT_MAX_REPLY_BYTES = 8_000_000
 #: After this long the operating system's connection attempt is given up.
@@ -71,14 +73,19 @@
         endpoint: str,
         headers: Mapping[str, str] = _NO_HEADERS,
         max_reply_bytes: int = DEFAULT_MAX_REPLY_BYTES,
+        traffic: Traffic | None = None,
     ) -> None:
-        """Prepare for ``endpoint``, which is "IP:port" or "IP:port/prefix"."""
+        """Prepare for ``endpoint``, which is "IP:port" or "IP:port/prefix".
+
+        Bytes are counted into ``traffic``, which several transports may share.
+        """
         self._endpoint = HttpEndpoint.parse(endpoint)
         self._headers = Headers({name: [value] for name, value in headers.items()})
         self._headers.setRawHeaders("host", [self._endpoint.host])
         self._max_reply_bytes = max_reply_bytes
         self._client = _client_endpoint(reactor, self._endpoint)
-        self._factory = Factory.forProtocol(_ClientProtocol)
+        self._traffic = traffic or Traffic()
+        self._factory = _ClientFactory(self._traffic)
 
     def connect(self) -> Deferred[Connection]:
         """Open a connection; fails with LinkUnavailableError."""
@@ -92,7 +99,11 @@
 
     def _connected(self, protocol: _ClientProtocol) -> Connection:
         return HttpConnection(
-            protocol, self._endpoint.prefix, self._headers, self._max_reply_bytes
+            protocol,
+            self._endpoint.prefix,
+            self._headers,
+            self._max_reply_bytes,
+            self._traffic,
         )
 
 
@@ -105,8 +116,11 @@
         prefix: str,
         headers: Headers,
         max_reply_bytes: int,
+        traffic: Traffic,
     ) -> None:
         self._protocol = protocol
+        self._traffic = traffic
+        self._header_bytes = header_bytes(headers)
         self._prefix = prefix
         self._headers = headers
         self._max_reply_bytes = max_reply_bytes
@@ -114,10 +128,13 @@
     def call(self, request: LinkRequest) -> Deferred[LinkReply]:
         """Send the request and return its whole reply."""
         exchange = _Exchange(self._protocol, self._max_reply_bytes)
+        method = request.method.encode()
+        path = (self._prefix + request.path).encode()
+        self._traffic.sent += self._request_bytes(method, path, request.body)
         exchange.send(
             Request(
-                request.method.encode(),
-                (self._prefix + request.path).encode(),
+                method,
+                path,
                 self._headers,
                 _BytesProducer(request.body) if request.body else None,
                 persistent=True,
@@ -125,6 +142,13 @@
         )
         return exchange.reply
 
+    def _request_bytes(self, method: bytes, path: bytes, body: bytes) -> int:
+        """Return how many bytes a request takes as Twisted writes it."""
+        head = b"%b %b HTTP/1.1\r\n\r\n" % (method, path)
+        if body:
+            head += b"Content-Length: %d\r\n" % len(body)
+        return len(head) + self._header_bytes + len(body)
+
     def close(self) -> None:
         """Drop the connection at once."""
         self._protocol.drop()
@@ -151,6 +175,11 @@
         self.is_ready = False
         super().connectionLost(reason)
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Count and interpret bytes."""
+        self.factory.traffic.received += len(data)
+        super().dataReceived(data)
+
     def drop(self) -> None:
         """Cut the connection without waiting for the other end."""
         self.is_ready = False
@@ -160,6 +189,16 @@
         self.is_ready = True
 
 
+class _ClientFactory(Factory):
+    """Builds the protocols of one transport."""
+
+    protocol = _ClientProtocol
+    noisy = False
+
+    def __init__(self, traffic: Traffic) -> None:
+        self.traffic = traffic
+
+
 class _Exchange:
     """One request and its reply."""
 
--- a/packages/savorylead-daemon/savorylead_daemon/http/_json_site.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/_json_site.py
@@ -11,9 +11,12 @@
 from twisted.internet.interfaces import IAddress
 from twisted.python.failure import Failure
 from twisted.web.http import HTTPChannel
+from twisted.web.http_headers import Headers
 from twisted.web.resource import Resource
 from twisted.web.server import Request, Site
 
+from ._traffic import Traffic, header_bytes
+
 #: The largest request body that a site takes unless told otherwise.
 DEFAULT_MAX_BODY_BYTES = 4_000_000
 
@@ -106,6 +109,24 @@
     def resetTimeout(self) -> None:  # noqa: N802
         """Do nothing, or a client could hold a connection by sending slowly."""
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Count and interpret bytes."""
+        self.site.traffic.received += len(data)
+        super().dataReceived(data)
+
+    def writeHeaders(  # noqa: N802
+        self, version: bytes, code: bytes, reason: bytes, headers: Headers
+    ) -> None:
+        """Count and write the head of an answer."""
+        head = b"%b %b %b\r\n\r\n" % (version, code, reason)
+        self.site.traffic.sent += len(head) + header_bytes(headers)
+        super().writeHeaders(version, code, reason, headers)
+
+    def write(self, data: bytes) -> None:
+        """Count and write a part of a body."""
+        self.site.traffic.sent += len(data)
+        super().write(data)
+
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
         """Make room for another connection."""
         self.site.connection_ended(self)
@@ -141,6 +162,8 @@
         self.open_answers: set[Deferred[Any]] = set()
         #: The answers of requests whose handlers run.
         self.open_answers: set[Deferred[Any]] = set()
+        #: Bytes so far on all connections.
+        self.traffic = Traffic()
         self._limits = limits
         self._buffered_bytes = 0
         self._channels: set[_BoundedChannel] = set()
--- a/packages/savorylead-daemon/savorylead_daemon/http/tests/test_http_transport.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/tests/test_http_transport.py
@@ -18,7 +18,7 @@
     LinkUnavailableError,
     within,
 )
-from savorylead_daemon.http import HttpEndpoint, HttpTransport
+from savorylead_daemon.http import HttpEndpoint, HttpTransport, Traffic
 from savorylead_standins.loopback import run_on_reactor
 
 _POST = LinkRequest("POST", "/x?y=1", b"body")
@@ -211,3 +211,18 @@
 def test_what_is_no_endpoint_is_refused(text):
     with pytest.raises(ValueError, match=r"IP:port|port|Port"):
         HttpEndpoint.parse(text)
+
+
+@pytest.mark.parametrize("request_", [_POST, _GET])
+def test_traffic_is_what_went_over_the_connection(request_):
+    traffic = Traffic()
+    reply = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+
+    async def test(server):
+        conn = await server.connect(headers={"x-client": "a"}, traffic=traffic)
+        await server.call(conn, request_)
+        return b"".join(server.factory.received)
+
+    received = _run(test, reply)
+    assert traffic.sent == len(received)
+    assert traffic.received == len(reply)
--- a/packages/savorylead-daemon/savorylead_daemon/observability/_metrics.py
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/_metrics.py
@@ -156,10 +156,10 @@
         """Set how many calls of a kind had a result so far."""
         self._store_calls.set(total, call, result)
 
-    def count_control_bytes(self, link: str, received: int, sent: int) -> None:
-        """Count control traffic in bytes."""
-        self._control_bytes.add(received, link, "received")
-        self._control_bytes.add(sent, link, "sent")
+    def set_control_bytes(self, link: str, received: int, sent: int) -> None:
+        """Set the bytes of control traffic so far."""
+        self._control_bytes.set(received, link, "received")
+        self._control_bytes.set(sent, link, "sent")
 
     def count_journal_stall(self, shard: str) -> None:
         """Count an append that exceeded its deadline."""
--- a/packages/savorylead-daemon/savorylead_daemon/observability/tests/test_metrics.py
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/tests/test_metrics.py
@@ -64,7 +64,7 @@
             'savorylead_store_calls_total{call="swap",result="conflict"} 1',
         ),
         (
-            lambda m: m.count_control_bytes("peer", 10, 20),
+            lambda m: m.set_control_bytes("peer", 10, 20),
             'savorylead_control_bytes_total{direction="sent",link="peer"} 20',
         ),
         (
--- a/packages/savorylead-daemon/savorylead_daemon/routing/tests/test_router.py
+++ b/packages/savorylead-daemon/savorylead_daemon/routing/tests/test_router.py
@@ -217,6 +217,15 @@
     assert slow.replies()[0].status == 200
 
 
+def test_the_traffic_of_a_site_is_what_went_over_its_connections():
+    gateway = MemoryGateway()
+    conn = gateway.connect()
+    request = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+    conn.send(request * 3)
+    assert gateway.site.traffic.received == 3 * len(request)
+    assert gateway.site.traffic.sent == len(conn.written())
+
+
 def test_pipelined_requests_are_answered_in_their_order():
     gateway = MemoryGateway()
     conn = gateway.connect()
--- a/packages/savorylead-standins/savorylead_standins/services/_memory_connection.py
+++ b/packages/savorylead-standins/savorylead_standins/services/_memory_connection.py
@@ -72,6 +72,10 @@
         self.request(method, path, content, key, headers)
         return self.replies()[earlier]
 
+    def written(self) -> bytes:
+        """Return every byte that the site wrote."""
+        return self._transport.value()
+
     def replies(self) -> list[HttpReply]:
         """Return every whole response so far, in order."""
         replies = []
