--- a/bench/placement.py
+++ b/bench/placement.py
@@ -193,7 +193,7 @@
         rates[workers] = bench_indexed(workers, round_sizes=True)
     cost = rates[650][0] / rates[6_500][0]
     report("placement", "cost_6500_against_650", cost, "ratio", 2.0)
-    # bench_indexed(650, round_sizes=False)
+    bench_indexed(650, round_sizes=False)
     bench_naive(rates[27][0])
     bench_wave()
     bench_memory()
