--- a/packages/savorylead/savorylead/contracts/_escrowed_limits.py
+++ b/packages/savorylead/savorylead/contracts/_escrowed_limits.py
@@ -90,7 +90,7 @@
         """Tell what the team's waiting tasks ask for in all, beyond what is held."""
         state = self._state(team)
         grew = not wanted.fits(state.wanted)
-        state.wanted = wanted
+        state.set_wanted(wanted, self._now_ms())
         if not grew or state.limit.busy or state.refused_since_ms:
             return
         if self._holder.held(team).plus(wanted).fits(state.limit.usable):
@@ -150,7 +150,7 @@
     def _on_record_hint(self, key: str) -> None:
         state = self._teams.get(key.removeprefix(LIMITS_PREFIX))
         if state is not None:
-            state.is_stale = True
+            state.hint()
 
     def _on_want_hint(self, key: str) -> None:
         if not key.endswith(f"/{self._shard}"):
@@ -228,16 +228,27 @@
             state.limit.set_cap(choice.cap)
             settle = state.waited_for_trims(view)
             if not state.needs_write(view, choice, settle):
+                if view.idle is not None:
+                    state.end_idle_window()
                 return
+            if state.is_stale:
+                # A read is cheaper for the store than a write that conflicts.
+                state.is_stale = False
+                if not await self._refresh(state):
+                    return
+                continue
             if not self._budget.try_take(view.now_ms):
                 return
             self.counters["write_grant"] += 1
+            state.expect_own_hint(True)
             try:
                 if await state.limit.write(choice, view.held, settle):
+                    state.end_idle_window()
                     return
             except StoreError as exc:
                 self._count_failure(exc)
                 return
+            state.expect_own_hint(False)
             self.counters["grant_conflict"] += 1
 
     def _view(self, team: str, state: LimitedTeam) -> GrantView:
--- a/packages/savorylead/savorylead/contracts/_limit_policy.py
+++ b/packages/savorylead/savorylead/contracts/_limit_policy.py
@@ -18,6 +18,8 @@
 HEADROOM_DIVISOR = 2
 #: Part of the free amount, as a divisor, that one request takes as headroom at most.
 FREE_DIVISOR = 8
+#: Part of the grant, as a divisor, from which unused amounts are given at once.
+MUCH_DIVISOR = 2
 #: Part of the limit, as a divisor, that an idle shard keeps while nobody wants it.
 KEPT_DIVISOR = 64
 
@@ -37,6 +39,8 @@
     #: Unix time in milliseconds since which this shard is refused and starts and
     #: ends nothing; the present time if it is not refused.
     stuck_since_ms: int
+    #: What was left unused for some seconds up to now.
+    spare: Resources
     #: What was left unused during the whole last idle window; None within one.
     idle: Resources | None
     now_ms: int
@@ -213,12 +217,28 @@
     demand = view.held.plus(view.wanted)
     unused = greater(view.assured.minus(demand), ZERO)
     asked = resources_sum(want.amount for want in view.others.values())
-    back = lesser(unused, asked)
+    back = lesser(_givable(view, unused), asked)
     if view.idle is not None:
         back = greater(back, _idle_part(view, unused))
     return view.assured.minus(back)
 
 
+def _givable(view: GrantView, unused: Resources) -> Resources:
+    """Return what others may have: at once if it is much, else once it lasted.
+
+    Between the end of a task and the start of the next a little is always unused;
+    giving that away would cost two writes for each task.
+    """
+    return Resources(
+        *(
+            amount if amount * MUCH_DIVISOR >= have else min(amount, lasting)
+            for amount, have, lasting in zip(
+                unused, view.assured, view.spare, strict=True
+            )
+        )
+    )
+
+
 def _idle_part(view: GrantView, unused: Resources) -> Resources:
     """Return half of what stayed unused for a whole window, above a small rest."""
     kept = Resources(*(limit // KEPT_DIVISOR for limit in view.record.limit))
--- a/packages/savorylead/savorylead/contracts/_limit_wants.py
+++ b/packages/savorylead/savorylead/contracts/_limit_wants.py
@@ -19,6 +19,8 @@
 #: A want that has not been written again for so long is ignored: its shard has
 #: no lead, or its lead cannot reach the store.
 WANT_TTL_MS = 45_000
+#: How long a want stays as written although less or more is lacking by now.
+WANT_SETTLE_MS = 4_000
 #: How often a want that stays is written again.
 WANT_REFRESH_MS = 15_000
 
@@ -86,9 +88,12 @@
     def is_due(self, team: str, amount: Resources, now_ms: int) -> bool:
         """Return whether the own want should be written or deleted now."""
         own = self._own.get(team)
-        if not any(amount):
-            return own is not None
-        if own is None or now_ms - own.written_at_ms >= WANT_REFRESH_MS:
+        if own is None:
+            return any(amount)
+        age_ms = now_ms - own.written_at_ms
+        if age_ms < WANT_SETTLE_MS:
+            return False
+        if age_ms >= WANT_REFRESH_MS or not any(amount):
             return True
         return any(
             new > 2 * old or 2 * new < old
--- a/packages/savorylead/savorylead/contracts/_limited_team.py
+++ b/packages/savorylead/savorylead/contracts/_limited_team.py
@@ -13,6 +13,8 @@
 
 #: Window after which what stayed unused throughout is given back in part.
 IDLE_WINDOW_MS = 30_000
+#: Window over which small unused amounts must last before others get them.
+FLICKER_WINDOW_MS = 2_000
 #: How long a lowered limit waits for shards to give back what is idle before it
 #: is divided among them.
 TRIM_WAIT_MS = 5_000
@@ -32,10 +34,20 @@
         #: Whether another shard wrote the record since it was read here.
         self.is_stale = False
         self._shard = shard
+        self._own_hint = False
         self._held = ZERO
         self._progress_at_ms = 0
         self._idle: Resources | None = None
         self._idle_since_ms = 0
+        self._low = ZERO
+        self._previous_low = ZERO
+        self._low_since_ms = 0
+
+    def set_wanted(self, wanted: Resources, now_ms: int) -> None:
+        """Note the demand; one that sinks shows that something started."""
+        if not self.wanted.fits(wanted):
+            self._progress_at_ms = now_ms
+        self.wanted = wanted
 
     def view(
         self, held: Resources, others: Mapping[str, Want], now_ms: int
@@ -45,18 +57,30 @@
             self._held = held
             self._progress_at_ms = now_ms
         refused_since_ms = self.refused_since_ms or now_ms
+        base = self.limit.base
+        unused = greater(base.minus(held.plus(self.wanted)), ZERO)
         return GrantView(
             shard=self._shard,
             record=self.limit.current_record(),
-            assured=self.limit.base,
+            assured=base,
             held=held,
             wanted=self.wanted,
             others=others,
             stuck_since_ms=max(refused_since_ms, self._progress_at_ms),
+            spare=self._lasting(unused, now_ms),
             idle=None,
             now_ms=now_ms,
         )
 
+    def _lasting(self, unused: Resources, now_ms: int) -> Resources:
+        """Return what was unused for one to two windows up to now."""
+        if now_ms - self._low_since_ms >= FLICKER_WINDOW_MS:
+            self._previous_low = self._low
+            self._low = unused
+            self._low_since_ms = now_ms
+        self._low = lesser(self._low, unused)
+        return lesser(self._low, self._previous_low)
+
     def note_refusal(self, view: GrantView) -> None:
         """Remember since when something is lacking, after an attempt to get it."""
         if not any(missing(view)):
@@ -65,7 +89,7 @@
             self.refused_since_ms = view.now_ms
 
     def with_idle(self, view: GrantView) -> GrantView:
-        """Add what stayed unused for a whole window, once at its end."""
+        """Add what stayed unused for a whole window, once that is over."""
         unused = view.assured.minus(view.held.plus(view.wanted))
         unused = greater(unused, ZERO)
         if self._idle is None:
@@ -74,9 +98,22 @@
         self._idle = lesser(self._idle, unused)
         if view.now_ms - self._idle_since_ms < IDLE_WINDOW_MS:
             return view
-        view = view._replace(idle=self._idle)
+        return view._replace(idle=self._idle)
+
+    def end_idle_window(self) -> None:
+        """Begin another window if the last one is over and was acted upon."""
         self._idle = None
-        return view
+
+    def expect_own_hint(self, expected: bool) -> None:
+        """Say whether the next hint of a change may come from the own write."""
+        self._own_hint = expected
+
+    def hint(self) -> None:
+        """Note that a watch told of a change of the record."""
+        if self._own_hint:
+            self._own_hint = False
+        else:
+            self.is_stale = True
 
     def waited_for_trims(self, view: GrantView) -> bool:
         """Return whether a lowered limit was waited for long enough."""
