Name the epoch's grace for what it is, and hold the page to every default

The setting was named after renewals by peers, which do not exist; it bounds how long a lead renews without proof.

--- a/packages/savorylead-daemon/savorylead_daemon/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/composition.py
@@ -73,7 +73,7 @@
             worker_lease=leases.worker,
             renew_interval=leases.worker_renew_every,
             drift=leases.drift_bound,
-            epoch_grace=leases.caretaker_bound,
+            epoch_grace=leases.epoch_grace,
             vm_list_interval=polls.vm_list,
         ),
         gateway=GatewayTimes(answer=limits.submit),
--- a/packages/savorylead-daemon/savorylead_daemon/observability/tests/test_operations_page.py
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/tests/test_operations_page.py
@@ -6,7 +6,7 @@
 import pytest
 
 from savorylead_daemon.observability import Metrics
-from savorylead_daemon.settings._schema import SCHEMA
+from savorylead_daemon.settings._schema import DEFAULTS, SCHEMA
 
 ROOT = Path(__file__).parents[5]
 PAGE = (ROOT / "docs/OPERATIONS.md").read_text()
@@ -40,3 +40,29 @@
 @pytest.mark.parametrize("name", sorted(fields(SCHEMA)))
 def test_the_page_tells_each_setting(name):
     assert re.search(rf"[`.]{name}`", PAGE)
+
+
+def defaults_on_the_page():
+    table = PAGE.partition("## Settings of a daemon")[2].partition("## Presets")[0]
+    told = {}
+    for row in table.splitlines():
+        cells = [cell.strip() for cell in row.split("|")]
+        if len(cells) > 3 and cells[1].startswith("`"):
+            names = re.findall(r"`([a-z_.0-9]+)`", cells[1])
+            told.update(zip(names, cells[2].replace("`", "").split(", "), strict=False))
+    return told
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        (f"{section}.{field}", value)
+        for section, values in DEFAULTS.items()
+        for field, value in values.items()
+    ],
+)
+def test_the_page_tells_each_default(name, value):
+    text = value if isinstance(value, str) else f"{value:g}"
+    if isinstance(value, int):
+        text = str(value)
+    assert defaults_on_the_page()[name] == text
--- a/packages/savorylead-daemon/savorylead_daemon/settings/_schema.py
+++ b/packages/savorylead-daemon/savorylead_daemon/settings/_schema.py
@@ -33,7 +33,7 @@
         "worker_s": 15.0,
         "worker_renew_every_s": 5.0,
         "drift_bound_s": 0.5,
-        "caretaker_bound_s": 20.0,
+        "epoch_grace_s": 20.0,
     },
     "polls": {
         "config_s": 1.5,
@@ -85,7 +85,7 @@
                     "worker_s": _seconds(1, 600),
                     "worker_renew_every_s": _seconds(0.1, 300),
                     "drift_bound_s": _seconds(0, 60),
-                    "caretaker_bound_s": _seconds(0, 86_400),
+                    "epoch_grace_s": _seconds(0, 86_400),
                 }
             ),
             "polls": _section(
--- a/packages/savorylead-daemon/savorylead_daemon/settings/_settings.py
+++ b/packages/savorylead-daemon/savorylead_daemon/settings/_settings.py
@@ -59,8 +59,9 @@
     worker_renew_every: timedelta
     #: Most by which two clocks differ over one lease.
     drift_bound: timedelta
-    #: How long peers renew the workers of a dead lead while the store is down.
-    caretaker_bound: timedelta
+    #: How long a lead renews its workers' leases after the last proof that it leads.
+    #: A later lead waits as long before it takes these leases for lapsed.
+    epoch_grace: timedelta
 
 
 class PollSettings(NamedTuple):
