Let the demo's callers pass over daemons that failed

Cause: a call to a daemon that is gone took the link's three attempts before the next daemon was tried; after the second mishap a third of the calls took 2 to 11 s. The platform's balancer sends nobody to such a daemon. Before: 280 of 687 tasks without an answer when the time was up.

--- a/packages/savorylead-standins/savorylead_standins/rig/_http_caller.py
+++ b/packages/savorylead-standins/savorylead_standins/rig/_http_caller.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Mapping, Sequence
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import Any
 
 import msgspec
@@ -18,17 +18,22 @@
 RETRY_DELAY = timedelta(milliseconds=200)
 #: Longest time that one call to one daemon may take, besides a wait.
 CALL_TIMEOUT = timedelta(seconds=15)
-_LINK = LinkSettings(max_connections=32, max_waiting=512)
+#: A daemon that failed gets no call for this long.
+AVOID_FOR = timedelta(seconds=5)
+NOT_READY = 503
+#: The caller repeats a call at another daemon, so the link tries once.
+_LINK = LinkSettings(max_attempts=1, max_connections=32, max_waiting=512)
 _RETRIED_STATUSES = frozenset({429, 500, 502, 503, 504})
 
 
 class CallFailedError(Exception):
     """A call was refused, or no daemon answered it in time."""
 
-    def __init__(self, status: int, body: bytes) -> None:
-        super().__init__(f"{status} {body[:300].decode(errors='replace')}")
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(f"{status} {detail}")
+        #: HTTP status; 0 if no daemon answered.
         self.status = status
-        self.body = body
+        self.detail = detail
 
 
 class HttpCaller:
@@ -52,6 +57,8 @@
         headers = {"authorization": f"Bearer {key}"}
         self._links = HttpLinks(reactor, clock, rng, headers, _LINK)
         self._open: dict[str, Link] = {}
+        #: Until when a daemon that failed is passed over.
+        self._avoided: dict[str, datetime] = {}
 
     async def call(
         self,
@@ -66,16 +73,17 @@
         request = LinkRequest(method, path, body)
         give_up_at = self._clock.now() + give_up_after
         while True:
-            name = self._rng.choice(sorted(self._endpoints))
+            name = self._choose()
             failure = await self._try(name, request, wait)
+            if isinstance(failure, LinkError) or failure.status == NOT_READY:
+                self._avoided[name] = self._clock.now() + AVOID_FOR
             if isinstance(failure, LinkReply):
                 if failure.status == 200:
                     return msgspec.json.decode(failure.body)
                 if failure.status not in _RETRIED_STATUSES:
-                    raise CallFailedError(failure.status, failure.body)
+                    raise _give_up(failure)
             if self._clock.now() >= give_up_at:
-                status = getattr(failure, "status", 0)
-                raise CallFailedError(status, getattr(failure, "body", b""))
+                raise _give_up(failure)
             await self._clock.sleep(RETRY_DELAY)
 
     async def submit(self, tasks: Sequence[Mapping[str, Any]]) -> list[Any]:
@@ -103,6 +111,13 @@
         for link in self._open.values():
             link.close()
 
+    def _choose(self) -> str:
+        """Return a daemon as a balancer would: one that has not failed of late."""
+        now = self._clock.now()
+        names = sorted(self._endpoints)
+        good = [name for name in names if self._avoided.get(name, now) <= now]
+        return self._rng.choice(good or names)
+
     async def _try(
         self, name: str, request: LinkRequest, wait: timedelta
     ) -> LinkReply | LinkError:
@@ -115,3 +130,9 @@
         if name not in self._open:
             self._open[name] = self._links.open(self._endpoints[name])
         return self._open[name]
+
+
+def _give_up(failure: LinkReply | LinkError) -> CallFailedError:
+    if isinstance(failure, LinkError):
+        return CallFailedError(0, f"{type(failure).__name__}: {failure}")
+    return CallFailedError(failure.status, failure.body.decode(errors="replace"))
--- a/packages/savorylead-standins/savorylead_standins/rig/_processes.py
+++ b/packages/savorylead-standins/savorylead_standins/rig/_processes.py
@@ -70,6 +70,8 @@
         self.exit_code = -(status.signal or 0) if code is None else code
         self._errors.close()
         if not self.first_line.called:
+            # Nobody waits for the first line of a daemon.
+            self.first_line.addErrback(lambda _: None)
             self.first_line.errback(ChildError(f"{self.name}: {self.exit_code}"))
         self.ended.callback(self.exit_code)
 
@@ -121,7 +123,10 @@
                 "--until-stdin-closes",
             ],
         )
-        self.platform_ports = json.loads(await child.first_line)
+        line = await child.first_line
+        if line is None:
+            raise ChildError(f"{child.name}: {self.log_text(child.name)}")
+        self.platform_ports = json.loads(line)
 
     def start_daemon(self, name: str, region: str, domain: str) -> Child:
         """Start a daemon; a name that was used before keeps its ports."""
