Don't let bad workers vouch for each other; refuse hopeless work earlier

Being idle, they got each job first, so the job had failed on three workers and was taken for bad, and their failures were taken off them.

--- a/packages/savorylead/savorylead/admission/_admission_queue.py
+++ b/packages/savorylead/savorylead/admission/_admission_queue.py
@@ -21,7 +21,7 @@
 TEAM_SHARE_FACTOR = 2
 #: Work is hopeless when it would start after this many times the time it has left:
 #: the drain rate is an estimate, and a refusal is final.
-HOPELESS_FACTOR = 2.0
+HOPELESS_FACTOR = 1.1
 
 
 class WorkClass(enum.StrEnum):
--- a/packages/savorylead/savorylead/workers/_worker_health.py
+++ b/packages/savorylead/savorylead/workers/_worker_health.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from savorylead.contracts import TaskId, TaskSpec
@@ -19,7 +20,7 @@
 PROBES_TO_TRUST = 2
 #: Jobs that succeed in a row before earlier quarantines are forgotten.
 SUCCESSES_TO_FORGET = 20
-#: Workers on which a job fails before its failures are held against the job.
+#: Proved workers on which a job fails before its failures are held against the job.
 WORKERS_TO_BLAME_JOB = 3
 #: Part of the workers, as a divisor, that may be in quarantine together: when more
 #: fail, the cause is common to them, and waiting for each other would not help.
@@ -36,12 +37,14 @@
 
 
 class _Health(NamedTuple):
-    """One worker's record; workers without failures have none."""
+    """One worker's record."""
 
     state: HealthState = HealthState.TRUSTED
     #: Jobs that failed since the last success, each once.
     failed: frozenset[TaskId] = frozenset()
     successes: int = 0
+    #: Whether the last job that ended there succeeded.
+    proved: bool = False
     quarantines: int = 0
     until_ms: int = 0
     #: The probe that is under way.
@@ -51,15 +54,19 @@
 class WorkerHealth:
     """Tells bad workers from bad jobs by which jobs failed where. Pure.
 
-    A job that failed on WORKERS_TO_BLAME_JOB workers is bad itself, and its
-    failures are taken off all workers, also off those quarantined for them.
+    A job that failed on WORKERS_TO_BLAME_JOB proved workers is bad itself, and its
+    failures are taken off all workers, also off those quarantined for them. A
+    worker is proved while the last job that ended there succeeded: several bad
+    workers, which are idle most and so get each job first, would otherwise vouch
+    for each other.
     """
 
     def __init__(self, workers: int) -> None:
         #: Number of workers in the shard; bounds the quarantines.
         self.workers = workers
         self._health: dict[str, _Health] = {}
-        self._failed_on: dict[TaskId, frozenset[str]] = {}
+        #: By job: the workers where it failed, and whether each was proved then.
+        self._failed_on: dict[TaskId, dict[str, bool]] = {}
 
     def state(self, worker: str, now_ms: int) -> HealthState:
         """Return whether the worker may be given work now."""
@@ -69,6 +76,10 @@
             self._health[worker] = health
         return health.state
 
+    def is_proved(self, worker: str) -> bool:
+        """Return whether a failure there says something about the job."""
+        return self._health.get(worker, _Health()).proved
+
     def may_start(self, worker: str, spec: TaskSpec, now_ms: int) -> bool:
         """Return whether this task may be started on the worker now."""
         state = self.state(worker, now_ms)
@@ -88,35 +99,34 @@
     def succeeded(self, worker: str, task: TaskId, now_ms: int) -> None:
         """Note that a task ran well there."""
         self._failed_on.pop(task, None)
-        health = self._health.get(worker)
-        if health is None:
-            return
+        health = self._health.get(worker, _Health())
         health = health._replace(
             failed=frozenset(),
-            successes=health.successes + 1,
+            successes=min(health.successes + 1, SUCCESSES_TO_FORGET),
+            proved=True,
             probe=None if health.probe == task else health.probe,
         )
-        trusted = health.state is HealthState.TRUSTED
         if health.state is HealthState.PROBED and health.successes >= PROBES_TO_TRUST:
             health = health._replace(state=HealthState.TRUSTED, successes=0)
-        if trusted and health.successes >= SUCCESSES_TO_FORGET:
-            del self._health[worker]
-        else:
-            self._health[worker] = health
+        if health.successes >= SUCCESSES_TO_FORGET:
+            health = health._replace(quarantines=0)
+        self._health[worker] = health
 
     def failed(self, worker: str, task: TaskId, now_ms: int) -> None:
         """Note that a task failed there."""
-        where = self._failed_on.get(task, frozenset()) | {worker}
-        self._failed_on[task] = where
+        where = self._failed_on.setdefault(task, {})
+        where[worker] = where.get(worker, False) or self.is_proved(worker)
         state = self.state(worker, now_ms)
         health = self._health.get(worker, _Health())
         probe = None if health.probe == task else health.probe
         failed = health.failed
-        if len(failed) < FAILED_JOBS_REMEMBERED:
+        # Once a proved worker failed the job, it says little about others.
+        is_telling = not any(was for name, was in where.items() if name != worker)
+        if is_telling and len(failed) < FAILED_JOBS_REMEMBERED:
             failed = failed | {task}
-        health = health._replace(failed=failed, successes=0, probe=probe)
+        health = health._replace(failed=failed, successes=0, proved=False, probe=probe)
         self._health[worker] = health
-        if len(where) >= WORKERS_TO_BLAME_JOB:
+        if sum(where.values()) >= WORKERS_TO_BLAME_JOB:
             self._blame_job(task, where)
         elif state is HealthState.PROBED or (
             state is HealthState.TRUSTED
@@ -130,6 +140,15 @@
         if health is not None and health.probe == task:
             self._health[worker] = health._replace(probe=None)
 
+    def gave_up(self, task: TaskId) -> None:
+        """Note that a job is not tried again because it failed too often.
+
+        If any worker that failed it was proved, its failures are held against it.
+        """
+        where = self._failed_on.pop(task, {})
+        if any(where.values()):
+            self._blame_job(task, where)
+
     def forget_job(self, task: TaskId) -> None:
         """Drop a job that has its final answer; its failures still count."""
         self._failed_on.pop(task, None)
@@ -159,7 +178,7 @@
             probe=None,
         )
 
-    def _blame_job(self, task: TaskId, where: frozenset[str]) -> None:
+    def _blame_job(self, task: TaskId, where: Iterable[str]) -> None:
         """Take a bad job's failures off the workers; release those left blameless."""
         for worker in where:
             health = self._health.get(worker)
