Keep the leads through an outage of the store, and spread shards evenly

When the store was down for longer than a lease, every daemon lapsed. The first one that registered again saw nobody else and took all seven shards; the others resigned what they held, since the list they read did not even show themselves. Now a list that lacks its reader is stale, and a daemon takes shards of absent leads only 3 s after its own registration.

Even shares differ by one at most; with the former ceiling alone, 7 shards on 6 daemons fell as 2, 2, 2, 1, 0, 0.

--- a/packages/savorylead/savorylead/domains/_lead_assignment.py
+++ b/packages/savorylead/savorylead/domains/_lead_assignment.py
@@ -21,6 +21,12 @@
     vacant: bool
 
 
+#: Least age in milliseconds of a registration that takes shards of absent leads.
+#: All daemons lapse together when the store is down for long, and each must have
+#: had time to register again before it counts as absent.
+RETURN_GRACE_MS = 3_000
+
+
 def assign_leads(
     shards: Iterable[Shard],
     records: Iterable[MemberRecord],
@@ -33,30 +39,39 @@
     The result depends on nothing else, so daemons that see the same members and
     heads agree without talking; while they don't, the journal admits one lead.
 
-    A daemon leads in its own region only, and no daemon leads more than its even
-    share of the region's shards. A shard whose lead is gone goes to another daemon
-    at once. A shard that has a lead stays with it, unless that one leads more than
-    its share and another daemon is settled, so that one which keeps pausing does not
-    pull shards to and fro.
+    A daemon leads in its own region only, and the region's shards are spread evenly.
+    A shard whose lead is gone goes to another daemon at once, unless that one itself
+    registered only just now. A shard that has a lead stays with it, unless that one
+    leads more than its share and another daemon is settled, so that one which keeps
+    pausing does not pull shards to and fro.
     """
-    members = list(records)
-    present = {record.member.name for record in members}
+    members = {record.member.name: record for record in records}
     by_region: dict[str, list[Shard]] = {}
     for shard in shards:
         by_region.setdefault(shard.region, []).append(shard)
     result = {}
     for region, group in by_region.items():
-        candidates = [r for r in members if r.member.region == region]
+        candidates = [r for r in members.values() if r.member.region == region]
         names = _eligible(group, candidates, leads, now_ms)
         owners = _owners(group, names, leads)
         for shard in group:
             owner = owners.get(shard.name, "")
             lead = leads.get(shard.name, "")
-            vacant = bool(owner) and lead not in present
+            vacant = bool(owner) and _is_vacant(lead, members, owner, now_ms)
             result[shard.name] = LeadAssignment(shard.name, owner, vacant)
     return result
 
 
+def _is_vacant(
+    lead: str, members: Mapping[str, MemberRecord], owner: str, now_ms: int
+) -> bool:
+    """Return whether ``owner`` may take a shard whose head names ``lead``."""
+    if not lead:
+        return True
+    may_take_from = members[owner].registered_at_ms + RETURN_GRACE_MS
+    return lead not in members and now_ms >= may_take_from
+
+
 def _eligible(
     shards: list[Shard],
     candidates: list[MemberRecord],
@@ -87,26 +102,41 @@
     """
     if not names:
         return {}
-    most = -(-len(shards) // len(names))
-    load = dict.fromkeys(names, 0)
+    quota = _Quota(len(shards), names)
     owners: dict[str, str] = {}
     by_name = sorted(shard.name for shard in shards)
-    for lead in names:
-        led = [name for name in by_name if leads.get(name) == lead]
-        for name in rendezvous_order(lead, led)[:most]:
-            owners[name] = lead
-            load[lead] += 1
+    led_by = {
+        lead: [name for name in by_name if leads.get(name) == lead] for lead in names
+    }
+    for lead in sorted(names, key=lambda name: (-len(led_by[name]), name)):
+        for name in rendezvous_order(lead, led_by[lead]):
+            if quota.take(lead):
+                owners[name] = lead
     for name in by_name:
-        if name in owners:
-            continue
-        for candidate in rendezvous_order(name, names):
-            if load[candidate] < most:
-                owners[name] = candidate
-                load[candidate] += 1
-                break
+        if name not in owners:
+            owners[name] = next(filter(quota.take, rendezvous_order(name, names)))
     return owners
 
 
+class _Quota:
+    """Lets each daemon take its even share; as many as needed take one more."""
+
+    def __init__(self, shards: int, names: list[str]) -> None:
+        self._share, self._larger = divmod(shards, len(names))
+        self._load = dict.fromkeys(names, 0)
+
+    def take(self, name: str) -> bool:
+        """Count one more shard for the daemon, if its share allows it."""
+        if self._load[name] > self._share:
+            return False
+        if self._load[name] == self._share:
+            if not self._larger:
+                return False
+            self._larger -= 1
+        self._load[name] += 1
+        return True
+
+
 class LeadSteps(NamedTuple):
     """What one daemon should do next about its leads; both are sorted."""
 
--- a/packages/savorylead/savorylead/domains/_member_record.py
+++ b/packages/savorylead/savorylead/domains/_member_record.py
@@ -18,6 +18,8 @@
     member: Member
     #: Unix time in milliseconds from which it may be given a shard that has a lead.
     settled_at_ms: int
+    #: Unix time in milliseconds at which it registered, anew after each lapse.
+    registered_at_ms: int = 0
 
     def settled(self, now_ms: int) -> bool:
         """Return whether the member has been there long enough."""
--- a/packages/savorylead/savorylead/domains/_membership.py
+++ b/packages/savorylead/savorylead/domains/_membership.py
@@ -42,8 +42,8 @@
     records: tuple[MemberRecord, ...]
     #: Store revision of the list; 0 before the first.
     revision: int
-    #: Whether the list may be out of date: it is old, or lacks this daemon although
-    #: that one's own lease is alive.
+    #: Whether nothing may be decided by the list: no read has confirmed it lately, or
+    #: it does not show this daemon as it registered last.
     stale: bool
 
     def names(self) -> set[str]:
@@ -145,9 +145,7 @@
 
     def _take(self, snapshot: Snapshot) -> None:
         records = tuple(self._readable(snapshot))
-        own_name = self.member.name
-        own = [record for record in records if record.member.name == own_name]
-        self._registration.observe(own[0] if own else None, snapshot.revision)
+        self._registration.observe(self._find_own(records), snapshot.revision)
         if records == self._records:
             return
         self._records = records
@@ -164,5 +162,14 @@
         age = self._watched.age()
         if age is None or age > self._settings.stale_after:
             return True
-        registered_at = self._registration.revision
-        return bool(registered_at) and self._watched.revision < registered_at
+        own_revision = self._registration.revision
+        if not own_revision or self._watched.revision < own_revision:
+            return True
+        own = self._find_own(self._records)
+        return own is None or own.member.incarnation != self.member.incarnation
+
+    def _find_own(self, records: tuple[MemberRecord, ...]) -> MemberRecord | None:
+        for record in records:
+            if record.member.name == self.member.name:
+                return record
+        return None
--- a/packages/savorylead/savorylead/domains/_registration.py
+++ b/packages/savorylead/savorylead/domains/_registration.py
@@ -170,7 +170,9 @@
         """Write the key over whatever is there, unless a later process wrote it."""
         member = self._wanted
         key = member_key(member.name)
-        record = MemberRecord(member, self._settled_at_ms)
+        record = MemberRecord(
+            member, self._settled_at_ms, to_millis(self._registered_at)
+        )
         current = await self._store.get(key)
         while True:
             if current is not None and self._is_successor(current.key, current.value):
