--- a/examples/embedding/tests/test_coordination.py
+++ b/examples/embedding/tests/test_coordination.py
@@ -34,6 +34,7 @@
                 "second leads",
             ],
         ),
+        ("escrowed_limit", "share_limit", [6, 2]),
         (
             "in_force_config",
             "change_preset",
--- a/packages/savorylead/savorylead/contracts/__init__.py
+++ b/packages/savorylead/savorylead/contracts/__init__.py
@@ -3,7 +3,7 @@
 from ._escrowed_limit import EscrowedLimit
 from ._escrowed_limits import EscrowedLimits
 from ._identity import TaskId
-from ._limit_record import LimitRecord, ShardGrant
+from ._limit_record import LimitRecord, ShardGrant, read_limit_records
 from ._task import TaskKind, TaskSpec
 from ._team_limits import (
     UNLIMITED,
@@ -26,4 +26,5 @@
     "TaskSpec",
     "TeamLimits",
     "limit_from_amounts",
+    "read_limit_records",
 ]
--- a/packages/savorylead/savorylead/contracts/_limit_record.py
+++ b/packages/savorylead/savorylead/contracts/_limit_record.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from savorylead.resources import ZERO, Resources
+from savorylead.store import Store
 
 from ._team_limits import UNLIMITED
 
@@ -162,6 +163,19 @@
     return team, shard
 
 
+async def read_limit_records(store: Store) -> dict[str, LimitRecord]:
+    """Return the records of all teams, by team, as operators are shown them.
+
+    A changed limit is in force once its team's record shows it as ``limit`` and
+    ``fully_in_force`` is true. Raises StoreError.
+    """
+    snapshot = await store.list(LIMITS_PREFIX)
+    return {
+        item.key.removeprefix(LIMITS_PREFIX): decode_limit_record(item.value)
+        for item in snapshot.items
+    }
+
+
 encode_record = msgspec.json.Encoder().encode
 decode_limit_record = msgspec.json.Decoder(LimitRecord).decode
 decode_want = msgspec.json.Decoder(Want).decode
--- a/packages/savorylead/savorylead/contracts/tests/test_escrowed_limits.py
+++ b/packages/savorylead/savorylead/contracts/tests/test_escrowed_limits.py
@@ -3,11 +3,13 @@
 from datetime import timedelta
 
 import pytest
+from twisted.internet.defer import Deferred
 
 from savorylead.contracts import (
     UNLIMITED,
     EscrowedLimit,
     limit_from_amounts,
+    read_limit_records,
 )
 from savorylead.contracts._limit_policy import GrantChoice
 from savorylead.contracts._limit_record import decode_limit_record
@@ -212,6 +214,18 @@
     assert record(cell).fully_in_force()
 
 
+def test_operators_read_what_is_in_force():
+    cell = make_cell()
+    cell.lead_of(0).want(TEAM, ONE.times(4))
+    cell.advance(1)
+    found = []
+    reading = read_limit_records(cell.store.client("operator"))
+    Deferred.fromCoroutine(reading).addCallback(found.append)
+    cell.advance(0.1)
+    assert found == [{TEAM: record(cell)}]
+    assert found[0][TEAM].granted_sum().cores_milli >= 4_000
+
+
 def test_team_left_out_of_the_configuration_starts_nothing_more():
     cell = make_cell()
     cell.lead_of(0).want(TEAM, ONE.times(4))
