--- a/packages/savorylead-standins/savorylead_standins/nodes/__init__.py
+++ b/packages/savorylead-standins/savorylead_standins/nodes/__init__.py
@@ -1,5 +1,21 @@
 """Stand-ins of processes that stop running for a while and go on."""
 
+from ._coordination import (
+    READS_PER_S,
+    SHARDS,
+    WRITES_PER_S,
+    CoordinatedCell,
+    CoordinatedDaemon,
+)
 from ._pause import PausableClock, PausableStore, Pause
 
-__all__ = ["Pause", "PausableClock", "PausableStore"]
+__all__ = [
+    "READS_PER_S",
+    "SHARDS",
+    "WRITES_PER_S",
+    "CoordinatedCell",
+    "CoordinatedDaemon",
+    "Pause",
+    "PausableClock",
+    "PausableStore",
+]
--- a/packages/savorylead/savorylead/domains/tests/test_leads_together.py
+++ b/packages/savorylead/savorylead/domains/tests/test_leads_together.py
@@ -1,174 +1,22 @@
 """Daemons that take, hold and hand over shards on one store."""
 
 import random
-from collections import Counter
-from datetime import UTC, datetime, timedelta
+from datetime import timedelta
 
 import pytest
-from twisted.internet import task
-from twisted.internet.defer import Deferred
 
-from savorylead.clock import TwistedClock, to_millis
 from savorylead.contracts import TaskId
-from savorylead.domains import (
-    LeadDirectory,
-    Member,
-    Membership,
-    Shard,
-    assign_leads,
-    next_lead_steps,
+from savorylead.journal import Forgotten
+from savorylead_standins.nodes import (
+    READS_PER_S,
+    WRITES_PER_S,
+    CoordinatedCell,
+    CoordinatedDaemon,
 )
-from savorylead.journal import DeposedError, Forgotten, RingJournal
-from savorylead.store import StoreError
-from savorylead_standins.nodes import PausableClock, PausableStore, Pause
-from savorylead_standins.store import CallFate, MemoryStore
-
-SHARDS = [Shard(f"s{number}", "north", f"d{number}") for number in range(7)]
-#: What the store takes in a second, as the platform states it.
-WRITES_PER_S = 300
-READS_PER_S = 2000
-READS = ("get", "list")
-
-
-class SkewedClock(PausableClock):
-    """A clock that is ahead of the others, or behind them."""
-
-    skew = timedelta(0)
-
-    def now(self):
-        return super().now() + self.skew
-
-
-class Daemon:
-    """Membership, lead directory and journals, as a whole daemon wires them."""
-
-    def __init__(self, cell, name):
-        self.name = name
-        self.pause = Pause()
-        self.clock = SkewedClock(cell.clock, self.pause)
-        self.store = PausableStore(cell.store.client(name), self.pause)
-        self.rng = random.Random(name)
-        self.journals = {}
-        self.opened = Counter()
-        self.membership = Membership(
-            self.store,
-            self.clock,
-            self.rng,
-            Member(name, "north", "d1", "127.0.0.1:1", name),
-            on_change=lambda members: self.step(),
-            on_superseded=self.stop,
-        )
-        self.directory = LeadDirectory(
-            self.store, self.clock, self.rng, on_change=lambda heads: self.step()
-        )
-        self.running = True
-        self.membership.start()
-        self.directory.start()
-        self.tick()
-
-    def tick(self):
-        if self.running:
-            self.step()
-            self.clock.call_later(timedelta(milliseconds=500), self.tick)
-
-    def step(self):
-        if not self.running:
-            return
-        members = self.membership.current()
-        if members.stale or self.directory.age() is None:
-            return
-        leads = self.directory.leads()
-        for shard, head in self.directory.heads.items():
-            if shard in self.journals:
-                self.journals[shard].observe_epoch(head.epoch)
-        now_ms = to_millis(self.clock.now())
-        assignments = assign_leads(SHARDS, members.records, leads, now_ms)
-        steps = next_lead_steps(self.name, self.journals, assignments, leads)
-        for shard in steps.to_open:
-            self.open(shard)
-        for shard in steps.to_resign:
-            resigning = Deferred.fromCoroutine(self.journals[shard].resign())
-            resigning.addErrback(lambda failure: failure.trap(DeposedError))
-
-    def open(self, shard):
-        journal = RingJournal(
-            self.store,
-            shard,
-            self.clock,
-            self.rng,
-            on_over=lambda error: self.journals.pop(shard, None),
-        )
-        self.journals[shard] = journal
-        self.opened[shard] += 1
-        opening = Deferred.fromCoroutine(journal.open(self.name))
-        opening.addErrback(self.not_opened, shard)
-
-    def not_opened(self, failure, shard):
-        failure.trap(StoreError, DeposedError)
-        self.journals.pop(shard, None)
-
-    def leads(self):
-        return {s for s, journal in self.journals.items() if journal.epoch}
-
-    def stop(self):
-        """Die without a word."""
-        self.running = False
-        self.membership.stop()
-        self.directory.stop()
-        for journal in list(self.journals.values()):
-            journal.close()
-
-
-class Cell:
-    """A store with the platform's rates, a fake clock and daemons."""
-
-    def __init__(self, count):
-        self.provider = task.Clock()
-        self.clock = TwistedClock(self.provider, datetime(2026, 1, 1, tzinfo=UTC))
-        self.store = MemoryStore(self.clock, random.Random(1))
-        self.store.faults.fate = self.within_rates
-        self.rates = Counter()
-        self.refused = 0
-        self.daemons = [Daemon(self, f"daemon{number}") for number in range(count)]
-
-    def within_rates(self, call):
-        """Refuse what is over the rates in the present second."""
-        kind = "reads" if call.method in READS else "writes"
-        slot = (int(self.provider.seconds()), kind)
-        self.rates[slot] += 1
-        limit = READS_PER_S if kind == "reads" else WRITES_PER_S
-        if self.rates[slot] > limit:
-            self.refused += 1
-            return CallFate.REFUSED
-        return CallFate.ANSWERED
-
-    def peak(self, kind, since=0):
-        return max(
-            count
-            for (second, counted), count in self.rates.items()
-            if counted == kind and second >= since
-        )
-
-    def run(self, seconds, until=lambda: False):
-        """Run for a time or until something holds; return the seconds taken."""
-        began = self.provider.seconds()
-        while self.provider.seconds() < began + seconds and not until():
-            self.provider.advance(0.005)
-        return self.provider.seconds() - began
-
-    def leads(self):
-        return Counter(shard for d in self.daemons for shard in d.leads())
-
-    def all_led_once(self):
-        return self.leads() == Counter(shard.name for shard in SHARDS)
-
-    def kill(self, daemon):
-        daemon.stop()
-        self.daemons.remove(daemon)
 
 
 def started(count):
-    cell = Cell(count)
+    cell = CoordinatedCell(count)
     assert cell.run(10, cell.all_led_once) < 5
     cell.run(60)
     assert cell.all_led_once()
@@ -226,7 +74,7 @@
         victim = rng.choice(cell.daemons)
         cell.kill(victim)
         cell.run(rng.uniform(0.5, 4.0))
-        cell.daemons.append(Daemon(cell, f"again{number}"))
+        cell.daemons.append(CoordinatedDaemon(cell, f"again{number}"))
         cell.run(rng.uniform(0.0, 2.0))
     assert cell.run(10, cell.all_led_once) < 5
     assert cell.refused == 0
