Bound the time that listing faults may take

Cause: jsonschema quotes the value in each message and was run on the whole body, so a task with 100,000 unknown fields took 794 ms of processor time, and 1,000 names of which the last is bad 73 ms; one client could keep a daemon busy. Change: what is far too large to be good is cut before faults are listed, and names are looked at one by one, like tasks.

--- a/packages/savorylead-daemon/savorylead_daemon/callers/_bodies.py
+++ b/packages/savorylead-daemon/savorylead_daemon/callers/_bodies.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+import itertools
+from collections.abc import Callable, Iterable, Iterator
 from datetime import timedelta
 from typing import Any, NamedTuple
 
@@ -19,10 +20,17 @@
 )
 from savorylead_daemon.services import RequestName, TaskDocument
 
-from ._shapes import AnswersBody, CancelBody, TaskBody, names_are_good
+from ._shapes import (
+    AnswersBody,
+    CancelBody,
+    RequestNameBody,
+    TaskBody,
+    names_are_good,
+)
 
 _TASK = ShapeChecker(TaskBody)
 _TASKS = ShapeChecker(list[TaskBody])
+_NAME = ShapeChecker(RequestNameBody)
 _ANSWERS = ShapeChecker(AnswersBody)
 _CANCEL = ShapeChecker(CancelBody)
 
@@ -72,8 +80,9 @@
 
     def _read_tasks(self, values: list[Any], single: bool) -> list[TaskDocument]:
         self._check_length(len(values), "$")
-        if not _TASKS.is_good(values) or not names_are_good(_names_in(values)):
-            raise_faults(_faults_of_items(values, single))
+        if not _TASKS.is_good(values) or not names_are_good(_names_in_tasks(values)):
+            parts = None if single else ()
+            raise_faults(_faults_of_items(_TASK, _names_in_task, values, parts))
         raise_faults(list(_faults_across_fields(values, single)))
         return values
 
@@ -82,10 +91,10 @@
         if isinstance(value, dict) and isinstance(value.get("requests"), list):
             self._check_length(len(value["requests"]), "$.requests")
         if not checker.is_good(value):
-            raise_faults(checker.faults(value))
+            raise_faults(_faults_of_names(value, checker))
         names = [RequestName(e["workspace"], e["request"]) for e in value["requests"]]
         if not names_are_good(part for name in names for part in name):
-            raise_faults(checker.faults(value))
+            raise_faults(_faults_of_names(value, checker))
         return list(dict.fromkeys(names))
 
     def _check_length(self, length: int, path: str) -> None:
@@ -96,24 +105,46 @@
             raise CallError(CallErrorCode.TOO_MANY_ITEMS, detail, path)
 
 
-def _names_in(tasks: list[TaskDocument]) -> Iterator[str]:
-    """Yield the names that tasks of the right shape hold."""
-    for task in tasks:
-        yield task["request"]
-        yield task["workspace"]
-        yield task["queue"]
-        if "team" in task:
-            yield task["team"]
+def _names_in_tasks(tasks: list[TaskDocument]) -> Iterator[str]:
+    return itertools.chain.from_iterable(map(_names_in_task, tasks))
+
+
+def _names_in_task(task: TaskDocument) -> Iterator[str]:
+    """Yield the names that a task of the right shape holds."""
+    yield task["request"]
+    yield task["workspace"]
+    yield task["queue"]
+    if "team" in task:
+        yield task["team"]
+
+
+def _faults_of_names(value: Any, checker: ShapeChecker) -> list[CallFault]:
+    """Return the faults of a body that names tasks."""
+    if not isinstance(value, dict) or not isinstance(value.get("requests"), list):
+        return checker.faults(value)
+    faults = checker.faults({**value, "requests": []})
+    items = value["requests"]
+    return faults + _faults_of_items(_NAME, dict.values, items, ("requests",))
+
 
+def _faults_of_items(
+    checker: ShapeChecker,
+    names_in: Callable[[Any], Iterable[str]],
+    values: list[Any],
+    parts: tuple[str, ...] | None,
+) -> list[CallFault]:
+    """Return the faults of the first bad items.
 
-def _faults_of_items(values: list[Any], single: bool) -> list[CallFault]:
-    """Return the faults of the first bad items."""
+    The items stand below ``parts`` of the body; None means that the only one is the
+    body. Good ones are passed over by the quick check.
+    """
     faults: list[CallFault] = []
     bad_items = 0
     for index, value in enumerate(values):
-        if _TASK.is_good(value) and names_are_good(_names_in([value])):
+        if checker.is_good(value) and names_are_good(names_in(value)):
             continue
-        faults.extend(_TASK.faults(value, _parts(index, single)))
+        place = () if parts is None else (*parts, index)
+        faults.extend(checker.faults(value, place))
         bad_items += 1
         if bad_items >= MAX_FAULTY_ITEMS or len(faults) >= MAX_FAULTS:
             break
--- a/packages/savorylead-daemon/savorylead_daemon/callers/tests/test_submit.py
+++ b/packages/savorylead-daemon/savorylead_daemon/callers/tests/test_submit.py
@@ -149,6 +149,8 @@
         (b"{'a': 1}", 400, "bad_json", "$"),
         (b"[" * 100_000, 400, "bad_json", "$"),
         (b'{"a":' * 5_000 + b"1" + b"}" * 5_000, 400, "bad_json", "$"),
+        (b'{"a": ' + b"[" * 900 + b"]" * 900 + b"}", 400, "unknown_field", "$.a"),
+        (b"[" * 900 + b"]" * 900, 400, "wrong_type", "$[0]"),
         (b'{"request": "\\ud800"}', 400, "bad_json", "$"),
         (b"\xff\xfe{}", 400, "bad_json", "$"),
         (b"NaN", 400, "bad_json", "$"),
@@ -193,6 +195,25 @@
     assert len(reply.document()["faults"]) == 50
 
 
+@pytest.mark.parametrize(
+    ("changes", "code"),
+    [
+        ({f"field-{n}": n for n in range(100_000)}, "unknown_field"),
+        ({"resources": {f"field-{n}": n for n in range(1_000)}}, "unknown_field"),
+        ({"kind": "x" * 1_000_000}, "bad_value"),
+        ({"x" * 1_000_000: 1}, "unknown_field"),
+        ({"resources": [[0] * 1_000] * 1_000}, "wrong_type"),
+    ],
+    ids=["fields", "amounts", "text", "name", "nested"],
+)
+def test_a_bulky_body_is_refused_by_a_short_answer(changes, code):
+    gateway = MemoryGateway()
+    body = {**task(), **changes}
+    reply = gateway.connect().call("POST", "/v1/tasks", body, DISPATCH_KEY)
+    assert error_of(reply)[:2] == (400, code)
+    assert len(reply.body) < 250_000
+
+
 def test_the_same_task_twice_in_one_call_is_refused():
     gateway = MemoryGateway()
     body = [task("b-1"), task("b-2"), task("b-1", urgent=True)]
--- a/packages/savorylead-daemon/savorylead_daemon/routing/_shape_checker.py
+++ b/packages/savorylead-daemon/savorylead_daemon/routing/_shape_checker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterable, Sequence
 from functools import cached_property
 from typing import TYPE_CHECKING, Any
@@ -17,6 +18,11 @@
 
 #: Faults that are listed of one call; the rest shows once these are mended.
 MAX_FAULTS = 50
+#: Fields and items that are looked at below one value, and characters of one text,
+#: when faults are listed. More than any shape allows, so that what is cut is bad.
+MAX_LISTED_ENTRIES = 60
+MAX_LISTED_CHARS = 100_000
+MAX_LISTED_DEPTH = 2
 #: Items whose faults are listed; listing is far slower than checking.
 MAX_FAULTY_ITEMS = 10
 
@@ -68,6 +74,7 @@
     def faults(self, value: Any, parts: Sequence[str | int] = ()) -> list[CallFault]:
         """Return what is wrong with a value that stands at ``parts`` of the body."""
         faults: list[CallFault] = []
+        value = _pruned(value)
         for error in self._validator.iter_errors(value):
             faults.extend(_faults_of(error, parts))
             if len(faults) >= MAX_FAULTS:
@@ -97,6 +104,24 @@
         return strict(msgspec.json.schema(self._shape))
 
 
+def _pruned(value: Any, depth: int = 0) -> Any:
+    """Return the value without most of what is far too large to be good.
+
+    Listing faults is slow, and messages of jsonschema quote the value, so a client
+    could keep the daemon busy with one body.
+    """
+    if isinstance(value, str):
+        return value[:MAX_LISTED_CHARS]
+    if not isinstance(value, dict | list):
+        return value
+    if depth == MAX_LISTED_DEPTH:
+        return type(value)()
+    if isinstance(value, dict):
+        kept = itertools.islice(value.items(), MAX_LISTED_ENTRIES)
+        return {n[:MAX_LISTED_CHARS]: _pruned(v, depth + 1) for n, v in kept}
+    return [_pruned(each, depth + 1) for each in value[:MAX_LISTED_ENTRIES]]
+
+
 def _is_integer(_: Any, value: Any) -> bool:
     """Return whether a value is whole as written; 1.0 is not."""
     return isinstance(value, int) and not isinstance(value, bool)
