Learn from runs in the lead: bad workers, bad jobs, true sizes, hopeless work

The lead now follows worker health, attempt budgets, corrected sizes, overruns, bounded admission by class and shedding, and checkpoints what a lowered limit no longer allows. A probe is the only work of a worker on trial. A tombstone keeps the whole refusal, so that a repeat is told the same reason and when to come back. Leads hear what teams hold in other shards from the digests.

--- a/packages/savorylead-daemon/savorylead_daemon/cell/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/__init__.py
@@ -7,7 +7,7 @@
     ConfigRevisions,
     age_ms,
 )
-from ._cell_policy import policy_of, shards_of
+from ._cell_policy import fleet_beside, policy_of, shards_of
 from ._digest_poller import DigestPoller, DigestTimes
 from ._directory import KnownDigest, ShardDirectory
 from ._doors import ConfigDesk, Doorkeeper, TeamKey
@@ -40,6 +40,7 @@
     "StoreSight",
     "TeamKey",
     "age_ms",
+    "fleet_beside",
     "policy_of",
     "shards_of",
 ]
--- a/packages/savorylead-daemon/savorylead_daemon/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/composition.py
@@ -12,6 +12,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IListeningPort
 
+from savorylead.admission import WorkClass
 from savorylead.clock import TwistedClock
 from savorylead.config import InForceSettings
 from savorylead.contracts import EscrowedLimits, GrantHolder
@@ -56,6 +57,9 @@
 METRICS_INTERVAL = timedelta(seconds=5)
 #: Time between checks of whether the daemon can serve callers.
 READINESS_INTERVAL = timedelta(milliseconds=200)
+#: Parts, as divisors, of the tasks that may wait in a shard.
+URGENT_DIVISOR = 4
+SERVICE_DIVISOR = 2
 #: A waiting call holds its connection, so many are needed.
 WAITING_LINK = LinkSettings(max_connections=64, max_waiting=1024)
 PEER_LINK = LinkSettings(attempt_timeout=timedelta(seconds=2), max_connections=8)
@@ -88,6 +92,15 @@
     )
 
 
+def waiting_bounds(per_shard: int) -> dict[WorkClass, int]:
+    """Return the bound of each class; urgent work must not wait behind a crowd."""
+    return {
+        WorkClass.URGENT: max(1, per_shard // URGENT_DIVISOR),
+        WorkClass.SERVICE: max(1, per_shard // SERVICE_DIVISOR),
+        WorkClass.BATCH: per_shard,
+    }
+
+
 class DaemonProcess(StoppingDaemon):
     """A daemon with its sockets, from its start to its planned stop."""
 
@@ -251,6 +264,7 @@
             observer=LeadReporter(self._metrics, self._log),
             bootstrap_sha256=settings.operator_key_sha256,
             times=daemon_times(settings),
+            waiting_bounds=waiting_bounds(settings.limits.waiting_per_shard),
             on_superseded=self._on_superseded,
         )
 
--- a/packages/savorylead-daemon/savorylead_daemon/daemon/_daemon.py
+++ b/packages/savorylead-daemon/savorylead_daemon/daemon/_daemon.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
+from savorylead.admission import WorkClass
 from savorylead.clock import Clock
 from savorylead.config import ConfigEditor, InForce, InForceConfig, InForceSettings
 from savorylead.contracts import GrantHolder, TeamLimits
@@ -36,6 +37,7 @@
     ShardRouter,
     StoreSight,
     age_ms,
+    fleet_beside,
     policy_of,
     shards_of,
 )
@@ -77,6 +79,8 @@
     #: Hex SHA-256 of keys that may operate the cell before it has a configuration.
     bootstrap_sha256: frozenset[str]
     times: DaemonTimes
+    #: Most jobs of each class that may wait in one shard.
+    waiting_bounds: Mapping[WorkClass, int]
     #: Called once if another process took this daemon's name.
     on_superseded: Callable[[], None]
 
@@ -214,6 +218,9 @@
 
     def _on_sight(self) -> None:
         self._confirmation.take_sights()
+        digests = self.directory.shard_digests()
+        for lead in self.supervisor.leads.values():
+            lead.set_fleet(*fleet_beside(lead.shard.name, digests))
 
     def _check_duty(self) -> None:
         self.supervisor.check()
@@ -264,4 +271,5 @@
             observer=parts.observer,
             open_limits=parts.open_limits,
             store_is_down_everywhere=self.poller.store_is_down_everywhere,
+            waiting_bounds=parts.waiting_bounds,
         )
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_dispatcher.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_dispatcher.py
@@ -30,7 +30,13 @@
     Reject,
 )
 from savorylead.resources import ZERO, Resources
-from savorylead.workers import Inventory, RunReport, RunState, StartOrder
+from savorylead.workers import (
+    Inventory,
+    OverrunAction,
+    RunReport,
+    RunState,
+    StartOrder,
+)
 
 from ._fleet import ShardFleet
 from ._ledger import ShardLedger
@@ -46,12 +52,12 @@
     judge_lost_worker,
     judge_report,
 )
+from ._run_care import RunCare
+from ._waiting_room import WaitingRoom, not_run
 from ._worker_session import Attempt, WorkerSession
 
 #: A run that is overdue is asked about again after this part of its delay.
 OVERDUE_DIVISOR = 2
-#: Attempts after which a failing task is answered with its failure.
-MAX_ATTEMPTS = 5
 
 
 class TaskDispatcher:
@@ -69,6 +75,7 @@
         clock: Clock,
         observer: LeadObserver,
         offers: OfferSender,
+        room: WaitingRoom,
         plan_soon: Callable[[], None],
     ) -> None:
         self._ledger = ledger
@@ -77,6 +84,10 @@
         self._clock = clock
         self._observer = observer
         self._offers = offers
+        self._room = room
+        self.care = RunCare(fleet, self.held_on, clock)
+        #: What the planner was told that a waiting task needs, if not what it says.
+        self._corrected: dict[TaskId, Resources] = {}
         self._plan_soon = plan_soon
         self._placed_on: dict[str, set[TaskId]] = defaultdict(set)
         #: Attempts whose placement is not durable, so that no order has left.
@@ -88,12 +99,11 @@
         """Hand the replayed records to the planner and ask their workers."""
         for task, record in self._ledger.state.records.items():
             if record.phase is Phase.QUEUED:
-                self._planner.add_pending(pending_of(record))
+                self._wait_again(record)
             elif record.phase is Phase.PLACED:
                 self._fleet.ensure_known(record.worker)
-                self._planner.add_running(
-                    pending_of(record), record.worker, record.placed_at_ms
-                )
+                running = _running_of(record)
+                self._planner.add_running(running, record.worker, record.placed_at_ms)
                 self._placed_on[record.worker].add(task)
         for job, target in self._offers.unanswered():
             self._send_offer(job, target)
@@ -106,7 +116,7 @@
         """Return what the tasks placed on the worker ask for in all."""
         held = ZERO
         for task in self._placed_on.get(worker, ()):
-            held = held.plus(self._ledger.state.records[task].spec.resources)
+            held = held.plus(self._ledger.state.records[task].held_resources())
         return held
 
     def decide(self, decisions: Iterable[Decision]) -> list[Event]:
@@ -115,8 +125,9 @@
         overflow = []
         for decision in decisions:
             if isinstance(decision, Place):
-                events.append(self._place(decision))
+                events += self._place(decision)
             elif isinstance(decision, Reject):
+                self._room.removed(decision.task, self._now_ms())
                 outcome = NotRun(decision.reason, decision.detail)
                 events.append(Ended(decision.task, outcome, self._now_ms()))
             elif isinstance(decision, Preempt):
@@ -154,6 +165,7 @@
             record = self._ledger.state.records[task]
             if record.phase is Phase.QUEUED:
                 self._planner.remove(task)
+                self._room.removed(task, self._now_ms())
                 outcome = Cancelled(started=record.attempt > 0)
                 events.append(Ended(task, outcome, self._now_ms()))
             elif record.phase is Phase.PLACED and not record.cancel_asked:
@@ -218,14 +230,26 @@
             if record.spec is not None and record.spec.repeatable:
                 session.checkpoint((task, record.attempt))
 
-    def checkpoint(self, task: TaskId) -> None:
-        """Checkpoint a running task, as when a limit was lowered."""
-        record = self._ledger.state.records.get(task)
-        if record is None or record.phase is not Phase.PLACED:
-            return
-        session = self._fleet.session(record.worker)
-        if session is not None:
-            session.checkpoint((task, record.attempt))
+    def checkpoint_excess(self, team: str, excess: Resources) -> None:
+        """Checkpoint repeatable tasks of a team until ``excess`` is given back.
+
+        The latest placements go first, since they lose least; what may not be
+        repeated runs to its end.
+        """
+        left = excess
+        for record in self._movable_of(team):
+            if not any(amount > 0 for amount in left):
+                return
+            session = self._fleet.session(record.worker)
+            if session is not None:
+                session.checkpoint((record.spec.id, record.attempt))
+                left = left.minus(record.held_resources())
+
+    def _movable_of(self, team: str) -> list[TaskRecord]:
+        records = self._ledger.state.records
+        placed = (records[task] for on in self._placed_on.values() for task in on)
+        movable = [r for r in placed if r.spec.id.team == team and r.spec.repeatable]
+        return sorted(movable, key=lambda record: -record.placed_at_ms)
 
     def _overflow(self, tasks: Sequence[TaskId]) -> list[Event]:
         """Return the offers of jobs that another shard may take; others wait on."""
@@ -239,6 +263,7 @@
             if target is None:
                 self._queue_again(members)
             else:
+                self._room.removed(job, self._now_ms())
                 events += self._offers.offer_events(members, target)
         return events
 
@@ -247,23 +272,33 @@
 
     def _queue_again(self, tasks: Sequence[TaskId]) -> None:
         for task in tasks:
-            self._planner.add_pending(pending_of(self._ledger.state.records[task]))
+            self._wait_again(self._ledger.state.records[task])
         if tasks:
             self._plan_soon()
 
-    def _place(self, decision: Place) -> Event:
+    def _place(self, decision: Place) -> list[Event]:
+        """Return the event of a placement; none if the worker must not get it."""
         record = self._ledger.state.records[decision.task]
+        if not self.care.admits(decision.worker, record.spec):
+            pending = self._pending(record)
+            avoid = (*pending.avoid, decision.worker)
+            self._planner.requeue(pending._replace(avoid=avoid))
+            return []
         session = self._fleet.ensure_known(decision.worker)
         attempt = record.attempt + 1
         self._uncommitted.add((decision.task, attempt))
         self._placed_on[decision.worker].add(decision.task)
-        return Placed(
+        self._room.started(decision.task, self._now_ms())
+        self.care.placed(decision.worker, decision.task)
+        placed = Placed(
             decision.task,
             attempt,
             decision.worker,
             session.incarnation,
             self._now_ms(),
+            self._corrected.pop(decision.task, None),
         )
+        return [placed]
 
     def _preempt(self, decision: Preempt) -> None:
         record = self._ledger.state.records[decision.task]
@@ -320,11 +355,40 @@
     ) -> None:
         if report.state is RunState.RUNNING:
             self.on_started(session, (report.task, report.attempt))
-            self._expect_end(session, record, report.ran_ms)
-            if record.cancel_asked:
-                session.stop((report.task, report.attempt))
-        may_retry = record.attempt < MAX_ATTEMPTS
-        self._follow(session, record, judge_report(record, report, may_retry))
+            self._watch_run(session, record, report)
+            return
+        verdict = judge_report(record, report)
+        verdict = self._learn(session.worker.name, record, report, verdict)
+        self._follow(session, record, verdict)
+
+    def _watch_run(
+        self, session: WorkerSession, record: TaskRecord, report: RunReport
+    ) -> None:
+        """Stop a cancelled run, act on an overrun, and ask again in time."""
+        attempt = (report.task, report.attempt)
+        held = record.held_resources()
+        action = self.care.observe(session.worker.name, record.spec, held, report)
+        if record.cancel_asked or action is OverrunAction.STOP:
+            session.stop(attempt)
+        elif action is OverrunAction.CHECKPOINT:
+            session.checkpoint(attempt)
+        elif action is OverrunAction.THROTTLE:
+            session.throttle(attempt, held)
+        self._expect_end(session, record, report.ran_ms)
+
+    def _learn(
+        self, worker: str, record: TaskRecord, report: RunReport, verdict: Verdict
+    ) -> Verdict:
+        """Remember how the run ended; a job that fails everywhere is given up."""
+        if report.state is RunState.DONE and isinstance(verdict, EndWith):
+            self.care.ended_well(worker, record.spec, report.ran_ms)
+        elif report.state is RunState.FAILED:
+            exhausted = self.care.failed(worker, record.spec, report.result)
+            if exhausted is not None and isinstance(verdict, RequeueFor):
+                return EndWith(Failed(exhausted.describe(), record.attempt))
+        else:
+            self.care.left(worker, report.task)
+        return verdict
 
     def _expect_end(
         self, session: WorkerSession, record: TaskRecord, ran_ms: int
@@ -365,7 +429,9 @@
         self._leave_worker(record)
         event = Requeued(task, record.attempt, reason, self._now_ms())
         done = self._ledger.commit([event])
-        self._planner.requeue(pending_of(self._ledger.state.records[task]))
+        requeued = self._ledger.state.records[task]
+        self._room.readmit(requeued.spec, self._now_ms())
+        self._planner.requeue(self._pending(requeued))
         done.addCallbacks(lambda _: self._release(record), lambda _: None)
         self._observer.requeued(record.spec, reason)
         if record.spec.members > 1:
@@ -377,6 +443,7 @@
         self._placed_on[record.worker].discard(record.spec.id)
         self._uncommitted.discard(attempt)
         self._started.discard(attempt)
+        self.care.left(record.worker, record.spec.id)
 
     def _after_end(self, record: TaskRecord, events: Sequence[Event]) -> None:
         self._release(record)
@@ -415,9 +482,47 @@
             if record.phase is Phase.PLACED and session is not None:
                 session.stop((task, record.attempt))
 
+    def fresh(self, spec: TaskSpec, accepted_at_ms: int) -> PendingTask:
+        """Return a task as the planner is to see it, with its size corrected."""
+        corrected = self.care.corrected(spec)
+        if corrected == spec.resources:
+            self._corrected.pop(spec.id, None)
+            return PendingTask(spec, accepted_at_ms)
+        self._corrected[spec.id] = corrected
+        return PendingTask(spec._replace(resources=corrected), accepted_at_ms)
+
+    def shed(self) -> None:
+        """Refuse what can't start in time any more, at once."""
+        events: list[Event] = []
+        for refused in self._room.shed(self._now_ms()):
+            outcome = not_run(refused)
+            for member in members_of(self._ledger.state.records[refused.task].spec):
+                self._planner.remove(member)
+                events.append(Ended(member, outcome, self._now_ms()))
+        self.commit(events)
+
+    def _pending(self, record: TaskRecord) -> PendingTask:
+        pending = self.fresh(record.spec, record.accepted_at_ms)
+        return pending._replace(
+            next_attempt=record.attempt + 1, avoid=self._avoided(record)
+        )
+
+    def _avoided(self, record: TaskRecord) -> tuple[str, ...]:
+        """Return the workers where the task failed, but never all that fit it."""
+        if not record.avoid:
+            return ()
+        wanted = record.spec.resources
+        able = sum(1 for s in self._fleet if wanted.fits(s.worker.capacity))
+        return record.avoid[-(able - 1) :] if able > 1 else ()
+
+    def _wait_again(self, record: TaskRecord) -> None:
+        self._room.readmit(record.spec, self._now_ms())
+        self._planner.add_pending(self._pending(record))
+
     def _tell_ended(self, task: TaskId, outcome: Outcome) -> None:
         record = self._ledger.state.records.get(task)
         if record is not None and record.spec is not None:
+            self.care.forget_job(task)
             self._observer.ended(record.spec, outcome)
 
     def _now_ms(self) -> int:
@@ -429,14 +534,10 @@
     return [spec.id._replace(member=member) for member in range(spec.members)]
 
 
-def pending_of(record: TaskRecord) -> PendingTask:
-    """Return the record's task as the planner queues it."""
-    return PendingTask(
-        spec=record.spec,
-        queued_at_ms=record.accepted_at_ms,
-        next_attempt=record.attempt + 1,
-        avoid=record.avoid,
-    )
+def _running_of(record: TaskRecord) -> PendingTask:
+    """Return a placed task with what it holds."""
+    spec = record.spec._replace(resources=record.held_resources())
+    return PendingTask(spec, record.accepted_at_ms, record.attempt + 1, record.avoid)
 
 
 def _is_placed_at(record: TaskRecord | None, attempt: int) -> bool:
@@ -451,6 +552,6 @@
     return StartOrder(
         task=record.spec.id,
         attempt=record.attempt,
-        resources=record.spec.resources,
+        resources=record.held_resources(),
         payload=record.spec.payload,
     )
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_parts.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_parts.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
+from savorylead.admission import WorkClass
 from savorylead.clock import Clock
 from savorylead.contracts import GrantHolder, TeamLimits
 from savorylead.journal import Journal
@@ -48,3 +49,5 @@
     #: Whether every member is reachable and none can use the store, so that no
     #: other lead can exist although the epoch cannot be proved.
     store_is_down_everywhere: Callable[[], bool]
+    #: Most jobs of each class that may wait in the shard.
+    waiting_bounds: Mapping[WorkClass, int]
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_reconciler.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_reconciler.py
@@ -46,17 +46,14 @@
 Verdict = KeepWaiting | SendAgain | EndWith | RequeueFor | DiscardAnswer
 
 
-def judge_report(record: TaskRecord, report: RunReport, may_retry: bool) -> Verdict:
-    """Judge a report of the record's current attempt.
-
-    ``may_retry`` says whether a failed run may be tried again.
-    """
+def judge_report(record: TaskRecord, report: RunReport) -> Verdict:
+    """Judge a report of the record's current attempt."""
     if report.state is RunState.RUNNING:
         return KeepWaiting()
     if report.state is RunState.DONE:
         return _judge_done(report)
     if report.state is RunState.FAILED:
-        return _judge_failed(record, report, may_retry)
+        return _judge_failed(record, report)
     if report.state is RunState.NEVER_STARTED:
         return _end_or_requeue(record, RequeueReason.NEVER_STARTED, started=False)
     if report.state is RunState.CHECKPOINTED:
@@ -90,10 +87,10 @@
     return EndWith(Done(report.result, report.digest, report.attempt))
 
 
-def _judge_failed(record: TaskRecord, report: RunReport, may_retry: bool) -> Verdict:
+def _judge_failed(record: TaskRecord, report: RunReport) -> Verdict:
     if record.cancel_asked:
         return EndWith(Cancelled(started=True))
-    if may_retry and _is_repeatable(record):
+    if _is_repeatable(record):
         return RequeueFor(RequeueReason.FAILED)
     return EndWith(Failed(report.result, report.attempt))
 
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_run_care.py
@@ -0,0 +1,149 @@
+"""What a lead learns from runs: bad workers, bad jobs, and true sizes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from savorylead.clock import Clock, to_millis
+from savorylead.contracts import TaskId, TaskKind, TaskSpec
+from savorylead.resources import ZERO, Resources
+from savorylead.workers import (
+    AttemptBudget,
+    AttemptsExhausted,
+    CheckpointMemory,
+    HarshestOf,
+    HealthState,
+    OverrunAction,
+    OverrunWatch,
+    RunningUsage,
+    RunReport,
+    ThrottleCores,
+    UsageEstimator,
+    WorkerHealth,
+)
+
+from ._fleet import ShardFleet
+
+
+class RunCare:
+    """Keeps worker health, attempt budgets, estimates and overruns of one shard.
+
+    It lives as long as its lead: what it knows is learned again after a takeover.
+    """
+
+    def __init__(
+        self, fleet: ShardFleet, held_on: Callable[[str], Resources], clock: Clock
+    ) -> None:
+        """Take ``held_on``, which tells what tasks hold on a worker."""
+        self._fleet = fleet
+        self._held_on = held_on
+        self._largest = ZERO
+        self._clock = clock
+        self._health = WorkerHealth(workers=0)
+        self._budget = AttemptBudget()
+        self._estimator = UsageEstimator()
+        self._overruns = OverrunWatch(HarshestOf([ThrottleCores(), CheckpointMemory()]))
+        #: Workers with a failure, and the probe that runs on each if one does.
+        self._suspects: dict[str, TaskId | None] = {}
+
+    def admits(self, worker: str, spec: TaskSpec) -> bool:
+        """Return whether the task may start on the worker."""
+        if worker not in self._suspects:
+            return True
+        return self._health.may_start(worker, spec, self._now_ms())
+
+    def placed(self, worker: str, task: TaskId) -> None:
+        """Note a placement; a worker on trial gets nothing beside its probe."""
+        if worker not in self._suspects:
+            return
+        self._health.started(worker, task, self._now_ms())
+        if self._health.state(worker, self._now_ms()) is HealthState.PROBED:
+            self._suspects[worker] = task
+            self._fleet.quarantine(worker, True)
+
+    def ended_well(self, worker: str, spec: TaskSpec, ran_ms: int) -> None:
+        """Note that a task ran to its end."""
+        if spec.kind is not TaskKind.SERVICE:
+            self._estimator.observe_end(spec, ran_ms)
+        self._health.succeeded(worker, spec.id, self._now_ms())
+        self._overruns.forget(spec.id)
+        self._budget.forget(spec.id)
+        self._close_probe(worker, spec.id)
+
+    def failed(
+        self, worker: str, spec: TaskSpec, error: str
+    ) -> AttemptsExhausted | None:
+        """Note a failed attempt; return why the job is given up, if it is."""
+        self._health.workers = sum(1 for _ in self._fleet)
+        self._health.failed(worker, spec.id, self._now_ms())
+        self._suspects.setdefault(worker, None)
+        self._drop_run(worker, spec.id)
+        self.refresh()
+        return self._budget.fail(spec.id, worker, error)
+
+    def left(self, worker: str, task: TaskId) -> None:
+        """Note that an attempt ended without success or failure."""
+        self._health.unstarted(worker, task)
+        self._drop_run(worker, task)
+
+    def forget_job(self, task: TaskId) -> None:
+        """Drop a task that has its final answer."""
+        self._health.forget_job(task)
+        self._budget.forget(task)
+        self._estimator.forget(task)
+
+    def refresh(self) -> None:
+        """Tell the fleet who is in quarantine, as time goes on."""
+        now_ms = self._now_ms()
+        self._largest = self._largest_worker()
+        for worker, probe in list(self._suspects.items()):
+            state = self._health.state(worker, now_ms)
+            quarantined = state is HealthState.QUARANTINED or probe is not None
+            self._fleet.quarantine(worker, quarantined)
+            if state is HealthState.TRUSTED and self._fleet.session(worker) is None:
+                del self._suspects[worker]
+
+    def corrected(self, spec: TaskSpec) -> Resources:
+        """Return what the task is expected to need."""
+        return self._estimator.estimate(spec, self._largest).resources
+
+    def observe(
+        self, worker: str, spec: TaskSpec, held: Resources, report: RunReport
+    ) -> OverrunAction:
+        """Take in a running task's usage; return what to do about it."""
+        if not any(report.used):
+            return OverrunAction.NONE
+        self._estimator.observe(spec.id, report.used)
+        if report.used.fits(held):
+            self._overruns.forget(spec.id)
+            return OverrunAction.NONE
+        capacity = self._fleet.ensure_known(worker).worker.capacity
+        usage = RunningUsage(
+            spec=spec,
+            held=held,
+            used=report.used,
+            ran_ms=report.ran_ms,
+            expected_ms=spec.run_time_ms,
+            worker_free=capacity.minus(self._held_on(worker)),
+        )
+        return self._overruns.report(usage)
+
+    def _drop_run(self, worker: str, task: TaskId) -> None:
+        self._overruns.forget(task)
+        self._estimator.forget(task)
+        self._close_probe(worker, task)
+
+    def _close_probe(self, worker: str, task: TaskId) -> None:
+        if self._suspects.get(worker) == task:
+            self._suspects[worker] = None
+            self.refresh()
+
+    def _largest_worker(self) -> Resources:
+        largest = ZERO
+        for session in self._fleet:
+            capacity = session.worker.capacity
+            largest = Resources(*map(max, largest, capacity))
+        return largest
+
+    def _now_ms(self) -> int:
+        return to_millis(self._clock.now())
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_shard_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_shard_lead.py
@@ -34,6 +34,7 @@
 from ._periodic import Gathered
 from ._upkeep import EpochProof, RetentionSweep, Upkeep, VmListFollower
 from ._views import job_is_answerable, view_job
+from ._waiting_room import WaitingRoom
 from ._worker_session import Attempt, SessionListener, WorkerSession
 
 #: Most decisions of one planning round, so that a round stays short.
@@ -72,6 +73,7 @@
         self._proof = EpochProof(parts, self._ledger, self._step_down)
         self._plan_soon = Gathered(self._clock, PLAN_GATHER, self._plan)
         self._fleet = ShardFleet(shard, parts.planner, self._open_session)
+        self._room = WaitingRoom(parts.waiting_bounds, parts.rng)
         self._offers = OfferSender(shard.name, self._ledger, parts.router, self._clock)
         self._dispatcher = TaskDispatcher(
             self._ledger,
@@ -80,6 +82,7 @@
             self._clock,
             parts.observer,
             self._offers,
+            self._room,
             self._plan_soon.trigger,
         )
         self._limits = parts.open_limits(shard.name, self.epoch, self)
@@ -159,6 +162,7 @@
             return
         removed = set(self._policy.shares) - set(policy.shares)
         self._policy = policy
+        self._room.set_bounds(policy.max_waiting)
         self._planner.set_policy(policy.policy)
         for team in sorted(removed):
             self._planner.set_share(team, 0)
@@ -168,6 +172,10 @@
             self._planner.set_grant(team, self._limits.grant(team))
         self._plan_soon.trigger()
 
+    def set_fleet(self, capacity: Resources, elsewhere: dict[str, Resources]) -> None:
+        """Use what the other leads tell of the fleet, for fair shares."""
+        self._planner.set_fleet(capacity, elsewhere)
+
     async def submit(self, specs: Sequence[TaskSpec]) -> list[SubmitReply]:
         """Accept new tasks and answer repeats; one reply per spec.
 
@@ -183,9 +191,9 @@
             refusal = self._refusal_of(spec)
             if refusal is None:
                 events.append(Accepted(spec, now_ms))
-                fresh.append(PendingTask(spec, now_ms))
+                fresh.append(self._dispatcher.fresh(spec, now_ms))
             else:
-                self._parts.observer.refused(spec, refusal)
+                self._parts.observer.refused(spec, refusal.reason)
                 events.append(Tombstoned(spec.id, refusal, now_ms))
         self._accept(events, fresh)
         return [await self._reply_to(spec) for spec in specs]
@@ -231,7 +239,7 @@
         now_ms = self._now_ms()
         self._dispatcher.commit(
             [
-                Tombstoned(task.job(), Refusal.TOMBSTONE, now_ms)
+                Tombstoned(task.job(), NotRun(Refusal.TOMBSTONE), now_ms)
                 for task in tasks
                 if task.job() not in self.records
             ]
@@ -316,30 +324,26 @@
             return self._began_at
         return self._began_at + self._parts.times.epoch_grace
 
-    def _refusal_of(self, spec: TaskSpec) -> Refusal | None:
+    def _refusal_of(self, spec: TaskSpec) -> NotRun | None:
         if not self._fleet.possible_in_cell(spec):
-            return Refusal.IMPOSSIBLE
+            return NotRun(Refusal.IMPOSSIBLE, "no worker of the cell could hold it")
         limit = self._policy.limits.get(spec.id.team, ZERO)
         if not spec.resources.times(spec.members).fits(limit):
-            return Refusal.OVER_LIMIT
-        if spec.start_by_ms and spec.start_by_ms <= self._now_ms():
-            return Refusal.DEADLINE_PASSED
-        bound = self._policy.max_waiting.get(spec.queue)
-        if bound is not None and self._planner.pending_count() >= bound:
-            return Refusal.QUEUE_FULL
-        return None
+            return NotRun(Refusal.OVER_LIMIT, "the team's upper limit is lower")
+        return self._room.admit(spec, self._now_ms())
 
     def _take_or_decline(self, origin: str, job: OfferedJob) -> None:
         if not all(self._planner.ever_fits(spec) for spec in job.specs):
             now_ms = self._now_ms()
-            reason = Refusal.IMPOSSIBLE
+            declined = NotRun(Refusal.IMPOSSIBLE, "no worker of the shard fits")
             self._dispatcher.commit(
-                [Tombstoned(spec.id, reason, now_ms) for spec in job.specs]
+                [Tombstoned(spec.id, declined, now_ms) for spec in job.specs]
             )
             return
+        self._room.readmit(job.specs[0], self._now_ms())
         self._accept(
             [Accepted(spec, job.accepted_at_ms, origin) for spec in job.specs],
-            [PendingTask(spec, job.accepted_at_ms) for spec in job.specs],
+            [self._dispatcher.fresh(s, job.accepted_at_ms) for s in job.specs],
         )
 
     def _accept(self, events: list[Event], fresh: Sequence[PendingTask]) -> None:
@@ -403,12 +407,22 @@
 
     def _on_plan_tick(self) -> None:
         self._tell_demand(set(self._policy.shares))
+        self._dispatcher.care.refresh()
+        self._dispatcher.shed()
+        self._shrink_to_limits()
         if not self._limits_step_runs:
             self._limits_step_runs = True
             step = Deferred.fromCoroutine(self._limits.step())
             step.addBoth(self._after_limits_step)
         self._plan_soon.trigger()
 
+    def _shrink_to_limits(self) -> None:
+        """Checkpoint what a lowered limit no longer allows."""
+        for team in self._policy.shares:
+            excess = self._limits.excess(team)
+            if any(excess):
+                self._dispatcher.checkpoint_excess(team, excess)
+
     def _after_limits_step(self, result: object) -> object:
         self._limits_step_runs = False
         return result
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_waiting_room.py
@@ -0,0 +1,93 @@
+"""What waits in a shard: bounds by class and by queue, and work without hope."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Mapping
+
+from savorylead.admission import (
+    FairAdmissionQueue,
+    Refused,
+    RetryHints,
+    WaitingWork,
+    WorkClass,
+    work_class,
+)
+from savorylead.contracts import TaskId, TaskSpec
+from savorylead.outcomes import NotRun, Refusal
+
+
+class WaitingRoom:
+    """Counts each job once, under its first member."""
+
+    def __init__(self, bounds: Mapping[WorkClass, int], rng: random.Random) -> None:
+        self._hints = RetryHints(rng)
+        self._admission = FairAdmissionQueue(bounds, self._hints)
+        self._max_waiting: Mapping[str, int] = {}
+        self._queue_of: dict[TaskId, str] = {}
+        self._by_queue: Counter[str] = Counter()
+
+    def set_bounds(self, max_waiting: Mapping[str, int]) -> None:
+        """Use the bounds of the configuration's queues from now on."""
+        self._max_waiting = max_waiting
+
+    def admit(self, spec: TaskSpec, now_ms: int) -> NotRun | None:
+        """Let a job wait, or return the answer to it."""
+        job = spec.id.job()
+        if job in self._queue_of:
+            return None
+        bound = self._max_waiting.get(spec.queue)
+        if bound is not None and self._by_queue[spec.queue] >= bound:
+            hint_ms = self._hints.hint_ms(now_ms, 0, None)
+            detail = f"{bound} tasks wait in queue {spec.queue}"
+            return not_run(Refused(job, Refusal.QUEUE_FULL, hint_ms, detail))
+        work = WaitingWork(job, work_class(spec), spec.start_by_ms)
+        refused = self._admission.offer(work, now_ms)
+        if refused is not None:
+            return not_run(refused)
+        self._enter(job, spec.queue)
+        return None
+
+    def readmit(self, spec: TaskSpec, now_ms: int) -> None:
+        """Let work wait again that was accepted before, whatever the bounds."""
+        job = spec.id.job()
+        if job not in self._queue_of:
+            self._admission.offer(WaitingWork(job, work_class(spec)), now_ms)
+            self._enter(job, spec.queue)
+
+    def started(self, task: TaskId, now_ms: int) -> None:
+        """Note that a task was placed."""
+        if self._leave(task.job()):
+            self._admission.started(task.job(), now_ms)
+
+    def removed(self, task: TaskId, now_ms: int) -> None:
+        """Note that a task was cancelled, refused or handed elsewhere."""
+        if self._leave(task.job()):
+            self._admission.removed(task.job(), now_ms)
+
+    def shed(self, now_ms: int) -> list[Refused]:
+        """Remove and return work that can't start in time any more."""
+        refused = self._admission.shed(now_ms)
+        for item in refused:
+            self._leave(item.task)
+        return refused
+
+    def _enter(self, job: TaskId, queue: str) -> None:
+        self._queue_of[job] = queue
+        self._by_queue[queue] += 1
+
+    def _leave(self, job: TaskId) -> bool:
+        queue = self._queue_of.pop(job, None)
+        if queue is None:
+            return False
+        self._by_queue[queue] -= 1
+        return True
+
+
+def not_run(refused: Refused) -> NotRun:
+    """Return the answer that tells a refusal and when to come back."""
+    detail = refused.detail
+    if refused.retry_after_ms:
+        detail = f"{detail}; a new request may do after {refused.retry_after_ms} ms"
+    return NotRun(refused.reason, detail)
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_worker_session.py
@@ -12,6 +12,7 @@
 
 from savorylead.clock import Clock, Timer
 from savorylead.contracts import TaskId
+from savorylead.resources import Resources
 from savorylead.workers import (
     Inventory,
     RunReport,
@@ -91,10 +92,13 @@
         self.orders: dict[Attempt, StartOrder] = {}
         self.checkpoints: dict[Attempt, None] = {}
         self.stops: dict[Attempt, None] = {}
+        self.caps: dict[Attempt, Resources] = {}
         self.releases: dict[Attempt, None] = {}
 
     def __bool__(self) -> bool:
-        return bool(self.orders or self.checkpoints or self.stops or self.releases)
+        return bool(
+            self.orders or self.checkpoints or self.stops or self.caps or self.releases
+        )
 
 
 class WorkerSession:
@@ -171,6 +175,11 @@
         self._outbox.stops[attempt] = None
         self._kick()
 
+    def throttle(self, attempt: Attempt, cap: Resources) -> None:
+        """Cap what a running attempt may use."""
+        self._outbox.caps[attempt] = cap
+        self._kick()
+
     def release(self, attempt: Attempt) -> None:
         """Let the worker forget the report of an ended attempt."""
         self._sent.discard(attempt)
@@ -307,6 +316,8 @@
             await self._send_ends(box.checkpoints, self._contract.checkpoint)
         elif box.stops:
             await self._send_ends(box.stops, self._contract.stop)
+        elif box.caps:
+            await self._send_caps()
         else:
             await self._send_releases()
 
@@ -337,6 +348,16 @@
             waiting.pop(attempt, None)
         self._listener.on_reports(self, reports)
 
+    async def _send_caps(self) -> None:
+        caps = [(*attempt, cap) for attempt, cap in self._outbox.caps.items()]
+        reports = await self._contract.throttle(
+            self.worker, self._epoch, self.incarnation, caps
+        )
+        if self._closed or self._is_declined(reports):
+            return
+        for task, attempt, _ in caps:
+            self._outbox.caps.pop((task, attempt), None)
+
     async def _send_releases(self) -> None:
         attempts = list(self._outbox.releases)
         reply = await self._contract.release(
--- a/packages/savorylead-standins/savorylead_standins/cell/_fake_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/cell/_fake_cell.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
+from savorylead.admission import WorkClass
 from savorylead.clock import TwistedClock, to_millis
 from savorylead.config import CONFIG_KEY, ConfigEditor
 from savorylead.contracts import GrantHolder, TeamLimits
@@ -37,6 +38,8 @@
 
 #: When every run begins.
 BEGINNING = datetime(2026, 1, 1, tzinfo=UTC)
+#: Jobs of one class that may wait in a shard.
+WAITING_BOUND = 1000
 #: Time between two samples of the configuration in force.
 SAMPLE_INTERVAL = timedelta(milliseconds=500)
 
@@ -250,5 +253,6 @@
             observer=LeadObserver(),
             bootstrap_sha256=frozenset(),
             times=self.variant.times(),
+            waiting_bounds=dict.fromkeys(WorkClass, WAITING_BOUND),
             on_superseded=process.kill,
         )
--- a/packages/savorylead/savorylead/journal/_events.py
+++ b/packages/savorylead/savorylead/journal/_events.py
@@ -6,7 +6,8 @@
 from typing import NamedTuple
 
 from savorylead.contracts import TaskId, TaskSpec
-from savorylead.outcomes import Outcome, Refusal
+from savorylead.outcomes import NotRun, Outcome
+from savorylead.resources import Resources
 
 
 class EpochBegan(NamedTuple):
@@ -36,6 +37,8 @@
     #: Incarnation of the worker that the start order names.
     incarnation: str
     at_ms: int
+    #: What the attempt holds; None for what the task declares.
+    held: Resources | None = None
 
 
 class RequeueReason(enum.StrEnum):
@@ -83,7 +86,7 @@
 
     task: TaskId
     #: What the caller is told, now and on each repeat.
-    reason: Refusal
+    outcome: NotRun
     at_ms: int
 
 
--- a/packages/savorylead/savorylead/journal/_state.py
+++ b/packages/savorylead/savorylead/journal/_state.py
@@ -7,7 +7,8 @@
 from typing import NamedTuple
 
 from savorylead.contracts import TaskId, TaskSpec
-from savorylead.outcomes import NotRun, Outcome
+from savorylead.outcomes import Outcome
+from savorylead.resources import Resources
 
 from ._events import (
     Accepted,
@@ -63,6 +64,12 @@
     target: str = ""
     outcome: Outcome | None = None
     ended_at_ms: int = 0
+    #: What the latest attempt holds; None for what the task declares.
+    held: Resources | None = None
+
+    def held_resources(self) -> Resources:
+        """Return what the latest attempt holds, or would hold."""
+        return self.spec.resources if self.held is None else self.held
 
 
 class UnknownTaskError(Exception):
@@ -141,6 +148,7 @@
             attempt=event.attempt,
             worker=event.worker,
             incarnation=event.incarnation,
+            held=event.held,
             placed_at_ms=event.at_ms,
         )
 
@@ -150,7 +158,7 @@
         if event.reason.counts_against_worker() and record.worker not in avoid:
             avoid = (*avoid, record.worker)
         self.records[event.task] = record._replace(
-            phase=Phase.QUEUED, worker="", avoid=avoid
+            phase=Phase.QUEUED, worker="", avoid=avoid, held=None
         )
 
     def _apply_ended(self, event: Ended) -> None:
@@ -168,7 +176,7 @@
             spec=None,
             phase=Phase.TOMBSTONED,
             accepted_at_ms=event.at_ms,
-            outcome=NotRun(event.reason),
+            outcome=event.outcome,
             ended_at_ms=event.at_ms,
         )
 
--- a/packages/savorylead/savorylead/journal/tests/test_state.py
+++ b/packages/savorylead/savorylead/journal/tests/test_state.py
@@ -19,7 +19,7 @@
     Tombstoned,
     UnknownTaskError,
 )
-from savorylead.outcomes import Done, Refusal
+from savorylead.outcomes import Done, NotRun, Refusal
 from savorylead.resources import Resources
 
 TASK = TaskId("dispatch", "bookings", "r1")
@@ -60,7 +60,7 @@
             "",
             (),
         ),
-        ([Tombstoned(TASK, Refusal.TOMBSTONE, 5)], Phase.TOMBSTONED, "", ()),
+        ([Tombstoned(TASK, NotRun(Refusal.TOMBSTONE), 5)], Phase.TOMBSTONED, "", ()),
     ],
 )
 def test_phase(events, phase, worker, avoid):
