--- a/packages/savorylead/savorylead/domains/tests/test_leads_together.py
+++ b/packages/savorylead/savorylead/domains/tests/test_leads_together.py
@@ -126,3 +126,31 @@
     assert cell.refused == 0
     assert cell.peak("writes", since=back_at) < WRITES_PER_S
     assert cell.peak("reads", since=back_at) < 4 * usual_reads + 50
+
+
+def test_a_lead_that_died_during_an_outage_is_replaced_after_it():
+    cell = started(6)
+    cell.store.faults.down = True
+    cell.run(10)
+    cell.kill(cell.daemons[0])
+    cell.run(20)
+    cell.store.faults.down = False
+    assert cell.run(20, cell.all_led_once) < 7
+
+
+def test_a_cell_whose_daemons_all_died_is_led_again_by_new_ones():
+    cell = started(6)
+    for daemon in list(cell.daemons):
+        cell.kill(daemon)
+    cell.run(10)
+    cell.daemons = [CoordinatedDaemon(cell, f"new{number}") for number in range(6)]
+    assert cell.run(20, cell.all_led_once) < 5
+
+
+def test_daemons_restarted_under_their_names_lead_again():
+    cell = started(6)
+    names = [daemon.name for daemon in cell.daemons]
+    for daemon in list(cell.daemons):
+        cell.kill(daemon)
+    cell.daemons = [CoordinatedDaemon(cell, name) for name in names]
+    assert cell.run(20, cell.all_led_once) < 5
