--- a/packages/savorylead-daemon/savorylead_daemon/gateway/_caller_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/gateway/_caller_gateway.py
@@ -110,6 +110,8 @@
         parts = await gather(
             self._views(shard, tasks, until) for shard, tasks in sorted(homes.items())
         )
+        # The key may have been withdrawn during the wait.
+        self._doorkeeper.check_key(key)
         return self._in_order(owner, requests, parts)
 
     async def cancel(self, key: str, requests: Sequence[RequestName]) -> list[TaskView]:
