--- a/packages/savorylead-daemon/savorylead_daemon/operators/_probes.py
+++ b/packages/savorylead-daemon/savorylead_daemon/operators/_probes.py
@@ -10,9 +10,11 @@
 def probe_routes(metrics: Metrics, readiness: Readiness) -> list[Route]:
     """Return the routes that need no key and are never refused for load."""
     probes = _Probes(metrics, readiness)
+    # Some balancers probe by HEAD, to which Twisted writes no body.
+    both = ("GET", "HEAD")
     return [
-        Route("GET", "/healthz", "healthz", probes.healthz),
-        Route("GET", "/readyz", "readyz", probes.readyz),
+        *(Route(method, "/healthz", "healthz", probes.healthz) for method in both),
+        *(Route(method, "/readyz", "readyz", probes.readyz) for method in both),
         Route("GET", "/metrics", "metrics", probes.metrics),
     ]
 
--- a/packages/savorylead-daemon/savorylead_daemon/operators/tests/test_operator_routes.py
+++ b/packages/savorylead-daemon/savorylead_daemon/operators/tests/test_operator_routes.py
@@ -151,3 +151,12 @@
     reply = gateway.connect().call("GET", "/metrics")
     assert reply.headers["content-type"].startswith("text/plain")
     assert b"\nsavorylead_ready 1\n" in reply.body
+
+
+def test_a_balancer_may_probe_by_head():
+    gateway = MemoryGateway()
+    conn = gateway.connect()
+    conn.request("HEAD", "/readyz")
+    conn.request("HEAD", "/healthz")
+    heads = conn.written().split(b"\r\n\r\n")
+    assert [head[:12] for head in heads] == [b"HTTP/1.1 503", b"HTTP/1.1 200", b""]
--- a/packages/savorylead-daemon/savorylead_daemon/tests/test_entrance.py
+++ b/packages/savorylead-daemon/savorylead_daemon/tests/test_entrance.py
@@ -2,6 +2,7 @@
 
 import copy
 import random
+from urllib.parse import quote
 
 import pytest
 
@@ -175,3 +176,43 @@
     members = cell.call("d3", "GET", path, key=OPERATOR_KEY).document()["members"]
     assert {member["revision"] for member in members} == {loser["revision"]}
     assert len(members) == 3
+
+
+@pytest.mark.parametrize("limit", [1, 4, 7, 100])
+@pytest.mark.parametrize(
+    ("path", "key"),
+    [("/v1/tasks?workspace=main", KEY), ("/v1/operators/tasks?team=", OPERATOR_KEY)],
+)
+def test_the_parts_of_a_list_make_up_the_whole(path, key, limit):
+    cell = Entrances()
+    requests = [f"r{number:02}-å犬" for number in range(20)]
+    body = [task(request) for request in requests]
+    assert cell.call("d1", "POST", "/v1/tasks", body).status == 200
+    seen, after = [], ""
+    for _ in range(len(requests) + 1):
+        query = f"{path}&limit={limit}&after={quote(after)}"
+        page = cell.call("d2", "GET", query, key=key).document()
+        assert len(page["tasks"]) <= limit
+        seen += [view["task"]["request"] for view in page["tasks"]]
+        after = page["next_after"]
+        if not after:
+            break
+    assert after == ""
+    assert seen == requests
+
+
+def test_a_cancelled_task_stays_cancelled_and_a_ghost_stays_out():
+    cell = Entrances()
+    body = [task(f"r{number}", run_ms=60_000) for number in range(30)]
+    assert cell.call("d1", "POST", "/v1/tasks", body).status == 200
+    cell.cell.run(1)
+    names = ask(*[f"r{number}" for number in range(30)], "ghost")
+    del names["wait_s"]
+    assert cell.call("d2", "POST", "/v1/cancel", names).status == 200
+    cell.cell.run(10)
+    views = cell.call("d3", "POST", "/v1/answers", {**names, "wait_s": 0})
+    statuses = [view["outcome"]["status"] for view in views.document()["tasks"]]
+    assert statuses == ["cancelled"] * 30 + ["not_run"]
+    late = cell.call("d1", "POST", "/v1/tasks", task("ghost"))
+    assert (late.status, code_of(late)) == (410, "tombstone")
+    cell.finish()
