--- a/packages/savorylead-daemon/savorylead_daemon/lead/_reconciler.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_reconciler.py
@@ -10,7 +10,7 @@
 
 from savorylead.journal import RequeueReason, TaskRecord
 from savorylead.outcomes import Cancelled, Done, Failed, Outcome, Unknown
-from savorylead.workers import RunReport, RunState
+from savorylead.workers import MAX_RESULT_CHARS, RunReport, RunState
 
 
 @dataclass(frozen=True)
@@ -84,6 +84,10 @@
     digest = hashlib.sha256(report.result.encode()).hexdigest()
     if digest != report.digest:
         return DiscardAnswer()
+    if len(report.result) > MAX_RESULT_CHARS:
+        # The journal could not keep it, and every later lead would meet it again.
+        detail = f"the answer of {len(report.result)} characters is too long"
+        return EndWith(Failed(detail, report.attempt))
     return EndWith(Done(report.result, report.digest, report.attempt))
 
 
@@ -92,7 +96,7 @@
         return EndWith(Cancelled(started=True))
     if _is_repeatable(record):
         return RequeueFor(RequeueReason.FAILED)
-    return EndWith(Failed(report.result, report.attempt))
+    return EndWith(Failed(report.result[:MAX_RESULT_CHARS], report.attempt))
 
 
 def _judge_interrupted(record: TaskRecord, reason: RequeueReason) -> Verdict:
--- a/packages/savorylead-daemon/savorylead_daemon/lead/tests/test_reconciler.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/tests/test_reconciler.py
@@ -8,7 +8,7 @@
 from savorylead.journal import Phase, RequeueReason, TaskRecord
 from savorylead.outcomes import Cancelled, Done, Failed, Unknown
 from savorylead.resources import Resources
-from savorylead.workers import RunReport, RunState
+from savorylead.workers import MAX_RESULT_CHARS, RunReport, RunState
 from savorylead_daemon.lead._reconciler import (
     DiscardAnswer,
     EndWith,
@@ -21,6 +21,7 @@
 )
 
 TASK = TaskId("dispatch", "tours", "r1")
+LONG = "x" * (MAX_RESULT_CHARS + 1)
 DIGEST = hashlib.sha256(b"seat 4").hexdigest()
 
 
@@ -45,6 +46,16 @@
             EndWith(Done("seat 4", DIGEST, 1)),
         ),
         (placed(), report(RunState.DONE, "seat", DIGEST), DiscardAnswer()),
+        (
+            placed(),
+            report(RunState.DONE, LONG, hashlib.sha256(LONG.encode()).hexdigest()),
+            EndWith(Failed("the answer of 65537 characters is too long", 1)),
+        ),
+        (
+            placed(False),
+            report(RunState.FAILED, LONG),
+            EndWith(Failed(LONG[:MAX_RESULT_CHARS], 1)),
+        ),
         (
             # A run that ended before the stop arrived has its answer all the same.
             placed(cancelled=True),
--- a/packages/savorylead/savorylead/journal/_ring_journal.py
+++ b/packages/savorylead/savorylead/journal/_ring_journal.py
@@ -9,7 +9,7 @@
 from twisted.python.failure import Failure
 
 from savorylead.clock import Clock
-from savorylead.store import MAX_VALUE_BYTES, RetryPolicy, Store
+from savorylead.store import RetryPolicy, Store
 
 from ._append_queue import AppendQueue, PendingAppend, divide, fail_all
 from ._events import Event, Resigned
@@ -18,6 +18,7 @@
 from ._layout import JournalLayout
 from ._log_writer import LogPosition, LogWriter
 from ._settings import (
+    MAX_ENTRY_BYTES,
     MIN_RING_SLOTS,
     AlreadyOpenError,
     AppendTooLargeError,
@@ -48,7 +49,7 @@
         settings: JournalSettings = _DEFAULTS,
         on_over: Callable[[Exception], None] | None = None,
     ) -> None:
-        if not 0 < settings.entry_bytes < MAX_VALUE_BYTES:
+        if not 0 < settings.entry_bytes <= MAX_ENTRY_BYTES:
             raise ValueError(f"entry_bytes {settings.entry_bytes}")
         if settings.ring_slots < MIN_RING_SLOTS:
             raise ValueError(f"ring_slots {settings.ring_slots}")
--- a/packages/savorylead/savorylead/journal/_settings.py
+++ b/packages/savorylead/savorylead/journal/_settings.py
@@ -5,8 +5,12 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from savorylead.store import MAX_VALUE_BYTES
+
 from ._journal import JournalError
 
+#: Largest value of ``entry_bytes``.
+MAX_ENTRY_BYTES = MAX_VALUE_BYTES * 45 // 100
 #: The shortest ring, so that a snapshot can be written while appends go on.
 MIN_RING_SLOTS = 8
 
@@ -16,7 +20,9 @@
 
     #: Log slots of a shard that was never led; later settings do not change it.
     ring_slots: int = 2048
-    #: Longest log entry; longer appends are divided over several entries.
+    #: Longest log entry; longer appends are divided over several entries. At most
+    #: MAX_ENTRY_BYTES, so that a record, which is made of two long events at most,
+    #: fits into a snapshot chunk.
     entry_bytes: int = 400_000
     #: Longest snapshot chunk.
     chunk_bytes: int = 400_000
--- a/packages/savorylead/savorylead/journal/tests/test_ring_journal.py
+++ b/packages/savorylead/savorylead/journal/tests/test_ring_journal.py
@@ -28,6 +28,7 @@
 from savorylead.outcomes import Cancelled, Done, Failed, NotRun, Refusal, Unknown
 from savorylead.resources import Resources
 from savorylead.store import StoreError
+from savorylead.workers import MAX_RESULT_CHARS
 from savorylead_standins.nodes import PausableClock, PausableStore, Pause
 from savorylead_standins.store import CallFate, MemoryStore
 
@@ -494,3 +495,28 @@
     cell.provider.pump([0.01] * 500)
     assert left
     assert not left & set(cell.store.peek("journal/snapshots/s1/"))
+
+
+def test_the_longest_payload_and_answer_fit_into_the_journal():
+    """Every character of both is written as an escape of six bytes."""
+    cell = Cell(JournalSettings(ring_slots=8))
+    journal, _ = cell.opened("a")
+    event = accepted("long", "\x01" * MAX_RESULT_CHARS)
+    cell.run(journal.append([event]))
+    done = Done("\x01" * MAX_RESULT_CHARS, "d" * 64, 1)
+    cell.run(journal.append([Ended(event.spec.id, done, 30)]))
+    for number in range(6):
+        cell.run(journal.append([accepted(f"r{number}")]))
+    cell.provider.pump([0.01] * 100)
+    head = cell.run(read_heads(cell.store.client("reader")))["s1"]
+    assert head.snapshot.size_bytes > 6 * 2 * MAX_RESULT_CHARS
+    found = cell.run(replay_shard(cell.store.client("reader"), "s1"))
+    assert found.state.records[event.spec.id].outcome == done
+
+
+@pytest.mark.parametrize(
+    "settings", [{"entry_bytes": 500_000}, {"entry_bytes": 0}, {"ring_slots": 7}]
+)
+def test_settings_that_could_not_work_are_refused(settings):
+    with pytest.raises(ValueError, match="entry_bytes|ring_slots"):
+        Cell(JournalSettings(**settings)).journal("a")
--- a/packages/savorylead/savorylead/workers/__init__.py
+++ b/packages/savorylead/savorylead/workers/__init__.py
@@ -2,6 +2,7 @@
 
 from ._attempt_budget import AttemptBudget, AttemptsExhausted
 from ._contract import (
+    MAX_RESULT_CHARS,
     Declined,
     Inventory,
     RunReport,
@@ -33,6 +34,7 @@
 from ._worker_health import HealthState, WorkerHealth
 
 __all__ = [
+    "MAX_RESULT_CHARS",
     "AttemptBudget",
     "AttemptsExhausted",
     "CheckpointMemory",
--- a/packages/savorylead/savorylead/workers/_contract.py
+++ b/packages/savorylead/savorylead/workers/_contract.py
@@ -43,13 +43,18 @@
     payload: str
 
 
+#: Longest answer that the cell keeps. Written as JSON it fits into a journal entry
+#: even if every character needs an escape.
+MAX_RESULT_CHARS = 65_536
+
+
 class RunReport(NamedTuple):
     """What a worker says about one attempt that it knows."""
 
     task: TaskId
     attempt: int
     state: RunState
-    #: The answer or the error text; empty while running.
+    #: The answer or the error text, of MAX_RESULT_CHARS at most; empty while running.
     result: str = ""
     #: Hex digest of the result as the worker computed it; empty while running.
     digest: str = ""
