--- a/bench/links.py
+++ b/bench/links.py
@@ -6,12 +6,11 @@
 
 from __future__ import annotations
 
-import json
 import random
 import subprocess
 import sys
 import time
-from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from collections.abc import Awaitable, Callable, Coroutine
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
@@ -19,12 +18,10 @@
 import msgspec
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred, gatherResults
-from twisted.internet.interfaces import IListeningPort
-from twisted.internet.protocol import ServerFactory
-from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
 from twisted.python.failure import Failure
 from twisted.web.client import Agent, HTTPConnectionPool, readBody
 
+from bench._report import report
 from savorylead.clock import TwistedClock
 from savorylead.contracts import TaskId
 from savorylead.links import Connection, LinkReply, LinkRequest, LinkSettings
@@ -37,8 +34,9 @@
     HttpTransport,
     HttpWorkerContract,
 )
-from savorylead_standins.serving import PlatformPorts, PlatformServer, read_platform
+from savorylead_standins.serving import PlatformPorts, read_platform
 
+BENCH = "links"
 EXAMPLE = Path(__file__).parents[1] / "examples" / "monteverde.json"
 #: Ends the stand-ins even if this program is killed.
 RUN_LIMIT_S = 60
@@ -51,18 +49,6 @@
 PATIENT = timedelta(seconds=10)
 
 
-def report(metric: str, value: float, unit: str, baseline: float | None = None) -> None:
-    line = {
-        "bench": "links",
-        "metric": metric,
-        "value": round(value, 3),
-        "unit": unit,
-        "baseline": None if baseline is None else round(baseline, 3),
-        "ratio": round(value / baseline, 3) if baseline else None,
-    }
-    print(json.dumps(line), flush=True)
-
-
 class StandIns:
     """The platform in a process of its own."""
 
@@ -107,85 +93,6 @@
     return [each / CALLS * 1e6 for each in best]
 
 
-class CountingProtocol(ProtocolWrapper):
-    """Counts the bytes of one connection in both directions."""
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802 - Twisted's name.
-        self.factory.carried += len(data)
-        super().dataReceived(data)
-
-    def write(self, data: bytes) -> None:
-        self.factory.carried += len(data)
-        super().write(data)
-
-    def writeSequence(self, data: Iterable[bytes]) -> None:  # noqa: N802
-        parts = list(data)
-        self.factory.carried += sum(map(len, parts))
-        super().writeSequence(parts)
-
-
-class CountingFactory(WrappingFactory):
-    """Counts the bytes of all connections."""
-
-    protocol = CountingProtocol
-    carried = 0
-
-
-class CountingReactor:
-    """Listens through counting factories."""
-
-    def __init__(self) -> None:
-        self._factories: list[CountingFactory] = []
-
-    def listenTCP(  # noqa: N802 - Twisted's name.
-        self, port: int, factory: ServerFactory, interface: str
-    ) -> IListeningPort:
-        counting = CountingFactory(factory)
-        self._factories.append(counting)
-        return reactor.listenTCP(port, counting, interface=interface)
-
-    def carried(self) -> int:
-        return sum(factory.carried for factory in self._factories)
-
-
-class ByteBench:
-    """Counts bytes between clients and stand-ins in this process."""
-
-    def __init__(self) -> None:
-        self._counter = CountingReactor()
-        clock = TwistedClock.starting_now(reactor)
-        rng = random.Random(1)
-        document = read_platform(EXAMPLE)
-        self._server = PlatformServer(self._counter, clock, rng, document)
-        ports = self._server.listen()
-        links = HttpLinks(reactor, clock, rng, {"x-client": "daemon-1"})
-        self._worker = document.fleet(f"{ports.workers}/workers")[0]
-        self._contract = HttpWorkerContract(links.open)
-        self._calls = links.open(ports.store)
-        self._store = HttpStore(clock, rng, self._calls, self._calls)
-
-    async def run(self) -> None:
-        store = self._store
-        for runs in (0, RUNS_PER_WORKER, 10 * RUNS_PER_WORKER):
-            await run_attempts(self._contract, self._worker, runs)
-            await self._count(
-                f"renewal with {runs} runs",
-                self._contract.renew(self._worker, 1, LEASE),
-            )
-        await self._count("swap of 2,000 bytes", store.swap("k", bytes(2_000), 0))
-        await self._count("get of 2,000 bytes", store.get("k"))
-        lease = await store.grant_lease(LEASE)
-        await self._count("renewal of a store lease", store.renew_lease(lease))
-        self._contract.close()
-        self._calls.close()
-        await self._server.stop()
-
-    async def _count(self, name: str, call: Awaitable[object]) -> None:
-        before = self._counter.carried()
-        await call
-        report(f"bytes both ways per {name}", self._counter.carried() - before, "bytes")
-
-
 class Bench:
     """The clients whose cost is measured."""
 
@@ -219,8 +126,10 @@
             lambda: self.call_by_agent(self.ports.vm_list),
             lambda: self.call_on(conn, request),
         )
-        report("cpu per call, against Agent", resilient, "us", bare)
-        report("cpu per call, against its connection alone", resilient, "us", alone)
+        report(BENCH, "cpu per call, against Agent", resilient, "us", bare)
+        report(
+            BENCH, "cpu per call, against its connection alone", resilient, "us", alone
+        )
         conn.close()
         link.close()
 
@@ -244,15 +153,28 @@
             revision = reply.revision
 
         write, read = await cpu_us(swap, lambda: store.get(key))
-        report("cpu per swap of 2,000 bytes", write, "us")
-        report("cpu per get of 2,000 bytes", read, "us")
+        report(BENCH, "cpu per swap of 2,000 bytes", write, "us")
+        report(BENCH, "cpu per get of 2,000 bytes", read, "us")
+        await self.report_bytes("swap of 2,000 bytes", swap())
+        await self.report_bytes("get of 2,000 bytes", store.get(key))
+        lease = await store.grant_lease(LEASE)
+        await self.report_bytes("renewal of a store lease", store.renew_lease(lease))
         calls.close()
 
     async def measure_renewals(self) -> None:
         for runs in (0, RUNS_PER_WORKER, 10 * RUNS_PER_WORKER):
             await run_attempts(self.contract, self.worker, runs)
             [cost] = await cpu_us(lambda: self.contract.renew(self.worker, 1, LEASE))
-            report(f"cpu per renewal with {runs} runs", cost, "us")
+            name = f"renewal with {runs} runs"
+            report(BENCH, f"cpu per {name}", cost, "us")
+            await self.report_bytes(name, self.contract.renew(self.worker, 1, LEASE))
+
+    async def report_bytes(self, name: str, call: Awaitable[object]) -> None:
+        traffic = self.links.traffic
+        before = traffic.received + traffic.sent
+        await call
+        size = traffic.received + traffic.sent - before
+        report(BENCH, f"bytes both ways per {name}", size, "bytes")
 
     async def measure_idle_links(self) -> None:
         request = LinkRequest("GET", "/healthz", idempotent=True)
@@ -267,10 +189,10 @@
             await gatherResults(calls)
         connected_kb = resident_kb()
         unopened = (unconnected_kb - before_kb) / IDLE_LINKS
-        report("memory per link before its first call", unopened, "KB")
+        report(BENCH, "memory per link before its first call", unopened, "KB")
         idle = (connected_kb - before_kb) / IDLE_LINKS
-        report("memory per link with an idle connection", idle, "KB")
-        report("memory of the whole process", connected_kb / 1024, "MB")
+        report(BENCH, "memory per link with an idle connection", idle, "KB")
+        report(BENCH, "memory of the whole process", connected_kb / 1024, "MB")
         for link in links:
             link.close()
 
@@ -287,11 +209,6 @@
     return StartOrder(task, 1, Resources(), '{"run_ms": null}')
 
 
-async def run_all(bench: Bench) -> None:
-    await bench.run()
-    await ByteBench().run()
-
-
 def stop() -> None:
     if reactor.running:
         reactor.stop()
@@ -303,7 +220,7 @@
     failures: list[Failure] = []
 
     def begin() -> None:
-        running = Deferred.fromCoroutine(run_all(bench))
+        running = Deferred.fromCoroutine(bench.run())
         running.addErrback(failures.append)
         running.addBoth(lambda _: stop())
 
