--- a/packages/savorylead/savorylead/config/_document.py
+++ b/packages/savorylead/savorylead/config/_document.py
@@ -65,6 +65,7 @@
     backfill: bool
     reservation_s: float
     admit_batch: bool
+    rebalance: NotRequired[bool]
 
 
 class ShardDocument(TypedDict):
--- a/packages/savorylead/savorylead/placement/_planner.py
+++ b/packages/savorylead/savorylead/placement/_planner.py
@@ -33,6 +33,9 @@
     reservation_s: float = 30.0
     #: Whether batch tasks start at all.
     admit_batch: bool = True
+    #: Whether batch tasks of teams above their share are checkpointed for teams below
+    #: it; otherwise shares only decide what starts.
+    rebalance: bool = False
 
 
 class PendingTask(NamedTuple):
@@ -61,7 +64,7 @@
 
     task: TaskId
     worker: str
-    #: The urgent task that needs the room.
+    #: The task that needs the room: an urgent one, or one of a team below its share.
     beneficiary: TaskId
 
 
