--- a/packages/savorylead/savorylead/placement/_indexed.py
+++ b/packages/savorylead/savorylead/placement/_indexed.py
@@ -9,7 +9,7 @@
 
 from . import _rules as rules
 from ._amounts import fits, plus
-from ._indexed_clearing import IndexedClearing
+from ._indexed_balancing import IndexedBalancing
 from ._indexed_teams import Lane, TaskClass, Team
 from ._planner import Decision, Overflow, PendingTask, Place, Preempt, Reject
 
@@ -17,7 +17,7 @@
 FEW_SHAPES = 8
 
 
-class IndexedPlanner(IndexedClearing):
+class IndexedPlanner(IndexedBalancing):
     """Decides from kept indexes; equal calls give the naive planner's decisions."""
 
     def __init__(self) -> None:
@@ -62,6 +62,7 @@
             chosen = self._next_start(now_ms)
             if not chosen:
                 decisions.extend(self._send_elsewhere(now_ms))
+                decisions.extend(self._rebalance(now_ms))
                 break
             self._commit(chosen, now_ms)
             decisions.extend(chosen)
--- /dev/null
+++ b/packages/savorylead/savorylead/placement/_indexed_balancing.py
@@ -0,0 +1,86 @@
+"""How the indexed planner makes room for teams below their share."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from savorylead.contracts import TaskId
+from savorylead.resources import Resources
+from savorylead.workers import WorkerState
+
+from . import _rebalance as rebalance, _rules as rules
+from ._amounts import minus, plus
+from ._indexed_clearing import IndexedClearing
+from ._indexed_rows import RunningEntry
+from ._indexed_teams import Team
+from ._planner import Decision, Preempt
+
+
+class IndexedBalancing(IndexedClearing):
+    """Checkpoints batch work of teams above their share, once a second at most."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._rebalance_check_ms = 0
+        #: Teams whose weight was set.
+        self._weighted: set[str] = set()
+
+    def set_share(self, team: str, weight: float) -> None:
+        """Set the team's weight for when the fleet is full; 0 removes the team."""
+        super().set_share(team, weight)
+        self._weighted.add(team)
+
+    def _rebalance(self, now_ms: int) -> list[Decision]:
+        """Checkpoint work of teams above their share for teams below it."""
+        if not self._policy.rebalance or now_ms < self._rebalance_check_ms:
+            return []
+        self._rebalance_check_ms = now_ms + rebalance.REBALANCE_CHECK_MS
+        uses = self._uses()
+        fleet = self._order.fleet
+        allowances = self._balancer.allowances(uses, fleet, self._capacity)
+        victims = rebalance.choose_victims(
+            self._balancer, allowances, self._checkpointable, fleet
+        )
+        if not victims:
+            return []
+        neediest = self._neediest()
+        for victim in victims:
+            self._stop(victim.task.spec.id)
+        return [Preempt(v.task.spec.id, v.row.name, neediest) for v in victims]
+
+    def _uses(self) -> list[rebalance.TeamUse]:
+        stopping = dict.fromkeys(self._weighted, (0, 0, 0, 0, 0))
+        for task_id in self._stopping:
+            need = self._running[task_id].task.spec.resources
+            if task_id.team in stopping:
+                stopping[task_id.team] = plus(stopping[task_id.team], need)
+        uses = []
+        for name in sorted(self._weighted):
+            team = self._teams[name]
+            used = minus(plus(team.held, team.elsewhere), stopping[name])
+            waits = self._startable(team) is not None
+            uses.append(rebalance.TeamUse(name, team.weight, Resources(*used), waits))
+        return uses
+
+    def _startable(self, team: Team) -> TaskId | None:
+        """Return the oldest waiting task that grant and preset would let start."""
+        for _, _, _, cls in team.normal.entries:
+            task = cls.queue[0][2]
+            if not cls.is_gang and self._admitted(task, task.spec.resources):
+                return task.spec.id
+        return None
+
+    def _neediest(self) -> TaskId:
+        """Return the task to start first among teams that wait."""
+        for _, _, team in self._order.current():
+            task_id = self._startable(team)
+            if task_id is not None:
+                return task_id
+        raise LookupError
+
+    def _checkpointable(self, name: str) -> Iterator[RunningEntry]:
+        for task_id, entry in reversed(self._teams[name].running.items()):
+            if task_id in self._stopping or not rules.is_preemptible(entry.task):
+                continue
+            if entry.row.state is WorkerState.READY:
+                yield entry
--- a/packages/savorylead/savorylead/placement/_indexed_book.py
+++ b/packages/savorylead/savorylead/placement/_indexed_book.py
@@ -16,6 +16,7 @@
 from ._indexed_shapes import JOB_SHAPE, Shape, ShapeMasks
 from ._indexed_teams import TaskClass, Team, TeamOrder
 from ._planner import PendingTask, Planner, Policy
+from ._rebalance import ShareBalancer
 
 
 class IndexedBook(Planner):
@@ -23,6 +24,7 @@
 
     def __init__(self) -> None:
         self._policy = Policy()
+        self._balancer = ShareBalancer()
         self._teams: dict[str, Team] = {}
         self._order = TeamOrder()
         self._elsewhere_total = ZERO
@@ -79,6 +81,7 @@
         """Tell the fleet's capacity and each team's usage in the other shards."""
         self._order.set_fleet(capacity)
         self._elsewhere_total = ZERO
+        self._balancer.digest_came()
         for name, used in elsewhere.items():
             self._team(name)
             self._elsewhere_total = self._elsewhere_total.plus(used)
--- a/packages/savorylead/savorylead/placement/_indexed_holdings.py
+++ b/packages/savorylead/savorylead/placement/_indexed_holdings.py
@@ -48,6 +48,7 @@
         self._held = plus(self._held, need)
         team = self._team(spec.id.team)
         team.held = plus(team.held, need)
+        team.running[spec.id] = entry
         team.room_stale = True
         self._order.touch(team)
         row.room = minus(row.room, need)
@@ -69,6 +70,7 @@
         self._held = minus(self._held, need)
         team = self._teams[task_id.team]
         team.held = minus(team.held, need)
+        del team.running[task_id]
         team.room_stale = True
         self._order.touch(team)
         row.room = plus(row.room, need)
--- a/packages/savorylead/savorylead/placement/_indexed_teams.py
+++ b/packages/savorylead/savorylead/placement/_indexed_teams.py
@@ -5,10 +5,11 @@
 from bisect import bisect_left, insort
 from collections.abc import Hashable
 
-from savorylead.contracts import TaskKind
+from savorylead.contracts import TaskId, TaskKind
 from savorylead.resources import ZERO, Resources
 
 from ._amounts import Amounts
+from ._indexed_rows import RunningEntry
 from ._indexed_shapes import Shape
 from ._planner import PendingTask
 from ._rules import is_gang
@@ -140,6 +141,7 @@
         "normal",
         "room_mask",
         "room_stale",
+        "running",
         "share",
         "share_stale",
         "urgent",
@@ -159,6 +161,8 @@
         self.elsewhere = ZERO
         self.urgent = Lane(self)
         self.normal = Lane(self)
+        #: What runs, in the order of the starts.
+        self.running: dict[TaskId, RunningEntry] = {}
         #: How many tasks wait.
         self.waiting = 0
         #: Shapes that may fit in what is left of the grant, unless stale.
--- a/packages/savorylead/savorylead/placement/_naive.py
+++ b/packages/savorylead/savorylead/placement/_naive.py
@@ -9,8 +9,8 @@
 from savorylead.resources import ZERO
 from savorylead.workers import WorkerState
 
-from . import _rules as rules
-from ._naive_book import QueuedTask, total
+from . import _rebalance as rebalance, _rules as rules
+from ._naive_book import QueuedTask, RunningTask, total
 from ._naive_clearing import NaiveClearing
 from ._planner import Decision, Overflow, PendingTask, Place, Preempt, Reject
 
@@ -23,6 +23,7 @@
         self._placements = 0
         self._overflowed_ms: dict[TaskId, int] = {}
         self._overflow_check_ms = 0
+        self._rebalance_check_ms = 0
 
     def place_now(self, tasks: Collection[PendingTask], now_ms: int) -> list[Decision]:
         """Decide on tasks on arrival; those without a decision are queued."""
@@ -53,6 +54,7 @@
             chosen = self._next_start(now_ms)
             if not chosen:
                 decisions.extend(self._send_elsewhere(now_ms))
+                decisions.extend(self._rebalance(now_ms))
                 break
             self._commit(chosen, now_ms)
             decisions.extend(chosen)
@@ -203,6 +205,49 @@
                     return [Preempt(v.task.spec.id, v.worker, spec.id) for v in victims]
         return []
 
+    def _rebalance(self, now_ms: int) -> list[Decision]:
+        """Checkpoint work of teams above their share for teams below it."""
+        if not self._policy.rebalance or now_ms < self._rebalance_check_ms:
+            return []
+        self._rebalance_check_ms = now_ms + rebalance.REBALANCE_CHECK_MS
+        heads: dict[str, TaskId] = {}
+        for queued in self._in_order():
+            task = queued.task
+            if task.spec.urgent or rules.is_gang(task):
+                continue
+            if self._admitted([task]):
+                heads.setdefault(task.spec.id.team, task.spec.id)
+        uses = [self._use(name, name in heads) for name in sorted(self._weights)]
+        allowances = self._balancer.allowances(uses, self._fleet, self._capacity())
+        neediest = [name for name in self._teams() if name in heads]
+        victims = rebalance.choose_victims(
+            self._balancer, allowances, self._checkpointable, self._fleet
+        )
+        for victim in victims:
+            self._stopping.add(victim.task.spec.id)
+        return [Preempt(v.task.spec.id, v.worker, heads[neediest[0]]) for v in victims]
+
+    def _use(self, team: str, waits: bool) -> rebalance.TeamUse:
+        stopping = [
+            self._running[task_id].task.spec.resources
+            for task_id in self._stopping
+            if task_id.team == team
+        ]
+        used = self.held_by_team(team).plus(self._elsewhere.get(team, ZERO))
+        used = used.minus(total(stopping))
+        return rebalance.TeamUse(team, self._weights[team], used, waits)
+
+    def _checkpointable(self, team: str) -> list[RunningTask]:
+        found = [
+            running
+            for running in self._running.values()
+            if running.task.spec.id.team == team
+            and running.task.spec.id not in self._stopping
+            and rules.is_preemptible(running.task)
+            and self._states.get(running.worker) is WorkerState.READY
+        ]
+        return sorted(found, key=lambda running: -running.number)
+
     def _commit(self, chosen: list[Decision], now_ms: int) -> None:
         for decision in chosen:
             if isinstance(decision, Place):
--- a/packages/savorylead/savorylead/placement/_naive_book.py
+++ b/packages/savorylead/savorylead/placement/_naive_book.py
@@ -9,6 +9,7 @@
 from savorylead.workers import Worker, WorkerState
 
 from ._planner import PendingTask, Planner, Policy
+from ._rebalance import ShareBalancer
 from ._rules import Claim, PackingOrder, Reservation
 
 
@@ -43,6 +44,7 @@
 
     def __init__(self) -> None:
         self._policy = Policy()
+        self._balancer = ShareBalancer()
         self._weights: dict[str, float] = {}
         self._grants: dict[str, Resources] = {}
         self._fleet = ZERO
@@ -76,6 +78,7 @@
         """Tell the fleet's capacity and each team's usage in the other shards."""
         self._fleet = capacity
         self._elsewhere = dict(elsewhere)
+        self._balancer.digest_came()
 
     def put_worker(self, worker: Worker, state: WorkerState) -> None:
         """Add a worker or change its state or capacity."""
--- a/packages/savorylead/savorylead/placement/tests/test_planners.py
+++ b/packages/savorylead/savorylead/placement/tests/test_planners.py
@@ -172,6 +172,40 @@
             planner.remove(decision.task)
         assert started.index("old") == 63
 
+    def overfull(self, make, policy):
+        planner = shard(make, nodes=1, node=Resources(16_000, 64_000, 0, 99, 99))
+        planner.set_policy(policy)
+        for i in range(16):
+            planner.add_running(task(f"k{i}", res(1)), "n0", i)
+        for i in range(16):
+            planner.add_pending(task(f"r{i}", res(1), team="route"))
+        return planner
+
+    def test_shares_stop_nothing_unless_the_preset_says_so(self, make):
+        assert self.overfull(make, Policy()).plan(0, 100) == []
+
+    def test_team_above_its_share_gives_way_in_parts(self, make):
+        planner = self.overfull(make, Policy(rebalance=True))
+        stopped = planner.plan(0, 100)
+        assert [d.task.request for d in stopped] == ["k15", "k14", "k13", "k12"]
+        assert {d.beneficiary.team for d in stopped} == {"route"}
+        assert planner.plan(5_000, 100) == []
+        for decision in stopped:
+            planner.requeue(task(decision.task.request, res(1), next_attempt=2))
+        assert len(places(planner.plan(6_000, 100))) == 4
+        assert planner.held_by_team("route").slots == 4
+
+    def test_team_above_its_share_keeps_its_share(self, make):
+        planner = self.overfull(make, Policy(rebalance=True))
+        for second in range(60):
+            planner.set_fleet(Resources(16_000, 64_000, 0, 99, 99), {})
+            for decision in planner.plan(second * 1_000, 100):
+                if isinstance(decision, Preempt):
+                    again = task(decision.task.request, res(1), next_attempt=2)
+                    planner.requeue(again)
+        held = [planner.held_by_team(team).slots for team in ("kennel", "route")]
+        assert held in ([8, 8], [9, 7])
+
     def test_large_task_starts_under_a_stream_of_small_ones(self, make):
         planner = shard(make, nodes=2)
         running = []
