List the errors of a schema in one place

Three parts split jsonschema's errors into one for each field, each in its own way: the configuration, the settings and the callers' bodies. savorylead.documents does it for all, and keeps messages short everywhere. A field that stood after many unknown ones was listed as missing, since the list of fields was cut before it; known fields are kept now.

--- a/packages/savorylead-daemon/savorylead_daemon/callers/_bodies.py
+++ b/packages/savorylead-daemon/savorylead_daemon/callers/_bodies.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 from typing import Any, NamedTuple
 
-from savorylead_daemon.documents import json_path
+from savorylead.documents import json_path
 from savorylead_daemon.routing import (
     MAX_FAULTS,
     MAX_FAULTY_ITEMS,
--- a/packages/savorylead-daemon/savorylead_daemon/callers/tests/test_submit.py
+++ b/packages/savorylead-daemon/savorylead_daemon/callers/tests/test_submit.py
@@ -195,6 +195,14 @@
     assert len(reply.document()["faults"]) == 50
 
 
+def test_fields_after_a_crowd_of_unknown_ones_are_not_called_missing():
+    gateway = MemoryGateway()
+    body = {**{f"field-{n}": n for n in range(1_000)}, **task()}
+    reply = gateway.connect().call("POST", "/v1/tasks", body, DISPATCH_KEY)
+    codes = {fault["code"] for fault in reply.document()["faults"]}
+    assert codes == {"unknown_field"}
+
+
 @pytest.mark.parametrize(
     ("changes", "code"),
     [
--- a/packages/savorylead-daemon/savorylead_daemon/routing/_shape_checker.py
+++ b/packages/savorylead-daemon/savorylead_daemon/routing/_shape_checker.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from functools import cached_property
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 
-from savorylead_daemon.documents import json_path
+from savorylead.documents import SchemaError, json_path, schema_errors
 
 from ._errors import CallError, CallErrorCode, CallFault
 
@@ -18,8 +18,8 @@
 
 #: Faults that are listed of one call; the rest shows once these are mended.
 MAX_FAULTS = 50
-#: Fields and items that are looked at below one value, and characters of one text,
-#: when faults are listed. More than any shape allows, so that what is cut is bad.
+#: Unknown fields and items that are looked at below one value, characters of one
+#: text, and levels, when faults are listed. What is beyond them is bad anyway.
 MAX_LISTED_ENTRIES = 60
 MAX_LISTED_CHARS = 100_000
 MAX_LISTED_DEPTH = 2
@@ -73,12 +73,9 @@
 
     def faults(self, value: Any, parts: Sequence[str | int] = ()) -> list[CallFault]:
         """Return what is wrong with a value that stands at ``parts`` of the body."""
-        faults: list[CallFault] = []
-        value = _pruned(value)
-        for error in self._validator.iter_errors(value):
-            faults.extend(_faults_of(error, parts))
-            if len(faults) >= MAX_FAULTS:
-                break
+        errors = schema_errors(self._validator, _pruned(value, self._known_names))
+        listed = itertools.islice(errors, MAX_FAULTS)
+        faults = [_fault_of(error, parts) for error in listed]
         if not faults:
             faults = self._remaining_faults(value, parts)
         return sorted(set(faults), key=lambda fault: (fault.path, fault.code))
@@ -103,12 +100,23 @@
         strict = extend(Draft202012Validator, type_checker=types)
         return strict(msgspec.json.schema(self._shape))
 
+    @cached_property
+    def _known_names(self) -> frozenset[str]:
+        """Names of the fields of all objects of the shape."""
+        definitions = self._validator.schema.get("$defs", {}).values()
+        return frozenset(
+            name
+            for definition in definitions
+            for name in definition.get("properties", {})
+        )
+
 
-def _pruned(value: Any, depth: int = 0) -> Any:
+def _pruned(value: Any, known: frozenset[str], depth: int = 0) -> Any:
     """Return the value without most of what is far too large to be good.
 
     Listing faults is slow, and messages of jsonschema quote the value, so a client
-    could keep the daemon busy with one body.
+    could keep the daemon busy with one body. Fields that are ``known`` are kept, or
+    they would be listed as missing.
     """
     if isinstance(value, str):
         return value[:MAX_LISTED_CHARS]
@@ -117,9 +125,15 @@
     if depth == MAX_LISTED_DEPTH:
         return type(value)()
     if isinstance(value, dict):
-        kept = itertools.islice(value.items(), MAX_LISTED_ENTRIES)
-        return {n[:MAX_LISTED_CHARS]: _pruned(v, depth + 1) for n, v in kept}
-    return [_pruned(each, depth + 1) for each in value[:MAX_LISTED_ENTRIES]]
+        names = [name for name in value if name in known]
+        unknown = (name for name in value if name not in known)
+        names.extend(itertools.islice(unknown, MAX_LISTED_ENTRIES))
+        return {
+            name[:MAX_LISTED_CHARS]: _pruned(value[name], known, depth + 1)
+            for name in names
+        }
+    listed = value[:MAX_LISTED_ENTRIES]
+    return [_pruned(each, known, depth + 1) for each in listed]
 
 
 def _is_integer(_: Any, value: Any) -> bool:
@@ -127,31 +141,21 @@
     return isinstance(value, int) and not isinstance(value, bool)
 
 
-def _faults_of(error: Any, parts: Sequence[str | int]) -> Iterable[CallFault]:
-    code = _CODES.get(error.validator, CallErrorCode.OUT_OF_RANGE)
-    place = [*parts, *error.absolute_path]
-    if code is CallErrorCode.UNKNOWN_FIELD:
-        for name in error.instance:
-            if name not in error.schema["properties"]:
-                yield CallFault(code, json_path(*place, name), "unknown field")
-        return
-    if code is CallErrorCode.MISSING_FIELD:
-        for name in error.validator_value:
-            if name not in error.instance:
-                yield CallFault(code, json_path(*place, name), "missing field")
-        return
-    yield CallFault(code, json_path(*place), _detail(error))
+def _fault_of(error: SchemaError, parts: Sequence[str | int]) -> CallFault:
+    code = _CODES.get(error.keyword, CallErrorCode.OUT_OF_RANGE)
+    return CallFault(code, json_path(*parts, *error.parts), _detail(error))
 
 
-def _detail(error: Any) -> str:
+def _detail(error: SchemaError) -> str:
     """Return what was expected, without quoting what came."""
-    expected = error.validator_value
-    match error.validator:
+    match error.keyword:
+        case "additionalProperties" | "required":
+            return error.message
         case "type":
-            return f"must be {expected}"
+            return f"must be {error.expected}"
         case "enum":
-            return f"must be one of {', '.join(map(str, expected))}"
+            return f"must be one of {', '.join(map(str, error.expected))}"
         case "pattern":
             return "has a character that is not allowed"
-        case _:
-            return f"{error.validator} is {expected}"
+        case keyword:
+            return f"{keyword} is {error.expected}"
--- a/packages/savorylead-daemon/savorylead_daemon/settings/_load.py
+++ b/packages/savorylead-daemon/savorylead_daemon/settings/_load.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from savorylead_daemon.documents import DocumentFault, list_faults
+from savorylead.documents import DocumentFault, list_faults
 
 from ._endpoint import EndpointError, parse_endpoint
 from ._schema import DEFAULTS, SCHEMA
--- a/packages/savorylead-daemon/savorylead_daemon/settings/_semantics.py
+++ b/packages/savorylead-daemon/savorylead_daemon/settings/_semantics.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from datetime import timedelta
 
-from savorylead_daemon.documents import DocumentFault
+from savorylead.documents import DocumentFault
 
 from ._settings import Endpoint, Settings
 
--- a/packages/savorylead/savorylead/config/__init__.py
+++ b/packages/savorylead/savorylead/config/__init__.py
@@ -1,5 +1,7 @@
 """The operators' configuration: its document, checks, and being in force."""
 
+from savorylead.documents import DocumentFault, json_path
+
 from ._check import check_document
 from ._diff import ABSENT_FIELD, DocumentChange, diff_documents
 from ._document import (
@@ -29,7 +31,6 @@
     Envelope,
     decode_envelope,
 )
-from ._faults import DocumentFault, json_path
 from ._in_force import InForce, InForceConfig, InForceSettings, PeerSight
 from ._keys import (
     GrantedKey,
--- a/packages/savorylead/savorylead/config/_check.py
+++ b/packages/savorylead/savorylead/config/_check.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from ._faults import DocumentFault
+from savorylead.documents import DocumentFault
+
 from ._meaning import meaning_faults
 from ._schema import structure_faults
 
--- a/packages/savorylead/savorylead/config/_diff.py
+++ b/packages/savorylead/savorylead/config/_diff.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
-from ._faults import json_path
+from savorylead.documents import json_path
 
 
 class _Absent:
--- a/packages/savorylead/savorylead/config/_editor.py
+++ b/packages/savorylead/savorylead/config/_editor.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from savorylead.clock import Clock
+from savorylead.documents import DocumentFault
 from savorylead.store import (
     MAX_VALUE_BYTES,
     KeyValue,
@@ -31,7 +32,6 @@
     decode_envelope,
     encode_envelope,
 )
-from ._faults import DocumentFault
 
 #: Longest time for which the fate of a change is sought.
 EDIT_DEADLINE = timedelta(seconds=8)
--- a/packages/savorylead/savorylead/config/_meaning.py
+++ b/packages/savorylead/savorylead/config/_meaning.py
@@ -9,8 +9,9 @@
 from datetime import datetime
 from typing import Any
 
+from savorylead.documents import DocumentFault, json_path
+
 from ._document import KeyDocument
-from ._faults import DocumentFault, json_path
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,62}")
 _SHA256 = re.compile(r"[0-9a-f]{64}")
--- a/packages/savorylead/savorylead/config/_schema.py
+++ b/packages/savorylead/savorylead/config/_schema.py
@@ -8,10 +8,10 @@
 
 import jsonschema
 import msgspec
-from jsonschema.exceptions import ValidationError
+
+from savorylead.documents import DocumentFault, json_path, schema_errors
 
 from ._document import CellDocument
-from ._faults import DocumentFault, json_path
 
 
 @cache
@@ -50,21 +50,5 @@
 
     Each fault comes with the names that lead to its field.
     """
-    for error in _validator().iter_errors(raw):
-        for parts, message in _faults_of(error):
-            yield parts, DocumentFault(json_path(*parts), message)
-
-
-def _faults_of(error: ValidationError) -> Iterator[tuple[tuple[str, ...], str]]:
-    """Yield one fault for each field, where jsonschema joins several in one error."""
-    parts = tuple(error.absolute_path)
-    if error.validator == "additionalProperties":
-        for name in error.instance:
-            if name not in error.schema.get("properties", {}):
-                yield (*parts, name), "unknown field"
-    elif error.validator == "required":
-        # jsonschema reports each missing field by an error of its own.
-        name = error.message.split("'")[1]
-        yield (*parts, name), "missing field"
-    else:
-        yield parts, error.message
+    for error in schema_errors(_validator(), raw):
+        yield error.parts, DocumentFault(json_path(*error.parts), error.message)
