Keep work running through an outage, and decide about silent workers by majority

Cause: a lead renewed only for 20 s without a proof of its epoch unless every member answered, so with one daemon dead an outage of the store ended every running task 35 s later; and a lead that died in an outage lost its tasks after 15 s. Ruled out: renewing for a fixed long time, since a later lead would have to wait as long before it takes tasks of an unreachable worker back.

Now a lead renews on while a majority of its region's daemons answers and sees the store down, a caretaker does so for a silent lead, and a worker is lost only after a majority has seen the store up for the time in which its lease surely lapses. Two majorities share a daemon.

--- a/packages/savorylead-daemon/savorylead_daemon/cell/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/__init__.py
@@ -1,5 +1,6 @@
 """What one daemon knows of the cell, and how it reaches the leads of shards."""
 
+from ._caretaker import Caretaker
 from ._cell_config import (
     ConfigConfirmation,
     ConfigDoorkeeper,
@@ -16,10 +17,12 @@
 from ._observed_store import ObservedStore
 from ._offer_router import PeerOfferRouter
 from ._region_duty import AssignedLeadDuty
+from ._region_quorum import RegionQuorum
 from ._router import NoLeadError, ShardRouter
 
 __all__ = [
     "AssignedLeadDuty",
+    "Caretaker",
     "ConfigConfirmation",
     "ConfigDesk",
     "ConfigDoorkeeper",
@@ -35,6 +38,7 @@
     "NoLeadError",
     "ObservedStore",
     "PeerOfferRouter",
+    "RegionQuorum",
     "ShardDirectory",
     "ShardRouter",
     "StoreSight",
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_caretaker.py
@@ -0,0 +1,96 @@
+"""Keeps the work of a dead lead running while the store cannot name another."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import Clock
+from savorylead.domains import Shard, rendezvous_owner
+from savorylead.workers import Worker, WorkerContract, WorkerError
+from savorylead_daemon.lead import LeadTimes, Periodic
+
+from ._digest_poller import DigestPoller
+from ._directory import ShardDirectory
+from ._region_quorum import RegionQuorum
+
+
+class Caretaker:
+    """Renews the leases of workers whose lead is silent during an outage.
+
+    Renewing starts nothing. It is done only while most daemons of the region answer
+    and see the store down; see RegionQuorum for why no later lead then takes a
+    worker for lost.
+    """
+
+    def __init__(
+        self,
+        own_name: str,
+        region: str,
+        quorum: RegionQuorum,
+        directory: ShardDirectory,
+        poller: DigestPoller,
+        contract: WorkerContract,
+        workers: Callable[[], Collection[Worker]],
+        clock: Clock,
+        times: LeadTimes,
+    ) -> None:
+        #: Renewals made for other leads, for metrics.
+        self.renewals = 0
+        self._own_name = own_name
+        self._region = region
+        self._quorum = quorum
+        self._directory = directory
+        self._poller = poller
+        self._contract = contract
+        self._workers = workers
+        self._clock = clock
+        self._times = times
+        self._series: Periodic | None = None
+
+    def begin(self) -> None:
+        """Look for silent leads every so often from now on."""
+        self._series = Periodic(self._clock, self._times.renew_interval, self.renew)
+
+    def close(self) -> None:
+        """Renew no more."""
+        if self._series is not None:
+            self._series.close()
+
+    def renew(self) -> None:
+        """Renew the workers of each shard that this daemon must care for now."""
+        for shard in self._directory.shards.values():
+            epoch = self._directory.last_epoch(shard.name)
+            if epoch and self._is_mine(shard):
+                self._renew_shard(shard, epoch)
+
+    def _is_mine(self, shard: Shard) -> bool:
+        """Return whether the shard's lead is silent and this daemon stands in."""
+        lead = self._directory.last_lead(shard.name)
+        if lead in ("", self._own_name) or lead in self._poller.sights():
+            return False
+        if shard.region != self._region or not self._quorum.most_see_outage():
+            return False
+        candidates = [
+            member.name
+            for member in self._directory.members.values()
+            if member.region == shard.region and self._answers(member.name)
+        ]
+        return rendezvous_owner(shard.name, candidates) == self._own_name
+
+    def _answers(self, member: str) -> bool:
+        return member == self._own_name or member in self._poller.sights()
+
+    def _renew_shard(self, shard: Shard, epoch: int) -> None:
+        for worker in self._workers():
+            if shard.holds(worker):
+                self.renewals += 1
+                Deferred.fromCoroutine(self._renew_worker(worker, epoch))
+
+    async def _renew_worker(self, worker: Worker, epoch: int) -> None:
+        try:
+            await self._contract.renew(worker, epoch, self._times.worker_lease)
+        except WorkerError:
+            # The next round tries again; the lease outlasts two lost rounds.
+            return
--- a/packages/savorylead-daemon/savorylead_daemon/cell/_digest_poller.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_digest_poller.py
@@ -111,18 +111,8 @@
         age = self._own_store_age()
         return age is None or age >= self._times.outage_after
 
-    def store_is_down_everywhere(self) -> bool:
-        """Return whether all members answer and none can use the store.
-
-        Nobody can then have become a lead or changed the configuration.
-        """
-        sights = self.sights()
-        return self.store_is_down_here() and all(
-            name in sights and self._sees_outage(sights[name].sight)
-            for name in self.peers()
-        )
-
-    def _sees_outage(self, sight: PeerSight) -> bool:
+    def sees_outage(self, sight: PeerSight) -> bool:
+        """Return whether the store has not answered a peer of late."""
         age = sight.store_age
         return age is None or age >= self._times.outage_after
 
--- a/packages/savorylead-daemon/savorylead_daemon/cell/_directory.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_directory.py
@@ -29,6 +29,8 @@
         self._shards: dict[str, Shard] = {}
         self._digests: dict[str, KnownDigest] = {}
         self._denied: set[tuple[str, str]] = set()
+        #: Highest epoch that was heard of, and its lead, by shard.
+        self._last_leads: dict[str, tuple[int, str]] = {}
 
     @property
     def shards(self) -> Mapping[str, Shard]:
@@ -60,6 +62,17 @@
         self._digests[digest.name] = KnownDigest(digest, heard_at)
         for shard in digest.shards:
             self._denied.discard((shard.view.name, digest.name))
+            heard = (shard.view.epoch, digest.name)
+            known = self._last_leads.get(shard.view.name, (0, ""))
+            self._last_leads[shard.view.name] = max(heard, known)
+
+    def last_epoch(self, shard: str) -> int:
+        """Return the highest epoch of the shard that was heard of; 0 for none."""
+        return self._last_leads.get(shard, (0, ""))[0]
+
+    def last_lead(self, shard: str) -> str:
+        """Return who led at that epoch, also if that daemon is gone."""
+        return self._last_leads.get(shard, (0, ""))[1]
 
     def deny(self, shard: str, member: str) -> None:
         """Remember that a daemon said it does not lead the shard."""
--- a/packages/savorylead-daemon/savorylead_daemon/daemon/_daemon.py
+++ b/packages/savorylead-daemon/savorylead_daemon/daemon/_daemon.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable, Mapping
+from datetime import timedelta
 from typing import NamedTuple
 
 from savorylead.admission import WorkClass
@@ -24,6 +25,7 @@
 from savorylead.workers import VmEntry, VmList, Worker, WorkerContract
 from savorylead_daemon.cell import (
     AssignedLeadDuty,
+    Caretaker,
     ConfigConfirmation,
     ConfigDoorkeeper,
     ConfigOperatorDesk,
@@ -33,6 +35,7 @@
     LeadSupervisor,
     MessageHandler,
     PeerOfferRouter,
+    RegionQuorum,
     ShardDirectory,
     ShardRouter,
     StoreSight,
@@ -42,7 +45,13 @@
     shards_of,
 )
 from savorylead_daemon.gateway import CallerGateway, GatewayTimes, OperatorGateway
-from savorylead_daemon.lead import LeadObserver, LeadParts, LeadTimes, ShardLead
+from savorylead_daemon.lead import (
+    LeadObserver,
+    LeadParts,
+    LeadTimes,
+    Periodic,
+    ShardLead,
+)
 from savorylead_daemon.peers import (
     PeerClient,
     PeerServer,
@@ -60,6 +69,8 @@
     membership: MembershipSettings = MembershipSettings()
     config: InForceSettings = InForceSettings()
     journal: JournalSettings = JournalSettings()
+    #: Time between two looks at what most daemons say about the store.
+    quorum_check: timedelta = timedelta(milliseconds=500)
 
 
 class DaemonParts(NamedTuple):
@@ -152,6 +163,19 @@
             self.membership.store_age,
             self._on_sight,
         )
+        self._quorum = RegionQuorum(name, parts.member.region, self.poller, clock)
+        self.caretaker = Caretaker(
+            name,
+            parts.member.region,
+            self._quorum,
+            self.directory,
+            self.poller,
+            parts.contract,
+            self._vm_list.workers,
+            clock,
+            times.lead,
+        )
+        self._quorum_series: Periodic | None = None
         self._confirmation = ConfigConfirmation(self.config, self.poller)
         self.callers = CallerGateway(doorkeeper, self._router, clock, times.gateway)
         editor = ConfigEditor(store, clock, rng, self.config.observe)
@@ -172,6 +196,10 @@
         self._heads.start()
         self.supervisor.begin()
         self.poller.begin()
+        self.caretaker.begin()
+        self._quorum_series = Periodic(
+            self._parts.clock, self._parts.times.quorum_check, self._quorum.note
+        )
 
     async def hand_over(self) -> None:
         """Take no shard any more and give up those led, each at once.
@@ -197,6 +225,9 @@
 
     def _close_followers(self) -> None:
         self.poller.close()
+        self.caretaker.close()
+        if self._quorum_series is not None:
+            self._quorum_series.close()
         self.supervisor.close()
         self._heads.stop()
         self.config.stop()
@@ -214,6 +245,7 @@
 
     def _on_members(self, members: MemberList) -> None:
         self.directory.set_members(record.member for record in members.records)
+        self._quorum.take_members(record.member for record in members.records)
         self._check_duty()
 
     def _on_sight(self) -> None:
@@ -270,6 +302,7 @@
             times=parts.times.lead,
             observer=parts.observer,
             open_limits=parts.open_limits,
-            store_is_down_everywhere=self.poller.store_is_down_everywhere,
+            most_see_outage=self._quorum.most_see_outage,
+            store_seen_for=self._quorum.store_seen_for,
             waiting_bounds=parts.waiting_bounds,
         )
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_parts.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_parts.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable, Mapping
+from datetime import timedelta
 from typing import NamedTuple
 
 from savorylead.admission import WorkClass
@@ -46,8 +47,10 @@
     observer: LeadObserver
     #: Opens the upper limits for a lead of the shard at an epoch.
     open_limits: Callable[[str, int, GrantHolder], TeamLimits]
-    #: Whether every member is reachable and none can use the store, so that no
-    #: other lead can exist although the epoch cannot be proved.
-    store_is_down_everywhere: Callable[[], bool]
+    #: Whether most daemons of the region see the store down, so that no other lead
+    #: can have taken a silent worker for lost although the epoch is not proved.
+    most_see_outage: Callable[[], bool]
+    #: For how long most daemons of the region have seen the store up.
+    store_seen_for: Callable[[], timedelta]
     #: Most jobs of each class that may wait in the shard.
     waiting_bounds: Mapping[WorkClass, int]
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_shard_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_shard_lead.py
@@ -315,6 +315,7 @@
             self._parts.times,
             self,
             self._proof.may_renew,
+            self._parts.store_seen_for,
             self._earlier_leads_until(),
         )
 
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_worker_session.py
@@ -118,6 +118,7 @@
         times: LeadTimes,
         listener: SessionListener,
         may_renew: Callable[[], bool],
+        store_seen_for: Callable[[], timedelta],
         other_lead_until: datetime,
     ) -> None:
         self.worker = worker
@@ -132,6 +133,7 @@
         self._times = times
         self._listener = listener
         self._may_renew = may_renew
+        self._store_seen_for = store_seen_for
         #: Until then an earlier lead or a caretaker may still have renewed.
         self._last_renewal_sent = other_lead_until
         self._last_heard = clock.now()
@@ -261,7 +263,7 @@
     def _after_silence(self) -> None:
         now = self._clock.now()
         if self.contact is Contact.SUSPECTED:
-            if now >= self._last_renewal_sent + self._times.surely_lapsed_after():
+            if self._is_surely_lapsed(now):
                 self.contact = Contact.LOST
                 self.incarnation = ""
                 self._listener.on_lost(self)
@@ -274,6 +276,16 @@
         if not self._closed:
             self._schedule_renew(self._jittered(self._times.renew_interval / 4))
 
+    def _is_surely_lapsed(self, now: datetime) -> bool:
+        """Return whether nobody can have renewed the lease that long.
+
+        Neither this lead, nor an earlier one or a caretaker during an outage.
+        """
+        lapse = self._times.surely_lapsed_after()
+        if now < self._last_renewal_sent + lapse:
+            return False
+        return self._store_seen_for() >= lapse
+
     def _drop_old_orders(self) -> None:
         """Drop orders that name an incarnation which is over."""
         for attempt in list(self._outbox.orders):
