--- a/packages/savorylead/savorylead/contracts/_escrowed_limit.py
+++ b/packages/savorylead/savorylead/contracts/_escrowed_limit.py
@@ -18,7 +18,7 @@
     LimitRecord,
     ShardGrant,
     decode_limit_record,
-    encode_record,
+    encode_limit_record,
     greater,
     lesser,
     limit_key,
@@ -139,7 +139,9 @@
         self.set_cap(choice.cap)
         self.busy = True
         try:
-            reply = await self._store.swap(self._key, encode_record(record), expected)
+            reply = await self._store.swap(
+                self._key, encode_limit_record(record), expected
+            )
         except StoreError:
             self.in_doubt = True
             raise
--- a/packages/savorylead/savorylead/contracts/_escrowed_limits.py
+++ b/packages/savorylead/savorylead/contracts/_escrowed_limits.py
@@ -80,7 +80,7 @@
         if config_revision <= self._config_revision:
             return
         self._config_revision = config_revision
-        for team in {*limits, *self._teams}:
+        for team in sorted({*limits, *self._teams}):
             state = self._state(team)
             state.limit.set_limit(config_revision, limits.get(team, ZERO))
             # A lowered limit lets nothing start from now on, before any write.
--- a/packages/savorylead/savorylead/contracts/_limit_record.py
+++ b/packages/savorylead/savorylead/contracts/_limit_record.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 import msgspec
@@ -176,6 +176,49 @@
     }
 
 
-encode_record = msgspec.json.Encoder().encode
-decode_limit_record = msgspec.json.Decoder(LimitRecord).decode
+def encode_limit_record(record: LimitRecord) -> bytes:
+    """Return the record as the store keeps it; unlimited amounts take two bytes."""
+    return _encode(_mapped(record, _packed))
+
+
+def decode_limit_record(value: bytes) -> LimitRecord:
+    """Return the record that the store keeps as ``value``."""
+    return _mapped(_decode_limit_record(value), _unpacked)
+
+
+def encode_want(want: Want) -> bytes:
+    """Return the want as the store keeps it."""
+    return _encode(want)
+
+
 decode_want = msgspec.json.Decoder(Want).decode
+
+#: Stands for UNLIMITED in the store: most amounts of most records are without limit.
+_UNLIMITED_MARK = -1
+
+_encode = msgspec.json.Encoder().encode
+_decode_limit_record = msgspec.json.Decoder(LimitRecord).decode
+
+
+def _mapped(
+    record: LimitRecord, change: Callable[[Resources], Resources]
+) -> LimitRecord:
+    """Return the record with all its amounts changed."""
+    return record._replace(
+        limit=change(record.limit),
+        grants={
+            shard: grant._replace(granted=change(grant.granted))
+            for shard, grant in record.grants.items()
+        },
+        allotments={
+            shard: change(amount) for shard, amount in record.allotments.items()
+        },
+    )
+
+
+def _packed(amounts: Resources) -> Resources:
+    return Resources(*(_UNLIMITED_MARK if a == UNLIMITED else a for a in amounts))
+
+
+def _unpacked(amounts: Resources) -> Resources:
+    return Resources(*(UNLIMITED if a == _UNLIMITED_MARK else a for a in amounts))
--- a/packages/savorylead/savorylead/contracts/_limit_wants.py
+++ b/packages/savorylead/savorylead/contracts/_limit_wants.py
@@ -11,7 +11,7 @@
     WANTS_PREFIX,
     Want,
     decode_want,
-    encode_record,
+    encode_want,
     team_and_shard,
     want_key,
 )
@@ -81,10 +81,6 @@
             if now_ms - seen.seen_at_ms < WANT_TTL_MS
         }
 
-    def teams(self) -> set[str]:
-        """Return the teams for which another shard wants something."""
-        return set(self._seen)
-
     def is_due(self, team: str, amount: Resources, now_ms: int) -> bool:
         """Return whether the own want should be written or deleted now."""
         own = self._own.get(team)
@@ -111,7 +107,7 @@
         expected = ABSENT if own is None else own.revision
         value = None
         if any(amount):
-            value = encode_record(Want(amount, since_ms, self._epoch))
+            value = encode_want(Want(amount, since_ms, self._epoch))
         reply = await self._store.swap(want_key(team, self._shard), value, expected)
         if isinstance(reply, SwapConflict):
             self._adopt_conflict(team, reply.current)
--- a/packages/savorylead/savorylead/contracts/tests/test_limit_record.py
+++ b/packages/savorylead/savorylead/contracts/tests/test_limit_record.py
@@ -10,7 +10,8 @@
     decode_limit_record,
     decode_want,
     divide_limit,
-    encode_record,
+    encode_limit_record,
+    encode_want,
     resources_sum,
     team_and_shard,
     want_key,
@@ -108,9 +109,24 @@
     assert whole.allotments == {}
 
 
-def test_records_survive_the_store():
-    rec = record(10, 9, 6).settled(True)
-    assert decode_limit_record(encode_record(rec)) == rec
+@pytest.mark.parametrize(
+    "rec",
+    [
+        record(10, 9, 6).settled(True),
+        record(UNLIMITED, UNLIMITED, 3),
+        record(UNLIMITED, UNLIMITED - 1),
+        LimitRecord(),
+    ],
+)
+def test_records_survive_the_store(rec):
+    assert decode_limit_record(encode_limit_record(rec)) == rec
+
+
+def test_unlimited_amounts_are_short_in_the_store():
+    assert len(encode_limit_record(record(UNLIMITED, UNLIMITED))) < 50
+
+
+def test_wants_survive_the_store():
     want = Want(cores(3), 17, 2)
-    assert decode_want(encode_record(want)) == want
+    assert decode_want(encode_want(want)) == want
     assert team_and_shard(want_key("a/b", "s1")) == ("a/b", "s1")
