Test what keeps limits bounded and what covers shards that don't answer

Seven changes made wrong on purpose went unnoticed: a want without expiry, a write above the limit or below what is held when the policy errs, a lowered limit that waits for ever for a shard, a step that tries every team while the store fails, writes without a budget, and a drain rate of zero. Each has a test.

--- a/packages/savorylead/savorylead/admission/tests/test_admission.py
+++ b/packages/savorylead/savorylead/admission/tests/test_admission.py
@@ -151,6 +151,14 @@
     assert rate.per_second(8_000) == 0.0
 
 
+def test_upper_bound_of_the_drain_rate_is_never_zero():
+    rate = DrainRate()
+    rate.set_busy(True, 0)
+    assert rate.at_most_per_second(4_000) is None
+    assert rate.at_most_per_second(8_000) > 3 / 8
+    assert rate.at_most_per_second(8_000_000) == pytest.approx(0.1, rel=0.01)
+
+
 @pytest.mark.parametrize("per_s", [0.5, 5.0, 50.0])
 def test_drain_rate_ignores_idle_time(per_s):
     rate, now_ms = DrainRate(), 0
--- a/packages/savorylead/savorylead/contracts/tests/test_escrowed_limits.py
+++ b/packages/savorylead/savorylead/contracts/tests/test_escrowed_limits.py
@@ -11,6 +11,7 @@
     limit_from_amounts,
     read_limit_records,
 )
+from savorylead.contracts._escrowed_limits import WRITE_BURST, WRITES_PER_S
 from savorylead.contracts._limit_policy import GrantChoice
 from savorylead.contracts._limit_record import decode_limit_record
 from savorylead.resources import ZERO, Resources
@@ -214,6 +215,81 @@
     assert record(cell).fully_in_force()
 
 
+def test_lowered_limit_does_not_wait_for_a_shard_that_does_not_answer():
+    cell = make_cell(shards=2)
+    for shard in (0, 1):
+        cell.lead_of(shard).want(TEAM, ONE.times(20))
+        cell.advance(4)
+        for _ in range(20):
+            assert cell.start(shard, TEAM, ONE)
+        cell.lead_of(shard).want(TEAM, ZERO)
+    cell.faults.cut.add(cell.lead_of(1).name)
+    cell.set_limits({TEAM: limit_from_amounts({"cores": 20})})
+    cell.advance(4)
+    assert cell.lead_of(0).limits.excess(TEAM) == ZERO
+    cell.advance(5)
+    assert cell.lead_of(0).limits.excess(TEAM).cores_milli == 10_000
+
+
+def test_want_of_a_lead_that_is_gone_is_ignored_after_a_while():
+    cell = make_cell(shards=2)
+    cell.lead_of(0).want(TEAM, ONE.times(100))
+    cell.advance(1)
+    drive(cell, 2, [0])
+    cell.lead_of(1).want(TEAM, ONE.times(100))
+    cell.advance(1)
+    cell.end_lead(cell.lead_of(1))
+    drive(cell, 15, [0], end_per_s=3)
+    assert cell.lead_of(0).grants[TEAM].cores_milli == 20_000
+    drive(cell, 45, [0], end_per_s=3)
+    assert cell.lead_of(0).grants[TEAM].cores_milli == 40_000
+
+
+def test_store_writes_are_bounded():
+    teams = {f"team-{number}": limit_from_amounts({"cores": 4}) for number in range(90)}
+    cell = LimitCell(1, teams)
+    for team in teams:
+        cell.lead_of(0).want(team, ONE)
+    cell.advance(0.9)
+    assert cell.store.calls["swap"] == WRITE_BURST
+    for second in range(1, 20):
+        cell.advance(1)
+        earned = WRITES_PER_S * (second + 1)
+        assert cell.store.calls["swap"] <= WRITE_BURST + earned
+    assert all(cell.start(0, team, ONE) for team in teams)
+
+
+def test_step_ends_when_the_store_fails_instead_of_trying_every_team():
+    teams = {f"team-{number}": limit_from_amounts({"cores": 4}) for number in range(20)}
+    cell = LimitCell(1, teams)
+    cell.faults.cut.add(cell.lead_of(0).name)
+    for team in teams:
+        cell.lead_of(0).wanted[team] = ONE
+    cell.lead_of(0).limits.set_demand("team-0", ONE)
+    for team in teams:
+        cell.lead_of(0).limits._teams[team].wanted = ONE
+    done = []
+    Deferred.fromCoroutine(cell.lead_of(0).limits.step()).addCallback(done.append)
+    for _ in range(60):
+        cell.let(timedelta(seconds=0.1))
+    assert done == [None]
+
+
+@pytest.mark.parametrize(
+    ("target", "held", "granted"), [(90, 0, 40), (0, 10, 10), (30, 10, 30)]
+)
+def test_write_neither_exceeds_the_limit_nor_cuts_what_is_held(target, held, granted):
+    cell = make_cell(shards=1)
+    limit = EscrowedLimit(cell.lead_of(0).store, TEAM, "s0", 1, lambda usable: None)
+    limit.set_limit(1, cell.limits[TEAM])
+    for wanted in (Resources(20_000), Resources(target * 1000)):
+        choice = GrantChoice(wanted, wanted)
+        running = ZERO if wanted == Resources(20_000) else Resources(held * 1000)
+        Deferred.fromCoroutine(limit.write(choice, running, False))
+        cell.advance(0.1)
+    assert limit.record.granted("s0").cores_milli == granted * 1000
+
+
 def test_operators_read_what_is_in_force():
     cell = make_cell()
     cell.lead_of(0).want(TEAM, ONE.times(4))
