Measure the wait for a placement until it is durable

The histogram of the stage placed took the time of the decision, so an urgent task always showed 0 ms however long its write took. The new test showed 0 where the write takes at least 100 ms, and passes now.

--- a/packages/savorylead-daemon/savorylead_daemon/lead/_dispatcher.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_dispatcher.py
@@ -313,7 +313,7 @@
         session = self._fleet.session(event.worker)
         if not _is_placed_at(record, event.attempt) or session is None:
             return
-        self._observer.placed(record.spec, event.at_ms - record.accepted_at_ms)
+        self._observer.placed(record.spec, self._now_ms() - record.accepted_at_ms)
         if session.incarnation != event.incarnation:
             # The order would be declined; the next inventory settles the attempt.
             self._judge_absent(session, record, attempt, session.incarnation)
