Run six daemons under load while faults befall them: make rig

What the demo and the rig share moved out of the demo's run: RealCell, TaskDrafts and RunReport. Daemons run as children that the kernel kills with their parent, since a daemon that is stopped by SIGSTOP would outlive a run that was itself killed.

A VM that leaves is only marked in the lagging list: the stand-in worker that also refuses starts by itself would have hidden a lead that goes on to use it.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 EXAMPLE ?= monteverde
 PACKAGES := $(patsubst %,-e packages/%,savorylead savorylead-daemon savorylead-ctl savorylead-standins)
 
-.PHONY: demo test lint format bench venv clean
+.PHONY: demo rig test lint format bench venv clean
 
 venv: $(VENV)/installed
 
@@ -17,6 +17,9 @@
 demo: venv
 	$(BIN)/python -m savorylead_standins.demo --config examples/$(EXAMPLE).json
 
+rig: venv
+	$(BIN)/python -m savorylead_standins.rig --config examples/$(EXAMPLE).json
+
 lint: venv
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
--- a/packages/savorylead-standins/savorylead_standins/demo/__init__.py
+++ b/packages/savorylead-standins/savorylead_standins/demo/__init__.py
@@ -1,6 +1,5 @@
 """A short day of an example, on real processes."""
 
-from ._report import DayReport
-from ._workload import Arrival, Day, WorkPlace
+from ._workload import Arrival, Day
 
-__all__ = ["Arrival", "Day", "DayReport", "WorkPlace"]
+__all__ = ["Arrival", "Day"]
--- a/packages/savorylead-standins/savorylead_standins/demo/__main__.py
+++ b/packages/savorylead-standins/savorylead_standins/demo/__main__.py
@@ -7,10 +7,11 @@
 from pathlib import Path
 
 from twisted.internet import task
-from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorCore
 
-from ._run import DemoRun
+from savorylead_standins.rig import bounded
+
+from ._run import RUN_LIMIT_S, DemoRun
 
 
 async def _run(reactor: IReactorCore, arguments: argparse.Namespace) -> None:
@@ -30,7 +31,7 @@
     parser.add_argument("--config", type=Path, required=True)
     parser.add_argument("--seed", type=int, default=1)
     arguments = parser.parse_args()
-    task.react(lambda reactor: Deferred.fromCoroutine(_run(reactor, arguments)))
+    task.react(lambda reactor: bounded(reactor, _run(reactor, arguments), RUN_LIMIT_S))
 
 
 if __name__ == "__main__":
--- a/packages/savorylead-standins/savorylead_standins/demo/_workload.py
+++ b/packages/savorylead-standins/savorylead_standins/demo/_workload.py
@@ -2,25 +2,18 @@
 
 from __future__ import annotations
 
-import json
 import random
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
+from savorylead_standins.rig import TaskDrafts, WorkPlace
+
 #: Seconds over which work arrives.
 DAY_S = 24.0
 #: Shape of the heavy tail of run times and sizes.
 TAIL_SHAPE = 1.3
 
 
-class WorkPlace(NamedTuple):
-    """Where one kind of the day's work is submitted."""
-
-    team: str
-    workspace: str
-    queue: str
-
-
 class Arrival(NamedTuple):
     """One call that submits some tasks."""
 
@@ -40,7 +33,7 @@
     def __init__(self, places: Mapping[str, WorkPlace], rng: random.Random) -> None:
         self._places = places
         self._rng = rng
-        self._count = 0
+        self._drafts = TaskDrafts()
 
     def arrivals(self) -> list[Arrival]:
         """Return the day's arrivals, in order of time."""
@@ -133,28 +126,5 @@
         self, place_name: str, at_s: float, drafts: list[dict[str, Any]]
     ) -> Arrival:
         place = self._places[place_name]
-        tasks = tuple(self._task(place, place_name, draft) for draft in drafts)
+        tasks = tuple(self._drafts.task(place, place_name, d) for d in drafts)
         return Arrival(at_s, place.team, tasks)
-
-    def _task(
-        self, place: WorkPlace, prefix: str, draft: dict[str, Any]
-    ) -> dict[str, Any]:
-        self._count += 1
-        request = f"{prefix}-{self._count}"
-        run_s = draft.pop("run_s")
-        run_ms = None if run_s is None else round(run_s * 1000)
-        payload = {"run_ms": run_ms, "answer": request}
-        members = draft.get("members", 1)
-        # The answer of an all-at-once job is the array of its members' answers.
-        answers = json.dumps([request] * members, separators=(",", ":"))
-        task = {
-            "request": request,
-            "workspace": place.workspace,
-            "queue": place.queue,
-            "payload": json.dumps(payload),
-            "expected_result": request if members == 1 else answers,
-            **draft,
-        }
-        if run_s is not None:
-            task["run_time_s"] = run_s
-        return task
--- a/packages/savorylead-standins/savorylead_standins/rig/__init__.py
+++ b/packages/savorylead-standins/savorylead_standins/rig/__init__.py
@@ -1,8 +1,11 @@
 """Real processes on loopback, and callers that reach them over HTTP."""
 
 from ._http_caller import CallFailedError, HttpCaller
-from ._processes import HOST, CellProcesses, Child, ChildError
+from ._processes import HOST, CellProcesses, Child, ChildError, bounded
+from ._real_cell import DaemonPlace, RealCell
 from ._recorder import CallRecorder
+from ._run_report import RunReport
+from ._task_drafts import TaskDrafts, WorkPlace
 
 __all__ = [
     "HOST",
@@ -11,5 +14,11 @@
     "CellProcesses",
     "Child",
     "ChildError",
+    "DaemonPlace",
     "HttpCaller",
+    "RealCell",
+    "RunReport",
+    "TaskDrafts",
+    "WorkPlace",
+    "bounded",
 ]
--- a/packages/savorylead-standins/savorylead_standins/rig/_http_caller.py
+++ b/packages/savorylead-standins/savorylead_standins/rig/_http_caller.py
@@ -69,6 +69,22 @@
         give_up_after: timedelta = timedelta(seconds=30),
     ) -> Any:
         """Return the JSON answer; raises CallFailedError."""
+        reply = await self._call(method, path, content, wait, give_up_after)
+        return msgspec.json.decode(reply.body)
+
+    async def call_text(self, method: str, path: str) -> str:
+        """Return an answer that is text; raises CallFailedError."""
+        reply = await self._call(method, path, None, timedelta(0), CALL_TIMEOUT)
+        return reply.body.decode()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        content: Any,
+        wait: timedelta,
+        give_up_after: timedelta,
+    ) -> LinkReply:
         body = b"" if content is None else msgspec.json.encode(content)
         request = LinkRequest(method, path, body)
         give_up_at = self._clock.now() + give_up_after
@@ -79,7 +95,7 @@
                 self._avoided[name] = self._clock.now() + AVOID_FOR
             if isinstance(failure, LinkReply):
                 if failure.status == 200:
-                    return msgspec.json.decode(failure.body)
+                    return failure
                 if failure.status not in _RETRIED_STATUSES:
                     raise _give_up(failure)
             if self._clock.now() >= give_up_at:
--- a/packages/savorylead-standins/savorylead_standins/rig/_processes.py
+++ b/packages/savorylead-standins/savorylead_standins/rig/_processes.py
@@ -3,19 +3,30 @@
 from __future__ import annotations
 
 import json
+import os
+import signal
 import socket
 import sys
 import tempfile
+from collections.abc import Coroutine
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 from twisted.internet import error
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IProcessTransport, IReactorProcess
+from twisted.internet.interfaces import (
+    IProcessTransport,
+    IReactorProcess,
+    IReactorTime,
+)
 from twisted.internet.protocol import ProcessProtocol
 from twisted.python.failure import Failure
 
+T = TypeVar("T")
+
 HOST = "127.0.0.1"
+#: Time between the end of all processes at the limit and the end of the run.
+KILL_S = 1.0
 
 
 class ChildError(Exception):
@@ -46,7 +57,7 @@
     def signal(self, name: str) -> None:
         """Send a signal such as "KILL"; does nothing once the process ended."""
         try:
-            self._process().signalProcess(name)
+            self._process().signalProcess(signal.Signals[f"SIG{name}"])
         except error.ProcessExitedAlready:
             return
 
@@ -95,7 +106,9 @@
         example: Path,
         run_limit_s: float,
         log_level: str = "warning",
+        profiles: Path | None = None,
     ) -> None:
+        """Take ``profiles``, a folder for a profile of each daemon, if wanted."""
         self.platform_ports: dict[str, str] = {}
         self.daemons: dict[str, Child] = {}
         self.ports: dict[str, DaemonPorts] = {}
@@ -105,6 +118,7 @@
         self._example = example
         self._run_limit_s = run_limit_s
         self._log_level = log_level
+        self._profiles = profiles
         self._children: list[Child] = []
         reactor.addSystemEventTrigger("before", "shutdown", self.kill_all)
         reactor.callLater(run_limit_s, self.kill_all)
@@ -135,12 +149,18 @@
             ports = self.ports[name] = DaemonPorts(_free_port(), _free_port())
         settings = Path(self.folder.name, f"{name}.json")
         settings.write_text(json.dumps(self._settings(name, region, domain, ports)))
-        child = self._spawn(
-            name, ["-m", "savorylead_daemon.main", "--config", str(settings)]
-        )
+        command = ["-m", "savorylead_standins.rig.run_daemon"]
+        command += ["--parent", str(os.getpid()), "--config", str(settings)]
+        if self._profiles is not None:
+            command += ["--profile", str(self._profiles / f"{name}.prof")]
+        child = self._spawn(name, command)
         self.daemons[name] = child
         return child
 
+    def running(self) -> list[Child]:
+        """Return every child that has not ended."""
+        return [child for child in self._children if child.is_running]
+
     def log_text(self, name: str) -> str:
         """Return what a process has written to standard error."""
         path = self._log_path(name)
@@ -148,16 +168,14 @@
 
     def kill_all(self) -> None:
         """Kill every child that runs."""
-        for child in self._children:
-            if child.is_running:
-                child.signal("KILL")
+        for child in self.running():
+            child.signal("KILL")
 
     async def end_all(self) -> None:
         """Kill every child that runs, and wait for its end."""
         self.kill_all()
-        for child in self._children:
-            if child.is_running:
-                await child.ended
+        for child in self.running():
+            await child.ended
         self.folder.cleanup()
 
     def _settings(
@@ -191,6 +209,13 @@
         return Path(self.folder.name, f"{name}.log")
 
 
+def bounded(
+    reactor: IReactorTime, work: Coroutine[Any, Any, T], run_limit_s: float
+) -> Deferred[T]:
+    """Run ``work``; cancel it shortly after its processes were killed at the limit."""
+    return Deferred.fromCoroutine(work).addTimeout(run_limit_s + KILL_S, reactor)
+
+
 def _free_port() -> int:
     with socket.socket() as probe:
         probe.bind((HOST, 0))
--- a/packages/savorylead-standins/savorylead_standins/demo/_report.py
+++ b/packages/savorylead-standins/savorylead_standins/rig/_run_report.py
@@ -17,16 +17,16 @@
 _OUTCOMES = ("done", "failed", "cancelled", "not_run", "unknown")
 
 
-class DayReport:
+class RunReport:
     """Sums up a history; judged by what workers executed."""
 
     def __init__(
-        self, history: RunHistory, store_calls: Mapping[str, int], names: Sequence[str]
+        self, history: RunHistory, store_calls: Mapping[str, int], events: Sequence[str]
     ) -> None:
-        """Take ``names``, the daemons' events of the day, for the table."""
+        """Take ``events``, what befell the daemons, for the table."""
         self._history = history
         self._store_calls = store_calls
-        self._events = names
+        self._events = events
         self.violations: list[Violation] = check_all(history)
 
     def figures(self) -> dict[str, int]:
@@ -93,11 +93,7 @@
 
     def _waits_ms(self, place: str = "") -> list[int]:
         """Return the time from submit to the first start of each task."""
-        first: dict[TaskId, int] = {}
-        for execution in self._history.executions:
-            job = execution.task.job()
-            earlier = first.get(job, execution.started_at_ms)
-            first[job] = min(earlier, execution.started_at_ms)
+        first = first_starts(self._history)
         return [
             max(0, first[s.task] - s.submitted_at_ms)
             for s in self._history.submissions
@@ -111,6 +107,16 @@
         return f"{task.team}/{task.workspace}"
 
 
+def first_starts(history: RunHistory) -> dict[TaskId, int]:
+    """Return when each task or job first ran."""
+    first: dict[TaskId, int] = {}
+    for execution in history.executions:
+        job = execution.task.job()
+        earlier = first.get(job, execution.started_at_ms)
+        first[job] = min(earlier, execution.started_at_ms)
+    return first
+
+
 def _is_done(outcome: Outcome) -> bool:
     return outcome_tag(outcome) == "done"
 
--- a/packages/savorylead-standins/savorylead_standins/serving/_worker_server.py
+++ b/packages/savorylead-standins/savorylead_standins/serving/_worker_server.py
@@ -52,6 +52,8 @@
     broken: bool | None = None
     #: Take no more work; the VM list shows it after its lag.
     leaving: bool | None = None
+    #: Only the VM list shows that it leaves, after its lag; it still takes work.
+    listed_leaving: bool | None = None
     #: Take effect without an answer, for this share of the commands.
     reply_lost_rate: float | None = None
     #: Take effect after ``late_ms`` without an answer, for this share.
@@ -183,6 +185,8 @@
         if faults.leaving is not None:
             worker.accepting = not faults.leaving
             self._vms.mark_leaving(name, faults.leaving)
+        if faults.listed_leaving is not None:
+            self._vms.mark_leaving(name, faults.listed_leaving)
         for field in ("cut_off", "reply_lost_rate", "late_rate"):
             value = getattr(faults, field)
             if value is not None:
