--- a/bench/journal.py
+++ b/bench/journal.py
@@ -8,6 +8,7 @@
 
 import random
 import time
+import tracemalloc
 from collections.abc import Awaitable, Iterator
 from datetime import UTC, datetime, timedelta
 from typing import Any
@@ -20,12 +21,14 @@
 from savorylead.contracts import TaskId, TaskKind, TaskSpec
 from savorylead.journal import (
     Accepted,
+    CancelAsked,
     Ended,
     Event,
     Forgotten,
     JournalSettings,
     Placed,
     RingJournal,
+    ShardState,
     replay_shard,
 )
 from savorylead.outcomes import Done
@@ -135,6 +138,23 @@
     report(BENCH, "takeover_store_calls", cell.store.calls.total() - calls_before, "1")
 
 
+def measure_memory() -> None:
+    """Weigh a lead's records, and the second state that the journal keeps."""
+    tracemalloc.start()
+    state = ShardState()
+    for number in range(RUNNING + QUEUED):
+        state.apply_all(start_events(number))
+    records_bytes, _ = tracemalloc.get_traced_memory()
+    report(BENCH, "state_memory_11100_tasks", records_bytes / 1e6, "MB")
+    copy = state.copy()
+    for record in list(copy.records.values()):
+        copy.apply(CancelAsked(record.spec.id, 0))
+    both_bytes, _ = tracemalloc.get_traced_memory()
+    second = (both_bytes - records_bytes) / 1e6
+    report(BENCH, "second_state_memory_11100_tasks", second, "MB", records_bytes / 1e6)
+    tracemalloc.stop()
+
+
 class Load:
     """Starts, ends and forgets tasks at a steady rate at one lead."""
 
@@ -245,6 +265,7 @@
 def main() -> None:
     """Print every figure; takes less than a minute."""
     measure_replay()
+    measure_memory()
     measure_amplification()
     for rate in RATES:
         for gather_ms, ends_ms in GATHERS:
--- a/packages/savorylead/savorylead/journal/_journal.py
+++ b/packages/savorylead/savorylead/journal/_journal.py
@@ -71,4 +71,4 @@
     @property
     @abstractmethod
     def stalled(self) -> bool:
-        """Whether the write in flight has failed at least once and is tried again."""
+        """Whether the next write has failed at least once, or has no room yet."""
--- a/packages/savorylead/savorylead/journal/_log_writer.py
+++ b/packages/savorylead/savorylead/journal/_log_writer.py
@@ -56,11 +56,12 @@
         self._slots = SlotWriter(store, layout, retry)
         self._room = Wakeup(clock)
         self._fetch_failed = False
+        self._full = False
 
     @property
     def stalled(self) -> bool:
-        """Whether the entry in flight has failed at least once."""
-        return self._slots.stalled or self._fetch_failed
+        """Whether the next entry has failed at least once, or there is no room."""
+        return self._slots.stalled or self._fetch_failed or self._full
 
     @property
     def uncovered(self) -> int:
@@ -101,7 +102,9 @@
         """Write the next entry; raises DeposedError."""
         index = self.position.index + 1
         while index - self._ring_slots > self._covered.index:
+            self._full = True
             await self._room.wait()
+        self._full = False
         batch = f"{self._rng.getrandbits(64):016x}"
         value = encode_entry(index, self._epoch, batch, more, events)
         slot = index % self._ring_slots
--- a/packages/savorylead/savorylead/journal/_ring_journal.py
+++ b/packages/savorylead/savorylead/journal/_ring_journal.py
@@ -86,7 +86,7 @@
 
     @property
     def stalled(self) -> bool:
-        """Whether the write in flight has failed and is tried again."""
+        """Whether the next write has failed, or waits until a snapshot makes room."""
         return self._log.stalled
 
     @property
--- a/packages/savorylead/savorylead/journal/tests/test_ring_journal.py
+++ b/packages/savorylead/savorylead/journal/tests/test_ring_journal.py
@@ -563,3 +563,21 @@
         for event in events
     ]
     cell.run(ends[-1], seconds=0.1)
+
+
+def test_a_full_ring_stalls_until_a_snapshot_makes_room():
+    cell = Cell()
+    journal, _ = cell.opened("a")
+    cell.store.faults.fate = lambda call: (
+        CallFate.REFUSED if "/snapshots/" in call.target else CallFate.ANSWERED
+    )
+    appends = []
+    for number in range(SETTINGS.ring_slots + 5):
+        appends.append(journal.append([accepted(f"r{number}")]))
+        cell.provider.pump([0.01] * 5)
+    assert journal.stalled
+    assert not appends[-1].called
+    cell.store.faults.fate = lambda call: CallFate.ANSWERED
+    cell.run(appends[-1])
+    assert not journal.stalled
+    assert cell.names() == [f"r{number}" for number in range(len(appends))]
