--- a/packages/savorylead-ctl/savorylead_ctl/commands/_places.py
+++ b/packages/savorylead-ctl/savorylead_ctl/commands/_places.py
@@ -73,6 +73,7 @@
         Column("BACKFILL", ("backfill",)),
         Column("RESERVATION S", ("reservation_s",)),
         Column("BATCH", ("admit_batch",)),
+        Column("REBALANCE", ("rebalance",)),
     ),
 )
 
