--- a/packages/savorylead-standins/savorylead_standins/nodes/__init__.py
+++ b/packages/savorylead-standins/savorylead_standins/nodes/__init__.py
@@ -7,15 +7,19 @@
     CoordinatedCell,
     CoordinatedDaemon,
 )
+from ._journal_cell import SMALL_JOURNAL, JournalCell, accepted_event
 from ._pause import PausableClock, PausableStore, Pause
 
 __all__ = [
     "READS_PER_S",
     "SHARDS",
+    "SMALL_JOURNAL",
     "WRITES_PER_S",
     "CoordinatedCell",
     "CoordinatedDaemon",
+    "JournalCell",
     "Pause",
     "PausableClock",
     "PausableStore",
+    "accepted_event",
 ]
