--- a/packages/savorylead-standins/savorylead_standins/nodes/__init__.py
+++ b/packages/savorylead-standins/savorylead_standins/nodes/__init__.py
@@ -1,5 +1,6 @@
 """Stand-ins of processes that stop running for a while and go on."""
 
+from ._config_cell import ConfigCell, ConfigDaemon, share_document
 from ._coordination import (
     READS_PER_S,
     SHARDS,
@@ -15,6 +16,8 @@
     "SHARDS",
     "SMALL_JOURNAL",
     "WRITES_PER_S",
+    "ConfigCell",
+    "ConfigDaemon",
     "CoordinatedCell",
     "CoordinatedDaemon",
     "JournalCell",
@@ -22,4 +25,5 @@
     "PausableClock",
     "PausableStore",
     "accepted_event",
+    "share_document",
 ]
