Bridge the moments after an outage, too

Cause: with a lead dead for 300 s of outage, the others took longer to register and take its shard after the store was back than a worker's lease lasts, because their retries had backed off; 2 of 6 services were started a second time. Renewing now goes on for the epoch's grace after the outage was last seen by a majority, and a worker is taken for lost that much later.

--- a/packages/savorylead-daemon/savorylead_daemon/cell/_caretaker.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_caretaker.py
@@ -20,8 +20,8 @@
     """Renews the leases of workers whose lead is silent during an outage.
 
     Renewing starts nothing. It is done only while most daemons of the region answer
-    and see the store down; see RegionQuorum for why no later lead then takes a
-    worker for lost.
+    and see the store down, and shortly afterwards; see RegionQuorum for why no later
+    lead then takes a worker for lost.
     """
 
     def __init__(
@@ -70,7 +70,7 @@
         lead = self._directory.last_lead(shard.name)
         if lead in ("", self._own_name) or lead in self._poller.sights():
             return False
-        if shard.region != self._region or not self._quorum.most_see_outage():
+        if shard.region != self._region or not self._quorum.bridges_outage():
             return False
         candidates = [
             member.name
--- a/packages/savorylead-daemon/savorylead_daemon/cell/_region_quorum.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_region_quorum.py
@@ -18,13 +18,19 @@
     """Decides by majorities of the region's daemons, also of those just vanished.
 
     Only these daemons can lead the region's shards. A lead goes on renewing without
-    a proof of its epoch while a majority answers and sees the store down. A lead
-    takes silent workers for lost only after a majority has answered and seen the
-    store up for a while. Two majorities share a daemon, so both can't be true.
+    a proof of its epoch while a majority answers and sees the store down, and for a
+    grace afterwards. A lead takes silent workers for lost only after a majority has
+    answered and seen the store up for that grace and the time of a lapse. Two
+    majorities share a daemon, so both can't be true at once.
     """
 
     def __init__(
-        self, own_name: str, region: str, poller: DigestPoller, clock: Clock
+        self,
+        own_name: str,
+        region: str,
+        poller: DigestPoller,
+        clock: Clock,
+        grace: timedelta,
     ) -> None:
         self._own_name = own_name
         self._region = region
@@ -32,6 +38,8 @@
         self._clock = clock
         #: Every daemon that has a vote, and when it was last on the list.
         self._voters: dict[str, datetime] = {own_name: clock.now()}
+        self._grace = grace
+        self._outage_seen_at: datetime | None = None
         self._store_seen_since: datetime | None = None
 
     def take_members(self, members: Iterable[Member]) -> None:
@@ -46,20 +54,27 @@
                 self._voters.pop(member.name, None)
         self._forget_old(now)
 
-    def most_see_outage(self) -> bool:
-        """Return whether a majority sees the store down and nobody sees it up."""
-        if not self._poller.store_is_down_here():
+    def bridges_outage(self) -> bool:
+        """Return whether leases may be renewed without a proof of the epoch.
+
+        That is so while most see the store down, and for the grace afterwards, in
+        which leads prove their epochs and lost leads are replaced.
+        """
+        self.note()
+        if self._outage_seen_at is None:
             return False
-        down, up = self._count()
-        return up == 0 and self._is_majority(down)
+        return self._clock.now() - self._outage_seen_at <= self._grace
 
     def note(self) -> None:
         """Look at the latest sights; to be called at least once a second."""
-        _, up = self._count()
+        now = self._clock.now()
+        down, up = self._count()
+        if up == 0 and self._is_majority(down):
+            self._outage_seen_at = now
         if not self._is_majority(up):
             self._store_seen_since = None
         elif self._store_seen_since is None:
-            self._store_seen_since = self._clock.now()
+            self._store_seen_since = now
 
     def store_seen_for(self) -> timedelta:
         """Return for how long a majority has seen the store up without a break."""
--- a/packages/savorylead-daemon/savorylead_daemon/daemon/_daemon.py
+++ b/packages/savorylead-daemon/savorylead_daemon/daemon/_daemon.py
@@ -163,7 +163,9 @@
             self.membership.store_age,
             self._on_sight,
         )
-        self._quorum = RegionQuorum(name, parts.member.region, self.poller, clock)
+        self._quorum = RegionQuorum(
+            name, parts.member.region, self.poller, clock, times.lead.epoch_grace
+        )
         self.caretaker = Caretaker(
             name,
             parts.member.region,
@@ -302,7 +304,7 @@
             times=parts.times.lead,
             observer=parts.observer,
             open_limits=parts.open_limits,
-            most_see_outage=self._quorum.most_see_outage,
+            bridges_outage=self._quorum.bridges_outage,
             store_seen_for=self._quorum.store_seen_for,
             waiting_bounds=parts.waiting_bounds,
         )
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_parts.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_parts.py
@@ -47,9 +47,9 @@
     observer: LeadObserver
     #: Opens the upper limits for a lead of the shard at an epoch.
     open_limits: Callable[[str, int, GrantHolder], TeamLimits]
-    #: Whether most daemons of the region see the store down, so that no other lead
-    #: can have taken a silent worker for lost although the epoch is not proved.
-    most_see_outage: Callable[[], bool]
+    #: Whether leases may be renewed although the epoch is not proved, since no other
+    #: lead can take a silent worker for lost now.
+    bridges_outage: Callable[[], bool]
     #: For how long most daemons of the region have seen the store up.
     store_seen_for: Callable[[], timedelta]
     #: Most jobs of each class that may wait in the shard.
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_times.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_times.py
@@ -20,7 +20,10 @@
     suspect_after: timedelta = timedelta(seconds=10)
     #: Most that two clocks may differ over one lease, plus delivery time.
     drift: timedelta = timedelta(seconds=1)
-    #: How long a lead goes on renewing without a proof that its epoch stands.
+    #: Most by which what a daemon knows of its peers may be out of date.
+    sight_max_age: timedelta = timedelta(seconds=5)
+    #: How long a lead goes on renewing without a proof that its epoch stands, and
+    #: after an outage of the store.
     epoch_grace: timedelta = timedelta(seconds=20)
     #: Time between proofs of the epoch while nothing else is written.
     epoch_proof_interval: timedelta = timedelta(seconds=5)
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_upkeep.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_upkeep.py
@@ -45,7 +45,7 @@
         proved_for = self._parts.clock.now() - self._proved_at
         if proved_for <= self._parts.times.epoch_grace:
             return True
-        return self._parts.most_see_outage()
+        return self._parts.bridges_outage()
 
     def renew(self) -> None:
         """Write an entry that changes nothing, unless one is still under way."""
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_worker_session.py
@@ -284,7 +284,8 @@
         lapse = self._times.surely_lapsed_after()
         if now < self._last_renewal_sent + lapse:
             return False
-        return self._store_seen_for() >= lapse
+        bridged = self._times.epoch_grace + self._times.sight_max_age
+        return self._store_seen_for() >= bridged + lapse
 
     def _drop_old_orders(self) -> None:
         """Drop orders that name an incarnation which is over."""
