Offer jobs whole to other shards, and impossible tasks only once a minute

A task that no worker here could hold was sent elsewhere in every round: a lead whose peers decline it queued it again and planned at once, for ever. A job that its shard could never hold was never sent at all.

What is being checkpointed for a share counted neither as used nor as whole, so shares were measured against a smaller fleet and a second look took 3 tasks where 2 were due.

--- a/packages/savorylead/savorylead/placement/_indexed.py
+++ b/packages/savorylead/savorylead/placement/_indexed.py
@@ -31,7 +31,7 @@
             self.add_pending(task)
         self._keep_house(now_ms)
         late = [i for i in arrivals if 0 < self._start_by_ms(i) < now_ms]
-        decisions = [*self._refuse_late(late), *self._refuse_impossible()]
+        decisions = [*self._refuse_late(late), *self._send_impossible(now_ms)]
         reserved = self._reserved_start(now_ms)
         self._commit(reserved, now_ms)
         decisions.extend(reserved)
@@ -49,7 +49,7 @@
         if self._deadlines and self._deadlines[0][0] < now_ms:
             late = self._late(now_ms)
             decisions.extend(self._refuse_late(late))
-        decisions.extend(self._refuse_impossible())
+        decisions.extend(self._send_impossible(now_ms))
         reserved = self._reserved_start(now_ms)
         self._commit(reserved, now_ms)
         decisions.extend(reserved)
--- a/packages/savorylead/savorylead/placement/_indexed_balancing.py
+++ b/packages/savorylead/savorylead/placement/_indexed_balancing.py
@@ -5,11 +5,11 @@
 from collections.abc import Iterator
 
 from savorylead.contracts import TaskId
-from savorylead.resources import Resources
+from savorylead.resources import ZERO, Resources
 from savorylead.workers import WorkerState
 
 from . import _rebalance as rebalance, _rules as rules
-from ._amounts import minus, plus
+from ._amounts import plus
 from ._indexed_clearing import IndexedClearing
 from ._indexed_rows import RunningEntry
 from ._indexed_teams import Team
@@ -49,18 +49,20 @@
         return [Preempt(v.task.spec.id, v.row.name, neediest) for v in victims]
 
     def _uses(self) -> list[rebalance.TeamUse]:
-        stopping = dict.fromkeys(self._weighted, (0, 0, 0, 0, 0))
+        stopping = dict.fromkeys(self._weighted, ZERO)
         for task_id in self._stopping:
             need = self._running[task_id].task.spec.resources
             if task_id.team in stopping:
-                stopping[task_id.team] = plus(stopping[task_id.team], need)
-        uses = []
-        for name in sorted(self._weighted):
-            team = self._teams[name]
-            used = minus(plus(team.held, team.elsewhere), stopping[name])
-            waits = self._startable(team) is not None
-            uses.append(rebalance.TeamUse(name, team.weight, Resources(*used), waits))
-        return uses
+                stopping[task_id.team] = stopping[task_id.team].plus(need)
+        return [
+            self._use(self._teams[name], stopping[name])
+            for name in sorted(self._weighted)
+        ]
+
+    def _use(self, team: Team, stopping: Resources) -> rebalance.TeamUse:
+        used = Resources(*plus(team.held, team.elsewhere)).minus(stopping)
+        waits = self._startable(team) is not None
+        return rebalance.TeamUse(team.name, team.weight, used, stopping, waits)
 
     def _startable(self, team: Team) -> TaskId | None:
         """Return the oldest waiting task that grant and preset would let start."""
--- a/packages/savorylead/savorylead/placement/_indexed_book.py
+++ b/packages/savorylead/savorylead/placement/_indexed_book.py
@@ -45,6 +45,8 @@
         self._deadlines: list[tuple[int, int, TaskId]] = []
         #: Classes that no worker of the shard could ever hold.
         self._impossible: dict[TaskClass, None] = {}
+        #: When one of them may be sent to another shard.
+        self._impossible_due_ms = 0
         #: How many members of each job run.
         self._job_running: Counter[TaskId] = Counter()
         #: Running services by workspace and rack.
@@ -206,6 +208,7 @@
         members = cls.queue if cls.is_gang else cls.queue[:1]
         if not all(self.ever_fits(task.spec) for _, _, task in members):
             self._impossible[cls] = None
+            self._impossible_due_ms = 0
 
     def _enter_rack(self, row: WorkerRow) -> None:
         self._racks[row.worker.rack] += 1
@@ -264,6 +267,8 @@
         if new or cls.is_gang:
             self._check_possible(cls)
             self._growth += 1
+        elif cls in self._impossible:
+            self._impossible_due_ms = 0
 
     def _shape_of(self, task: PendingTask) -> Shape:
         if rules.is_gang(task):
@@ -284,6 +289,9 @@
         task = cls.lane.pull(cls, queued_at_ms, number)
         spec = task.spec
         team = cls.lane.team
+        if cls.is_gang and cls in self._impossible:
+            del self._impossible[cls]
+            self._check_possible(cls)
         if not cls.queue:
             cls.lane.drop_class(cls)
             if not cls.is_gang:
--- a/packages/savorylead/savorylead/placement/_indexed_clearing.py
+++ b/packages/savorylead/savorylead/placement/_indexed_clearing.py
@@ -104,6 +104,8 @@
         for team in self._teams.values():
             for lane in (team.urgent, team.normal):
                 for queued_at_ms, _, _, cls in lane.entries:
+                    if cls in self._impossible:
+                        continue
                     if queued_at_ms > aged_ms and not cls.is_gang:
                         continue
                     for queued_at_ms, number, task in cls.queue:
--- a/packages/savorylead/savorylead/placement/_indexed_leaving.py
+++ b/packages/savorylead/savorylead/placement/_indexed_leaving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Iterable
 
 from savorylead.contracts import TaskId
@@ -9,7 +10,8 @@
 
 from . import _rules as rules
 from ._indexed_balancing import IndexedBalancing
-from ._planner import Decision, Overflow, Reject
+from ._indexed_teams import TaskClass
+from ._planner import Decision, Overflow, PendingTask, Reject
 
 
 class IndexedLeaving(IndexedBalancing):
@@ -46,25 +48,67 @@
             self.remove(task_id)
         return [Reject(task_id, Refusal.DEADLINE_PASSED) for task_id in refused]
 
-    def _refuse_impossible(self) -> list[Decision]:
-        if not self._impossible:
+    def _send_impossible(self, now_ms: int) -> list[Decision]:
+        """Return tasks that no worker here could hold, each once a minute at most."""
+        if not self._impossible or now_ms < self._impossible_due_ms:
             return []
-        entries = sorted(entry for cls in self._impossible for entry in cls.queue)
-        for _, _, task in entries:
+        self._impossible_due_ms = sys.maxsize
+        entries = []
+        for cls in self._impossible:
+            units = [cls.queue] if cls.is_gang else [[entry] for entry in cls.queue]
+            for unit in units:
+                due_ms = max(self._again_ms(task.spec.id) for _, _, task in unit)
+                if due_ms <= now_ms:
+                    entries.extend(unit)
+                else:
+                    self._impossible_due_ms = min(self._impossible_due_ms, due_ms)
+        entries.sort()
+        return self._send([task for _, _, task in entries], now_ms)
+
+    def _again_ms(self, task_id: TaskId) -> int:
+        """Return when the task may be sent to another shard again."""
+        sent_ms = self._overflowed_ms.get(task_id)
+        return 0 if sent_ms is None else sent_ms + rules.OVERFLOW_AGAIN_MS
+
+    def _send(self, tasks: list[PendingTask], now_ms: int) -> list[Decision]:
+        for task in tasks:
             self.remove(task.spec.id)
-        return [Overflow(task.spec.id) for _, _, task in entries]
+            self._overflowed_ms[task.spec.id] = now_ms
+        return [Overflow(task.spec.id) for task in tasks]
 
     def _send_elsewhere(self, now_ms: int) -> list[Decision]:
         """Return tasks that waited long and for which the other shards have room."""
         if now_ms < self._overflow_check_ms:
             return []
         self._overflow_check_ms = now_ms + rules.OVERFLOW_CHECK_MS
-        for task_id, at_ms in list(self._overflowed_ms.items()):
-            if now_ms - at_ms >= rules.OVERFLOW_AGAIN_MS:
+        for task_id in list(self._overflowed_ms):
+            if self._again_ms(task_id) <= now_ms:
                 del self._overflowed_ms[task_id]
         room = self._order.fleet.minus(self._capacity).minus(self._elsewhere_total)
         if min(room) < 0 or not any(room):
             return []
+        chosen: list[PendingTask] = []
+        units = 0
+        for queued_at_ms, _, cls in self._oldest_of_classes():
+            task = cls.queue[0][2]
+            spec = task.spec
+            limit = rules.URGENT_OVERFLOW_MS if spec.urgent else rules.OVERFLOW_MS
+            if now_ms - queued_at_ms < limit or spec.id in self._claims:
+                continue
+            members = self._unit_of(cls, task)
+            need = rules.total_need(members)
+            if any(member.spec.id in self._overflowed_ms for member in members):
+                continue
+            if not members or not need.fits(room):
+                continue
+            if units == rules.MAX_OVERFLOWS:
+                break
+            units += 1
+            room = room.minus(need)
+            chosen.extend(members)
+        return self._send(chosen, now_ms)
+
+    def _oldest_of_classes(self) -> list[tuple[int, int, TaskClass]]:
         entries = [
             (queued_at_ms, number, cls)
             for team in self._teams.values()
@@ -72,21 +116,4 @@
             for queued_at_ms, number, _, cls in lane.entries
         ]
         entries.sort(key=lambda entry: entry[:2])
-        chosen: list[Decision] = []
-        for queued_at_ms, _, cls in entries:
-            spec = cls.queue[0][2].spec
-            limit = rules.URGENT_OVERFLOW_MS if spec.urgent else rules.OVERFLOW_MS
-            if cls.is_gang or now_ms - queued_at_ms < limit:
-                continue
-            if spec.id in self._overflowed_ms or spec.id in self._claims:
-                continue
-            if not spec.resources.fits(room):
-                continue
-            if len(chosen) == rules.MAX_OVERFLOWS:
-                break
-            room = room.minus(spec.resources)
-            chosen.append(Overflow(spec.id))
-        for decision in chosen:
-            self.remove(decision.task)
-            self._overflowed_ms[decision.task] = now_ms
-        return chosen
+        return entries
--- a/packages/savorylead/savorylead/placement/_naive.py
+++ b/packages/savorylead/savorylead/placement/_naive.py
@@ -31,7 +31,10 @@
         for task in tasks:
             self.add_pending(task)
         self._keep_house(now_ms)
-        decisions = [*self._refuse_late(now_ms, arrivals), *self._refuse_impossible()]
+        decisions = [
+            *self._refuse_late(now_ms, arrivals),
+            *self._send_impossible(now_ms),
+        ]
         reserved = self._reserved_start(now_ms)
         self._commit(reserved, now_ms)
         decisions.extend(reserved)
@@ -46,7 +49,7 @@
         """Decide on queued tasks, best first."""
         self._keep_house(now_ms)
         late = self._refuse_late(now_ms, self._pending)
-        decisions = [*late, *self._refuse_impossible()]
+        decisions = [*late, *self._send_impossible(now_ms)]
         reserved = self._reserved_start(now_ms)
         self._commit(reserved, now_ms)
         decisions.extend(reserved)
@@ -73,53 +76,64 @@
             self.remove(queued.task.spec.id)
         return [Reject(q.task.spec.id, Refusal.DEADLINE_PASSED) for q in members]
 
-    def _refuse_impossible(self) -> list[Decision]:
+    def _send_impossible(self, now_ms: int) -> list[Decision]:
+        """Return tasks that no worker here could hold, each once a minute at most."""
         if not self._workers:
             return []
         impossible = set()
         for queued in self._pending.values():
             if not self.ever_fits(queued.task.spec):
                 impossible.add(rules.unit_of(queued.task))
+        for queued in self._pending.values():
+            if self._sent_lately(queued.task.spec.id, now_ms):
+                impossible.discard(rules.unit_of(queued.task))
         members = [q for q in self._in_order() if rules.unit_of(q.task) in impossible]
-        for queued in members:
-            self.remove(queued.task.spec.id)
-        return [Overflow(q.task.spec.id) for q in members]
+        return self._send([queued.task for queued in members], now_ms)
+
+    def _sent_lately(self, task_id: TaskId, now_ms: int) -> bool:
+        sent_ms = self._overflowed_ms.get(task_id)
+        return sent_ms is not None and now_ms - sent_ms < rules.OVERFLOW_AGAIN_MS
+
+    def _send(self, tasks: list[PendingTask], now_ms: int) -> list[Decision]:
+        for task in tasks:
+            self.remove(task.spec.id)
+            self._overflowed_ms[task.spec.id] = now_ms
+        return [Overflow(task.spec.id) for task in tasks]
 
     def _send_elsewhere(self, now_ms: int) -> list[Decision]:
         """Return tasks that waited long and for which the other shards have room."""
         if now_ms < self._overflow_check_ms:
             return []
         self._overflow_check_ms = now_ms + rules.OVERFLOW_CHECK_MS
-        for task_id, at_ms in list(self._overflowed_ms.items()):
-            if now_ms - at_ms >= rules.OVERFLOW_AGAIN_MS:
-                del self._overflowed_ms[task_id]
         room = self._fleet.minus(self._capacity()).minus(
             total(list(self._elsewhere.values()))
         )
         if not any(room):
             return []
-        chosen: list[Decision] = []
+        chosen: list[PendingTask] = []
+        units = 0
         seen: set[Hashable] = set()
         for queued in self._in_order():
             spec = queued.task.spec
             limit = rules.URGENT_OVERFLOW_MS if spec.urgent else rules.OVERFLOW_MS
             kind = (spec.id.team, rules.equivalence_class(queued.task))
-            if rules.is_gang(queued.task) or kind in seen:
+            if kind in seen:
                 continue
             seen.add(kind)
-            waited_ms = now_ms - queued.queued_at_ms
-            if waited_ms < limit or spec.id in self._overflowed_ms:
+            if now_ms - queued.queued_at_ms < limit or spec.id in self._claims:
                 continue
-            if spec.id in self._claims or not spec.resources.fits(room):
+            members = self._members(queued.task)
+            need = rules.total_need(members)
+            if any(self._sent_lately(m.spec.id, now_ms) for m in members):
                 continue
-            if len(chosen) == rules.MAX_OVERFLOWS:
+            if not members or not need.fits(room):
+                continue
+            if units == rules.MAX_OVERFLOWS:
                 break
-            room = room.minus(spec.resources)
-            chosen.append(Overflow(spec.id))
-        for decision in chosen:
-            self.remove(decision.task)
-            self._overflowed_ms[decision.task] = now_ms
-        return chosen
+            units += 1
+            room = room.minus(need)
+            chosen.extend(members)
+        return self._send(chosen, now_ms)
 
     # -- what starts
 
@@ -234,8 +248,9 @@
             if task_id.team == team
         ]
         used = self.held_by_team(team).plus(self._elsewhere.get(team, ZERO))
-        used = used.minus(total(stopping))
-        return rebalance.TeamUse(team, self._weights[team], used, waits)
+        leaving = total(stopping)
+        used = used.minus(leaving)
+        return rebalance.TeamUse(team, self._weights[team], used, leaving, waits)
 
     def _checkpointable(self, team: str) -> list[RunningTask]:
         found = [
--- a/packages/savorylead/savorylead/placement/_naive_clearing.py
+++ b/packages/savorylead/savorylead/placement/_naive_clearing.py
@@ -69,6 +69,8 @@
             if not rules.is_gang(task) and not waits_long:
                 continue
             members = self._members(task)
+            if not all(self.ever_fits(member.spec) for member in members):
+                continue
             if not self._admitted(members) or self._start_of(members, now_ms):
                 continue
             workers = self._reservable(members)
--- a/packages/savorylead/savorylead/placement/_rebalance.py
+++ b/packages/savorylead/savorylead/placement/_rebalance.py
@@ -30,6 +30,8 @@
     weight: float
     #: What it uses of the whole fleet, without what is being checkpointed here.
     used: Resources
+    #: What is being checkpointed here, which is still held.
+    stopping: Resources
     #: Whether a task waits here that its grant and the preset would let start.
     waits: bool
 
@@ -62,7 +64,9 @@
         weights = sum(team.weight for team in active)
         if weights <= 0:
             return []
-        whole = sum(shares.values())
+        whole = sum(
+            team.used.plus(team.stopping).dominant_share(fleet) for team in teams
+        )
         distance = {
             team.name: shares[team.name] - team.weight / weights * whole
             for team in active
--- a/packages/savorylead/savorylead/placement/tests/test_equal_decisions.py
+++ b/packages/savorylead/savorylead/placement/tests/test_equal_decisions.py
@@ -60,6 +60,7 @@
     "end": 5,
     "requeue": 3,
     "cancel": 2,
+    "back": 2,
     "wait": 8,
     "worker": 1,
     "drop": 1,
@@ -86,6 +87,7 @@
         self.pending = {}
         self.running = {}
         self.seen = set()
+        self.overflowed = []
         self.rebalance = False
 
     def both(self, name, *args):
@@ -203,6 +205,13 @@
             self.pending[task_id] = again
             self.both("requeue", again)
 
+    def back(self):
+        """Queue a task again that no other shard took."""
+        if self.overflowed:
+            task = self.overflowed.pop(self.random.randrange(len(self.overflowed)))
+            self.pending[task.spec.id] = task
+            self.both("add_pending", task)
+
     def cancel(self):
         if self.pending:
             task_id = self.choice(sorted(self.pending))
@@ -243,6 +252,8 @@
                 continue
             assert isinstance(decision, Place | Reject | Overflow)
             task = self.pending.pop(decision.task)
+            if isinstance(decision, Overflow):
+                self.overflowed.append(task)
             if isinstance(decision, Place):
                 assert self.states[decision.worker] is WorkerState.READY
                 assert decision.worker not in task.avoid
--- a/packages/savorylead/savorylead/placement/tests/test_planners.py
+++ b/packages/savorylead/savorylead/placement/tests/test_planners.py
@@ -127,6 +127,24 @@
         found = planner.place_now([task("a", res(1, accelerators=1))], 0)
         assert found == [Overflow(TaskId("kennel", "day", "a"))]
 
+    def test_what_comes_back_is_not_sent_again_for_a_minute(self, make):
+        planner = shard(make)
+        too_large = task("a", res(17))
+        sent = [Overflow(too_large.spec.id)]
+        assert planner.place_now([too_large], 0) == sent
+        planner.add_pending(too_large)
+        assert planner.plan(1, 10) == []
+        assert planner.plan(59_999, 10) == []
+        assert planner.plan(60_000, 10) == sent
+
+    def test_job_too_large_for_the_shard_goes_elsewhere_whole(self, make):
+        planner = shard(make, nodes=2)
+        members = job("j", res(16), 3)
+        assert planner.place_now(members, 0) == []
+        planner.set_fleet(NODE.times(10), {})
+        sent = planner.plan(20_000, 10)
+        assert sent == [Overflow(member.spec.id) for member in members]
+
     def test_long_waiting_goes_elsewhere_only_if_there_is_room(self, make):
         planner = shard(make, nodes=1)
         planner.add_running(task("old", res(16)), "n0", 0)
@@ -205,6 +223,13 @@
         assert len(places(planner.plan(6_000, 100))) == 4
         assert planner.held_by_team("route").slots == 4
 
+    def test_what_is_being_checkpointed_counts_as_given_back(self, make):
+        planner = self.overfull(make, Policy(rebalance=True))
+        assert len(planner.plan(0, 100)) == 4
+        planner.set_fleet(Resources(16_000, 64_000, 0, 99, 99), {})
+        stopped = planner.plan(1_000, 100)
+        assert [d.task.request for d in stopped] == ["k11", "k10"]
+
     def test_team_above_its_share_keeps_its_share(self, make):
         planner = self.overfull(make, Policy(rebalance=True))
         for second in range(60):
