--- a/packages/savorylead-standins/savorylead_standins/limits/_limit_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/limits/_limit_cell.py
@@ -11,7 +11,12 @@
 from twisted.internet.task import Clock as FakeProvider
 
 from savorylead.clock import Clock, TwistedClock
-from savorylead.contracts import EscrowedLimits, GrantHolder, TeamLimits
+from savorylead.contracts import (
+    UNLIMITED_RESOURCES,
+    EscrowedLimits,
+    GrantHolder,
+    TeamLimits,
+)
 from savorylead.resources import ZERO, Resources
 from savorylead.store import Store
 from savorylead_standins.store import FaultPlan, MemoryStore
@@ -53,6 +58,8 @@
         self.name = name
         self.grants: dict[str, Resources] = {}
         self.wanted: dict[str, Resources] = {}
+        #: What its workers could still take; tests replace it.
+        self.free = UNLIMITED_RESOURCES
         #: What it believes to be placed, by number.
         self.placed = dict(shard.journaled)
         self._held: dict[str, Resources] = {}
@@ -76,6 +83,10 @@
         """Return what the lead believes to be placed for the team."""
         return self._held.get(team, ZERO)
 
+    def room(self) -> Resources:
+        """Return what the shard's workers could still take."""
+        return self.free
+
     def grant_changed(self, team: str, grant: Resources) -> None:
         """Remember the grant."""
         self.grants[team] = grant
--- a/packages/savorylead/savorylead/contracts/_escrowed_limits.py
+++ b/packages/savorylead/savorylead/contracts/_escrowed_limits.py
@@ -14,7 +14,7 @@
 
 from ._escrowed_limit import EscrowedLimit
 from ._limit_policy import GrantView, choose_grant
-from ._limit_record import LIMITS_PREFIX, WANTS_PREFIX
+from ._limit_record import LIMITS_PREFIX, WANTS_PREFIX, lesser
 from ._limit_wants import WantBoard
 from ._limited_team import LimitedTeam
 from ._team_limits import GrantHolder, TeamLimits
@@ -93,7 +93,8 @@
         state.set_wanted(wanted, self._now_ms())
         if not grew or state.limit.busy or state.refused_since_ms:
             return
-        if self._holder.held(team).plus(wanted).fits(state.limit.usable):
+        placeable = lesser(wanted, self._holder.room())
+        if self._holder.held(team).plus(placeable).fits(state.limit.usable):
             return
         Deferred.fromCoroutine(self._step_team(team, state))
 
@@ -254,7 +255,8 @@
     def _view(self, team: str, state: LimitedTeam) -> GrantView:
         now_ms = self._now_ms()
         held = self._holder.held(team)
-        return state.view(held, self._wants.others(team, now_ms), now_ms)
+        others = self._wants.others(team, now_ms)
+        return state.view(held, self._holder.room(), others, now_ms)
 
     async def _write_want(self, team: str, state: LimitedTeam) -> None:
         """Tell the other shards what is lacking here, or that nothing is."""
--- a/packages/savorylead/savorylead/contracts/_limited_team.py
+++ b/packages/savorylead/savorylead/contracts/_limited_team.py
@@ -50,7 +50,11 @@
         self.wanted = wanted
 
     def view(
-        self, held: Resources, others: Mapping[str, Want], now_ms: int
+        self,
+        held: Resources,
+        room: Resources,
+        others: Mapping[str, Want],
+        now_ms: int,
     ) -> GrantView:
         """Return what a decision depends on, and note what has changed."""
         if held != self._held:
@@ -58,13 +62,14 @@
             self._progress_at_ms = now_ms
         refused_since_ms = self.refused_since_ms or now_ms
         base = self.limit.base
-        unused = greater(base.minus(held.plus(self.wanted)), ZERO)
+        wanted = lesser(self.wanted, room)
+        unused = greater(base.minus(held.plus(wanted)), ZERO)
         return GrantView(
             shard=self._shard,
             record=self.limit.current_record(),
             assured=base,
             held=held,
-            wanted=self.wanted,
+            wanted=wanted,
             others=others,
             stuck_since_ms=max(refused_since_ms, self._progress_at_ms),
             spare=self._lasting(unused, now_ms),
--- a/packages/savorylead/savorylead/contracts/_team_limits.py
+++ b/packages/savorylead/savorylead/contracts/_team_limits.py
@@ -44,6 +44,14 @@
         confirmed its end, also tasks placed by earlier leads of the shard.
         """
 
+    def room(self) -> Resources:
+        """Return what the shard's workers could take beyond what they hold.
+
+        Demand above it asks for no grants, so that a shard whose workers are full
+        leaves them to shards with free workers. Not bounded unless overridden.
+        """
+        return UNLIMITED_RESOURCES
+
     @abstractmethod
     def grant_changed(self, team: str, grant: Resources) -> None:
         """Start nothing that would take the team above ``grant`` from now on.
--- a/packages/savorylead/savorylead/contracts/tests/test_escrowed_limits.py
+++ b/packages/savorylead/savorylead/contracts/tests/test_escrowed_limits.py
@@ -141,6 +141,19 @@
     assert max(started.values()) <= 30
 
 
+def test_shard_with_full_workers_leaves_its_grants_to_others():
+    cell = make_cell(shards=2)
+    cell.lead_of(0).want(TEAM, ONE.times(100))
+    cell.advance(1)
+    for _ in range(10):
+        cell.start(0, TEAM, ONE)
+    cell.lead_of(0).free = ZERO
+    cell.lead_of(1).want(TEAM, ONE.times(100))
+    drive(cell, 6, [1])
+    assert len(cell.shards[1].running) == 30
+    assert len(cell.shards[0].running) == 10
+
+
 def test_idle_grants_shrink_after_a_while():
     cell = make_cell(shards=1)
     cell.lead_of(0).want(TEAM, ONE.times(40))
