Let the configuration decide on operators' keys before a daemon's settings

Cause: a key in operator_key_sha256 was accepted whatever the configuration said, so an operator's key that was withdrawn went on working at each daemon whose settings knew its hash. Seen failing in a test on three whole daemons. Change: the document goes first; the settings count for keys that it does not name, so that operators who withdrew their last key can still get in.

--- a/packages/savorylead-ctl/savorylead_ctl/tests/test_commands.py
+++ b/packages/savorylead-ctl/savorylead_ctl/tests/test_commands.py
@@ -75,6 +75,17 @@
         "w-1     mv-1   r-1   ready  16              1200000      0           "
         "  0.25        0        0         1\n",
     ),
+    (
+        ["presets"],
+        "PRESET       IN FORCE  SPREAD  PACKING  ACC GUARD  AGEING S  PREEMPTION"
+        "  BACKFILL  RESERVATION S  BATCH  REBALANCE\n"
+        "maintenance  no        1       1        1          60        yes       "
+        "  yes       30             no     -\n"
+        "ordinary     yes       1       1        1          60        yes       "
+        "  yes       30             yes    -\n"
+        "peak         no        1       1        1          60        yes       "
+        "  yes       30             yes    -\n",
+    ),
     (["keys"], "KEY  TEAM  GRANTED  WITHDRAWN\n"),
 ]
 
--- a/packages/savorylead-daemon/savorylead_daemon/cell/_cell_config.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_cell_config.py
@@ -12,6 +12,7 @@
     EditUncertainError,
     InForceConfig,
     KeyRole,
+    UnknownKey,
     WithdrawnKey,
     hash_key,
 )
@@ -114,13 +115,15 @@
         self._bootstrap_sha256 = bootstrap_sha256
 
     def check_operator(self, key: str) -> None:
-        """Raise RefusedError unless the key is an operator's."""
-        if hash_key(key) in self._bootstrap_sha256:
-            return
+        """Raise RefusedError unless the key is an operator's.
+
+        What the configuration says of a key goes before this daemon's settings, so
+        that a key of the settings can be withdrawn, too.
+        """
         current = self._config.current
-        if current is None:
-            raise RefusedError(Refusal.UNKNOWN_KEY)
-        holder = current.keys.check(key)
+        holder = UnknownKey() if current is None else current.keys.check(key)
+        if isinstance(holder, UnknownKey) and hash_key(key) in self._bootstrap_sha256:
+            return
         if isinstance(holder, WithdrawnKey):
             raise RefusedError(Refusal.KEY_WITHDRAWN)
         if getattr(holder, "role", None) is not KeyRole.OPERATOR:
--- a/packages/savorylead-daemon/savorylead_daemon/tests/test_entrance.py
+++ b/packages/savorylead-daemon/savorylead_daemon/tests/test_entrance.py
@@ -9,7 +9,13 @@
 from savorylead.journal import JournalSettings
 from savorylead_daemon.entrance import build_entrance
 from savorylead_daemon.observability import Metrics, Readiness
-from savorylead_standins.cell import OPERATOR_KEY, CellShape, FakeCell, key_of
+from savorylead_standins.cell import (
+    OPERATOR_KEY,
+    SETTINGS_KEY,
+    CellShape,
+    FakeCell,
+    key_of,
+)
 from savorylead_standins.checkers import check_all
 from savorylead_standins.services import MemoryConnection, small_limits
 
@@ -219,3 +225,25 @@
     late = cell.call("d1", "POST", "/v1/tasks", task("ghost"))
     assert (late.status, code_of(late)) == (410, "tombstone")
     cell.finish()
+
+
+def test_a_withdrawn_operator_key_stops_though_the_settings_know_it():
+    cell = Entrances()
+    config = cell.config()
+    document = copy.deepcopy(config["document"])
+    for key in document["operators"].values():
+        key["withdrawn"] = True
+    assert cell.apply("d1", document, config["revision"]).status == 200
+    cell.cell.run(IN_FORCE_S)
+    for daemon in cell.sites:
+        path = "/v1/operators/members"
+        refused = cell.call(daemon, "GET", path, key=OPERATOR_KEY)
+        assert (refused.status, code_of(refused)) == (401, "key_withdrawn")
+        # A key that the configuration does not name still opens the cell, so that
+        # operators who withdrew their last key are not locked out.
+        assert cell.call(daemon, "GET", path, key=SETTINGS_KEY).status == 200
+        # It opens nothing of the callers.
+        assert (
+            cell.call(daemon, "POST", "/v1/tasks", task("a"), SETTINGS_KEY).status
+            == 401
+        )
--- a/packages/savorylead-standins/savorylead_standins/cell/__init__.py
+++ b/packages/savorylead-standins/savorylead_standins/cell/__init__.py
@@ -3,6 +3,7 @@
 from ._documents import (
     OPERATOR_KEY,
     REGION,
+    SETTINGS_KEY,
     CellShape,
     document_of,
     domain_names,
@@ -17,6 +18,7 @@
 __all__ = [
     "OPERATOR_KEY",
     "REGION",
+    "SETTINGS_KEY",
     "CallLostError",
     "CellShape",
     "CellVariant",
--- a/packages/savorylead-standins/savorylead_standins/cell/_documents.py
+++ b/packages/savorylead-standins/savorylead_standins/cell/_documents.py
@@ -24,6 +24,8 @@
 )
 #: The key of an operator of the cell.
 OPERATOR_KEY = "operator.secret"
+#: A key that only the daemons' settings know.
+SETTINGS_KEY = "settings.secret"
 REGION = "north"
 
 
--- a/packages/savorylead-standins/savorylead_standins/cell/_fake_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/cell/_fake_cell.py
@@ -12,7 +12,7 @@
 
 from savorylead.admission import WorkClass
 from savorylead.clock import TwistedClock, to_millis
-from savorylead.config import CONFIG_KEY, ConfigEditor
+from savorylead.config import CONFIG_KEY, ConfigEditor, hash_key
 from savorylead.contracts import GrantHolder, TeamLimits
 from savorylead.domains import Member
 from savorylead.placement import NaivePlanner, Planner
@@ -25,7 +25,15 @@
 from savorylead_standins.time import SteppedTime
 from savorylead_standins.workers import MemoryWorker
 
-from ._documents import REGION, CellShape, document_of, domain_names, workers_of
+from ._documents import (
+    OPERATOR_KEY,
+    REGION,
+    SETTINGS_KEY,
+    CellShape,
+    document_of,
+    domain_names,
+    workers_of,
+)
 from ._links import (
     LaggingVmList,
     NetworkPeerTransport,
@@ -251,7 +259,7 @@
             open_planner=self.variant.open_planner,
             open_limits=open_limits,
             observer=LeadObserver(),
-            bootstrap_sha256=frozenset(),
+            bootstrap_sha256=frozenset(map(hash_key, (OPERATOR_KEY, SETTINGS_KEY))),
             times=self.variant.times(),
             waiting_bounds=dict.fromkeys(WorkClass, WAITING_BOUND),
             on_superseded=process.kill,
