--- a/packages/savorylead/savorylead/journal/tests/test_several_leads.py
+++ b/packages/savorylead/savorylead/journal/tests/test_several_leads.py
@@ -6,7 +6,7 @@
 
 import random
 from collections import deque
-from datetime import UTC, datetime
+from datetime import UTC, datetime, timedelta
 
 import pytest
 from hypothesis import HealthCheck, Phase, settings, strategies as st
@@ -252,6 +252,15 @@
     def fail_calls(self, fates):
         self.fates.extend(fates)
 
+    @rule(latency=st.sampled_from([0.003, 0.003, 0.6, 2.0]))
+    def change_speed(self, latency):
+        """A store slower than its callers' deadline takes calls, but too late."""
+        self.store.faults.latency = timedelta(seconds=latency)
+
+    @rule(down=st.booleans())
+    def change_outage(self, down):
+        self.store.faults.down = down
+
     @rule(which=st.integers(0, 3))
     def pause(self, which):
         self.leads[which % len(self.leads)].pause.begin()
@@ -274,6 +283,7 @@
     @rule()
     def replay(self):
         """A reader sees a state that the log had while it read."""
+        self._mend_store()
         before = len(self.store.log.states) - 1
         found = self._replayed()
         if found is None or isinstance(found, JournalBusyError):
@@ -301,6 +311,7 @@
 
     def teardown(self):
         self.fates.clear()
+        self._mend_store()
         for lead in self.all_leads:
             lead.pause.end()
         self.advance(30.0)
@@ -311,6 +322,10 @@
         found = self._replayed()
         assert [t.request for t in found.state.records] == self.store.log.names
 
+    def _mend_store(self):
+        self.store.faults.latency = timedelta(milliseconds=3)
+        self.store.faults.down = False
+
     def _check_fate_of_appends(self):
         names = self.store.log.names
         position = {name: index for index, name in enumerate(names)}
