Renew more often after a failure, and test slow, failing and cut-off stores

Pauses of up to 2 s after a failed renewal left one or two tries in a lease of 3 s; now they are half a second at most. A store slower than its deadline moves no shard.

--- a/packages/savorylead/savorylead/domains/_membership.py
+++ b/packages/savorylead/savorylead/domains/_membership.py
@@ -25,6 +25,10 @@
 )
 from ._registration import Registration, RegistrationSettings
 
+#: Longest pause after a failed renewal. Several tries must fit into a lease, since a
+#: store that is too slow for its callers renews the lease all the same.
+RENEWAL_RETRY_CAP = timedelta(milliseconds=500)
+
 
 class MembershipSettings(NamedTuple):
     """Times of the membership."""
@@ -82,7 +86,7 @@
         self._settings = settings
         self._on_change = on_change
         self._records: tuple[MemberRecord, ...] = ()
-        retry = RetryPolicy(clock, rng)
+        retry = RetryPolicy(clock, rng, cap=RENEWAL_RETRY_CAP)
         self._registration = Registration(
             store, clock, retry, member, on_superseded, settings.registration
         )
--- a/packages/savorylead/savorylead/domains/tests/test_leads_together.py
+++ b/packages/savorylead/savorylead/domains/tests/test_leads_together.py
@@ -9,6 +9,7 @@
 from savorylead.journal import Forgotten
 from savorylead_standins.nodes import (
     READS_PER_S,
+    SHARDS,
     WRITES_PER_S,
     CoordinatedCell,
     CoordinatedDaemon,
@@ -154,3 +155,51 @@
         cell.kill(daemon)
     cell.daemons = [CoordinatedDaemon(cell, name) for name in names]
     assert cell.run(20, cell.all_led_once) < 5
+
+
+@pytest.mark.parametrize("latency_s", [0.6, 3.0])
+def test_a_slow_store_moves_no_shard_and_ends_cleanly(latency_s):
+    """Calls that take longer than their deadline take effect all the same."""
+    cell = started(6)
+    for daemon in cell.daemons:
+        append_often(cell, daemon)
+    cell.run(2)
+    leads_before = [daemon.leads() for daemon in cell.daemons]
+    cell.store.faults.latency = timedelta(seconds=latency_s)
+    cell.run(60)
+    cell.store.faults.latency = timedelta(milliseconds=3)
+    cell.run(15)
+    assert [daemon.leads() for daemon in cell.daemons] == leads_before
+    assert cell.all_led_once()
+
+
+def test_after_a_store_that_failed_most_calls_shards_are_led_and_spread_again():
+    """Two of three calls exceed their deadline, so daemons lapse at random."""
+    cell = started(6)
+    cell.store.faults.latency = timedelta(milliseconds=1200)
+    cell.run(60)
+    assert sum(daemon.membership.lapses for daemon in cell.daemons) > 2
+    cell.store.faults.latency = timedelta(milliseconds=3)
+    assert cell.run(15, cell.all_led_once) < 10
+    cell.run(650)
+    assert cell.all_led_once()
+    assert sorted(len(daemon.leads()) for daemon in cell.daemons) == [1, 1, 1, 1, 1, 2]
+
+
+@pytest.mark.parametrize("cut", [1, 3])
+def test_daemons_cut_off_from_the_store_lose_their_shards_and_rejoin(cut):
+    cell = started(6)
+    names = [daemon.name for daemon in cell.daemons[:cut]]
+    for daemon in cell.daemons:
+        append_often(cell, daemon)
+    cell.store.faults.cut.update(names)
+    cell.run(7)
+    reachable = [s for d in cell.daemons[cut:] for s in d.leads()]
+    assert sorted(reachable) == sorted(shard.name for shard in SHARDS)
+    cell.store.faults.cut.clear()
+    cell.run(10)
+    assert cell.all_led_once()
+    assert not any(daemon.leads() for daemon in cell.daemons[:cut])
+    cell.run(120)
+    assert cell.all_led_once()
+    assert all(daemon.leads() for daemon in cell.daemons)
