--- a/packages/savorylead-daemon/savorylead_daemon/cell/_message_handler.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_message_handler.py
@@ -9,7 +9,7 @@
 
 from savorylead.contracts import TaskId, TaskSpec
 from savorylead.journal import DeposedError, Phase
-from savorylead.outcomes import NotRun, Refusal
+from savorylead.outcomes import NotRun, Refusal, Unknown
 from savorylead.resources import ZERO, Resources
 from savorylead_daemon.lead import OfferedJob, ShardLead
 from savorylead_daemon.peers import (
@@ -34,7 +34,7 @@
     WorkersAnswer,
     WorkersMessage,
 )
-from savorylead_daemon.services import ShardView, TaskPage, WorkerView
+from savorylead_daemon.services import ShardView, SubmitReply, TaskPage, WorkerView
 
 #: Tells why a team's key must not be used, or None if it may.
 KeyRecheck = Callable[[str, str], Refusal | None]
@@ -114,12 +114,16 @@
 
     async def _refuse(
         self, lead: ShardLead, spec: TaskSpec, refusals: Mapping[str, Refusal | None]
-    ) -> NotRun:
-        """Refuse a task for its key, so that no earlier copy can be accepted."""
+    ) -> SubmitReply:
+        """Refuse a task for its key, so that no earlier copy can be accepted.
+
+        An earlier copy that was accepted runs, so nothing is said of it here.
+        """
         view = (await lead.tombstone([spec.id]))[0]
+        reason = refusals[spec.id.team]
         if isinstance(view.outcome, NotRun):
-            return NotRun(refusals[spec.id.team])
-        return NotRun(Refusal.ID_REUSED, "accepted before the key was withdrawn")
+            return NotRun(reason)
+        return Unknown(f"{reason}: an earlier copy of the request was accepted")
 
     async def _answers(self, lead: ShardLead, message: AnswersMessage) -> PeerAnswer:
         wait = timedelta(milliseconds=message.wait_ms)
--- a/packages/savorylead-daemon/savorylead_daemon/gateway/_caller_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/gateway/_caller_gateway.py
@@ -150,7 +150,9 @@
             answer = await self._router.ask(shard, message, until)
         except NoLeadError as exc:
             if not exc.maybe_done:
-                return dict.fromkeys(firsts, NotRun(Refusal.NO_LEAD, str(exc)))
+                # This copy went nowhere, but an earlier one may have been accepted.
+                detail = f"{exc}; ask again with the same request"
+                return dict.fromkeys(firsts, Unknown(detail))
             return await self._prove_not_run(shard, firsts)
         replies = _expect(answer, SubmitAnswer).replies
         return {
--- a/packages/savorylead-standins/savorylead_standins/checkers/_checkers.py
+++ b/packages/savorylead-standins/savorylead_standins/checkers/_checkers.py
@@ -111,11 +111,12 @@
 def check_not_run(history: RunHistory) -> Iterable[Violation]:
     """A refusal that says "not run" is true."""
     ran = {execution.task.job() for execution in history.executions}
-    denied = {s.task for s in history.submissions if isinstance(s.reply, NotRun)}
-    denied |= {a.task for a in history.answers if _denies_run(a.outcome)}
+    denied = {s.task: s.reply for s in history.submissions}
+    denied = {task: said for task, said in denied.items() if isinstance(said, NotRun)}
+    denied |= {a.task: a.outcome for a in history.answers if _denies_run(a.outcome)}
     admitted = {s.task for s in history.submissions if isinstance(s.reply, Admitted)}
-    for task in sorted(denied & ran):
-        yield Violation("not_run", f"{task} was refused and ran")
+    for task in sorted(denied.keys() & ran):
+        yield Violation("not_run", f"{task} ran and was refused: {denied[task]}")
     for submission in history.submissions:
         if isinstance(submission.reply, NotRun) and submission.task in admitted:
             yield Violation("not_run", f"{submission.task} was admitted and refused")
