--- a/packages/savorylead-daemon/savorylead_daemon/callers/_bodies.py
+++ b/packages/savorylead-daemon/savorylead_daemon/callers/_bodies.py
@@ -16,6 +16,7 @@
     CallFault,
     ShapeChecker,
     decode_json,
+    raise_bad_body,
     raise_faults,
 )
 from savorylead_daemon.services import RequestName, TaskDocument
@@ -82,7 +83,7 @@
         self._check_length(len(values), "$")
         if not _TASKS.is_good(values) or not names_are_good(_names_in_tasks(values)):
             parts = None if single else ()
-            raise_faults(_faults_of_items(_TASK, _names_in_task, values, parts))
+            raise_bad_body(_faults_of_items(_TASK, _names_in_task, values, parts))
         raise_faults(list(_faults_across_fields(values, single)))
         return values
 
@@ -91,10 +92,10 @@
         if isinstance(value, dict) and isinstance(value.get("requests"), list):
             self._check_length(len(value["requests"]), "$.requests")
         if not checker.is_good(value):
-            raise_faults(_faults_of_names(value, checker))
+            raise_bad_body(_faults_of_names(value, checker))
         names = [RequestName(e["workspace"], e["request"]) for e in value["requests"]]
         if not names_are_good(part for name in names for part in name):
-            raise_faults(_faults_of_names(value, checker))
+            raise_bad_body(_faults_of_names(value, checker))
         return list(dict.fromkeys(names))
 
     def _check_length(self, length: int, path: str) -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/callers/tests/test_bodies_differential.py
+++ b/packages/savorylead-daemon/savorylead_daemon/callers/tests/test_bodies_differential.py
@@ -3,12 +3,13 @@
 from datetime import timedelta
 
 import msgspec
+import pytest
 from hypothesis import given, settings, strategies as st
 from jsonschema import Draft202012Validator
 
 from savorylead_daemon.callers import BodyReader
 from savorylead_daemon.callers._shapes import TaskBody
-from savorylead_daemon.routing import CallError
+from savorylead_daemon.routing import CallError, ShapeChecker
 
 READER = BodyReader(max_items=10, max_wait=timedelta(seconds=30))
 NAIVE = Draft202012Validator(msgspec.json.schema(list[TaskBody]))
@@ -100,3 +101,10 @@
             read(body)
         except CallError as exc:
             assert exc.status in (400, 413)
+
+
+def test_a_body_is_refused_even_if_the_listing_finds_no_fault(monkeypatch):
+    monkeypatch.setattr(ShapeChecker, "faults", lambda *args: [])
+    for read in (READER.read_submit, READER.read_answers, READER.read_cancel):
+        with pytest.raises(CallError):
+            read(b'[{"request": "/"}]')
--- a/packages/savorylead-daemon/savorylead_daemon/operators/_routes.py
+++ b/packages/savorylead-daemon/savorylead_daemon/operators/_routes.py
@@ -24,7 +24,7 @@
     ShapeChecker,
     call_error_response,
     decode_json,
-    raise_faults,
+    raise_bad_body,
     shielded,
 )
 from savorylead_daemon.services import (
@@ -101,7 +101,7 @@
         """Replace the configuration if its revision is the expected one."""
         body = decode_json(request.body)
         if not _APPLY.is_good(body):
-            raise_faults(_APPLY.faults(body))
+            raise_bad_body(_APPLY.faults(body))
         applying = self._service.apply_config(
             key, body["document"], body["expected_revision"]
         )
--- a/packages/savorylead-daemon/savorylead_daemon/routing/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/routing/__init__.py
@@ -16,6 +16,7 @@
     MAX_FAULTY_ITEMS,
     ShapeChecker,
     decode_json,
+    raise_bad_body,
     raise_faults,
 )
 from ._shield import shielded
@@ -34,6 +35,7 @@
     "ShapeChecker",
     "call_error_response",
     "decode_json",
+    "raise_bad_body",
     "raise_faults",
     "refusal_status",
     "shielded",
--- a/packages/savorylead-daemon/savorylead_daemon/routing/_shape_checker.py
+++ b/packages/savorylead-daemon/savorylead_daemon/routing/_shape_checker.py
@@ -5,7 +5,7 @@
 import itertools
 from collections.abc import Sequence
 from functools import cached_property
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NoReturn
 
 import msgspec
 
@@ -53,6 +53,12 @@
     raise CallError(code, first.detail, first.path, more)
 
 
+def raise_bad_body(faults: Sequence[CallFault]) -> NoReturn:
+    """Raise one CallError for a body that is bad, even if no fault was found."""
+    raise_faults(faults)
+    raise CallError(CallErrorCode.WRONG_TYPE, "the body has another form")
+
+
 class ShapeChecker:
     """Checks decoded JSON against a type of msgspec whose objects are closed.
 
