--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_run_follower.py
@@ -0,0 +1,253 @@
+"""Follows attempts on workers to the answer of their tasks."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+from savorylead.clock import Clock, to_millis
+from savorylead.contracts import TaskId, TaskSpec
+from savorylead.journal import Ended, Phase, Requeued, RequeueReason, TaskRecord
+from savorylead.outcomes import Cancelled, Failed, Outcome
+from savorylead.placement import Planner
+from savorylead.workers import Inventory, OverrunAction, RunReport, RunState
+
+from ._dispatcher import TaskDispatcher, is_placed_at, members_of, order_of
+from ._fleet import ShardFleet
+from ._ledger import ShardLedger
+from ._observer import LeadObserver
+from ._pending_queue import PendingQueue
+from ._placement_index import PlacementIndex
+from ._reconciler import (
+    DiscardAnswer,
+    EndWith,
+    RequeueFor,
+    SendAgain,
+    Verdict,
+    judge_absence,
+    judge_lost_worker,
+    judge_report,
+)
+from ._run_care import RunCare
+from ._worker_session import Attempt, WorkerSession
+
+#: A run that is overdue is asked about again after this part of its delay.
+OVERDUE_DIVISOR = 2
+
+
+class RunFollower:
+    """Turns what workers report, or do not, into events."""
+
+    def __init__(
+        self,
+        ledger: ShardLedger,
+        planner: Planner,
+        fleet: ShardFleet,
+        index: PlacementIndex,
+        queue: PendingQueue,
+        care: RunCare,
+        dispatcher: TaskDispatcher,
+        clock: Clock,
+        observer: LeadObserver,
+        plan_soon: Callable[[], None],
+    ) -> None:
+        self._ledger = ledger
+        self._planner = planner
+        self._fleet = fleet
+        self._index = index
+        self._queue = queue
+        self._care = care
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._observer = observer
+        self._plan_soon = plan_soon
+
+    def on_inventory(self, session: WorkerSession, inventory: Inventory) -> None:
+        """Compare what a worker runs with what was placed there."""
+        listed = {(report.task, report.attempt) for report in inventory.runs}
+        self.on_reports(session, inventory.runs)
+        for record in self._index.records_on(session.worker.name):
+            attempt = (record.spec.id, record.attempt)
+            if attempt not in listed and not self._index.is_uncommitted(attempt):
+                self._judge_absent(session, record, attempt, inventory.incarnation)
+
+    def on_reports(self, session: WorkerSession, reports: Sequence[RunReport]) -> None:
+        """Take what a worker says about attempts."""
+        for report in reports:
+            record = self._ledger.state.records.get(report.task)
+            if self._is_current(session, record, report):
+                self._take_report(session, record, report)
+            elif report.state is RunState.RUNNING:
+                session.stop((report.task, report.attempt))
+            elif self._ledger.is_settled(report.task):
+                session.release((report.task, report.attempt))
+
+    def on_started(self, session: WorkerSession, attempt: Attempt) -> None:
+        """Take a worker's word that an attempt runs."""
+        record = self._ledger.state.records.get(attempt[0])
+        if record is None or record.spec is None or not self._index.start(attempt):
+            return
+        self._observer.started(record.spec, self._now_ms() - record.accepted_at_ms)
+        self._expect_end(session, record, 0)
+
+    def on_start_refused(self, attempt: Attempt, reason: str) -> None:
+        """Take back an attempt that will never start."""
+        record = self._ledger.state.records.get(attempt[0])
+        if not is_placed_at(record, attempt[1]):
+            return
+        if record.cancel_asked:
+            self._end(record, Cancelled(started=record.attempt > 1))
+        else:
+            self._requeue(record, RequeueReason.WORKER_REFUSED)
+
+    def on_lost(self, session: WorkerSession) -> None:
+        """Take back everything from a worker whose lease surely lapsed."""
+        for record in self._index.records_on(session.worker.name):
+            unsent = self._withdraw(session, (record.spec.id, record.attempt))
+            self._follow(session, record, judge_lost_worker(record, unsent))
+
+    def checkpoint_all(self, session: WorkerSession) -> None:
+        """Move repeatable tasks away from a worker that is leaving."""
+        for record in self._index.records_on(session.worker.name):
+            if record.spec.repeatable:
+                session.checkpoint((record.spec.id, record.attempt))
+
+    def _judge_absent(
+        self,
+        session: WorkerSession,
+        record: TaskRecord,
+        attempt: Attempt,
+        incarnation: str,
+    ) -> None:
+        is_same = incarnation == record.incarnation
+        if is_same and session.has_waiting_order(attempt):
+            return
+        unsent = not is_same and self._withdraw(session, attempt)
+        self._follow(session, record, judge_absence(record, incarnation, unsent))
+
+    def _withdraw(self, session: WorkerSession, attempt: Attempt) -> bool:
+        """Return whether it is proved that no order of the attempt ever left."""
+        return self._index.is_unsent(attempt) or session.withdraw_order(attempt)
+
+    def _is_current(
+        self, session: WorkerSession, record: TaskRecord | None, report: RunReport
+    ) -> bool:
+        return (
+            is_placed_at(record, report.attempt)
+            and record.worker == session.worker.name
+        )
+
+    def _take_report(
+        self, session: WorkerSession, record: TaskRecord, report: RunReport
+    ) -> None:
+        if report.state is RunState.RUNNING:
+            self.on_started(session, (report.task, report.attempt))
+            self._watch_run(session, record, report)
+            return
+        verdict = judge_report(record, report)
+        verdict = self._learn(session.worker.name, record, report, verdict)
+        self._follow(session, record, verdict)
+
+    def _watch_run(
+        self, session: WorkerSession, record: TaskRecord, report: RunReport
+    ) -> None:
+        """Stop a cancelled run, act on an overrun, and ask again in time."""
+        attempt = (report.task, report.attempt)
+        held = record.held_resources()
+        action = self._care.observe(session.worker.name, record.spec, held, report)
+        if record.cancel_asked or action is OverrunAction.STOP:
+            session.stop(attempt)
+        elif action is OverrunAction.CHECKPOINT:
+            session.checkpoint(attempt)
+        elif action is OverrunAction.THROTTLE:
+            session.throttle(attempt, held)
+        self._expect_end(session, record, report.ran_ms)
+
+    def _learn(
+        self, worker: str, record: TaskRecord, report: RunReport, verdict: Verdict
+    ) -> Verdict:
+        """Remember how the run ended; a job that fails everywhere is given up."""
+        if report.state is RunState.DONE and isinstance(verdict, EndWith):
+            self._care.ended_well(worker, record.spec, report.ran_ms)
+        elif report.state is RunState.FAILED:
+            exhausted = self._care.failed(worker, record.spec, report.result)
+            if exhausted is not None and isinstance(verdict, RequeueFor):
+                return EndWith(Failed(exhausted.describe(), record.attempt))
+        return verdict
+
+    def _expect_end(
+        self, session: WorkerSession, record: TaskRecord, ran_ms: int
+    ) -> None:
+        """Fetch the answer when the run should be over; rarer the later it is."""
+        if not record.spec.run_time_ms:
+            return
+        left_ms = record.spec.run_time_ms - ran_ms
+        if left_ms < 0:
+            left_ms = -left_ms // OVERDUE_DIVISOR
+        session.expect_end_in(timedelta(milliseconds=left_ms))
+
+    def _follow(
+        self, session: WorkerSession, record: TaskRecord, verdict: Verdict
+    ) -> None:
+        if isinstance(verdict, EndWith):
+            self._end(record, verdict.outcome)
+        elif isinstance(verdict, RequeueFor):
+            self._requeue(record, verdict.reason)
+        elif isinstance(verdict, SendAgain):
+            session.start(order_of(record))
+        elif isinstance(verdict, DiscardAnswer):
+            self._observer.answer_discarded(session.worker.name)
+
+    def _end(self, record: TaskRecord, outcome: Outcome) -> None:
+        self._leave_worker(record)
+        self._planner.remove(record.spec.id)
+        events = [Ended(record.spec.id, outcome, self._now_ms())]
+        done = self._ledger.commit(events)
+        done.addCallbacks(lambda _: self._after_end(record, events), lambda _: None)
+        if isinstance(outcome, Failed) and record.spec.members > 1:
+            self._dispatcher.cancel(self._open_siblings(record.spec))
+        self._plan_soon()
+
+    def _requeue(self, record: TaskRecord, reason: RequeueReason) -> None:
+        task = record.spec.id
+        self._leave_worker(record)
+        event = Requeued(task, record.attempt, reason, self._now_ms())
+        done = self._ledger.commit([event])
+        self._queue.requeue(self._ledger.state.records[task])
+        done.addCallbacks(lambda _: self._release(record), lambda _: None)
+        self._observer.requeued(record.spec, reason)
+        if record.spec.members > 1:
+            self._stop_siblings(record.spec)
+        self._plan_soon()
+
+    def _leave_worker(self, record: TaskRecord) -> None:
+        self._index.remove(record)
+        self._care.left(record.worker, record.spec.id)
+
+    def _after_end(self, record: TaskRecord, events: Sequence[Ended]) -> None:
+        self._release(record)
+        self._dispatcher.enact(events)
+
+    def _release(self, record: TaskRecord) -> None:
+        session = self._fleet.session(record.worker)
+        if session is not None:
+            session.release((record.spec.id, record.attempt))
+
+    def _open_siblings(self, spec: TaskSpec) -> list[TaskId]:
+        """Return the other members of an all-at-once job that have no answer."""
+        return [m for m in members_of(spec) if m != spec.id and self._is_open(m)]
+
+    def _is_open(self, task: TaskId) -> bool:
+        record = self._ledger.state.records.get(task)
+        return record is not None and record.phase in (Phase.QUEUED, Phase.PLACED)
+
+    def _stop_siblings(self, spec: TaskSpec) -> None:
+        """Stop a job whole when one member must start again."""
+        for task in self._open_siblings(spec):
+            record = self._ledger.state.records[task]
+            session = self._fleet.session(record.worker)
+            if record.phase is Phase.PLACED and session is not None:
+                session.stop((task, record.attempt))
+
+    def _now_ms(self) -> int:
+        return to_millis(self._clock.now())
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_shard_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_shard_lead.py
@@ -31,7 +31,11 @@
 from ._ledger import ShardLedger
 from ._offers import OfferedJob, OfferSender
 from ._parts import CellPolicy, LeadParts
+from ._pending_queue import PendingQueue
 from ._periodic import Gathered
+from ._placement_index import PlacementIndex
+from ._run_care import RunCare
+from ._run_follower import RunFollower
 from ._upkeep import EpochProof, RetentionSweep, Upkeep, VmListFollower
 from ._views import job_is_answerable, view_job
 from ._waiting_room import WaitingRoom
@@ -75,14 +79,34 @@
         self._fleet = ShardFleet(shard, parts.planner, self._open_session)
         self._room = WaitingRoom(parts.waiting_bounds, parts.rng)
         self._offers = OfferSender(shard.name, self._ledger, parts.router, self._clock)
+        self._index = PlacementIndex(state)
+        self._care = RunCare(self._fleet, self._index.held_on, self._clock)
+        self._queue = PendingQueue(
+            self._planner, self._fleet, self._care, self._room, self._clock
+        )
         self._dispatcher = TaskDispatcher(
             self._ledger,
             self._planner,
             self._fleet,
+            self._index,
+            self._queue,
+            self._room,
+            self._care,
+            self._offers,
+            self._clock,
+            parts.observer,
+            self._plan_soon.trigger,
+        )
+        self._runs = RunFollower(
+            self._ledger,
+            self._planner,
+            self._fleet,
+            self._index,
+            self._queue,
+            self._care,
+            self._dispatcher,
             self._clock,
             parts.observer,
-            self._offers,
-            self._room,
             self._plan_soon.trigger,
         )
         self._limits = parts.open_limits(shard.name, self.epoch, self)
@@ -93,7 +117,7 @@
         self._upkeep = Upkeep(
             parts,
             self._proof,
-            VmListFollower(parts, self._fleet, self._dispatcher),
+            VmListFollower(parts, self._fleet, self._runs),
             RetentionSweep(parts, self._ledger),
             self._on_plan_tick,
         )
@@ -138,11 +162,11 @@
 
     def running_on(self, worker: str) -> int:
         """Return how many tasks are placed on a worker."""
-        return self._dispatcher.running_on(worker)
+        return self._index.count_on(worker)
 
     def held_on(self, worker: str) -> Resources:
         """Return what placed tasks hold on a worker."""
-        return self._dispatcher.held_on(worker)
+        return self._index.held_on(worker)
 
     def teams(self) -> list[str]:
         """Return the teams of the configuration in force."""
@@ -191,7 +215,7 @@
             refusal = self._refusal_of(spec)
             if refusal is None:
                 events.append(Accepted(spec, now_ms))
-                fresh.append(self._dispatcher.fresh(spec, now_ms))
+                fresh.append(self._queue.fresh(spec, now_ms))
             else:
                 self._parts.observer.refused(spec, refusal.reason)
                 events.append(Tombstoned(spec.id, refusal, now_ms))
@@ -270,22 +294,22 @@
     def on_inventory(self, session: WorkerSession, inventory: Inventory) -> None:
         """Take a worker's report."""
         self._fleet.refresh(session)
-        self._dispatcher.on_inventory(session, inventory)
+        self._runs.on_inventory(session, inventory)
         self._plan_soon.trigger()
 
     def on_reports(self, session: WorkerSession, reports: Sequence[RunReport]) -> None:
         """Take a worker's answer to a stop or a checkpoint."""
-        self._dispatcher.on_reports(session, reports)
+        self._runs.on_reports(session, reports)
 
     def on_started(self, session: WorkerSession, attempt: Attempt) -> None:
         """Take a worker's word that an attempt runs."""
-        self._dispatcher.on_started(session, attempt)
+        self._runs.on_started(session, attempt)
 
     def on_start_refused(
         self, session: WorkerSession, attempt: Attempt, reason: str
     ) -> None:
         """Place an attempt elsewhere that a worker refused."""
-        self._dispatcher.on_start_refused(attempt, reason)
+        self._runs.on_start_refused(attempt, reason)
 
     def on_suspected(self, session: WorkerSession) -> None:
         """Give a silent worker no new work."""
@@ -294,7 +318,7 @@
     def on_lost(self, session: WorkerSession) -> None:
         """Take back the work of a worker whose lease surely lapsed."""
         self._fleet.refresh(session)
-        self._dispatcher.on_lost(session)
+        self._runs.on_lost(session)
         self._fleet.drop_if_gone(session)
 
     def on_stale_epoch(self, epoch: int) -> None:
@@ -344,7 +368,7 @@
         self._room.readmit(job.specs[0], self._now_ms())
         self._accept(
             [Accepted(spec, job.accepted_at_ms, origin) for spec in job.specs],
-            [self._dispatcher.fresh(s, job.accepted_at_ms) for s in job.specs],
+            [self._queue.fresh(s, job.accepted_at_ms) for s in job.specs],
         )
 
     def _accept(self, events: list[Event], fresh: Sequence[PendingTask]) -> None:
@@ -408,7 +432,7 @@
 
     def _on_plan_tick(self) -> None:
         self._tell_demand(set(self._policy.shares))
-        self._dispatcher.care.refresh()
+        self._care.refresh()
         self._dispatcher.shed()
         self._shrink_to_limits()
         if not self._limits_step_runs:
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_upkeep.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_upkeep.py
@@ -12,11 +12,11 @@
 from savorylead.journal import DeposedError, Forgotten
 from savorylead.workers import VmListError
 
-from ._dispatcher import TaskDispatcher
 from ._fleet import ShardFleet
 from ._ledger import ShardLedger
 from ._parts import LeadParts
 from ._periodic import Periodic
+from ._run_follower import RunFollower
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -68,12 +68,10 @@
 class VmListFollower:
     """Reads the platform's list of VMs and moves work off those that leave."""
 
-    def __init__(
-        self, parts: LeadParts, fleet: ShardFleet, dispatcher: TaskDispatcher
-    ) -> None:
+    def __init__(self, parts: LeadParts, fleet: ShardFleet, runs: RunFollower) -> None:
         self._parts = parts
         self._fleet = fleet
-        self._dispatcher = dispatcher
+        self._runs = runs
         self._reading = False
         self._closed = False
 
@@ -97,7 +95,7 @@
         if self._closed:
             return
         for session in self._fleet.take_list(entries):
-            self._dispatcher.checkpoint_all(session)
+            self._runs.checkpoint_all(session)
         for session in self._fleet:
             self._fleet.drop_if_gone(session)
 
