--- a/packages/savorylead-ctl/savorylead_ctl/main.py
+++ b/packages/savorylead-ctl/savorylead_ctl/main.py
@@ -191,6 +191,7 @@
     """Run the command line of this process."""
     try:
         code = run(sys.argv[1:], os.environ, _SystemClock())
+        sys.stdout.flush()
     except BrokenPipeError:
         # The reader of the output has left; Python must not complain about it.
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
