--- a/packages/savorylead-ctl/savorylead_ctl/tests/test_process.py
+++ b/packages/savorylead-ctl/savorylead_ctl/tests/test_process.py
@@ -18,6 +18,8 @@
         **os.environ,
         "SAVORYLEAD_ENDPOINTS": endpoint,
         "SAVORYLEAD_KEY": OPERATOR_KEY,
+        # Output is buffered, as for users, whatever the environment of the tests.
+        "PYTHONUNBUFFERED": "",
     }
     return subprocess.Popen(
         [sys.executable, "-c", PROGRAM, *argv],
