Keep a moved task known at home as long as it is known elsewhere

The home now asks the shard that took it and forgets only what that one has forgotten.

A lead that must not take a task for its key no longer says not run of one that was accepted before, and checks the key again before it cancels.

--- a/packages/savorylead-daemon/savorylead_daemon/cell/_message_handler.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_message_handler.py
@@ -130,7 +130,13 @@
         return ViewsAnswer(tuple(await lead.answers(message.tasks, wait)))
 
     async def _cancel(self, lead: ShardLead, message: CancelMessage) -> PeerAnswer:
-        return ViewsAnswer(tuple(await lead.cancel(message.tasks)))
+        allowed = [
+            task
+            for task in message.tasks
+            if self._recheck_key(task.team, message.key_id) is None
+        ]
+        await lead.cancel(allowed)
+        return ViewsAnswer(tuple(lead.views(message.tasks)))
 
     async def _tombstone(
         self, lead: ShardLead, message: TombstoneMessage
--- a/packages/savorylead-daemon/savorylead_daemon/cell/_offer_router.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_offer_router.py
@@ -2,15 +2,27 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from datetime import timedelta
 
 from savorylead.clock import Clock
-from savorylead.contracts import TaskSpec
+from savorylead.contracts import TaskId, TaskSpec
 from savorylead.domains import rendezvous_order
 from savorylead.workers import Worker
-from savorylead_daemon.lead import OfferedJob, OfferError, OfferRouter
-from savorylead_daemon.peers import OfferAnswer, OfferMessage
+from savorylead_daemon.lead import (
+    ABSENT_PHASE,
+    OfferedJob,
+    OfferError,
+    OfferRouter,
+)
+from savorylead_daemon.peers import (
+    AnswersMessage,
+    OfferAnswer,
+    OfferMessage,
+    PeerAnswer,
+    PeerMessage,
+    ViewsAnswer,
+)
 
 from ._directory import ShardDirectory
 from ._router import NoLeadError, ShardRouter
@@ -63,14 +75,28 @@
     async def offer(self, target: str, origin: str, job: OfferedJob) -> bool:
         """Return whether the target took the job; raises OfferError."""
         message = OfferMessage(target, origin, job.specs, job.accepted_at_ms)
+        answer = await self._ask(target, message)
+        if not isinstance(answer, OfferAnswer):
+            raise OfferError(f"unexpected {type(answer).__name__}")
+        return answer.taken
+
+    async def forgotten(self, target: str, jobs: Sequence[TaskId]) -> list[TaskId]:
+        """Return those jobs that the target knows no more; raises OfferError."""
+        if target not in self._directory.shards:
+            # A shard that the configuration no longer has can run nothing.
+            return list(jobs)
+        message = AnswersMessage(target, tuple(jobs), wait_ms=0)
+        answer = await self._ask(target, message)
+        if not isinstance(answer, ViewsAnswer):
+            raise OfferError(f"unexpected {type(answer).__name__}")
+        return [view.task for view in answer.views if view.phase == ABSENT_PHASE]
+
+    async def _ask(self, target: str, message: PeerMessage) -> PeerAnswer:
         until = self._clock.now() + OFFER_DEADLINE
         try:
-            answer = await self._router().ask(target, message, until)
+            return await self._router().ask(target, message, until)
         except NoLeadError as exc:
             raise OfferError(str(exc)) from exc
-        if not isinstance(answer, OfferAnswer):
-            raise OfferError(f"unexpected {type(answer).__name__}")
-        return answer.taken
 
     def _has_room(self, shard: str, spec: TaskSpec) -> bool:
         digest = self._directory.shard_digests().get(shard)
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_offers.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_offers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -52,6 +52,10 @@
         Repeating an offer is idempotent. Raises OfferError.
         """
 
+    @abstractmethod
+    async def forgotten(self, target: str, jobs: Sequence[TaskId]) -> list[TaskId]:
+        """Return those jobs that the target knows no more; raises OfferError."""
+
 
 class OfferSender:
     """Carries each offer through to "moved" or "declined".
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_upkeep.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_upkeep.py
@@ -9,11 +9,13 @@
 from twisted.python.failure import Failure
 
 from savorylead.clock import to_millis
-from savorylead.journal import DeposedError, Forgotten
+from savorylead.contracts import TaskId
+from savorylead.journal import DeposedError, Forgotten, Phase, TaskRecord
 from savorylead.workers import VmListError
 
 from ._fleet import ShardFleet
 from ._ledger import ShardLedger
+from ._offers import OfferError
 from ._parts import LeadParts
 from ._periodic import Periodic
 from ._run_follower import RunFollower
@@ -23,6 +25,8 @@
 
 #: Most records that one journal entry forgets.
 MAX_FORGOTTEN_PER_ENTRY = 1000
+#: Most moved jobs that one message asks about.
+MAX_ASKED_AT_ONCE = 500
 
 
 class EpochProof:
@@ -101,23 +105,58 @@
 
 
 class RetentionSweep:
-    """Forgets ended tasks once repeats of them are no longer answered."""
+    """Forgets ended tasks once repeats of them are no longer answered.
+
+    A task that moved is forgotten only after the shard that took it has forgotten
+    it: a repeat that found no record here would run beside it.
+    """
 
     def __init__(self, parts: LeadParts, ledger: ShardLedger) -> None:
         self._parts = parts
         self._ledger = ledger
+        self._asking = False
 
     def run(self) -> None:
         """Forget what ended before the retention time, by one scan."""
+        old = self._old_records()
+        self._forget([t for t, record in old if record.phase is not Phase.MOVED])
+        moved: dict[str, list[TaskId]] = {}
+        for task, record in old:
+            if record.phase is Phase.MOVED:
+                moved.setdefault(record.target, []).append(task)
+        if moved and not self._asking:
+            self._asking = True
+            asking = Deferred.fromCoroutine(self._forget_moved(moved))
+            asking.addBoth(self._after_asking)
+
+    def _old_records(self) -> list[tuple[TaskId, TaskRecord]]:
         now_ms = to_millis(self._parts.clock.now())
         retention_ms = int(self._parts.times.retention.total_seconds() * 1000)
-        old = [
-            task
+        return [
+            (task, record)
             for task, record in self._ledger.state.records.items()
             if record.ended_at_ms and record.ended_at_ms < now_ms - retention_ms
         ]
-        for start in range(0, len(old), MAX_FORGOTTEN_PER_ENTRY):
-            chunk = tuple(old[start : start + MAX_FORGOTTEN_PER_ENTRY])
+
+    async def _forget_moved(self, moved: dict[str, list[TaskId]]) -> None:
+        for target, tasks in sorted(moved.items()):
+            jobs = list(dict.fromkeys(task.job() for task in tasks))
+            for start in range(0, len(jobs), MAX_ASKED_AT_ONCE):
+                part = jobs[start : start + MAX_ASKED_AT_ONCE]
+                try:
+                    gone = set(await self._parts.router.forgotten(target, part))
+                except OfferError:
+                    # The next sweep asks again.
+                    break
+                self._forget([task for task in tasks if task.job() in gone])
+
+    def _after_asking(self, result: object) -> object:
+        self._asking = False
+        return result
+
+    def _forget(self, tasks: list[TaskId]) -> None:
+        for start in range(0, len(tasks), MAX_FORGOTTEN_PER_ENTRY):
+            chunk = tuple(tasks[start : start + MAX_FORGOTTEN_PER_ENTRY])
             done = self._ledger.commit([Forgotten(chunk)])
             done.addErrback(lambda failure: failure.trap(DeposedError) and None)
 
