--- a/packages/savorylead-standins/savorylead_standins/links/__init__.py
+++ b/packages/savorylead-standins/savorylead_standins/links/__init__.py
@@ -1,5 +1,6 @@
 """A stand-in of the network below a link, and a link over it."""
 
+from ._forgetful_forwarder import ForgetfulForwarder
 from ._link_rig import READ, WRITE, LinkRig
 from ._memory_transport import ConnectionFate, MemoryConnection, MemoryTransport
 
@@ -7,6 +8,7 @@
     "READ",
     "WRITE",
     "ConnectionFate",
+    "ForgetfulForwarder",
     "LinkRig",
     "MemoryConnection",
     "MemoryTransport",
