--- a/packages/savorylead/savorylead/contracts/tests/test_escrow_faults.py
+++ b/packages/savorylead/savorylead/contracts/tests/test_escrow_faults.py
@@ -15,7 +15,9 @@
 from savorylead_standins.limits import (
     ONE,
     TEAM,
+    CredulousLimit,
     LimitCell,
+    UnclaimedLimit,
     drive,
     fill,
     make_cell,
@@ -159,31 +161,7 @@
     assert cell.running(TEAM).cores_milli <= 40_000
 
 
-class _Unfenced(EscrowedLimit):
-    """Broken on purpose: counts on a grant that it has not claimed."""
-
-    @property
-    def claimed(self):
-        return True
-
-    @property
-    def deposed(self):
-        return False
-
-
-class _Credulous(EscrowedLimit):
-    """Broken on purpose: forgets a give-back whose reply is missing."""
-
-    async def write(self, choice: GrantChoice, held, settle):
-        try:
-            return await super().write(choice, held, settle)
-        finally:
-            self._unresolved = None
-            self._cap = None
-            self._update_usable()
-
-
-@pytest.mark.parametrize("broken", [_Unfenced, _Credulous])
+@pytest.mark.parametrize("broken", [UnclaimedLimit, CredulousLimit])
 def test_broken_escrow_is_caught(broken, monkeypatch):
     monkeypatch.setattr("savorylead.contracts._escrowed_limits.EscrowedLimit", broken)
     cell = make_cell(shards=2)
@@ -198,7 +176,7 @@
     )
     cell.lead_of(1).want(TEAM, ONE.times(40))
     cell.advance(1.5)
-    if broken is _Unfenced:
+    if broken is UnclaimedLimit:
         cell.take_over(cell.shards[0]).want(TEAM, ONE.times(40))
     cell.advance(0.7)
     drive(cell, 10, [0, 1])
--- a/packages/savorylead/savorylead/contracts/tests/test_escrowed_limits_stateful.py
+++ b/packages/savorylead/savorylead/contracts/tests/test_escrowed_limits_stateful.py
@@ -15,7 +15,7 @@
 from savorylead.contracts import EscrowedLimits, TeamLimits, limit_from_amounts
 from savorylead.contracts._limit_record import decode_limit_record
 from savorylead.resources import ZERO, Resources
-from savorylead_standins.limits import LimitCell
+from savorylead_standins.limits import CredulousLimit, LimitCell, UnclaimedLimit
 from savorylead_standins.store import CallFate
 
 TEAM = "imaging"
@@ -141,6 +141,18 @@
             lead = self.cell.take_over(self.cell.shards[shard])
             lead.want(TEAM, cores(1).times(8))
 
+    @rule(shard=SHARD, other=SHARD, size=SIZES)
+    def shift_demand_and_back(self, shard, other, size):
+        """Have a give-back whose reply is missing when the demand returns."""
+        lead = self.cell.lead_of(shard)
+        lead.want(TEAM, ZERO)
+        self.cell.lead_of(other).want(TEAM, cores(size).times(8))
+        self.cell.advance(2.2, step_s=0.1)
+        lead.want(TEAM, cores(1).times(8))
+        for _ in range(8):
+            lead.place(self.cell.new_task(TEAM, cores(1)))
+        lead.write_journal()
+
     @rule(which=st.integers(0, 9))
     def notice_deposed(self, which):
         deposed = [lead for lead in self.cell.leads if not lead.current]
@@ -215,3 +227,11 @@
     unshrunk = settings(SETTINGS, phases=[Phase.generate])
     with pytest.raises(AssertionError):
         run_state_machine_as_test(UnescrowedMachine, settings=unshrunk)
+
+
+@pytest.mark.parametrize("broken", [UnclaimedLimit, CredulousLimit])
+def test_broken_escrow_is_caught(broken, monkeypatch):
+    monkeypatch.setattr("savorylead.contracts._escrowed_limits.EscrowedLimit", broken)
+    unshrunk = settings(SETTINGS, phases=[Phase.generate])
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(LimitMachine, settings=unshrunk)
