Poll a short head instead of the whole configuration

At 46 teams the document has 49 kB; polled every 1.5 s it would cost each daemon 33 kB a second, while 6 kB a second is all that a node may spend on control. The compare-and-swap of that key still changes everything at once.

--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -13,10 +13,9 @@
 from bench._report import report
 from savorylead.config import (
     CellDocument,
-    Envelope,
     KeyRing,
     check_document,
-    decode_envelope,
+    decode_document,
     diff_documents,
     grant_key,
 )
@@ -61,17 +60,17 @@
     document, text = document_of(teams)
     changed = copy.deepcopy(document)
     changed["preset"] = "peak"
-    value = msgspec.json.encode(Envelope(format=1, recent=[], document=document))
-    item = KeyValue("config/cell", value, 1)
+    value = msgspec.json.encode(document)
+    item = KeyValue("config-documents/edit", value, 1)
     ring = KeyRing(document)
     assert check_document(document) == []
     size = f"{teams}_teams"
-    report(BENCH, f"value_{size}", len(value) / 1000, "kB", 1000)
+    report(BENCH, f"document_{size}", len(value) / 1000, "kB", 1000)
     check = time_of(lambda: check_document(document), 5)
     report(BENCH, f"check_{size}", check * 1000, "ms")
     diff = time_of(lambda: diff_documents(document, changed), 20)
     report(BENCH, f"diff_{size}", diff * 1000, "ms")
-    follow = time_of(lambda: KeyRing(decode_envelope(item)["document"]), 20)
+    follow = time_of(lambda: KeyRing(decode_document(item)), 20)
     report(BENCH, f"put_in_force_{size}", follow * 1000, "ms")
     key = time_of(lambda: ring.check(text), 20_000)
     report(BENCH, f"key_check_{size}", key * 1e6, "us")
--- a/bench/coordination.py
+++ b/bench/coordination.py
@@ -21,6 +21,8 @@
 BENCH = "coordination"
 #: Daemons of each user today.
 DAEMONS = 6
+#: Seconds between two polls of members and heads.
+POLL_S = 1.0
 #: Repetitions of a takeover or handover, and of a change.
 ROUNDS = 20
 CHANGES = 60
@@ -50,6 +52,9 @@
     report(BENCH, "idle_store_reads", reads / 60, "1/s", 2000)
     report(BENCH, "idle_store_writes_and_renewals", writes / 60, "1/s", 300)
     report(BENCH, "waiting_watches", watches, "1")
+    polled = cell.store.peek("members/") | cell.store.peek("journal/heads/")
+    per_second = sum(map(len, polled.values())) / POLL_S
+    report(BENCH, "polled_by_one_daemon", per_second / 1000, "kB/s", 6)
 
 
 def measure_takeovers() -> None:
@@ -144,6 +149,8 @@
         )
         cell.run(rng.random() * 3)
     name = "watch_silent" if silent else "watch"
+    head = sum(map(len, cell.store.peek("config/").values()))
+    report(BENCH, f"config_polled_by_one_daemon_{name}", head / 1500, "kB/s", 6)
     report(BENCH, f"in_force_p50_{name}", percentile(times, 0.5), "s", 4)
     report(BENCH, f"in_force_max_{name}", max(times), "s", 4)
 
--- a/packages/savorylead/savorylead/config/__init__.py
+++ b/packages/savorylead/savorylead/config/__init__.py
@@ -23,14 +23,6 @@
     EditUncertainError,
     EditView,
 )
-from ._envelope import (
-    CONFIG_KEY,
-    CONFIG_PREFIX,
-    ConfigFormatError,
-    EditRecord,
-    Envelope,
-    decode_envelope,
-)
 from ._in_force import InForce, InForceConfig, InForceSettings, PeerSight
 from ._keys import (
     GrantedKey,
@@ -43,14 +35,26 @@
     hash_key,
 )
 from ._schema import cell_schema
+from ._stored_config import (
+    CONFIG_KEY,
+    CONFIG_PREFIX,
+    DOCUMENTS_PREFIX,
+    ConfigFormatError,
+    ConfigHead,
+    EditRecord,
+    decode_document,
+    decode_head,
+)
 
 __all__ = [
     "ABSENT_FIELD",
     "CONFIG_KEY",
     "CONFIG_PREFIX",
+    "DOCUMENTS_PREFIX",
     "CellDocument",
     "ConfigEditor",
     "ConfigFormatError",
+    "ConfigHead",
     "DocumentChange",
     "DocumentFault",
     "EditApplied",
@@ -59,7 +63,6 @@
     "EditRejected",
     "EditUncertainError",
     "EditView",
-    "Envelope",
     "GrantedKey",
     "InForce",
     "InForceConfig",
@@ -80,7 +83,8 @@
     "WorkspaceDocument",
     "cell_schema",
     "check_document",
-    "decode_envelope",
+    "decode_document",
+    "decode_head",
     "diff_documents",
     "grant_key",
     "hash_key",
--- a/packages/savorylead/savorylead/config/_editor.py
+++ b/packages/savorylead/savorylead/config/_editor.py
@@ -11,8 +11,8 @@
 from savorylead.clock import Clock
 from savorylead.documents import DocumentFault
 from savorylead.store import (
+    ABSENT,
     MAX_VALUE_BYTES,
-    KeyValue,
     RetryPolicy,
     Store,
     StoreError,
@@ -22,17 +22,22 @@
 from ._check import check_document
 from ._diff import DocumentChange, diff_documents
 from ._document import CellDocument
-from ._envelope import (
+from ._stored_config import (
     CONFIG_FORMAT,
     CONFIG_KEY,
     RECENT_EDITS,
     RECENT_PATHS,
+    ConfigHead,
     EditRecord,
-    Envelope,
-    decode_envelope,
-    encode_envelope,
+    decode_head,
+    document_key,
+    encode_document,
+    encode_head,
+    read_document,
 )
 
+#: Pause before the head is read again when its document was just replaced.
+_REPLACED_PAUSE = timedelta(milliseconds=10)
 #: Longest time for which the fate of a change is sought.
 EDIT_DEADLINE = timedelta(seconds=8)
 
@@ -85,6 +90,14 @@
         self.expected_revision = expected_revision
 
 
+class _Stored(NamedTuple):
+    """The configuration as it was read."""
+
+    head: ConfigHead
+    document: CellDocument
+    revision: int
+
+
 class ConfigEditor:
     """Replaces the document if it still has the revision that the operator saw.
 
@@ -112,10 +125,10 @@
 
         Its revision is 0 and it is empty if none was ever written.
         """
-        current = await self._store.get(CONFIG_KEY)
-        if current is None:
+        stored = await self._read()
+        if stored is None:
             return EditView({}, 0)
-        return EditView(decode_envelope(current)["document"], current.revision)
+        return EditView(stored.document, stored.revision)
 
     async def apply(
         self,
@@ -145,56 +158,92 @@
                 await pauses.wait()
         if isinstance(result, EditApplied):
             self._on_applied(result.revision)
+        elif isinstance(result, EditConflict):
+            # The head never has the expected revision again, so no late copy of this
+            # change can name its document.
+            await self._delete(document_key(name, encode_document(raw)))
         return result
 
     async def _try(
         self, document: CellDocument, expected: int, edit: str, by: str
     ) -> EditApplied | EditConflict | EditRejected:
         """Read, then swap; the read finds what an earlier try has done."""
-        current = await self._store.get(CONFIG_KEY)
-        revision = current.revision if current else 0
-        if revision != expected:
-            return _judge(current, document, expected, edit)
-        value = encode_envelope(self._envelope(current, document, edit, by))
+        stored = await self._read()
+        if (stored.revision if stored else 0) != expected:
+            return await self._judge(stored, document, expected, edit)
+        value = encode_document(document)
         if len(value) > MAX_VALUE_BYTES:
             message = f"{len(value)} bytes are over the limit of {MAX_VALUE_BYTES}"
             return EditRejected((DocumentFault("$", message),))
-        result = await self._store.swap(CONFIG_KEY, value, expected)
+        key = document_key(edit, value)
+        # A conflict means that an earlier try has written the same document.
+        await self._store.swap(key, value, ABSENT)
+        head = self._next_head(stored, document, key, edit, by)
+        result = await self._store.swap(CONFIG_KEY, encode_head(head), expected)
         if isinstance(result, SwapConflict):
-            return _judge(result.current, document, expected, edit)
+            return await self._judge(await self._read(), document, expected, edit)
+        if stored is not None:
+            # The former one is there only if its writer had no reply to its change.
+            await self._delete(stored.head["former"])
+            await self._delete(stored.head["document"])
         return EditApplied(result.revision)
 
-    def _envelope(
-        self, current: KeyValue | None, document: CellDocument, edit: str, by: str
-    ) -> Envelope:
-        before = decode_envelope(current) if current else None
-        recent = before["recent"] if before else []
-        changes = diff_documents(before["document"] if before else {}, document)
+    async def _read(self) -> _Stored | None:
+        """Return the configuration in the store, or None if there is none."""
+        while True:
+            item = await self._store.get(CONFIG_KEY)
+            if item is None:
+                return None
+            head = decode_head(item)
+            document = await read_document(self._store, head)
+            if document is not None:
+                return _Stored(head, document, item.revision)
+            # Another change replaced it between the two reads.
+            await self._clock.sleep(_REPLACED_PAUSE)
+
+    async def _delete(self, key: str) -> None:
+        """Delete a document that no head names any more, if the store lets us."""
+        try:
+            item = await self._store.get(key)
+            if item is not None:
+                await self._store.swap(key, None, item.revision)
+        except StoreError:
+            return
+
+    def _next_head(
+        self,
+        stored: _Stored | None,
+        document: CellDocument,
+        key: str,
+        edit: str,
+        by: str,
+    ) -> ConfigHead:
+        changes = diff_documents(stored.document if stored else {}, document)
         record = EditRecord(
             edit=edit,
-            replaced=current.revision if current else 0,
+            replaced=stored.revision if stored else 0,
             at=self._clock.now().isoformat(),
             by=by,
             paths=[change.path for change in changes[:RECENT_PATHS]],
         )
+        recent = stored.head["recent"] if stored else []
         kept = [*recent, record][-RECENT_EDITS:]
-        return Envelope(format=CONFIG_FORMAT, recent=kept, document=document)
-
-
-def _judge(
-    current: KeyValue | None, document: CellDocument, expected: int, edit: str
-) -> EditApplied | EditConflict:
-    """Return what a store with another revision than ``expected`` means."""
-    if current is None:
-        return EditConflict(0, document, (), ())
-    envelope = decode_envelope(current)
-    recent = envelope["recent"]
-    revisions = [record["replaced"] for record in recent[1:]] + [current.revision]
-    for record, revision in zip(recent, revisions, strict=True):
-        if record["edit"] == edit:
-            return EditApplied(revision)
-    since = tuple(record for record in recent if record["replaced"] >= expected)
-    difference = diff_documents(envelope["document"], document)
-    return EditConflict(
-        current.revision, envelope["document"], since, tuple(difference)
-    )
+        former = stored.head["document"] if stored else ""
+        return ConfigHead(
+            format=CONFIG_FORMAT, document=key, former=former, recent=kept
+        )
+
+    async def _judge(
+        self, stored: _Stored | None, document: CellDocument, expected: int, edit: str
+    ) -> EditApplied | EditConflict:
+        """Return what a store with another revision than ``expected`` means."""
+        if stored is None:
+            return EditConflict(0, document, (), ())
+        recent = stored.head["recent"]
+        revisions = [record["replaced"] for record in recent[1:]] + [stored.revision]
+        for record, revision in zip(recent, revisions, strict=True):
+            if record["edit"] == edit:
+                return EditApplied(revision)
+        since = tuple(record for record in recent if record["replaced"] >= expected)
+        difference = diff_documents(stored.document, document)
+        return EditConflict(stored.revision, stored.document, since, tuple(difference))
--- a/packages/savorylead/savorylead/config/_in_force.py
+++ b/packages/savorylead/savorylead/config/_in_force.py
@@ -7,17 +7,35 @@
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.logger import Logger
+from twisted.python.failure import Failure
+
 from savorylead.clock import Clock
-from savorylead.store import Snapshot, Store, WatchedPrefix, WatchSettings
+from savorylead.store import (
+    KeyValue,
+    RetryPolicy,
+    Snapshot,
+    Store,
+    StoreError,
+    WatchedPrefix,
+    WatchSettings,
+)
 
 from ._document import CellDocument
-from ._envelope import (
+from ._keys import KeyRing
+from ._stored_config import (
     CONFIG_KEY,
     CONFIG_PREFIX,
     ConfigFormatError,
-    decode_envelope,
+    decode_head,
+    read_document,
 )
-from ._keys import KeyRing
+
+_log = Logger()
+
+#: Longest pause after a failed reading of a newer document.
+DOCUMENT_RETRY_CAP = timedelta(milliseconds=300)
 
 
 class InForce(NamedTuple):
@@ -71,7 +89,11 @@
         #: Answers that could not be read, for metrics and alarms.
         self.unreadable = 0
         self._clock = clock
+        self._store = store
         self._settings = settings
+        self._retry = RetryPolicy(clock, rng, cap=DOCUMENT_RETRY_CAP)
+        #: The reading of a newer document, while it lasts.
+        self._fetch: Deferred[None] | None = None
         self._current: InForce | None = None
         self._confirmed_at: datetime | None = None
         #: Highest revision that anybody told of.
@@ -107,6 +129,7 @@
     def stop(self) -> None:
         """Stop following; the configuration stays and grows old."""
         self._watched.stop()
+        self._stop_fetch()
 
     def observe(self, revision: int) -> None:
         """Take note of a revision that a peer's message carries.
@@ -183,16 +206,50 @@
 
     def _take(self, snapshot: Snapshot) -> None:
         for item in snapshot.items:
-            if item.key != CONFIG_KEY or item.revision < self.revision:
+            if item.key != CONFIG_KEY:
                 continue
-            if item.revision > self.revision:
-                try:
-                    document = decode_envelope(item)["document"]
-                except ConfigFormatError:
-                    self.unreadable += 1
-                    return
-                self._put_in_force(document, item.revision)
-            self._confirm(self._watched.confirmed_at)
+            if item.revision == self.revision:
+                self._confirm(self._watched.confirmed_at)
+            elif item.revision > self.revision:
+                self._start_fetch(item, self._watched.confirmed_at)
+
+    def _start_fetch(self, item: KeyValue, sent_at: datetime) -> None:
+        """Read the document of a newer head, in place of an older one's."""
+        self._stop_fetch()
+        fetch = Deferred.fromCoroutine(self._fetch_document(item, sent_at))
+        fetch.addErrback(self._note_failed_fetch)
+        if not fetch.called:
+            self._fetch = fetch
+
+    def _stop_fetch(self) -> None:
+        fetch, self._fetch = self._fetch, None
+        if fetch is not None:
+            fetch.cancel()
+
+    async def _fetch_document(self, item: KeyValue, sent_at: datetime) -> None:
+        head = decode_head(item)
+        pauses = self._retry.begin()
+        while True:
+            try:
+                document = await read_document(self._store, head)
+                break
+            except StoreError:
+                await pauses.wait()
+        self._fetch = None
+        if document is None:
+            # Another change has replaced it; the head tells of that one.
+            self._watched.read_soon()
+        elif item.revision > self.revision:
+            self._put_in_force(document, item.revision)
+            self._confirm(sent_at)
+
+    def _note_failed_fetch(self, failure: Failure) -> None:
+        if failure.check(CancelledError):
+            return
+        if failure.check(ConfigFormatError):
+            self.unreadable += 1
+            return
+        _log.failure("A listener failed", failure)
 
     def _put_in_force(self, document: CellDocument, revision: int) -> None:
         current = InForce(document, revision, KeyRing(document))
--- a/packages/savorylead/savorylead/config/tests/test_editor.py
+++ b/packages/savorylead/savorylead/config/tests/test_editor.py
@@ -23,16 +23,22 @@
 @pytest.mark.parametrize(
     "fate", [CallFate.REPLY_LOST, CallFate.LANDS_LATE, CallFate.LOST, CallFate.REFUSED]
 )
-def test_a_change_survives_a_failing_write(fate):
+@pytest.mark.parametrize("prefix", ["config/", "config-documents/"])
+def test_a_change_survives_a_failing_write(fate, prefix):
     cell = Cell("a")
     revision = cell.applied(2, 0)
     fates = [fate]
     cell.store.faults.fate = lambda call: (
-        fates.pop() if call.method == "swap" and fates else CallFate.ANSWERED
+        fates.pop()
+        if call.method == "swap" and call.target.startswith(prefix) and fates
+        else CallFate.ANSWERED
     )
     cell.applied(3, revision)
     cell.run(5)
+    assert not fates
     assert cell.daemons[0].share() == 3.0
+    cell.applied(4, cell.daemons[0].config.revision)
+    assert len(cell.store.peek("config-documents/")) == 1
 
 
 def test_a_lost_reply_that_another_change_followed_is_still_found():
@@ -41,7 +47,8 @@
     fates = [CallFate.REPLY_LOST]
     cell.store.faults.fate = lambda call: (
         fates.pop()
-        if call.method == "swap" and call.client == "a" and fates
+        if (call.method, call.client, call.target) == ("swap", "a", "config/cell")
+        and fates
         else CallFate.ANSWERED
     )
     results = []
@@ -66,6 +73,7 @@
     conflicts = [r for r in results if isinstance(r, EditConflict)]
     assert len(applied) == len(conflicts) == 1
     assert conflicts[0].revision == applied[0].revision
+    assert len(cell.store.peek("config-documents/")) == 1
     assert [record["paths"] for record in conflicts[0].since] == [
         ["$.teams.dispatch.share"]
     ]
@@ -124,6 +132,7 @@
     cell.store.faults.fate = lambda call: CallFate.ANSWERED
     cell.run(5)
     assert [daemon.share() for daemon in cell.daemons] == [17.0] * 3
+    assert len(cell.store.peek("config/")) == 1
     for daemon in cell.daemons:
         assert daemon.seen == sorted(set(daemon.seen))
 
@@ -159,3 +168,42 @@
     document["queues"] = dict.fromkeys(names, document["queues"]["nightly"])
     result = cell.result(cell.daemons[0].editor.apply(document, 0))
     assert [fault.path for fault in result.faults] == ["$"]
+
+
+def test_what_every_daemon_polls_stays_short():
+    cell = Cell("a")
+    revision = 0
+    document = with_share(1)
+    queue = document["queues"]["nightly"]
+    for number in range(40):
+        queues = {f"queue-{number}-{place}": queue for place in range(200)}
+        document = {**document, "queues": queues}
+        result = cell.result(cell.daemons[0].editor.apply(document, revision))
+        revision = result.revision
+    cell.run(1)
+    assert cell.daemons[0].config.revision == revision
+    polled = sum(map(len, cell.store.peek("config/").values()))
+    assert polled < 3000
+    assert sum(map(len, cell.store.peek("config-documents/").values())) > 10_000
+
+
+def test_a_document_that_was_replaced_while_it_was_read_is_read_anew():
+    cell = Cell("ab")
+    revision = cell.applied(2, 0)
+    cell.run(2)
+    slow = cell.daemons[1]
+    cell.store.faults.fate = lambda call: (
+        CallFate.REFUSED
+        if call.client == "b" and call.target.startswith("config-documents/")
+        else CallFate.ANSWERED
+    )
+    for share in (3, 4):
+        revision = cell.applied(share, revision)
+        cell.run(1)
+    assert slow.share() == 2.0
+    cell.run(3)
+    assert not slow.config.is_fresh()
+    cell.store.faults.fate = lambda call: CallFate.ANSWERED
+    cell.run(1)
+    assert slow.share() == 4.0
+    assert slow.config.is_fresh()
