--- a/packages/savorylead/savorylead/placement/_indexed.py
+++ b/packages/savorylead/savorylead/placement/_indexed.py
@@ -175,19 +175,27 @@
     ) -> list[Decision]:
         """Return the start of the oldest task of the lane that can start."""
         usable = self._usable(team, lane, mask)
-        if not usable:
-            return []
-        if usable.bit_count() <= FEW_SHAPES:
-            oldest = lane.oldest(usable)
-            if oldest is not None:
-                chosen = self._try(oldest, now_ms)
-                if chosen:
-                    return chosen
+        while usable:
+            if usable.bit_count() <= FEW_SHAPES:
+                cls = lane.oldest(usable)
+            else:
+                cls = lane.first(usable)
+            chosen = self._try(cls, now_ms)
+            if chosen:
+                return chosen
+            usable &= self._open_mask(now_ms)
+            if usable & cls.shape.bit:
+                return self._first_of_all(lane, usable, now_ms)
+        return []
+
+    def _first_of_all(self, lane: Lane, usable: int, now_ms: int) -> list[Decision]:
+        """Try one class after the other, as some fail though their shapes may fit."""
         for _, _, bit, cls in lane.entries:
             if bit & usable:
                 chosen = self._try(cls, now_ms)
                 if chosen:
                     return chosen
+                usable &= self._open_mask(now_ms)
         return []
 
     def _try(self, cls: TaskClass, now_ms: int) -> list[Decision]:
--- a/packages/savorylead/savorylead/placement/_indexed_teams.py
+++ b/packages/savorylead/savorylead/placement/_indexed_teams.py
@@ -49,6 +49,10 @@
         self.is_batch = task.spec.kind is TaskKind.BATCH
         self.is_service = task.spec.kind is TaskKind.SERVICE
 
+    def place(self) -> tuple[int, int]:
+        """Return queue time and number of the oldest task."""
+        return self.queue[0][:2]
+
     def position(self, queued_at_ms: int, number: int) -> int:
         """Return where in the queue an entry is."""
         if self.queue[0][1] == number:
@@ -87,16 +91,21 @@
             del self._by_bit[bit]
             self.mask &= ~bit
 
-    def oldest(self, mask: int) -> TaskClass | None:
-        """Return the class with the oldest task among the shapes of ``mask``."""
-        found: TaskClass | None = None
-        while mask > 0:
+    def first(self, mask: int) -> TaskClass:
+        """Return the class with the oldest task among the shapes of ``mask``.
+
+        Goes by age; good if many shapes are in the mask. At least one must wait here.
+        """
+        return next(cls for _, _, bit, cls in self.entries if bit & mask)
+
+    def oldest(self, mask: int) -> TaskClass:
+        """Return what ``first`` does; good if few shapes are in the mask."""
+        classes: list[TaskClass] = []
+        while mask:
             bit = mask & -mask
             mask ^= bit
-            for cls in self._by_bit.get(bit, ()):
-                if found is None or cls.queue[0] < found.queue[0]:
-                    found = cls
-        return found
+            classes += self._by_bit[bit]
+        return min(classes, key=TaskClass.place)
 
     def push(self, cls: TaskClass, entry: QueueEntry) -> None:
         """Add a task to its class."""
