Divide the shard lead into intake, answers and limits

What the parts of a lead share is now one named tuple; taking tasks, answering, and keeping limits are modules of their own. A cancellation of a task that is offered to another shard now waits for the offer's answer, where it was dropped before.

--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_answer_desk.py
@@ -0,0 +1,63 @@
+"""Answers questions about a shard's tasks, and waits for answers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from datetime import datetime, timedelta
+
+from twisted.internet.defer import CancelledError
+
+from savorylead.clock import Clock
+from savorylead.contracts import TaskId
+from savorylead_daemon.services import TaskView
+
+from ._ledger import ShardLedger
+from ._views import job_is_answerable, view_job
+
+
+class AnswerDesk:
+    """Shows outcomes only once they are durable."""
+
+    def __init__(
+        self,
+        shard: str,
+        ledger: ShardLedger,
+        members: Callable[[TaskId], list[TaskId]],
+        clock: Clock,
+    ) -> None:
+        """Take ``members``, which returns the ids of a job's members."""
+        self._shard = shard
+        self._ledger = ledger
+        self._members = members
+        self._clock = clock
+
+    async def answers(self, tasks: Sequence[TaskId], wait: timedelta) -> list[TaskView]:
+        """Return views, waiting until one of the tasks has something final."""
+        until = self._clock.now() + wait
+        while not any(job_is_answerable(self._ledger, task) for task in tasks):
+            if not await self._wait_for_any(tasks, until):
+                break
+        return self.views(tasks)
+
+    def views(self, tasks: Sequence[TaskId]) -> list[TaskView]:
+        """Return views of tasks as they are now."""
+        return [view_job(self._ledger, self._shard, task) for task in tasks]
+
+    async def _wait_for_any(self, tasks: Sequence[TaskId], until: datetime) -> bool:
+        """Wait for news of one of the tasks; False once the time is up."""
+        left = until - self._clock.now()
+        if left <= timedelta(0):
+            return False
+        names = [member for task in tasks for member in self._members(task.job())]
+        waiter = self._ledger.any_answer(names)
+        timer = self._clock.call_later(left, waiter.cancel)
+        try:
+            await waiter
+        except CancelledError:
+            if self._clock.now() < until:
+                raise
+            return False
+        finally:
+            timer.cancel()
+            self._ledger.forget_waiter(names, waiter)
+        return True
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_dispatcher.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_dispatcher.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 
-from savorylead.clock import Clock, to_millis
+from savorylead.clock import to_millis
 from savorylead.contracts import TaskId, TaskSpec
 from savorylead.journal import (
     CancelAsked,
@@ -21,21 +21,14 @@
     Overflow,
     PendingTask,
     Place,
-    Planner,
     Preempt,
     Reject,
 )
 from savorylead.resources import Resources
 from savorylead.workers import StartOrder
 
-from ._fleet import ShardFleet
-from ._ledger import ShardLedger
-from ._observer import LeadObserver
-from ._offers import OfferSender
-from ._pending_queue import PendingQueue
-from ._placement_index import PlacementIndex
-from ._run_care import RunCare
-from ._waiting_room import WaitingRoom, not_run
+from ._shared import SharedParts
+from ._waiting_room import not_run
 
 
 class TaskDispatcher:
@@ -45,31 +38,18 @@
     durable.
     """
 
-    def __init__(
-        self,
-        ledger: ShardLedger,
-        planner: Planner,
-        fleet: ShardFleet,
-        index: PlacementIndex,
-        queue: PendingQueue,
-        room: WaitingRoom,
-        care: RunCare,
-        offers: OfferSender,
-        clock: Clock,
-        observer: LeadObserver,
-        plan_soon: Callable[[], None],
-    ) -> None:
-        self._ledger = ledger
-        self._planner = planner
-        self._fleet = fleet
-        self._index = index
-        self._queue = queue
-        self._room = room
-        self._care = care
-        self._offers = offers
-        self._clock = clock
-        self._observer = observer
-        self._plan_soon = plan_soon
+    def __init__(self, shared: SharedParts) -> None:
+        self._ledger = shared.ledger
+        self._planner = shared.planner
+        self._fleet = shared.fleet
+        self._index = shared.index
+        self._queue = shared.queue
+        self._room = shared.room
+        self._care = shared.care
+        self._offers = shared.offers
+        self._clock = shared.clock
+        self._observer = shared.observer
+        self._plan_soon = shared.plan_soon
 
     def restore(self) -> None:
         """Hand the replayed records to the planner and ask their workers."""
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_limit_keeper.py
@@ -0,0 +1,77 @@
+"""Keeps a shard's teams within their escrowed grants."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from twisted.internet.defer import Deferred
+
+from savorylead.contracts import GrantHolder, TeamLimits
+from savorylead.placement import Planner
+from savorylead.resources import Resources
+
+from ._dispatcher import TaskDispatcher
+from ._parts import CellPolicy
+
+
+class LimitKeeper(GrantHolder):
+    """Carries demand to the escrow, and grants to the planner."""
+
+    def __init__(
+        self,
+        open_limits: Callable[[GrantHolder], TeamLimits],
+        planner: Planner,
+        dispatcher: TaskDispatcher,
+        plan_soon: Callable[[], None],
+    ) -> None:
+        self._planner = planner
+        self._dispatcher = dispatcher
+        self._plan_soon = plan_soon
+        self._teams: tuple[str, ...] = ()
+        self._step_runs = False
+        self._limits = open_limits(self)
+
+    def apply_policy(self, policy: CellPolicy) -> None:
+        """Use the limits of a configuration."""
+        self._teams = tuple(sorted(policy.shares))
+        self._limits.set_limits(policy.revision, policy.limits)
+        for team in self._teams:
+            self._planner.set_grant(team, self._limits.grant(team))
+
+    def granted(self, team: str) -> Resources:
+        """Return what the team may hold in this shard now."""
+        return self._limits.grant(team)
+
+    def tell_demand(self, teams: set[str]) -> None:
+        """Tell what the waiting tasks of teams ask for in all."""
+        for team in sorted(teams):
+            self._limits.set_demand(team, self._planner.wanted_by_team(team))
+
+    def step(self) -> None:
+        """Tell demand, give back what a lowered limit asks for, and do what is due."""
+        self.tell_demand(set(self._teams))
+        for team in self._teams:
+            excess = self._limits.excess(team)
+            if any(excess):
+                self._dispatcher.checkpoint_excess(team, excess)
+        if not self._step_runs:
+            self._step_runs = True
+            step = Deferred.fromCoroutine(self._limits.step())
+            step.addBoth(self._after_step)
+
+    def close(self) -> None:
+        """Write nothing any more."""
+        self._limits.close()
+
+    def held(self, team: str) -> Resources:
+        """Return what the team holds in the shard."""
+        return self._planner.held_by_team(team)
+
+    def grant_changed(self, team: str, grant: Resources) -> None:
+        """Use another grant from now on."""
+        self._planner.set_grant(team, grant)
+        self._plan_soon()
+
+    def _after_step(self, result: object) -> object:
+        self._step_runs = False
+        return result
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_offers.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_offers.py
@@ -72,6 +72,8 @@
         self._router = router
         self._clock = clock
         self._closed = False
+        #: Who waits for the answer to a job's offer.
+        self._waiters: dict[TaskId, list[Deferred[None]]] = {}
 
     def close(self) -> None:
         """Send nothing any more."""
@@ -99,8 +101,25 @@
 
     def send(self, job: TaskId, target: str) -> Deferred[list[TaskId]]:
         """Carry one offer through; fires with the tasks that came back."""
+        self._waiters.setdefault(job, [])
         result = Deferred.fromCoroutine(self._carry(job, target))
         result.addErrback(_ignore_deposed)
+        result.addBoth(self._wake, job)
+        return result
+
+    def answered(self, job: TaskId) -> Deferred[None]:
+        """Fire once no offer of the job is under way."""
+        waiter: Deferred[None] = Deferred()
+        if job in self._waiters:
+            self._waiters[job].append(waiter)
+        else:
+            waiter.callback(None)
+        return waiter
+
+    def _wake(self, result: list[TaskId], job: TaskId) -> list[TaskId]:
+        for waiter in self._waiters.pop(job, ()):
+            if not waiter.called:
+                waiter.callback(None)
         return result
 
     async def _carry(self, job: TaskId, target: str) -> list[TaskId]:
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_run_follower.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_run_follower.py
@@ -2,22 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from datetime import timedelta
 
-from savorylead.clock import Clock, to_millis
+from savorylead.clock import to_millis
 from savorylead.contracts import TaskId, TaskSpec
 from savorylead.journal import Ended, Phase, Requeued, RequeueReason, TaskRecord
 from savorylead.outcomes import Cancelled, Failed, Outcome
-from savorylead.placement import Planner
 from savorylead.workers import Inventory, OverrunAction, RunReport, RunState
 
 from ._dispatcher import TaskDispatcher, is_placed_at, members_of, order_of
-from ._fleet import ShardFleet
-from ._ledger import ShardLedger
-from ._observer import LeadObserver
-from ._pending_queue import PendingQueue
-from ._placement_index import PlacementIndex
 from ._reconciler import (
     DiscardAnswer,
     EndWith,
@@ -28,7 +22,7 @@
     judge_lost_worker,
     judge_report,
 )
-from ._run_care import RunCare
+from ._shared import SharedParts
 from ._worker_session import Attempt, WorkerSession
 
 #: A run that is overdue is asked about again after this part of its delay.
@@ -38,29 +32,17 @@
 class RunFollower:
     """Turns what workers report, or do not, into events."""
 
-    def __init__(
-        self,
-        ledger: ShardLedger,
-        planner: Planner,
-        fleet: ShardFleet,
-        index: PlacementIndex,
-        queue: PendingQueue,
-        care: RunCare,
-        dispatcher: TaskDispatcher,
-        clock: Clock,
-        observer: LeadObserver,
-        plan_soon: Callable[[], None],
-    ) -> None:
-        self._ledger = ledger
-        self._planner = planner
-        self._fleet = fleet
-        self._index = index
-        self._queue = queue
-        self._care = care
+    def __init__(self, shared: SharedParts, dispatcher: TaskDispatcher) -> None:
+        self._ledger = shared.ledger
+        self._planner = shared.planner
+        self._fleet = shared.fleet
+        self._index = shared.index
+        self._queue = shared.queue
+        self._care = shared.care
         self._dispatcher = dispatcher
-        self._clock = clock
-        self._observer = observer
-        self._plan_soon = plan_soon
+        self._clock = shared.clock
+        self._observer = shared.observer
+        self._plan_soon = shared.plan_soon
 
     def on_inventory(self, session: WorkerSession, inventory: Inventory) -> None:
         """Compare what a worker runs with what was placed there."""
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_task_intake.py
@@ -0,0 +1,159 @@
+"""Takes, refuses and cancels tasks of a shard."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from savorylead.clock import to_millis
+from savorylead.contracts import TaskId, TaskSpec
+from savorylead.journal import Accepted, Event, Phase, Tombstoned
+from savorylead.outcomes import NotRun, Refusal, Unknown
+from savorylead.placement import Decision, Overflow, PendingTask
+from savorylead.resources import ZERO
+from savorylead_daemon.services import Admitted, SubmitReply
+
+from ._dispatcher import TaskDispatcher, members_of
+from ._offers import OfferedJob
+from ._parts import CellPolicy
+from ._shared import SharedParts
+
+
+class TaskIntake:
+    """Every reply is given only after what it says is durable."""
+
+    def __init__(
+        self,
+        shared: SharedParts,
+        dispatcher: TaskDispatcher,
+        policy: Callable[[], CellPolicy],
+        tell_demand: Callable[[set[str]], None],
+    ) -> None:
+        """Take ``tell_demand``, which is told the teams whose queues grew."""
+        self._shared = shared
+        self._ledger = shared.ledger
+        self._dispatcher = dispatcher
+        self._policy = policy
+        self._tell_demand = tell_demand
+
+    async def submit(self, specs: Sequence[TaskSpec]) -> list[SubmitReply]:
+        """Accept new tasks and answer repeats; one reply per spec."""
+        now_ms = self._now_ms()
+        fresh: list[PendingTask] = []
+        events: list[Event] = []
+        for spec in specs:
+            # A tombstone stands for all members of an all-at-once job.
+            if spec.id.job() in self._ledger.state.records:
+                continue
+            refusal = self._refusal_of(spec)
+            if refusal is None:
+                events.append(Accepted(spec, now_ms))
+                fresh.append(self._shared.queue.fresh(spec, now_ms))
+            else:
+                self._shared.observer.refused(spec, refusal.reason)
+                events.append(Tombstoned(spec.id, refusal, now_ms))
+        self._accept(events, fresh)
+        return [await self._reply_to(spec) for spec in specs]
+
+    async def take_offer(self, origin: str, job: OfferedJob) -> bool:
+        """Take a job of another shard, or decline it for good."""
+        first = job.specs[0].id
+        if first not in self._ledger.state.records:
+            self._take_or_decline(origin, job)
+        for spec in job.specs:
+            await self._ledger.settled(spec.id)
+        record = self._ledger.state.records.get(first)
+        return record is not None and record.phase is not Phase.TOMBSTONED
+
+    async def cancel(self, tasks: Sequence[TaskId]) -> None:
+        """Cancel tasks; those unknown get a tombstone."""
+        for task in tasks:
+            await self._shared.offers.answered(task.job())
+        records = self._ledger.state.records
+        known = [
+            member
+            for task in tasks
+            if task.job() in records
+            for member in self.members(task.job())
+        ]
+        self._dispatcher.cancel(known)
+        await self.tombstone([t for t in tasks if t.job() not in records])
+        for task in known:
+            await self._ledger.settled(task)
+
+    async def tombstone(self, tasks: Sequence[TaskId]) -> None:
+        """Make sure that tasks are never accepted, unless they already were."""
+        now_ms = self._now_ms()
+        self._dispatcher.commit(
+            [
+                Tombstoned(task.job(), NotRun(Refusal.TOMBSTONE), now_ms)
+                for task in tasks
+                if task.job() not in self._ledger.state.records
+            ]
+        )
+        for task in tasks:
+            await self._ledger.settled(task.job())
+
+    def members(self, job: TaskId) -> list[TaskId]:
+        """Return the ids of a job's members; the job itself if it is not known."""
+        record = self._ledger.state.records.get(job)
+        if record is None or record.spec is None:
+            return [job]
+        return members_of(record.spec)
+
+    def _refusal_of(self, spec: TaskSpec) -> NotRun | None:
+        if not self._shared.fleet.possible_in_cell(spec):
+            return NotRun(Refusal.IMPOSSIBLE, "no worker of the cell could hold it")
+        limit = self._policy().limits.get(spec.id.team, ZERO)
+        if not spec.resources.times(spec.members).fits(limit):
+            return NotRun(Refusal.OVER_LIMIT, "the team's upper limit is lower")
+        return self._shared.room.admit(spec, self._now_ms())
+
+    def _take_or_decline(self, origin: str, job: OfferedJob) -> None:
+        fits = self._shared.planner.ever_fits
+        if not all(fits(spec) for spec in job.specs):
+            now_ms = self._now_ms()
+            declined = NotRun(Refusal.IMPOSSIBLE, "no worker of the shard fits")
+            self._dispatcher.commit(
+                [Tombstoned(spec.id, declined, now_ms) for spec in job.specs]
+            )
+            return
+        self._shared.room.readmit(job.specs[0], self._now_ms())
+        fresh = self._shared.queue.fresh
+        self._accept(
+            [Accepted(spec, job.accepted_at_ms, origin) for spec in job.specs],
+            [fresh(spec, job.accepted_at_ms) for spec in job.specs],
+        )
+
+    def _accept(self, events: list[Event], fresh: Sequence[PendingTask]) -> None:
+        """Accept and place in one entry, so that an urgent task costs one write."""
+        if not events:
+            return
+        self._ledger.stage(events)
+        planner = self._shared.planner
+        here = [task for task in fresh if planner.ever_fits(task.spec)]
+        elsewhere = [task for task in fresh if not planner.ever_fits(task.spec)]
+        decisions: list[Decision] = planner.place_now(here, self._now_ms())
+        decisions += [Overflow(task.spec.id) for task in elsewhere]
+        self._dispatcher.commit(self._dispatcher.decide(decisions))
+        self._tell_demand({task.spec.id.team for task in fresh})
+
+    async def _reply_to(self, spec: TaskSpec) -> SubmitReply:
+        await self._ledger.settled(spec.id)
+        record = self._ledger.state.records.get(spec.id)
+        if record is None:
+            return Unknown("the record is over its retention time")
+        if isinstance(record.outcome, NotRun):
+            return record.outcome
+        if not _same_request(record.spec, spec):
+            return NotRun(Refusal.ID_REUSED, "an equal id came with other fields")
+        return Admitted(spec.id)
+
+    def _now_ms(self) -> int:
+        return to_millis(self._shared.clock.now())
+
+
+def _same_request(known: TaskSpec | None, repeated: TaskSpec) -> bool:
+    """Return whether a repeat asks for the same; its deadline is relative."""
+    if known is None:
+        return False
+    return known._replace(start_by_ms=0) == repeated._replace(start_by_ms=0)
