--- a/packages/savorylead-daemon/savorylead_daemon/lead/_limit_keeper.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_limit_keeper.py
@@ -6,7 +6,7 @@
 
 from twisted.internet.defer import Deferred
 
-from savorylead.contracts import GrantHolder, TeamLimits
+from savorylead.contracts import UNLIMITED_RESOURCES, GrantHolder, TeamLimits
 from savorylead.placement import Planner
 from savorylead.resources import Resources
 
@@ -22,11 +22,16 @@
         open_limits: Callable[[GrantHolder], TeamLimits],
         planner: Planner,
         dispatcher: TaskDispatcher,
+        free: Callable[[], Resources],
         plan_soon: Callable[[], None],
     ) -> None:
+        """Take ``free``, which tells what the shard's workers could still take."""
         self._planner = planner
         self._dispatcher = dispatcher
+        self._free = free
         self._plan_soon = plan_soon
+        #: What the workers could still take at the last step.
+        self._room = UNLIMITED_RESOURCES
         self._teams: tuple[str, ...] = ()
         self._step_runs = False
         self._limits = open_limits(self)
@@ -49,6 +54,7 @@
 
     def step(self) -> None:
         """Tell demand, give back what a lowered limit asks for, and do what is due."""
+        self._room = self._free()
         self.tell_demand(set(self._teams))
         for team in self._teams:
             excess = self._limits.excess(team)
@@ -67,6 +73,10 @@
         """Return what the team holds in the shard."""
         return self._planner.held_by_team(team)
 
+    def room(self) -> Resources:
+        """Return what the shard's workers could take beyond what they hold."""
+        return self._room
+
     def grant_changed(self, team: str, grant: Resources) -> None:
         """Use another grant from now on."""
         self._planner.set_grant(team, grant)
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_shard_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_shard_lead.py
@@ -15,8 +15,15 @@
     TaskRecord,
 )
 from savorylead.placement import Planner
-from savorylead.resources import Resources
-from savorylead.workers import Inventory, RunReport, VmEntry, Worker, WorkerError
+from savorylead.resources import ZERO, Resources
+from savorylead.workers import (
+    Inventory,
+    RunReport,
+    VmEntry,
+    Worker,
+    WorkerError,
+    WorkerState,
+)
 from savorylead_daemon.services import SubmitReply, TaskView
 
 from ._answer_desk import AnswerDesk
@@ -73,7 +80,11 @@
         self._dispatcher = TaskDispatcher(self._shared)
         self._runs = RunFollower(self._shared, self._dispatcher)
         self._limits = LimitKeeper(
-            self._open_limits, parts.planner, self._dispatcher, self._plan_soon.trigger
+            self._open_limits,
+            parts.planner,
+            self._dispatcher,
+            self._free,
+            self._plan_soon.trigger,
         )
         self._intake = TaskIntake(
             self._shared,
@@ -295,6 +306,16 @@
             return self._began_at
         return self._began_at + self._parts.times.epoch_grace
 
+    def _free(self) -> Resources:
+        """Return what the workers that take work could still hold."""
+        free = ZERO
+        for session in self._shared.fleet:
+            name = session.worker.name
+            if self._shared.fleet.state(name) is WorkerState.READY:
+                held = self._shared.index.held_on(name)
+                free = free.plus(session.worker.capacity.minus(held))
+        return free
+
     def _open_limits(self, holder: GrantHolder) -> TeamLimits:
         return self._parts.open_limits(self.shard.name, self.epoch, holder)
 
