--- a/packages/savorylead-daemon/savorylead_daemon/http/tests/test_http_transport.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/tests/test_http_transport.py
@@ -33,6 +33,9 @@
     def connectionMade(self):  # noqa: N802 - the name is Twisted's.
         self.factory.conns.append(self)
 
+    def connectionLost(self, reason):  # noqa: N802
+        self.factory.lost += 1
+
     def dataReceived(self, data):  # noqa: N802
         self.factory.received.append(data)
         reply = self.factory.replies.pop(0) if self.factory.replies else None
@@ -49,6 +52,7 @@
     def __init__(self, *replies):
         self.factory = Factory.forProtocol(_ScriptedServer)
         self.factory.conns = []
+        self.factory.lost = 0
         self.factory.received = []
         self.factory.replies = list(replies)
         self.port = reactor.listenTCP(0, self.factory, interface="127.0.0.1")
@@ -123,6 +127,9 @@
         pytest.param(b"HTTP/1.1 200 OK\r\n\r\nall of it?!", id="length not stated"),
         pytest.param(b"no HTTP at all\r\n\r\n", id="garbage"),
         pytest.param(_reply(b"x" * 101), id="length over the limit"),
+        pytest.param(
+            _reply(b"x" * 101)[:-101], id="length over the limit, body not sent"
+        ),
         pytest.param(
             b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
             b"65\r\n" + b"x" * 101 + b"\r\n0\r\n\r\n",
@@ -150,6 +157,8 @@
         with pytest.raises(DeadlineExceededError):
             await server.call(conn, limit=_HASTY)
         assert conn.is_closed()
+        while not server.factory.lost:
+            await server.clock.sleep(timedelta(milliseconds=5))
 
     _run(test, reply)
 
