--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_command_sender.py
@@ -0,0 +1,247 @@
+"""Sends one worker its commands, each until it is answered."""
+
+from __future__ import annotations
+
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from savorylead.clock import Clock, Timer
+from savorylead.resources import Resources
+from savorylead.workers import (
+    Declined,
+    RunReport,
+    StaleEpoch,
+    StartAccepted,
+    StartOrder,
+    StartRefused,
+    Worker,
+    WorkerContract,
+    WorkerError,
+    WrongIncarnation,
+)
+
+from ._session_listener import Attempt
+
+
+class CommandListener(ABC):
+    """Hears what became of commands; the session implements it."""
+
+    @abstractmethod
+    def send_to(self) -> str:
+        """Return the incarnation to command now, or an empty text for none."""
+
+    @abstractmethod
+    def on_start_result(
+        self, attempt: Attempt, result: StartAccepted | StartRefused
+    ) -> None:
+        """The worker answered a start order."""
+
+    @abstractmethod
+    def on_ends(self, reports: Sequence[RunReport]) -> None:
+        """The worker answered a stop or a checkpoint."""
+
+    @abstractmethod
+    def on_declined(self, reply: Declined) -> None:
+        """The worker did nothing, for its epoch or its incarnation."""
+
+    @abstractmethod
+    def on_failed(self, exc: WorkerError) -> None:
+        """A command failed and will be sent again."""
+
+
+class CommandSender:
+    """Gathers commands while one call is under way; all of one kind go together.
+
+    Start orders go first, so that a stop never overtakes its start.
+    """
+
+    def __init__(
+        self,
+        worker: Worker,
+        epoch: int,
+        contract: WorkerContract,
+        clock: Clock,
+        rng: random.Random,
+        retry_delay: timedelta,
+        listener: CommandListener,
+    ) -> None:
+        self._worker = worker
+        self._epoch = epoch
+        self._contract = contract
+        self._clock = clock
+        self._rng = rng
+        self._retry_delay = retry_delay
+        self._listener = listener
+        self._orders: dict[Attempt, StartOrder] = {}
+        self._checkpoints: dict[Attempt, None] = {}
+        self._stops: dict[Attempt, None] = {}
+        self._caps: dict[Attempt, Resources] = {}
+        self._releases: dict[Attempt, None] = {}
+        #: Attempts of which an order may have left.
+        self._sent: set[Attempt] = set()
+        self._sending = False
+        self._closed = False
+        self._retry_timer: Timer | None = None
+
+    def close(self) -> None:
+        """Send nothing more and ignore what is answered."""
+        self._closed = True
+        if self._retry_timer is not None:
+            self._retry_timer.cancel()
+
+    def start(self, order: StartOrder) -> None:
+        """Send a start order."""
+        self._orders[order.task, order.attempt] = order
+        self.kick()
+
+    def checkpoint(self, attempt: Attempt) -> None:
+        """Ask for a checkpoint."""
+        self._checkpoints[attempt] = None
+        self.kick()
+
+    def stop(self, attempt: Attempt) -> None:
+        """Stop an attempt, or keep it from ever starting."""
+        self._stops[attempt] = None
+        self.kick()
+
+    def throttle(self, attempt: Attempt, cap: Resources) -> None:
+        """Cap what a running attempt may use."""
+        self._caps[attempt] = cap
+        self.kick()
+
+    def release(self, attempt: Attempt) -> None:
+        """Let the worker forget the report of an ended attempt."""
+        self._sent.discard(attempt)
+        self._releases[attempt] = None
+        self.kick()
+
+    def withdraw_order(self, attempt: Attempt) -> bool:
+        """Drop a waiting order; True if it surely never left this lead."""
+        order = self._orders.pop(attempt, None)
+        return order is not None and attempt not in self._sent
+
+    def has_waiting_order(self, attempt: Attempt) -> bool:
+        """Return whether the order waits here or is under way."""
+        return attempt in self._orders
+
+    def drop_sent_orders(self) -> None:
+        """Drop orders that may have left; an inventory tells what became of them."""
+        for attempt in self._sent & self._orders.keys():
+            del self._orders[attempt]
+
+    def kick(self) -> None:
+        """Send what waits, unless a call is under way or a retry is due."""
+        if self._sending or self._closed or self._retry_timer is not None:
+            return
+        if self._has_waiting() and self._listener.send_to():
+            self._sending = True
+            sending = Deferred.fromCoroutine(self._send())
+            sending.addErrback(raise_later, self._clock)
+
+    def _has_waiting(self) -> bool:
+        return bool(
+            self._orders
+            or self._checkpoints
+            or self._stops
+            or self._caps
+            or self._releases
+        )
+
+    async def _send(self) -> None:
+        try:
+            while self._has_waiting() and not self._closed:
+                incarnation = self._listener.send_to()
+                if not incarnation:
+                    return
+                await self._send_one_call(incarnation)
+        except WorkerError as exc:
+            if not self._closed:
+                self._listener.on_failed(exc)
+                delay = self._retry_delay * (0.5 + self._rng.random())
+                self._retry_timer = self._clock.call_later(delay, self._retry)
+        finally:
+            self._sending = False
+
+    def _retry(self) -> None:
+        self._retry_timer = None
+        self.kick()
+
+    async def _send_one_call(self, incarnation: str) -> None:
+        if self._orders:
+            await self._send_orders(incarnation)
+        elif self._checkpoints:
+            await self._send_ends(
+                incarnation, self._checkpoints, self._contract.checkpoint
+            )
+        elif self._stops:
+            await self._send_ends(incarnation, self._stops, self._contract.stop)
+        elif self._caps:
+            await self._send_caps(incarnation)
+        else:
+            await self._send_releases(incarnation)
+
+    async def _send_orders(self, incarnation: str) -> None:
+        orders = list(self._orders.values())
+        attempts = [(order.task, order.attempt) for order in orders]
+        self._sent.update(attempts)
+        results = await self._contract.start(
+            self._worker, self._epoch, incarnation, orders
+        )
+        if self._is_void(results):
+            return
+        for attempt, result in zip(attempts, results, strict=True):
+            self._orders.pop(attempt, None)
+            self._listener.on_start_result(attempt, result)
+
+    async def _send_ends(
+        self,
+        incarnation: str,
+        waiting: dict[Attempt, None],
+        command: Callable[..., object],
+    ) -> None:
+        attempts = list(waiting)
+        reports = await command(self._worker, self._epoch, incarnation, attempts)
+        if self._is_void(reports):
+            return
+        for attempt in attempts:
+            waiting.pop(attempt, None)
+        self._listener.on_ends(reports)
+
+    async def _send_caps(self, incarnation: str) -> None:
+        caps = [(*attempt, cap) for attempt, cap in self._caps.items()]
+        reports = await self._contract.throttle(
+            self._worker, self._epoch, incarnation, caps
+        )
+        if self._is_void(reports):
+            return
+        for task, attempt, _ in caps:
+            self._caps.pop((task, attempt), None)
+
+    async def _send_releases(self, incarnation: str) -> None:
+        attempts = list(self._releases)
+        reply = await self._contract.release(
+            self._worker, self._epoch, incarnation, attempts
+        )
+        if self._is_void(reply):
+            return
+        for attempt in attempts:
+            self._releases.pop(attempt, None)
+
+    def _is_void(self, reply: object) -> bool:
+        """Return whether a reply counts for nothing, after telling a refusal."""
+        if self._closed:
+            return True
+        if isinstance(reply, StaleEpoch | WrongIncarnation):
+            self._listener.on_declined(reply)
+            return True
+        return False
+
+
+def raise_later(failure: Failure, clock: Clock) -> None:
+    """Report a programming error through the reactor instead of losing it."""
+    clock.call_later(timedelta(0), failure.raiseException)
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_dispatcher.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_dispatcher.py
@@ -143,7 +143,7 @@
                 return
             session = self._fleet.session(record.worker)
             if record.spec.repeatable and session is not None:
-                session.checkpoint((record.spec.id, record.attempt))
+                session.commands.checkpoint((record.spec.id, record.attempt))
                 left = left.minus(record.held_resources())
 
     def _place_all(self, places: Sequence[Place]) -> list[Event]:
@@ -186,7 +186,7 @@
         record = self._ledger.state.records[decision.task]
         session = self._fleet.session(decision.worker)
         if session is not None:
-            session.checkpoint((decision.task, record.attempt))
+            session.commands.checkpoint((decision.task, record.attempt))
 
     def _overflow(self, tasks: Sequence[TaskId]) -> list[Event]:
         """Return the offers of jobs that another shard may take; others wait on."""
@@ -224,9 +224,9 @@
             # The next inventory finds that the attempt never started.
             self._index.keep_unsent(attempt)
             return
-        session.start(order_of(record))
+        session.commands.start(order_of(record))
         if record.cancel_asked:
-            session.stop(attempt)
+            session.commands.stop(attempt)
 
     def _stop(self, task: TaskId) -> None:
         record = self._ledger.state.records.get(task)
@@ -234,7 +234,7 @@
             return
         session = self._fleet.session(record.worker)
         if session is not None:
-            session.stop((task, record.attempt))
+            session.commands.stop((task, record.attempt))
 
     def _tell_ended(self, task: TaskId, outcome: Outcome) -> None:
         record = self._ledger.state.records.get(task)
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_placement_index.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_placement_index.py
@@ -8,7 +8,7 @@
 from savorylead.journal import ShardState, TaskRecord
 from savorylead.resources import ZERO, Resources
 
-from ._worker_session import Attempt
+from ._session_listener import Attempt
 
 
 class PlacementIndex:
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_run_follower.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_run_follower.py
@@ -22,8 +22,9 @@
     judge_lost_worker,
     judge_report,
 )
+from ._session_listener import Attempt
 from ._shared import SharedParts
-from ._worker_session import Attempt, WorkerSession
+from ._worker_session import WorkerSession
 
 #: A run that is overdue is asked about again after this part of its delay.
 OVERDUE_DIVISOR = 2
@@ -60,9 +61,9 @@
             if self._is_current(session, record, report):
                 self._take_report(session, record, report)
             elif report.state is RunState.RUNNING:
-                session.stop((report.task, report.attempt))
+                session.commands.stop((report.task, report.attempt))
             elif self._ledger.is_settled(report.task):
-                session.release((report.task, report.attempt))
+                session.commands.release((report.task, report.attempt))
 
     def on_started(self, session: WorkerSession, attempt: Attempt) -> None:
         """Take a worker's word that an attempt runs."""
@@ -92,7 +93,7 @@
         """Move repeatable tasks away from a worker that is leaving."""
         for record in self._index.records_on(session.worker.name):
             if record.spec.repeatable:
-                session.checkpoint((record.spec.id, record.attempt))
+                session.commands.checkpoint((record.spec.id, record.attempt))
 
     def _judge_absent(
         self,
@@ -102,14 +103,16 @@
         incarnation: str,
     ) -> None:
         is_same = incarnation == record.incarnation
-        if is_same and session.has_waiting_order(attempt):
+        if is_same and session.commands.has_waiting_order(attempt):
             return
         unsent = not is_same and self._withdraw(session, attempt)
         self._follow(session, record, judge_absence(record, incarnation, unsent))
 
     def _withdraw(self, session: WorkerSession, attempt: Attempt) -> bool:
         """Return whether it is proved that no order of the attempt ever left."""
-        return self._index.is_unsent(attempt) or session.withdraw_order(attempt)
+        return self._index.is_unsent(attempt) or session.commands.withdraw_order(
+            attempt
+        )
 
     def _is_current(
         self, session: WorkerSession, record: TaskRecord | None, report: RunReport
@@ -138,11 +141,11 @@
         held = record.held_resources()
         action = self._care.observe(session.worker.name, record.spec, held, report)
         if record.cancel_asked or action is OverrunAction.STOP:
-            session.stop(attempt)
+            session.commands.stop(attempt)
         elif action is OverrunAction.CHECKPOINT:
-            session.checkpoint(attempt)
+            session.commands.checkpoint(attempt)
         elif action is OverrunAction.THROTTLE:
-            session.throttle(attempt, held)
+            session.commands.throttle(attempt, held)
         self._expect_end(session, record, report.ran_ms)
 
     def _learn(
@@ -176,7 +179,7 @@
         elif isinstance(verdict, RequeueFor):
             self._requeue(record, verdict.reason)
         elif isinstance(verdict, SendAgain):
-            session.start(order_of(record))
+            session.commands.start(order_of(record))
         elif isinstance(verdict, DiscardAnswer):
             self._observer.answer_discarded(session.worker.name)
 
@@ -213,7 +216,7 @@
     def _release(self, record: TaskRecord) -> None:
         session = self._fleet.session(record.worker)
         if session is not None:
-            session.release((record.spec.id, record.attempt))
+            session.commands.release((record.spec.id, record.attempt))
 
     def _open_siblings(self, spec: TaskSpec) -> list[TaskId]:
         """Return the other members of an all-at-once job that have no answer."""
@@ -229,7 +232,7 @@
             record = self._ledger.state.records[task]
             session = self._fleet.session(record.worker)
             if record.phase is Phase.PLACED and session is not None:
-                session.stop((task, record.attempt))
+                session.commands.stop((task, record.attempt))
 
     def _now_ms(self) -> int:
         return to_millis(self._clock.now())
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_shard_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_shard_lead.py
@@ -38,11 +38,12 @@
 from ._placement_index import PlacementIndex
 from ._run_care import RunCare
 from ._run_follower import RunFollower
+from ._session_listener import Attempt, SessionListener
 from ._shared import SharedParts
 from ._task_intake import TaskIntake
 from ._upkeep import EpochProof, RetentionSweep, Upkeep, VmListFollower
 from ._waiting_room import WaitingRoom
-from ._worker_session import Attempt, SessionListener, WorkerSession
+from ._worker_session import WorkerSession
 
 #: Most decisions of one planning round, so that a round stays short.
 MAX_DECISIONS_PER_ROUND = 500
