Go on reading a new document when the head is read again

Each reading of the head started the document's anew. With hints every 50 ms and a document that takes 0.6 s, a change never came into force; the test shows it without the check.

--- a/packages/savorylead/savorylead/config/_in_force.py
+++ b/packages/savorylead/savorylead/config/_in_force.py
@@ -92,8 +92,9 @@
         self._store = store
         self._settings = settings
         self._retry = RetryPolicy(clock, rng, cap=DOCUMENT_RETRY_CAP)
-        #: The reading of a newer document, while it lasts.
+        #: The reading of a newer document, while it lasts, and its revision.
         self._fetch: Deferred[None] | None = None
+        self._fetched_revision = 0
         self._current: InForce | None = None
         self._confirmed_at: datetime | None = None
         #: Highest revision that anybody told of.
@@ -215,7 +216,10 @@
 
     def _start_fetch(self, item: KeyValue, sent_at: datetime) -> None:
         """Read the document of a newer head, in place of an older one's."""
+        if self._fetch is not None and self._fetched_revision == item.revision:
+            return
         self._stop_fetch()
+        self._fetched_revision = item.revision
         fetch = Deferred.fromCoroutine(self._fetch_document(item, sent_at))
         fetch.addErrback(self._note_failed_fetch)
         if not fetch.called:
--- a/packages/savorylead/savorylead/config/tests/test_in_force.py
+++ b/packages/savorylead/savorylead/config/tests/test_in_force.py
@@ -217,3 +217,26 @@
         cell.run(0.5)
         b.config.confirm_by_peer(cell.clock.now(), a.sight())
     assert not b.config.is_fresh()
+
+
+def test_many_hints_do_not_keep_a_slowly_read_document_from_force():
+    """Each hint has the head read again; that must not start the document anew."""
+    cell = Cell("ab")
+    revision = cell.applied(2, 0)
+    cell.run(2)
+    slow = cell.daemons[1]
+    slow.config.stop()
+    revision = cell.applied(3, revision)
+    faults = cell.store.faults
+
+    def fate(call):
+        is_document = call.target.startswith("config-documents/")
+        faults.latency = timedelta(milliseconds=600 if is_document else 3)
+        return CallFate.ANSWERED
+
+    faults.fate = fate
+    slow.config.start()
+    for _ in range(60):
+        slow.config.observe(revision + 1)
+        cell.run(0.05)
+    assert slow.share() == 3.0
