Choose where to offer a job without looking at every worker

With 650 workers in 7 shards a choice took 118 us, nearly all of it in comparing the task with workers one by one; with the kinds of workers kept for each shard it takes 28 us (a trial on one core).

--- a/packages/savorylead-daemon/savorylead_daemon/cell/_offer_router.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_offer_router.py
@@ -7,7 +7,8 @@
 
 from savorylead.clock import Clock
 from savorylead.contracts import TaskId, TaskSpec
-from savorylead.domains import rendezvous_order
+from savorylead.domains import Shard, rendezvous_order
+from savorylead.resources import Resources
 from savorylead.workers import Worker
 from savorylead_daemon.lead import (
     ABSENT_PHASE,
@@ -31,6 +32,30 @@
 OFFER_DEADLINE = timedelta(seconds=5)
 
 
+class _CapacityIndex:
+    """Which kinds of workers each shard has; made anew only if either changes."""
+
+    def __init__(self, directory: ShardDirectory) -> None:
+        self._directory = directory
+        self._made_from: tuple[object, object] = (None, None)
+        self._kinds: dict[str, frozenset[Resources]] = {}
+
+    def able(self, resources: Resources, workers: Collection[Worker]) -> list[Shard]:
+        """Return the shards with a worker that could hold that much."""
+        shards = self._directory.shards
+        if self._made_from[0] is not workers or self._made_from[1] is not shards:
+            self._made_from = (workers, shards)
+            self._kinds = {
+                shard.name: frozenset(w.capacity for w in workers if shard.holds(w))
+                for shard in shards.values()
+            }
+        return [
+            shard
+            for name, shard in shards.items()
+            if any(resources.fits(capacity) for capacity in self._kinds[name])
+        ]
+
+
 class PeerOfferRouter(OfferRouter):
     """Offers to shards of the same region that could hold the task."""
 
@@ -42,11 +67,13 @@
         workers: Callable[[], Collection[Worker]],
         clock: Clock,
     ) -> None:
+        """Take ``workers``, which returns the same object until the list changes."""
         self._own_shard = own_shard
         self._directory = directory
         self._router = router
         self._workers = workers
         self._clock = clock
+        self._capacities = _CapacityIndex(directory)
 
     def choose_target(self, spec: TaskSpec, declined: Collection[str]) -> str | None:
         """Return the most suitable other shard, or None.
@@ -59,14 +86,10 @@
             return None
         able = [
             shard.name
-            for shard in self._directory.shards.values()
+            for shard in self._capacities.able(spec.resources, self._workers())
             if shard.name != own.name
             and shard.region == own.region
             and shard.name not in declined
-            and any(
-                shard.holds(worker) and spec.resources.fits(worker.capacity)
-                for worker in self._workers()
-            )
         ]
         ordered = rendezvous_order(str(spec.id.job()), able)
         roomy = [name for name in ordered if self._has_room(name, spec)]
--- a/packages/savorylead-daemon/savorylead_daemon/daemon/_daemon.py
+++ b/packages/savorylead-daemon/savorylead_daemon/daemon/_daemon.py
@@ -101,16 +101,21 @@
 
     def __init__(self, inner: VmList) -> None:
         self._inner = inner
-        self._entries: tuple[VmEntry, ...] = ()
+        self._workers: tuple[Worker, ...] = ()
 
-    def workers(self) -> list[Worker]:
-        """Return the workers of the last reading, leaving ones left out."""
-        return [entry.worker for entry in self._entries if not entry.leaving]
+    def workers(self) -> tuple[Worker, ...]:
+        """Return the workers of the last reading, leaving ones left out.
+
+        It is the same object until a reading differs.
+        """
+        return self._workers
 
     async def read(self) -> list[VmEntry]:
         """Return the VMs that are live or leaving; raises VmListError."""
         entries = await self._inner.read()
-        self._entries = tuple(entries)
+        workers = tuple(entry.worker for entry in entries if not entry.leaving)
+        if workers != self._workers:
+            self._workers = workers
         return entries
 
 
