--- a/packages/savorylead-standins/savorylead_standins/loopback.py
+++ b/packages/savorylead-standins/savorylead_standins/loopback.py
@@ -12,13 +12,22 @@
 
 T = TypeVar("T")
 
+#: Keeps a test that would hang from hanging the whole run.
+LIMIT_S = 60.0
 _lock = threading.Lock()
 
 
 def run_on_reactor(work: Callable[[], Coroutine[Any, Any, T]]) -> T:
-    """Run ``work()`` on the reactor's thread and return its result."""
+    """Run ``work()`` on the reactor's thread and return its result.
+
+    Work that takes longer than LIMIT_S is given up with a TimeoutError.
+    """
     _start_reactor()
-    return blockingCallFromThread(reactor, lambda: Deferred.fromCoroutine(work()))
+
+    def begin() -> Deferred[T]:
+        return Deferred.fromCoroutine(work()).addTimeout(LIMIT_S, reactor)
+
+    return blockingCallFromThread(reactor, begin)
 
 
 def _start_reactor() -> None:
--- a/packages/savorylead-standins/savorylead_standins/serving/tests/test_store_over_http.py
+++ b/packages/savorylead-standins/savorylead_standins/serving/tests/test_store_over_http.py
@@ -7,7 +7,7 @@
 import pytest
 from twisted.internet.defer import Deferred
 
-from savorylead.links import LinkCount
+from savorylead.links import LinkCount, LinkRequest
 from savorylead.store import (
     ABSENT,
     KeyValue,
@@ -184,3 +184,29 @@
         assert platform.server.store.peek() == {"a": b"late"}
 
     run_with_platform(test)
+
+
+def test_a_write_takes_effect_although_its_client_has_gone():
+    async def test(platform):
+        platform.server.store.faults.deadline = timedelta(seconds=60)
+        await platform.set_faults(latency_ms=1500)
+        swap = platform.hasty_store.swap("a", b"", ABSENT)
+        assert await error_of(swap) is StoreTimeoutError
+        assert platform.server.store.peek() == {}
+        await platform.until(platform.server.store.peek)
+
+    run_with_platform(test)
+
+
+def test_polls_that_wait_end_when_the_store_goes_down():
+    async def test(platform):
+        link = platform.links.open(platform.ports.store)
+        request = LinkRequest("GET", "/watch?prefix=a/&after=-1&wait_ms=60000")
+        poll = Deferred.fromCoroutine(link.call(request, timedelta(seconds=60)))
+        await platform.until(lambda: platform.server.store.calls["watch"] == 1)
+        await platform.sleep(0.05)
+        await platform.set_faults(down_s=60)
+        assert (await poll).status == 503
+        link.close()
+
+    run_with_platform(test)
--- a/packages/savorylead-standins/savorylead_standins/serving/tests/test_workers_over_http.py
+++ b/packages/savorylead-standins/savorylead_standins/serving/tests/test_workers_over_http.py
@@ -73,7 +73,8 @@
         start = contract.start(hosted.worker, 1, inventory.incarnation, [_ORDER])
         assert await error_of(start) is error
         assert hosted.starts[_TASK] == starts
-        if "late_rate" in faults:
+        if "late_rate" in faults or "latency_ms" in faults:
+            # The order was under way, so it takes effect after all.
             await platform.until(lambda: hosted.starts[_TASK] == 1)
 
     run_with_platform(test)
