--- a/packages/savorylead-daemon/savorylead_daemon/cell/_lead_supervisor.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_lead_supervisor.py
@@ -14,6 +14,7 @@
 from savorylead.journal import DeposedError, JournalError
 from savorylead.store import StoreError
 from savorylead.workers import VmListError
+from savorylead_daemon.concurrency import gather
 from savorylead_daemon.lead import LeadObserver, Periodic, ShardLead
 
 #: Time between checks of who should lead what.
@@ -72,13 +73,12 @@
             Deferred.fromCoroutine(self._check()).addBoth(self._after_check)
 
     async def resign_all(self) -> None:
-        """Take nothing more and hand every shard over; errors of the store are left.
+        """Take nothing more and hand all shards over at once.
 
         A shard whose resignation can't be written is taken over after the lapse.
         """
         self._stop()
-        for lead in list(self._leads.values()):
-            await self._resign(lead)
+        await gather(self._resign(lead) for lead in list(self._leads.values()))
 
     def close(self) -> None:
         """Drop every lead without a word, as a process that dies."""
--- a/packages/savorylead-daemon/savorylead_daemon/gateway/_caller_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/gateway/_caller_gateway.py
@@ -11,6 +11,7 @@
 from savorylead.journal import Phase
 from savorylead.outcomes import NotRun, Refusal, Unknown
 from savorylead_daemon.cell import Doorkeeper, NoLeadError, ShardRouter, TeamKey
+from savorylead_daemon.concurrency import first_of, gather
 from savorylead_daemon.lead import ABSENT_PHASE
 from savorylead_daemon.peers import (
     AnswersMessage,
@@ -35,7 +36,6 @@
     TaskView,
 )
 
-from ._concurrency import first_of, gather
 from ._homes import by_home, home_shard
 from ._specs import SpecBuilder
 
--- a/packages/savorylead-daemon/savorylead_daemon/gateway/_operator_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/gateway/_operator_gateway.py
@@ -10,6 +10,7 @@
 from savorylead.outcomes import Refusal
 from savorylead.resources import ZERO, Resources
 from savorylead_daemon.cell import ConfigDesk, NoLeadError, ShardDirectory, ShardRouter
+from savorylead_daemon.concurrency import gather
 from savorylead_daemon.peers import (
     DigestAnswer,
     DigestMessage,
@@ -35,7 +36,6 @@
 )
 
 from ._caller_gateway import list_all
-from ._concurrency import gather
 
 #: Until the leads must have answered a question of an operator.
 ASK_DEADLINE = timedelta(seconds=5)
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_run_care.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_run_care.py
@@ -109,7 +109,14 @@
 
     def corrected(self, spec: TaskSpec) -> Resources:
         """Return what the task is expected to need."""
-        return self._estimator.estimate(spec, self._largest).resources
+        estimate = self._estimator.estimate(spec, self._largest).resources
+        if estimate == spec.resources:
+            return estimate
+        # Sizes in few steps let the planner treat many tasks alike.
+        return estimate._replace(
+            cores_milli=_rounded_up(estimate.cores_milli, self._largest.cores_milli),
+            memory_mb=_rounded_up(estimate.memory_mb, self._largest.memory_mb),
+        )
 
     def observe(
         self, worker: str, spec: TaskSpec, held: Resources, report: RunReport
@@ -151,3 +158,11 @@
 
     def _now_ms(self) -> int:
         return to_millis(self._clock.now())
+
+
+def _rounded_up(amount: int, most: int) -> int:
+    """Return the next power of two, or one and a half of one, but at most ``most``."""
+    power = 1 << max(amount - 1, 0).bit_length()
+    smaller = power * 3 // 4
+    rounded = smaller if smaller >= amount else power
+    return max(amount, min(rounded, most)) if amount else 0
