Wait in the lead, not in a loop at the gateway

Cause: the wait left for a slice was cut down to whole milliseconds, so the last fraction of a millisecond was asked for as waits of 0 ms. A lead in the same process answers those within the turn, and the gateway asked again without ever yielding. The same happened for the whole wait, up to a minute, when the request was unknown at the lead, since that is answered at once. On a clock that does not run by itself the loop never ended.

Now the wait is rounded up, and an unknown request ends the waiting.

--- a/packages/savorylead-daemon/savorylead_daemon/gateway/_caller_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/gateway/_caller_gateway.py
@@ -184,13 +184,14 @@
             slice_ends = min(until, now + self._times.wait_slice)
             if self._draining:
                 slice_ends = now
-            wait_ms = max(0, int((slice_ends - now) / timedelta(milliseconds=1)))
+            # Rounded up, since waits of 0 ms until then would be a busy loop.
+            wait_ms = max(0, -((now - slice_ends) // timedelta(milliseconds=1)))
             message = AnswersMessage(shard, tuple(tasks), wait_ms)
             deadline = max(slice_ends, now) + self._times.answer
             answer = await self._ask(shard, message, deadline)
             views = list(_expect(answer, ViewsAnswer).views)
             views = await self._follow_moved(shard, views, slice_ends)
-            answered = any(view.outcome is not None for view in views)
+            answered = any(_is_told_at_once(view) for view in views)
             if answered or self._draining or self._clock.now() >= until:
                 return views
 
@@ -285,6 +286,11 @@
     return answer
 
 
+def _is_told_at_once(view: TaskView) -> bool:
+    """Return whether there is no use in waiting for news of the task."""
+    return view.outcome is not None or view.phase == ABSENT_PHASE
+
+
 def _reply_from_view(view: TaskView) -> SubmitReply:
     if view.phase == Phase.TOMBSTONED:
         return NotRun(Refusal.TOMBSTONE, "no lead answered in time")
