--- a/packages/savorylead-daemon/savorylead_daemon/cell/_cell_config.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_cell_config.py
@@ -149,7 +149,7 @@
         except EditUncertainError as exc:
             raise StoreTimeoutError(str(exc)) from exc
         if isinstance(result, EditApplied):
-            self._config.observe(result.revision)
+            self._config.adopt(document, result.revision)
             return ConfigApplied(result.revision)
         if isinstance(result, EditConflict):
             return ConfigConflict(result.revision, result.document)
--- a/packages/savorylead/savorylead/config/_in_force.py
+++ b/packages/savorylead/savorylead/config/_in_force.py
@@ -143,6 +143,15 @@
         if self._known > self.revision:
             self._watched.read_soon()
 
+    def adopt(self, document: CellDocument, revision: int) -> None:
+        """Put a change in force that this daemon has just written itself.
+
+        The store may go down before it can be read back. An older revision than
+        that in force is ignored.
+        """
+        if revision > self.revision:
+            self._put_in_force(document, revision)
+
     def age(self) -> timedelta | None:
         """Return the time since the configuration was confirmed; None before."""
         if self._confirmed_at is None:
