--- a/packages/savorylead-daemon/savorylead_daemon/lead/_placement_index.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_placement_index.py
@@ -16,7 +16,8 @@
 
     def __init__(self, state: ShardState) -> None:
         self._state = state
-        self._placed_on: dict[str, set[TaskId]] = defaultdict(set)
+        #: In the order of placement, so that equal runs go alike.
+        self._placed_on: dict[str, dict[TaskId, None]] = defaultdict(dict)
         #: Attempts whose placement is not durable, so that no order has left.
         self._uncommitted: set[Attempt] = set()
         #: Durable attempts whose order was never handed to the worker's session.
@@ -26,12 +27,12 @@
 
     def restore(self, record: TaskRecord) -> None:
         """Add a placed task of the replayed records."""
-        self._placed_on[record.worker].add(record.spec.id)
+        self._placed_on[record.worker][record.spec.id] = None
 
     def place(self, attempt: Attempt, worker: str) -> None:
         """Add an attempt whose placement is not durable yet."""
         self._uncommitted.add(attempt)
-        self._placed_on[worker].add(attempt[0])
+        self._placed_on[worker][attempt[0]] = None
 
     def commit(self, attempt: Attempt) -> None:
         """Note that the placement is durable; its order may leave from now on."""
@@ -51,7 +52,7 @@
     def remove(self, record: TaskRecord) -> None:
         """Forget the record's attempt."""
         attempt = (record.spec.id, record.attempt)
-        self._placed_on[record.worker].discard(record.spec.id)
+        self._placed_on[record.worker].pop(record.spec.id, None)
         self._uncommitted.discard(attempt)
         self._unsent.discard(attempt)
         self._started.discard(attempt)
--- a/packages/savorylead-standins/savorylead_standins/cell/_documents.py
+++ b/packages/savorylead-standins/savorylead_standins/cell/_documents.py
@@ -22,6 +22,8 @@
 WORKER_CAPACITY = Resources(
     cores_milli=4000, memory_mb=8192, accelerators=0, slots=8, connections=64
 )
+#: What a worker with accelerators has of them.
+ACCELERATORS = 2
 #: The key of an operator of the cell.
 OPERATOR_KEY = "operator.secret"
 #: A key that only the daemons' settings know.
@@ -38,6 +40,8 @@
     teams: tuple[str, ...] = ("dispatch", "planning")
     #: Upper limit of each team, in cores.
     limit_cores: int = 16
+    #: Domains whose workers have accelerators.
+    accelerated: tuple[str, ...] = ()
 
 
 def key_of(team: str) -> str:
@@ -57,7 +61,7 @@
             name=f"{domain}-w{number}",
             domain=domain,
             rack=f"{domain}-r{number % 2}",
-            capacity=WORKER_CAPACITY,
+            capacity=_capacity(shape, domain),
             endpoint=f"{domain}-w{number}",
         )
         for domain in domain_names(shape)
@@ -65,6 +69,12 @@
     ]
 
 
+def _capacity(shape: CellShape, domain: str) -> Resources:
+    if domain in shape.accelerated:
+        return WORKER_CAPACITY._replace(accelerators=ACCELERATORS)
+    return WORKER_CAPACITY
+
+
 def document_of(shape: CellShape) -> CellDocument:
     """Return the cell's first configuration."""
     return CellDocument(
--- a/packages/savorylead-standins/savorylead_standins/cell/_links.py
+++ b/packages/savorylead-standins/savorylead_standins/cell/_links.py
@@ -188,7 +188,7 @@
 
         call = NetworkCall(self._process.name, member.name, tag)
         try:
-            return await self._process.receive(self._network.call(call, apply))
+            return await self._process.receive(self._network.call(call, apply, wait))
         except CallLostError as exc:
             raise PeerError(str(exc)) from exc
 
--- a/packages/savorylead-standins/savorylead_standins/cell/_process.py
+++ b/packages/savorylead-standins/savorylead_standins/cell/_process.py
@@ -104,6 +104,9 @@
     async def receive(self, reply: Awaitable[T]) -> T:
         """Return or raise what a call brings, once the process runs."""
         try:
-            return await reply
-        finally:
+            result = await reply
+        except Exception:
             await self.gate()
+            raise
+        await self.gate()
+        return result
--- a/packages/savorylead-standins/savorylead_standins/checkers/_history.py
+++ b/packages/savorylead-standins/savorylead_standins/checkers/_history.py
@@ -58,6 +58,9 @@
     process: str
     at_ms: int
     revision: int
+    #: Whether the daemon takes keyed work under it. One that can't confirm its
+    #: configuration refuses that work, so an old one has no force there.
+    confirmed: bool = True
 
 
 class Departure(NamedTuple):
@@ -79,7 +82,7 @@
     answers: list[Answer] = field(default_factory=list)
     withdrawals: list[KeyWithdrawal] = field(default_factory=list)
     limits: list[LimitChange] = field(default_factory=list)
-    #: Revisions and when the store accepted them.
+    #: Revisions and when an operator was told that they are accepted.
     revisions_accepted: dict[int, int] = field(default_factory=dict)
     samples: list[RevisionSample] = field(default_factory=list)
     departures: list[Departure] = field(default_factory=list)
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/faults/_entrance.py
@@ -0,0 +1,79 @@
+"""How callers and operators reach some daemon, as behind a balancer."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import TypeVar
+
+from twisted.internet.defer import Deferred
+
+from savorylead_daemon.daemon import Daemon
+from savorylead_standins.cell import CallLostError, NetworkCall, RunningDaemon
+
+from ._faulty_cell import CallerSight, FaultyCell
+
+T = TypeVar("T")
+
+#: How long a daemon may hold a reply back; after that and the network's deadline
+#: a caller turns to another daemon.
+CALL_HOLD = timedelta(seconds=9)
+#: The name of all callers as ends of the network.
+CALLER = "caller"
+
+
+class Entrance:
+    """Makes each call at some daemon that the balancer holds to be ready."""
+
+    def __init__(self, cell: FaultyCell, rng: random.Random) -> None:
+        self._cell = cell
+        self._rng = rng
+        #: Name of the daemon that was called last.
+        self.last_daemon = ""
+
+    async def call(
+        self,
+        method: str,
+        ask: Callable[[Daemon], Awaitable[T]],
+        event: str = "",
+    ) -> T | None:
+        """Return a daemon's reply, or None if none came; raises what it raises.
+
+        ``event`` is told to the cell's watchers once the daemon has the call.
+        """
+        ready = self._cell.ready_daemons()
+        if not ready:
+            return None
+        running = self._rng.choice(ready)
+        name = running.process.name
+        self.last_daemon = name
+
+        async def apply() -> T:
+            return await self._ask(running, method, ask, event)
+
+        call = NetworkCall(CALLER, name, method)
+        try:
+            return await self._cell.network.call(call, apply, CALL_HOLD)
+        except CallLostError:
+            return None
+
+    async def _ask(
+        self,
+        running: RunningDaemon,
+        method: str,
+        ask: Callable[[Daemon], Awaitable[T]],
+        event: str,
+    ) -> T:
+        process = running.process
+        if process.dead:
+            raise CallLostError("no such daemon")
+        await process.gate()
+        running.open_calls.append(method)
+        try:
+            reply = Deferred.fromCoroutine(ask(running.daemon))
+            if event:
+                self._cell.see(CallerSight(event, process.name))
+            return await process.receive(reply)
+        finally:
+            running.open_calls.remove(method)
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/faults/_matrix.py
@@ -0,0 +1,165 @@
+"""Runs one cell of the matrix: a fault at a step, then every checker."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+from typing import NamedTuple
+
+from savorylead.outcomes import Outcome
+from savorylead_standins.cell import CellVariant
+from savorylead_standins.checkers import Violation, check_all
+
+from ._faults import FAULTS, Fault
+from ._faulty_cell import FaultyCell, Sight, Spot
+from ._scenario import SERVICES_END_S, SHAPE, Scenario
+from ._steps import STEPS, Step
+
+#: Time from the start of the daemons to the first work, in seconds.
+WARM_UP_S = 8
+#: Within this time after the last fault and the last work, everything that was
+#: accepted has its final answer: twice the surely lapsed lease of a worker.
+SETTLE_BOUND_S = 90
+#: Urgent work starts within this time after a lead was killed.
+URGENT_BOUND_MS = 7_500
+#: Time between two looks at whether a run has settled.
+LOOK_S = 5
+#: How long the cell is watched after it settled.
+QUIET_S = 2
+
+
+class FaultAt(NamedTuple):
+    """A fault and the step at which it begins."""
+
+    fault: type[Fault]
+    step: Step
+
+    def label(self) -> str:
+        """Return the names of both."""
+        return f"{self.fault.name} at {self.step.name}"
+
+
+class CellReport(NamedTuple):
+    """What came of one run."""
+
+    seed: int
+    faults: tuple[FaultAt, ...]
+    violations: tuple[Violation, ...]
+    #: Steps of the run that were never reached.
+    missed: tuple[str, ...]
+    #: Final answers that callers were told.
+    answers: int
+
+    def ok(self) -> bool:
+        """Return whether nothing was found."""
+        return not self.violations and not self.missed
+
+
+class _Trigger:
+    """Begins a fault when its step is first reached, and ends it."""
+
+    def __init__(self, cell: FaultyCell, placed: FaultAt) -> None:
+        self._cell = cell
+        self._fault = placed.fault()
+        self._step = placed.step
+        self.reached = False
+        self.over = False
+        cell.watchers.append(self._watch)
+
+    def step_name(self) -> str:
+        """Return the name of the step."""
+        return self._step.name
+
+    def _watch(self, sight: Sight) -> None:
+        spot = self._step.spot(sight)
+        if spot is not None and not self.reached:
+            self._begin(spot)
+
+    def _begin(self, spot: Spot) -> None:
+        self.reached = True
+        self._cell.watchers.remove(self._watch)
+        self._fault.begin(self._cell, spot)
+        delay = timedelta(seconds=self._fault.duration_s)
+        self._cell.clock.call_later(delay, self._end)
+
+    def _end(self) -> None:
+        self._fault.end(self._cell)
+        self.over = True
+
+
+class MatrixRun:
+    """One run of the scenario with any number of faults."""
+
+    def __init__(
+        self,
+        seed: int,
+        faults: Sequence[FaultAt],
+        variant: CellVariant | None = None,
+    ) -> None:
+        self._seed = seed
+        self._faults = tuple(faults)
+        self.cell = FaultyCell(seed, SHAPE, variant or CellVariant())
+        self.scenario = Scenario(self.cell)
+        self._found: list[Violation] = []
+
+    def run(self) -> CellReport:
+        """Run to the end and judge."""
+        cell = self.cell
+        cell.begin()
+        cell.run(WARM_UP_S)
+        triggers = [_Trigger(cell, placed) for placed in self._faults]
+        self.scenario.begin()
+        cell.run(SERVICES_END_S)
+        longest = max((f.fault.duration_s for f in self._faults), default=0)
+        self._run_until(lambda: all(t.over for t in triggers), longest)
+        settled = self._run_until(self._is_settled, SETTLE_BOUND_S)
+        if not settled:
+            self._note_unsettled()
+        self._ask_again()
+        cell.run(QUIET_S)
+        history = cell.finish(settled)
+        missed = [t for t in triggers if not t.reached]
+        return CellReport(
+            seed=self._seed,
+            faults=self._faults,
+            violations=tuple(self._found + self._errors() + check_all(history)),
+            missed=tuple(t.step_name() for t in missed),
+            answers=len(self.scenario.callers.told),
+        )
+
+    def _run_until(self, is_done: Callable[[], bool], bound_s: float) -> bool:
+        """Let time pass until something holds; False if it does not in time."""
+        passed_s = 0.0
+        while not is_done() and passed_s < bound_s:
+            self.cell.run(LOOK_S)
+            passed_s += LOOK_S
+        return is_done()
+
+    def _is_settled(self) -> bool:
+        led = all(len(names) == 1 for names in self.cell.leads().values())
+        return led and not self.scenario.callers.open
+
+    def _note_unsettled(self) -> None:
+        for shard, names in self.cell.leads().items():
+            if len(names) != 1:
+                self._found.append(Violation("settle", f"{shard} is led by {names}"))
+        for task in sorted(self.scenario.callers.open):
+            self._found.append(Violation("settle", f"{task} has no answer"))
+
+    def _ask_again(self) -> None:
+        told: dict[object, Outcome] = self.scenario.callers.told
+        for task in sorted(told):
+            self.scenario.callers.ask_again(self.scenario.requests[task])
+
+    def _errors(self) -> list[Violation]:
+        return [Violation("error", str(f.value)) for f in self.cell.errors]
+
+
+def single_faults() -> list[FaultAt]:
+    """Return every fault at every step, in the order of the table."""
+    return [FaultAt(fault, step) for fault in FAULTS for step in STEPS]
+
+
+def seed_of(placed: FaultAt) -> int:
+    """Return the fixed seed of a cell of the table."""
+    return 1000 * (1 + FAULTS.index(placed.fault)) + STEPS.index(placed.step)
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/faults/_operator.py
@@ -0,0 +1,118 @@
+"""An operator who changes the configuration until each change is accepted."""
+
+from __future__ import annotations
+
+import copy
+import random
+from collections.abc import Callable
+from datetime import timedelta
+
+from savorylead.config import (
+    CONFIG_KEY,
+    CellDocument,
+    KeyDocument,
+    decode_envelope,
+    hash_key,
+)
+from savorylead.contracts import limit_from_amounts
+from savorylead.store import StoreError
+from savorylead_daemon.services import ConfigApplied, OperatorService, RefusedError
+from savorylead_standins.cell import OPERATOR_KEY
+from savorylead_standins.checkers import KeyWithdrawal, LimitChange
+
+from ._entrance import Entrance
+from ._faulty_cell import FaultyCell
+
+#: Pause before a change is tried again.
+RETRY_DELAY = timedelta(milliseconds=500)
+#: Time between two looks at what the store has accepted.
+LOOK_INTERVAL = timedelta(milliseconds=100)
+
+Change = Callable[[CellDocument], None]
+
+
+class RecordingOperator:
+    """Makes changes through any daemon, and notes what the store accepted."""
+
+    def __init__(self, cell: FaultyCell, rng: random.Random) -> None:
+        self._cell = cell
+        self._rng = rng
+        self._entrance = Entrance(cell, rng)
+        self._revision = 0
+        self._limits: dict[str, object] = {}
+
+    def begin(self) -> None:
+        """Note what the store accepts from now on, without a call."""
+        self._look()
+
+    def change(
+        self, change: Change, on_accepted: Callable[[], None] = lambda: None
+    ) -> None:
+        """Make a change, again after every conflict; the change is idempotent."""
+        self._cell.do(self._change(change), lambda _: on_accepted())
+
+    def withdraw(self, team: str, key: str) -> None:
+        """Withdraw a key of a team."""
+        accepted = self._cell.history.withdrawals
+
+        def note() -> None:
+            accepted.append(KeyWithdrawal(key, self._cell.now_ms()))
+
+        self.change(lambda document: _withdraw(document, team, key), note)
+
+    async def _change(self, change: Change) -> None:
+        while not await self._try(change):
+            await self._cell.clock.sleep(RETRY_DELAY * (0.5 + self._rng.random()))
+
+    async def _try(self, change: Change) -> bool:
+        try:
+            result = await self._entrance.call(
+                "operate", lambda daemon: _apply(daemon.operators, change)
+            )
+        except (RefusedError, StoreError):
+            return False
+        if not isinstance(result, ConfigApplied):
+            return False
+        accepted = self._cell.history.revisions_accepted
+        accepted.setdefault(result.revision, self._cell.now_ms())
+        return True
+
+    def _look(self) -> None:
+        item = self._cell.store.get(CONFIG_KEY)
+        if item is not None and item.revision != self._revision:
+            self._revision = item.revision
+            self._note(decode_envelope(item)["document"])
+        self._cell.clock.call_later(LOOK_INTERVAL, self._look)
+
+    def _note(self, document: CellDocument) -> None:
+        now_ms = self._cell.now_ms()
+        history = self._cell.history
+        for team, entry in sorted(document["teams"].items()):
+            limit = limit_from_amounts(entry["limit"])
+            if self._limits.get(team) != limit:
+                self._limits[team] = limit
+                history.limits.append(LimitChange(team, limit, now_ms))
+
+
+async def _apply(operators: OperatorService, change: Change) -> object:
+    view = await operators.read_config(OPERATOR_KEY)
+    document = copy.deepcopy(view.document)
+    change(document)
+    return await operators.apply_config(OPERATOR_KEY, document, view.revision)
+
+
+def add_key(document: CellDocument, team: str, key: str) -> None:
+    """Grant a team another key, unless it was withdrawn already."""
+    entry = KeyDocument(
+        sha256=hash_key(key), granted_at="2026-01-01T00:00:00+00:00", withdrawn=False
+    )
+    document["teams"][team]["keys"].setdefault(_id_of(key), entry)
+
+
+def _withdraw(document: CellDocument, team: str, key: str) -> None:
+    add_key(document, team, key)
+    document["teams"][team]["keys"][_id_of(key)]["withdrawn"] = True
+
+
+def _id_of(key: str) -> str:
+    return key.partition(".")[0]
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/faults/_recording_caller.py
@@ -0,0 +1,187 @@
+"""A caller that never gives up on a request, and notes what it was told."""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import NamedTuple, TypeVar
+
+import msgspec
+
+from savorylead.contracts import TaskId
+from savorylead.outcomes import NotRun, Outcome, Unknown
+from savorylead_daemon.daemon import Daemon
+from savorylead_daemon.services import (
+    Admitted,
+    RefusedError,
+    RequestName,
+    SubmitReply,
+    TaskDocument,
+)
+from savorylead_standins.checkers import Answer, Submission
+
+from ._entrance import Entrance
+from ._faulty_cell import CallerSight, FaultyCell
+
+T = TypeVar("T")
+
+#: How long one call waits for an answer.
+ANSWER_WAIT = timedelta(seconds=4)
+#: Pause before a repeat.
+REPEAT_DELAY = timedelta(milliseconds=300)
+
+
+class Request(NamedTuple):
+    """One task, the key that it is submitted with, and the team's lasting key."""
+
+    task: TaskDocument
+    key: str
+    lasting_key: str
+    id: TaskId
+
+
+class _Fate(enum.Enum):
+    """What is known of a request after its submission."""
+
+    ADMITTED = "admitted"
+    REFUSED = "refused"
+    #: Some daemon may have taken it, and no submit can tell any more.
+    UNPROVED = "unproved"
+
+
+class RecordingCaller:
+    """Submits requests, repeats them under the same id, and fetches answers."""
+
+    def __init__(self, cell: FaultyCell, rng: random.Random) -> None:
+        self._cell = cell
+        self._rng = rng
+        self._entrance = Entrance(cell, rng)
+        self._history = cell.history
+        #: Requests without a final answer or a refusal.
+        self.open: dict[TaskId, Request] = {}
+        #: Final answers as first told.
+        self.told: dict[TaskId, Outcome] = {}
+
+    def submit(self, request: Request) -> None:
+        """Carry a request through, beside everything else."""
+        self.open[request.id] = request
+        self._cell.do(self._carry(request))
+
+    def cancel(self, request: Request) -> None:
+        """Cancel a request; its answer comes to the one who submitted it."""
+        self._cell.do(self._cancel(request))
+
+    def ask_again(self, request: Request) -> None:
+        """Fetch an answer a second time, from any daemon."""
+        self._cell.do(self._fetch(request))
+
+    async def _carry(self, request: Request) -> None:
+        fate = await self._submit_until_known(request)
+        if fate is _Fate.UNPROVED:
+            await self._cancel(request)
+        if fate is not _Fate.REFUSED:
+            await self._fetch(request)
+        self.open.pop(request.id, None)
+
+    async def _submit_until_known(self, request: Request) -> _Fate:
+        unanswered = 0
+        while True:
+            reply = await self._submit_once(request, unanswered)
+            if isinstance(reply, Admitted):
+                return _Fate.ADMITTED
+            if isinstance(reply, NotRun):
+                return _Fate.REFUSED
+            if self._is_withdrawn(request.key):
+                # Only the team's lasting key can still tell.
+                return _Fate.UNPROVED
+            unanswered += 1
+            await self._pause()
+
+    def _is_withdrawn(self, key: str) -> bool:
+        return any(w.key == key for w in self._history.withdrawals)
+
+    async def _submit_once(
+        self, request: Request, unanswered: int
+    ) -> SubmitReply | None:
+        index = len(self._history.submissions)
+        self._history.submissions.append(self._submission(request))
+        try:
+            replies = await self._entrance.call(
+                "submit",
+                lambda daemon: daemon.callers.submit(request.key, [request.task]),
+                "submit received",
+            )
+        except RefusedError as exc:
+            # The refusal is about this call alone; an earlier one may have been
+            # accepted.
+            replies = [None if unanswered else NotRun(exc.reason, exc.detail)]
+        reply = replies[0] if replies else None
+        if not isinstance(reply, Unknown):
+            self._note_reply(index, reply)
+        return reply
+
+    async def _fetch(self, request: Request) -> None:
+        name = RequestName(request.id.workspace, request.id.request)
+        while True:
+            views = await self._ask(
+                lambda daemon: daemon.callers.answers(
+                    request.lasting_key, [name], ANSWER_WAIT
+                )
+            )
+            if views and views[0].outcome is not None:
+                self._note_answer(request.id, views[0].outcome)
+                return
+            if not views:
+                await self._pause()
+
+    async def _cancel(self, request: Request) -> None:
+        name = RequestName(request.id.workspace, request.id.request)
+        while request.id in self.open:
+            views = await self._ask(
+                lambda daemon: daemon.callers.cancel(request.lasting_key, [name])
+            )
+            if views:
+                return
+            await self._pause()
+
+    async def _ask(self, ask: Callable[[Daemon], Awaitable[T]]) -> T | None:
+        try:
+            return await self._entrance.call("ask", ask)
+        except RefusedError:
+            return None
+
+    def _submission(self, request: Request) -> Submission:
+        return Submission(
+            task=request.id,
+            key=request.key,
+            repeatable=request.task.get("repeatable", True),
+            expected_result=_expected_result(request.task),
+            submitted_at_ms=self._cell.now_ms(),
+            replied_at_ms=0,
+            reply=None,
+        )
+
+    def _note_reply(self, index: int, reply: SubmitReply | None) -> None:
+        submission = self._history.submissions[index]
+        self._history.submissions[index] = submission._replace(
+            replied_at_ms=self._cell.now_ms(), reply=reply
+        )
+
+    def _note_answer(self, task: TaskId, outcome: Outcome) -> None:
+        self.told.setdefault(task, outcome)
+        self._history.answers.append(Answer(task, self._cell.now_ms(), outcome))
+        self._cell.see(CallerSight("answer delivered", self._entrance.last_daemon))
+
+    async def _pause(self) -> None:
+        await self._cell.clock.sleep(REPEAT_DELAY * (0.5 + self._rng.random()))
+
+
+def _expected_result(task: TaskDocument) -> str:
+    """Return the answer of a whole run; members of a job answer in one array."""
+    answer = msgspec.json.decode(task["payload"])["answer"]
+    members = task.get("members", 1)
+    if members == 1:
+        return answer
+    return msgspec.json.encode([answer] * members).decode()
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/faults/_steps.py
@@ -0,0 +1,165 @@
+"""The steps of a task's way and of the cell's control, told from outside."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from savorylead.config import CONFIG_KEY
+from savorylead.workers import Inventory, RunReport, RunState, StartAccepted
+from savorylead_standins.store import StoreCall
+
+from ._faulty_cell import CallerSight, RequestSight, ResultSight, Sight, Spot
+
+LOG_PREFIX = "journal/log/"
+SNAPSHOTS_PREFIX = "journal/snapshots/"
+LIMITS_PREFIX = "limits/"
+#: Position of the events in a log entry.
+ENTRY_EVENTS = 5
+#: Position of the origin in an accepted event.
+ACCEPTED_ORIGIN = 2
+
+#: Tells whether a journal event, by its tag and fields, is the one looked for.
+EventTest = Callable[[str, Any], bool]
+
+
+class Step(ABC):
+    """Something that happens in every run, at which a fault may begin."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+
+    @abstractmethod
+    def spot(self, sight: Sight) -> Spot | None:
+        """Return where the step is reached if a sight shows that it is."""
+
+
+class CallerStep(Step):
+    """What a caller or an operator does or sees."""
+
+    def spot(self, sight: Sight) -> Spot | None:
+        """Return the daemon that the caller uses."""
+        if isinstance(sight, CallerSight) and sight.event == self.name:
+            return Spot(sight.daemon)
+        return None
+
+
+class JournalStep(Step):
+    """A log entry with a certain event sets out for the store."""
+
+    def __init__(self, name: str, is_event: EventTest) -> None:
+        super().__init__(name)
+        self._is_event = is_event
+
+    def spot(self, sight: Sight) -> Spot | None:
+        """Return the lead that writes."""
+        if not isinstance(sight, StoreCall) or sight.value is None:
+            return None
+        if not sight.target.startswith(LOG_PREFIX):
+            return None
+        for tag, fields in msgspec.json.decode(sight.value)[ENTRY_EVENTS]:
+            if self._is_event(tag, fields):
+                return Spot(sight.client)
+        return None
+
+
+class StoreStep(Step):
+    """A call of the store sets out for a key."""
+
+    def __init__(
+        self, name: str, method: str, prefix: str, content: bytes = b""
+    ) -> None:
+        super().__init__(name)
+        self._method = method
+        self._prefix = prefix
+        self._content = content
+
+    def spot(self, sight: Sight) -> Spot | None:
+        """Return the daemon that calls."""
+        if not isinstance(sight, StoreCall) or sight.method != self._method:
+            return None
+        if not sight.target.startswith(self._prefix):
+            return None
+        return Spot(sight.client) if self._content in (sight.value or b"") else None
+
+
+class CommandStep(Step):
+    """A command sets out for a worker."""
+
+    def __init__(self, name: str, method: str) -> None:
+        super().__init__(name)
+        self._method = method
+
+    def spot(self, sight: Sight) -> Spot | None:
+        """Return the lead and the worker."""
+        if not isinstance(sight, RequestSight) or sight.call.method != self._method:
+            return None
+        return Spot(sight.call.source, sight.call.target)
+
+
+class ResultStep(Step):
+    """A worker has done something; its reply has not travelled yet."""
+
+    def __init__(self, name: str, is_result: Callable[[str, Any], bool]) -> None:
+        super().__init__(name)
+        self._is_result = is_result
+
+    def spot(self, sight: Sight) -> Spot | None:
+        """Return the lead and the worker."""
+        if not isinstance(sight, ResultSight):
+            return None
+        if not self._is_result(sight.call.method, sight.result):
+            return None
+        return Spot(sight.call.source, sight.call.target)
+
+
+def _is_started(method: str, result: Any) -> bool:
+    return method == "start" and _any_of(result, StartAccepted)
+
+
+def _is_renewed(method: str, result: Any) -> bool:
+    return method == "renew" and isinstance(result, Inventory) and bool(result.runs)
+
+
+def _is_checkpointed(method: str, result: Any) -> bool:
+    return method == "checkpoint" and _any_of(result, RunReport)
+
+
+def _is_finished(method: str, result: Any) -> bool:
+    if method != "renew" or not isinstance(result, Inventory):
+        return False
+    return any(report.state is RunState.DONE for report in result.runs)
+
+
+def _any_of(result: Any, kind: type) -> bool:
+    return isinstance(result, list) and any(isinstance(item, kind) for item in result)
+
+
+#: Every step, in the order of the table.
+STEPS: tuple[Step, ...] = (
+    CallerStep("submit received"),
+    JournalStep("accept journaled", lambda tag, _: tag == "accepted"),
+    JournalStep("overflow offered", lambda tag, _: tag == "offered"),
+    JournalStep(
+        "overflow accepted",
+        lambda tag, fields: tag == "accepted" and bool(fields[ACCEPTED_ORIGIN]),
+    ),
+    StoreStep("limit grant", "swap", LIMITS_PREFIX),
+    JournalStep("placement journaled", lambda tag, _: tag == "placed"),
+    CommandStep("start sent", "start"),
+    ResultStep("started", _is_started),
+    ResultStep("renewed", _is_renewed),
+    ResultStep("checkpointed", _is_checkpointed),
+    ResultStep("finished", _is_finished),
+    CallerStep("answer delivered"),
+    StoreStep("key withdrawn", "swap", CONFIG_KEY, b'"withdrawn":true'),
+    StoreStep("configuration applied", "swap", CONFIG_KEY),
+    StoreStep("preset changed", "swap", CONFIG_KEY, b'"preset":"peak"'),
+    StoreStep("snapshot written", "swap", SNAPSHOTS_PREFIX),
+    StoreStep("takeover replaying", "list", LOG_PREFIX),
+    JournalStep("resign", lambda tag, _: tag == "resigned"),
+    CallerStep("shutdown"),
+)
--- a/packages/savorylead-standins/savorylead_standins/store/_memory_store.py
+++ b/packages/savorylead-standins/savorylead_standins/store/_memory_store.py
@@ -64,6 +64,8 @@
     method: str
     #: Key, prefix or lease id.
     target: str
+    #: What a swap writes; None for every other call and for a deletion.
+    value: bytes | None = None
 
 
 @dataclass
@@ -303,6 +305,7 @@
             "swap",
             key,
             lambda: self._service.swap(key, value, expected_revision, lease_id),
+            value,
         )
 
     async def grant_lease(self, ttl: timedelta) -> str:
@@ -327,5 +330,12 @@
         """Call ``on_change(key)`` after changes below ``prefix``."""
         return self._service.subscribe(self._name, prefix, on_change)
 
-    async def _call(self, method: str, target: str, apply: Callable[[], T]) -> T:
-        return await self._service.call(StoreCall(self._name, method, target), apply)
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        apply: Callable[[], T],
+        value: bytes | None = None,
+    ) -> T:
+        call = StoreCall(self._name, method, target, value)
+        return await self._service.call(call, apply)
--- a/packages/savorylead-standins/savorylead_standins/workers/_memory_worker.py
+++ b/packages/savorylead-standins/savorylead_standins/workers/_memory_worker.py
@@ -79,6 +79,8 @@
         self.broken = False
         #: False once the VM leaves.
         self.accepting = True
+        #: Whether it refuses starts once it leaves; otherwise only its reports tell.
+        self.refuses_when_leaving = True
         #: Starts that took effect, by task.
         self.starts: Counter[TaskId] = Counter()
         self._clock = clock
@@ -186,7 +188,7 @@
             return StartRefused(order.task, "stopped before its start")
         if self._lease_timer is None:
             return StartRefused(order.task, "no lease")
-        if not self.accepting:
+        if not self.accepting and self.refuses_when_leaving:
             return StartRefused(order.task, "leaving")
         if not order.resources.fits(self.worker.capacity.minus(self.held())):
             self.over_capacity_refusals += 1
