--- a/packages/savorylead-daemon/savorylead_daemon/lead/_ledger.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_ledger.py
@@ -25,7 +25,10 @@
         self._staged: list[Event] = []
         self._undurable: Counter[TaskId] = Counter()
         self._settled_waiters: dict[TaskId, list[Deferred[None]]] = defaultdict(list)
-        self._answer_waiters: dict[TaskId, set[Deferred[None]]] = defaultdict(set)
+        #: In the order of asking, so that equal runs go alike.
+        self._answer_waiters: dict[TaskId, dict[Deferred[None], None]] = defaultdict(
+            dict
+        )
         self._failure: Failure | None = None
 
     def stage(self, events: Sequence[Event]) -> None:
@@ -81,7 +84,7 @@
         names = list(tasks)
         waiter: Deferred[None] = Deferred(lambda d: self._drop_waiter(names, d))
         for task in names:
-            self._answer_waiters[task].add(waiter)
+            self._answer_waiters[task][waiter] = None
         return waiter
 
     def fail(self, failure: Failure) -> None:
@@ -89,7 +92,7 @@
         if self._failure is None:
             self._failure = failure
         waiters = [w for ws in self._settled_waiters.values() for w in ws]
-        waiters += {w for ws in self._answer_waiters.values() for w in ws}
+        waiters += dict.fromkeys(w for ws in self._answer_waiters.values() for w in ws)
         self._settled_waiters.clear()
         self._answer_waiters.clear()
         for waiter in waiters:
@@ -120,7 +123,7 @@
             waiters = self._answer_waiters.get(task)
             if waiters is None:
                 continue
-            waiters.discard(waiter)
+            waiters.pop(waiter, None)
             if not waiters:
                 del self._answer_waiters[task]
 
--- a/packages/savorylead-standins/savorylead_standins/faults/_operator.py
+++ b/packages/savorylead-standins/savorylead_standins/faults/_operator.py
@@ -11,7 +11,8 @@
     CONFIG_KEY,
     CellDocument,
     KeyDocument,
-    decode_envelope,
+    decode_document,
+    decode_head,
     hash_key,
 )
 from savorylead.contracts import limit_from_amounts
@@ -81,7 +82,8 @@
         item = self._cell.store.get(CONFIG_KEY)
         if item is not None and item.revision != self._revision:
             self._revision = item.revision
-            self._note(decode_envelope(item)["document"])
+            written = self._cell.store.get(decode_head(item)["document"])
+            self._note(decode_document(written))
         self._cell.clock.call_later(LOOK_INTERVAL, self._look)
 
     def _note(self, document: CellDocument) -> None:
