--- a/packages/savorylead-daemon/savorylead_daemon/daemon/_daemon.py
+++ b/packages/savorylead-daemon/savorylead_daemon/daemon/_daemon.py
@@ -22,7 +22,7 @@
 from savorylead.journal import JournalSettings, RingJournal
 from savorylead.placement import Planner
 from savorylead.store import Store, StoreError
-from savorylead.workers import VmEntry, VmList, Worker, WorkerContract
+from savorylead.workers import VmList, WorkerContract
 from savorylead_daemon.cell import (
     AssignedLeadDuty,
     Caretaker,
@@ -59,6 +59,8 @@
     ShardDigest,
 )
 
+from ._remembered_vm_list import RememberedVmList
+
 
 class DaemonTimes(NamedTuple):
     """Every duration and size that the parts are given."""
@@ -96,104 +98,50 @@
     on_superseded: Callable[[], None]
 
 
-class RememberedVmList(VmList):
-    """Passes the platform's list on and remembers the last reading."""
-
-    def __init__(self, inner: VmList) -> None:
-        self._inner = inner
-        self._workers: tuple[Worker, ...] = ()
-
-    def workers(self) -> tuple[Worker, ...]:
-        """Return the workers of the last reading, leaving ones left out.
-
-        It is the same object until a reading differs.
-        """
-        return self._workers
-
-    async def read(self) -> list[VmEntry]:
-        """Return the VMs that are live or leaving; raises VmListError."""
-        entries = await self._inner.read()
-        workers = tuple(entry.worker for entry in entries if not entry.leaving)
-        if workers != self._workers:
-            self._workers = workers
-        return entries
-
-
 class Daemon:
     """A gateway for callers and operators, and the lead of some shards."""
 
     def __init__(self, parts: DaemonParts) -> None:
         self._parts = parts
+        self._name = parts.member.name
+        self._clock = parts.clock
         self._vm_list = RememberedVmList(parts.vm_list)
-        clock, rng, store, times = parts.clock, parts.rng, parts.store, parts.times
-        name = parts.member.name
-        self.config = InForceConfig(store, clock, rng, times.config)
-        self.directory = ShardDirectory(name)
-        self.membership = Membership(
-            store,
-            clock,
-            rng,
-            parts.member,
-            self._on_members,
-            parts.on_superseded,
-            times.membership,
-        )
-        self._heads = LeadDirectory(store, clock, rng, lambda _: self._check_duty())
-        duty = AssignedLeadDuty(
-            self.membership,
-            self._heads,
-            lambda: list(self.directory.shards.values()),
-            clock,
+        self._quorum_series: Periodic | None = None
+        self.config = InForceConfig(
+            parts.store, parts.clock, parts.rng, parts.times.config
         )
-        self.supervisor = LeadSupervisor(
-            duty, self._open_lead, clock, rng, parts.observer
+        self.directory = ShardDirectory(self._name)
+        self.membership = self._build_membership()
+        self._heads = LeadDirectory(
+            parts.store, parts.clock, parts.rng, lambda _: self._check_duty()
         )
-        doorkeeper = ConfigDoorkeeper(self.config)
+        self.supervisor = self._build_supervisor()
+        self._doorkeeper = ConfigDoorkeeper(self.config)
         self._handler = MessageHandler(
-            name, self.supervisor.leads, doorkeeper.recheck, self._store_sight
+            self._name,
+            self.supervisor.leads,
+            self._doorkeeper.recheck,
+            self._store_sight,
         )
         revisions = ConfigRevisions(self.config)
-        client = PeerClient(parts.transport, revisions)
+        self._client = PeerClient(parts.transport, revisions)
         self.peer_server = PeerServer(self._handler.handle, revisions)
         self._router = ShardRouter(
-            name, self.directory, self._handler, client, clock, rng
-        )
-        self.poller = DigestPoller(
-            name,
+            self._name,
             self.directory,
             self._handler,
-            client,
-            clock,
-            times.digests,
-            self.membership.store_age,
-            self._on_sight,
-        )
-        self._quorum = RegionQuorum(
-            name, parts.member.region, self.poller, clock, times.lead.epoch_grace
-        )
-        self.caretaker = Caretaker(
-            name,
-            parts.member.region,
-            self._quorum,
-            self.directory,
-            self.poller,
-            parts.contract,
-            self._vm_list.workers,
-            clock,
-            times.lead,
+            self._client,
+            parts.clock,
+            parts.rng,
         )
-        self._quorum_series: Periodic | None = None
+        self.poller = self._build_poller()
         self._confirmation = ConfigConfirmation(self.config, self.poller)
-        self.callers = CallerGateway(doorkeeper, self._router, clock, times.gateway)
-        editor = ConfigEditor(store, clock, rng, self.config.observe)
-        self.operators = OperatorGateway(
-            name,
-            ConfigOperatorDesk(self.config, editor, parts.bootstrap_sha256),
-            self.directory,
-            self._router,
-            client,
-            clock,
+        self._quorum = self._build_quorum()
+        self.caretaker = self._build_caretaker()
+        self.callers = CallerGateway(
+            self._doorkeeper, self._router, parts.clock, parts.times.gateway
         )
+        self.operators = self._build_operators()
 
     def start(self) -> None:
         """Join the cell; shards and callers follow as soon as the store answers."""
@@ -239,6 +187,76 @@
         self._heads.stop()
         self.config.stop()
 
+    def _build_membership(self) -> Membership:
+        return Membership(
+            self._parts.store,
+            self._clock,
+            self._parts.rng,
+            self._parts.member,
+            self._on_members,
+            self._parts.on_superseded,
+            self._parts.times.membership,
+        )
+
+    def _build_supervisor(self) -> LeadSupervisor:
+        duty = AssignedLeadDuty(
+            self.membership,
+            self._heads,
+            lambda: list(self.directory.shards.values()),
+            self._clock,
+        )
+        return LeadSupervisor(
+            duty, self._open_lead, self._clock, self._parts.rng, self._parts.observer
+        )
+
+    def _build_poller(self) -> DigestPoller:
+        return DigestPoller(
+            self._name,
+            self.directory,
+            self._handler,
+            self._client,
+            self._clock,
+            self._parts.times.digests,
+            self.membership.store_age,
+            self._on_sight,
+        )
+
+    def _build_quorum(self) -> RegionQuorum:
+        return RegionQuorum(
+            self._name,
+            self._parts.member.region,
+            self.poller,
+            self._clock,
+            self._parts.times.lead.epoch_grace,
+        )
+
+    def _build_caretaker(self) -> Caretaker:
+        return Caretaker(
+            self._name,
+            self._parts.member.region,
+            self._quorum,
+            self.directory,
+            self.poller,
+            self._parts.contract,
+            self._vm_list.workers,
+            self._clock,
+            self._parts.times.lead,
+        )
+
+    def _build_operators(self) -> OperatorGateway:
+        editor = ConfigEditor(
+            self._parts.store, self._clock, self._parts.rng, self.config.observe
+        )
+        desk = ConfigOperatorDesk(self.config, editor, self._parts.bootstrap_sha256)
+        return OperatorGateway(
+            self._name,
+            desk,
+            self.directory,
+            self._router,
+            self._client,
+            self._clock,
+        )
+
     def own_digests(self) -> tuple[ShardDigest, ...]:
         """Return the digests of the shards that this daemon leads."""
         return self._handler.digest().shards
