--- a/packages/savorylead-daemon/savorylead_daemon/lead/_run_care.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_run_care.py
@@ -38,12 +38,14 @@
         self._fleet = fleet
         self._held_on = held_on
         self._largest = ZERO
+        #: Corrected sizes by team, workspace and declared size, until the next refresh.
+        self._corrected: dict[tuple[str, str, Resources], Resources] = {}
         self._clock = clock
         self._health = WorkerHealth(workers=0)
         self._budget = AttemptBudget()
         self._estimator = UsageEstimator()
         self._overruns = OverrunWatch(HarshestOf([ThrottleCores(), CheckpointMemory()]))
-        #: Workers with a failure, and the probe that runs on each if one does.
+        #: Workers that failed something of late, and the probe that runs on each if one does.
         self._suspects: dict[str, TaskId | None] = {}
 
     def admits(self, worker: str, spec: TaskSpec) -> bool:
@@ -100,15 +102,23 @@
         """Tell the fleet who is in quarantine, as time goes on."""
         now_ms = self._now_ms()
         self._largest = self._largest_worker()
+        self._corrected.clear()
         for worker, probe in list(self._suspects.items()):
             state = self._health.state(worker, now_ms)
             quarantined = state is HealthState.QUARANTINED or probe is not None
             self._fleet.quarantine(worker, quarantined)
-            if state is HealthState.TRUSTED and self._fleet.session(worker) is None:
+            if state is HealthState.TRUSTED:
                 del self._suspects[worker]
 
     def corrected(self, spec: TaskSpec) -> Resources:
-        """Return what the task is expected to need."""
+        """Return what the task is expected to need, as known at the last refresh."""
+        key = (spec.id.team, spec.id.workspace, spec.resources)
+        corrected = self._corrected.get(key)
+        if corrected is None:
+            corrected = self._corrected[key] = self._correct(spec)
+        return corrected
+
+    def _correct(self, spec: TaskSpec) -> Resources:
         estimate = self._estimator.estimate(spec, self._largest).resources
         if estimate == spec.resources:
             return estimate
