Give no order to a worker that leaves, however late its placement is durable

Cause: a placement that waited for the store was sent to its worker once it was durable, although the worker had begun to leave meanwhile.

The lead now sends a stop of the attempt in place of the order. The worker's word that the attempt never started lets any task, repeatable or not, wait again and run elsewhere.

Before: the test of a task that may not be repeated fails. After: it runs once, on another worker.

--- a/packages/savorylead-daemon/savorylead_daemon/lead/_dispatcher.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_dispatcher.py
@@ -25,10 +25,11 @@
     Reject,
 )
 from savorylead.resources import Resources
-from savorylead.workers import StartOrder
+from savorylead.workers import StartOrder, WorkerState
 
 from ._shared import SharedParts
 from ._waiting_room import not_run
+from ._worker_session import WorkerSession
 
 
 class TaskDispatcher:
@@ -224,10 +225,21 @@
             # The next inventory finds that the attempt never started.
             self._index.keep_unsent(attempt)
             return
-        session.commands.start(order_of(record))
+        self.start_unless_draining(session, record)
         if record.cancel_asked:
             session.commands.stop(attempt)
 
+    def start_unless_draining(self, session: WorkerSession, record: TaskRecord) -> None:
+        """Send an order, or have the attempt given back by a worker that leaves.
+
+        The worker may have begun to leave while the placement became durable. A stop
+        of an attempt that it never saw proves that it never starts.
+        """
+        if self._fleet.state(session.worker.name) is WorkerState.DRAINING:
+            session.commands.stop((record.spec.id, record.attempt))
+        else:
+            session.commands.start(order_of(record))
+
     def _stop(self, task: TaskId) -> None:
         record = self._ledger.state.records.get(task)
         if record is None or record.phase is not Phase.PLACED:
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_run_follower.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_run_follower.py
@@ -11,7 +11,7 @@
 from savorylead.outcomes import Cancelled, Failed, Outcome
 from savorylead.workers import Inventory, OverrunAction, RunReport, RunState
 
-from ._dispatcher import TaskDispatcher, is_placed_at, members_of, order_of
+from ._dispatcher import TaskDispatcher, is_placed_at, members_of
 from ._reconciler import (
     DiscardAnswer,
     EndWith,
@@ -179,7 +179,7 @@
         elif isinstance(verdict, RequeueFor):
             self._requeue(record, verdict.reason)
         elif isinstance(verdict, SendAgain):
-            session.commands.start(order_of(record))
+            self._dispatcher.start_unless_draining(session, record)
         elif isinstance(verdict, DiscardAnswer):
             self._observer.answer_discarded(session.worker.name)
 
