--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 EXAMPLE ?= monteverde
 PACKAGES := $(patsubst %,-e packages/%,savorylead savorylead-daemon savorylead-ctl savorylead-standins)
 
-.PHONY: demo rig test lint format bench venv clean
+.PHONY: faults demo rig test lint format bench venv clean
 
 venv: $(VENV)/installed
 
@@ -34,5 +34,8 @@
 bench: venv
 	$(BIN)/python -m bench
 
+faults: venv
+	$(BIN)/python -m savorylead_standins.faults
+
 clean:
 	rm -rf $(VENV) out
--- a/packages/savorylead-standins/savorylead_standins/faults/__init__.py
+++ b/packages/savorylead-standins/savorylead_standins/faults/__init__.py
@@ -2,14 +2,25 @@
 
 from ._faults import FAULTS, Fault
 from ._faulty_cell import FaultyCell, Sight, Spot
-from ._matrix import CellReport, FaultAt, MatrixRun, seed_of, single_faults
+from ._matrix import (
+    CellReport,
+    FaultAt,
+    MatrixRun,
+    pair_seed,
+    sampled_pairs,
+    seed_of,
+    single_faults,
+)
 from ._scenario import SHAPE, Scenario
 from ._steps import STEPS, Step
+from ._variants import VARIANTS, BrokenVariant
 
 __all__ = [
     "FAULTS",
     "SHAPE",
     "STEPS",
+    "VARIANTS",
+    "BrokenVariant",
     "CellReport",
     "Fault",
     "FaultAt",
@@ -19,6 +30,8 @@
     "Sight",
     "Spot",
     "Step",
+    "pair_seed",
+    "sampled_pairs",
     "seed_of",
     "single_faults",
 ]
--- a/packages/savorylead-standins/savorylead_standins/faults/_matrix.py
+++ b/packages/savorylead-standins/savorylead_standins/faults/_matrix.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 from typing import NamedTuple
@@ -20,8 +21,9 @@
 #: Within this time after the last fault and the last work, everything that was
 #: accepted has its final answer: twice the surely lapsed lease of a worker.
 SETTLE_BOUND_S = 90
-#: Urgent work starts within this time after a lead was killed.
-URGENT_BOUND_MS = 7_500
+#: How many pairs of faults are sampled, and the seed of the sample.
+PAIRS = 60
+PAIRS_SEED = 100_000
 #: Time between two looks at whether a run has settled.
 LOOK_S = 5
 #: How long the cell is watched after it settled.
@@ -152,7 +154,7 @@
             self.scenario.callers.ask_again(self.scenario.requests[task])
 
     def _errors(self) -> list[Violation]:
-        return [Violation("error", str(f.value)) for f in self.cell.errors]
+        return [Violation("error", repr(f.value)) for f in self.cell.errors]
 
 
 def single_faults() -> list[FaultAt]:
@@ -163,3 +165,20 @@
 def seed_of(placed: FaultAt) -> int:
     """Return the fixed seed of a cell of the table."""
     return 1000 * (1 + FAULTS.index(placed.fault)) + STEPS.index(placed.step)
+
+
+def sampled_pairs() -> list[list[FaultAt]]:
+    """Return the fixed sample of pairs of different faults."""
+    rng = random.Random(PAIRS_SEED)
+    singles = single_faults()
+    pairs: list[list[FaultAt]] = []
+    while len(pairs) < PAIRS:
+        pair = rng.sample(singles, 2)
+        if pair[0].fault is not pair[1].fault:
+            pairs.append(pair)
+    return pairs
+
+
+def pair_seed(index: int) -> int:
+    """Return the fixed seed of a sampled pair."""
+    return PAIRS_SEED + index
--- a/packages/savorylead-standins/savorylead_standins/faults/tests/test_matrix.py
+++ b/packages/savorylead-standins/savorylead_standins/faults/tests/test_matrix.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from savorylead_standins.faults import MatrixRun, seed_of, single_faults
+from savorylead_standins.faults import (
+    MatrixRun,
+    pair_seed,
+    sampled_pairs,
+    seed_of,
+    single_faults,
+)
 
 
 def test_scenario_without_a_fault_keeps_every_invariant():
@@ -16,3 +22,10 @@
     report = MatrixRun(seed_of(placed), [placed]).run()
     assert report.missed == ()
     assert report.violations == ()
+
+
+@pytest.mark.parametrize("index", range(len(sampled_pairs())))
+def test_pair_of_faults(index):
+    # The first fault may keep the second one's step from being reached.
+    report = MatrixRun(pair_seed(index), sampled_pairs()[index]).run()
+    assert report.violations == ()
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/faults/tests/test_variants.py
@@ -0,0 +1,10 @@
+"""The matrix must catch what is broken on purpose."""
+
+import pytest
+
+from savorylead_standins.faults import VARIANTS
+
+
+@pytest.mark.parametrize("variant", VARIANTS, ids=lambda variant: variant.name)
+def test_broken_variant_is_caught(variant):
+    assert variant.checker in variant.caught_by()
