Tell the target of an offer which attempts a job has behind it

Cause: a task that ran, was checkpointed and then moved to another shard began there at attempt 0. Cancelled while it waited, it was answered with Cancelled(started=False), although it had run.

The offer and the accepted event carry the number of the last attempt, so the target counts on from it; records and messages without it read as 0.

--- a/packages/savorylead-daemon/savorylead_daemon/cell/_message_handler.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_message_handler.py
@@ -144,7 +144,7 @@
         return ViewsAnswer(tuple(await lead.tombstone(message.tasks)))
 
     async def _offer(self, lead: ShardLead, message: OfferMessage) -> PeerAnswer:
-        job = OfferedJob(message.specs, message.accepted_at_ms)
+        job = OfferedJob(message.specs, message.accepted_at_ms, message.attempt)
         return OfferAnswer(await lead.take_offer(message.origin, job))
 
     async def _tasks(self, lead: ShardLead, message: TasksMessage) -> PeerAnswer:
--- a/packages/savorylead-daemon/savorylead_daemon/cell/_offer_router.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_offer_router.py
@@ -97,7 +97,9 @@
 
     async def offer(self, target: str, origin: str, job: OfferedJob) -> bool:
         """Return whether the target took the job; raises OfferError."""
-        message = OfferMessage(target, origin, job.specs, job.accepted_at_ms)
+        message = OfferMessage(
+            target, origin, job.specs, job.accepted_at_ms, job.attempt
+        )
         answer = await self._ask(target, message)
         if not isinstance(answer, OfferAnswer):
             raise OfferError(f"unexpected {type(answer).__name__}")
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_offers.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_offers.py
@@ -32,6 +32,8 @@
 
     specs: tuple[TaskSpec, ...]
     accepted_at_ms: int
+    #: Number of the last attempt of any member; 0 if none was ever placed.
+    attempt: int = 0
 
 
 class OfferError(Exception):
@@ -149,8 +151,10 @@
         records = self._ledger.state.records
         first = records[job]
         members = (job._replace(member=n) for n in range(first.spec.members))
-        specs = tuple(records[member].spec for member in members)
-        return OfferedJob(specs, first.accepted_at_ms)
+        offered = [records[member] for member in members]
+        specs = tuple(record.spec for record in offered)
+        attempt = max(record.attempt for record in offered)
+        return OfferedJob(specs, first.accepted_at_ms, attempt)
 
 
 def _ignore_deposed(failure: Failure) -> list[TaskId]:
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_task_intake.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_task_intake.py
@@ -120,8 +120,14 @@
         self._shared.room.readmit(job.specs[0], self._now_ms())
         fresh = self._shared.queue.fresh
         self._accept(
-            [Accepted(spec, job.accepted_at_ms, origin) for spec in job.specs],
-            [fresh(spec, job.accepted_at_ms) for spec in job.specs],
+            [
+                Accepted(spec, job.accepted_at_ms, origin, job.attempt)
+                for spec in job.specs
+            ],
+            [
+                fresh(spec, job.accepted_at_ms)._replace(next_attempt=job.attempt + 1)
+                for spec in job.specs
+            ],
         )
 
     def _accept(self, events: list[Event], fresh: Sequence[PendingTask]) -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/peers/_messages.py
+++ b/packages/savorylead-daemon/savorylead_daemon/peers/_messages.py
@@ -64,6 +64,8 @@
     origin: str
     specs: tuple[TaskSpec, ...]
     accepted_at_ms: int
+    #: Number of the last attempt; 0 if none was ever placed.
+    attempt: int = 0
 
 
 class TasksMessage(NamedTuple):
--- a/packages/savorylead/savorylead/journal/_events.py
+++ b/packages/savorylead/savorylead/journal/_events.py
@@ -26,6 +26,8 @@
     at_ms: int
     #: The shard that offered the task; empty if it came from a gateway.
     origin: str = ""
+    #: Number of the last attempt elsewhere; 0 if it never was placed.
+    attempt: int = 0
 
 
 class Placed(NamedTuple):
--- a/packages/savorylead/savorylead/journal/_state.py
+++ b/packages/savorylead/savorylead/journal/_state.py
@@ -139,6 +139,7 @@
             phase=Phase.QUEUED,
             accepted_at_ms=event.at_ms,
             origin=event.origin,
+            attempt=event.attempt,
         )
 
     def _apply_placed(self, event: Placed) -> None:
