--- a/packages/savorylead-daemon/savorylead_daemon/lead/_run_care.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_run_care.py
@@ -45,7 +45,7 @@
         self._budget = AttemptBudget()
         self._estimator = UsageEstimator()
         self._overruns = OverrunWatch(HarshestOf([ThrottleCores(), CheckpointMemory()]))
-        #: Workers that failed something of late, and the probe that runs on each if one does.
+        #: Workers that failed something of late, and the probe that each runs, if any.
         self._suspects: dict[str, TaskId | None] = {}
 
     def admits(self, worker: str, spec: TaskSpec) -> bool:
