Let a daemon that vanished keep its vote for an hour from then

The hour was counted from the last change of the list, so after a quiet hour a daemon that died lost its vote at once. Table tests of the quorum's rules.

--- a/packages/savorylead-daemon/savorylead_daemon/cell/_region_quorum.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_region_quorum.py
@@ -36,8 +36,10 @@
         self._region = region
         self._poller = poller
         self._clock = clock
-        #: Every daemon that has a vote, and when it was last on the list.
-        self._voters: dict[str, datetime] = {own_name: clock.now()}
+        #: Daemons on the list.
+        self._present = {own_name}
+        #: Daemons that left the list without a word, and when.
+        self._vanished_at: dict[str, datetime] = {}
         self._grace = grace
         self._outage_seen_at: datetime | None = None
         self._store_seen_since: datetime | None = None
@@ -45,14 +47,14 @@
     def take_members(self, members: Iterable[Member]) -> None:
         """Follow the list of members; one that announced its leave has no vote."""
         now = self._clock.now()
-        for member in members:
-            if member.region != self._region:
-                continue
-            if member.leading or member.name == self._own_name:
-                self._voters[member.name] = now
-            else:
-                self._voters.pop(member.name, None)
-        self._forget_old(now)
+        ours = [member for member in members if member.region == self._region]
+        leaving = {member.name for member in ours if not member.leading}
+        present = {member.name for member in ours} - leaving | {self._own_name}
+        for name in self._present - present - leaving:
+            self._vanished_at[name] = now
+        for name in present | leaving:
+            self._vanished_at.pop(name, None)
+        self._present = present
 
     def bridges_outage(self) -> bool:
         """Return whether leases may be renewed without a proof of the epoch.
@@ -82,14 +84,17 @@
             return timedelta(0)
         return self._clock.now() - self._store_seen_since
 
+    def _voters(self) -> set[str]:
+        oldest = self._clock.now() - VOTER_MEMORY
+        remembered = {name for name, at in self._vanished_at.items() if at >= oldest}
+        return self._present | remembered
+
     def _count(self) -> tuple[int, int]:
         """Return how many voters see the store down, and how many see it up."""
         sights = self._poller.sights()
         own_down = self._poller.store_is_down_here()
         down, up = int(own_down), int(not own_down)
-        for name in self._voters:
-            if name == self._own_name or name not in sights:
-                continue
+        for name in self._voters() & sights.keys() - {self._own_name}:
             if self._poller.sees_outage(sights[name].sight):
                 down += 1
             else:
@@ -97,9 +102,4 @@
         return down, up
 
     def _is_majority(self, count: int) -> bool:
-        return 2 * count > len(self._voters)
-
-    def _forget_old(self, now: datetime) -> None:
-        for name, seen_at in list(self._voters.items()):
-            if name != self._own_name and now - seen_at > VOTER_MEMORY:
-                del self._voters[name]
+        return 2 * count > len(self._voters())
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/tests/test_region_quorum.py
@@ -0,0 +1,114 @@
+"""Who has a vote on whether the store is down, and what most say."""
+
+from datetime import UTC, datetime, timedelta
+from types import SimpleNamespace
+
+import pytest
+from twisted.internet.task import Clock
+
+from savorylead.clock import TwistedClock
+from savorylead.domains import Member
+from savorylead_daemon.cell import RegionQuorum
+
+GRACE = timedelta(seconds=20)
+
+
+def member(name, region="north", leading=True):
+    return Member(name, region, "dom1", f"{name}:1", f"{name}-1", leading)
+
+
+class Sights:
+    """What the poller knows: True for a peer that sees the store down."""
+
+    def __init__(self):
+        self.own = False
+        self.peers = {}
+
+    def store_is_down_here(self):
+        return self.own
+
+    def sights(self):
+        return {name: SimpleNamespace(sight=down) for name, down in self.peers.items()}
+
+    def sees_outage(self, sight):
+        return sight
+
+
+class Bench:
+    def __init__(self, names="abc"):
+        self.time = Clock()
+        clock = TwistedClock(self.time, datetime(2026, 1, 1, tzinfo=UTC))
+        self.sights = Sights()
+        self.quorum = RegionQuorum("a", "north", self.sights, clock, GRACE)
+        self.quorum.take_members([member(name) for name in names])
+
+    def sees(self, own, **peers):
+        self.sights.own = own
+        self.sights.peers = peers
+
+    def after(self, seconds):
+        for _ in range(int(seconds * 2)):
+            self.time.advance(0.5)
+            self.quorum.note()
+
+
+@pytest.mark.parametrize(
+    ("own", "peers", "bridges"),
+    [
+        (True, {"b": True, "c": True}, True),
+        (True, {"b": True}, True),  # One is silent, two are most of three.
+        (True, {}, False),  # Cut off from everybody.
+        (True, {"b": True, "c": False}, False),  # Somebody sees the store.
+        (False, {"b": True, "c": True}, False),
+        (True, {"x": True, "y": True}, False),  # Other regions have no vote.
+    ],
+)
+def test_bridging(own, peers, bridges):
+    bench = Bench()
+    bench.sees(own, **peers)
+    assert bench.quorum.bridges_outage() is bridges
+
+
+def test_bridging_ends_after_the_grace():
+    bench = Bench()
+    bench.sees(True, b=True, c=True)
+    bench.after(60)
+    bench.sees(False, b=False, c=False)
+    bench.after(19)
+    assert bench.quorum.bridges_outage()
+    bench.after(2)
+    assert not bench.quorum.bridges_outage()
+
+
+@pytest.mark.parametrize(
+    ("vanished_for_s", "bridges"), [(1, False), (3500, False), (3700, True)]
+)
+def test_daemon_that_vanished_keeps_its_vote_for_an_hour(vanished_for_s, bridges):
+    bench = Bench("ab")
+    # The list does not change for long before the daemon vanishes.
+    bench.after(7200)
+    bench.quorum.take_members([member("a")])
+    bench.sees(True)
+    bench.time.advance(vanished_for_s)
+    assert bench.quorum.bridges_outage() is bridges
+
+
+def test_daemon_that_announced_its_leave_has_no_vote():
+    bench = Bench("ab")
+    bench.quorum.take_members([member("a"), member("b", leading=False)])
+    bench.quorum.take_members([member("a")])
+    bench.sees(True)
+    assert bench.quorum.bridges_outage()
+
+
+def test_store_must_be_seen_without_a_break():
+    bench = Bench()
+    bench.sees(False, b=False)
+    bench.after(30)
+    assert bench.quorum.store_seen_for() >= timedelta(seconds=29)
+    bench.sees(False, b=True)
+    bench.after(1)
+    assert bench.quorum.store_seen_for() == timedelta(0)
+    bench.sees(False, b=False)
+    bench.after(5)
+    assert timedelta(0) < bench.quorum.store_seen_for() <= timedelta(seconds=5)
