--- a/packages/savorylead-standins/savorylead_standins/cell/__init__.py
+++ b/packages/savorylead-standins/savorylead_standins/cell/__init__.py
@@ -2,12 +2,14 @@
 
 from ._documents import (
     OPERATOR_KEY,
-    REGION,
+    REGIONS,
     SETTINGS_KEY,
     CellShape,
     document_of,
     domain_names,
+    home_region_of,
     key_of,
+    region_of,
     workers_of,
 )
 from ._fake_cell import CellVariant, FakeCell, RunningDaemon
@@ -17,7 +19,7 @@
 
 __all__ = [
     "OPERATOR_KEY",
-    "REGION",
+    "REGIONS",
     "SETTINGS_KEY",
     "CallLostError",
     "CellShape",
@@ -31,6 +33,8 @@
     "UnsharedTeamLimits",
     "document_of",
     "domain_names",
+    "home_region_of",
     "key_of",
+    "region_of",
     "workers_of",
 ]
--- a/packages/savorylead-standins/savorylead_standins/cell/_documents.py
+++ b/packages/savorylead-standins/savorylead_standins/cell/_documents.py
@@ -28,7 +28,8 @@
 OPERATOR_KEY = "operator.secret"
 #: A key that only the daemons' settings know.
 SETTINGS_KEY = "settings.secret"
-REGION = "north"
+#: The regions of a cell with two; one with a single region has the first.
+REGIONS = ("north", "south")
 
 
 class CellShape(NamedTuple):
@@ -38,6 +39,8 @@
     domains: int = 3
     workers_per_domain: int = 2
     teams: tuple[str, ...] = ("dispatch", "planning")
+    #: 1 or 2; domains and teams belong to them in turn.
+    regions: int = 1
     #: Upper limit of each team, in cores.
     limit_cores: int = 16
     #: Domains whose workers have accelerators.
@@ -54,6 +57,16 @@
     return [f"dom{number}" for number in range(1, shape.domains + 1)]
 
 
+def region_of(shape: CellShape, domain: str) -> str:
+    """Return the region of a failure domain."""
+    return REGIONS[domain_names(shape).index(domain) % shape.regions]
+
+
+def home_region_of(shape: CellShape, team: str) -> str:
+    """Return the region in which a team's tasks have their home."""
+    return REGIONS[shape.teams.index(team) % shape.regions]
+
+
 def workers_of(shape: CellShape) -> list[Worker]:
     """Return every worker."""
     return [
@@ -80,12 +93,16 @@
     return CellDocument(
         cell="test",
         shards={
-            domain: ShardDocument(region=REGION, domain=domain, racks=[])
+            domain: ShardDocument(
+                region=region_of(shape, domain), domain=domain, racks=[]
+            )
             for domain in domain_names(shape)
         },
         teams={team: _team(team, shape.limit_cores) for team in shape.teams},
         workspaces={
-            f"{team}/main": WorkspaceDocument(team=team, home_region=REGION)
+            f"{team}/main": WorkspaceDocument(
+                team=team, home_region=home_region_of(shape, team)
+            )
             for team in shape.teams
         },
         queues={"day": QueueDocument(open=True, teams=[], max_waiting=1000)},
--- a/packages/savorylead-standins/savorylead_standins/cell/_fake_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/cell/_fake_cell.py
@@ -28,11 +28,12 @@
 
 from ._documents import (
     OPERATOR_KEY,
-    REGION,
+    REGIONS,
     SETTINGS_KEY,
     CellShape,
     document_of,
     domain_names,
+    region_of,
     workers_of,
 )
 from ._links import (
@@ -144,10 +145,11 @@
         process = Process(name, self.clock)
         domains = domain_names(self.shape)
         number = int(name.removeprefix("d")) - 1
+        domain = domains[number % len(domains)]
         member = Member(
             name=name,
-            region=REGION,
-            domain=domains[number % len(domains)],
+            region=region_of(self.shape, domain),
+            domain=domain,
             endpoint=f"{name}#{self._starts}",
             incarnation=f"{name}#{self._starts}",
         )
@@ -203,6 +205,31 @@
         """Let a VM begin to leave; the list tells it after a while."""
         self._vm_changes.append((self.clock.now(), name, "leaving"))
 
+    def ends_in(self, region: str) -> set[str]:
+        """Return the names of the daemons and workers of a region."""
+        daemons = {
+            name
+            for name, running in self.daemons.items()
+            if running.daemon.membership.member.region == region
+        }
+        workers = {
+            name
+            for name, worker in self.workers.items()
+            if region_of(self.shape, worker.worker.domain) == region
+        }
+        return daemons | workers
+
+    def cut_regions(self, without_store: str) -> None:
+        """Let no message pass between the regions; one of them loses the store."""
+        ends = [self.ends_in(region) for region in REGIONS]
+        self.network_plan.cut |= {frozenset((a, b)) for a in ends[0] for b in ends[1]}
+        self.store_faults.cut |= self.ends_in(without_store)
+
+    def join_regions(self) -> None:
+        """End every cut."""
+        self.network_plan.cut.clear()
+        self.store_faults.cut.clear()
+
     def vm_entries(self) -> list[VmEntry]:
         """Return the list of VMs as it was ``vm_lag`` ago."""
         leaving = {
