--- a/packages/savorylead-standins/savorylead_standins/faults/__init__.py
+++ b/packages/savorylead-standins/savorylead_standins/faults/__init__.py
@@ -11,6 +11,7 @@
     seed_of,
     single_faults,
 )
+from ._recording_caller import RecordingCaller, Request
 from ._scenario import SHAPE, Scenario
 from ._steps import STEPS, Step
 from ._variants import VARIANTS, BrokenVariant
@@ -26,6 +27,8 @@
     "FaultAt",
     "FaultyCell",
     "MatrixRun",
+    "RecordingCaller",
+    "Request",
     "Scenario",
     "Sight",
     "Spot",
