End a wait by its timer, not by what the clock shows

Cause: a wait for an answer was ended by cancelling it, and the cancellation counted as the end of the wait only if the clock was past it.

The timer now fires the wait as news does, and the loop looks at the clock.

--- a/packages/savorylead-daemon/savorylead_daemon/lead/_answer_desk.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_answer_desk.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 from datetime import datetime, timedelta
 
-from twisted.internet.defer import CancelledError
+from twisted.internet.defer import Deferred
 
 from savorylead.clock import Clock
 from savorylead.contracts import TaskId
@@ -44,20 +44,25 @@
         return [view_job(self._ledger, self._shard, task) for task in tasks]
 
     async def _wait_for_any(self, tasks: Sequence[TaskId], until: datetime) -> bool:
-        """Wait for news of one of the tasks; False once the time is up."""
+        """Wait for news of one of the tasks; False if the time was up before.
+
+        The end of the wait counts as news, since the clock may have been set back
+        meanwhile; only the next call can tell whether the time is up.
+        """
         left = until - self._clock.now()
         if left <= timedelta(0):
             return False
         names = [member for task in tasks for member in self._members(task.job())]
         waiter = self._ledger.any_answer(names)
-        timer = self._clock.call_later(left, waiter.cancel)
+        timer = self._clock.call_later(left, _fire, waiter)
         try:
             await waiter
-        except CancelledError:
-            if self._clock.now() < until:
-                raise
-            return False
         finally:
             timer.cancel()
             self._ledger.forget_waiter(names, waiter)
         return True
+
+
+def _fire(waiter: Deferred[None]) -> None:
+    if not waiter.called:
+        waiter.callback(None)
