Refuse a cancellation that the lead may not do, in place of dropping it

Cause: a lead whose configuration was not confirmed, or at which the key was withdrawn, left the cancellation out and answered with views as if nothing were wrong. The caller took the task for cancelled; the service ran on.

The lead now answers with the reason, and the gateway refuses the call, which the caller may repeat.

Before: the new test sees no refusal.

--- a/packages/savorylead-daemon/savorylead_daemon/cell/_message_handler.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_message_handler.py
@@ -17,6 +17,7 @@
     CancelMessage,
     DigestAnswer,
     DigestMessage,
+    KeyRefused,
     LeadLost,
     NotLead,
     OfferAnswer,
@@ -130,13 +131,11 @@
         return ViewsAnswer(tuple(await lead.answers(message.tasks, wait)))
 
     async def _cancel(self, lead: ShardLead, message: CancelMessage) -> PeerAnswer:
-        allowed = [
-            task
-            for task in message.tasks
-            if self._recheck_key(task.team, message.key_id) is None
-        ]
-        await lead.cancel(allowed)
-        return ViewsAnswer(tuple(lead.views(message.tasks)))
+        for team in sorted({task.team for task in message.tasks}):
+            reason = self._recheck_key(team, message.key_id)
+            if reason is not None:
+                return KeyRefused(reason)
+        return ViewsAnswer(tuple(await lead.cancel(message.tasks)))
 
     async def _tombstone(
         self, lead: ShardLead, message: TombstoneMessage
--- a/packages/savorylead-daemon/savorylead_daemon/cell/tests/test_refusals_for_keys.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/tests/test_refusals_for_keys.py
@@ -2,9 +2,11 @@
 
 import copy
 
+from twisted.internet.defer import Deferred
+
 from savorylead.config import CONFIG_KEY
 from savorylead.outcomes import NotRun, Refusal, Unknown
-from savorylead_daemon.services import Admitted, ConfigApplied
+from savorylead_daemon.services import Admitted, ConfigApplied, RequestName
 from savorylead_standins.cell import OPERATOR_KEY, FakeCell, key_of
 from savorylead_standins.store import CallFate
 
@@ -51,6 +53,20 @@
     assert [execution.task.request for execution in executions] == ["r1"]
 
 
+def test_cancel_that_the_lead_may_not_do_is_refused():
+    cell = begun()
+    submit(cell, {**TASK, "payload": '{"run_ms": null}'})
+    refuse_key_at_leads(cell)
+    errors = []
+    for running in cell.daemons.values():
+        callers = running.daemon.callers
+        names = [RequestName("main", "r1")]
+        cancelling = Deferred.fromCoroutine(callers.cancel(key_of("dispatch"), names))
+        cancelling.addErrback(errors.append)
+    cell.run(2)
+    assert [error.value.reason for error in errors] == [Refusal.KEY_WITHDRAWN] * 3
+
+
 def test_accepted_change_is_in_force_where_it_was_accepted_though_store_fails():
     cell = begun()
     daemon = cell.daemons["d1"].daemon
--- a/packages/savorylead-daemon/savorylead_daemon/gateway/_caller_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/gateway/_caller_gateway.py
@@ -16,6 +16,7 @@
 from savorylead_daemon.peers import (
     AnswersMessage,
     CancelMessage,
+    KeyRefused,
     PeerAnswer,
     PeerMessage,
     SubmitAnswer,
@@ -216,6 +217,8 @@
     ) -> list[TaskView]:
         message = CancelMessage(shard, owner.key_id, tuple(tasks))
         answer = await self._ask(shard, message, self._clock.now() + self._times.answer)
+        if isinstance(answer, KeyRefused):
+            raise RefusedError(answer.reason, "the lead did not cancel")
         views = list(_expect(answer, ViewsAnswer).views)
         final = [view for view in views if view.phase != Phase.MOVED]
         for view in views:
--- a/packages/savorylead-daemon/savorylead_daemon/peers/_codec.py
+++ b/packages/savorylead-daemon/savorylead_daemon/peers/_codec.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from savorylead.outcomes import UnknownOutcomeError
+from savorylead.outcomes import Refusal, UnknownOutcomeError
 from savorylead_daemon.services import TaskPage
 
 from ._messages import (
@@ -15,6 +15,7 @@
     CancelMessage,
     DigestAnswer,
     DigestMessage,
+    KeyRefused,
     LeadLost,
     NotLead,
     OfferAnswer,
@@ -118,6 +119,12 @@
         DigestAnswer, lambda answer: answer, DigestAnswer, lambda wire: wire
     ),
     "not_lead": _AnswerForm(NotLead, lambda answer: answer.shard, str, NotLead),
+    "key_refused": _AnswerForm(
+        KeyRefused,
+        lambda answer: answer.reason.value,
+        str,
+        lambda wire: KeyRefused(Refusal(wire)),
+    ),
     "lead_lost": _AnswerForm(LeadLost, lambda answer: answer.shard, str, LeadLost),
 }
 _ANSWER_TAGS = {form.kind: tag for tag, form in _ANSWERS.items()}
@@ -155,5 +162,5 @@
         form = _ANSWERS[envelope.tag]
         wire = msgspec.json.decode(envelope.fields, type=form.wire_type)
         return Decoded(envelope.revision, form.from_wire(wire))
-    except (KeyError, msgspec.DecodeError, UnknownOutcomeError) as exc:
+    except (ValueError, KeyError, UnknownOutcomeError) as exc:
         raise PeerCodecError(str(exc)) from exc
--- a/packages/savorylead-daemon/savorylead_daemon/peers/_messages.py
+++ b/packages/savorylead-daemon/savorylead_daemon/peers/_messages.py
@@ -9,6 +9,7 @@
 from savorylead.outcomes import (
     NotRun,
     Outcome,
+    Refusal,
     Unknown,
     WireOutcome,
     outcome_from_wire,
@@ -183,6 +184,13 @@
     shard: str
 
 
+@dataclass(frozen=True)
+class KeyRefused:
+    """The lead may not act on the caller's key now and did nothing."""
+
+    reason: Refusal
+
+
 #: Everything that a daemon may answer.
 PeerAnswer = (
     SubmitAnswer
@@ -193,6 +201,7 @@
     | DigestAnswer
     | NotLead
     | LeadLost
+    | KeyRefused
 )
 
 
