--- a/packages/savorylead-daemon/savorylead_daemon/lead/_dispatcher.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_dispatcher.py
@@ -172,7 +172,9 @@
     def _place(self, place: Place, record: TaskRecord) -> Event:
         session = self._fleet.ensure_known(place.worker)
         attempt = (place.task, record.attempt + 1)
-        self._index.place(attempt, place.worker)
+        corrected = self._queue.take_corrected(place.task)
+        held = record.spec.resources if corrected is None else corrected
+        self._index.place(attempt, place.worker, held)
         self._room.started(place.task, self._now_ms())
         self._care.placed(place.worker, place.task)
         return Placed(
@@ -180,7 +182,7 @@
             place.worker,
             session.incarnation,
             self._now_ms(),
-            self._queue.take_corrected(place.task),
+            corrected,
         )
 
     def _preempt(self, decision: Preempt) -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_placement_index.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_placement_index.py
@@ -10,6 +10,9 @@
 
 from ._session_listener import Attempt
 
+#: Tells a task that was not there from one that was.
+ABSENT = object()
+
 
 class PlacementIndex:
     """Follows placed tasks by worker, beside the records."""
@@ -18,6 +21,8 @@
         self._state = state
         #: In the order of placement, so that equal runs go alike.
         self._placed_on: dict[str, dict[TaskId, None]] = defaultdict(dict)
+        #: What the tasks placed on each worker hold.
+        self._held: dict[str, Resources] = {}
         #: Attempts whose placement is not durable, so that no order has left.
         self._uncommitted: set[Attempt] = set()
         #: Durable attempts whose order was never handed to the worker's session.
@@ -28,11 +33,13 @@
     def restore(self, record: TaskRecord) -> None:
         """Add a placed task of the replayed records."""
         self._placed_on[record.worker][record.spec.id] = None
+        self._add_held(record.worker, record.held_resources())
 
-    def place(self, attempt: Attempt, worker: str) -> None:
-        """Add an attempt whose placement is not durable yet."""
+    def place(self, attempt: Attempt, worker: str, held: Resources) -> None:
+        """Add an attempt that is about to be placed and holds ``held``."""
         self._uncommitted.add(attempt)
         self._placed_on[worker][attempt[0]] = None
+        self._add_held(worker, held)
 
     def commit(self, attempt: Attempt) -> None:
         """Note that the placement is durable; its order may leave from now on."""
@@ -52,7 +59,9 @@
     def remove(self, record: TaskRecord) -> None:
         """Forget the record's attempt."""
         attempt = (record.spec.id, record.attempt)
-        self._placed_on[record.worker].pop(record.spec.id, None)
+        if self._placed_on[record.worker].pop(record.spec.id, ABSENT) is not ABSENT:
+            left = self._held[record.worker].minus(record.held_resources())
+            self._held[record.worker] = left
         self._uncommitted.discard(attempt)
         self._unsent.discard(attempt)
         self._started.discard(attempt)
@@ -86,7 +95,7 @@
 
     def held_on(self, worker: str) -> Resources:
         """Return what the tasks placed on a worker hold in all."""
-        held = ZERO
-        for record in self.records_on(worker):
-            held = held.plus(record.held_resources())
-        return held
+        return self._held.get(worker, ZERO)
+
+    def _add_held(self, worker: str, held: Resources) -> None:
+        self._held[worker] = self._held.get(worker, ZERO).plus(held)
