--- a/packages/savorylead-daemon/savorylead_daemon/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/composition.py
@@ -17,6 +17,7 @@
 from savorylead.config import InForceSettings
 from savorylead.contracts import EscrowedLimits, GrantHolder
 from savorylead.domains import Member, MembershipSettings, RegistrationSettings
+from savorylead.journal import JournalSettings
 from savorylead.links import LinkCount, LinkSettings
 from savorylead.placement import IndexedPlanner
 from savorylead.store import WatchSettings
@@ -65,6 +66,8 @@
 PEER_LINK = LinkSettings(attempt_timeout=timedelta(seconds=2), max_connections=8)
 #: The largest message between daemons, such as an array of tasks.
 MAX_PEER_MESSAGE_BYTES = 8_000_000
+#: Events that may wait a little are gathered, since the store takes few writes.
+JOURNAL = JournalSettings(gather=timedelta(milliseconds=60), gather_events=24)
 #: The reason for which a daemon without a fresh configuration is not ready.
 CONFIG_NOT_FRESH = "config_not_fresh"
 
@@ -89,6 +92,7 @@
             watch=WatchSettings(poll=polls.members),
         ),
         config=InForceSettings(watch=WatchSettings(poll=polls.config)),
+        journal=JOURNAL,
     )
 
 
