--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 EXAMPLE ?= monteverde
 PACKAGES := $(patsubst %,-e packages/%,savorylead savorylead-daemon savorylead-ctl savorylead-standins)
 
-.PHONY: faults demo rig test lint format bench venv clean
+.PHONY: capacity faults demo rig test lint format bench venv clean
 
 venv: $(VENV)/installed
 
@@ -37,5 +37,8 @@
 faults: venv
 	$(BIN)/python -m savorylead_standins.faults
 
+capacity: venv
+	$(BIN)/python -m bench.capacity
+
 clean:
 	rm -rf $(VENV) out
