--- a/bench/_capacity_page.py
+++ b/bench/_capacity_page.py
@@ -124,10 +124,10 @@
 """
 
 _NODES = """A node can be read in two ways. If it is an **entry VM**, the lines of
-entry VM and the memory of member and lead count. If it is a **worker**, only the lines
-of the worker's link count: nothing of the system runs there. Read as a worker, the
-limits are kept; read as an entry VM, they are not. Five of 12 entry VMs have no lead.
-The processor time and memory of workers are the platform's and were not measured.
+entry VM and the memory of member and lead count, and the limits are not kept. If it is
+a **worker**, only the lines of the worker's link count, and the limit of bytes is kept:
+nothing of the system runs there. Processor time and memory that the platform's own
+program on a worker needs were not measured. Five of 12 entry VMs have no lead.
 """
 
 _TEN_TIMES = """6,500 workers and 590 starts a second, with seven leads and 12 members
