--- a/packages/savorylead-daemon/savorylead_daemon/gateway/_caller_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/gateway/_caller_gateway.py
@@ -92,7 +92,8 @@
             for shard, names in sorted(homes.items())
         )
         replies = {task: reply for part in parts for task, reply in part.items()}
-        no_shard = NotRun(Refusal.NO_LEAD, "the home region has no shard")
+        # An earlier copy may have been accepted while the region had a shard.
+        no_shard = Unknown("the home region has no shard now")
         return [replies.get(job[0].id, no_shard) for job in jobs]
 
     async def answers(
