--- a/packages/savorylead-standins/savorylead_standins/rig/__init__.py
+++ b/packages/savorylead-standins/savorylead_standins/rig/__init__.py
@@ -1,5 +1,6 @@
 """Real processes on loopback, and callers that reach them over HTTP."""
 
+from ._command import run_from_command_line
 from ._http_caller import CallFailedError, HttpCaller
 from ._processes import HOST, CellProcesses, Child, ChildError, bounded
 from ._real_cell import DaemonPlace, RealCell
@@ -21,4 +22,5 @@
     "TaskDrafts",
     "WorkPlace",
     "bounded",
+    "run_from_command_line",
 ]
