Let daemons that lead nothing take care of a dead lead's workers, and close old links

Cause: the caretaker is chosen among all daemons of the region, but only leads read the list of VMs, so a chosen daemon that led nothing renewed nobody. Six daemons for three shards, each killed in turn 10 s into an outage: 3 and 5 of 6 services ran on in two of the six cases; now 6 of 6 in all. The tests had as many shards as daemons and could not see it.

Links to VMs and daemons that were replaced were never closed; they are now, every five minutes. An unused method of the session is gone.

--- a/packages/savorylead-daemon/savorylead_daemon/cell/_caretaker.py
+++ b/packages/savorylead-daemon/savorylead_daemon/cell/_caretaker.py
@@ -33,9 +33,11 @@
         poller: DigestPoller,
         contract: WorkerContract,
         workers: Callable[[], Collection[Worker]],
+        refresh_workers: Callable[[], None],
         clock: Clock,
         times: LeadTimes,
     ) -> None:
+        """Take ``refresh_workers``, which has the list of workers read again."""
         #: Renewals made for other leads, for metrics.
         self.renewals = 0
         self._own_name = own_name
@@ -45,6 +47,7 @@
         self._poller = poller
         self._contract = contract
         self._workers = workers
+        self._refresh_workers = refresh_workers
         self._clock = clock
         self._times = times
         self._series: Periodic | None = None
@@ -63,6 +66,8 @@
         for shard in self._directory.shards.values():
             epoch = self._directory.last_epoch(shard.name)
             if epoch and self._is_mine(shard):
+                # A daemon that leads nothing seldom reads the list.
+                self._refresh_workers()
                 self._renew_shard(shard, epoch)
 
     def _is_mine(self, shard: Shard) -> bool:
--- a/packages/savorylead-daemon/savorylead_daemon/daemon/_daemon.py
+++ b/packages/savorylead-daemon/savorylead_daemon/daemon/_daemon.py
@@ -73,6 +73,9 @@
     journal: JournalSettings = JournalSettings()
     #: Time between two looks at what most daemons say about the store.
     quorum_check: timedelta = timedelta(milliseconds=500)
+    #: Time between readings of the list of VMs by a daemon that leads nothing, which
+    #: needs it as caretaker, and between two looks for links to close.
+    vm_list_refresh: timedelta = timedelta(minutes=5)
 
 
 class DaemonParts(NamedTuple):
@@ -105,8 +108,8 @@
         self._parts = parts
         self._name = parts.member.name
         self._clock = parts.clock
-        self._vm_list = RememberedVmList(parts.vm_list)
-        self._quorum_series: Periodic | None = None
+        self._vm_list = RememberedVmList(parts.vm_list, parts.clock)
+        self._series: list[Periodic] = []
         self.config = InForceConfig(
             parts.store, parts.clock, parts.rng, parts.times.config
         )
@@ -152,9 +155,18 @@
         self.supervisor.begin()
         self.poller.begin()
         self.caretaker.begin()
-        self._quorum_series = Periodic(
-            self._parts.clock, self._parts.times.quorum_check, self._quorum.note
-        )
+        self._refresh_workers(self._parts.times.vm_list_refresh)
+        self._series = [
+            Periodic(self._clock, self._parts.times.quorum_check, self._quorum.note),
+            Periodic(
+                self._clock,
+                self._parts.times.vm_list_refresh,
+                lambda: self._refresh_workers(self._parts.times.vm_list_refresh),
+            ),
+            Periodic(
+                self._clock, self._parts.times.vm_list_refresh, self._close_old_links
+            ),
+        ]
 
     async def hand_over(self) -> None:
         """Take no shard any more and give up those led, each at once.
@@ -181,8 +193,8 @@
     def _close_followers(self) -> None:
         self.poller.close()
         self.caretaker.close()
-        if self._quorum_series is not None:
-            self._quorum_series.close()
+        for series in self._series:
+            series.close()
         self.supervisor.close()
         self._heads.stop()
         self.config.stop()
@@ -239,10 +251,21 @@
             self.poller,
             self._parts.contract,
             self._vm_list.workers,
+            lambda: self._refresh_workers(self._parts.times.lead.renew_interval),
             self._clock,
             self._parts.times.lead,
         )
 
+    def _refresh_workers(self, max_age: timedelta) -> None:
+        self._vm_list.refresh(max_age)
+
+    def _close_old_links(self) -> None:
+        """Close the links to VMs and daemons that are gone."""
+        members = self.directory.members.values()
+        self._parts.transport.keep_only(frozenset(m.endpoint for m in members))
+        if self._vm_list.endpoints():
+            self._parts.contract.keep_only(self._vm_list.endpoints())
+
     def _build_operators(self) -> OperatorGateway:
         editor = ConfigEditor(
             self._parts.store, self._clock, self._parts.rng, self.config.observe
--- a/packages/savorylead-daemon/savorylead_daemon/lead/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/lead/_worker_session.py
@@ -98,10 +98,6 @@
         if self._renew_timer is not None:
             self._renew_timer.cancel()
 
-    def takes_work(self) -> bool:
-        """Return whether the worker may be given new tasks."""
-        return self.contact is Contact.HEARD and self.accepting
-
     def expect_end_in(self, delay: timedelta) -> None:
         """Renew about then, so that an answer is fetched without a long wait."""
         earliest = self._last_renew_began + self._times.early_renew_gap
--- a/packages/savorylead-daemon/savorylead_daemon/peers/_peer.py
+++ b/packages/savorylead-daemon/savorylead_daemon/peers/_peer.py
@@ -29,6 +29,9 @@
         member may hold the answer back on purpose.
         """
 
+    def keep_only(self, endpoints: frozenset[str]) -> None:  # noqa: B027
+        """Free what is kept for daemons at other endpoints; nothing by default."""
+
 
 class RevisionExchange(ABC):
     """The configuration's revision, which every message carries both ways."""
--- a/packages/savorylead-standins/savorylead_standins/cell/tests/test_outage.py
+++ b/packages/savorylead-standins/savorylead_standins/cell/tests/test_outage.py
@@ -56,6 +56,16 @@
     assert check_all(cell.finish(settled=False)) == []
 
 
+@pytest.mark.parametrize("dies", ["d1", "d2", "d3", "d4", "d5", "d6"])
+def test_a_daemon_that_leads_nothing_takes_care_as_well(dies):
+    cell = cell_with_services(daemons=6)
+    cell.store_faults.down = True
+    cell.run(10)
+    cell.kill(dies)
+    cell.run(120)
+    assert (running(cell), starts(cell)) == (SERVICES, SERVICES)
+
+
 def test_a_lead_without_a_majority_lets_its_leases_lapse():
     cell = cell_with_services()
     lone = cell.leads()["dom1"][0]
--- a/packages/savorylead/savorylead/workers/_contract.py
+++ b/packages/savorylead/savorylead/workers/_contract.py
@@ -198,3 +198,6 @@
         attempts: Sequence[tuple[TaskId, int]],
     ) -> None | Declined:
         """Forget the reports of ended attempts, but never start these again."""
+
+    def keep_only(self, endpoints: frozenset[str]) -> None:  # noqa: B027
+        """Free what is kept for workers at other endpoints; nothing by default."""
