--- a/Makefile
+++ b/Makefile
@@ -2,13 +2,15 @@
 VENV := .venv
 BIN := $(VENV)/bin
 EXAMPLE ?= monteverde
-PACKAGES := $(patsubst %,-e packages/%,savorylead savorylead-daemon savorylead-ctl savorylead-standins)
+PACKAGES := $(patsubst %,-e packages/%,savorylead savorylead-daemon savorylead-ctl savorylead-standins) \
+	-e platform
 
 .PHONY: capacity faults demo rig test lint format bench venv clean
 
 venv: $(VENV)/installed
 
-$(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) \
+	platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -c constraints.txt -r requirements-dev.txt
 	$(BIN)/pip install -q -c constraints.txt --no-build-isolation $(PACKAGES)
--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,18 @@
+#!/usr/bin/env sh
+# Puts savoryleadd, its libraries and the platform's adapter into target/deps.
+set -eu
+cd "$(dirname "$0")/.."
+deps=target/deps
+if [ ! "$deps/.installed" -nt deploy/requirements.txt ]; then
+    python3 -m pip install -q -U --target "$deps" -c constraints.txt \
+        -r deploy/requirements.txt
+    touch "$deps/.installed"
+fi
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+for source in packages/savorylead packages/savorylead-daemon platform; do
+    # Built from a copy, so that no build folder appears beside the source.
+    cp -R "$source" "$work/"
+done
+python3 -m pip install -q -U --no-deps --target "$deps" \
+    "$work/savorylead" "$work/savorylead-daemon" "$work/platform"
--- a/packages/savorylead-daemon/savorylead_daemon/http/_http_links.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/_http_links.py
@@ -5,6 +5,7 @@
 import random
 from collections import Counter
 from collections.abc import Mapping
+from types import MappingProxyType
 
 from twisted.internet.interfaces import IReactorTCP
 
@@ -17,6 +18,7 @@
 #: Retries allowed per success, and saved up for a burst.
 DEFAULT_RETRY_SHARE = 0.1
 DEFAULT_RETRY_BURST = 10
+_NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 
 
 class HttpLinks:
@@ -43,12 +45,18 @@
         self._headers = headers
         self._settings = settings
 
-    def open(self, endpoint: str) -> ResilientLink:
-        """Return a new link to "IP:port" or "IP:port/prefix"."""
+    def open(
+        self, endpoint: str, headers: Mapping[str, str] = _NO_HEADERS
+    ) -> ResilientLink:
+        """Return a new link to "IP:port" or "IP:port/prefix".
+
+        Its calls carry ``headers`` beside those that all links share.
+        """
+        headers = {**self._headers, **headers}
         return ResilientLink(
             self._clock,
             self._rng,
-            HttpTransport(self._reactor, endpoint, self._headers, traffic=self.traffic),
+            HttpTransport(self._reactor, endpoint, headers, traffic=self.traffic),
             self.budget,
             self._settings,
             self.counts,
--- a/packages/savorylead-daemon/savorylead_daemon/main.py
+++ b/packages/savorylead-daemon/savorylead_daemon/main.py
@@ -8,6 +8,11 @@
 from importlib.metadata import version
 from pathlib import Path
 
+from savorylead_daemon.pool.settings import (
+    PoolSettings,
+    is_for_pools,
+    load_pool_settings,
+)
 from savorylead_daemon.settings import Settings, SettingsError, load_settings
 
 EXIT_OK = 0
@@ -46,7 +51,7 @@
     """Run the daemon until it is stopped; leaves through SystemExit."""
     args = build_parser().parse_args(argv)
     try:
-        settings = load_settings(args.config)
+        settings = _load(args.config)
     except SettingsError as exc:
         for path, message in exc.faults:
             print(f"{args.config}: {path}: {message}", file=sys.stderr)
@@ -57,9 +62,24 @@
     raise SystemExit(_run(settings))
 
 
-def _run(settings: Settings) -> int:
+def _load(path: Path) -> Settings | PoolSettings:
+    """Read settings of either kind; those of a platform's daemon name an adapter."""
+    try:
+        for_pools = is_for_pools(path.read_bytes())
+    except OSError:
+        # The loader tells what is wrong with the file.
+        for_pools = False
+    return load_pool_settings(path) if for_pools else load_settings(path)
+
+
+def _run(settings: Settings | PoolSettings) -> int:
     """Wire the daemon and run it; return the exit code."""
-    # Only a daemon that runs needs the reactor and everything behind it.
+    # Only a daemon that runs needs the reactor and everything behind it, and each
+    # kind of daemon only its own half.
+    if isinstance(settings, PoolSettings):
+        from savorylead_daemon.pool.composition import compose_pools
+
+        return compose_pools(settings)
     from savorylead_daemon.composition import compose
 
     return compose(settings)
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_cell_lease.py
@@ -0,0 +1,122 @@
+"""The lease in the store on which everything rests that a daemon leads."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import datetime, timedelta
+
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import Clock
+from savorylead.pools import CellStore
+from savorylead.store import StoreError, StoreLeaseLostError
+from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+#: How long a silent daemon leads on. A shorter lease would lapse when the store
+#: answers slowly for two renewals in a row.
+LEASE_TTL = timedelta(milliseconds=2_000)
+#: Time between two renewals.
+RENEW_EVERY = timedelta(milliseconds=500)
+#: Time until a failed call is repeated.
+RETRY_AFTER = timedelta(milliseconds=150)
+#: The lease counts as over this much sooner, for orders under way and for drift.
+SAFETY = timedelta(milliseconds=200)
+
+
+class CellLease:
+    """Keeps one lease, and tells whether it surely still holds.
+
+    ``on_granted(lease_id)`` is called for each new lease, ``on_lost()`` when the
+    store says that it ended. The clock must count the time of a suspension.
+    """
+
+    def __init__(
+        self,
+        store: CellStore,
+        clock: Clock,
+        log: EventLog,
+        on_granted: Callable[[str], None],
+        on_lost: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._on_granted = on_granted
+        self._on_lost = on_lost
+        self._valid_until: datetime | None = None
+        self._running: Deferred[None] | None = None
+        self._was_valid = False
+        #: Empty while there is none.
+        self.id = ""
+
+    def start(self) -> None:
+        """Get a lease and keep it."""
+        self._running = spawn("cell lease", self._run())
+
+    def holds(self) -> bool:
+        """Return whether the lease surely holds now."""
+        return self._valid_until is not None and self._clock.now() < self._valid_until
+
+    async def end(self) -> None:
+        """Give the lease up, with every key that rests on it."""
+        self._valid_until = None
+        if self._running is not None:
+            self._running.cancel()
+        lease_id, self.id = self.id, ""
+        if not lease_id:
+            return
+        try:
+            await self._store.end_lease(lease_id)
+        except StoreError as exc:
+            self._log.log_event(
+                LogLevel.WARNING, "lease_not_ended", lease=lease_id, detail=str(exc)
+            )
+
+    async def _run(self) -> None:
+        while True:
+            pause = RENEW_EVERY
+            try:
+                if self.id:
+                    await self._renew()
+                else:
+                    await self._grant()
+            except StoreLeaseLostError:
+                self._lose()
+                pause = timedelta(0)
+            except StoreError as exc:
+                pause = RETRY_AFTER
+                self._note_failure(exc)
+            await self._clock.sleep(pause)
+
+    async def _grant(self) -> None:
+        sent_at = self._clock.now()
+        grant = await self._store.grant_lease(LEASE_TTL)
+        self.id = grant.id
+        self._valid_until = sent_at + grant.ttl - SAFETY
+        self._was_valid = True
+        self._log.log_event(LogLevel.INFO, "lease_granted", lease=grant.id)
+        self._on_granted(grant.id)
+
+    async def _renew(self) -> None:
+        sent_at = self._clock.now()
+        await self._store.renew_lease(self.id)
+        self._valid_until = sent_at + LEASE_TTL - SAFETY
+        if not self._was_valid:
+            self._was_valid = True
+            self._log.log_event(LogLevel.INFO, "lease_regained", lease=self.id)
+
+    def _lose(self) -> None:
+        self._log.log_event(LogLevel.WARNING, "lease_lost", lease=self.id)
+        self.id = ""
+        self._valid_until = None
+        self._was_valid = False
+        self._on_lost()
+
+    def _note_failure(self, exc: StoreError) -> None:
+        if self._was_valid and not self.holds():
+            self._was_valid = False
+            self._log.log_event(
+                LogLevel.WARNING, "lease_unproved", lease=self.id, detail=str(exc)
+            )
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_cell_view.py
@@ -0,0 +1,146 @@
+"""Which daemons live and which of them leads each pool."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import datetime, timedelta
+from typing import NamedTuple
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import Clock
+from savorylead.pools import CellStore
+from savorylead.store import StoreError
+from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+from ._keys import CELL_PREFIX, LEAD_PREFIX, MEMBER_PREFIX
+
+#: Longest wait of one watch. A connection that went silent is noticed after it.
+WATCH_WAIT = timedelta(milliseconds=2_000)
+#: Time after which everything is read again, since a watch may miss changes.
+REREAD_EVERY = timedelta(seconds=4)
+#: Time until a failed read is repeated.
+RETRY_AFTER = timedelta(milliseconds=200)
+
+
+class MemberRecord(NamedTuple):
+    """A daemon that lives."""
+
+    name: str
+    #: Random; new with each start of the process.
+    incarnation: str
+    #: "IP:port" for messages of other daemons.
+    address: str
+
+
+class LeadRecord(NamedTuple):
+    """The lead of a pool."""
+
+    member: MemberRecord
+    #: Number of its term, which is also its fencing token.
+    term: int
+
+
+class SeenLead(NamedTuple):
+    """A lead and the store revision of its key."""
+
+    record: LeadRecord
+    revision: int
+
+
+def encode_record(record: MemberRecord | LeadRecord) -> bytes:
+    """Return a record as JSON."""
+    return msgspec.json.encode(record)
+
+
+class CellView:
+    """Follows the keys of members and leads; ``on_change`` after each change."""
+
+    def __init__(self, store: CellStore, clock: Clock, log: EventLog) -> None:
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._on_change: list[Callable[[], None]] = []
+        self._running: Deferred[None] | None = None
+        self.members: dict[str, MemberRecord] = {}
+        self.leads: dict[str, SeenLead] = {}
+        #: Store revision up to which the view is complete; 0 before the first read.
+        self.revision = 0
+
+    def subscribe(self, on_change: Callable[[], None]) -> None:
+        """Call ``on_change()`` after each change of the view."""
+        self._on_change.append(on_change)
+
+    def start(self) -> None:
+        """Begin to read and to watch."""
+        self._running = spawn("cell view", self._run())
+
+    def stop(self) -> None:
+        """End the watch."""
+        if self._running is not None:
+            self._running.cancel()
+
+    def lead(self, pool: str) -> LeadRecord | None:
+        """Return the lead of a pool as far as it is known."""
+        seen = self.leads.get(pool)
+        return None if seen is None else seen.record
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._read()
+                await self._watch(self._clock.now() + REREAD_EVERY)
+            except StoreError as exc:
+                self._log.log_event(
+                    LogLevel.INFO, "cell_view_interrupted", detail=str(exc)
+                )
+                await self._clock.sleep(RETRY_AFTER)
+
+    async def _read(self) -> None:
+        snapshot = await self._store.list(CELL_PREFIX)
+        before = (self.members, self.leads)
+        self.members, self.leads = {}, {}
+        for item in snapshot.items:
+            self._put(item.key, item.value, item.revision)
+        self.revision = max(self.revision, snapshot.revision)
+        if (self.members, self.leads) != before:
+            self._notify()
+
+    async def _watch(self, until: datetime) -> None:
+        while self._clock.now() < until:
+            changes = await self._store.changes(CELL_PREFIX, self.revision, WATCH_WAIT)
+            for change in changes.events:
+                if change.value is None:
+                    self._drop(change.key)
+                else:
+                    self._put(change.key, change.value, change.revision)
+            self.revision = max(self.revision, changes.revision)
+            if changes.events:
+                self._notify()
+
+    def _put(self, key: str, value: bytes, revision: int) -> None:
+        try:
+            if key.startswith(MEMBER_PREFIX):
+                name = key.removeprefix(MEMBER_PREFIX)
+                self.members[name] = msgspec.json.decode(value, type=MemberRecord)
+            elif key.startswith(LEAD_PREFIX):
+                pool = key.removeprefix(LEAD_PREFIX)
+                record = msgspec.json.decode(value, type=LeadRecord)
+                self.leads[pool] = SeenLead(record, revision)
+        except msgspec.DecodeError as exc:
+            self._log.log_event(
+                LogLevel.WARNING, "cell_record_unreadable", key=key, detail=str(exc)
+            )
+
+    def _drop(self, key: str) -> None:
+        if key.startswith(MEMBER_PREFIX):
+            self.members.pop(key.removeprefix(MEMBER_PREFIX), None)
+        elif key.startswith(LEAD_PREFIX):
+            self.leads.pop(key.removeprefix(LEAD_PREFIX), None)
+
+    def _notify(self) -> None:
+        for on_change in self._on_change:
+            on_change()
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_config_feed.py
@@ -0,0 +1,145 @@
+"""The configuration in force at one daemon, and how fresh it is."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import datetime, timedelta
+
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import Clock
+from savorylead.pools import (
+    CellDocument,
+    CellStore,
+    ConfigDecodeError,
+    ConfigSource,
+    Queue,
+)
+from savorylead.store import StoreError
+from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+#: Time between two reads. A change is in force after one read and its answer, which
+#: leaves more than half of two seconds for a slow store.
+READ_EVERY = timedelta(milliseconds=700)
+#: Time until a failed read is repeated.
+RETRY_AFTER = timedelta(milliseconds=150)
+
+
+class ConfigFeed:
+    """Reads the configuration all the time and never goes back to a lower version."""
+
+    def __init__(
+        self,
+        store: CellStore,
+        source: ConfigSource,
+        clock: Clock,
+        log: EventLog,
+        fresh_for: timedelta,
+    ) -> None:
+        """Count as fresh for ``fresh_for`` after the last confirming read was sent."""
+        self._store = store
+        self._source = source
+        self._clock = clock
+        self._log = log
+        self._fresh_for = fresh_for
+        self._confirmed_at: datetime | None = None
+        self._on_change: list[Callable[[CellDocument], None]] = []
+        self._running: Deferred[None] | None = None
+        self._teams_by_key: dict[str, str] = {}
+        self._was_fresh = False
+        self._unreadable_revision = 0
+        self.document: CellDocument | None = None
+
+    def subscribe(self, on_change: Callable[[CellDocument], None]) -> None:
+        """Call ``on_change(document)`` for each version that comes into force."""
+        self._on_change.append(on_change)
+
+    def start(self) -> None:
+        """Begin to read."""
+        self._running = spawn("config feed", self._run())
+
+    def stop(self) -> None:
+        """End reading."""
+        if self._running is not None:
+            self._running.cancel()
+
+    def is_fresh(self) -> bool:
+        """Return whether no key can have been withdrawn for longer than allowed."""
+        age = self.age()
+        fresh = age is not None and age < self._fresh_for
+        if fresh != self._was_fresh:
+            self._was_fresh = fresh
+            event = "config_fresh" if fresh else "config_not_fresh"
+            self._log.log_event(LogLevel.INFO, event, age_ms=_millis(age))
+        return fresh
+
+    def age(self) -> timedelta | None:
+        """Return the time since the last confirming read was sent; None before."""
+        if self._confirmed_at is None:
+            return None
+        return self._clock.now() - self._confirmed_at
+
+    def team_of(self, key: str) -> str | None:
+        """Return the team whose key it is."""
+        return self._teams_by_key.get(key)
+
+    def match(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix of the path at a host."""
+        best: Queue | None = None
+        for queue in self.document.queues if self.document else ():
+            if queue.host != host or not path.startswith(queue.prefix):
+                continue
+            if best is None or len(queue.prefix) > len(best.prefix):
+                best = queue
+        return best
+
+    async def read_now(self) -> bool:
+        """Read once; return whether the store confirmed what is now in force."""
+        sent_at = self._clock.now()
+        try:
+            item = await self._store.get(self._source.key)
+        except StoreError as exc:
+            self._log.log_event(LogLevel.INFO, "config_unread", detail=str(exc))
+            return False
+        if item is None:
+            return False
+        if not self._decode(item.value, item.revision):
+            return False
+        if self._confirmed_at is None or sent_at > self._confirmed_at:
+            self._confirmed_at = sent_at
+        return True
+
+    async def _run(self) -> None:
+        while True:
+            confirmed = await self.read_now()
+            self.is_fresh()
+            await self._clock.sleep(READ_EVERY if confirmed else RETRY_AFTER)
+
+    def _decode(self, value: bytes, revision: int) -> bool:
+        try:
+            document = self._source.decode(value)
+        except ConfigDecodeError as exc:
+            if revision != self._unreadable_revision:
+                self._unreadable_revision = revision
+                self._log.log_event(
+                    LogLevel.ERROR, "config_unreadable", detail=str(exc)
+                )
+            return False
+        if self.document is None or document.version > self.document.version:
+            self._put_in_force(document)
+        return True
+
+    def _put_in_force(self, document: CellDocument) -> None:
+        self.document = document
+        self._teams_by_key = {k: t.name for t in document.teams for k in t.keys}
+        self._log.log_event(
+            LogLevel.INFO, "config_in_force", revision_in_force=document.version
+        )
+        for on_change in self._on_change:
+            on_change(document)
+
+
+def _millis(age: timedelta | None) -> int | None:
+    return None if age is None else int(age.total_seconds() * 1000)
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
@@ -0,0 +1,180 @@
+"""Makes this daemon the lead of pools that have none."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+from datetime import timedelta
+from typing import NamedTuple
+
+from savorylead.clock import Clock, Timer
+from savorylead.pools import CellStore, Committed, Put
+from savorylead.store import StoreError
+from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+from ._cell_lease import CellLease
+from ._cell_view import CellView, LeadRecord, MemberRecord, encode_record
+from ._keys import lead_key, term_key
+
+#: Each daemon waits this much longer than the one before it in line, so that one
+#: transaction usually decides.
+TURN = timedelta(milliseconds=60)
+#: Time until a pool without a lead is tried again.
+RETRY_AFTER = timedelta(milliseconds=300)
+
+
+class Term(NamedTuple):
+    """This daemon leads a pool."""
+
+    pool: str
+    #: Rises with each lead; also the fencing token towards workers.
+    number: int
+    #: The lead's key and its revision, which every write of the lead expects.
+    key: str
+    revision: int
+
+
+class Elections:
+    """Watches the cell; calls ``on_elected(term)`` and ``on_deposed(pool)``."""
+
+    def __init__(
+        self,
+        store: CellStore,
+        clock: Clock,
+        log: EventLog,
+        member: MemberRecord,
+        lease: CellLease,
+        view: CellView,
+        on_elected: Callable[[Term], None],
+        on_deposed: Callable[[str], None],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._member = member
+        self._lease = lease
+        self._view = view
+        self._on_elected = on_elected
+        self._on_deposed = on_deposed
+        self._pools: frozenset[str] = frozenset()
+        self._timers: dict[str, Timer] = {}
+        self._closed = False
+        self.terms: dict[str, Term] = {}
+
+    def set_pools(self, pools: frozenset[str]) -> None:
+        """Take over which pools need a lead."""
+        self._pools = pools
+        self.review()
+
+    def review(self) -> None:
+        """Compare the view of the cell with what is led here."""
+        if self._closed or not self._view.revision:
+            return
+        for pool in self._pools | set(self.terms):
+            self._review_pool(pool)
+
+    def resign_all(self) -> None:
+        """Lead nothing any more; the keys end with the lease."""
+        self._closed = True
+        for timer in self._timers.values():
+            timer.cancel()
+        for pool in list(self.terms):
+            self.depose(pool, "resigned")
+
+    def depose(self, pool: str, reason: str) -> None:
+        """Lead a pool no more."""
+        term = self.terms.pop(pool, None)
+        if term is None:
+            return
+        self._log.log_event(
+            LogLevel.INFO, "lead_ended", pool=pool, term=term.number, reason=reason
+        )
+        self._on_deposed(pool)
+
+    def lease_lost(self) -> None:
+        """Give up every term, since their keys ended with the lease."""
+        for pool in list(self.terms):
+            self.depose(pool, "lease_lost")
+
+    def _review_pool(self, pool: str) -> None:
+        seen = self._view.leads.get(pool)
+        term = self.terms.get(pool)
+        if term is not None:
+            if seen is None and self._view.revision > term.revision:
+                self.depose(pool, "key_gone")
+            elif seen is not None and seen.revision > term.revision:
+                self.depose(pool, "superseded")
+            else:
+                return
+        if seen is not None:
+            if seen.record.member.incarnation == self._member.incarnation:
+                self._adopt(pool, seen.record.term, seen.revision)
+            return
+        if pool in self._pools and pool not in self._timers:
+            delay = TURN * self._place_in_line(pool)
+            self._timers[pool] = self._clock.call_later(delay, self._try, pool)
+
+    def _adopt(self, pool: str, number: int, revision: int) -> None:
+        """Lead under a key of ours, also if the answer to its write was lost."""
+        if pool in self.terms or not self._lease.id:
+            return
+        term = Term(pool, number, lead_key(pool), revision)
+        self.terms[pool] = term
+        self._log.log_event(LogLevel.INFO, "lead_began", pool=pool, term=number)
+        self._on_elected(term)
+
+    def _place_in_line(self, pool: str) -> int:
+        """Return how many daemons should try before this one."""
+        leading: dict[str, int] = {}
+        for seen in self._view.leads.values():
+            name = seen.record.member.name
+            leading[name] = leading.get(name, 0) + 1
+
+        def order(name: str) -> tuple[int, str]:
+            digest = hashlib.blake2s(f"{pool}/{name}".encode()).hexdigest()
+            return leading.get(name, 0), digest
+
+        names = {*self._view.members, self._member.name}
+        return sorted(names, key=order).index(self._member.name)
+
+    def _try(self, pool: str) -> None:
+        del self._timers[pool]
+        if self._closed or pool in self._view.leads or pool not in self._pools:
+            return
+        if not self._lease.holds():
+            self._try_later(pool)
+            return
+        spawn("election", self._stand(pool))
+
+    def _try_later(self, pool: str) -> None:
+        if pool not in self._timers and not self._closed:
+            self._timers[pool] = self._clock.call_later(RETRY_AFTER, self._try, pool)
+
+    async def _stand(self, pool: str) -> None:
+        try:
+            item = await self._store.get(term_key(pool))
+            number = 1 + (int(item.value) if item is not None else 0)
+            record = LeadRecord(self._member, number)
+            result = await self._store.commit(
+                {
+                    lead_key(pool): 0,
+                    term_key(pool): item.revision if item is not None else 0,
+                },
+                [
+                    Put(lead_key(pool), encode_record(record), self._lease.id),
+                    Put(term_key(pool), str(number).encode()),
+                ],
+            )
+        except StoreError as exc:
+            # The view shows the key if the write took effect after all.
+            self._log.log_event(
+                LogLevel.INFO, "election_unclear", pool=pool, detail=str(exc)
+            )
+            self._try_later(pool)
+            return
+        if isinstance(result, Committed) and not self._closed:
+            self._adopt(pool, number, result.revision)
+        else:
+            self._try_later(pool)
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
@@ -0,0 +1,130 @@
+"""Keeps a pool's parts of the teams' limits in the store."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import Clock, Wakeup
+from savorylead.pools import (
+    CellStore,
+    Committed,
+    Conflict,
+    GrantBook,
+    PoolGrants,
+    Put,
+    decode_grants,
+    encode_grants,
+)
+from savorylead.resources import Resources
+from savorylead.store import KeyValue, StoreError
+from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+from ._elections import Term
+from ._keys import GRANTS_KEY
+
+#: Time between two looks at what other pools have and want.
+LOOK_EVERY = timedelta(milliseconds=400)
+#: Least time between two looks when a team is short.
+SHORT_LOOK = timedelta(milliseconds=80)
+
+
+class GrantKeeper:
+    """Reads the record, and writes what this pool should have.
+
+    Between a write and its answer the lesser of both parts is used, since a write
+    may take effect late.
+    """
+
+    def __init__(
+        self,
+        store: CellStore,
+        clock: Clock,
+        log: EventLog,
+        term: Term,
+        grants: PoolGrants,
+        demand: Callable[[], tuple[Mapping[str, Resources], Mapping[str, Resources]]],
+        on_change: Callable[[], None],
+    ) -> None:
+        """``demand()`` returns what teams hold and wait for in this pool."""
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._term = term
+        self._grants = grants
+        self._demand = demand
+        self._on_change = on_change
+        self._revision = 0
+        self._unclear = False
+        self._wakeup = Wakeup(clock)
+        self._running: Deferred[None] | None = None
+
+    def start(self) -> None:
+        """Begin to keep the parts."""
+        self._running = spawn("grant keeper", self._run())
+
+    def close(self) -> None:
+        """Write nothing more."""
+        if self._running is not None:
+            self._running.cancel()
+
+    def hurry(self) -> None:
+        """Look soon, since a team is short of its limit."""
+        self._wakeup.wake()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._look()
+            except (StoreError, msgspec.DecodeError) as exc:
+                self._log.log_event(
+                    LogLevel.INFO,
+                    "grants_unread",
+                    pool=self._term.pool,
+                    detail=str(exc),
+                )
+            await self._clock.sleep(SHORT_LOOK)
+            await self._wakeup.wait(LOOK_EVERY)
+
+    async def _look(self) -> None:
+        self._take(await self._store.get(GRANTS_KEY))
+        held, waiting = self._demand()
+        wanted = self._grants.next_book(held, waiting)
+        if wanted is None:
+            if not self._unclear:
+                return
+            # A write whose answer was lost can't take effect after this one.
+            wanted = self._grants.book
+        before = self._grants.book
+        self._grants.book = self._grants.lesser_of(before, wanted)
+        self._unclear = True
+        result = await self._store.commit(
+            {self._term.key: self._term.revision, GRANTS_KEY: self._revision},
+            [Put(GRANTS_KEY, encode_grants(wanted))],
+        )
+        if isinstance(result, Committed):
+            self._unclear = False
+            self._put(wanted, result.revision)
+        elif isinstance(result, Conflict):
+            item = result.current.get(GRANTS_KEY)
+            if item is not None and item.revision != self._revision:
+                self._unclear = False
+            self._take(item)
+            self._wakeup.wake()
+
+    def _take(self, item: KeyValue | None) -> None:
+        if item is None or item.revision <= self._revision:
+            return
+        self._unclear = False
+        self._put(decode_grants(item.value), item.revision)
+
+    def _put(self, book: GrantBook, revision: int) -> None:
+        self._revision = revision
+        if book != self._grants.book:
+            self._grants.book = book
+            self._on_change()
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
@@ -0,0 +1,359 @@
+"""Serves callers at any daemon: hands jobs in, tells their state, cancels them."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from datetime import datetime, timedelta
+
+from savorylead.clock import Clock, to_millis
+from savorylead.jobs import (
+    JobRecord,
+    JobState,
+    RecordError,
+    SpecError,
+    decode_job,
+    decode_progress,
+    encode_job,
+)
+from savorylead.pools import (
+    CellStore,
+    Committed,
+    Put,
+    Queue,
+    StoreRefusedError,
+)
+from savorylead.store import KeyValue, StoreError
+from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.http import JsonRequest, JsonResponse
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+from ._adapter import CallerAnswer, CallerCall, CallerCodec, CallKind
+from ._cell_view import CellView
+from ._config_feed import ConfigFeed
+from ._keys import cancel_key, job_key, progress_key
+from ._peer_messages import (
+    JobAccepted,
+    JobCancelled,
+    PendingAsked,
+    StateAsked,
+    Told,
+)
+from ._peers import Message, PeerClient, PeerError
+
+#: Time until a write to the store is tried again.
+WRITE_AGAIN = timedelta(milliseconds=60)
+#: Part of the caller's deadline in which the store is tried.
+TRY_SHARE = 0.7
+#: Time between two attempts to tell a lead of a job, and how often it is tried; the
+#: lead also reads the records.
+TELL_AGAIN = timedelta(milliseconds=100)
+TELL_ATTEMPTS = 20
+#: A configuration older than this is read again before a key or a path is refused.
+CONFIRM_AFTER = timedelta(milliseconds=50)
+#: Bounds of the time after which callers that were refused come back, in seconds.
+RETRY_AFTER_S = (1, 3)
+
+Kind = CallerAnswer.Kind
+
+
+class JobGateway:
+    """Answers callers' calls; all that lasts is in the store or at a lead."""
+
+    def __init__(
+        self,
+        name: str,
+        codec: CallerCodec,
+        store: CellStore,
+        clock: Clock,
+        rng: random.Random,
+        log: EventLog,
+        config: ConfigFeed,
+        view: CellView,
+        peers: PeerClient,
+        tell_here: Callable[[Message], Told],
+    ) -> None:
+        """``tell_here`` answers a message from the leads of this daemon."""
+        self._name = name
+        self._codec = codec
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._config = config
+        self._view = view
+        self._peers = peers
+        self._tell_here = tell_here
+        #: Answers so far by kind of call, kind of answer and code, for metrics.
+        self.counts: Counter[tuple[str, str, str]] = Counter()
+
+    async def handle(self, request: JsonRequest) -> JsonResponse:
+        """Answer one request of a caller."""
+        call = self._codec.read(request)
+        if call is None:
+            return self._codec.write(self._refusal(Kind.MALFORMED, "method"))
+        arrived_at = self._clock.now()
+        answer = await self._answer(call, arrived_at)
+        self.counts[(call.kind.value, answer.kind.value, answer.error)] += 1
+        if answer.kind is not Kind.DONE:
+            self._log.log_event(
+                LogLevel.INFO,
+                "call_refused",
+                call=call.kind.value,
+                path=call.path,
+                answer=answer.kind.value,
+                reason=answer.error,
+                config_age_ms=_millis(self._config.age()),
+                config_version=self._version(),
+                took_ms=_millis(self._clock.now() - arrived_at),
+            )
+        return self._codec.write(answer)
+
+    async def _answer(self, call: CallerCall, arrived_at: datetime) -> CallerAnswer:
+        if self._config.document is None:
+            return self._not_now("no_config")
+        queue = self._config.match(call.host, call.path)
+        if queue is None:
+            if not await self._confirm_config():
+                return self._not_now("config_unproved")
+            queue = self._config.match(call.host, call.path)
+            if queue is None:
+                return self._refusal(Kind.NO_QUEUE, "no_queue")
+        team = ""
+        if call.key or not queue.anonymous:
+            refusal, team = await self._check_key(call, queue)
+            if refusal is not None:
+                return refusal
+        job_id = call.path[len(queue.prefix) :]
+        if call.kind is CallKind.STATE and not job_id:
+            return await self._pending(queue)
+        if not self._codec.is_job_id(job_id):
+            return self._refusal(Kind.NO_JOB, "no_job_id")
+        if call.kind is CallKind.SUBMIT:
+            return await self._submit(call, queue, team, job_id, arrived_at)
+        if call.kind is CallKind.CANCEL:
+            return await self._cancel(call, queue, job_id, arrived_at)
+        return await self._state(queue, job_id)
+
+    async def _check_key(
+        self, call: CallerCall, queue: Queue
+    ) -> tuple[CallerAnswer | None, str]:
+        """Return a refusal or the team of the call's key."""
+        if not self._config.is_fresh():
+            return self._not_now("config_stale"), ""
+        team = self._config.team_of(call.key)
+        if team is None and not queue.anonymous:
+            if not await self._confirm_config():
+                return self._not_now("config_unproved"), ""
+            team = self._config.team_of(call.key)
+            if team is None:
+                return self._refusal(Kind.UNKNOWN_KEY, "unknown_key"), ""
+        return None, team or ""
+
+    async def _confirm_config(self) -> bool:
+        """Return whether the configuration in force was the newest just now."""
+        age = self._config.age()
+        if age is not None and age < CONFIRM_AFTER:
+            return True
+        return await self._config.read_now()
+
+    async def _submit(
+        self,
+        call: CallerCall,
+        queue: Queue,
+        team: str,
+        job_id: str,
+        arrived_at: datetime,
+    ) -> CallerAnswer:
+        document = self._config.document
+        if document is not None and len(call.body) > document.max_body_bytes:
+            return self._refusal(Kind.TOO_LARGE, "body_too_large")
+        try:
+            spec = self._codec.decode_job(call.body)
+        except SpecError as exc:
+            self._log.log_event(
+                LogLevel.INFO, "job_malformed", job=job_id, detail=str(exc)
+            )
+            return self._refusal(Kind.MALFORMED, "job_malformed")
+        record = JobRecord(
+            id=job_id,
+            pool=queue.pool,
+            queue=queue.name,
+            team=team,
+            accepted_at_ms=to_millis(arrived_at),
+            spec=spec,
+        )
+        give_up_at = arrived_at + timedelta(milliseconds=call.deadline_ms) * TRY_SHARE
+        return await self._store_job(record, give_up_at)
+
+    async def _store_job(self, record: JobRecord, give_up_at: datetime) -> CallerAnswer:
+        """Write the record once; whatever the answers, it is one job."""
+        key = job_key(record.pool, record.id)
+        value = encode_job(record)
+        unclear = False
+        while True:
+            try:
+                result = await self._store.commit({key: 0}, [Put(key, value)])
+            except StoreRefusedError as exc:
+                detail = str(exc)
+            except StoreError as exc:
+                detail = str(exc)
+                unclear = True
+            else:
+                if isinstance(result, Committed):
+                    self._accepted(record, result.revision)
+                    return CallerAnswer(Kind.DONE)
+                return self._already_stored(result.current.get(key))
+            if self._clock.now() + WRITE_AGAIN >= give_up_at:
+                self._log.log_event(
+                    LogLevel.WARNING, "job_not_stored", job=record.id, detail=detail
+                )
+                if unclear:
+                    return self._refusal(Kind.UNCLEAR, "store_unclear")
+                return self._not_now("store_unavailable")
+            await self._clock.sleep(WRITE_AGAIN)
+
+    def _already_stored(self, item: KeyValue | None) -> CallerAnswer:
+        if item is not None:
+            try:
+                record = decode_job(item.key, item.value)
+            except RecordError as exc:
+                self._log.log_event(
+                    LogLevel.ERROR, "job_record_unreadable", detail=str(exc)
+                )
+            else:
+                self._accepted(record, item.revision)
+        return CallerAnswer(Kind.DONE)
+
+    def _accepted(self, record: JobRecord, revision: int) -> None:
+        self._log.log_event(
+            LogLevel.INFO,
+            "job_accepted",
+            job=record.id,
+            queue=record.queue,
+            team=record.team,
+            revision_stored=revision,
+            config_version=self._version(),
+        )
+        message = JobAccepted(record, revision)
+        spawn("message of a job", self._tell_lead(record.pool, message))
+
+    async def _tell_lead(self, pool: str, message: Message) -> Told | None:
+        """Tell the lead of a pool, whoever that is by now."""
+        for _ in range(TELL_ATTEMPTS):
+            told = await self._ask_lead(pool, message)
+            if told is not None:
+                return told
+            await self._clock.sleep(TELL_AGAIN)
+        return None
+
+    async def _ask_lead(self, pool: str, message: Message) -> Told | None:
+        """Return the lead's answer, None if there is none to be had now."""
+        lead = self._view.lead(pool)
+        if lead is None:
+            return None
+        if lead.member.name == self._name:
+            told = self._tell_here(message)
+        else:
+            try:
+                told = await self._peers.tell(lead.member.address, message)
+            except PeerError as exc:
+                self._log.log_event(
+                    LogLevel.INFO,
+                    "lead_not_reached",
+                    pool=pool,
+                    lead=lead.member.name,
+                    term=lead.term,
+                    detail=str(exc),
+                )
+                return None
+        return told if told.leads else None
+
+    async def _cancel(
+        self, call: CallerCall, queue: Queue, job_id: str, arrived_at: datetime
+    ) -> CallerAnswer:
+        give_up_at = arrived_at + timedelta(milliseconds=call.deadline_ms) * TRY_SHARE
+        while True:
+            try:
+                item = await self._find(queue, job_id)
+                if item is None:
+                    return self._refusal(Kind.NO_JOB, "no_job")
+                record = decode_job(item.key, item.value)
+                key = cancel_key(record.pool, job_id)
+                await self._store.commit({item.key: item.revision}, [Put(key, b"1")])
+            except (StoreError, RecordError) as exc:
+                if self._clock.now() + WRITE_AGAIN >= give_up_at:
+                    self._log.log_event(
+                        LogLevel.WARNING, "cancel_unclear", job=job_id, detail=str(exc)
+                    )
+                    return self._refusal(Kind.UNCLEAR, "store_unclear")
+                await self._clock.sleep(WRITE_AGAIN)
+                continue
+            self._log.log_event(LogLevel.INFO, "cancel_stored", job=job_id)
+            message = JobCancelled(record.pool, job_id)
+            spawn("message of a cancel", self._tell_lead(record.pool, message))
+            return CallerAnswer(Kind.DONE)
+
+    async def _find(self, queue: Queue, job_id: str) -> KeyValue | None:
+        """Return the record of a job, also if its queue had another pool then."""
+        pools = [queue.pool]
+        if self._config.document is not None:
+            pools += [
+                p.name for p in self._config.document.pools if p.name not in pools
+            ]
+        for pool in pools:
+            item = await self._store.get(job_key(pool, job_id))
+            if item is not None:
+                return item
+        return None
+
+    async def _state(self, queue: Queue, job_id: str) -> CallerAnswer:
+        told = await self._ask_lead(queue.pool, StateAsked(queue.pool, job_id))
+        if told is not None and told.known:
+            return CallerAnswer(Kind.DONE, state=JobState(told.state))
+        try:
+            item = await self._find(queue, job_id)
+            if item is None:
+                return self._refusal(Kind.NO_JOB, "no_job")
+            state = await self._stored_state(item)
+        except (StoreError, RecordError) as exc:
+            self._log.log_event(
+                LogLevel.INFO, "state_unread", job=job_id, detail=str(exc)
+            )
+            return self._not_now("store_unavailable")
+        return CallerAnswer(Kind.DONE, state=state)
+
+    async def _stored_state(self, item: KeyValue) -> JobState:
+        """Return the state as far as the store has it."""
+        record = decode_job(item.key, item.value)
+        saved = await self._store.get(progress_key(record.pool, record.id))
+        if saved is None:
+            return JobState.QUEUED
+        progress = decode_progress(saved.key, saved.value)
+        if progress.state:
+            return JobState(progress.state)
+        return JobState.RUNNING if progress.started else JobState.QUEUED
+
+    async def _pending(self, queue: Queue) -> CallerAnswer:
+        told = await self._ask_lead(queue.pool, PendingAsked(queue.pool, queue.name))
+        if told is None:
+            return self._not_now("no_lead")
+        return CallerAnswer(Kind.DONE, pending=told.pending)
+
+    def _not_now(self, error: str) -> CallerAnswer:
+        return self._refusal(Kind.NOT_NOW, error, self._rng.randint(*RETRY_AFTER_S))
+
+    def _refusal(
+        self, kind: CallerAnswer.Kind, error: str, retry_after_s: int | None = None
+    ) -> CallerAnswer:
+        return CallerAnswer(kind, error=error, retry_after_s=retry_after_s)
+
+    def _version(self) -> int | None:
+        document = self._config.document
+        return None if document is None else document.version
+
+
+def _millis(age: timedelta | None) -> int | None:
+    return None if age is None else int(age.total_seconds() * 1000)
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_keys.py
@@ -0,0 +1,56 @@
+"""Keys of the daemons' own records in the platform's store."""
+
+from __future__ import annotations
+
+_ROOT = "savorylead/"
+#: Members and leads; these keys end with the lease of their daemon.
+CELL_PREFIX = f"{_ROOT}cell/"
+MEMBER_PREFIX = f"{CELL_PREFIX}member/"
+LEAD_PREFIX = f"{CELL_PREFIX}lead/"
+#: How the limits of teams are divided among the pools.
+GRANTS_KEY = f"{_ROOT}grants"
+
+
+def member_key(name: str) -> str:
+    """Return the key of a daemon while it lives."""
+    return f"{MEMBER_PREFIX}{name}"
+
+
+def lead_key(pool: str) -> str:
+    """Return the key of the lead of a pool."""
+    return f"{LEAD_PREFIX}{pool}"
+
+
+def term_key(pool: str) -> str:
+    """Return the key of the number of the pool's last term, which outlasts leads."""
+    return f"{_ROOT}term/{pool}"
+
+
+def workers_key(pool: str) -> str:
+    """Return the key of the workers on which the lead may have started tasks."""
+    return f"{_ROOT}workers/{pool}"
+
+
+def intake_prefix(pool: str) -> str:
+    """Return the prefix of what the lead of a pool must learn of."""
+    return f"{_ROOT}in/{pool}/"
+
+
+def job_key(pool: str, job_id: str) -> str:
+    """Return the key of an accepted job."""
+    return f"{intake_prefix(pool)}job/{job_id}"
+
+
+def cancel_key(pool: str, job_id: str) -> str:
+    """Return the key that says that a job was cancelled."""
+    return f"{intake_prefix(pool)}cancel/{job_id}"
+
+
+def progress_prefix(pool: str) -> str:
+    """Return the prefix of the records of progress, which only the lead writes."""
+    return f"{_ROOT}at/{pool}/"
+
+
+def progress_key(pool: str, job_id: str) -> str:
+    """Return the key of a job's progress."""
+    return f"{progress_prefix(pool)}{job_id}"
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_metrics.py
@@ -0,0 +1,62 @@
+"""The metrics of a daemon whose shards are pools."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+
+from aioprometheus import Counter as CounterSeries, Gauge, Registry
+from aioprometheus.renderer import render
+
+from savorylead.links import LinkCount
+
+
+class PoolMetrics:
+    """Copies counts into the collectors when they are read."""
+
+    def __init__(self, cpu_seconds: Callable[[], float]) -> None:
+        self._cpu_seconds = cpu_seconds
+        self._registry = Registry()
+        self._calls = CounterSeries(
+            "savorylead_caller_calls_total",
+            "Calls of callers by answer; a code tells the reason of a refusal.",
+            registry=self._registry,
+        )
+        self._links = CounterSeries(
+            "savorylead_link_events_total",
+            "What happened on links, with retries by reason.",
+            registry=self._registry,
+        )
+        self._terms = Gauge(
+            "savorylead_pool_term", "Term of each pool led.", registry=self._registry
+        )
+        self._ready = Gauge(
+            "savorylead_ready", "1 while callers may be sent.", registry=self._registry
+        )
+        self._cpu = CounterSeries(
+            "savorylead_control_cpu_seconds_total",
+            "Processor time of this process.",
+            registry=self._registry,
+        )
+
+    def render(
+        self,
+        calls: Mapping[tuple[str, str, str], int],
+        links: Mapping[str, Counter[LinkCount]],
+        terms: Mapping[str, int],
+        ready: bool,
+    ) -> tuple[bytes, str]:
+        """Return the text exposition and its content type."""
+        for (call, answer, code), total in calls.items():
+            labels = {"call": call, "answer": answer, "code": code}
+            self._calls.set_value(labels, total)
+        for link, counts in links.items():
+            for event, total in counts.items():
+                self._links.set_value({"link": link, "event": str(event)}, total)
+        self._terms.values.store.clear()
+        for pool, term in terms.items():
+            self._terms.set_value({"pool": pool}, term)
+        self._ready.set_value({}, int(ready))
+        self._cpu.set_value({}, self._cpu_seconds())
+        body, headers = render(self._registry, [])
+        return body, headers["Content-Type"]
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peer_messages.py
@@ -0,0 +1,65 @@
+"""Messages between daemons, as arrays in JSON."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from savorylead.jobs import JobRecord
+
+
+class JobAccepted(NamedTuple):
+    """A job is durable; the lead should take it in."""
+
+    record: JobRecord
+    #: Store revision of the record.
+    revision: int
+
+
+class JobCancelled(NamedTuple):
+    """A job's cancellation is durable."""
+
+    pool: str
+    job: str
+
+
+class StateAsked(NamedTuple):
+    """Asks for the state of a job."""
+
+    pool: str
+    job: str
+
+
+class PendingAsked(NamedTuple):
+    """Asks how many jobs of a queue have not started."""
+
+    pool: str
+    queue: str
+
+
+class AdviceAsked(NamedTuple):
+    """Asks to call the policy adviser."""
+
+    step: str
+    workers: tuple[str, ...]
+    expected_ms: float
+
+
+class Told(NamedTuple):
+    """The answer of a lead."""
+
+    #: Whether the daemon leads the pool and has loaded its jobs.
+    leads: bool
+    #: Whether the job is known.
+    known: bool = False
+    #: State of a job; empty if it was not asked for.
+    state: str = ""
+    pending: int = 0
+
+
+class AdviceTold(NamedTuple):
+    """What the adviser said, or why it did not."""
+
+    tickets: dict[str, str]
+    valid_ms: int
+    #: Empty if there is advice.
+    error: str = ""
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
@@ -0,0 +1,197 @@
+"""Messages to and from the other daemons of the cell."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
+from typing import Any, NamedTuple, TypeVar
+
+import msgspec
+
+from savorylead.jobs import JobState
+from savorylead.links import Link, LinkError, LinkRequest
+from savorylead.pools import Advice, AdviserError
+from savorylead_daemon.http import HttpLinks, JsonRequest, JsonResponse
+
+from ._advice_queue import AdviceQueue
+from ._peer_messages import (
+    AdviceAsked,
+    AdviceTold,
+    JobAccepted,
+    JobCancelled,
+    PendingAsked,
+    StateAsked,
+    Told,
+)
+from ._pool_lead import PoolLead
+
+T = TypeVar("T")
+Message = JobAccepted | JobCancelled | StateAsked | PendingAsked
+
+#: Longest wait for a lead's answer; past it a caller is answered from the store.
+PEER_TIMEOUT = timedelta(milliseconds=500)
+#: Longest wait for advice through another daemon, its queue included.
+ADVICE_TIMEOUT = timedelta(seconds=5)
+
+_PATHS: dict[type, str] = {
+    JobAccepted: "/peer/job",
+    JobCancelled: "/peer/cancel",
+    StateAsked: "/peer/state",
+    PendingAsked: "/peer/pending",
+}
+
+
+class PeerError(Exception):
+    """Another daemon could not be reached, or its answer not be read."""
+
+
+class PeerClient:
+    """Calls other daemons by their address."""
+
+    def __init__(self, links: HttpLinks, advice_links: HttpLinks) -> None:
+        self._links = links
+        self._advice_links = advice_links
+        self._open: dict[str, Link] = {}
+        self._open_for_advice: dict[str, Link] = {}
+
+    async def tell(self, address: str, message: Message) -> Told:
+        """Send a message to a lead; raises PeerError."""
+        link = self._open.get(address)
+        if link is None:
+            link = self._open[address] = self._links.open(address)
+        return await _call(
+            link, _PATHS[type(message)], message, PEER_TIMEOUT, kind=Told
+        )
+
+    async def advise(self, address: str, asked: AdviceAsked) -> Advice:
+        """Return advice through another daemon; raises AdviserError."""
+        link = self._open_for_advice.get(address)
+        if link is None:
+            link = self._open_for_advice[address] = self._advice_links.open(address)
+        try:
+            told = await _call(
+                link, "/peer/advise", asked, ADVICE_TIMEOUT, kind=AdviceTold
+            )
+        except PeerError as exc:
+            raise AdviserError(str(exc)) from exc
+        if told.error:
+            raise AdviserError(told.error)
+        return Advice(told.tickets, told.valid_ms)
+
+
+class PeerServer:
+    """Answers other daemons from the leads of this one."""
+
+    def __init__(
+        self, lead_of: Callable[[str], PoolLead | None], advice: AdviceQueue | None
+    ) -> None:
+        self._lead_of = lead_of
+        self._advice = advice
+        self._routes: dict[str, _Route] = {
+            "/peer/job": _Route(JobAccepted, self._accept),
+            "/peer/cancel": _Route(JobCancelled, self._cancel),
+            "/peer/state": _Route(StateAsked, self._state),
+            "/peer/pending": _Route(PendingAsked, self._pending),
+            "/peer/advise": _Route(AdviceAsked, self._advise),
+        }
+
+    async def handle(self, request: JsonRequest) -> JsonResponse:
+        """Answer one message."""
+        route = self._routes.get(request.path)
+        if route is None:
+            return JsonResponse(404)
+        try:
+            message = msgspec.json.decode(request.body, type=route.kind)
+        except msgspec.DecodeError:
+            return JsonResponse(400)
+        told = await route.handler(message)
+        return JsonResponse(200, msgspec.json.encode(told))
+
+    async def _accept(self, message: JobAccepted) -> Told:
+        return tell_accepted(self._lead_of(message.record.pool), message)
+
+    async def _cancel(self, message: JobCancelled) -> Told:
+        return tell_cancelled(self._lead_of(message.pool), message)
+
+    async def _state(self, message: StateAsked) -> Told:
+        return tell_state(self._lead_of(message.pool), message)
+
+    async def _pending(self, message: PendingAsked) -> Told:
+        return tell_pending(self._lead_of(message.pool), message)
+
+    async def _advise(self, message: AdviceAsked) -> AdviceTold:
+        if self._advice is None:
+            return AdviceTold({}, 0, "no adviser here")
+        try:
+            advice = await self._advice.advise(
+                message.step, message.workers, message.expected_ms
+            )
+        except AdviserError as exc:
+            return AdviceTold({}, 0, str(exc) or type(exc).__name__)
+        return AdviceTold(dict(advice.tickets), advice.valid_ms)
+
+
+class _Route(NamedTuple):
+    """The type of a message and what answers it."""
+
+    kind: Any
+    handler: Callable[[Any], Coroutine[Any, Any, Any]]
+
+
+_NOT_LEADING = Told(leads=False)
+
+
+def _ready(lead: PoolLead | None) -> PoolLead | None:
+    return lead if lead is not None and lead.loaded else None
+
+
+def tell_accepted(lead: PoolLead | None, message: JobAccepted) -> Told:
+    """Hand a durable job to a lead of this daemon."""
+    lead = _ready(lead)
+    if lead is None:
+        return _NOT_LEADING
+    lead.accept(message.record, message.revision)
+    return Told(leads=True, known=True)
+
+
+def tell_cancelled(lead: PoolLead | None, message: JobCancelled) -> Told:
+    """Hand a durable cancellation to a lead of this daemon."""
+    lead = _ready(lead)
+    if lead is None:
+        return _NOT_LEADING
+    return Told(leads=True, known=lead.cancel(message.job))
+
+
+def tell_state(lead: PoolLead | None, message: StateAsked) -> Told:
+    """Return the state of a job from a lead of this daemon."""
+    lead = _ready(lead)
+    if lead is None or not lead.may_act():
+        return _NOT_LEADING
+    state: JobState | None = lead.shown_state(message.job)
+    if state is None:
+        return Told(leads=True)
+    return Told(leads=True, known=True, state=state.value)
+
+
+def tell_pending(lead: PoolLead | None, message: PendingAsked) -> Told:
+    """Return how many jobs wait from a lead of this daemon."""
+    lead = _ready(lead)
+    if lead is None or not lead.may_act():
+        return _NOT_LEADING
+    return Told(leads=True, known=True, pending=lead.pending(message.queue))
+
+
+async def _call(
+    link: Link, path: str, message: Any, timeout: timedelta, kind: type[T]
+) -> T:
+    request = LinkRequest("POST", path, msgspec.json.encode(message), idempotent=True)
+    try:
+        reply = await link.call(request, timeout)
+    except LinkError as exc:
+        raise PeerError(str(exc)) from exc
+    if reply.status != 200:
+        raise PeerError(f"status {reply.status}")
+    try:
+        return msgspec.json.decode(reply.body, type=kind)
+    except msgspec.DecodeError as exc:
+        raise PeerError(str(exc)) from exc
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_progress_log.py
@@ -0,0 +1,158 @@
+"""Makes the progress of jobs durable, in batches, one write at a time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import Clock
+from savorylead.jobs import Job, ProgressRecord, encode_progress
+from savorylead.pools import CellStore, Committed, Conflict, Put
+from savorylead.store import StoreError
+from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+from ._elections import Term
+from ._keys import cancel_key, job_key, progress_key
+
+#: Jobs in one transaction; each takes an expectation and a write, of 32 entries.
+JOBS_PER_WRITE = 15
+#: Records of jobs deleted in one transaction, with three keys each.
+JOBS_PER_DELETE = 10
+#: Time until a failed write is repeated.
+RETRY_AFTER = timedelta(milliseconds=100)
+
+
+class ProgressLog:
+    """Writes what changed; every write expects that this daemon still leads.
+
+    A write without an answer may take effect later, so each also expects the
+    revision of the record that it replaces.
+    """
+
+    def __init__(
+        self,
+        store: CellStore,
+        clock: Clock,
+        log: EventLog,
+        term: Term,
+        on_durable: Callable[[Job, ProgressRecord], None],
+        on_superseded: Callable[[], None],
+    ) -> None:
+        """Call ``on_durable(job, progress)`` after each record that was written."""
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._term = term
+        self._on_durable = on_durable
+        self._on_superseded = on_superseded
+        #: Jobs with changes that are not durable, and the count of their changes.
+        self._dirty: dict[Job, int] = {}
+        self._waiting: list[Deferred[None]] = []
+        self._writing: Deferred[None] | None = None
+        self._closed = False
+
+    def note(self, job: Job) -> None:
+        """Write the job's progress soon."""
+        self._dirty[job] = self._dirty.get(job, 0) + 1
+        if self._writing is None and not self._closed:
+            self._writing = spawn("progress log", self._write_all())
+
+    def is_dirty(self, job: Job) -> bool:
+        """Return whether the job has changes that may be lost."""
+        return job in self._dirty
+
+    async def durable(self) -> None:
+        """Return once everything noted so far is durable."""
+        if not self._dirty:
+            return
+        turn: Deferred[None] = Deferred()
+        self._waiting.append(turn)
+        await turn
+
+    def close(self) -> None:
+        """Write nothing more; whoever waits is cancelled."""
+        self._closed = True
+        if self._writing is not None:
+            self._writing.cancel()
+        for turn in self._waiting:
+            if not turn.called:
+                turn.cancel()
+        self._waiting = []
+
+    async def forget(self, jobs: Sequence[Job]) -> int:
+        """Delete the records of ended jobs; return how many were deleted."""
+        chosen = jobs[:JOBS_PER_DELETE]
+        deletes = []
+        for job in chosen:
+            pool = job.record.pool
+            deletes += [job_key(pool, job.id), progress_key(pool, job.id)]
+            if job.cancelled:
+                deletes.append(cancel_key(pool, job.id))
+        result = await self._store.commit(
+            {self._term.key: self._term.revision}, (), deletes
+        )
+        if isinstance(result, Conflict):
+            self._on_superseded()
+            return 0
+        return len(chosen)
+
+    async def _write_all(self) -> None:
+        try:
+            while self._dirty and not self._closed:
+                batch = list(self._dirty.items())[:JOBS_PER_WRITE]
+                if not await self._write([job for job, _ in batch], dict(batch)):
+                    await self._clock.sleep(RETRY_AFTER)
+        finally:
+            self._writing = None
+
+    async def _write(self, jobs: list[Job], versions: dict[Job, int]) -> bool:
+        written = {job: job.progress() for job in jobs}
+        expected = {self._term.key: self._term.revision}
+        puts = []
+        for job, progress in written.items():
+            key = progress_key(job.record.pool, job.id)
+            expected[key] = job.progress_revision
+            puts.append(Put(key, encode_progress(progress)))
+        try:
+            result = await self._store.commit(expected, puts)
+        except StoreError as exc:
+            self._log.log_event(
+                LogLevel.INFO, "progress_unwritten", jobs=len(jobs), detail=str(exc)
+            )
+            return False
+        if isinstance(result, Committed):
+            self._settle(written, versions, result.revision)
+        else:
+            self._resolve(jobs, result)
+        return True
+
+    def _settle(
+        self,
+        written: dict[Job, ProgressRecord],
+        versions: dict[Job, int],
+        revision: int,
+    ) -> None:
+        for job, progress in written.items():
+            job.progress_revision = revision
+            if self._dirty.get(job) == versions[job]:
+                del self._dirty[job]
+            self._on_durable(job, progress)
+        if not self._dirty:
+            waiting, self._waiting = self._waiting, []
+            for turn in waiting:
+                if not turn.called:
+                    turn.callback(None)
+
+    def _resolve(self, jobs: list[Job], conflict: Conflict) -> None:
+        """Adopt the revisions of earlier writes whose answers were lost."""
+        own = conflict.current.get(self._term.key)
+        if own is None or own.revision != self._term.revision:
+            self._on_superseded()
+            return
+        for job in jobs:
+            item = conflict.current.get(progress_key(job.record.pool, job.id))
+            job.progress_revision = 0 if item is None else item.revision
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -0,0 +1,345 @@
+"""One worker as its pool's lead talks to it."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from datetime import datetime, timedelta
+
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import Clock, Wakeup, to_millis
+from savorylead.jobs import Run, RunState
+from savorylead.pools import (
+    Finding,
+    PoolWorker,
+    RunOrder,
+    RunRejected,
+    RunStarted,
+    StaleFenceError,
+    StartRejection,
+    WorkerCalls,
+    WorkerNotReachedError,
+    WorkerReport,
+    WorkerUnhealthyError,
+    WrongIncarnationError,
+    reconcile,
+)
+from savorylead.workers import WorkerError
+from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+#: How long a worker keeps its runs without being renewed. It must outlast a change
+#: of the lead: a store lease of 2 s, the election and the claim.
+WORKER_LEASE_MS = 4_500
+#: How long a start order is valid. A worker executes an order whose answer was lost
+#: up to 12 s late, and refuses it after this time.
+ORDER_VALID_MS = 1_500
+#: A worker's clock may be this much slow.
+CLOCK_DRIFT = 0.02
+#: Longest wait of one renewal for an end; also the time between renewals.
+RENEW_WAIT = timedelta(milliseconds=1_000)
+#: The same while tasks that serve share the worker with tasks that fill.
+WATCHFUL_WAIT = timedelta(milliseconds=400)
+#: Time between looks at a worker on which a stop is under way.
+STOPPING_LOOK = timedelta(milliseconds=60)
+#: Longest time between renewals while ends wait to become durable.
+UNRELEASED_LOOK = timedelta(milliseconds=300)
+#: Time until a call that failed is tried again.
+RETRY_AFTER = timedelta(milliseconds=200)
+#: Time until a stop that was accepted is sent again, if the run is still listed.
+STOP_AGAIN = timedelta(milliseconds=1_500)
+#: Time between looks whether the lead may act again.
+PAUSE = timedelta(milliseconds=50)
+#: Longest time without a look at an idle worker.
+IDLE_LOOK = timedelta(seconds=60)
+
+
+class SessionOwner(ABC):
+    """What a session needs of its lead."""
+
+    #: The fencing token.
+    fence: int
+
+    @abstractmethod
+    def may_act(self) -> bool:
+        """Return whether this daemon surely still leads."""
+
+    @abstractmethod
+    def superseded(self) -> None:
+        """Take note that a later lead has used a worker."""
+
+    @abstractmethod
+    def apply(
+        self, session: WorkerSession, findings: Sequence[Finding], report: WorkerReport
+    ) -> None:
+        """Take over what a report says."""
+
+    @abstractmethod
+    def lost(self, session: WorkerSession, runs: Sequence[Run], reason: str) -> None:
+        """Take over that runs are surely over without a report of their end."""
+
+    @abstractmethod
+    async def durable(self) -> None:
+        """Return once what was applied is durable."""
+
+
+class WorkerSession:
+    """Renews the worker's lease, reads its reports and carries orders to it."""
+
+    def __init__(
+        self,
+        worker: PoolWorker,
+        owner: SessionOwner,
+        calls: WorkerCalls,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        self.worker = worker
+        #: Whether the worker's runs are known to this lead.
+        self.claimed = False
+        #: Time the worker said it will stay, in milliseconds; None if not leaving.
+        self.remaining_ms: int | None = None
+        self._owner = owner
+        self._calls = calls
+        self._clock = clock
+        self._log = log
+        self._wakeup = Wakeup(clock)
+        self._look_soon = False
+        self._born_ms = 0
+        self._clock_ms = 0
+        self._clock_read_at: datetime | None = None
+        #: On the worker's clock: the latest deadline that it was told.
+        self._lease_until_ms = 0
+        self._seen = 0
+        #: Ends up to this one are durable here and may be released.
+        self._durable = 0
+        self._released = 0
+        self._failing_since: datetime | None = None
+        self._running: Deferred[None] | None = None
+
+    def start(self) -> None:
+        """Claim the worker and keep in touch with it."""
+        self._running = spawn("worker session", self._run())
+
+    def close(self) -> None:
+        """Send nothing any more."""
+        if self._running is not None:
+            self._running.cancel()
+
+    def look_soon(self) -> None:
+        """Ask for a report now."""
+        self._look_soon = True
+        self._wakeup.wake()
+
+    def worker_clock_ms(self) -> int:
+        """Return the worker's clock, at most as far as it surely is."""
+        if self._clock_read_at is None:
+            return 0
+        elapsed = self._clock.now() - self._clock_read_at
+        elapsed_ms = elapsed.total_seconds() * 1000 * (1 - CLOCK_DRIFT)
+        return self._clock_ms + int(elapsed_ms)
+
+    async def start_run(
+        self, run: Run, order: RunOrder
+    ) -> RunStarted | RunRejected | None:
+        """Send a start; None if it is not known whether it took effect.
+
+        Raises WorkerNotReachedError if it surely did not.
+        """
+        deadline_ms = self.worker_clock_ms() + ORDER_VALID_MS
+        run.void_clock_ms = deadline_ms + 1
+        self._lease_until_ms = max(self._lease_until_ms, deadline_ms)
+        order = order._replace(deadline_ms=deadline_ms)
+        try:
+            result = await self._calls.start(
+                self.worker.entry, self._owner.fence, order
+            )
+        except WorkerNotReachedError:
+            self.worker.usable = False
+            self.look_soon()
+            raise
+        except WorkerError as exc:
+            self.worker.usable = False
+            self._log.log_event(
+                LogLevel.INFO,
+                "start_unanswered",
+                worker=self.worker.id,
+                task_run=f"{order.task}/{order.number}",
+                detail=str(exc),
+            )
+            self.look_soon()
+            return None
+        if isinstance(result, RunRejected):
+            if result.reason is StartRejection.STALE_FENCE:
+                self._owner.superseded()
+            elif result.reason is StartRejection.WRONG_INCARNATION:
+                self.worker.usable = False
+        else:
+            self._wakeup.wake()
+        return result
+
+    def stop_run(self, run: Run, reason: str) -> None:
+        """Stop a run, whatever it takes; its room is free once its end is known."""
+        if run.state is RunState.STOPPING:
+            return
+        run.state = RunState.STOPPING
+        run.stop_reason = reason
+        spawn("stop of a run", self._stop_until_gone(run))
+
+    async def pace(self, run: Run, percent: int) -> None:
+        """Let a run work at a part of its pace."""
+        before, run.paced = run.paced, percent
+        try:
+            await self._calls.pace(
+                self.worker.entry,
+                self._owner.fence,
+                run.task.name,
+                run.number,
+                percent,
+            )
+        except StaleFenceError:
+            self._owner.superseded()
+        except (WorkerError, WrongIncarnationError, WorkerUnhealthyError) as exc:
+            run.paced = before
+            self._log.log_event(
+                LogLevel.INFO, "pace_failed", worker=self.worker.id, detail=str(exc)
+            )
+
+    async def _stop_until_gone(self, run: Run) -> None:
+        key = (str(run.task.name), run.number)
+        while key in self.worker.runs:
+            if not self._owner.may_act():
+                await self._clock.sleep(PAUSE)
+                continue
+            try:
+                await self._calls.stop(
+                    self.worker.entry, self._owner.fence, run.task.name, run.number
+                )
+            except StaleFenceError:
+                self._owner.superseded()
+                return
+            except (WorkerError, WrongIncarnationError, WorkerUnhealthyError):
+                await self._clock.sleep(RETRY_AFTER)
+                continue
+            run.stopped_at_ms = to_millis(self._clock.now())
+            self.look_soon()
+            await self._clock.sleep(STOP_AGAIN)
+
+    async def _run(self) -> None:
+        while True:
+            if not self._owner.may_act():
+                await self._clock.sleep(PAUSE)
+                continue
+            if self.claimed and self._is_idle() and not self._look_soon:
+                await self._wakeup.wait(IDLE_LOOK)
+                continue
+            self._look_soon = False
+            try:
+                await self._look()
+            except StaleFenceError:
+                self._owner.superseded()
+                return
+            except (WorkerError, WrongIncarnationError, WorkerUnhealthyError) as exc:
+                self._note_failure(exc)
+                await self._clock.sleep(RETRY_AFTER)
+                continue
+            if self._seen != self._durable:
+                await self._wakeup.wait(UNRELEASED_LOOK)
+            elif any(r.state is RunState.STOPPING for r in self.worker.runs.values()):
+                await self._wakeup.wait(STOPPING_LOOK)
+
+    def _is_idle(self) -> bool:
+        return (
+            not self.worker.runs
+            and not self.worker.unexplained
+            and self._released == self._seen
+            and self._failing_since is None
+        )
+
+    async def _look(self) -> None:
+        deadline_ms = None
+        if self._clock_read_at is not None and self.worker.runs:
+            deadline_ms = self.worker_clock_ms() + WORKER_LEASE_MS
+            self._lease_until_ms = max(self._lease_until_ms, deadline_ms)
+        asked_at_ms = to_millis(self._clock.now())
+        released = self._durable
+        report = await self._calls.hold(
+            self.worker.entry,
+            self._owner.fence,
+            released,
+            deadline_ms,
+            self._wait(),
+        )
+        self._released = released
+        self._heard(report)
+        findings = reconcile(self.worker, report, self._seen, asked_at_ms)
+        seen = max([self._seen, *(e.sequence for e in report.ended)])
+        self.claimed = True
+        self.worker.usable = True
+        self._owner.apply(self, findings, report)
+        if seen != self._seen:
+            self._seen = seen
+            spawn("release of ends", self._release_when_durable(seen, self._born_ms))
+
+    async def _release_when_durable(self, seen: int, born_ms: int) -> None:
+        """Release ends only once nothing that they led to can be lost."""
+        await self._owner.durable()
+        if born_ms == self._born_ms:
+            self._durable = max(self._durable, seen)
+            self._wakeup.wake()
+
+    def _wait(self) -> timedelta:
+        busy = any(r.state is RunState.STOPPING for r in self.worker.runs.values())
+        if not self.claimed or busy or not self.worker.runs or self._failing_since:
+            return timedelta(0)
+        if self.worker.serves() and self.worker.fill_load():
+            return WATCHFUL_WAIT
+        return RENEW_WAIT
+
+    def _heard(self, report: WorkerReport) -> None:
+        self._failing_since = None
+        self.remaining_ms = report.remaining_ms
+        if self._born_ms and report.born_ms != self._born_ms:
+            self._reborn(report)
+        self._born_ms = report.born_ms
+        self._clock_ms = report.clock_ms
+        self._clock_read_at = self._clock.now()
+
+    def _reborn(self, report: WorkerReport) -> None:
+        """Take over that nothing of the earlier incarnation runs any more."""
+        self._log.log_event(
+            LogLevel.INFO, "worker_reborn", worker=self.worker.id, born=report.born_ms
+        )
+        self._seen = self._durable = self._released = 0
+        self._lease_until_ms = 0
+        gone = []
+        for run in list(self.worker.runs.values()):
+            if run.confirmed_at_ms:
+                gone.append(run)
+            else:
+                # The order may still be under way and start in this incarnation.
+                run.void_clock_ms = 0
+                run.stopped_at_ms = 0
+                self.stop_run(run, "worker_reborn")
+        if gone:
+            self._owner.lost(self, gone, "worker_reborn")
+
+    def _note_failure(self, exc: Exception) -> None:
+        now = self._clock.now()
+        if self._failing_since is None:
+            self._failing_since = now
+            self._log.log_event(
+                LogLevel.INFO,
+                "worker_unreachable",
+                worker=self.worker.id,
+                runs=len(self.worker.runs),
+                detail=f"{type(exc).__name__}: {exc}",
+            )
+        self.worker.usable = False
+        if self._clock_read_at is None or not self.worker.runs:
+            return
+        if self.worker_clock_ms() > self._lease_until_ms:
+            runs = list(self.worker.runs.values())
+            self._owner.lost(self, runs, "worker_lease_lapsed")
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_workers_feed.py
@@ -0,0 +1,82 @@
+"""Reads the platform's list of workers while this daemon leads a pool."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import Clock
+from savorylead.pools import CellStore, WorkerEntry, WorkerListing
+from savorylead.store import StoreError
+from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+#: Time between two reads: a leaving worker gets nothing new within two seconds.
+READ_EVERY = timedelta(milliseconds=800)
+#: Time until a failed read is repeated.
+RETRY_AFTER = timedelta(milliseconds=200)
+
+
+class WorkersFeed:
+    """Calls ``on_list(entries)`` with each list, without entries that name none."""
+
+    def __init__(
+        self,
+        store: CellStore,
+        listing: WorkerListing,
+        clock: Clock,
+        log: EventLog,
+        is_wanted: Callable[[], bool],
+        on_list: Callable[[Sequence[WorkerEntry]], None],
+    ) -> None:
+        """Read only while ``is_wanted()``."""
+        self._store = store
+        self._listing = listing
+        self._clock = clock
+        self._log = log
+        self._is_wanted = is_wanted
+        self._on_list = on_list
+        self._unreadable: set[str] = set()
+        self._running: Deferred[None] | None = None
+
+    def start(self) -> None:
+        """Begin to read."""
+        self._running = spawn("list of workers", self._run())
+
+    def stop(self) -> None:
+        """End reading."""
+        if self._running is not None:
+            self._running.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            pause = READ_EVERY
+            if self._is_wanted():
+                try:
+                    await self._read()
+                except StoreError as exc:
+                    pause = RETRY_AFTER
+                    self._log.log_event(
+                        LogLevel.INFO, "workers_unread", detail=str(exc)
+                    )
+            else:
+                pause = RETRY_AFTER
+            await self._clock.sleep(pause)
+
+    async def _read(self) -> None:
+        snapshot = await self._store.list(self._listing.prefix)
+        entries = []
+        unreadable = set()
+        for item in snapshot.items:
+            entry = self._listing.decode(item)
+            if entry is None:
+                unreadable.add(item.key)
+            else:
+                entries.append(entry)
+        for key in unreadable - self._unreadable:
+            self._log.log_event(LogLevel.WARNING, "worker_entry_unreadable", key=key)
+        self._unreadable = unreadable
+        self._on_list(entries)
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/settings.py
@@ -0,0 +1,108 @@
+"""Settings of a daemon whose shards are pools of a platform."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+
+from savorylead.documents import DocumentFault
+from savorylead_daemon.settings import LogLevel, SettingsError
+
+_Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$")]
+_Endpoint = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+_Seconds = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
+_Millis = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
+
+
+class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A table of the settings, in which every name must be known."""
+
+
+class ListenSettings(_Section):
+    """Where the daemon answers."""
+
+    callers: _Endpoint
+    #: The balancer's probe.
+    readiness: _Endpoint
+    #: Other daemons of the cell.
+    peers: _Endpoint
+    #: Counters for operators.
+    metrics: _Endpoint
+
+
+class PlatformSettings(_Section):
+    """Where the platform answers, and which package speaks to it."""
+
+    #: A package with ``open_adapter``.
+    adapter: _Name
+    store: _Endpoint
+    #: Empty where no queue needs advice.
+    adviser: str = ""
+    #: Empty where machines can't be moved.
+    machines: str = ""
+
+
+class BoundSettings(_Section):
+    """Times that the platform's operators promise to callers."""
+
+    #: A withdrawn key does nothing after this time.
+    key_withdrawn_ms: _Millis = 5_000
+    #: A planned stop is through within this time.
+    stop_s: _Seconds = 6.0
+    #: States of ended jobs are told for this time.
+    status_for_s: _Seconds = 120.0
+
+
+class LogSettings(_Section):
+    """What is logged."""
+
+    level: LogLevel = LogLevel.INFO
+    lines_per_event_per_s: Annotated[int, msgspec.Meta(ge=1)] = 50
+
+
+class PoolSettings(_Section):
+    """Everything that one daemon is told before it starts."""
+
+    #: Unique in the cell.
+    name: _Name
+    region: str
+    domain: str
+    listen: ListenSettings
+    platform: PlatformSettings
+    bounds: BoundSettings = BoundSettings()
+    log: LogSettings = LogSettings()
+
+
+def parse_pool_settings(text: bytes) -> PoolSettings:
+    """Check settings in JSON; raises SettingsError with the fault's path."""
+    try:
+        return msgspec.json.decode(text, type=PoolSettings)
+    except msgspec.ValidationError as exc:
+        problem, _, path = str(exc).partition(" - at `")
+        fault = DocumentFault(path.rstrip("`") or "$", problem)
+        raise SettingsError([fault]) from exc
+    except msgspec.DecodeError as exc:
+        raise SettingsError([DocumentFault("$", f"not JSON: {exc}")]) from exc
+
+
+def is_for_pools(text: bytes) -> bool:
+    """Return whether settings name an adapter, and so are of this kind."""
+    try:
+        document = msgspec.json.decode(text)
+    except msgspec.DecodeError:
+        return False
+    if not isinstance(document, dict):
+        return False
+    platform = document.get("platform")
+    return isinstance(platform, dict) and "adapter" in platform
+
+
+def load_pool_settings(path: Path) -> PoolSettings:
+    """Read and check a settings file; raises SettingsError."""
+    try:
+        return parse_pool_settings(path.read_bytes())
+    except OSError as exc:
+        fault = DocumentFault("$", f"cannot read {path}: {exc.strerror}")
+        raise SettingsError([fault]) from exc
--- /dev/null
+++ b/packages/savorylead/savorylead/jobs/_job.py
@@ -0,0 +1,310 @@
+"""The state of one job: which tasks wait, run and are done."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator
+
+from ._records import JobRecord, ProgressRecord, StepProgress
+from ._spec import StepSpec
+from ._task_name import TaskName
+
+
+class JobState(enum.StrEnum):
+    """What a caller is told of a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class RunState(enum.Enum):
+    """What is known of a started task."""
+
+    #: The order was sent and not answered yet.
+    STARTING = enum.auto()
+    RUNNING = enum.auto()
+    #: A stop is under way; the worker may still run it.
+    STOPPING = enum.auto()
+
+
+class Run:
+    """One start of a task on one worker, until its end is known."""
+
+    __slots__ = (
+        "worker",
+        "confirmed_at_ms",
+        "load",
+        "number",
+        "paced",
+        "percent",
+        "percent_at_ms",
+        "sent_at_ms",
+        "state",
+        "stop_reason",
+        "stopped_at_ms",
+        "task",
+        "void_clock_ms",
+    )
+
+    def __init__(self, task: Task, number: int, worker: str, sent_at_ms: int) -> None:
+        self.task = task
+        self.number = number
+        #: Id of the worker.
+        self.worker = worker
+        self.state = RunState.STARTING
+        self.sent_at_ms = sent_at_ms
+        #: On the worker's clock: its start order is refused from then on.
+        self.void_clock_ms = 0
+        #: When the worker confirmed the start; 0 before.
+        self.confirmed_at_ms = 0
+        #: Progress of a finite task, or 100 for a long-running one at work.
+        self.percent = 0
+        #: When ``percent`` last changed.
+        self.percent_at_ms = sent_at_ms
+        #: Tail response time in ms of a serving task, else cores_milli in use.
+        self.load = 0
+        #: Share of its normal pace that it was told to keep, 0 to 100.
+        self.paced = 100
+        #: When the worker accepted a stop; 0 before.
+        self.stopped_at_ms = 0
+        self.stop_reason = ""
+
+
+class Task:
+    """One task of an occurrence of a step."""
+
+    __slots__ = (
+        "checkpoint",
+        "done",
+        "index",
+        "last_run",
+        "run",
+        "step",
+        "unplaced_at",
+    )
+
+    def __init__(self, step: StepRun, index: int) -> None:
+        self.step = step
+        self.index = index
+        self.done = False
+        self.run: Run | None = None
+        #: Highest number of a start of this task.
+        self.last_run = 0
+        #: The last checkpoint that a worker reported; empty for none.
+        self.checkpoint = ""
+        #: When it last became ready without a run, in milliseconds.
+        self.unplaced_at = 0
+
+    @property
+    def name(self) -> TaskName:
+        """The name that workers know the task by."""
+        step = self.step
+        return TaskName(step.job.record.id, step.occurrence, step.index, self.index)
+
+
+class StepRun:
+    """One occurrence of a step."""
+
+    __slots__ = (
+        "advice",
+        "done_count",
+        "failed_runs",
+        "index",
+        "job",
+        "occurrence",
+        "ready_at_ms",
+        "spec",
+        "tasks",
+    )
+
+    def __init__(self, job: Job, occurrence: int, index: int, spec: StepSpec) -> None:
+        self.job = job
+        self.occurrence = occurrence
+        self.index = index
+        self.spec = spec
+        self.tasks = [Task(self, number) for number in range(spec.count)]
+        self.done_count = 0
+        #: Numbers of the runs that failed, by task; a gang counts under -1.
+        self.failed_runs: dict[int, set[int]] = {}
+        #: When the steps before it were done; None before.
+        self.ready_at_ms: int | None = None
+        #: What the policy adviser said of this step; owned by the planner.
+        self.advice: object | None = None
+
+    @property
+    def name(self) -> str:
+        """The name of the step in calls for advice."""
+        return f"{self.job.record.id}.{self.occurrence}.{self.index}"
+
+    @property
+    def is_done(self) -> bool:
+        """Whether every task is done."""
+        return self.done_count == self.spec.count
+
+    def waiting(self) -> list[Task]:
+        """Return the tasks that are neither done nor placed."""
+        return [t for t in self.tasks if t.run is None and not t.done]
+
+    def running(self) -> list[Task]:
+        """Return the tasks that have a run."""
+        return [t for t in self.tasks if t.run is not None]
+
+    def failures_of(self, index: int) -> set[int]:
+        """Return the numbers of the failed runs that count for a task."""
+        return self.failed_runs.get(-1 if self.spec.gang else index, set())
+
+    def note_failure(self, index: int, run_number: int) -> int:
+        """Count a failed run once; return how many of the task failed."""
+        key = -1 if self.spec.gang else index
+        runs = self.failed_runs.setdefault(key, set())
+        runs.add(run_number)
+        return len(runs)
+
+    def mark_done(self, index: int) -> None:
+        """Note that a task, or with it its whole gang, is done."""
+        done = self.tasks if self.spec.gang else [self.tasks[index]]
+        for task in done:
+            if not task.done:
+                task.done = True
+                self.done_count += 1
+
+
+class Job:
+    """A job with every occurrence that is due."""
+
+    def __init__(self, record: JobRecord, revision: int) -> None:
+        self.record = record
+        #: Store revision of its record; later starts of leads have higher ones.
+        self.revision = revision
+        #: Steps of each occurrence that is due, in order.
+        self.occurrences: list[list[StepRun]] = []
+        self.final: JobState | None = None
+        self.ended_at_ms = 0
+        self.started = False
+        self.cancelled = False
+        #: What callers are told; follows the state once that is durable.
+        self.shown = JobState.QUEUED
+        #: Store revision of its progress record; 0 if there is none.
+        self.progress_revision = 0
+        #: Whether its owner sends more than its weight allows.
+        self.surplus = False
+
+    @property
+    def id(self) -> str:
+        """The id that the caller chose."""
+        return self.record.id
+
+    def open_due(self, now_ms: int) -> int | None:
+        """Open the occurrences that are due; return when the next one is."""
+        spec = self.record.spec
+        wanted = max(1, spec.repeats)
+        while len(self.occurrences) < wanted:
+            number = len(self.occurrences)
+            if spec.repeats:
+                due_ms = spec.first_due_ms + number * spec.interval_ms
+                if now_ms < due_ms:
+                    return due_ms
+            self.occurrences.append(
+                [StepRun(self, number, i, step) for i, step in enumerate(spec.steps)]
+            )
+        return None
+
+    def steps(self) -> Iterator[StepRun]:
+        """Yield every open step of every occurrence."""
+        for steps in self.occurrences:
+            yield from steps
+
+    def ready_steps(self, now_ms: int) -> Iterator[StepRun]:
+        """Yield the steps whose turn has come and that are not done."""
+        for steps in self.occurrences:
+            for step in steps:
+                if step.is_done:
+                    continue
+                if step.ready_at_ms is None:
+                    if not all(steps[i].is_done for i in step.spec.after):
+                        continue
+                    step.ready_at_ms = now_ms
+                yield step
+
+    def runs(self) -> list[Run]:
+        """Return every run that may still be on a worker."""
+        return [t.run for s in self.steps() for t in s.tasks if t.run is not None]
+
+    def task(self, occurrence: int, step: int, index: int) -> Task | None:
+        """Return a task by its place, or None if there is none."""
+        if not 0 <= occurrence < max(1, self.record.spec.repeats):
+            return None
+        while len(self.occurrences) <= occurrence:
+            number = len(self.occurrences)
+            self.occurrences.append(
+                [
+                    StepRun(self, number, i, spec)
+                    for i, spec in enumerate(self.record.spec.steps)
+                ]
+            )
+        steps = self.occurrences[occurrence]
+        if not 0 <= step < len(steps) or not 0 <= index < steps[step].spec.count:
+            return None
+        return steps[step].tasks[index]
+
+    def is_complete(self) -> bool:
+        """Whether every task of every occurrence is done."""
+        if len(self.occurrences) < max(1, self.record.spec.repeats):
+            return False
+        return all(step.is_done for step in self.steps())
+
+    def finish(self, state: JobState, now_ms: int) -> None:
+        """Give the job its final state."""
+        if self.final is None:
+            self.final = state
+            self.ended_at_ms = now_ms
+
+    def state(self) -> JobState:
+        """Return the state as it is now, durable or not."""
+        if self.final is not None:
+            return self.final
+        return JobState.RUNNING if self.started else JobState.QUEUED
+
+    def progress(self) -> ProgressRecord:
+        """Return what must outlast this lead."""
+        steps = []
+        if self.final is None:
+            for step in self.steps():
+                if step.done_count or step.failed_runs:
+                    steps.append(_step_progress(step))
+        state = "" if self.final is None else self.final.value
+        return ProgressRecord(state, self.started, self.ended_at_ms, tuple(steps))
+
+    def restore(self, progress: ProgressRecord) -> None:
+        """Take over what an earlier lead wrote."""
+        self.started = progress.started
+        if progress.state:
+            self.final = JobState(progress.state)
+            self.ended_at_ms = progress.ended_at_ms
+        for saved in progress.steps:
+            first = self.task(saved.occurrence, saved.step, 0)
+            if first is None:
+                continue
+            step = first.step
+            indices = range(step.spec.count) if saved.all_done else saved.done
+            for index in indices:
+                step.mark_done(index)
+            for index, runs in saved.failed:
+                step.failed_runs[index] = set(runs)
+                highest = max(runs, default=0)
+                for task in step.tasks if index < 0 else [step.tasks[index]]:
+                    task.last_run = max(task.last_run, highest)
+        self.shown = self.state()
+
+
+def _step_progress(step: StepRun) -> StepProgress:
+    done: tuple[int, ...] = ()
+    if not step.is_done:
+        done = tuple(task.index for task in step.tasks if task.done)
+    failed = tuple(
+        (index, tuple(sorted(runs))) for index, runs in step.failed_runs.items()
+    )
+    return StepProgress(step.occurrence, step.index, step.is_done, done, failed)
--- /dev/null
+++ b/packages/savorylead/savorylead/jobs/_records.py
@@ -0,0 +1,83 @@
+"""The durable records of a job and their encoding."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import msgspec
+
+from ._spec import JobSpec
+
+
+class JobRecord(NamedTuple):
+    """Written once, when a job is accepted."""
+
+    #: The id that the caller chose.
+    id: str
+    #: The pool whose workers run it.
+    pool: str
+    #: The queue through which it came.
+    queue: str
+    team: str
+    #: When it was accepted, in Unix milliseconds.
+    accepted_at_ms: int
+    spec: JobSpec
+
+
+class StepProgress(NamedTuple):
+    """What became of the tasks of one occurrence of a step."""
+
+    occurrence: int
+    step: int
+    all_done: bool
+    #: Indices of the done tasks, unless all are.
+    done: tuple[int, ...]
+    #: Numbers of failed runs by task index; a gang counts under -1.
+    failed: tuple[tuple[int, tuple[int, ...]], ...]
+
+
+class ProgressRecord(NamedTuple):
+    """Rewritten by the lead whenever a job's tasks end."""
+
+    #: The final state, or empty while there is none.
+    state: str
+    started: bool
+    #: When the final state was reached, in Unix milliseconds; 0 before.
+    ended_at_ms: int
+    #: Empty once the job has a final state.
+    steps: tuple[StepProgress, ...]
+
+
+class RecordError(Exception):
+    """A stored record is not what its key promises."""
+
+    def __init__(self, key: str, problem: str) -> None:
+        super().__init__(f"{key}: {problem}")
+        self.key = key
+        self.problem = problem
+
+
+def encode_job(record: JobRecord) -> bytes:
+    """Return the record as a JSON array."""
+    return msgspec.json.encode(record)
+
+
+def decode_job(key: str, value: bytes) -> JobRecord:
+    """Return the record stored under ``key``; raises RecordError."""
+    try:
+        return msgspec.json.decode(value, type=JobRecord)
+    except msgspec.DecodeError as exc:
+        raise RecordError(key, str(exc)) from exc
+
+
+def encode_progress(record: ProgressRecord) -> bytes:
+    """Return the record as a JSON array."""
+    return msgspec.json.encode(record)
+
+
+def decode_progress(key: str, value: bytes) -> ProgressRecord:
+    """Return the record stored under ``key``; raises RecordError."""
+    try:
+        return msgspec.json.decode(value, type=ProgressRecord)
+    except msgspec.DecodeError as exc:
+        raise RecordError(key, str(exc)) from exc
--- /dev/null
+++ b/packages/savorylead/savorylead/jobs/_task_name.py
@@ -0,0 +1,21 @@
+"""The name of one task of a job."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class TaskName(NamedTuple):
+    """Names a task across the cell."""
+
+    #: The id that the caller chose for the job.
+    job: str
+    #: Which repetition of the job, from 0.
+    occurrence: int
+    #: Index of the step in the job, from 0.
+    step: int
+    #: Index of the task in the step, from 0.
+    index: int
+
+    def __str__(self) -> str:
+        return f"{self.job}.{self.occurrence}.{self.step}.{self.index}"
--- /dev/null
+++ b/packages/savorylead/savorylead/pools/_grants.py
@@ -0,0 +1,183 @@
+"""Divides the upper limits of teams among the leads of pools.
+
+One record in the store says which part of each team's limit each pool may use. A
+lead writes only its own part, expecting the record's revision, so the parts never
+exceed the limit, whatever the leads do at the same time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import msgspec
+
+from savorylead.resources import ZERO, Resources
+
+#: A want is written again when it changed by this part of the limit.
+WANT_CHANGE_SHARE = 0.1
+
+
+class _Part(NamedTuple):
+    """What one pool has and wants of one team's limit."""
+
+    granted: tuple[int, ...]
+    #: What it holds and waits for, bounded by the limit.
+    wanted: tuple[int, ...]
+
+
+_NO_PART = _Part(tuple(ZERO), tuple(ZERO))
+
+
+class GrantBook(NamedTuple):
+    """The record: by team, then by pool."""
+
+    parts: Mapping[str, Mapping[str, _Part]] = {}
+
+
+def encode_grants(book: GrantBook) -> bytes:
+    """Return the record as JSON."""
+    return msgspec.json.encode(book)
+
+
+def decode_grants(value: bytes) -> GrantBook:
+    """Return the record; raises msgspec.DecodeError."""
+    return msgspec.json.decode(value, type=GrantBook)
+
+
+def _of(amounts: tuple[int, ...]) -> Resources:
+    return Resources(*amounts)
+
+
+def _least(one: Resources, other: Resources) -> Resources:
+    return Resources(*(min(a, b) for a, b in zip(one, other, strict=True)))
+
+
+class PoolGrants:
+    """The parts of one pool, and what they should be. Pure."""
+
+    def __init__(self, pool: str) -> None:
+        self.pool = pool
+        self.book = GrantBook()
+        self._limits: dict[str, Resources] = {}
+
+    def set_limits(self, limits: Mapping[str, Resources]) -> None:
+        """Take over the limits of a configuration; 0 is no limit in a dimension."""
+        self._limits = {team: limit for team, limit in limits.items() if any(limit)}
+
+    def room(self, team: str, held: Resources) -> Resources | None:
+        """Return what the team may still start in this pool; None for no limit."""
+        limit = self._limits.get(team)
+        if limit is None:
+            return None
+        usable = self._usable(team, limit)
+        room = usable.minus(held)
+        # A dimension without a limit has room for anything.
+        return Resources(
+            *(r if m > 0 else 1 << 60 for r, m in zip(room, limit, strict=True))
+        )
+
+    def lesser_of(self, one: GrantBook, other: GrantBook) -> GrantBook:
+        """Return ``one`` with the lesser part of this pool in every dimension."""
+        parts = {team: dict(pools) for team, pools in one.parts.items()}
+        for team, pools in parts.items():
+            own = pools.get(self.pool)
+            if own is None:
+                continue
+            theirs = other.parts.get(team, {}).get(self.pool, _NO_PART)
+            granted = tuple(map(min, own.granted, theirs.granted))
+            pools[self.pool] = own._replace(granted=granted)
+        return GrantBook(parts)
+
+    def next_book(
+        self, held: Mapping[str, Resources], waiting: Mapping[str, Resources]
+    ) -> GrantBook | None:
+        """Return the record as this pool would have it, None if it is as it should."""
+        parts = {team: dict(pools) for team, pools in self.book.parts.items()}
+        changed = False
+        for team, limit in self._limits.items():
+            now_held = held.get(team, ZERO)
+            wanted = _least(limit, now_held.plus(waiting.get(team, ZERO)))
+            pools = parts.setdefault(team, {})
+            old = pools.get(self.pool, _NO_PART)
+            new = self._next_part(limit, old, pools, now_held, wanted)
+            if new != old:
+                pools[self.pool] = new
+                changed = True
+        return GrantBook(parts) if changed else None
+
+    def _usable(self, team: str, limit: Resources) -> Resources:
+        pools = self.book.parts.get(team, {})
+        own = pools.get(self.pool)
+        if own is None:
+            return ZERO
+        total = ZERO
+        for part in pools.values():
+            total = total.plus(_of(part.granted))
+        # After the limit was lowered every pool takes back the same part.
+        return Resources(
+            *(
+                own_amount if whole <= bound else own_amount * bound // whole
+                for own_amount, whole, bound in zip(
+                    _of(own.granted), total, limit, strict=True
+                )
+            )
+        )
+
+    def _next_part(
+        self,
+        limit: Resources,
+        old: _Part,
+        pools: Mapping[str, _Part],
+        held: Resources,
+        wanted: Resources,
+    ) -> _Part:
+        granted = []
+        others = [part for pool, part in pools.items() if pool != self.pool]
+        for index, bound in enumerate(limit):
+            granted.append(
+                _next_amount(
+                    bound=bound,
+                    own=old.granted[index],
+                    held=held[index],
+                    wanted=wanted[index],
+                    granted_to_others=sum(p.granted[index] for p in others),
+                    wanted_by_others=sum(p.wanted[index] for p in others),
+                )
+            )
+        told = old.wanted
+        for index, bound in enumerate(limit):
+            change = abs(wanted[index] - old.wanted[index])
+            if change > WANT_CHANGE_SHARE * bound:
+                told = tuple(wanted)
+                break
+        return _Part(tuple(granted), told)
+
+
+def _next_amount(
+    *,
+    bound: int,
+    own: int,
+    held: int,
+    wanted: int,
+    granted_to_others: int,
+    wanted_by_others: int,
+) -> int:
+    """Return one dimension of this pool's part."""
+    if bound <= 0:
+        return 0
+    free = max(0, bound - granted_to_others)
+    if wanted + wanted_by_others <= bound:
+        # All can have what they want; half of what is left goes to each side.
+        spare = (bound - wanted - wanted_by_others) // 2
+        target = wanted + spare
+    else:
+        total = wanted + wanted_by_others
+        target = bound * wanted // total if total else 0
+    if own > target:
+        lowered = max(held, target)
+        # A small excess is kept, since each write costs a call.
+        return lowered if own - lowered > bound // 20 and wanted_by_others else own
+    if target - own <= bound // 20 and own >= min(wanted, target):
+        return own
+    return min(target, free) if free > own else min(own, free) if own > free else own
--- /dev/null
+++ b/packages/savorylead/savorylead/pools/_headroom.py
@@ -0,0 +1,59 @@
+"""Cores kept free for the most urgent queue.
+
+Load pattern: short urgent steps come in bursts, and less urgent work that lasts
+seconds has filled every worker just before.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+
+from savorylead.jobs import StepRun
+
+from ._contracts import Queue
+from ._pool_worker import PoolWorker
+
+#: Time in which the remembered peak falls to half, in milliseconds.
+HALF_LIFE_MS = 6_000
+#: Most of a pool's cores that is kept free.
+MOST_SHARE = 0.25
+#: The priority for which room is kept.
+URGENT_PRIORITY = 0
+
+
+class UrgentHeadroom:
+    """Remembers the peak of what urgent steps held and waited for."""
+
+    def __init__(self) -> None:
+        self._peak_cores_milli = 0.0
+        self._at_ms = 0
+
+    def cores_milli(
+        self,
+        workers: Iterable[PoolWorker],
+        waiting: Sequence[StepRun],
+        queues: Mapping[str, Queue],
+        now_ms: int,
+    ) -> int:
+        """Return how many thousandths of a core less urgent work must leave free."""
+        urgent = {q.name for q in queues.values() if q.priority == URGENT_PRIORITY}
+        if not urgent or len(urgent) == len(queues):
+            return 0
+        held = 0
+        capacity = 0
+        for worker in workers:
+            capacity += worker.entry.capacity.cores_milli
+            for run in worker.runs.values():
+                if run.task.step.job.record.queue in urgent:
+                    held += run.task.step.spec.resources.cores_milli
+        wanted = held + sum(
+            step.spec.resources.cores_milli * len(step.waiting())
+            for step in waiting
+            if step.job.record.queue in urgent
+        )
+        elapsed_ms = max(0, now_ms - self._at_ms)
+        self._at_ms = now_ms
+        self._peak_cores_milli *= 0.5 ** (elapsed_ms / HALF_LIFE_MS)
+        self._peak_cores_milli = max(self._peak_cores_milli, wanted)
+        most = MOST_SHARE * capacity
+        return int(max(0.0, min(most, self._peak_cores_milli - held)))
--- /dev/null
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -0,0 +1,451 @@
+"""Decides which waiting tasks start where, and what to ask the adviser.
+
+Load patterns: short urgent steps arrive while wide cheap ones could fill every
+worker (head room for the most urgent queue); gangs with large tasks compete with
+many small tasks (reservation of workers for the first gangs in line); a team at its
+limit waits without holding up others.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+from savorylead.jobs import StepRun, Task
+from savorylead.resources import ZERO, Resources
+
+from ._advice import AdviceBook, AdviceRequest
+from ._contracts import Queue
+from ._headroom import UrgentHeadroom
+from ._pool_worker import PoolWorker, held_by
+from ._urgency import urgency_of
+
+#: Steps that may keep workers free for themselves at a time.
+MAX_RESERVING_STEPS = 2
+#: Part of the workers, as a divisor, that reservations may take.
+RESERVED_DIVISOR = 3
+#: A task that takes this part of a worker may reserve one.
+LARGE_TASK_SHARE = 0.4
+#: Least urgent priority whose large tasks may reserve workers.
+RESERVING_PRIORITY = 1
+#: Steps without room whose advice is asked ahead of time.
+MAX_ASKED_AHEAD = 4
+
+
+class Placement(NamedTuple):
+    """A task to start on a worker."""
+
+    task: Task
+    worker: PoolWorker
+    #: The adviser's ticket; empty if the queue needs none.
+    ticket: str
+
+
+class PlannedGang(NamedTuple):
+    """Tasks that must start together."""
+
+    step: StepRun
+    placements: tuple[Placement, ...]
+
+
+class Plan(NamedTuple):
+    """What one pass decided."""
+
+    placements: list[Placement]
+    gangs: list[PlannedGang]
+    requests: list[AdviceRequest]
+    #: What could not start for want of a team's limit, by team.
+    short_of_limit: dict[str, Resources]
+    #: What all waiting tasks ask for, by team.
+    waiting_demand: dict[str, Resources]
+
+
+class _Pass:
+    """The state of one pass: what is still free, as placements are decided."""
+
+    def __init__(self, workers: Iterable[PoolWorker], now_ms: int) -> None:
+        self.now_ms = now_ms
+        self.workers = list(workers)
+        self.startable = [w for w in self.workers if w.may_start(now_ms)]
+        self.free = {w.id: w.free() for w in self.workers}
+        self.free_cores = sum(
+            max(0, self.free[w.id].cores_milli) for w in self.startable
+        )
+        self.added: dict[tuple[str, str], int] = {}
+        self.reserved: set[str] = set()
+        self.plan = Plan([], [], [], {}, {})
+
+    def take(self, worker: PoolWorker, step: StepRun) -> None:
+        """Hold the room of one task."""
+        held = held_by(step)
+        self.free[worker.id] = self.free[worker.id].minus(held)
+        self.free_cores -= held.cores_milli
+        key = (step.name, worker.id)
+        self.added[key] = self.added.get(key, 0) + 1
+
+    def give_back(self, worker: PoolWorker, step: StepRun) -> None:
+        """Undo ``take``."""
+        held = held_by(step)
+        self.free[worker.id] = self.free[worker.id].plus(held)
+        self.free_cores += held.cores_milli
+        self.added[(step.name, worker.id)] -= 1
+
+    def has_room(self, worker: PoolWorker, step: StepRun) -> bool:
+        """Return whether one more task of the step fits on the worker now."""
+        if not held_by(step).fits(self.free[worker.id]):
+            return False
+        bound = step.spec.max_per_worker
+        if not bound:
+            return True
+        added = self.added.get((step.name, worker.id), 0)
+        return worker.count_of(step) + added < bound
+
+
+def could_ever_hold(worker: PoolWorker, step: StepRun) -> bool:
+    """Return whether an empty worker could run a task of the step."""
+    label = step.spec.required_label
+    if label and label not in worker.entry.labels:
+        return False
+    return held_by(step).fits(worker.entry.capacity)
+
+
+class PoolPlanner:
+    """Plans for one pool. Pure, but for what it remembers of loads and advice."""
+
+    def __init__(self, book: AdviceBook | None = None) -> None:
+        self.book = book or AdviceBook()
+        self._headroom = UrgentHeadroom()
+
+    def plan(
+        self,
+        steps: Sequence[StepRun],
+        queues: Mapping[str, Queue],
+        workers: Iterable[PoolWorker],
+        team_room: Callable[[str], Resources | None],
+        now_ms: int,
+    ) -> Plan:
+        """Return what to start and to ask now.
+
+        ``steps`` are ready and not done. ``team_room`` returns what a team may
+        still start, None for no limit.
+        """
+        state = _Pass(workers, now_ms)
+        ranked = sorted(
+            (
+                (urgency_of(step, queues[step.job.record.queue], now_ms), index)
+                for index, step in enumerate(steps)
+                if step.job.record.queue in queues
+            ),
+        )
+        rooms: dict[str, Resources | None] = {}
+        reserving = 0
+        asked_ahead = 0
+        headroom = self._headroom.cores_milli(state.workers, steps, queues, now_ms)
+        for urgency, index in ranked:
+            step = steps[index]
+            waiting = step.waiting()
+            if not waiting or (step.spec.gang and step.running()):
+                continue
+            queue = queues[step.job.record.queue]
+            team = step.job.record.team
+            if team not in rooms:
+                rooms[team] = team_room(team)
+            demand = state.plan.waiting_demand
+            wanted = step.spec.resources.times(len(waiting))
+            demand[team] = demand.get(team, ZERO).plus(wanted)
+            keep_free = 0 if urgency.priority == 0 else headroom
+            candidates = self._candidates(state, step)
+            if step.spec.gang:
+                placed = self._place_gang(state, step, waiting, candidates, rooms)
+            else:
+                placed = self._place_each(
+                    state, step, waiting, candidates, rooms, keep_free
+                )
+            if placed == len(waiting):
+                continue
+            if self._is_short_of_limit(state, step, waiting, placed, rooms):
+                continue
+            if queue.advice is not None:
+                asked_ahead += self._ask(
+                    state, step, queue, candidates, asked_ahead < MAX_ASKED_AHEAD
+                )
+            if reserving < MAX_RESERVING_STEPS and _may_reserve(step, queue, state):
+                reserving += self._reserve(state, step, waiting)
+        return state.plan
+
+    def _candidates(self, state: _Pass, step: StepRun) -> list[PoolWorker]:
+        """Return the workers that could start a task of the step now, best first."""
+        found = [
+            worker
+            for worker in state.startable
+            if worker.id not in state.reserved
+            and could_ever_hold(worker, step)
+            and state.has_room(worker, step)
+        ]
+        found.sort(key=lambda worker: _rank(state, step, worker))
+        return found
+
+    def _usable(
+        self, state: _Pass, step: StepRun, candidates: Iterable[PoolWorker]
+    ) -> dict[str, str] | None:
+        """Return tickets by worker; None if the queue needs none."""
+        if step.advice is None and not self._needs_advice(step):
+            return None
+        tickets = {}
+        for worker in candidates:
+            ticket = self.book.ticket(step, worker, state.now_ms)
+            if ticket is not None:
+                tickets[worker.id] = ticket
+        return tickets
+
+    def _needs_advice(self, step: StepRun) -> bool:
+        return step.job.record.queue in self._advised
+
+    #: Names of the queues whose steps need advice; set by the lead.
+    _advised: frozenset[str] = frozenset()
+
+    def set_queues(self, queues: Iterable[Queue]) -> None:
+        """Take over which queues need advice."""
+        self._advised = frozenset(q.name for q in queues if q.advice is not None)
+
+    def _place_each(
+        self,
+        state: _Pass,
+        step: StepRun,
+        waiting: Sequence[Task],
+        candidates: Sequence[PoolWorker],
+        rooms: dict[str, Resources | None],
+        keep_free: int,
+    ) -> int:
+        """Place tasks one by one; return how many were placed."""
+        tickets = self._usable(state, step, candidates)
+        team = step.job.record.team
+        held = held_by(step)
+        placed = 0
+        for task in waiting:
+            if state.free_cores - held.cores_milli < keep_free and held.cores_milli:
+                break
+            room = rooms[team]
+            if room is not None and not step.spec.resources.fits(room):
+                break
+            worker = self._choose(state, step, candidates, tickets)
+            if worker is None:
+                break
+            state.take(worker, step)
+            if room is not None:
+                rooms[team] = room.minus(step.spec.resources)
+            ticket = tickets[worker.id] if tickets is not None else ""
+            state.plan.placements.append(Placement(task, worker, ticket))
+            placed += 1
+        return placed
+
+    def _choose(
+        self,
+        state: _Pass,
+        step: StepRun,
+        candidates: Sequence[PoolWorker],
+        tickets: Mapping[str, str] | None,
+    ) -> PoolWorker | None:
+        best = None
+        best_rank = None
+        for worker in candidates:
+            if tickets is not None and worker.id not in tickets:
+                continue
+            if not state.has_room(worker, step):
+                continue
+            rank = _rank(state, step, worker)
+            if best_rank is None or rank < best_rank:
+                best, best_rank = worker, rank
+        return best
+
+    def _place_gang(
+        self,
+        state: _Pass,
+        step: StepRun,
+        waiting: Sequence[Task],
+        candidates: Sequence[PoolWorker],
+        rooms: dict[str, Resources | None],
+    ) -> int:
+        """Place all tasks or none; return how many were placed."""
+        if len(waiting) != step.spec.count:
+            return 0
+        team = step.job.record.team
+        room = rooms[team]
+        whole = step.spec.resources.times(len(waiting))
+        if room is not None and not whole.fits(room):
+            return 0
+        tickets = self._usable(state, step, candidates)
+        for group in _racks(step, candidates):
+            chosen = self._fit_all(state, step, waiting, group, tickets)
+            if chosen is None:
+                continue
+            if room is not None:
+                rooms[team] = room.minus(whole)
+            state.plan.gangs.append(PlannedGang(step, tuple(chosen)))
+            return len(waiting)
+        return 0
+
+    def _fit_all(
+        self,
+        state: _Pass,
+        step: StepRun,
+        waiting: Sequence[Task],
+        group: Sequence[PoolWorker],
+        tickets: Mapping[str, str] | None,
+    ) -> list[Placement] | None:
+        chosen: list[Placement] = []
+        for task in waiting:
+            worker = self._choose(state, step, group, tickets)
+            if worker is None:
+                for placement in chosen:
+                    state.give_back(placement.worker, step)
+                return None
+            state.take(worker, step)
+            ticket = tickets[worker.id] if tickets is not None else ""
+            chosen.append(Placement(task, worker, ticket))
+        return chosen
+
+    def _is_short_of_limit(
+        self,
+        state: _Pass,
+        step: StepRun,
+        waiting: Sequence[Task],
+        placed: int,
+        rooms: Mapping[str, Resources | None],
+    ) -> bool:
+        """Return whether the team's limit keeps the next task waiting; note it."""
+        team = step.job.record.team
+        room = rooms[team]
+        left = len(waiting) - placed
+        needed = step.spec.resources.times(left if step.spec.gang else 1)
+        if room is None or needed.fits(room):
+            return False
+        lacking = step.spec.resources.times(left)
+        state.plan.short_of_limit[team] = state.plan.short_of_limit.get(
+            team, ZERO
+        ).plus(lacking)
+        return True
+
+    def _ask(
+        self,
+        state: _Pass,
+        step: StepRun,
+        queue: Queue,
+        candidates: Sequence[PoolWorker],
+        may_ask_ahead: bool,
+    ) -> int:
+        """Add a call for advice if one is due; return 1 if it was asked ahead."""
+        with_room = [w for w in candidates if state.has_room(w, step)]
+        if step.spec.gang and not self._gang_could_fit(state, step, with_room):
+            with_room = []
+        if not with_room and not may_ask_ahead:
+            return 0
+        if not with_room and self.book.of(step).good:
+            return 0
+        others = [
+            w
+            for w in state.workers
+            if w.entry.accepting and w.usable and could_ever_hold(w, step)
+        ]
+        others.sort(key=lambda w: -state.free[w.id].cores_milli)
+        fitting = _tasks_per_worker(step, with_room or others)
+        assert queue.advice is not None
+        request = self.book.request(
+            step, queue.advice, with_room, others, fitting, state.now_ms
+        )
+        if request is None:
+            return 0
+        state.plan.requests.append(request)
+        return 0 if with_room else 1
+
+    def _gang_could_fit(
+        self, state: _Pass, step: StepRun, with_room: Sequence[PoolWorker]
+    ) -> bool:
+        """Return whether workers not known to be forbidden could hold the gang."""
+        allowed = [w for w in with_room if self.book.may_be_allowed(step, w)]
+        held = held_by(step)
+        total = sum(_copies(held, state.free[w.id], step) for w in allowed)
+        return total >= step.spec.count
+
+    def _reserve(self, state: _Pass, step: StepRun, waiting: Sequence[Task]) -> int:
+        """Keep the likeliest workers free for the step; return 1 if any are kept."""
+        most = max(1, len(state.workers) // RESERVED_DIVISOR)
+        allowed = [
+            w
+            for w in state.startable
+            if w.id not in state.reserved
+            and could_ever_hold(w, step)
+            and self.book.may_be_allowed(step, w)
+        ]
+        good = self.book.of(step).good if self._needs_advice(step) else {}
+        allowed.sort(key=lambda w: (w.id not in good, -state.free[w.id].cores_milli))
+        missing = len(waiting)
+        held = held_by(step)
+        kept = 0
+        for worker in allowed:
+            if missing <= 0 or len(state.reserved) >= most:
+                break
+            state.reserved.add(worker.id)
+            missing -= max(1, _copies(held, worker.entry.capacity, step))
+            kept += 1
+        return int(kept > 0)
+
+
+def _may_reserve(step: StepRun, queue: Queue, state: _Pass) -> bool:
+    if queue.priority > RESERVING_PRIORITY or step.spec.fills:
+        return False
+    if step.spec.gang:
+        return True
+    held = held_by(step)
+    return any(
+        held.dominant_share(w.entry.capacity) >= LARGE_TASK_SHARE
+        for w in state.workers[:1]
+    )
+
+
+def _racks(
+    step: StepRun, candidates: Sequence[PoolWorker]
+) -> list[Sequence[PoolWorker]]:
+    """Return groups of workers to try for a gang, best first."""
+    if not step.spec.same_rack:
+        return [candidates]
+    racks: dict[str, list[PoolWorker]] = {}
+    for worker in candidates:
+        racks.setdefault(worker.entry.rack, []).append(worker)
+    by_size = sorted(racks.values(), key=len, reverse=True)
+    return [*by_size, candidates]
+
+
+def _copies(held: Resources, free: Resources, step: StepRun) -> int:
+    """Return how many tasks of the step fit into ``free``."""
+    fitting = min(
+        (f // h for f, h in zip(free, held, strict=True) if h > 0),
+        default=step.spec.count,
+    )
+    if step.spec.max_per_worker:
+        fitting = min(fitting, step.spec.max_per_worker)
+    return max(0, min(fitting, step.spec.count))
+
+
+def _tasks_per_worker(step: StepRun, workers: Sequence[PoolWorker]) -> float:
+    if not workers:
+        return 1.0
+    held = held_by(step)
+    return sum(_copies(held, w.free(), step) for w in workers) / len(workers)
+
+
+def _rank(state: _Pass, step: StepRun, worker: PoolWorker) -> tuple[float, ...]:
+    """Return how well a worker suits a task of the step; lower is better."""
+    spec = step.spec
+    free = state.free[worker.id]
+    far = float(bool(spec.data_rack) and worker.entry.rack != spec.data_rack)
+    if spec.fills:
+        left = free.cores_milli - worker.fill_load()
+        return (far, float(worker.serves()), -left)
+    if spec.long_running:
+        same = worker.count_of(step) + state.added.get((step.name, worker.id), 0)
+        disturbed = float(worker.fill_load() > 0)
+        return (far, same, disturbed, -free.cores_milli)
+    # Best fit: what is left free is smallest, so large tasks find room later.
+    left = free.minus(held_by(step))
+    return (far, left.dominant_share(worker.entry.capacity))
--- /dev/null
+++ b/packages/savorylead/savorylead/pools/_urgency.py
@@ -0,0 +1,86 @@
+"""In which order waiting steps are served.
+
+Load pattern: bursts of two to three times the usual load. Jobs that can still end
+in time go first, then late ones that still earn a little, then those that earn
+nothing any more; within each, the queue's priority, then the time by which the job
+should end. Jobs that a team sends beyond its weight wait behind the others.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from savorylead.jobs import Job, StepRun
+
+from ._contracts import Queue
+
+#: A job earns something until this many times its objective is over.
+LATE_FACTOR = 3.0
+#: Assumed length of a task whose caller gives no estimate, in milliseconds.
+DEFAULT_ESTIMATE_MS = 1_000
+#: A job this much past its due time is not given up as late yet, since estimates
+#: of its length are rough; a share of its objective.
+DUE_SLACK = 0.15
+
+
+class Urgency(NamedTuple):
+    """Sort key of a step; lower goes first."""
+
+    #: 0 in time, 1 late, 2 earns nothing any more.
+    lateness: int
+    #: 1 for jobs beyond what the team's weight allows.
+    surplus: int
+    priority: int
+    due_ms: int
+
+
+def chain_ms(job: Job) -> int:
+    """Return the longest chain of estimated work of the job."""
+    ends: list[int] = []
+    for step in job.record.spec.steps:
+        begin = max((ends[i] for i in step.after), default=0)
+        ends.append(begin + (step.estimate_ms or DEFAULT_ESTIMATE_MS))
+    return max(ends, default=0)
+
+
+def remaining_chain_ms(job: Job, step: StepRun) -> int:
+    """Return the longest chain of estimated work from the step on."""
+    steps = job.record.spec.steps
+    ends: dict[int, int] = {step.index: step.spec.estimate_ms or DEFAULT_ESTIMATE_MS}
+    for index in range(step.index + 1, len(steps)):
+        begins = [ends[i] for i in steps[index].after if i in ends]
+        if begins:
+            length = steps[index].estimate_ms or DEFAULT_ESTIMATE_MS
+            ends[index] = max(begins) + length
+    return max(ends.values())
+
+
+def begun_ms(job: Job, occurrence: int) -> int:
+    """Return when the clock of an occurrence began."""
+    spec = job.record.spec
+    if spec.repeats:
+        return spec.first_due_ms + occurrence * spec.interval_ms
+    return job.record.accepted_at_ms
+
+
+def due_ms(job: Job, queue: Queue, occurrence: int) -> int:
+    """Return when the occurrence should have ended, in Unix milliseconds."""
+    objective_ms = queue.stretch * chain_ms(job) + queue.objective_ms
+    return begun_ms(job, occurrence) + int(objective_ms)
+
+
+def urgency_of(step: StepRun, queue: Queue, now_ms: int) -> Urgency:
+    """Return where the step stands in line."""
+    job = step.job
+    due = due_ms(job, queue, step.occurrence)
+    surplus = int(job.surplus)
+    if step.spec.long_running:
+        return Urgency(0, surplus, queue.priority, due)
+    begun = begun_ms(job, step.occurrence)
+    objective_ms = due - begun
+    end_ms = now_ms + remaining_chain_ms(job, step)
+    if end_ms > begun + LATE_FACTOR * objective_ms:
+        return Urgency(2, surplus, queue.priority, due)
+    if end_ms > due + DUE_SLACK * objective_ms:
+        return Urgency(1, surplus, queue.priority, due)
+    return Urgency(0, surplus, queue.priority, due)
