--- a/packages/savorylead/savorylead/pools/_grants.py
+++ b/packages/savorylead/savorylead/pools/_grants.py
@@ -14,7 +14,7 @@
 
 from savorylead.resources import ZERO, Resources
 
-#: A want is written again when it changed by this part of the limit.
+#: A want that is met is written again when it changed by this part of the limit.
 WANT_CHANGE_SHARE = 0.1
 
 
@@ -146,14 +146,28 @@
                 )
             )
         told = old.wanted
-        for index, bound in enumerate(limit):
-            change = abs(wanted[index] - old.wanted[index])
-            if change > WANT_CHANGE_SHARE * bound:
-                told = tuple(wanted)
-                break
+        if _must_tell(limit, old, Resources(*granted), wanted):
+            told = tuple(wanted)
         return _Part(tuple(granted), told)
 
 
+def _must_tell(
+    limit: Resources, old: _Part, granted: Resources, wanted: Resources
+) -> bool:
+    """Return whether other pools should learn what this one wants now."""
+    told = _of(old.wanted)
+    if told == wanted:
+        return False
+    is_short = not wanted.fits(granted)
+    was_short = not told.fits(granted)
+    if is_short or was_short:
+        return True
+    return any(
+        abs(now - before) > WANT_CHANGE_SHARE * bound
+        for now, before, bound in zip(wanted, told, limit, strict=True)
+    )
+
+
 def _next_amount(
     *,
     bound: int,
@@ -169,15 +183,12 @@
     free = max(0, bound - granted_to_others)
     if wanted + wanted_by_others <= bound:
         # All can have what they want; half of what is left goes to each side.
-        spare = (bound - wanted - wanted_by_others) // 2
-        target = wanted + spare
+        target = wanted + (bound - wanted - wanted_by_others) // 2
     else:
-        total = wanted + wanted_by_others
-        target = bound * wanted // total if total else 0
-    if own > target:
-        lowered = max(held, target)
-        # A small excess is kept, since each write costs a call.
-        return lowered if own - lowered > bound // 20 and wanted_by_others else own
-    if target - own <= bound // 20 and own >= min(wanted, target):
-        return own
-    return min(target, free) if free > own else min(own, free) if own > free else own
+        target = bound * wanted // (wanted + wanted_by_others)
+    if wanted > own:
+        return max(own, min(target, free))
+    others_are_short = wanted_by_others > granted_to_others
+    if own > target and others_are_short:
+        return max(held, target)
+    return own
--- /dev/null
+++ b/packages/savorylead/savorylead/pools/tests/test_grants.py
@@ -0,0 +1,116 @@
+"""Two pools divide a team's limit."""
+
+from __future__ import annotations
+
+import pytest
+
+from savorylead.pools import GrantBook, PoolGrants, decode_grants, encode_grants
+from savorylead.resources import ZERO, Resources
+
+LIMIT = Resources(100_000, 600_000, 20)
+TEAM = "team"
+
+
+class TwoPools:
+    """Two pools that write the same record in turn."""
+
+    def __init__(self) -> None:
+        self.pools = {name: PoolGrants(name) for name in ("one", "two")}
+        for pool in self.pools.values():
+            pool.set_limits({TEAM: LIMIT})
+        self.book = GrantBook()
+        self.held = {"one": ZERO, "two": ZERO}
+        self.waiting = {"one": ZERO, "two": ZERO}
+        self.writes = 0
+
+    def turn(self, name: str) -> None:
+        pool = self.pools[name]
+        pool.book = self.book
+        book = pool.next_book({TEAM: self.held[name]}, {TEAM: self.waiting[name]})
+        if book is not None:
+            self.book = decode_grants(encode_grants(book))
+            self.writes += 1
+        for pool in self.pools.values():
+            pool.book = self.book
+
+    def settle(self, turns: int = 4) -> None:
+        for _ in range(turns):
+            self.turn("one")
+            self.turn("two")
+
+    def room(self, name: str) -> Resources:
+        room = self.pools[name].room(TEAM, self.held[name])
+        assert room is not None
+        return room
+
+    def granted_sum(self) -> Resources:
+        total = ZERO
+        for part in self.book.parts[TEAM].values():
+            total = total.plus(Resources(*part.granted))
+        return total
+
+
+@pytest.mark.parametrize(
+    "first, later",
+    [
+        # A want below a tenth of the limit must be told too.
+        (Resources(90_000, 560_000, 0), Resources(15_000, 50_000, 4)),
+        (Resources(100_000, 600_000, 20), Resources(1_000, 1_000, 1)),
+        (Resources(10, 10, 1), Resources(60_000, 400_000, 8)),
+    ],
+)
+def test_a_pool_gets_what_the_other_does_not_use(
+    first: Resources, later: Resources
+) -> None:
+    cell = TwoPools()
+    cell.waiting["one"] = first
+    cell.settle()
+    cell.waiting["one"] = ZERO
+    cell.waiting["two"] = later
+    cell.settle()
+    assert later.fits(cell.room("two"))
+    assert cell.granted_sum().fits(LIMIT)
+
+
+@pytest.mark.parametrize("held_by_one", [ZERO, Resources(70_000, 100_000, 20)])
+def test_demand_beyond_the_limit_is_divided(held_by_one: Resources) -> None:
+    cell = TwoPools()
+    cell.held["one"] = held_by_one
+    cell.waiting["one"] = LIMIT
+    cell.settle()
+    cell.waiting["two"] = LIMIT
+    cell.settle()
+    assert cell.granted_sum().fits(LIMIT)
+    left = LIMIT.minus(held_by_one)
+    assert cell.room("two").cores_milli >= min(left.cores_milli, 45_000)
+
+
+def test_a_lowered_limit_binds_at_once() -> None:
+    cell = TwoPools()
+    cell.waiting = {"one": LIMIT, "two": LIMIT}
+    cell.settle()
+    half = Resources(50_000, 300_000, 10)
+    for pool in cell.pools.values():
+        pool.set_limits({TEAM: half})
+    total = cell.room("one").plus(cell.room("two"))
+    assert all(a <= b for a, b in zip(total[:3], half[:3], strict=True))
+
+
+def test_no_write_while_nothing_is_wanted() -> None:
+    cell = TwoPools()
+    cell.waiting["one"] = Resources(1_000, 1_000, 0)
+    cell.settle()
+    before = cell.writes
+    cell.settle(10)
+    assert cell.writes == before
+
+
+def test_a_dimension_without_a_limit_is_free() -> None:
+    pool = PoolGrants("one")
+    pool.set_limits({TEAM: Resources(100, 0, 0)})
+    pool.book = GrantBook()
+    room = pool.room(TEAM, ZERO)
+    assert room is not None
+    assert room.cores_milli == 0
+    assert room.memory_mb > 1 << 40
+    assert pool.room("another", ZERO) is None
