Preempt batch work for urgent steps, learn durations, share limits by what has room

Its limit was divided by all that waited, so the pool of large tasks held memory that it had no workers for; lengths declared ten times too short made jobs look hopeless. Ruled out: the adviser's queue (38 ms at the median), free cores (40 and more).

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
@@ -30,8 +30,10 @@
 
 #: Time between two looks at what other pools have and want.
 LOOK_EVERY = timedelta(milliseconds=400)
-#: Least time between two looks when a team is short.
-SHORT_LOOK = timedelta(milliseconds=80)
+#: Time after which a team that is short by no more than before is looked at again.
+SHORT_LOOK = timedelta(milliseconds=200)
+#: Time in which what happens together leads to one look.
+GATHER = timedelta(milliseconds=10)
 
 
 class GrantKeeper:
@@ -50,6 +52,7 @@
         grants: PoolGrants,
         demand: Callable[[], tuple[Mapping[str, Resources], Mapping[str, Resources]]],
         on_change: Callable[[], None],
+        on_written: Callable[[str], None],
     ) -> None:
         """``demand()`` returns what teams hold and wait for in this pool."""
         self._store = store
@@ -59,8 +62,12 @@
         self._grants = grants
         self._demand = demand
         self._on_change = on_change
+        self._on_written = on_written
+        self._looked_at = clock.now()
+        self._lacking_cores = 0
         self._revision = 0
         self._unclear = False
+        self._hurry = False
         self._wakeup = Wakeup(clock)
         self._running: Deferred[None] | None = None
 
@@ -74,9 +81,17 @@
             self._running.cancel()
 
     def hurry(self) -> None:
-        """Look soon, since a team is short of its limit."""
+        """Look soon, since another pool has written."""
+        self._hurry = True
         self._wakeup.wake()
 
+    def note_short(self, lacking: Resources) -> None:
+        """Look soon if a team lacks more than at the last look."""
+        waited = self._clock.now() - self._looked_at >= SHORT_LOOK
+        if lacking.cores_milli > self._lacking_cores or waited:
+            self._lacking_cores = max(self._lacking_cores, lacking.cores_milli)
+            self.hurry()
+
     async def _run(self) -> None:
         while True:
             try:
@@ -88,10 +103,14 @@
                     pool=self._term.pool,
                     detail=str(exc),
                 )
-            await self._clock.sleep(SHORT_LOOK)
-            await self._wakeup.wait(LOOK_EVERY)
+            if not self._hurry:
+                await self._wakeup.wait(LOOK_EVERY)
+            self._hurry = False
+            await self._clock.sleep(GATHER)
 
     async def _look(self) -> None:
+        self._looked_at = self._clock.now()
+        self._lacking_cores = 0
         self._take(await self._store.get(GRANTS_KEY))
         held, waiting = self._demand()
         wanted = self._grants.next_book(held, waiting)
@@ -110,12 +129,13 @@
         if isinstance(result, Committed):
             self._unclear = False
             self._put(wanted, result.revision)
+            self._on_written(self._term.pool)
         elif isinstance(result, Conflict):
             item = result.current.get(GRANTS_KEY)
             if item is not None and item.revision != self._revision:
                 self._unclear = False
             self._take(item)
-            self._wakeup.wake()
+            self.hurry()
 
     def _take(self, item: KeyValue | None) -> None:
         if item is None or item.revision <= self._revision:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_peer_messages.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peer_messages.py
@@ -36,6 +36,13 @@
     queue: str
 
 
+class GrantsWritten(NamedTuple):
+    """Another pool's part of the teams' limits changed; look at the record."""
+
+    #: The pool whose lead should look.
+    pool: str
+
+
 class AdviceAsked(NamedTuple):
     """Asks to call the policy adviser."""
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
@@ -17,6 +17,7 @@
 from ._peer_messages import (
     AdviceAsked,
     AdviceTold,
+    GrantsWritten,
     JobAccepted,
     JobCancelled,
     PendingAsked,
@@ -26,7 +27,7 @@
 from ._pool_lead import PoolLead
 
 T = TypeVar("T")
-Message = JobAccepted | JobCancelled | StateAsked | PendingAsked
+Message = JobAccepted | JobCancelled | StateAsked | PendingAsked | GrantsWritten
 
 #: Longest wait for a lead's answer; past it a caller is answered from the store.
 PEER_TIMEOUT = timedelta(milliseconds=500)
@@ -38,6 +39,7 @@
     JobCancelled: "/peer/cancel",
     StateAsked: "/peer/state",
     PendingAsked: "/peer/pending",
+    GrantsWritten: "/peer/grants",
 }
 
 
@@ -92,6 +94,7 @@
             "/peer/cancel": _Route(JobCancelled, self._cancel),
             "/peer/state": _Route(StateAsked, self._state),
             "/peer/pending": _Route(PendingAsked, self._pending),
+            "/peer/grants": _Route(GrantsWritten, self._review_grants),
             "/peer/advise": _Route(AdviceAsked, self._advise),
         }
 
@@ -119,6 +122,9 @@
     async def _pending(self, message: PendingAsked) -> Told:
         return tell_pending(self._lead_of(message.pool), message)
 
+    async def _review_grants(self, message: GrantsWritten) -> Told:
+        return tell_grants(self._lead_of(message.pool), message)
+
     async def _advise(self, message: AdviceAsked) -> AdviceTold:
         if self._advice is None:
             return AdviceTold({}, 0, "no adviser here")
@@ -162,6 +168,15 @@
     return Told(leads=True, known=lead.cancel(message.job))
 
 
+def tell_grants(lead: PoolLead | None, message: GrantsWritten) -> Told:
+    """Let a lead of this daemon look at the teams' limits."""
+    lead = _ready(lead)
+    if lead is None:
+        return _NOT_LEADING
+    lead.review_grants()
+    return Told(leads=True)
+
+
 def tell_state(lead: PoolLead | None, message: StateAsked) -> Told:
     """Return the state of a job from a lead of this daemon."""
     lead = _ready(lead)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -35,6 +35,7 @@
     PoolPlanner,
     PoolWorker,
     Queue,
+    RunEnd,
     RunOrder,
     RunRejected,
     RunStarted,
@@ -95,6 +96,8 @@
     lease: CellLease
     #: How long states of ended jobs are told, in milliseconds.
     status_for_ms: int
+    #: Tells the other leads that they should look at the teams' limits.
+    on_grants_written: Callable[[str], None]
 
 
 class PoolLead(SessionOwner):
@@ -148,6 +151,7 @@
             self._grants,
             self._demand,
             self._plan_soon,
+            parts.on_grants_written,
         )
         self._waiting_demand: dict[str, Resources] = {}
         self._running: list[Deferred[None]] = []
@@ -218,6 +222,10 @@
             return JobState.CANCELLED
         return job.shown
 
+    def review_grants(self) -> None:
+        """Look soon at what other pools have and want of teams' limits."""
+        self._grant_keeper.hurry()
+
     def pending(self, queue: str) -> int:
         """Return how many accepted jobs of a queue have not started."""
         return self.jobs.pending(queue)
@@ -324,6 +332,9 @@
             pool=self.term.pool,
             age_ms=self._now_ms() - record.accepted_at_ms,
             surplus=job.surplus,
+            steps=[
+                [s.count, s.resources[:3], s.estimate_ms] for s in record.spec.steps
+            ],
         )
         self._plan_soon()
 
@@ -416,9 +427,19 @@
         return self._grants.room(team, self._held.get(team, ZERO))
 
     def _note_demand(self, plan: Plan) -> None:
-        self._waiting_demand = plan.waiting_demand
-        if plan.short_of_limit:
-            self._grant_keeper.hurry()
+        self._waiting_demand = plan.short_of_limit
+        for team, lacking in plan.short_of_limit.items():
+            if any(lacking):
+                self._grant_keeper.note_short(lacking)
+            self._log.log_event(
+                LogLevel.INFO,
+                "team_short_of_limit",
+                team=team,
+                pool=self.term.pool,
+                held=self._held.get(team, ZERO)[:3],
+                lacking=lacking[:3],
+                **self._grants.explain(team),
+            )
 
     def _demand(self) -> tuple[dict[str, Resources], dict[str, Resources]]:
         return self._held, self._waiting_demand
@@ -431,6 +452,9 @@
             self._start_gang(gang, now_ms)
         for request in plan.requests:
             spawn("call for advice", self._ask(request))
+        for run in plan.preempted:
+            self._log_start(run, "preempted", percent=run.percent)
+            self._sessions[run.worker].stop_run(run, "preempted")
 
     def _start_gang(self, gang: PlannedGang, now_ms: int) -> None:
         number = max(self._next_number(p.task) for p in gang.placements)
@@ -445,6 +469,7 @@
         """Hold the room of a run before its order is sent."""
         task, worker = placement.task, placement.worker
         run = Run(task, number, worker.id, now_ms)
+        run.resumed = bool(task.checkpoint)
         task.run = run
         task.last_run = number
         self._hold(worker, run)
@@ -648,15 +673,27 @@
             worker=worker.id,
             outcome=ended.how.value,
         )
-        if ended.how.value == "done":
+        if ended.how is RunEnd.DONE:
             worker.note_success()
-        elif ended.how.value == "failed" and worker.note_failure(self._now_ms()):
+            self._learn(finding.run)
+        elif ended.how is RunEnd.FAILED and worker.note_failure(self._now_ms()):
             self._log.log_event(LogLevel.INFO, "worker_rested", worker=worker.id)
-        if ended.how.value != "done" and finding.run is not None:
+        if ended.how is not RunEnd.DONE and finding.run is not None:
             self._stop_rest_of_gang(finding.run, "gang_broken")
         self._progress.note(job)
         self._stop_needless(job)
 
+    def _learn(self, run: Run | None) -> None:
+        """Learn the length of a task that ran in one piece and undisturbed."""
+        if run is None or not run.confirmed_at_ms or run.adopted or run.resumed:
+            return
+        spec = run.task.step.spec
+        if spec.gang or spec.fills or spec.long_running:
+            return
+        took_ms = self._now_ms() - run.confirmed_at_ms
+        queue = run.task.step.job.record.queue
+        self._planner.durations.observe(queue, spec, took_ms)
+
     def _gone(self, run: Run, reason: str) -> None:
         self._log.log_event(
             LogLevel.INFO,
@@ -681,6 +718,7 @@
             worker.unexplained += 1
             return
         run = Run(task, active.number, worker.id, self._now_ms())
+        run.adopted = True
         run.confirmed_at_ms = self._now_ms()
         run.state = RunState.RUNNING
         run.percent = active.percent
--- a/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
@@ -40,6 +40,7 @@
 from ._metrics import PoolMetrics
 from ._peer_messages import (
     AdviceAsked,
+    GrantsWritten,
     JobAccepted,
     JobCancelled,
     PendingAsked,
@@ -49,9 +50,11 @@
 from ._peers import (
     Message,
     PeerClient,
+    PeerError,
     PeerServer,
     tell_accepted,
     tell_cancelled,
+    tell_grants,
     tell_pending,
     tell_state,
 )
@@ -276,6 +279,7 @@
             calls=self._adapter.workers,
             ask_adviser=self._ask_adviser,
             lease=self._lease,
+            on_grants_written=self._grants_written,
             status_for_ms=int(self._settings.bounds.status_for_s * 1000),
         )
         lead = PoolLead(parts, term, document, self._superseded)
@@ -302,9 +306,29 @@
             return tell_cancelled(lead, message)
         if isinstance(message, StateAsked):
             return tell_state(lead, message)
+        if isinstance(message, GrantsWritten):
+            return tell_grants(lead, message)
         assert isinstance(message, PendingAsked)
         return tell_pending(lead, message)
 
+    def _grants_written(self, by_pool: str) -> None:
+        """Let the leads of the other pools look; they also look by themselves."""
+        for pool, seen in self._view.leads.items():
+            if pool == by_pool:
+                continue
+            message = GrantsWritten(pool)
+            member = seen.record.member
+            if member.name == self._member.name:
+                self._tell_here(message)
+            else:
+                spawn("message of grants", self._tell(member.address, message))
+
+    async def _tell(self, address: str, message: Message) -> None:
+        try:
+            await self._peers.tell(address, message)
+        except PeerError as exc:
+            self._log.log_event(LogLevel.INFO, "peer_not_reached", detail=str(exc))
+
     # -- advice --
 
     async def _ask_adviser(
--- a/packages/savorylead/savorylead/jobs/_job.py
+++ b/packages/savorylead/savorylead/jobs/_job.py
@@ -34,19 +34,21 @@
     """One start of a task on one worker, until its end is known."""
 
     __slots__ = (
-        "worker",
+        "adopted",
         "confirmed_at_ms",
         "load",
         "number",
         "paced",
         "percent",
         "percent_at_ms",
+        "resumed",
         "sent_at_ms",
         "state",
         "stop_reason",
         "stopped_at_ms",
         "task",
         "void_clock_ms",
+        "worker",
     )
 
     def __init__(self, task: Task, number: int, worker: str, sent_at_ms: int) -> None:
@@ -60,6 +62,10 @@
         self.void_clock_ms = 0
         #: When the worker confirmed the start; 0 before.
         self.confirmed_at_ms = 0
+        #: Whether an earlier lead started it.
+        self.adopted = False
+        #: Whether it goes on from a checkpoint.
+        self.resumed = False
         #: Progress of a finite task, or 100 for a long-running one at work.
         self.percent = 0
         #: When ``percent`` last changed.
--- a/packages/savorylead/savorylead/pools/__init__.py
+++ b/packages/savorylead/savorylead/pools/__init__.py
@@ -38,6 +38,7 @@
     WorkerUnhealthyError,
     WrongIncarnationError,
 )
+from ._durations import DurationEstimator
 from ._grants import GrantBook, PoolGrants, decode_grants, encode_grants
 from ._pace import PaceController
 from ._pool_planner import Placement, Plan, PlannedGang, PoolPlanner, could_ever_hold
@@ -61,6 +62,7 @@
     "ConfigDecodeError",
     "ConfigSource",
     "Conflict",
+    "DurationEstimator",
     "Ended",
     "EndedRun",
     "Finding",
--- a/packages/savorylead/savorylead/pools/_grants.py
+++ b/packages/savorylead/savorylead/pools/_grants.py
@@ -89,6 +89,15 @@
             pools[self.pool] = own._replace(granted=granted)
         return GrantBook(parts)
 
+    def explain(self, team: str) -> dict[str, object]:
+        """Return the numbers behind ``room``, for a log line."""
+        pools = self.book.parts.get(team, {})
+        return {
+            "limit": self._limits.get(team, ZERO)[:3],
+            "granted": {pool: part.granted[:3] for pool, part in pools.items()},
+            "wanted": {pool: part.wanted[:3] for pool, part in pools.items()},
+        }
+
     def next_book(
         self, held: Mapping[str, Resources], waiting: Mapping[str, Resources]
     ) -> GrantBook | None:
--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -2,8 +2,9 @@
 
 Load patterns: short urgent steps arrive while wide cheap ones could fill every
 worker (head room for the most urgent queue); gangs with large tasks compete with
-many small tasks (reservation of workers for the first gangs in line); a team at its
-limit waits without holding up others.
+many small tasks (reservation of workers for the first gangs in line); urgent steps
+find every worker full of less urgent work that can be checkpointed (preemption); a
+team at its limit waits without holding up others.
 """
 
 from __future__ import annotations
@@ -11,14 +12,16 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
-from savorylead.jobs import StepRun, Task
+from savorylead.jobs import Run, RunState, StepRun, Task
 from savorylead.resources import ZERO, Resources
 
 from ._advice import AdviceBook, AdviceRequest
 from ._contracts import Queue
+from ._durations import DurationEstimator
 from ._headroom import UrgentHeadroom
 from ._pool_worker import PoolWorker, held_by
-from ._urgency import urgency_of
+from ._preemption import Preemption
+from ._urgency import Urgency, urgency_of
 
 #: Steps that may keep workers free for themselves at a time.
 MAX_RESERVING_STEPS = 2
@@ -54,10 +57,10 @@
     placements: list[Placement]
     gangs: list[PlannedGang]
     requests: list[AdviceRequest]
-    #: What could not start for want of a team's limit, by team.
+    #: What workers have room for but a team's limit keeps waiting, by team.
     short_of_limit: dict[str, Resources]
-    #: What all waiting tasks ask for, by team.
-    waiting_demand: dict[str, Resources]
+    #: Runs to stop, so that more urgent tasks can start.
+    preempted: list[Run]
 
 
 class _Pass:
@@ -71,9 +74,11 @@
         self.free_cores = sum(
             max(0, self.free[w.id].cores_milli) for w in self.startable
         )
+        #: Room that is held by runs which are being stopped.
+        self.coming = {w.id: _coming(w) for w in self.startable}
         self.added: dict[tuple[str, str], int] = {}
         self.reserved: set[str] = set()
-        self.plan = Plan([], [], [], {}, {})
+        self.plan = Plan([], [], [], {}, [])
 
     def take(self, worker: PoolWorker, step: StepRun) -> None:
         """Hold the room of one task."""
@@ -112,9 +117,11 @@
 class PoolPlanner:
     """Plans for one pool. Pure, but for what it remembers of loads and advice."""
 
-    def __init__(self, book: AdviceBook | None = None) -> None:
-        self.book = book or AdviceBook()
+    def __init__(self) -> None:
+        self.book = AdviceBook()
+        self.durations = DurationEstimator()
         self._headroom = UrgentHeadroom()
+        self._preemption = Preemption(self.durations)
 
     def plan(
         self,
@@ -132,7 +139,7 @@
         state = _Pass(workers, now_ms)
         ranked = sorted(
             (
-                (urgency_of(step, queues[step.job.record.queue], now_ms), index)
+                (self._urgency(step, queues, now_ms), index)
                 for index, step in enumerate(steps)
                 if step.job.record.queue in queues
             ),
@@ -140,7 +147,8 @@
         rooms: dict[str, Resources | None] = {}
         reserving = 0
         asked_ahead = 0
-        headroom = self._headroom.cores_milli(state.workers, steps, queues, now_ms)
+        in_time = [steps[index] for urgency, index in ranked if not urgency.lateness]
+        headroom = self._headroom.cores_milli(state.workers, in_time, queues, now_ms)
         for urgency, index in ranked:
             step = steps[index]
             waiting = step.waiting()
@@ -150,9 +158,6 @@
             team = step.job.record.team
             if team not in rooms:
                 rooms[team] = team_room(team)
-            demand = state.plan.waiting_demand
-            wanted = step.spec.resources.times(len(waiting))
-            demand[team] = demand.get(team, ZERO).plus(wanted)
             keep_free = 0 if urgency.priority == 0 else headroom
             candidates = self._candidates(state, step)
             if step.spec.gang:
@@ -163,16 +168,54 @@
                 )
             if placed == len(waiting):
                 continue
-            if self._is_short_of_limit(state, step, waiting, placed, rooms):
+            if self._is_short_of_limit(state, step, waiting, placed, candidates, rooms):
                 continue
+            if urgency.lateness == 0:
+                self._make_room(state, step, queue, waiting[placed:], queues)
             if queue.advice is not None:
+                may_ask_ahead = asked_ahead < MAX_ASKED_AHEAD
                 asked_ahead += self._ask(
-                    state, step, queue, candidates, asked_ahead < MAX_ASKED_AHEAD
+                    state, step, queue, candidates, may_ask_ahead, queues
                 )
             if reserving < MAX_RESERVING_STEPS and _may_reserve(step, queue, state):
                 reserving += self._reserve(state, step, waiting)
         return state.plan
 
+    def _urgency(
+        self, step: StepRun, queues: Mapping[str, Queue], now_ms: int
+    ) -> Urgency:
+        queue = queues[step.job.record.queue]
+        return urgency_of(step, queue, self.durations, now_ms)
+
+    def _make_room(
+        self,
+        state: _Pass,
+        step: StepRun,
+        queue: Queue,
+        waiting: Sequence[Task],
+        queues: Mapping[str, Queue],
+    ) -> None:
+        """Stop less urgent runs for tasks that found no room."""
+        workers = [
+            w
+            for w in state.startable
+            if w.id not in state.reserved and could_ever_hold(w, step)
+        ]
+        tickets = self._usable(state, step, workers)
+        if tickets is not None:
+            workers = [w for w in workers if w.id in tickets]
+        victims = self._preemption.victims(
+            step,
+            queue,
+            len(waiting),
+            workers,
+            state.free,
+            state.coming,
+            queues,
+            state.now_ms,
+        )
+        state.plan.preempted.extend(victims)
+
     def _candidates(self, state: _Pass, step: StepRun) -> list[PoolWorker]:
         """Return the workers that could start a task of the step now, best first."""
         found = [
@@ -311,19 +354,27 @@
         step: StepRun,
         waiting: Sequence[Task],
         placed: int,
+        candidates: Sequence[PoolWorker],
         rooms: Mapping[str, Resources | None],
     ) -> bool:
-        """Return whether the team's limit keeps the next task waiting; note it."""
+        """Return whether the team's limit keeps the next task waiting.
+
+        What the workers have room for is noted; asking other pools for more would
+        only take it from them.
+        """
         team = step.job.record.team
         room = rooms[team]
         left = len(waiting) - placed
         needed = step.spec.resources.times(left if step.spec.gang else 1)
         if room is None or needed.fits(room):
             return False
-        lacking = step.spec.resources.times(left)
-        state.plan.short_of_limit[team] = state.plan.short_of_limit.get(
-            team, ZERO
-        ).plus(lacking)
+        held = held_by(step)
+        fitting = sum(_copies(held, state.free[w.id], step) for w in candidates)
+        if step.spec.gang and fitting < left:
+            fitting = 0
+        short = state.plan.short_of_limit
+        lacking = step.spec.resources.times(min(left, fitting))
+        short[team] = short.get(team, ZERO).plus(lacking)
         return True
 
     def _ask(
@@ -333,11 +384,17 @@
         queue: Queue,
         candidates: Sequence[PoolWorker],
         may_ask_ahead: bool,
+        queues: Mapping[str, Queue],
     ) -> int:
         """Add a call for advice if one is due; return 1 if it was asked ahead."""
         with_room = [w for w in candidates if state.has_room(w, step)]
         if step.spec.gang and not self._gang_could_fit(state, step, with_room):
             with_room = []
+        if not with_room:
+            with_room = self._preemption.could_make_room(
+                step, queue, state.startable, state.free, queues, state.now_ms
+            )
+            with_room = [w for w in with_room if w.id not in state.reserved]
         if not with_room and not may_ask_ahead:
             return 0
         if not with_room and self.book.of(step).good:
@@ -391,6 +448,15 @@
         return int(kept > 0)
 
 
+def _coming(worker: PoolWorker) -> Resources:
+    """Return the room that stops under way will free."""
+    coming = ZERO
+    for run in worker.runs.values():
+        if run.state is RunState.STOPPING:
+            coming = coming.plus(held_by(run.task.step))
+    return coming
+
+
 def _may_reserve(step: StepRun, queue: Queue, state: _Pass) -> bool:
     if queue.priority > RESERVING_PRIORITY or step.spec.fills:
         return False
--- a/packages/savorylead/savorylead/pools/_urgency.py
+++ b/packages/savorylead/savorylead/pools/_urgency.py
@@ -13,11 +13,10 @@
 from savorylead.jobs import Job, StepRun
 
 from ._contracts import Queue
+from ._durations import DurationEstimator
 
 #: A job earns something until this many times its objective is over.
 LATE_FACTOR = 3.0
-#: Assumed length of a task whose caller gives no estimate, in milliseconds.
-DEFAULT_ESTIMATE_MS = 1_000
 #: A job this much past its due time is not given up as late yet, since estimates
 #: of its length are rough; a share of its objective.
 DUE_SLACK = 0.15
@@ -34,23 +33,24 @@
     due_ms: int
 
 
-def chain_ms(job: Job) -> int:
-    """Return the longest chain of estimated work of the job."""
-    ends: list[int] = []
+def chain_ms(job: Job, durations: DurationEstimator) -> float:
+    """Return the longest chain of expected work of the job."""
+    ends: list[float] = []
     for step in job.record.spec.steps:
-        begin = max((ends[i] for i in step.after), default=0)
-        ends.append(begin + (step.estimate_ms or DEFAULT_ESTIMATE_MS))
-    return max(ends, default=0)
+        begin = max((ends[i] for i in step.after), default=0.0)
+        ends.append(begin + durations.estimate_ms(job.record.queue, step))
+    return max(ends, default=0.0)
 
 
-def remaining_chain_ms(job: Job, step: StepRun) -> int:
-    """Return the longest chain of estimated work from the step on."""
-    steps = job.record.spec.steps
-    ends: dict[int, int] = {step.index: step.spec.estimate_ms or DEFAULT_ESTIMATE_MS}
+def remaining_chain_ms(step: StepRun, durations: DurationEstimator) -> float:
+    """Return the longest chain of expected work from the step on."""
+    queue = step.job.record.queue
+    steps = step.job.record.spec.steps
+    ends: dict[int, float] = {step.index: durations.estimate_ms(queue, step.spec)}
     for index in range(step.index + 1, len(steps)):
         begins = [ends[i] for i in steps[index].after if i in ends]
         if begins:
-            length = steps[index].estimate_ms or DEFAULT_ESTIMATE_MS
+            length = durations.estimate_ms(queue, steps[index])
             ends[index] = max(begins) + length
     return max(ends.values())
 
@@ -63,22 +63,26 @@
     return job.record.accepted_at_ms
 
 
-def due_ms(job: Job, queue: Queue, occurrence: int) -> int:
+def due_ms(
+    job: Job, queue: Queue, occurrence: int, durations: DurationEstimator
+) -> int:
     """Return when the occurrence should have ended, in Unix milliseconds."""
-    objective_ms = queue.stretch * chain_ms(job) + queue.objective_ms
+    objective_ms = queue.stretch * chain_ms(job, durations) + queue.objective_ms
     return begun_ms(job, occurrence) + int(objective_ms)
 
 
-def urgency_of(step: StepRun, queue: Queue, now_ms: int) -> Urgency:
+def urgency_of(
+    step: StepRun, queue: Queue, durations: DurationEstimator, now_ms: int
+) -> Urgency:
     """Return where the step stands in line."""
     job = step.job
-    due = due_ms(job, queue, step.occurrence)
+    due = due_ms(job, queue, step.occurrence, durations)
     surplus = int(job.surplus)
     if step.spec.long_running:
         return Urgency(0, surplus, queue.priority, due)
     begun = begun_ms(job, step.occurrence)
     objective_ms = due - begun
-    end_ms = now_ms + remaining_chain_ms(job, step)
+    end_ms = now_ms + remaining_chain_ms(step, durations)
     if end_ms > begun + LATE_FACTOR * objective_ms:
         return Urgency(2, surplus, queue.priority, due)
     if end_ms > due + DUE_SLACK * objective_ms:
--- /dev/null
+++ b/packages/savorylead/savorylead/pools/tests/test_pool_planner.py
@@ -0,0 +1,208 @@
+"""Decisions of one pass of the planner, by load pattern."""
+
+from __future__ import annotations
+
+import pytest
+
+from savorylead.jobs import RunState
+from savorylead.pools import Advice, PoolPlanner
+from savorylead.resources import Resources
+
+from .pool_cases import NOW_MS, QUEUES, plan, queue, run_on, starts, step_of, worker
+
+
+@pytest.mark.parametrize(
+    "first, second, winner",
+    [
+        # The more urgent queue goes first.
+        (("batch", NOW_MS), ("urgent", NOW_MS), "b"),
+        # Of one queue, the job that is due first.
+        (("normal", NOW_MS), ("normal", NOW_MS - 500), "b"),
+        # A job that can't end in time any more waits for those that can.
+        (("urgent", NOW_MS - 60_000), ("batch", NOW_MS), "b"),
+    ],
+)
+def test_order_of_waiting_steps(
+    first: tuple[str, int], second: tuple[str, int], winner: str
+) -> None:
+    steps = [
+        step_of("a", first[0], cores=16, accepted_at_ms=first[1]),
+        step_of("b", second[0], cores=16, accepted_at_ms=second[1]),
+    ]
+    assert starts(plan(steps, [worker("w")]))[0][0] == winner
+
+
+def test_jobs_beyond_the_weight_of_a_team_wait() -> None:
+    surplus = step_of("a", "urgent", cores=16, accepted_at_ms=NOW_MS - 100)
+    surplus.job.surplus = True
+    owed = step_of("b", "urgent", cores=16, team="other")
+    assert starts(plan([surplus, owed], [worker("w")])) == [("b", "w")]
+
+
+def test_a_worker_is_never_given_more_than_it_holds() -> None:
+    steps = [step_of(f"j{n}", "normal", cores=3, count=4) for n in range(6)]
+    workers = [worker("w1"), worker("w2", cores=8)]
+    made = plan(steps, workers)
+    for each in workers:
+        placed = sum(1 for _, name in starts(made) if name == each.id)
+        assert placed * 3_000 <= each.entry.capacity.cores_milli
+    assert len(starts(made)) == 7
+
+
+def test_room_that_a_stop_will_free_is_not_used_before() -> None:
+    # Replays a burst: urgent steps find a full worker and stop batch tasks there.
+    full = worker("w")
+    batch = step_of("batch", "batch", cores=8, count=2, checkpoints=True)
+    for index in range(2):
+        run_on(full, batch, index)
+    urgent = step_of("urgent", "urgent", cores=2, count=2)
+    later = step_of("later", "urgent", cores=4)
+    made = plan([urgent, later], [full])
+    assert starts(made) == []
+    assert len(made.preempted) == 1
+    # The stop is under way now; nothing more is stopped, nothing started.
+    made.preempted[0].state = RunState.STOPPING
+    again = plan([urgent, later], [full])
+    assert starts(again) == []
+    assert again.preempted == []
+
+
+@pytest.mark.parametrize(
+    "victim, is_stopped",
+    [
+        ({"checkpoints": True}, True),
+        ({"checkpoints": False}, False),
+        ({"checkpoints": True, "long_running": True}, False),
+        ({"checkpoints": True, "gang": True}, False),
+    ],
+)
+def test_only_cheap_work_is_preempted(
+    victim: dict[str, bool], is_stopped: bool
+) -> None:
+    full = worker("w")
+    run_on(full, step_of("batch", "batch", cores=16, **victim))
+    made = plan([step_of("urgent", "urgent")], [full])
+    assert bool(made.preempted) is is_stopped
+
+
+@pytest.mark.parametrize("mine, theirs", [("batch", "urgent"), ("normal", "normal")])
+def test_equal_or_more_urgent_work_is_not_preempted(mine: str, theirs: str) -> None:
+    full = worker("w")
+    run_on(full, step_of("running", theirs, cores=16, checkpoints=True))
+    assert plan([step_of("waiting", mine)], [full]).preempted == []
+
+
+@pytest.mark.parametrize("free_cores, placed", [((8, 8), 2), ((8, 4), 0), ((16, 1), 2)])
+def test_a_gang_starts_whole_or_not(free_cores: tuple[int, int], placed: int) -> None:
+    workers = [worker(f"w{n}", cores=c) for n, c in enumerate(free_cores)]
+    gang = step_of("gang", "normal", cores=8, count=2, gang=True)
+    assert len(starts(plan([gang], workers))) == placed
+
+
+def test_a_gang_prefers_one_rack() -> None:
+    workers = [
+        worker("w1", cores=8, rack="r1"),
+        worker("w2", cores=8, rack="r2"),
+        worker("w3", cores=8, rack="r2"),
+    ]
+    gang = step_of("gang", "normal", cores=8, count=2, gang=True, same_rack=True)
+    assert {name for _, name in starts(plan([gang], workers))} == {"w2", "w3"}
+
+
+@pytest.mark.parametrize(
+    "changes, allowed",
+    [
+        ({"required_label": "b"}, {"w2"}),
+        ({"data_rack": "r2"}, {"w2"}),
+        ({"max_per_worker": 1, "count": 4}, {"w1", "w2"}),
+    ],
+)
+def test_constraints_of_a_step(changes: dict[str, object], allowed: set[str]) -> None:
+    workers = [worker("w1"), worker("w2", rack="r2", label="b")]
+    placed = starts(plan([step_of("j", "normal", **changes)], workers))
+    assert {name for _, name in placed} == allowed
+    assert len(placed) == len(allowed)
+
+
+def test_long_running_tasks_are_spread() -> None:
+    workers = [worker(f"w{n}") for n in range(3)]
+    step = step_of("j", "normal", count=3, long_running=True)
+    assert {name for _, name in starts(plan([step], workers))} == {"w0", "w1", "w2"}
+
+
+def test_a_team_at_its_limit_holds_up_nobody() -> None:
+    limits = {"full": Resources(500, 1 << 40, 1 << 40), "team": None}
+    planner = PoolPlanner()
+    planner.set_queues(QUEUES.values())
+    steps = [
+        step_of("a", "urgent", team="full"),
+        step_of("b", "batch", team="team"),
+    ]
+    made = planner.plan(steps, QUEUES, [worker("w")], limits.get, NOW_MS)
+    assert starts(made) == [("b", "w")]
+    assert made.short_of_limit["full"].cores_milli == 1_000
+
+
+class TestAdvice:
+    """Steps of queues that need the adviser's tickets."""
+
+    QUEUES = {"q": queue("q", 1, advised=True)}
+
+    def test_a_step_is_asked_about_and_then_placed(self) -> None:
+        planner = PoolPlanner()
+        workers = [worker(f"w{n}") for n in range(20)]
+        step = step_of("j", "q")
+        made = plan([step], workers, planner, queues=self.QUEUES)
+        assert starts(made) == []
+        (request,) = made.requests
+        assert 2 <= len(request.workers) < 20
+        planner.book.asked(step)
+        again = plan([step], workers, planner, queues=self.QUEUES)
+        assert again.requests == []
+        asked = [w for w in workers if w.id in request.workers]
+        advice = Advice({asked[1].id: "ticket"}, 2_000)
+        planner.book.answered(step, "q", asked, advice, NOW_MS)
+        made = plan([step], workers, planner, queues=self.QUEUES)
+        assert [(p.worker.id, p.ticket) for p in made.placements] == [
+            (asked[1].id, "ticket")
+        ]
+
+    def test_only_known_workers_are_named_when_tickets_expired(self) -> None:
+        planner = PoolPlanner()
+        workers = [worker(f"w{n}") for n in range(8)]
+        step = step_of("j", "q")
+        advice = Advice({"w3": "ticket"}, 2_000)
+        planner.book.answered(step, "q", workers, advice, NOW_MS - 5_000)
+        made = plan([step], workers, planner, queues=self.QUEUES)
+        assert made.placements == []
+        assert [r.workers for r in made.requests] == [("w3",)]
+
+    def test_a_ticket_of_an_earlier_incarnation_is_not_used(self) -> None:
+        planner = PoolPlanner()
+        one = worker("w0")
+        step = step_of("j", "q")
+        planner.book.answered(step, "q", [one], Advice({"w0": "t"}, 2_000), NOW_MS)
+        one.entry = one.entry._replace(born_ms=2)
+        made = plan([step], [one], planner, queues=self.QUEUES)
+        assert made.placements == []
+        assert made.requests[0].workers == ("w0",)
+
+
+def test_short_lengths_are_learned_where_callers_are_wrong() -> None:
+    planner = PoolPlanner()
+    for n in range(40):
+        declared = 100 if n % 2 else 9_000
+        spec = step_of(f"j{n}", "urgent", estimate_ms=declared).spec
+        planner.durations.observe("urgent", spec, 900)
+    spec = step_of("j", "urgent", estimate_ms=100).spec
+    assert 700 <= planner.durations.estimate_ms("urgent", spec) <= 1_100
+
+
+def test_headroom_for_urgent_work_is_left_by_batch_work() -> None:
+    planner = PoolPlanner()
+    workers = [worker("w", cores=20)]
+    burst = step_of("urgent", "urgent", cores=1, count=4)
+    plan([burst], workers, planner)
+    batch = step_of("batch", "batch", cores=1, count=20)
+    made = plan([batch], workers, planner, now_ms=NOW_MS + 100)
+    assert 15 <= len(starts(made)) <= 17
