Write less: gather ends that nothing waits for, tell wants only when they matter

Cause: each look at the teams' limits wrote a changed want, which made the other lead look and write; each end of a task was written by itself.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
@@ -31,9 +31,11 @@
 #: Time between two looks at what other pools have and want.
 LOOK_EVERY = timedelta(milliseconds=400)
 #: Time after which a team that is short by no more than before is looked at again.
-SHORT_LOOK = timedelta(milliseconds=200)
+SHORT_LOOK = timedelta(milliseconds=300)
+#: How much more a team must lack before it is looked at again at once.
+GROWTH = 1.25
 #: Time in which what happens together leads to one look.
-GATHER = timedelta(milliseconds=10)
+GATHER = timedelta(milliseconds=30)
 
 
 class GrantKeeper:
@@ -88,7 +90,8 @@
     def note_short(self, lacking: Resources) -> None:
         """Look soon if a team lacks more than at the last look."""
         waited = self._clock.now() - self._looked_at >= SHORT_LOOK
-        if lacking.cores_milli > self._lacking_cores or waited:
+        grew = lacking.cores_milli > self._lacking_cores * GROWTH
+        if grew or waited:
             self._lacking_cores = max(self._lacking_cores, lacking.cores_milli)
             self.hurry()
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -78,6 +78,8 @@
 UNLISTED_WAIT = timedelta(milliseconds=2_500)
 #: Part of a second by which a leaving worker's tasks are checkpointed before it goes.
 LEAVING_MARGIN_MS = 700
+#: Time between two lines on the same team at its limit.
+SHORT_LOG_EVERY = timedelta(seconds=1)
 #: How often records of ended jobs are deleted.
 FORGET_EVERY = timedelta(seconds=10)
 
@@ -154,6 +156,7 @@
             parts.on_grants_written,
         )
         self._waiting_demand: dict[str, Resources] = {}
+        self._short_logged_until: dict[str, datetime] = {}
         self._running: list[Deferred[None]] = []
         self.set_document(document)
 
@@ -343,7 +346,7 @@
         if job is None or not self.jobs.cancel(job, self._now_ms()):
             return
         self._log.log_event(LogLevel.INFO, "job_cancelled", job=job_id)
-        self._progress.note(job)
+        self._progress.note(job, urgent=True)
         self._stop_needless(job)
 
     def _stop_needless(self, job: Job) -> None:
@@ -418,7 +421,7 @@
         self._carry_out(plan, now_ms)
 
     def _may_start(self, job: Job) -> bool:
-        if self._progress.is_dirty(job):
+        if self._progress.must_wait(job):
             return False
         # A job accepted since this term began can't have runs of earlier leads.
         return self._located or job.revision > self.term.revision
@@ -431,6 +434,10 @@
         for team, lacking in plan.short_of_limit.items():
             if any(lacking):
                 self._grant_keeper.note_short(lacking)
+            now = self._clock.now()
+            if now < self._short_logged_until.get(team, now):
+                continue
+            self._short_logged_until[team] = now + SHORT_LOG_EVERY
             self._log.log_event(
                 LogLevel.INFO,
                 "team_short_of_limit",
@@ -680,7 +687,8 @@
             self._log.log_event(LogLevel.INFO, "worker_rested", worker=worker.id)
         if ended.how is not RunEnd.DONE and finding.run is not None:
             self._stop_rest_of_gang(finding.run, "gang_broken")
-        self._progress.note(job)
+        opens_more = ended.how is RunEnd.FAILED or task.step.is_done
+        self._progress.note(job, urgent=opens_more or job.final is not None)
         self._stop_needless(job)
 
     def _learn(self, run: Run | None) -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_progress_log.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_progress_log.py
@@ -7,7 +7,7 @@
 
 from twisted.internet.defer import Deferred
 
-from savorylead.clock import Clock
+from savorylead.clock import Clock, Timer
 from savorylead.jobs import Job, ProgressRecord, encode_progress
 from savorylead.pools import CellStore, Committed, Conflict, Put
 from savorylead.store import StoreError
@@ -22,6 +22,8 @@
 JOBS_PER_WRITE = 15
 #: Records of jobs deleted in one transaction, with three keys each.
 JOBS_PER_DELETE = 10
+#: Time in which ends that nothing waits for are gathered.
+GATHER = timedelta(milliseconds=25)
 #: Time until a failed write is repeated.
 RETRY_AFTER = timedelta(milliseconds=100)
 
@@ -51,19 +53,32 @@
         self._on_superseded = on_superseded
         #: Jobs with changes that are not durable, and the count of their changes.
         self._dirty: dict[Job, int] = {}
+        #: Those of them on whose changes other decisions wait.
+        self._urgent: set[Job] = set()
+        self._timer: Timer | None = None
         self._waiting: list[Deferred[None]] = []
         self._writing: Deferred[None] | None = None
         self._closed = False
 
-    def note(self, job: Job) -> None:
-        """Write the job's progress soon."""
+    def note(self, job: Job, urgent: bool) -> None:
+        """Write the job's progress; at once if other decisions wait for it."""
         self._dirty[job] = self._dirty.get(job, 0) + 1
+        if urgent:
+            self._urgent.add(job)
+            self._write_now()
+        elif self._timer is None and self._writing is None:
+            self._timer = self._clock.call_later(GATHER, self._write_now)
+
+    def _write_now(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
         if self._writing is None and not self._closed:
             self._writing = spawn("progress log", self._write_all())
 
-    def is_dirty(self, job: Job) -> bool:
-        """Return whether the job has changes that may be lost."""
-        return job in self._dirty
+    def must_wait(self, job: Job) -> bool:
+        """Return whether the job has changes that nothing may build upon yet."""
+        return job in self._urgent
 
     async def durable(self) -> None:
         """Return once everything noted so far is durable."""
@@ -76,6 +91,8 @@
     def close(self) -> None:
         """Write nothing more; whoever waits is cancelled."""
         self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
         if self._writing is not None:
             self._writing.cancel()
         for turn in self._waiting:
@@ -140,6 +157,7 @@
             job.progress_revision = revision
             if self._dirty.get(job) == versions[job]:
                 del self._dirty[job]
+                self._urgent.discard(job)
             self._on_durable(job, progress)
         if not self._dirty:
             waiting, self._waiting = self._waiting, []
--- a/packages/savorylead/savorylead/pools/_grants.py
+++ b/packages/savorylead/savorylead/pools/_grants.py
@@ -16,6 +16,8 @@
 
 #: A want that is met is written again when it changed by this part of the limit.
 WANT_CHANGE_SHARE = 0.1
+#: The same for a want that is not met.
+SHORT_CHANGE_SHARE = 0.05
 
 
 class _Part(NamedTuple):
@@ -169,10 +171,11 @@
         return False
     is_short = not wanted.fits(granted)
     was_short = not told.fits(granted)
-    if is_short or was_short:
+    if is_short != was_short:
         return True
+    share = SHORT_CHANGE_SHARE if is_short else WANT_CHANGE_SHARE
     return any(
-        abs(now - before) > WANT_CHANGE_SHARE * bound
+        abs(now - before) > share * bound
         for now, before, bound in zip(wanted, told, limit, strict=True)
     )
 
