--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -24,9 +24,12 @@
 from ._urgency import Urgency, urgency_of
 
 #: Steps that may keep workers free for themselves at a time.
-MAX_RESERVING_STEPS = 2
+MAX_RESERVING_STEPS = 4
 #: Part of the workers, as a divisor, that reservations may take.
-RESERVED_DIVISOR = 3
+RESERVED_DIVISOR = 2
+#: A task may use a reserved worker if this many times its expected length is over
+#: before the worker is free for whom it is kept.
+BACKFILL_MARGIN = 1.2
 #: A task that takes this part of a worker may reserve one.
 LARGE_TASK_SHARE = 0.4
 #: Least urgent priority whose large tasks may reserve workers.
@@ -77,7 +80,8 @@
         #: Room that is held by runs which are being stopped.
         self.coming = {w.id: _coming(w) for w in self.startable}
         self.added: dict[tuple[str, str], int] = {}
-        self.reserved: set[str] = set()
+        #: Workers that are kept, and when they will be free for it.
+        self.reserved: dict[str, float] = {}
         self.plan = Plan([], [], [], {}, [])
 
     def take(self, worker: PoolWorker, step: StepRun) -> None:
@@ -218,12 +222,19 @@
 
     def _candidates(self, state: _Pass, step: StepRun) -> list[PoolWorker]:
         """Return the workers that could start a task of the step now, best first."""
+        queue = step.job.record.queue
+        length_ms = self.durations.estimate_ms(queue, step.spec) * BACKFILL_MARGIN
+        ends_ms = state.now_ms + length_ms
+        lasts = step.spec.long_running
         found = [
             worker
             for worker in state.startable
-            if worker.id not in state.reserved
-            and could_ever_hold(worker, step)
+            if could_ever_hold(worker, step)
             and state.has_room(worker, step)
+            and (
+                worker.id not in state.reserved
+                or (ends_ms <= state.reserved[worker.id] and not lasts)
+            )
         ]
         found.sort(key=lambda worker: _rank(state, step, worker))
         return found
@@ -425,28 +436,46 @@
         return total >= step.spec.count
 
     def _reserve(self, state: _Pass, step: StepRun, waiting: Sequence[Task]) -> int:
-        """Keep the likeliest workers free for the step; return 1 if any are kept."""
+        """Keep the workers that are free first for the step; return 1 if any are."""
         most = max(1, len(state.workers) // RESERVED_DIVISOR)
+        good = self.book.of(step).good if self._needs_advice(step) else {}
+        held = held_by(step)
         allowed = [
-            w
+            (w.id not in good, self._free_at_ms(state, w, held), w.id, w)
             for w in state.startable
             if w.id not in state.reserved
             and could_ever_hold(w, step)
             and self.book.may_be_allowed(step, w)
         ]
-        good = self.book.of(step).good if self._needs_advice(step) else {}
-        allowed.sort(key=lambda w: (w.id not in good, -state.free[w.id].cores_milli))
         missing = len(waiting)
-        held = held_by(step)
         kept = 0
-        for worker in allowed:
+        for _, free_at_ms, _, worker in sorted(allowed, key=lambda row: row[:3]):
             if missing <= 0 or len(state.reserved) >= most:
                 break
-            state.reserved.add(worker.id)
+            state.reserved[worker.id] = free_at_ms
             missing -= max(1, _copies(held, worker.entry.capacity, step))
             kept += 1
         return int(kept > 0)
 
+    def _free_at_ms(self, state: _Pass, worker: PoolWorker, held: Resources) -> float:
+        """Return when enough runs should have ended for one more task."""
+        room = state.free[worker.id]
+        ends = []
+        for run in worker.runs.values():
+            spec = run.task.step.spec
+            if spec.long_running:
+                continue
+            length_ms = self.durations.estimate_ms(run.task.step.job.record.queue, spec)
+            left_ms = length_ms * (1 - min(99, run.percent) / 100)
+            ends.append((run.percent_at_ms + left_ms, held_by(run.task.step)))
+        free_at_ms = float(state.now_ms)
+        for end_ms, freed in sorted(ends):
+            if held.fits(room):
+                break
+            room = room.plus(freed)
+            free_at_ms = max(free_at_ms, end_ms)
+        return free_at_ms
+
 
 def _coming(worker: PoolWorker) -> Resources:
     """Return the room that stops under way will free."""
--- a/packages/savorylead/savorylead/pools/tests/test_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/tests/test_pool_planner.py
@@ -206,3 +206,27 @@
     batch = step_of("batch", "batch", cores=1, count=20)
     made = plan([batch], workers, planner, now_ms=NOW_MS + 100)
     assert 15 <= len(starts(made)) <= 17
+
+
+@pytest.mark.parametrize(
+    "estimate_ms, used",
+    [
+        (200, {"w1", "w2", "w3"}),
+        # The run on w3 began first, so w3 is free first and kept for the large task.
+        (4_000, {"w1", "w2"}),
+    ],
+)
+def test_small_tasks_do_not_starve_a_task_that_needs_a_whole_worker(
+    estimate_ms: int, used: set[str]
+) -> None:
+    # Replays a pool of accelerators where small tasks come all the time: the worker
+    # that is free first is kept for the large one, and only shorter work fills in.
+    workers = [worker("w1"), worker("w2"), worker("w3")]
+    running = step_of("running", "normal", cores=4, count=3, estimate_ms=4_000)
+    for index, each in enumerate(workers):
+        run_on(each, running, index, confirmed_at_ms=NOW_MS - index * 1_000)
+        running.tasks[index].run.percent_at_ms = NOW_MS - index * 1_000
+    large = step_of("large", "normal", cores=16, gang=True)
+    small = step_of("small", "batch", cores=4, estimate_ms=estimate_ms, count=9)
+    made = plan([large, small], workers)
+    assert {name for _, name in starts(made)} == used
