--- a/packages/savorylead-daemon/savorylead_daemon/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/composition.py
@@ -35,22 +35,21 @@
 from savorylead_daemon.gateway import GatewayTimes
 from savorylead_daemon.http import (
     HttpLinks,
-    HttpPeerTransport,
     HttpStore,
     HttpVmList,
     HttpWorkerContract,
     JsonSite,
     Traffic,
-    peer_resource,
 )
+from savorylead_daemon.http.peer_transport import HttpPeerTransport, peer_resource
 from savorylead_daemon.lead import LeadTimes, Periodic
 from savorylead_daemon.observability import (
     EventLog,
-    LeadReporter,
     Metrics,
     Readiness,
     configure_logging,
 )
+from savorylead_daemon.observability.lead_reporter import LeadReporter
 from savorylead_daemon.settings import Endpoint, LogLevel, Settings
 
 #: Bits of the random name of a process start.
--- a/packages/savorylead-daemon/savorylead_daemon/http/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/__init__.py
@@ -1,7 +1,6 @@
 """HTTP with JSON between the system's processes and towards callers."""
 
 from ._http_links import HttpLinks
-from ._http_peer_transport import PEER_PATH, HttpPeerTransport, peer_resource
 from ._http_store import HttpStore, StoreTimeouts
 from ._http_transport import HttpConnection, HttpEndpoint, HttpTransport
 from ._http_vm_list import HttpVmList
@@ -19,14 +18,12 @@
 from ._traffic import Traffic
 
 __all__ = [
-    "PEER_PATH",
     "BodyFault",
     "ClientLimits",
     "HttpConnection",
     "HttpEndpoint",
     "HttpError",
     "HttpLinks",
-    "HttpPeerTransport",
     "HttpStore",
     "HttpTransport",
     "HttpVmList",
@@ -43,5 +40,4 @@
     "WorkerTimeouts",
     "body_fault",
     "json_response",
-    "peer_resource",
 ]
--- a/packages/savorylead-daemon/savorylead_daemon/http/tests/test_http_peer_transport.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/tests/test_http_peer_transport.py
@@ -14,10 +14,9 @@
 from savorylead.links import LinkCount, LinkSettings
 from savorylead_daemon.http import (
     HttpLinks,
-    HttpPeerTransport,
     JsonSite,
-    peer_resource,
 )
+from savorylead_daemon.http.peer_transport import HttpPeerTransport, peer_resource
 from savorylead_daemon.peers import PeerCodecError, PeerError
 from savorylead_standins.loopback import run_on_reactor
 
--- a/packages/savorylead-daemon/savorylead_daemon/observability/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/__init__.py
@@ -1,14 +1,12 @@
 """What an operator sees of a daemon: JSON log lines, metrics, readiness."""
 
 from ._event_log import EventLog, LogSubject, configure_logging
-from ._lead_reporter import LeadReporter
 from ._metrics import Metrics
 from ._readiness import Readiness
 from ._wait_histogram import WaitStage
 
 __all__ = [
     "EventLog",
-    "LeadReporter",
     "LogSubject",
     "Metrics",
     "Readiness",
--- a/packages/savorylead-standins/savorylead_standins/serving/tests/test_forgotten_connections.py
+++ b/packages/savorylead-standins/savorylead_standins/serving/tests/test_forgotten_connections.py
@@ -18,15 +18,14 @@
 from savorylead.workers import StartAccepted, StartOrder
 from savorylead_daemon.http import (
     HttpLinks,
-    HttpPeerTransport,
     HttpStore,
     HttpVmList,
     HttpWorkerContract,
     JsonSite,
     StoreTimeouts,
     WatchSettings,
-    peer_resource,
 )
+from savorylead_daemon.http.peer_transport import HttpPeerTransport, peer_resource
 from savorylead_standins.links import ForgetfulForwarder
 from savorylead_standins.serving._loopback_platform import (
     LoopbackPlatform,
--- a/packages/savorylead/savorylead/config/_schema.py
+++ b/packages/savorylead/savorylead/config/_schema.py
@@ -4,15 +4,17 @@
 
 from collections.abc import Iterator
 from functools import cache
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-import jsonschema
 import msgspec
 
 from savorylead.documents import DocumentFault, json_path, schema_errors
 
 from ._document import CellDocument
 
+if TYPE_CHECKING:
+    from jsonschema import Draft202012Validator
+
 
 @cache
 def cell_schema() -> dict[str, Any]:
@@ -39,8 +41,11 @@
 
 
 @cache
-def _validator() -> jsonschema.Draft202012Validator:
-    return jsonschema.Draft202012Validator(cell_schema())
+def _validator() -> Draft202012Validator:
+    # The import costs memory that only a daemon which checks documents pays.
+    from jsonschema import Draft202012Validator
+
+    return Draft202012Validator(cell_schema())
 
 
 def structure_faults(
