--- a/packages/savorylead-daemon/savorylead_daemon/pool/_advice_queue.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_advice_queue.py
@@ -18,7 +18,7 @@
 
 #: Calls that may wait in a daemon; the adviser itself lets 32 wait.
 MAX_WAITING = 24
-#: A waiting call gains this much of expected time for each millisecond it waits.
+#: A waiting call gains this much of rank for each millisecond it waits.
 AGEING = 0.25
 #: Calls expected to take longer are kept away from the machines for short ones.
 SHORT_MS = 60.0
@@ -27,7 +27,7 @@
 
 
 class AdviceQueue:
-    """Makes one call at a time, the shortest first, with ageing."""
+    """Makes one call at a time, the lowest rank first, with ageing."""
 
     def __init__(self, adviser: PolicyAdviser, clock: Clock) -> None:
         self._adviser = adviser
@@ -36,15 +36,13 @@
         self._order = count()
         self._busy = False
 
-    async def advise(
-        self, step: str, workers: Sequence[str], expected_ms: float
-    ) -> Advice:
+    async def advise(self, step: str, workers: Sequence[str], rank_ms: float) -> Advice:
         """Return advice once this call's turn has come; raises AdviserError."""
         if self._busy:
             if len(self._waiting) >= MAX_WAITING:
                 raise AdviserBusyError("too many calls wait in this daemon")
             turn: Deferred[None] = Deferred()
-            rank = expected_ms + AGEING * to_millis(self._clock.now())
+            rank = rank_ms + AGEING * to_millis(self._clock.now())
             heapq.heappush(self._waiting, (rank, next(self._order), turn))
             await turn
         self._busy = True
@@ -90,12 +88,13 @@
         step: str,
         workers: Sequence[str],
         expected_ms: float,
+        rank_ms: float,
     ) -> Advice:
         """Return advice through one of the daemons; raises AdviserError."""
         name = self.choose(names, expected_ms)
         self._backlog_ms[name] = self._backlog_ms.get(name, 0.0) + expected_ms
         try:
-            return await self._ask_through(name, step, workers, expected_ms)
+            return await self._ask_through(name, step, workers, rank_ms)
         finally:
             self._backlog_ms[name] -= expected_ms
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_peer_messages.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peer_messages.py
@@ -48,7 +48,8 @@
 
     step: str
     workers: tuple[str, ...]
-    expected_ms: float
+    #: Of waiting calls the one with the lowest rank is made first.
+    rank_ms: float
 
 
 class Told(NamedTuple):
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
@@ -130,7 +130,7 @@
             return AdviceTold({}, 0, "no adviser here")
         try:
             advice = await self._advice.advise(
-                message.step, message.workers, message.expected_ms
+                message.step, message.workers, message.rank_ms
             )
         except AdviserError as exc:
             return AdviceTold({}, 0, str(exc) or type(exc).__name__)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -84,7 +84,7 @@
 FORGET_EVERY = timedelta(seconds=10)
 
 #: Asks the adviser through one of the cell's daemons; raises AdviserError.
-AskAdviser = Callable[[str, Sequence[str], float], Coroutine[Any, Any, Advice]]
+AskAdviser = Callable[[str, Sequence[str], float, float], Coroutine[Any, Any, Advice]]
 
 
 class LeadParts(NamedTuple):
@@ -588,7 +588,7 @@
         book.asked(step)
         try:
             advice = await self._parts.ask_adviser(
-                step.name, request.workers, request.expected_ms
+                step.name, request.workers, request.expected_ms, request.rank_ms
             )
         except AdviserError as exc:
             self._log.log_event(
--- a/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
@@ -332,22 +332,26 @@
     # -- advice --
 
     async def _ask_adviser(
-        self, step: str, workers: Sequence[str], expected_ms: float
+        self,
+        step: str,
+        workers: Sequence[str],
+        expected_ms: float,
+        rank_ms: float,
     ) -> Advice:
         names = list(self._view.members) or [self._member.name]
-        return await self._router.advise(names, step, workers, expected_ms)
+        return await self._router.advise(names, step, workers, expected_ms, rank_ms)
 
     async def _ask_through(
-        self, name: str, step: str, workers: Sequence[str], expected_ms: float
+        self, name: str, step: str, workers: Sequence[str], rank_ms: float
     ) -> Advice:
         if name == self._member.name:
             if self._advice is None:
                 raise AdviserError("no adviser is set")
-            return await self._advice.advise(step, workers, expected_ms)
+            return await self._advice.advise(step, workers, rank_ms)
         member = self._view.members.get(name)
         if member is None:
             raise AdviserError(f"{name} is gone")
-        asked = AdviceAsked(step, tuple(workers), expected_ms)
+        asked = AdviceAsked(step, tuple(workers), rank_ms)
         return await self._peers.advise(member.address, asked)
 
     # -- probes --
--- a/packages/savorylead/savorylead/pools/_advice.py
+++ b/packages/savorylead/savorylead/pools/_advice.py
@@ -49,6 +49,9 @@
     workers: tuple[str, ...]
     #: How long the adviser will take, in milliseconds.
     expected_ms: float
+    #: Of the calls that wait, the one with the lowest rank is made first. It is the
+    #: expected time, or 0 for a step that must run at any time.
+    rank_ms: float
 
 
 class StepAdvice:
@@ -191,4 +194,5 @@
         self, step: StepRun, workers: Sequence[str], cost: AdviceCost
     ) -> AdviceRequest:
         expected_ms = cost.decide_ms + cost.per_worker_ms * len(workers)
-        return AdviceRequest(step, tuple(workers), expected_ms)
+        rank_ms = 0.0 if step.spec.long_running else expected_ms
+        return AdviceRequest(step, tuple(workers), expected_ms, rank_ms)
--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -80,6 +80,8 @@
         #: Room that is held by runs which are being stopped.
         self.coming = {w.id: _coming(w) for w in self.startable}
         self.added: dict[tuple[str, str], int] = {}
+        #: Room for which advice is under way, by worker.
+        self.asked_for: dict[str, Resources] = {}
         #: Workers that are kept, and when they will be free for it.
         self.reserved: dict[str, float] = {}
         self.plan = Plan([], [], [], {}, [])
@@ -99,6 +101,21 @@
         self.free_cores += held.cores_milli
         self.added[(step.name, worker.id)] -= 1
 
+    def may_ask_for(self, worker: PoolWorker, step: StepRun) -> bool:
+        """Return whether room is left that no other step has asked for."""
+        asked = self.asked_for.get(worker.id, ZERO)
+        return held_by(step).fits(self.free[worker.id].minus(asked))
+
+    def note_asked(self, with_room: Iterable[PoolWorker], step: StepRun) -> None:
+        """Note for which room the step's advice is under way."""
+        left = len(step.waiting())
+        held = held_by(step)
+        for worker in with_room:
+            while left and self.may_ask_for(worker, step):
+                asked = self.asked_for.get(worker.id, ZERO)
+                self.asked_for[worker.id] = asked.plus(held)
+                left -= 1
+
     def has_room(self, worker: PoolWorker, step: StepRun) -> bool:
         """Return whether one more task of the step fits on the worker now."""
         if not held_by(step).fits(self.free[worker.id]):
@@ -150,7 +167,11 @@
         )
         rooms: dict[str, Resources | None] = {}
         reserving = 0
-        asked_ahead = 0
+        asked_ahead = sum(
+            1
+            for step in steps
+            if self._needs_advice(step) and self.book.of(step).pending
+        )
         in_time = [steps[index] for urgency, index in ranked if not urgency.lateness]
         headroom = self._headroom.cores_milli(state.workers, in_time, queues, now_ms)
         for urgency, index in ranked:
@@ -162,7 +183,7 @@
             team = step.job.record.team
             if team not in rooms:
                 rooms[team] = team_room(team)
-            keep_free = 0 if urgency.priority == 0 else headroom
+            keep_free = 0 if urgency.priority <= 0 else headroom
             candidates = self._candidates(state, step)
             if step.spec.gang:
                 placed = self._place_gang(state, step, waiting, candidates, rooms)
@@ -175,11 +196,17 @@
             if self._is_short_of_limit(state, step, waiting, placed, candidates, rooms):
                 continue
             if urgency.lateness == 0:
-                self._make_room(state, step, queue, waiting[placed:], queues)
+                self._make_room(state, step, urgency.priority, waiting[placed:], queues)
             if queue.advice is not None:
                 may_ask_ahead = asked_ahead < MAX_ASKED_AHEAD
                 asked_ahead += self._ask(
-                    state, step, queue, candidates, may_ask_ahead, queues
+                    state,
+                    step,
+                    queue,
+                    urgency.priority,
+                    candidates,
+                    may_ask_ahead,
+                    queues,
                 )
             if reserving < MAX_RESERVING_STEPS and _may_reserve(step, queue, state):
                 reserving += self._reserve(state, step, waiting)
@@ -195,7 +222,7 @@
         self,
         state: _Pass,
         step: StepRun,
-        queue: Queue,
+        priority: int,
         waiting: Sequence[Task],
         queues: Mapping[str, Queue],
     ) -> None:
@@ -210,7 +237,7 @@
             workers = [w for w in workers if w.id in tickets]
         victims = self._preemption.victims(
             step,
-            queue,
+            priority,
             len(waiting),
             workers,
             state.free,
@@ -243,7 +270,7 @@
         self, state: _Pass, step: StepRun, candidates: Iterable[PoolWorker]
     ) -> dict[str, str] | None:
         """Return tickets by worker; None if the queue needs none."""
-        if step.advice is None and not self._needs_advice(step):
+        if not self._needs_advice(step):
             return None
         tickets = {}
         for worker in candidates:
@@ -393,19 +420,29 @@
         state: _Pass,
         step: StepRun,
         queue: Queue,
+        priority: int,
         candidates: Sequence[PoolWorker],
         may_ask_ahead: bool,
         queues: Mapping[str, Queue],
     ) -> int:
         """Add a call for advice if one is due; return 1 if it was asked ahead."""
         with_room = [w for w in candidates if state.has_room(w, step)]
+        if priority > 0:
+            # Room that others have asked for is not there for this step too.
+            with_room = [w for w in with_room if state.may_ask_for(w, step)]
         if step.spec.gang and not self._gang_could_fit(state, step, with_room):
             with_room = []
+        if self.book.of(step).pending:
+            state.note_asked(with_room, step)
+            return 0
         if not with_room:
-            with_room = self._preemption.could_make_room(
-                step, queue, state.startable, state.free, queues, state.now_ms
-            )
-            with_room = [w for w in with_room if w.id not in state.reserved]
+            with_room = [
+                w
+                for w in self._preemption.could_make_room(
+                    step, priority, state.startable, state.free, queues, state.now_ms
+                )
+                if w.id not in state.reserved and w.id not in state.asked_for
+            ]
         if not with_room and not may_ask_ahead:
             return 0
         if not with_room and self.book.of(step).good:
@@ -423,6 +460,7 @@
         )
         if request is None:
             return 0
+        state.note_asked(with_room, step)
         state.plan.requests.append(request)
         return 0 if with_room else 1
 
@@ -489,7 +527,7 @@
 def _may_reserve(step: StepRun, queue: Queue, state: _Pass) -> bool:
     if queue.priority > RESERVING_PRIORITY or step.spec.fills:
         return False
-    if step.spec.gang:
+    if step.spec.gang or step.spec.long_running:
         return True
     held = held_by(step)
     return any(
--- a/packages/savorylead/savorylead/pools/_preemption.py
+++ b/packages/savorylead/savorylead/pools/_preemption.py
@@ -41,7 +41,7 @@
     def victims(
         self,
         step: StepRun,
-        queue: Queue,
+        priority: int,
         missing: int,
         workers: Iterable[PoolWorker],
         free: dict[str, Resources],
@@ -55,13 +55,13 @@
         step counts on it. A gang gets room for all its tasks or none.
         """
         needed = held_by(step)
-        if needed == ZERO or step.spec.fills:
+        if step.spec.fills or needed == ZERO:
             return []
         chosen: list[Run] = []
         undo: list[tuple[str, Resources, Resources]] = []
         for _ in range(missing):
             best = self._cheapest(
-                needed, queue, workers, free, coming, queues, now_ms, chosen
+                needed, priority, workers, free, coming, queues, now_ms, chosen
             )
             if best is None or len(chosen) >= MAX_VICTIMS:
                 if step.spec.gang:
@@ -84,7 +84,7 @@
     def could_make_room(
         self,
         step: StepRun,
-        queue: Queue,
+        priority: int,
         workers: Iterable[PoolWorker],
         free: Mapping[str, Resources],
         queues: Mapping[str, Queue],
@@ -97,7 +97,7 @@
             if not needed.fits(worker.entry.capacity):
                 continue
             room = free[worker.id]
-            for run in self._stoppable(worker, queue, queues, now_ms, ()):
+            for run in self._stoppable(worker, priority, queues, now_ms, ()):
                 room = room.plus(held_by(run.task.step))
             if needed.fits(room):
                 found.append(worker)
@@ -106,7 +106,7 @@
     def _cheapest(
         self,
         needed: Resources,
-        queue: Queue,
+        priority: int,
         workers: Iterable[PoolWorker],
         free: Mapping[str, Resources],
         coming: Mapping[str, Resources],
@@ -121,7 +121,7 @@
             room = free[worker.id].plus(coming[worker.id])
             runs: list[Run] = []
             if not needed.fits(room):
-                for run in self._stoppable(worker, queue, queues, now_ms, taken):
+                for run in self._stoppable(worker, priority, queues, now_ms, taken):
                     runs.append(run)
                     room = room.plus(held_by(run.task.step))
                     if needed.fits(room):
@@ -136,7 +136,7 @@
     def _stoppable(
         self,
         worker: PoolWorker,
-        queue: Queue,
+        priority: int,
         queues: Mapping[str, Queue],
         now_ms: int,
         taken: Sequence[Run],
@@ -157,7 +157,7 @@
             ):
                 continue
             theirs = queues.get(run.task.step.job.record.queue)
-            if theirs is None or theirs.priority <= queue.priority:
+            if theirs is None or theirs.priority <= priority:
                 continue
             slack = self._slack_ms(run, theirs, now_ms)
             if slack >= LEAST_SLACK_MS or run.task.step.job.surplus:
--- a/packages/savorylead/savorylead/pools/_urgency.py
+++ b/packages/savorylead/savorylead/pools/_urgency.py
@@ -3,7 +3,8 @@
 Load pattern: bursts of two to three times the usual load. Jobs that can still end
 in time go first, then late ones that still earn a little, then those that earn
 nothing any more; within each, the queue's priority, then the time by which the job
-should end. Jobs that a team sends beyond its weight wait behind the others.
+should end. Long-running steps are restarted first. Jobs that a team sends beyond its
+weight wait behind the others.
 """
 
 from __future__ import annotations
@@ -17,6 +18,8 @@
 
 #: A job earns something until this many times its objective is over.
 LATE_FACTOR = 3.0
+#: Priority of long-running steps, ahead of every queue's.
+LASTING_PRIORITY = -1
 #: A job this much past its due time is not given up as late yet, since estimates
 #: of its length are rough; a share of its objective.
 DUE_SLACK = 0.15
@@ -79,7 +82,8 @@
     due = due_ms(job, queue, step.occurrence, durations)
     surplus = int(job.surplus)
     if step.spec.long_running:
-        return Urgency(0, surplus, queue.priority, due)
+        # It serves users of its own all the time, and is restarted before anything.
+        return Urgency(0, 0, LASTING_PRIORITY, due)
     begun = begun_ms(job, step.occurrence)
     objective_ms = due - begun
     end_ms = now_ms + remaining_chain_ms(step, durations)
--- a/packages/savorylead/savorylead/pools/tests/test_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/tests/test_pool_planner.py
@@ -230,3 +230,31 @@
     small = step_of("small", "batch", cores=4, estimate_ms=estimate_ms, count=9)
     made = plan([large, small], workers)
     assert {name for _, name in starts(made)} == used
+
+
+def test_a_long_running_task_is_restarted_before_anything() -> None:
+    # Replays a takeover: a backlog of urgent work waits, and the one worker that may
+    # run a long-running task is full of batch work.
+    full = worker("w")
+    run_on(full, step_of("batch", "batch", cores=16, checkpoints=True))
+    backlog = [step_of(f"u{n}", "urgent", cores=4) for n in range(4)]
+    lasting = step_of("lasting", "normal", cores=4, long_running=True)
+    made = plan([*backlog, lasting], [full])
+    assert [run.task.step.job.id for run in made.preempted] == ["batch"]
+    empty = worker("e", cores=4)
+    made = plan([*backlog, lasting], [empty])
+    assert starts(made) == [("lasting", "e")]
+
+
+def test_no_more_advice_is_asked_for_than_there_is_room() -> None:
+    # Replays a backlog after an outage: every step would see the same free worker.
+    planner = PoolPlanner()
+    queues = {"q": queue("q", 1, advised=True)}
+    steps = [step_of(f"j{n}", "q", cores=8) for n in range(30)]
+    workers = [worker("w1"), worker("w2")]
+    made = plan(steps, workers, planner, queues=queues)
+    for request in made.requests:
+        planner.book.asked(request.step)
+    again = plan(steps, workers, planner, queues=queues)
+    assert 4 <= len(made.requests) <= 8
+    assert again.requests == []
