--- a/packages/savorylead-daemon/savorylead_daemon/pool/_cell_lease.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_cell_lease.py
@@ -59,11 +59,15 @@
         """Return whether the lease surely holds now."""
         return self._valid_until is not None and self._clock.now() < self._valid_until
 
-    async def end(self) -> None:
-        """Give the lease up, with every key that rests on it."""
+    def stop(self) -> None:
+        """Renew the lease no more; it lapses."""
         self._valid_until = None
         if self._running is not None:
             self._running.cancel()
+
+    async def end(self) -> None:
+        """Give the lease up, with every key that rests on it."""
+        self.stop()
         lease_id, self.id = self.id, ""
         if not lease_id:
             return
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
@@ -41,7 +41,7 @@
     StateAsked,
     Told,
 )
-from ._peers import Message, PeerClient, PeerError
+from ._peers import Message, PeerCalls, PeerError
 
 #: Time until a write to the store is tried again.
 WRITE_AGAIN = timedelta(milliseconds=60)
@@ -72,7 +72,7 @@
         log: EventLog,
         config: ConfigFeed,
         view: CellView,
-        peers: PeerClient,
+        peers: PeerCalls,
         tell_here: Callable[[Message], Told],
     ) -> None:
         """``tell_here`` answers a message from the leads of this daemon."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
-from typing import Any, NamedTuple, TypeVar
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -40,16 +41,30 @@
     StateAsked: "/peer/state",
     PendingAsked: "/peer/pending",
     GrantsWritten: "/peer/grants",
+    AdviceAsked: "/peer/advise",
 }
+_KINDS: dict[str, Any] = {path: kind for kind, path in _PATHS.items()}
 
 
 class PeerError(Exception):
     """Another daemon could not be reached, or its answer not be read."""
 
 
-class PeerClient:
+class PeerCalls(ABC):
     """Calls other daemons by their address."""
 
+    @abstractmethod
+    async def tell(self, address: str, message: Message) -> Told:
+        """Send a message to a lead; raises PeerError."""
+
+    @abstractmethod
+    async def advise(self, address: str, asked: AdviceAsked) -> Advice:
+        """Return advice through another daemon; raises AdviserError."""
+
+
+class PeerClient(PeerCalls):
+    """Calls other daemons over HTTP."""
+
     def __init__(self, links: HttpLinks, advice_links: HttpLinks) -> None:
         self._links = links
         self._advice_links = advice_links
@@ -72,7 +87,7 @@
             link = self._open_for_advice[address] = self._advice_links.open(address)
         try:
             told = await _call(
-                link, "/peer/advise", asked, ADVICE_TIMEOUT, kind=AdviceTold
+                link, _PATHS[AdviceAsked], asked, ADVICE_TIMEOUT, kind=AdviceTold
             )
         except PeerError as exc:
             raise AdviserError(str(exc)) from exc
@@ -89,27 +104,31 @@
     ) -> None:
         self._lead_of = lead_of
         self._advice = advice
-        self._routes: dict[str, _Route] = {
-            "/peer/job": _Route(JobAccepted, self._accept),
-            "/peer/cancel": _Route(JobCancelled, self._cancel),
-            "/peer/state": _Route(StateAsked, self._state),
-            "/peer/pending": _Route(PendingAsked, self._pending),
-            "/peer/grants": _Route(GrantsWritten, self._review_grants),
-            "/peer/advise": _Route(AdviceAsked, self._advise),
+        self._handlers: dict[type, Callable[[Any], Coroutine[Any, Any, Any]]] = {
+            JobAccepted: self._accept,
+            JobCancelled: self._cancel,
+            StateAsked: self._state,
+            PendingAsked: self._pending,
+            GrantsWritten: self._review_grants,
+            AdviceAsked: self._advise,
         }
 
     async def handle(self, request: JsonRequest) -> JsonResponse:
         """Answer one message."""
-        route = self._routes.get(request.path)
-        if route is None:
+        kind = _KINDS.get(request.path)
+        if kind is None:
             return JsonResponse(404)
         try:
-            message = msgspec.json.decode(request.body, type=route.kind)
+            message = msgspec.json.decode(request.body, type=kind)
         except msgspec.DecodeError:
             return JsonResponse(400)
-        told = await route.handler(message)
+        told = await self.answer(message)
         return JsonResponse(200, msgspec.json.encode(told))
 
+    async def answer(self, message: Message | AdviceAsked) -> Any:
+        """Return the answer to a decoded message: Told or AdviceTold."""
+        return await self._handlers[type(message)](message)
+
     async def _accept(self, message: JobAccepted) -> Told:
         return tell_accepted(self._lead_of(message.record.pool), message)
 
@@ -137,13 +156,6 @@
         return AdviceTold(dict(advice.tickets), advice.valid_ms)
 
 
-class _Route(NamedTuple):
-    """The type of a message and what answers it."""
-
-    kind: Any
-    handler: Callable[[Any], Coroutine[Any, Any, Any]]
-
-
 _NOT_LEADING = Told(leads=False)
 
 
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -0,0 +1,277 @@
+"""Everything of a pool daemon but its sockets, wired together."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import NamedTuple
+
+from savorylead.clock import Clock
+from savorylead.pools import Advice, AdviserError, CellDocument, Put, WorkerEntry
+from savorylead.store import StoreError
+from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+from ._adapter import AdapterParts
+from ._advice_queue import AdviceQueue, AdviceRouter
+from ._cell_lease import CellLease
+from ._cell_view import CellView, MemberRecord, encode_record
+from ._config_feed import ConfigFeed
+from ._elections import Elections, Term
+from ._job_gateway import JobGateway
+from ._keys import member_key
+from ._peer_messages import (
+    AdviceAsked,
+    GrantsWritten,
+    JobAccepted,
+    JobCancelled,
+    PendingAsked,
+    StateAsked,
+    Told,
+)
+from ._peers import (
+    Message,
+    PeerCalls,
+    PeerError,
+    PeerServer,
+    tell_accepted,
+    tell_cancelled,
+    tell_grants,
+    tell_pending,
+    tell_state,
+)
+from ._pool_lead import LeadParts, PoolLead
+from ._workers_feed import WorkersFeed
+
+#: Part of the time for a withdrawn key after which a configuration is not trusted.
+FRESH_SHARE = 0.6
+#: Time until a registration that failed is repeated.
+REGISTER_AGAIN = timedelta(milliseconds=200)
+
+
+class NodeSettings(NamedTuple):
+    """What a node is told of itself and of its promises."""
+
+    member: MemberRecord
+    #: A withdrawn key does nothing after this time.
+    key_withdrawn: timedelta
+    #: How long states of ended jobs are told.
+    status_for: timedelta
+
+
+class PoolNode:
+    """One daemon: a gateway for callers, and the lead of some pools."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        adapter: AdapterParts,
+        peers: PeerCalls,
+        clock: Clock,
+        rng: random.Random,
+        log: EventLog,
+    ) -> None:
+        self._settings = settings
+        self._member = settings.member
+        self._adapter = adapter
+        self._peers = peers
+        self._clock = clock
+        self._log = log
+        #: The pools led here.
+        self.leads: dict[str, PoolLead] = {}
+        store = adapter.store
+        self._lease = CellLease(
+            store, clock, log, self._lease_granted, self._lease_lost
+        )
+        self.view = CellView(store, clock, log)
+        self.config = ConfigFeed(
+            store, adapter.config, clock, log, settings.key_withdrawn * FRESH_SHARE
+        )
+        self._elections = Elections(
+            store,
+            clock,
+            log,
+            self._member,
+            self._lease,
+            self.view,
+            self._elected,
+            self._deposed,
+        )
+        self._workers = WorkersFeed(
+            store,
+            adapter.listing,
+            clock,
+            log,
+            lambda: bool(self.leads),
+            self._workers_listed,
+        )
+        self._advice: AdviceQueue | None = None
+        if adapter.adviser is not None:
+            self._advice = AdviceQueue(adapter.adviser, clock)
+        self._router = AdviceRouter(self._ask_through)
+        #: Answers messages of other daemons.
+        self.peer_server = PeerServer(self.leads.get, self._advice)
+        #: Answers callers.
+        self.gateway = JobGateway(
+            self._member.name,
+            adapter.callers,
+            store,
+            clock,
+            rng,
+            log,
+            self.config,
+            self.view,
+            peers,
+            self._tell_here,
+        )
+
+    def start(self) -> None:
+        """Join the cell."""
+        self.view.subscribe(self._elections.review)
+        self.config.subscribe(self._document_in_force)
+        self.config.start()
+        self.view.start()
+        self._lease.start()
+        self._workers.start()
+
+    async def resign(self) -> None:
+        """Lead nothing any more; callers are still served."""
+        self._elections.resign_all()
+        await self._lease.end()
+
+    def stop(self) -> None:
+        """End everything at once, as a kill would."""
+        self._elections.resign_all()
+        self._lease.stop()
+        self._workers.stop()
+        self.config.stop()
+        self.view.stop()
+
+    def terms(self) -> dict[str, int]:
+        """Return the term of each pool led here."""
+        return {pool: lead.term.number for pool, lead in self.leads.items()}
+
+    def _document_in_force(self, document: CellDocument) -> None:
+        self._elections.set_pools(frozenset(p.name for p in document.pools))
+        for lead in self.leads.values():
+            lead.set_document(document)
+
+    def _lease_granted(self, lease_id: str) -> None:
+        spawn("registration", self._register(lease_id))
+
+    async def _register(self, lease_id: str) -> None:
+        key = member_key(self._member.name)
+        while self._lease.id == lease_id:
+            try:
+                await self._adapter.store.commit(
+                    {}, [Put(key, encode_record(self._member), lease_id)]
+                )
+            except StoreError as exc:
+                self._log.log_event(LogLevel.INFO, "unregistered", detail=str(exc))
+                await self._clock.sleep(REGISTER_AGAIN)
+            else:
+                break
+        self._elections.review()
+
+    def _lease_lost(self) -> None:
+        self._elections.lease_lost()
+
+    def _elected(self, term: Term) -> None:
+        document = self.config.document
+        if document is None:
+            return
+        parts = LeadParts(
+            store=self._adapter.store,
+            clock=self._clock,
+            log=self._log,
+            calls=self._adapter.workers,
+            ask_adviser=self._ask_adviser,
+            lease=self._lease,
+            on_grants_written=self._grants_written,
+            status_for_ms=self._settings.status_for // timedelta(milliseconds=1),
+        )
+        lead = PoolLead(parts, term, document, self._superseded)
+        self.leads[term.pool] = lead
+        lead.start()
+
+    def _deposed(self, pool: str) -> None:
+        lead = self.leads.pop(pool, None)
+        if lead is not None:
+            lead.close()
+
+    def _superseded(self, pool: str) -> None:
+        self._elections.depose(pool, "superseded")
+
+    def _workers_listed(self, entries: Sequence[WorkerEntry]) -> None:
+        for pool, lead in list(self.leads.items()):
+            lead.set_workers([entry for entry in entries if entry.pool == pool])
+
+    def _tell_here(self, message: Message) -> Told:
+        if isinstance(message, JobAccepted):
+            return tell_accepted(self.leads.get(message.record.pool), message)
+        lead = self.leads.get(message.pool)
+        if isinstance(message, JobCancelled):
+            return tell_cancelled(lead, message)
+        if isinstance(message, StateAsked):
+            return tell_state(lead, message)
+        if isinstance(message, GrantsWritten):
+            return tell_grants(lead, message)
+        assert isinstance(message, PendingAsked)
+        return tell_pending(lead, message)
+
+    def _grants_written(self, by_pool: str) -> None:
+        """Let the leads of the other pools look; they also look by themselves."""
+        for pool, seen in self.view.leads.items():
+            if pool == by_pool:
+                continue
+            message = GrantsWritten(pool)
+            member = seen.record.member
+            if member.name == self._member.name:
+                self._tell_here(message)
+            else:
+                spawn("message of grants", self._tell(member.address, message))
+
+    async def _tell(self, address: str, message: Message) -> None:
+        try:
+            await self._peers.tell(address, message)
+        except PeerError as exc:
+            self._log.log_event(LogLevel.INFO, "peer_not_reached", detail=str(exc))
+
+    # -- advice --
+
+    async def _ask_adviser(
+        self,
+        step: str,
+        workers: Sequence[str],
+        expected_ms: float,
+        rank_ms: float,
+    ) -> Advice:
+        names = list(self.view.members) or [self._member.name]
+        return await self._router.advise(names, step, workers, expected_ms, rank_ms)
+
+    async def _ask_through(
+        self, name: str, step: str, workers: Sequence[str], rank_ms: float
+    ) -> Advice:
+        if name == self._member.name:
+            if self._advice is None:
+                raise AdviserError("no adviser is set")
+            return await self._advice.advise(step, workers, rank_ms)
+        member = self.view.members.get(name)
+        if member is None:
+            raise AdviserError(f"{name} is gone")
+        asked = AdviceAsked(step, tuple(workers), rank_ms)
+        return await self._peers.advise(member.address, asked)
+
+
+__all__ = [
+    "AdviceAsked",
+    "MemberRecord",
+    "Message",
+    "NodeSettings",
+    "PeerCalls",
+    "PeerError",
+    "PoolNode",
+    "Told",
+]
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_cell_store.py
@@ -0,0 +1,280 @@
+"""The platform's store in memory, with its outages and lost answers."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from datetime import datetime, timedelta
+from itertools import count
+
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import Clock
+from savorylead.pools import (
+    CellStore,
+    Change,
+    Changes,
+    Committed,
+    Conflict,
+    HistoryLostError,
+    LeaseGrant,
+    Put,
+    StoreRefusedError,
+)
+from savorylead.store import (
+    KeyValue,
+    Snapshot,
+    StoreLeaseLostError,
+    StoreTimeoutError,
+)
+
+#: One way between a daemon and the store.
+DELAY = timedelta(milliseconds=2)
+#: After this long a call without an answer is given up.
+GIVE_UP = timedelta(milliseconds=400)
+#: Most entries of a transaction.
+MAX_ENTRIES = 32
+
+
+class _Lease:
+    def __init__(self, ttl: timedelta, ends_at: datetime) -> None:
+        self.ttl = ttl
+        self.ends_at = ends_at
+        self.keys: set[str] = set()
+
+
+class MemoryCellStore:
+    """The state that all daemons share; each talks to it through a StoreView."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.revision = 1
+        self.items: dict[str, KeyValue] = {}
+        self.history: list[Change] = []
+        self.leases: dict[str, _Lease] = {}
+        self._lease_ids = count(1)
+        self._watchers: list[Deferred[None]] = []
+        #: While True, calls are refused at once and nothing is done.
+        self.refuses = False
+        #: While True, calls are neither done nor answered.
+        self.silent = False
+        #: Whether leases end while the store is away.
+        self.leases_lapse = True
+        #: Answers of this many further commits are lost after they took effect.
+        self.lost_answers = 0
+        #: This many further commits are done this much later and not answered.
+        self.late_commits = 0
+        self.late_by = timedelta(seconds=2)
+        #: Commits that took effect, for counts of cost.
+        self.commits = 0
+
+    @property
+    def is_away(self) -> bool:
+        """Whether nobody is served."""
+        return self.refuses or self.silent
+
+    def expire(self) -> None:
+        """End the leases whose time is over."""
+        if self.is_away and not self.leases_lapse:
+            return
+        now = self.clock.now()
+        for lease_id in [i for i, le in self.leases.items() if le.ends_at <= now]:
+            self.end_lease(lease_id)
+
+    def end_lease(self, lease_id: str) -> None:
+        """Delete a lease and its keys."""
+        lease = self.leases.pop(lease_id, None)
+        if lease is not None:
+            for key in sorted(lease.keys):
+                self.delete(key)
+            self.wake()
+
+    def delete(self, key: str) -> None:
+        """Delete one key as a change of its own."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self.history.append(Change(key, None, self.revision))
+
+    def put(self, key: str, value: bytes) -> int:
+        """Write one key as an operator or a worker does."""
+        self.revision += 1
+        self._set(key, value, "")
+        self.wake()
+        return self.revision
+
+    def commit(
+        self, expected: Mapping[str, int], puts: Sequence[Put], deletes: Sequence[str]
+    ) -> Committed | Conflict:
+        """Make all changes or none."""
+        self.expire()
+        if len(expected) + len(puts) + len(deletes) > MAX_ENTRIES:
+            raise AssertionError("the transaction is too large")
+        current = {key: self.items.get(key) for key in expected}
+        for key, revision in expected.items():
+            item = current[key]
+            if (0 if item is None else item.revision) != revision:
+                return Conflict(current)
+        if any(p.lease_id and p.lease_id not in self.leases for p in puts):
+            raise StoreLeaseLostError("no such lease")
+        self.commits += 1
+        self.revision += 1
+        for put in puts:
+            self._set(put.key, put.value, put.lease_id)
+        for key in deletes:
+            if self.items.pop(key, None) is not None:
+                self.history.append(Change(key, None, self.revision))
+        self.wake()
+        return Committed(self.revision)
+
+    def _set(self, key: str, value: bytes, lease_id: str) -> None:
+        self.items[key] = KeyValue(key, value, self.revision)
+        self.history.append(Change(key, value, self.revision))
+        if lease_id:
+            self.leases[lease_id].keys.add(key)
+
+    def grant(self, ttl: timedelta) -> LeaseGrant:
+        """Return a new lease."""
+        lease_id = str(next(self._lease_ids))
+        self.leases[lease_id] = _Lease(ttl, self.clock.now() + ttl)
+        return LeaseGrant(lease_id, ttl)
+
+    def forget_history(self) -> None:
+        """Drop all changes, so that watches must read anew."""
+        self.history.clear()
+        self.history_from = self.revision
+        self.wake()
+
+    #: Changes up to this revision are not kept.
+    history_from = 0
+
+    def wake(self) -> None:
+        """Let every watch look."""
+        watchers, self._watchers = self._watchers, []
+        for watcher in watchers:
+            if not watcher.called:
+                watcher.callback(None)
+
+    def changed(self) -> Deferred[None]:
+        """Return a Deferred that fires after the next change."""
+        watcher: Deferred[None] = Deferred()
+        self._watchers.append(watcher)
+        return watcher
+
+
+class StoreView(CellStore):
+    """The store as one daemon reaches it."""
+
+    def __init__(self, store: MemoryCellStore) -> None:
+        self._store = store
+        #: While True, this daemon is cut off from the store.
+        self.is_cut = False
+        #: While True, this daemon alone is refused.
+        self.is_refused = False
+
+    async def _arrive(self) -> None:
+        await self._store.clock.sleep(DELAY)
+        if self._store.refuses or self.is_refused:
+            raise StoreRefusedError("refused")
+        if self._store.silent or self.is_cut:
+            await self._store.clock.sleep(GIVE_UP)
+            raise StoreTimeoutError("no answer")
+        self._store.expire()
+
+    async def _answer(self) -> None:
+        await self._store.clock.sleep(DELAY)
+        if self.is_cut:
+            await self._store.clock.sleep(GIVE_UP)
+            raise StoreTimeoutError("no answer")
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Return the key, or None."""
+        await self._arrive()
+        item = self._store.items.get(key)
+        await self._answer()
+        return item
+
+    async def list(self, prefix: str) -> Snapshot:
+        """Return all keys below a prefix."""
+        await self._arrive()
+        items = sorted(
+            i for i in self._store.items.values() if i.key.startswith(prefix)
+        )
+        snapshot = Snapshot(tuple(items), self._store.revision)
+        await self._answer()
+        return snapshot
+
+    async def changes(
+        self, prefix: str, after_revision: int, wait: timedelta
+    ) -> Changes:
+        """Return changes since a revision."""
+        await self._arrive()
+        until = self._store.clock.now() + wait
+        while True:
+            if after_revision < self._store.history_from:
+                raise HistoryLostError(prefix)
+            events = tuple(
+                change
+                for change in self._store.history
+                if change.revision > after_revision and change.key.startswith(prefix)
+            )
+            left = until - self._store.clock.now()
+            if events or left <= timedelta(0):
+                break
+            changed = self._store.changed()
+            timer = self._store.clock.call_later(left, _fire, changed)
+            await changed
+            timer.cancel()
+            self._store.expire()
+        revision = self._store.revision
+        await self._answer()
+        return Changes(events, revision)
+
+    async def commit(
+        self,
+        expected: Mapping[str, int],
+        puts: Sequence[Put] = (),
+        deletes: Sequence[str] = (),
+    ) -> Committed | Conflict:
+        """Make all changes or none."""
+        await self._arrive()
+        store = self._store
+        if store.late_commits:
+            store.late_commits -= 1
+            store.clock.call_later(
+                store.late_by, store.commit, expected, tuple(puts), tuple(deletes)
+            )
+            await store.clock.sleep(GIVE_UP)
+            raise StoreTimeoutError("no answer yet")
+        result = store.commit(expected, puts, deletes)
+        if store.lost_answers:
+            store.lost_answers -= 1
+            await store.clock.sleep(GIVE_UP)
+            raise StoreTimeoutError("the answer is lost")
+        await self._answer()
+        return result
+
+    async def grant_lease(self, ttl: timedelta) -> LeaseGrant:
+        """Return a new lease."""
+        await self._arrive()
+        grant = self._store.grant(ttl)
+        await self._answer()
+        return grant
+
+    async def renew_lease(self, lease_id: str) -> None:
+        """Extend a lease."""
+        await self._arrive()
+        lease = self._store.leases.get(lease_id)
+        if lease is None:
+            raise StoreLeaseLostError(lease_id)
+        lease.ends_at = self._store.clock.now() + lease.ttl
+        await self._answer()
+
+    async def end_lease(self, lease_id: str) -> None:
+        """End a lease."""
+        await self._arrive()
+        self._store.end_lease(lease_id)
+        await self._answer()
+
+
+def _fire(waiting: Deferred[None]) -> None:
+    if not waiting.called:
+        waiting.callback(None)
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
@@ -0,0 +1,270 @@
+"""A whole cell of pool daemons over stand-ins, in stepped time."""
+
+from __future__ import annotations
+
+import random
+from datetime import UTC, datetime, timedelta
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import TwistedClock
+from savorylead.jobs import JobSpec, JobState, StepSpec
+from savorylead.pools import (
+    Advice,
+    AdviceCost,
+    AdviserError,
+    CellDocument,
+    ConfigSource,
+    Pool,
+    Queue,
+    Team,
+    WorkerEntry,
+    WorkerListing,
+)
+from savorylead.resources import Resources
+from savorylead.store import KeyValue
+from savorylead_daemon.http import JsonRequest, JsonResponse
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.pool import AdapterParts, CallerAnswer, CallerCall, CallerCodec
+from savorylead_daemon.pool.node import (
+    AdviceAsked,
+    MemberRecord,
+    Message,
+    NodeSettings,
+    PeerCalls,
+    PeerError,
+    PoolNode,
+    Told,
+)
+from savorylead_standins.time import SteppedTime
+
+from ._memory_adviser import MemoryAdviser
+from ._memory_cell_store import MemoryCellStore, StoreView
+from ._memory_workers import MemoryWorkers
+
+CONFIG_KEY = "config"
+WORKERS_PREFIX = "workers/"
+KEY = "team-key"
+#: One way between two daemons.
+PEER_DELAY = timedelta(milliseconds=1)
+
+
+class _Config(ConfigSource):
+    key = CONFIG_KEY
+
+    def decode(self, value: bytes) -> CellDocument:
+        return msgspec.json.decode(value, type=CellDocument)
+
+
+class _Listing(WorkerListing):
+    prefix = WORKERS_PREFIX
+
+    def decode(self, item: KeyValue) -> WorkerEntry | None:
+        return msgspec.json.decode(item.value, type=WorkerEntry)
+
+
+class _Codec(CallerCodec):
+    """Passes calls and answers through as JSON arrays."""
+
+    ready_path = "/ready"
+
+    def read(self, request: JsonRequest) -> CallerCall | None:
+        return msgspec.json.decode(request.body, type=CallerCall)
+
+    def is_job_id(self, text: str) -> bool:
+        return bool(text)
+
+    def decode_job(self, body: bytes) -> JobSpec:
+        return msgspec.json.decode(body, type=JobSpec)
+
+    def write(self, answer: CallerAnswer) -> JsonResponse:
+        return JsonResponse(200, msgspec.json.encode(answer))
+
+
+class _Peers(PeerCalls):
+    """Calls nodes of the same cell; one that is down does not answer."""
+
+    def __init__(self, cell: PoolCell) -> None:
+        self._cell = cell
+
+    async def tell(self, address: str, message: Message) -> Told:
+        node = await self._reach(address)
+        return await node.peer_server.answer(message)
+
+    async def advise(self, address: str, asked: AdviceAsked) -> Advice:
+        try:
+            node = await self._reach(address)
+        except PeerError as exc:
+            raise AdviserError(str(exc)) from exc
+        told = await node.peer_server.answer(asked)
+        if told.error:
+            raise AdviserError(told.error)
+        return Advice(told.tickets, told.valid_ms)
+
+    async def _reach(self, address: str) -> PoolNode:
+        await self._cell.clock.sleep(PEER_DELAY)
+        node = self._cell.nodes.get(address)
+        if node is None:
+            raise PeerError("nobody answers")
+        return node
+
+
+def job_spec(count: int = 1, cores: float = 1.0, **changes: Any) -> JobSpec:
+    """Return a job of one step."""
+    step = StepSpec(
+        count, Resources(int(cores * 1000), 100, 0), estimate_ms=1_000
+    )._replace(**changes)
+    return JobSpec("payload", (step,))
+
+
+class PoolCell:
+    """Nodes by name, one pool or more, and callers."""
+
+    def __init__(
+        self,
+        nodes: int = 3,
+        workers: int = 4,
+        pools: tuple[str, ...] = ("pool",),
+        cores: int = 8,
+        advised: bool = False,
+        limit: Resources = Resources(),  # noqa: B008 - immutable.
+        seed: int = 1,
+    ) -> None:
+        self.time = SteppedTime()
+        self.clock = TwistedClock(self.time, datetime(2026, 1, 1, tzinfo=UTC))
+        self.rng = random.Random(seed)
+        self.store = MemoryCellStore(self.clock)
+        self.workers = MemoryWorkers(self.clock)
+        self.views: dict[str, StoreView] = {}
+        self.nodes: dict[str, PoolNode] = {}
+        self._advised = advised
+        self._answers: dict[str, CallerAnswer] = {}
+        self.document = self._document(pools, limit, advised)
+        self.put_config(self.document)
+        for number in range(workers):
+            self._add_worker(number, pools[number % len(pools)], cores)
+        for number in range(nodes):
+            self.start_node(f"node-{number}")
+
+    def start_node(self, name: str) -> None:
+        """Start a node, or start it again."""
+        view = self.views.setdefault(name, StoreView(self.store))
+        log = EventLog(self.clock, 1)
+        adapter = AdapterParts(
+            store=view,
+            workers=self.workers,
+            adviser=MemoryAdviser(self.clock) if self._advised else None,
+            config=_Config(),
+            listing=_Listing(),
+            callers=_Codec(),
+        )
+        incarnation = f"{self.rng.getrandbits(64):x}"
+        settings = NodeSettings(
+            MemberRecord(name, incarnation, name),
+            key_withdrawn=timedelta(seconds=5),
+            status_for=timedelta(seconds=120),
+        )
+        node = PoolNode(settings, adapter, _Peers(self), self.clock, self.rng, log)
+        self.nodes[name] = node
+        node.start()
+
+    def kill(self, name: str) -> None:
+        """End a node at once, without a word to anybody."""
+        self.nodes.pop(name).stop()
+
+    def lead_of(self, pool: str = "pool") -> str:
+        """Return the name of the node that leads a pool."""
+        return next(n for n, node in self.nodes.items() if pool in node.leads)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        self.time.advance(seconds)
+
+    def put_config(self, document: CellDocument) -> None:
+        """Put a configuration in force as the operator does."""
+        self.document = document
+        self.store.put(CONFIG_KEY, msgspec.json.encode(document))
+
+    def list_worker(self, entry: WorkerEntry) -> None:
+        """Let a worker register."""
+        self.store.put(WORKERS_PREFIX + entry.id, msgspec.json.encode(entry))
+
+    # -- callers --
+
+    def submit(self, job_id: str, spec: JobSpec, via: str = "node-0") -> None:
+        """Hand in a job; the answer is in ``answer`` once it came."""
+        self.call("submit", f"/q/{job_id}", via, msgspec.json.encode(spec), job_id)
+
+    def cancel(self, job_id: str, via: str = "node-0") -> None:
+        """Cancel a job."""
+        self.call("cancel", f"/q/{job_id}", via, b"", f"cancel {job_id}")
+
+    def state(self, job_id: str, via: str = "node-0") -> JobState | None:
+        """Ask for a state and let the time of the answer pass."""
+        self.call("state", f"/q/{job_id}", via, b"", f"state {job_id}")
+        self.run(0.5)
+        answer = self._answers.pop(f"state {job_id}", None)
+        return None if answer is None else answer.state
+
+    def answer(self, name: str) -> CallerAnswer | None:
+        """Return the answer to a submit (by job id) or to "cancel ID"."""
+        return self._answers.get(name)
+
+    def call(
+        self, kind: str, path: str, via: str, body: bytes, name: str, key: str = KEY
+    ) -> None:
+        """Send one call to a node."""
+        node = self.nodes[via]
+        call = CallerCall(kind, "host", path, key, 3_000, body)
+        request = JsonRequest("POST", path, {}, {}, msgspec.json.encode(call))
+        answering = Deferred.fromCoroutine(node.gateway.handle(request))
+        answering.addCallback(self._note_answer, name)
+
+    def _note_answer(self, response: JsonResponse, name: str) -> None:
+        self._answers[name] = msgspec.json.decode(response.body, type=CallerAnswer)
+
+    # -- the cell --
+
+    def _document(
+        self, pools: tuple[str, ...], limit: Resources, advised: bool
+    ) -> CellDocument:
+        advice = AdviceCost(20.0, 0.0, 2_000) if advised else None
+        queues = tuple(
+            Queue(
+                name=f"q-{pool}",
+                host="host",
+                prefix="/q/" if pool == pools[0] else f"/{pool}/",
+                pool=pool,
+                priority=0,
+                max_attempts=2,
+                stretch=2.0,
+                objective_ms=1_000,
+                anonymous=False,
+                advice=advice,
+            )
+            for pool in pools
+        )
+        return CellDocument(
+            version=1,
+            queues=queues,
+            pools=tuple(Pool(pool, False, False) for pool in pools),
+            teams=(Team("team", frozenset({KEY}), 1_000.0, limit),),
+            max_body_bytes=100_000,
+        )
+
+    def _add_worker(self, number: int, pool: str, cores: int) -> None:
+        entry = WorkerEntry(
+            id=f"w{number}",
+            pool=pool,
+            address=f"w{number}",
+            zone="zone",
+            capacity=Resources(cores * 1000, 64_000, 0),
+            labels=("a", f"r{number % 2}"),
+            rack=f"r{number % 2}",
+            accepting=True,
+            born_ms=1,
+        )
+        self.workers.add(entry)
+        self.list_worker(entry)
