--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -46,6 +46,7 @@
     WorkerEntry,
     WorkerNotReachedError,
     WorkerReport,
+    stalled_runs,
 )
 from savorylead.resources import ZERO, Resources
 from savorylead_daemon.concurrency import spawn
@@ -76,8 +77,8 @@
 #: A worker that is not listed any more is given up after this time, if it runs
 #: nothing. Entries that lapsed with the store are back two seconds after it.
 UNLISTED_WAIT = timedelta(milliseconds=2_500)
-#: Part of a second by which a leaving worker's tasks are checkpointed before it goes.
-LEAVING_MARGIN_MS = 700
+#: A task moves from a leaving worker that it would outlast, or nearly.
+LEAVING_MARGIN_MS = 500
 #: Time between two lines on the same team at its limit.
 SHORT_LOG_EVERY = timedelta(seconds=1)
 #: How often records of ended jobs are deleted.
@@ -627,6 +628,7 @@
                 self._gone(finding.run, "vanished")
             else:
                 self._unexplained(session, finding)
+        self._stop_stalled(session)
         for order in self._pace.decide(worker, self._now_ms()):
             self._log.log_event(
                 LogLevel.INFO,
@@ -700,7 +702,12 @@
             return
         took_ms = self._now_ms() - run.confirmed_at_ms
         queue = run.task.step.job.record.queue
-        self._planner.durations.observe(queue, spec, took_ms)
+        durations = self._planner.durations
+        expected_ms = durations.estimate_ms(queue, spec)
+        durations.observe(queue, spec, took_ms)
+        worker = self._workers[run.worker]
+        if worker.note_length(took_ms / expected_ms, self._now_ms()):
+            self._log.log_event(LogLevel.INFO, "worker_slow", worker=worker.id)
 
     def _gone(self, run: Run, reason: str) -> None:
         self._log.log_event(
@@ -750,15 +757,33 @@
         )
 
     def _leave_in_time(self) -> None:
-        """Checkpoint tasks whose worker is about to leave."""
+        """Move what a leaving worker would otherwise end."""
         for session in self._sessions.values():
-            remaining_ms = session.remaining_ms
-            if remaining_ms is None or remaining_ms > LEAVING_MARGIN_MS:
+            remaining_ms = session.worker.entry.remaining_ms
+            if session.worker.entry.accepting or remaining_ms is None:
                 continue
             for run in list(session.worker.runs.values()):
-                spec = run.task.step.spec
-                if spec.checkpoints or spec.long_running:
+                if self._must_move(run, remaining_ms):
                     session.stop_run(run, "worker_leaving")
 
+    def _must_move(self, run: Run, remaining_ms: int) -> bool:
+        spec = run.task.step.spec
+        if spec.long_running:
+            return True
+        if not spec.checkpoints:
+            return False
+        queue = run.task.step.job.record.queue
+        length_ms = self._planner.durations.estimate_ms(queue, spec)
+        left_ms = length_ms * (1 - run.percent / 100)
+        return left_ms > remaining_ms - LEAVING_MARGIN_MS
+
+    def _stop_stalled(self, session: WorkerSession) -> None:
+        now_ms = self._now_ms()
+        durations = self._planner.durations
+        for run in stalled_runs(session.worker, durations, now_ms):
+            self._log_start(run, "stalled", percent=run.percent)
+            session.worker.note_stall(now_ms)
+            session.stop_run(run, "stalled")
+
     def _now_ms(self) -> int:
         return to_millis(self._clock.now())
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -99,8 +99,6 @@
         self.worker = worker
         #: Whether the worker's runs are known to this lead.
         self.claimed = False
-        #: Time the worker said it will stay, in milliseconds; None if not leaving.
-        self.remaining_ms: int | None = None
         self._owner = owner
         self._calls = calls
         self._clock = clock
@@ -300,7 +298,6 @@
 
     def _heard(self, report: WorkerReport) -> None:
         self._failing_since = None
-        self.remaining_ms = report.remaining_ms
         if self._born_ms and report.born_ms != self._born_ms:
             self._reborn(report)
         self._born_ms = report.born_ms
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
@@ -153,7 +153,7 @@
             for r in self.active.values()
         )
         return WorkerReport(
-            self.clock_ms(), self.entry.born_ms, active, tuple(self.ended), None, False
+            self.clock_ms(), self.entry.born_ms, active, tuple(self.ended), False
         )
 
     def ended_soon(self) -> Deferred[None]:
--- a/packages/savorylead/savorylead/pools/__init__.py
+++ b/packages/savorylead/savorylead/pools/__init__.py
@@ -44,6 +44,7 @@
 from ._pool_planner import Placement, Plan, PlannedGang, PoolPlanner, could_ever_hold
 from ._pool_worker import PoolWorker
 from ._reconcile import Ended, Finding, Listed, Unexplained, Vanished, reconcile
+from ._stalls import stalled_runs
 from ._urgency import Urgency, due_ms, remaining_chain_ms, urgency_of
 
 __all__ = [
@@ -106,5 +107,6 @@
     "encode_grants",
     "reconcile",
     "remaining_chain_ms",
+    "stalled_runs",
     "urgency_of",
 ]
--- a/packages/savorylead/savorylead/pools/_contracts.py
+++ b/packages/savorylead/savorylead/pools/_contracts.py
@@ -97,6 +97,8 @@
     accepting: bool
     #: Start of this incarnation in Unix milliseconds; 0 if not told.
     born_ms: int
+    #: How much longer a leaving worker stays at least; None if it does not say.
+    remaining_ms: int | None = None
 
 
 class ActiveRun(NamedTuple):
@@ -145,8 +147,6 @@
     active: tuple[ActiveRun, ...]
     #: Ends that are not released yet, oldest first.
     ended: tuple[EndedRun, ...]
-    #: How much longer a leaving worker stays at least; None if it is not leaving.
-    remaining_ms: int | None
     #: Whether ``ended`` may be cut off at the worker's page size.
     truncated: bool
 
--- a/packages/savorylead/savorylead/pools/_pool_worker.py
+++ b/packages/savorylead/savorylead/pools/_pool_worker.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from savorylead.jobs import Run, StepRun
 from savorylead.resources import ZERO, Resources
 
@@ -13,6 +15,12 @@
 FIRST_REST_MS = 2_000
 #: Longest rest in milliseconds.
 LONGEST_REST_MS = 30_000
+#: Tasks in a row, on the average this many times as long as expected, after which a
+#: worker is rested as slow.
+SLOW_FACTOR = 3.0
+TASKS_TO_BE_SLOW = 4
+#: Weight of the newest task in that average.
+SLOWNESS_WEIGHT = 0.3
 #: Rest after a worker said it is unhealthy or did not answer a start.
 UNHEALTHY_REST_MS = 1_000
 
@@ -39,6 +47,8 @@
         self.rest_until_ms = 0
         self._failures_in_row = 0
         self._rests = 0
+        self._slowness = 0.0
+        self._timed_tasks = 0
 
     @property
     def id(self) -> str:
@@ -98,10 +108,34 @@
             return False
         # One more failure after the rest is enough for the next one.
         self._failures_in_row = FAILURES_TO_REST - 1
+        self._rest_longer(now_ms)
+        return True
+
+    def note_length(self, ratio: float, now_ms: int) -> bool:
+        """Take note of a task that took ``ratio`` times as long as expected.
+
+        Returns whether the worker is rested for being slow.
+        """
+        self._timed_tasks += 1
+        change = math.log(max(0.01, ratio)) - self._slowness
+        self._slowness += SLOWNESS_WEIGHT * change
+        if self._timed_tasks < TASKS_TO_BE_SLOW:
+            return False
+        if self._slowness < math.log(SLOW_FACTOR):
+            return False
+        # Judged anew after the rest, from one task on.
+        self._timed_tasks = TASKS_TO_BE_SLOW - 1
+        self._rest_longer(now_ms)
+        return True
+
+    def note_stall(self, now_ms: int) -> None:
+        """Take note of a task that stood still, and rest the worker."""
+        self._rest_longer(now_ms)
+
+    def _rest_longer(self, now_ms: int) -> None:
         rest_ms = min(LONGEST_REST_MS, FIRST_REST_MS << self._rests)
-        self._rests += 1
+        self._rests = min(self._rests + 1, 8)
         self.rest(now_ms, rest_ms)
-        return True
 
     def rest(self, now_ms: int, for_ms: int = UNHEALTHY_REST_MS) -> None:
         """Give the worker no work for a while."""
