Let the lease of a silent worker lapse; wait only for workers that may run something

Besides, a new lead waited 5.3 s for a worker on which nothing could run any more, and 108 jobs with it; a restarted daemon waited for the lease of its own former process; short calls for advice used two daemons whatever waited there, and named so few workers that each step needed two. Ruled out: capacity (50 to 250 of 300 cores used in those seconds).

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_advice_queue.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_advice_queue.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable, Coroutine, Mapping, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from itertools import count
 from typing import Any
 
@@ -20,10 +20,15 @@
 MAX_WAITING = 24
 #: A waiting call gains this much of rank for each millisecond it waits.
 AGEING = 0.25
-#: Calls expected to take longer are kept away from the machines for short ones.
+#: Calls expected to take no longer are short.
 SHORT_MS = 60.0
-#: Part of the daemons, as a divisor, that make short calls.
+#: Part of the daemons, as a divisor, that are kept for short calls.
 SHORT_DIVISOR = 3
+#: Wait, in milliseconds, that a long call bears elsewhere before it goes to a daemon
+#: that is kept for short ones: as long as the longest calls take.
+KEPT_FOR_SHORT_MS = 600.0
+#: What a short call is expected to wait for a long one: half of a usual long call.
+REST_OF_LONG_MS = 150.0
 
 
 class AdviceQueue:
@@ -64,23 +69,46 @@
 AskThrough = Callable[[str, str, Sequence[str], float], Coroutine[Any, Any, Advice]]
 
 
+class _Backlog:
+    """The calls of one lead that are under way through one daemon."""
+
+    __slots__ = ("long_ms", "short_ms")
+
+    def __init__(self) -> None:
+        self.short_ms = 0.0
+        self.long_ms = 0.0
+
+
 class AdviceRouter:
-    """Chooses the daemon for each call by what is expected to wait there."""
+    """Chooses the daemon for each call by what it is expected to wait there.
+
+    The first daemons by name are kept for short calls, by every lead alike, as far
+    as the others are not much busier. A daemon makes short calls first, so a short
+    one waits for the others and, at most, for the rest of a long one.
+    """
 
     def __init__(self, ask_through: AskThrough) -> None:
         self._ask_through = ask_through
-        self._backlog_ms: dict[str, float] = {}
+        self._backlogs: dict[str, _Backlog] = {}
 
     def choose(self, names: Sequence[str], expected_ms: float) -> str:
         """Return the daemon that should make a call of that length."""
         ordered = sorted(names)
-        short = max(1, len(ordered) // SHORT_DIVISOR)
-        if len(ordered) > 1:
-            if expected_ms <= SHORT_MS:
-                ordered = ordered[:short]
-            else:
-                ordered = ordered[short:]
-        return min(ordered, key=lambda name: self._backlog_ms.get(name, 0.0))
+        for_short = max(1, len(ordered) // SHORT_DIVISOR)
+        is_short = expected_ms <= SHORT_MS
+
+        def cost(index: int) -> tuple[float, int]:
+            backlog = self._backlogs.get(ordered[index]) or _Backlog()
+            wait_ms = backlog.short_ms
+            if not is_short:
+                wait_ms += backlog.long_ms
+                if index < for_short:
+                    wait_ms += KEPT_FOR_SHORT_MS
+            elif index >= for_short:
+                wait_ms += REST_OF_LONG_MS
+            return wait_ms, index
+
+        return ordered[min(range(len(ordered)), key=cost)]
 
     async def advise(
         self,
@@ -92,12 +120,16 @@
     ) -> Advice:
         """Return advice through one of the daemons; raises AdviserError."""
         name = self.choose(names, expected_ms)
-        self._backlog_ms[name] = self._backlog_ms.get(name, 0.0) + expected_ms
+        backlog = self._backlogs.setdefault(name, _Backlog())
+        is_short = expected_ms <= SHORT_MS
+        if is_short:
+            backlog.short_ms += expected_ms
+        else:
+            backlog.long_ms += expected_ms
         try:
             return await self._ask_through(name, step, workers, rank_ms)
         finally:
-            self._backlog_ms[name] -= expected_ms
-
-    def backlog(self) -> Mapping[str, float]:
-        """Return the expected work, in milliseconds, that waits at each daemon."""
-        return self._backlog_ms
+            if is_short:
+                backlog.short_ms -= expected_ms
+            else:
+                backlog.long_ms -= expected_ms
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_cell_view.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_cell_view.py
@@ -11,7 +11,7 @@
 
 from savorylead.clock import Clock
 from savorylead.pools import CellStore
-from savorylead.store import StoreError
+from savorylead.store import KeyValue, StoreError
 from savorylead_daemon.concurrency import spawn
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
@@ -34,6 +34,8 @@
     incarnation: str
     #: "IP:port" for messages of other daemons.
     address: str
+    #: The lease under which it is registered; empty before.
+    lease_id: str = ""
 
 
 class LeadRecord(NamedTuple):
@@ -56,6 +58,14 @@
     return msgspec.json.encode(record)
 
 
+def decode_member(item: KeyValue) -> MemberRecord | None:
+    """Return a stored member, None if the record can't be read."""
+    try:
+        return msgspec.json.decode(item.value, type=MemberRecord)
+    except msgspec.DecodeError:
+        return None
+
+
 class CellView:
     """Follows the keys of members and leads; ``on_change`` after each change."""
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -72,8 +72,8 @@
 #: Longest time without a pass, since tickets, rests and deadlines end by themselves.
 PLAN_AT_LEAST = timedelta(milliseconds=250)
 #: How long a worker may run on that the former lead used and that can't be reached:
-#: its longest lease, the drift of its clock, and half a second for calls under way.
-UNREACHED_WAIT = timedelta(milliseconds=5_300)
+#: its longest lease of 4.5 s, the drift of its clock, and calls under way.
+UNREACHED_WAIT = timedelta(milliseconds=4_900)
 #: A worker that is not listed any more is given up after this time, if it runs
 #: nothing. Entries that lapsed with the store are back two seconds after it.
 UNLISTED_WAIT = timedelta(milliseconds=2_500)
@@ -123,6 +123,8 @@
         #: Whether the jobs are loaded; callers are not answered before.
         self.loaded = False
         self._located = False
+        #: Workers that earlier leads may have used.
+        self._to_locate: frozenset[str] = frozenset()
         self._began_at = parts.clock.now()
         self.jobs = JobBook(parts.status_for_ms)
         self._workers: dict[str, PoolWorker] = {}
@@ -238,6 +240,7 @@
 
     async def _load(self) -> None:
         loaded = await self._records.load()
+        self._to_locate = frozenset(r.entry.id for r in loaded.workers)
         for recorded in loaded.workers:
             self._open_session(recorded.entry)
         now_ms = self._now_ms()
@@ -275,11 +278,25 @@
             self._open_session(entry)
         for worker_id in [w for w in self._workers if w not in listed]:
             self._note_unlisted(worker_id, now_ms)
-        recorded = [RecordedWorker(w.entry) for w in self._workers.values()]
-        self._records.want_workers(recorded)
+        self._record_workers()
         self._leave_in_time()
         self._plan_soon()
 
+    def _record_workers(self) -> None:
+        """Record the workers that are or may be used; the next lead claims these.
+
+        One that can't be reached and surely runs nothing would only hold it up.
+        """
+        used = [w for w in self._workers.values() if w.usable or w.runs]
+        unlocated = self._to_locate if not self._located else frozenset()
+        recorded = [RecordedWorker(w.entry) for w in used]
+        recorded += [
+            RecordedWorker(self._workers[w].entry)
+            for w in unlocated
+            if w in self._workers and not self._workers[w].usable
+        ]
+        self._records.want_workers(recorded)
+
     def _open_session(self, entry: WorkerEntry) -> None:
         worker = self._workers.get(entry.id)
         if worker is not None:
@@ -311,14 +328,19 @@
         if not self.loaded:
             return False
         waited = self._clock.now() - self._began_at >= UNREACHED_WAIT
-        if waited or all(s.claimed for s in self._sessions.values()):
+        sessions = [self._sessions.get(w) for w in self._to_locate]
+        if waited or all(s is None or s.claimed for s in sessions):
             self._located = True
             self._log.log_event(
                 LogLevel.INFO,
                 "runs_located",
                 pool=self.term.pool,
                 term=self.fence,
-                unreached=[w for w, s in self._sessions.items() if not s.claimed],
+                unreached=[
+                    w
+                    for w in self._to_locate
+                    if w in self._sessions and not self._sessions[w].claimed
+                ],
             )
         return self._located
 
@@ -619,6 +641,8 @@
         """Take over what a report says."""
         worker = session.worker
         worker.unexplained = 0
+        if not self._records.is_recorded(worker.id):
+            self._record_workers()
         for finding in findings:
             if isinstance(finding, Listed):
                 self._listed(finding)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
@@ -68,12 +68,15 @@
         self._revision = 0
         self._workers_revision = 0
         self._recorded: frozenset[str] = frozenset()
+        #: Lists whose writes are under way or unclear.
+        self._unclear: list[frozenset[str]] = []
         self._wanted: Sequence[RecordedWorker] = ()
         self._writing = False
 
     def is_recorded(self, worker_id: str) -> bool:
-        """Return whether the next lead would know of the worker."""
-        return worker_id in self._recorded
+        """Return whether the next lead would know of the worker, whatever happens."""
+        lists = [self._recorded, *self._unclear]
+        return all(worker_id in workers for workers in lists)
 
     async def load(self) -> LoadedPool:
         """Return all records; repeats failed reads until it has them."""
@@ -213,13 +216,16 @@
 
     async def _write_workers_once(self, workers: Sequence[RecordedWorker]) -> bool:
         key = workers_key(self._term.pool)
+        ids = frozenset(w.entry.id for w in workers)
+        self._unclear.append(ids)
         result = await self._store.commit(
             {self._term.key: self._term.revision, key: self._workers_revision},
             [Put(key, msgspec.json.encode(list(workers)))],
         )
         if isinstance(result, Committed):
             self._workers_revision = result.revision
-            self._recorded = frozenset(w.entry.id for w in workers)
+            self._recorded = ids
+            self._unclear = []
             return True
         item = result.current.get(key)
         self._workers_revision = 0 if item is None else item.revision
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -258,7 +258,10 @@
 
     async def _look(self) -> None:
         deadline_ms = None
-        if self._clock_read_at is not None and self.worker.runs:
+        # A worker that does not answer may hear all the same. Were its lease renewed,
+        # what runs there would never be surely over.
+        answers = self._clock_read_at is not None and self._failing_since is None
+        if answers and self.worker.runs:
             deadline_ms = self.worker_clock_ms() + WORKER_LEASE_MS
             self._lease_until_ms = max(self._lease_until_ms, deadline_ms)
         asked_at_ms = to_millis(self._clock.now())
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -9,7 +9,7 @@
 
 from savorylead.clock import Clock
 from savorylead.pools import Advice, AdviserError, CellDocument, Put, WorkerEntry
-from savorylead.store import StoreError
+from savorylead.store import KeyValue, StoreError
 from savorylead_daemon.concurrency import spawn
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
@@ -17,7 +17,7 @@
 from ._adapter import AdapterParts
 from ._advice_queue import AdviceQueue, AdviceRouter
 from ._cell_lease import CellLease
-from ._cell_view import CellView, MemberRecord, encode_record
+from ._cell_view import CellView, MemberRecord, decode_member, encode_record
 from ._config_feed import ConfigFeed
 from ._elections import Elections, Term
 from ._job_gateway import JobGateway
@@ -163,11 +163,11 @@
 
     async def _register(self, lease_id: str) -> None:
         key = member_key(self._member.name)
+        record = encode_record(self._member._replace(lease_id=lease_id))
         while self._lease.id == lease_id:
             try:
-                await self._adapter.store.commit(
-                    {}, [Put(key, encode_record(self._member), lease_id)]
-                )
+                await self._end_former(await self._adapter.store.get(key))
+                await self._adapter.store.commit({}, [Put(key, record, lease_id)])
             except StoreError as exc:
                 self._log.log_event(LogLevel.INFO, "unregistered", detail=str(exc))
                 await self._clock.sleep(REGISTER_AGAIN)
@@ -175,6 +175,22 @@
                 break
         self._elections.review()
 
+    async def _end_former(self, item: KeyValue | None) -> None:
+        """End the lease of the former process of this name, which is dead.
+
+        Otherwise its pools would have no lead until the lease lapses.
+        """
+        if item is None:
+            return
+        former = decode_member(item)
+        if former is None or former.incarnation == self._member.incarnation:
+            return
+        self._log.log_event(
+            LogLevel.INFO, "former_lease_ended", incarnation=former.incarnation
+        )
+        if former.lease_id:
+            await self._adapter.store.end_lease(former.lease_id)
+
     def _lease_lost(self) -> None:
         self._elections.lease_lost()
 
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_advice_queue.py
@@ -0,0 +1,87 @@
+"""Where and in which order calls for advice are made."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from datetime import UTC, datetime
+
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock as StepClock
+
+from savorylead.clock import TwistedClock
+from savorylead.pools import Advice, AdviserBusyError, PolicyAdviser
+from savorylead_daemon.pool._advice_queue import (
+    MAX_WAITING,
+    AdviceQueue,
+    AdviceRouter,
+)
+
+
+@pytest.mark.parametrize(
+    "expected_ms, busy, chosen",
+    [
+        (20.0, {}, "d0"),
+        (600.0, {}, "d2"),
+        (20.0, {"d0": 2}, "d1"),
+        (20.0, {"d0": 10, "d1": 10}, "d2"),
+        (600.0, {"d2": 1}, "d3"),
+        (600.0, {"d2": 2, "d3": 2, "d4": 2, "d5": 2}, "d0"),
+    ],
+)
+def test_calls_for_advice_go_where_they_wait_least(
+    expected_ms: float, busy: dict[str, int], chosen: str
+) -> None:
+    # Replays a burst of short calls beside long ones on six daemons.
+    async def ask(name: str, step: str, workers: object, rank_ms: float) -> Advice:
+        await Deferred()
+        raise AssertionError("never answered")
+
+    router = AdviceRouter(ask)
+    names = [f"d{n}" for n in range(6)]
+    for name, calls in busy.items():
+        for _ in range(calls):
+            one = router.advise([name], "s", (), expected_ms, 0.0)
+            Deferred.fromCoroutine(one).addErrback(lambda _: None)
+    assert router.choose(names, expected_ms) == chosen
+
+
+class SlowAdviser(PolicyAdviser):
+    """Answers when told to."""
+
+    def __init__(self) -> None:
+        self.asked: list[str] = []
+        self.open: list[Deferred[None]] = []
+
+    async def advise(self, step: str, workers: Sequence[str]) -> Advice:
+        self.asked.append(step)
+        done: Deferred[None] = Deferred()
+        self.open.append(done)
+        await done
+        return Advice({}, 0)
+
+
+def test_one_call_is_made_at_a_time_and_short_ones_first() -> None:
+    steps = StepClock()
+    clock = TwistedClock(steps, datetime(2026, 1, 1, tzinfo=UTC))
+    adviser = SlowAdviser()
+    queue = AdviceQueue(adviser, clock)
+    for step, rank_ms in [("first", 600), ("long", 600), ("short", 20), ("lasts", 0)]:
+        Deferred.fromCoroutine(queue.advise(step, (), rank_ms))
+    # A long call that waited long enough goes before a new short one.
+    steps.advance(10.0)
+    Deferred.fromCoroutine(queue.advise("late", (), 20))
+    for _ in range(5):
+        adviser.open[-1].callback(None)
+    assert adviser.asked == ["first", "lasts", "short", "long", "late"]
+
+
+def test_a_full_queue_is_told() -> None:
+    clock = TwistedClock(StepClock(), datetime(2026, 1, 1, tzinfo=UTC))
+    queue = AdviceQueue(SlowAdviser(), clock)
+    for _ in range(MAX_WAITING + 1):
+        Deferred.fromCoroutine(queue.advise("s", (), 20))
+    failures: list[object] = []
+    Deferred.fromCoroutine(queue.advise("s", (), 20)).addErrback(failures.append)
+    (failure,) = failures
+    assert failure.check(AdviserBusyError)
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
@@ -315,3 +315,42 @@
     lead.lost(None, runs, "without waiting")
     cell.run(1.0)
     assert any("runs twice" in breach for breach in cell.workers.breaches)
+
+
+def test_tasks_of_a_worker_that_stays_silent_run_elsewhere() -> None:
+    cell = ready_cell(workers=2)
+    cell.workers.length_of = lambda _: timedelta(seconds=4)
+    cell.submit("one", job_spec(count=4))
+    cell.run(1.0)
+    machine = next(m for m in cell.workers.machines.values() if m.active)
+    machine.is_cut = True
+    cell.run(11.0)
+    assert cell.state("one") is JobState.COMPLETED
+    assert cell.workers.breaches == []
+
+
+def test_a_dead_worker_does_not_hold_up_the_next_lead() -> None:
+    # Replays a worker that died long before its lead: the backlog must not wait for
+    # its lease again.
+    cell = ready_cell(workers=3)
+    cell.submit("first", job_spec(count=3))
+    cell.run(3.0)
+    cell.workers.machines["w0"].is_cut = True
+    cell.workers.length_of = lambda _: timedelta(seconds=3)
+    for number in range(8):
+        cell.submit(f"job{number}", job_spec(count=6))
+    cell.run(8.0)
+    cell.kill(cell.lead_of())
+    cell.run(3.5)
+    pool = cell.nodes[cell.lead_of()].leads["pool"]
+    assert pool._is_located()
+    assert cell.workers.breaches == []
+
+
+def test_a_restarted_node_ends_the_lease_of_its_former_process() -> None:
+    cell = ready_cell(nodes=1)
+    term = cell.nodes["node-0"].terms()["pool"]
+    cell.kill("node-0")
+    cell.start_node("node-0")
+    cell.run(1.0)
+    assert cell.nodes["node-0"].terms() == {"pool": term + 1}
--- a/packages/savorylead/savorylead/pools/_advice.py
+++ b/packages/savorylead/savorylead/pools/_advice.py
@@ -24,7 +24,9 @@
 #: Wanted probability that the workers named include an allowed one.
 HIT_PROBABILITY = 0.97
 #: Most workers named in one call, whatever the step asks for.
-MAX_NAMED = 16
+MAX_NAMED = 24
+#: Workers are named beyond need while they lengthen a call by no more than this part.
+CHEAP_SHARE = 0.25
 #: Most workers whose tickets one call renews.
 MAX_RENEWED = 4
 #: A ticket is not used in its last part, in milliseconds, so that an order which
@@ -119,8 +121,9 @@
             unknown = [w.id for w in others if w.id not in known.bad]
         if not unknown:
             return None
-        wanted = self._named(step, tasks_per_worker)
-        if not known.good and len(unknown) < wanted:
+        wanted = self._named(step, cost, tasks_per_worker)
+        if len(unknown) < wanted:
+            # Knowing more workers now costs less than another call later.
             known_ids = set(unknown)
             unknown += [
                 w.id for w in others if w.id not in known.bad and w.id not in known_ids
@@ -180,7 +183,7 @@
             known.good.pop(gone, None)
             known.bad.discard(gone)
 
-    def _named(self, step: StepRun, tasks_per_worker: float) -> int:
+    def _named(self, step: StepRun, cost: AdviceCost, tasks_per_worker: float) -> int:
         """Return how many unknown workers to name."""
         # The step's queue is not needed: one queue feeds a pool with equal policy
         # for all its steps, and the share is looked up by it.
@@ -188,7 +191,10 @@
         share = min(0.95, max(0.05, share))
         for_one = math.ceil(math.log(1 - HIT_PROBABILITY) / math.log(1 - share))
         for_all = math.ceil(len(step.waiting()) / max(1.0, tasks_per_worker) / share)
-        return min(MAX_NAMED, max(for_one, for_all, 2))
+        cheap = MAX_NAMED
+        if cost.per_worker_ms > 0:
+            cheap = int(CHEAP_SHARE * cost.decide_ms / cost.per_worker_ms)
+        return min(MAX_NAMED, max(for_one, for_all, cheap, 2))
 
     def _call(
         self, step: StepRun, workers: Sequence[str], cost: AdviceCost
