--- a/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
@@ -29,13 +29,13 @@
 from ._keys import GRANTS_KEY
 
 #: Time between two looks at what other pools have and want.
-LOOK_EVERY = timedelta(milliseconds=400)
+LOOK_EVERY = timedelta(milliseconds=800)
 #: Time after which a team that is short by no more than before is looked at again.
 SHORT_LOOK = timedelta(milliseconds=300)
 #: How much more a team must lack before it is looked at again at once.
 GROWTH = 1.25
 #: Time in which what happens together leads to one look.
-GATHER = timedelta(milliseconds=30)
+GATHER = timedelta(milliseconds=40)
 
 
 class GrantKeeper:
@@ -70,6 +70,8 @@
         self._revision = 0
         self._unclear = False
         self._hurry = False
+        self._read_again = True
+        self._read_at = clock.now()
         self._wakeup = Wakeup(clock)
         self._running: Deferred[None] | None = None
 
@@ -84,6 +86,10 @@
 
     def hurry(self) -> None:
         """Look soon, since another pool has written."""
+        self._read_again = True
+        self._wake()
+
+    def _wake(self) -> None:
         self._hurry = True
         self._wakeup.wake()
 
@@ -93,7 +99,8 @@
         grew = lacking.cores_milli > self._lacking_cores * GROWTH
         if grew or waited:
             self._lacking_cores = max(self._lacking_cores, lacking.cores_milli)
-            self.hurry()
+            # What is known suffices: if it is old, the write tells so.
+            self._wake()
 
     async def _run(self) -> None:
         while True:
@@ -114,7 +121,11 @@
     async def _look(self) -> None:
         self._looked_at = self._clock.now()
         self._lacking_cores = 0
-        self._take(await self._store.get(GRANTS_KEY))
+        now = self._clock.now()
+        if self._read_again or now - self._read_at >= LOOK_EVERY:
+            self._read_again = False
+            self._read_at = now
+            self._take(await self._store.get(GRANTS_KEY))
         held, waiting = self._demand()
         wanted = self._grants.next_book(held, waiting)
         if wanted is None:
@@ -138,7 +149,7 @@
             if item is not None and item.revision != self._revision:
                 self._unclear = False
             self._take(item)
-            self.hurry()
+            self._wake()
 
     def _take(self, item: KeyValue | None) -> None:
         if item is None or item.revision <= self._revision:
--- a/packages/savorylead/savorylead/pools/_grants.py
+++ b/packages/savorylead/savorylead/pools/_grants.py
@@ -17,7 +17,7 @@
 #: A want that is met is written again when it changed by this part of the limit.
 WANT_CHANGE_SHARE = 0.1
 #: The same for a want that is not met.
-SHORT_CHANGE_SHARE = 0.05
+SHORT_CHANGE_SHARE = 0.08
 
 
 class _Part(NamedTuple):
