--- a/packages/savorylead-daemon/savorylead_daemon/pool/_config_feed.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_config_feed.py
@@ -25,6 +25,9 @@
 READ_EVERY = timedelta(milliseconds=700)
 #: Time until a failed read is repeated.
 RETRY_AFTER = timedelta(milliseconds=150)
+#: Age of the last confirming read after which the store counts as out of reach: one
+#: read was missed, and half a second of repeated ones.
+SILENT_AFTER = timedelta(milliseconds=1_300)
 
 
 class ConfigFeed:
@@ -75,6 +78,11 @@
             self._log.log_event(LogLevel.INFO, event, age_ms=_millis(age))
         return fresh
 
+    def store_answers(self) -> bool:
+        """Return whether the store answered this daemon lately."""
+        age = self.age()
+        return age is not None and age < SILENT_AFTER
+
     def age(self) -> timedelta | None:
         """Return the time since the last confirming read was sent; None before."""
         if self._confirmed_at is None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
@@ -207,9 +207,17 @@
                     self._accepted(record, result.revision)
                     return CallerAnswer(Kind.DONE)
                 return self._already_stored(result.current.get(key))
-            if self._clock.now() + WRITE_AGAIN >= give_up_at:
+            # While the store is out of reach nothing is gained by holding the caller,
+            # whom another daemon may serve.
+            hopeless = not unclear and not self._config.store_answers()
+            if hopeless or self._clock.now() + WRITE_AGAIN >= give_up_at:
                 self._log.log_event(
-                    LogLevel.WARNING, "job_not_stored", job=record.id, detail=detail
+                    LogLevel.WARNING,
+                    "job_not_stored",
+                    job=record.id,
+                    unclear=unclear,
+                    config_age_ms=_millis(self._config.age()),
+                    detail=detail,
                 )
                 if unclear:
                     return self._refusal(Kind.UNCLEAR, "store_unclear")
--- a/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
@@ -44,6 +44,9 @@
 DRAIN = timedelta(milliseconds=1_500)
 #: No link is probed while idle: each has calls with deadlines of its own.
 NO_HEARTBEAT = timedelta(hours=1)
+#: The reason for which a daemon is not ready that the store does not answer: it can
+#: accept no job, and another daemon may.
+STORE_SILENT = "store_silent"
 #: The largest message between daemons.
 MAX_PEER_MESSAGE_BYTES = 2_000_000
 #: New objects, and collections of the younger generation, between two collections.
@@ -171,12 +174,11 @@
 
     async def _judge_readiness(self) -> None:
         while True:
-            fresh = self._node.config.is_fresh()
-            if fresh:
+            if self._node.config.store_answers():
                 self._readiness.clear(Readiness.STARTING)
-                self._readiness.clear("config_not_fresh")
+                self._readiness.clear(STORE_SILENT)
             else:
-                self._readiness.block("config_not_fresh")
+                self._readiness.block(STORE_SILENT)
             await self._clock.sleep(READINESS_EVERY)
 
     async def _answer_probe(self, request: JsonRequest) -> JsonResponse:
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
@@ -116,6 +116,23 @@
     assert cell.answer("other").kind is Kind.UNKNOWN_KEY
 
 
+def test_a_node_that_the_store_refuses_turns_callers_away_at_once() -> None:
+    # Replays a node that alone is refused: its callers must not wait for two seconds
+    # before they ask another one.
+    cell = ready_cell()
+    cell.views["node-0"].is_refused = True
+    cell.run(2.0)
+    cell.submit("one", job_spec(), "node-0")
+    cell.run(0.1)
+    answer = cell.answer("one")
+    assert answer is not None
+    assert answer.kind is Kind.NOT_NOW
+    assert answer.retry_after_s is not None
+    cell.submit("one", job_spec(), "node-1")
+    cell.run(3.0)
+    assert cell.state("one", "node-1") is JobState.COMPLETED
+
+
 def test_a_long_running_task_is_restarted_however_it_ends() -> None:
     cell = ready_cell()
     ends = iter([RunEnd.FAILED, RunEnd.DONE, RunEnd.FAILED, RunEnd.FAILED])
