--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -0,0 +1,170 @@
+"""The workers of a pool: who is listed, claimed, recorded, leaving and gone."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from datetime import timedelta
+
+from savorylead.clock import Clock
+from savorylead.jobs import Run
+from savorylead.pools import PoolWorker, WorkerCalls, WorkerEntry
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+from ._elections import Term
+from ._pool_records import PoolRecords, RecordedWorker
+from ._pool_state import PoolState
+from ._worker_session import SessionOwner, WorkerSession
+
+#: How long a worker may run on that the former lead used and that can't be reached:
+#: its longest lease of 4.5 s, the drift of its clock, and calls under way.
+UNREACHED_WAIT = timedelta(milliseconds=4_900)
+#: A worker that is not listed any more is given up after this time, if it runs
+#: nothing. Entries that lapsed with the store are back two seconds after it.
+UNLISTED_WAIT = timedelta(milliseconds=2_500)
+#: A task moves from a leaving worker that it would outlast, or nearly.
+LEAVING_MARGIN_MS = 500
+
+
+class PoolFleet:
+    """Opens and closes sessions, and knows when all earlier runs are located."""
+
+    def __init__(
+        self,
+        state: PoolState,
+        owner: SessionOwner,
+        calls: WorkerCalls,
+        records: PoolRecords,
+        clock: Clock,
+        log: EventLog,
+        term: Term,
+    ) -> None:
+        self._state = state
+        self._owner = owner
+        self._calls = calls
+        self._records = records
+        self._clock = clock
+        self._log = log
+        self._term = term
+        self._began_at = clock.now()
+        self._loaded = False
+        self._located = False
+        #: Workers that earlier leads may have used.
+        self._to_locate: frozenset[str] = frozenset()
+        self._unlisted_since: dict[str, int] = {}
+
+    def load(self, recorded: Sequence[RecordedWorker]) -> None:
+        """Claim the workers that earlier leads may have used."""
+        self._to_locate = frozenset(r.entry.id for r in recorded)
+        self._loaded = True
+        for each in recorded:
+            self._open_session(each.entry)
+
+    def close(self) -> None:
+        """Send nothing any more."""
+        for session in self._state.sessions.values():
+            session.close()
+        self._state.sessions.clear()
+
+    def usable(self) -> list[PoolWorker]:
+        """Return the workers that the next lead would know of."""
+        return [
+            w for w in self._state.workers.values() if self._records.is_recorded(w.id)
+        ]
+
+    def set_workers(self, entries: Sequence[WorkerEntry]) -> None:
+        """Take over the platform's list of this pool's workers."""
+        now_ms = self._state.now_ms()
+        listed = {entry.id for entry in entries}
+        for entry in entries:
+            self._unlisted_since.pop(entry.id, None)
+            self._open_session(entry)
+        for worker_id in [w for w in self._state.workers if w not in listed]:
+            self._note_unlisted(worker_id, now_ms)
+        self.record_workers()
+        self._leave_in_time()
+
+    def record_workers(self) -> None:
+        """Record the workers that are or may be used; the next lead claims these.
+
+        One that can't be reached and surely runs nothing would only hold it up.
+        """
+        used = [w for w in self._state.workers.values() if w.usable or w.runs]
+        unlocated = self._to_locate if not self._located else frozenset()
+        recorded = [RecordedWorker(w.entry) for w in used]
+        recorded += [
+            RecordedWorker(self._state.workers[w].entry)
+            for w in unlocated
+            if w in self._state.workers and not self._state.workers[w].usable
+        ]
+        self._records.want_workers(recorded)
+
+    def _open_session(self, entry: WorkerEntry) -> None:
+        worker = self._state.workers.get(entry.id)
+        if worker is not None:
+            if worker.entry.accepting and not entry.accepting:
+                self._log.log_event(LogLevel.INFO, "worker_leaving", worker=entry.id)
+            worker.entry = entry
+            return
+        worker = self._state.workers[entry.id] = PoolWorker(entry)
+        session = WorkerSession(
+            worker, self._owner, self._calls, self._clock, self._log
+        )
+        self._state.sessions[entry.id] = session
+        session.start()
+
+    def _note_unlisted(self, worker_id: str, now_ms: int) -> None:
+        worker = self._state.workers[worker_id]
+        worker.entry = worker.entry._replace(accepting=False)
+        since_ms = self._unlisted_since.setdefault(worker_id, now_ms)
+        unlisted = timedelta(milliseconds=now_ms - since_ms)
+        if unlisted < UNLISTED_WAIT or worker.runs or not self.is_located():
+            return
+        self._log.log_event(LogLevel.INFO, "worker_gone", worker=worker_id)
+        self._state.sessions.pop(worker_id).close()
+        del self._state.workers[worker_id]
+        del self._unlisted_since[worker_id]
+
+    def is_located(self) -> bool:
+        """Return whether every run of earlier leads is known here, or over."""
+        if self._located:
+            return True
+        if not self._loaded:
+            return False
+        waited = self._clock.now() - self._began_at >= UNREACHED_WAIT
+        sessions = [self._state.sessions.get(w) for w in self._to_locate]
+        if waited or all(s is None or s.claimed for s in sessions):
+            self._located = True
+            self._log.log_event(
+                LogLevel.INFO,
+                "runs_located",
+                pool=self._term.pool,
+                term=self._term.number,
+                unreached=[
+                    w
+                    for w in self._to_locate
+                    if w in self._state.sessions and not self._state.sessions[w].claimed
+                ],
+            )
+        return self._located
+
+    def _leave_in_time(self) -> None:
+        """Move what a leaving worker would otherwise end."""
+        for session in self._state.sessions.values():
+            remaining_ms = session.worker.entry.remaining_ms
+            if session.worker.entry.accepting or remaining_ms is None:
+                continue
+            for run in list(session.worker.runs.values()):
+                if self._must_move(run, remaining_ms):
+                    session.stop_run(run, "worker_leaving")
+
+    def _must_move(self, run: Run, remaining_ms: int) -> bool:
+        spec = run.task.step.spec
+        if spec.long_running:
+            return True
+        if not spec.checkpoints:
+            return False
+        queue = run.task.step.job.record.queue
+        length_ms = self._state.planner.durations.estimate_ms(queue, spec)
+        left_ms = length_ms * (1 - run.percent / 100)
+        return left_ms > remaining_ms - LEAVING_MARGIN_MS
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -15,8 +15,6 @@
     JobState,
     ProgressRecord,
     Run,
-    RunState,
-    Task,
 )
 from savorylead.links import DeadlineExceededError, within
 from savorylead.pools import (
@@ -25,29 +23,12 @@
     AdviserError,
     CellDocument,
     CellStore,
-    Ended,
     Finding,
-    Listed,
-    PaceController,
-    Placement,
     Plan,
-    PlannedGang,
     PoolGrants,
-    PoolPlanner,
-    PoolWorker,
-    Queue,
-    RunEnd,
-    RunOrder,
-    RunRejected,
-    RunStarted,
-    StartRejection,
-    Unexplained,
-    Vanished,
     WorkerCalls,
     WorkerEntry,
-    WorkerNotReachedError,
     WorkerReport,
-    stalled_runs,
 )
 from savorylead.resources import ZERO, Resources
 from savorylead_daemon.concurrency import spawn
@@ -57,29 +38,20 @@
 from ._cell_lease import CellLease
 from ._elections import Term
 from ._grant_keeper import GrantKeeper
-from ._job_book import JobBook
-from ._pool_records import PoolRecords, RecordedWorker
+from ._pool_fleet import PoolFleet
+from ._pool_records import PoolRecords
+from ._pool_state import PoolState
 from ._progress_log import ProgressLog
+from ._report_judge import ReportJudge
+from ._run_starter import RunStarter
 from ._worker_session import SessionOwner, WorkerSession
 
-#: Run numbers of one term; the next lead begins above them without asking anybody.
-RUNS_PER_TERM = 64
-#: How far a number is raised when a worker says that it is too low.
-RUN_NUMBER_STEP = 16
 #: Least time between two passes of the planner.
 PLAN_EVERY = timedelta(milliseconds=5)
 #: A pass is followed by a pause of this many times its own length.
 PLAN_PAUSE_FACTOR = 2.0
 #: Longest time without a pass, since tickets, rests and deadlines end by themselves.
 PLAN_AT_LEAST = timedelta(milliseconds=250)
-#: How long a worker may run on that the former lead used and that can't be reached:
-#: its longest lease of 4.5 s, the drift of its clock, and calls under way.
-UNREACHED_WAIT = timedelta(milliseconds=4_900)
-#: A worker that is not listed any more is given up after this time, if it runs
-#: nothing. Entries that lapsed with the store are back two seconds after it.
-UNLISTED_WAIT = timedelta(milliseconds=2_500)
-#: A task moves from a leaving worker that it would outlast, or nearly.
-LEAVING_MARGIN_MS = 500
 #: Time between two lines on the same team at its limit.
 SHORT_LOG_EVERY = timedelta(seconds=1)
 #: Longest wait of a caller for a final state to become durable.
@@ -125,49 +97,38 @@
         self._closed = False
         #: Whether the jobs are loaded; callers are not answered before.
         self.loaded = False
-        self._located = False
-        #: Workers that earlier leads may have used.
-        self._to_locate: frozenset[str] = frozenset()
-        self._began_at = parts.clock.now()
-        self.jobs = JobBook(parts.status_for_ms)
-        self._workers: dict[str, PoolWorker] = {}
-        self._sessions: dict[str, WorkerSession] = {}
-        self._unlisted_since: dict[str, int] = {}
-        self._queues: dict[str, Queue] = {}
-        self._weights: dict[str, float] = {}
-        self._held: dict[str, Resources] = {}
-        self._planner = PoolPlanner()
-        self._pace = PaceController()
+        self._state = PoolState(parts.clock, parts.status_for_ms)
         self._plan_timer: Timer | None = None
         self._plan_due_ms = 0
-        self._plan_not_before = self._began_at
-        self._records = PoolRecords(parts.store, parts.clock, parts.log, term)
+        self._plan_not_before = parts.clock.now()
+        self._waiting_demand: dict[str, Resources] = {}
+        self._short_logged_until: dict[str, datetime] = {}
+        self._running: list[Deferred[None]] = []
+        store, clock, log = parts.store, parts.clock, parts.log
+        self._records = PoolRecords(store, clock, log, term)
         self._progress = ProgressLog(
-            parts.store,
-            parts.clock,
-            parts.log,
-            term,
-            self._on_durable,
-            self.superseded,
+            store, clock, log, term, self._on_durable, self.superseded
+        )
+        self._fleet = PoolFleet(
+            self._state, self, parts.calls, self._records, clock, log, term
         )
+        self._starter = RunStarter(
+            self._state, log, term.number, self.may_act, self._plan_soon
+        )
+        self._judge = ReportJudge(self._state, self._starter, self._progress, log)
         self._grants = PoolGrants(term.pool)
         self._grant_keeper = GrantKeeper(
-            parts.store,
-            parts.clock,
-            parts.log,
+            store,
+            clock,
+            log,
             term,
             self._grants,
             self._demand,
             self._plan_soon,
             parts.on_grants_written,
         )
-        self._waiting_demand: dict[str, Resources] = {}
-        self._short_logged_until: dict[str, datetime] = {}
-        self._running: list[Deferred[None]] = []
         self.set_document(document)
 
-    # -- the life of a term --
-
     def start(self) -> None:
         """Load the jobs, claim the workers and begin to decide."""
         self._running = [
@@ -184,8 +145,7 @@
         self._closed = True
         for running in self._running:
             running.cancel()
-        for session in self._sessions.values():
-            session.close()
+        self._fleet.close()
         self._progress.close()
         self._grant_keeper.close()
         if self._plan_timer is not None:
@@ -202,22 +162,20 @@
 
     def set_document(self, document: CellDocument) -> None:
         """Take over a configuration."""
-        self._queues = {q.name: q for q in document.queues}
-        self._weights = {t.name: t.weight for t in document.teams}
-        self._planner.set_queues(document.queues)
+        self._state.queues = {q.name: q for q in document.queues}
+        self._state.weights = {t.name: t.weight for t in document.teams}
+        self._state.planner.set_queues(document.queues)
         self._grants.set_limits({t.name: t.limit for t in document.teams})
         self._grant_keeper.hurry()
         self._plan_soon()
 
-    # -- what callers ask --
-
     def accept(self, record: JobRecord, revision: int) -> None:
         """Take in a job that is durable."""
         self._take_in(record, revision)
 
     def cancel(self, job_id: str) -> bool:
         """Stop a job whose cancellation is durable; False if it is not known."""
-        if job_id not in self.jobs.jobs:
+        if job_id not in self._state.jobs.jobs:
             return False
         self._cancelled(job_id)
         return True
@@ -228,7 +186,7 @@
         A final state that is about to become durable is waited for: a caller who is
         told the state before it would come back only much later.
         """
-        job = self.jobs.jobs.get(job_id)
+        job = self._state.jobs.jobs.get(job_id)
         if job is None:
             return None
         if job.cancelled and job.final is JobState.CANCELLED:
@@ -248,25 +206,21 @@
 
     def pending(self, queue: str) -> int:
         """Return how many accepted jobs of a queue have not started."""
-        return self.jobs.pending(queue)
-
-    # -- loading --
+        return self._state.jobs.pending(queue)
 
     async def _load(self) -> None:
         loaded = await self._records.load()
-        self._to_locate = frozenset(r.entry.id for r in loaded.workers)
-        for recorded in loaded.workers:
-            self._open_session(recorded.entry)
-        now_ms = self._now_ms()
+        self._fleet.load(loaded.workers)
+        now_ms = self._state.now_ms()
         for record, revision in loaded.jobs:
-            weight = self._weights.get(record.team, 1.0)
-            job = self.jobs.add(record, revision, weight, now_ms)
+            weight = self._state.weights.get(record.team, 1.0)
+            job = self._state.jobs.add(record, revision, weight, now_ms)
             saved = loaded.progress.get(record.id)
             if saved is not None:
                 job.restore(saved.progress)
                 job.progress_revision = saved.revision
                 if job.final is not None:
-                    self.jobs.open.pop(job.id, None)
+                    self._state.jobs.open.pop(job.id, None)
             if record.id in loaded.cancelled:
                 self._cancelled(record.id)
         self.loaded = True
@@ -275,102 +229,23 @@
             "lead_loaded",
             pool=self.term.pool,
             term=self.fence,
-            jobs=len(self.jobs.jobs),
-            open_jobs=len(self.jobs.open),
-            workers=len(self._sessions),
+            jobs=len(self._state.jobs.jobs),
+            open_jobs=len(self._state.jobs.open),
+            workers=len(self._state.sessions),
         )
         self._plan_soon()
 
-    def set_workers(self, entries: Sequence[WorkerEntry]) -> None:
-        """Take over the platform's list of this pool's workers."""
-        if not self.loaded:
-            return
-        now_ms = self._now_ms()
-        listed = {entry.id for entry in entries}
-        for entry in entries:
-            self._unlisted_since.pop(entry.id, None)
-            self._open_session(entry)
-        for worker_id in [w for w in self._workers if w not in listed]:
-            self._note_unlisted(worker_id, now_ms)
-        self._record_workers()
-        self._leave_in_time()
-        self._plan_soon()
-
-    def _record_workers(self) -> None:
-        """Record the workers that are or may be used; the next lead claims these.
-
-        One that can't be reached and surely runs nothing would only hold it up.
-        """
-        used = [w for w in self._workers.values() if w.usable or w.runs]
-        unlocated = self._to_locate if not self._located else frozenset()
-        recorded = [RecordedWorker(w.entry) for w in used]
-        recorded += [
-            RecordedWorker(self._workers[w].entry)
-            for w in unlocated
-            if w in self._workers and not self._workers[w].usable
-        ]
-        self._records.want_workers(recorded)
-
-    def _open_session(self, entry: WorkerEntry) -> None:
-        worker = self._workers.get(entry.id)
-        if worker is not None:
-            if worker.entry.accepting and not entry.accepting:
-                self._log.log_event(LogLevel.INFO, "worker_leaving", worker=entry.id)
-            worker.entry = entry
-            return
-        worker = self._workers[entry.id] = PoolWorker(entry)
-        session = WorkerSession(worker, self, self._parts.calls, self._clock, self._log)
-        self._sessions[entry.id] = session
-        session.start()
-
-    def _note_unlisted(self, worker_id: str, now_ms: int) -> None:
-        worker = self._workers[worker_id]
-        worker.entry = worker.entry._replace(accepting=False)
-        since_ms = self._unlisted_since.setdefault(worker_id, now_ms)
-        unlisted = timedelta(milliseconds=now_ms - since_ms)
-        if unlisted < UNLISTED_WAIT or worker.runs or not self._is_located():
-            return
-        self._log.log_event(LogLevel.INFO, "worker_gone", worker=worker_id)
-        self._sessions.pop(worker_id).close()
-        del self._workers[worker_id]
-        del self._unlisted_since[worker_id]
-
-    def _is_located(self) -> bool:
-        """Return whether every run of earlier leads is known here, or over."""
-        if self._located:
-            return True
-        if not self.loaded:
-            return False
-        waited = self._clock.now() - self._began_at >= UNREACHED_WAIT
-        sessions = [self._sessions.get(w) for w in self._to_locate]
-        if waited or all(s is None or s.claimed for s in sessions):
-            self._located = True
-            self._log.log_event(
-                LogLevel.INFO,
-                "runs_located",
-                pool=self.term.pool,
-                term=self.fence,
-                unreached=[
-                    w
-                    for w in self._to_locate
-                    if w in self._sessions and not self._sessions[w].claimed
-                ],
-            )
-        return self._located
-
-    # -- jobs --
-
     def _take_in(self, record: JobRecord, revision: int) -> None:
-        if record.id in self.jobs.jobs:
+        if record.id in self._state.jobs.jobs:
             return
-        weight = self._weights.get(record.team, 1.0)
-        job = self.jobs.add(record, revision, weight, self._now_ms())
+        weight = self._state.weights.get(record.team, 1.0)
+        job = self._state.jobs.add(record, revision, weight, self._state.now_ms())
         self._log.log_event(
             LogLevel.INFO,
             "job_taken_in",
             job=record.id,
             pool=self.term.pool,
-            age_ms=self._now_ms() - record.accepted_at_ms,
+            age_ms=self._state.now_ms() - record.accepted_at_ms,
             surplus=job.surplus,
             steps=[
                 [s.count, s.resources[:3], s.estimate_ms] for s in record.spec.steps
@@ -379,18 +254,12 @@
         self._plan_soon()
 
     def _cancelled(self, job_id: str) -> None:
-        job = self.jobs.jobs.get(job_id)
-        if job is None or not self.jobs.cancel(job, self._now_ms()):
+        job = self._state.jobs.jobs.get(job_id)
+        if job is None or not self._state.jobs.cancel(job, self._state.now_ms()):
             return
         self._log.log_event(LogLevel.INFO, "job_cancelled", job=job_id)
         self._progress.note(job, urgent=True)
-        self._stop_needless(job)
-
-    def _stop_needless(self, job: Job) -> None:
-        for run in self.jobs.runs_to_stop(job):
-            session = self._sessions.get(run.worker)
-            if session is not None:
-                session.stop_run(run, "not_needed")
+        self._starter.stop_needless(job)
 
     def _on_durable(self, job: Job, progress: ProgressRecord) -> None:
         shown = job.shown
@@ -412,14 +281,12 @@
     async def _forget_ended(self) -> None:
         while True:
             await self._clock.sleep(FORGET_EVERY)
-            old = self.jobs.forgettable(self._now_ms())
+            old = self._state.jobs.forgettable(self._state.now_ms())
             if not old or not self.may_act():
                 continue
             deleted = await self._records.guarded(self._progress.forget(old))
             for job in old[: deleted or 0]:
-                self.jobs.forget(job)
-
-    # -- planning --
+                self._state.jobs.forget(job)
 
     def _plan_soon(self) -> None:
         self._plan_at(self._plan_not_before)
@@ -449,22 +316,28 @@
             self._plan_at(ended + PLAN_AT_LEAST)
 
     def _plan_once(self, now_ms: int) -> None:
-        self._is_located()
-        self.jobs.open_due(now_ms)
-        steps = list(self.jobs.ready_steps(now_ms, self._may_start))
-        workers = [w for w in self._workers.values() if self._records.is_recorded(w.id)]
-        plan = self._planner.plan(steps, self._queues, workers, self._team_room, now_ms)
+        self._fleet.is_located()
+        self._state.jobs.open_due(now_ms)
+        steps = list(self._state.jobs.ready_steps(now_ms, self._may_start))
+        workers = [
+            w for w in self._state.workers.values() if self._records.is_recorded(w.id)
+        ]
+        plan = self._state.planner.plan(
+            steps, self._state.queues, workers, self._team_room, now_ms
+        )
         self._note_demand(plan)
-        self._carry_out(plan, now_ms)
+        self._starter.carry_out(plan)
+        for request in plan.requests:
+            spawn("call for advice", self._ask(request))
 
     def _may_start(self, job: Job) -> bool:
         if self._progress.must_wait(job):
             return False
         # A job accepted since this term began can't have runs of earlier leads.
-        return self._located or job.revision > self.term.revision
+        return self._fleet.is_located() or job.revision > self.term.revision
 
     def _team_room(self, team: str) -> Resources | None:
-        return self._grants.room(team, self._held.get(team, ZERO))
+        return self._grants.room(team, self._state.held.get(team, ZERO))
 
     def _note_demand(self, plan: Plan) -> None:
         self._waiting_demand = plan.short_of_limit
@@ -480,148 +353,20 @@
                 "team_short_of_limit",
                 team=team,
                 pool=self.term.pool,
-                held=self._held.get(team, ZERO)[:3],
+                held=self._state.held.get(team, ZERO)[:3],
                 lacking=lacking[:3],
                 **self._grants.explain(team),
             )
 
     def _demand(self) -> tuple[dict[str, Resources], dict[str, Resources]]:
-        return self._held, self._waiting_demand
-
-    def _carry_out(self, plan: Plan, now_ms: int) -> None:
-        for placement in plan.placements:
-            run = self._begin(placement, self._next_number(placement.task), now_ms)
-            spawn("start of a task", self._start(run, placement))
-        for gang in plan.gangs:
-            self._start_gang(gang, now_ms)
-        for request in plan.requests:
-            spawn("call for advice", self._ask(request))
-        for run in plan.preempted:
-            self._log_start(run, "preempted", percent=run.percent)
-            self._sessions[run.worker].stop_run(run, "preempted")
-
-    def _start_gang(self, gang: PlannedGang, now_ms: int) -> None:
-        number = max(self._next_number(p.task) for p in gang.placements)
-        runs = [(self._begin(p, number, now_ms), p) for p in gang.placements]
-        for run, placement in runs:
-            spawn("start of a gang's task", self._start(run, placement))
-
-    def _next_number(self, task: Task) -> int:
-        return max(task.last_run, (self.fence - 1) * RUNS_PER_TERM) + 1
-
-    def _begin(self, placement: Placement, number: int, now_ms: int) -> Run:
-        """Hold the room of a run before its order is sent."""
-        task, worker = placement.task, placement.worker
-        run = Run(task, number, worker.id, now_ms)
-        run.resumed = bool(task.checkpoint)
-        task.run = run
-        task.last_run = number
-        self._hold(worker, run)
-        return run
-
-    def _hold(self, worker: PoolWorker, run: Run) -> None:
-        worker.add(run)
-        team = run.task.step.job.record.team
-        held = self._held.get(team, ZERO)
-        self._held[team] = held.plus(run.task.step.spec.resources)
-
-    def _free(self, run: Run) -> None:
-        """Give back everything that a run held; it is surely over."""
-        worker = self._workers.get(run.worker)
-        if worker is None or (str(run.task.name), run.number) not in worker.runs:
-            return
-        worker.remove(run)
-        team = run.task.step.job.record.team
-        self._held[team] = self._held[team].minus(run.task.step.spec.resources)
-        if run.task.run is run:
-            run.task.run = None
-
-    async def _start(self, run: Run, placement: Placement) -> None:
-        task = run.task
-        session = self._sessions.get(run.worker)
-        if session is None or not self.may_act():
-            self._free(run)
-            return
-        order = RunOrder(
-            task=task.name,
-            number=run.number,
-            payload=task.step.job.record.spec.payload,
-            deadline_ms=0,
-            checkpoint=task.checkpoint,
-            ticket=placement.ticket,
-        )
-        try:
-            result = await session.start_run(run, order)
-        except WorkerNotReachedError as exc:
-            self._log_start(run, "not_reached", detail=str(exc))
-            self._failed_to_start(run)
-            return
-        if self._closed:
-            return
-        if result is None:
-            session.stop_run(run, "start_unanswered")
-            self._stop_rest_of_gang(run, "start_unanswered")
-        elif isinstance(result, RunRejected):
-            self._log_start(run, result.reason.value)
-            self._rejected(run, result)
-        else:
-            self._started(run, result)
-
-    def _started(self, run: Run, result: RunStarted) -> None:
-        job = run.task.step.job
-        run.confirmed_at_ms = self._now_ms()
-        if run.state is RunState.STARTING:
-            run.state = RunState.RUNNING
-        self._log_start(run, "started")
-        self._show_started(job)
-        if job.final is not None or run.task.done:
-            self._stop_needless(job)
-
-    def _show_started(self, job: Job) -> None:
-        job.started = True
-        if job.shown is JobState.QUEUED:
-            job.shown = JobState.RUNNING
-
-    def _rejected(self, run: Run, result: RunRejected) -> None:
-        worker = self._workers[run.worker]
-        task = run.task
-        if result.reason is StartRejection.STALE_NUMBER:
-            task.last_run += RUN_NUMBER_STEP
-        elif result.reason is StartRejection.BAD_TICKET:
-            self._planner.book.refused(task.step, run.worker)
-        elif result.reason in (StartRejection.UNHEALTHY, StartRejection.NO_ROOM):
-            worker.rest(self._now_ms())
-        self._failed_to_start(run)
-
-    def _failed_to_start(self, run: Run) -> None:
-        self._free(run)
-        self._stop_rest_of_gang(run, "gang_incomplete")
-        self._plan_soon()
-
-    def _stop_rest_of_gang(self, run: Run, reason: str) -> None:
-        if not run.task.step.spec.gang:
-            return
-        for task in run.task.step.tasks:
-            other = task.run
-            if other is not None and other is not run:
-                self._sessions[other.worker].stop_run(other, reason)
-
-    def _log_start(self, run: Run, outcome: str, **details: object) -> None:
-        self._log.log_event(
-            LogLevel.INFO,
-            "task_start",
-            job=run.task.step.job.id,
-            task_name=str(run.task.name),
-            run=run.number,
-            worker=run.worker,
-            outcome=outcome,
-            **details,
-        )
+        return self._state.held, self._waiting_demand
 
     async def _ask(self, request: AdviceRequest) -> None:
-        book = self._planner.book
+        book = self._state.planner.book
         step = request.step
-        asked = [self._workers[w] for w in request.workers if w in self._workers]
+        asked = [
+            self._state.workers[w] for w in request.workers if w in self._state.workers
+        ]
         book.asked(step)
         try:
             advice = await self._parts.ask_adviser(
@@ -631,9 +376,11 @@
             self._log.log_event(
                 LogLevel.INFO, "advice_failed", step=step.name, detail=str(exc)
             )
-            book.failed(step, self._now_ms())
+            book.failed(step, self._state.now_ms())
         else:
-            book.answered(step, step.job.record.queue, asked, advice, self._now_ms())
+            book.answered(
+                step, step.job.record.queue, asked, advice, self._state.now_ms()
+            )
             self._log.log_event(
                 LogLevel.INFO,
                 "advice",
@@ -643,185 +390,27 @@
             )
         self._plan_soon()
 
-    # -- reports of workers --
-
     async def durable(self) -> None:
         """Return once what was applied is durable."""
         await self._progress.durable()
 
+    def set_workers(self, entries: Sequence[WorkerEntry]) -> None:
+        """Take over the platform's list of this pool's workers."""
+        if self.loaded:
+            self._fleet.set_workers(entries)
+            self._plan_soon()
+
     def apply(
         self, session: WorkerSession, findings: Sequence[Finding], report: WorkerReport
     ) -> None:
         """Take over what a report says."""
-        worker = session.worker
-        worker.unexplained = 0
-        if not self._records.is_recorded(worker.id):
-            self._record_workers()
-        for finding in findings:
-            if isinstance(finding, Listed):
-                self._listed(finding)
-            elif isinstance(finding, Ended):
-                self._ended(worker, finding)
-            elif isinstance(finding, Vanished):
-                self._gone(finding.run, "vanished")
-            else:
-                self._unexplained(session, finding)
-        self._stop_stalled(session)
-        for order in self._pace.decide(worker, self._now_ms()):
-            self._log.log_event(
-                LogLevel.INFO,
-                "pace",
-                worker=worker.id,
-                task_name=str(order.run.task.name),
-                percent=order.percent,
-            )
-            spawn("pace of a run", session.pace(order.run, order.percent))
+        if not self._records.is_recorded(session.worker.id):
+            self._fleet.record_workers()
+        self._judge.apply(session, findings)
         self._plan_soon()
 
     def lost(self, session: WorkerSession, runs: Sequence[Run], reason: str) -> None:
         """Take over that runs are over without a report of their end."""
         for run in runs:
-            self._gone(run, reason)
+            self._judge.gone(run, reason)
         self._plan_soon()
-
-    def _listed(self, finding: Listed) -> None:
-        run, active = finding.run, finding.active
-        now_ms = self._now_ms()
-        if not run.confirmed_at_ms:
-            run.confirmed_at_ms = now_ms
-            if run.state is RunState.STARTING:
-                run.state = RunState.RUNNING
-            self._show_started(run.task.step.job)
-        if active.percent != run.percent:
-            run.percent = active.percent
-            run.percent_at_ms = now_ms
-        run.load = active.load
-        step = run.task.step
-        if active.checkpoint and step.spec.checkpoints:
-            for task in step.tasks if step.spec.gang else [run.task]:
-                task.checkpoint = active.checkpoint
-
-    def _ended(self, worker: PoolWorker, finding: Ended) -> None:
-        ended = finding.ended
-        task = self.jobs.task(ended.task)
-        if finding.run is not None:
-            self._free(finding.run)
-        if task is None:
-            return
-        job = task.step.job
-        queue = self._queues.get(job.record.queue)
-        self.jobs.apply_end(task, ended, queue, self._now_ms())
-        self._log.log_event(
-            LogLevel.INFO,
-            "task_end",
-            job=job.id,
-            task_name=str(ended.task),
-            run=ended.number,
-            worker=worker.id,
-            outcome=ended.how.value,
-        )
-        if ended.how is RunEnd.DONE:
-            worker.note_success()
-            self._learn(finding.run)
-        elif ended.how is RunEnd.FAILED and worker.note_failure(self._now_ms()):
-            self._log.log_event(LogLevel.INFO, "worker_rested", worker=worker.id)
-        if ended.how is not RunEnd.DONE and finding.run is not None:
-            self._stop_rest_of_gang(finding.run, "gang_broken")
-        opens_more = ended.how is RunEnd.FAILED or task.step.is_done
-        self._progress.note(job, urgent=opens_more or job.final is not None)
-        self._stop_needless(job)
-
-    def _learn(self, run: Run | None) -> None:
-        """Learn the length of a task that ran in one piece and undisturbed."""
-        if run is None or not run.confirmed_at_ms or run.adopted or run.resumed:
-            return
-        spec = run.task.step.spec
-        if spec.gang or spec.fills or spec.long_running:
-            return
-        took_ms = self._now_ms() - run.confirmed_at_ms
-        queue = run.task.step.job.record.queue
-        durations = self._planner.durations
-        expected_ms = durations.estimate_ms(queue, spec)
-        durations.observe(queue, spec, took_ms)
-        worker = self._workers[run.worker]
-        if worker.note_length(took_ms / expected_ms, self._now_ms()):
-            self._log.log_event(LogLevel.INFO, "worker_slow", worker=worker.id)
-
-    def _gone(self, run: Run, reason: str) -> None:
-        self._log.log_event(
-            LogLevel.INFO,
-            "task_end",
-            job=run.task.step.job.id,
-            task_name=str(run.task.name),
-            run=run.number,
-            worker=run.worker,
-            outcome=reason,
-            stop_reason=run.stop_reason,
-        )
-        self._free(run)
-        self._stop_rest_of_gang(run, "gang_broken")
-
-    def _unexplained(self, session: WorkerSession, finding: Unexplained) -> None:
-        """Adopt a run of an earlier lead, or keep the worker free of more."""
-        active = finding.active
-        worker = session.worker
-        task = self.jobs.task(active.task)
-        if task is None:
-            # Its record may be on the way; without one its size is not known.
-            worker.unexplained += 1
-            return
-        run = Run(task, active.number, worker.id, self._now_ms())
-        run.adopted = True
-        run.confirmed_at_ms = self._now_ms()
-        run.state = RunState.RUNNING
-        run.percent = active.percent
-        task.last_run = max(task.last_run, active.number)
-        self._hold(worker, run)
-        job = task.step.job
-        self._show_started(job)
-        if task.run is not None or task.done or job.final is not None:
-            session.stop_run(run, "not_needed")
-            return
-        task.run = run
-        if active.checkpoint and task.step.spec.checkpoints:
-            task.checkpoint = active.checkpoint
-        self._log.log_event(
-            LogLevel.INFO,
-            "run_adopted",
-            job=job.id,
-            task_name=str(active.task),
-            run=active.number,
-            worker=worker.id,
-        )
-
-    def _leave_in_time(self) -> None:
-        """Move what a leaving worker would otherwise end."""
-        for session in self._sessions.values():
-            remaining_ms = session.worker.entry.remaining_ms
-            if session.worker.entry.accepting or remaining_ms is None:
-                continue
-            for run in list(session.worker.runs.values()):
-                if self._must_move(run, remaining_ms):
-                    session.stop_run(run, "worker_leaving")
-
-    def _must_move(self, run: Run, remaining_ms: int) -> bool:
-        spec = run.task.step.spec
-        if spec.long_running:
-            return True
-        if not spec.checkpoints:
-            return False
-        queue = run.task.step.job.record.queue
-        length_ms = self._planner.durations.estimate_ms(queue, spec)
-        left_ms = length_ms * (1 - run.percent / 100)
-        return left_ms > remaining_ms - LEAVING_MARGIN_MS
-
-    def _stop_stalled(self, session: WorkerSession) -> None:
-        now_ms = self._now_ms()
-        durations = self._planner.durations
-        for run in stalled_runs(session.worker, durations, now_ms):
-            self._log_start(run, "stalled", percent=run.percent)
-            session.worker.note_stall(now_ms)
-            session.stop_run(run, "stalled")
-
-    def _now_ms(self) -> int:
-        return to_millis(self._clock.now())
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_report_judge.py
@@ -0,0 +1,189 @@
+"""Judges the reports of workers: what runs, ended, vanished or stands still."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from savorylead.jobs import Run, RunState
+from savorylead.pools import (
+    Ended,
+    Finding,
+    Listed,
+    PaceController,
+    PoolWorker,
+    RunEnd,
+    Unexplained,
+    Vanished,
+    stalled_runs,
+)
+from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+from ._pool_state import PoolState
+from ._progress_log import ProgressLog
+from ._run_starter import RunStarter
+from ._worker_session import WorkerSession
+
+
+class ReportJudge:
+    """Changes jobs and workers by what a report says."""
+
+    def __init__(
+        self,
+        state: PoolState,
+        starter: RunStarter,
+        progress: ProgressLog,
+        log: EventLog,
+    ) -> None:
+        self._state = state
+        self._starter = starter
+        self._progress = progress
+        self._log = log
+        self._pace = PaceController()
+
+    def apply(self, session: WorkerSession, findings: Sequence[Finding]) -> None:
+        """Take over the findings of one report."""
+        worker = session.worker
+        worker.unexplained = 0
+        for finding in findings:
+            if isinstance(finding, Listed):
+                self._listed(finding)
+            elif isinstance(finding, Ended):
+                self._ended(worker, finding)
+            elif isinstance(finding, Vanished):
+                self.gone(finding.run, "vanished")
+            else:
+                self._unexplained(session, finding)
+        self._stop_stalled(session)
+        self._keep_pace(session)
+
+    def _keep_pace(self, session: WorkerSession) -> None:
+        for order in self._pace.decide(session.worker, self._state.now_ms()):
+            self._log.log_event(
+                LogLevel.INFO,
+                "pace",
+                worker=session.worker.id,
+                task_name=str(order.run.task.name),
+                percent=order.percent,
+            )
+            spawn("pace of a run", session.pace(order.run, order.percent))
+
+    def _listed(self, finding: Listed) -> None:
+        run, active = finding.run, finding.active
+        now_ms = self._state.now_ms()
+        if not run.confirmed_at_ms:
+            run.confirmed_at_ms = now_ms
+            if run.state is RunState.STARTING:
+                run.state = RunState.RUNNING
+            self._starter.show_started(run.task.step.job)
+        if active.percent != run.percent:
+            run.percent = active.percent
+            run.percent_at_ms = now_ms
+        run.load = active.load
+        step = run.task.step
+        if active.checkpoint and step.spec.checkpoints:
+            for task in step.tasks if step.spec.gang else [run.task]:
+                task.checkpoint = active.checkpoint
+
+    def _ended(self, worker: PoolWorker, finding: Ended) -> None:
+        ended = finding.ended
+        task = self._state.jobs.task(ended.task)
+        if finding.run is not None:
+            self._state.free(finding.run)
+        if task is None:
+            return
+        job = task.step.job
+        queue = self._state.queues.get(job.record.queue)
+        self._state.jobs.apply_end(task, ended, queue, self._state.now_ms())
+        self._log.log_event(
+            LogLevel.INFO,
+            "task_end",
+            job=job.id,
+            task_name=str(ended.task),
+            run=ended.number,
+            worker=worker.id,
+            outcome=ended.how.value,
+        )
+        if ended.how is RunEnd.DONE:
+            worker.note_success()
+            self._learn(finding.run)
+        elif ended.how is RunEnd.FAILED and worker.note_failure(self._state.now_ms()):
+            self._log.log_event(LogLevel.INFO, "worker_rested", worker=worker.id)
+        if ended.how is not RunEnd.DONE and finding.run is not None:
+            self._starter.stop_rest_of_gang(finding.run, "gang_broken")
+        opens_more = ended.how is RunEnd.FAILED or task.step.is_done
+        self._progress.note(job, urgent=opens_more or job.final is not None)
+        self._starter.stop_needless(job)
+
+    def _learn(self, run: Run | None) -> None:
+        """Learn the length of a task that ran in one piece and undisturbed."""
+        if run is None or not run.confirmed_at_ms or run.adopted or run.resumed:
+            return
+        spec = run.task.step.spec
+        if spec.gang or spec.fills or spec.long_running:
+            return
+        took_ms = self._state.now_ms() - run.confirmed_at_ms
+        queue = run.task.step.job.record.queue
+        durations = self._state.planner.durations
+        expected_ms = durations.estimate_ms(queue, spec)
+        durations.observe(queue, spec, took_ms)
+        worker = self._state.workers[run.worker]
+        if worker.note_length(took_ms / expected_ms, self._state.now_ms()):
+            self._log.log_event(LogLevel.INFO, "worker_slow", worker=worker.id)
+
+    def gone(self, run: Run, reason: str) -> None:
+        """Take over that a run is over without a report of its end."""
+        self._log.log_event(
+            LogLevel.INFO,
+            "task_end",
+            job=run.task.step.job.id,
+            task_name=str(run.task.name),
+            run=run.number,
+            worker=run.worker,
+            outcome=reason,
+            stop_reason=run.stop_reason,
+        )
+        self._state.free(run)
+        self._starter.stop_rest_of_gang(run, "gang_broken")
+
+    def _unexplained(self, session: WorkerSession, finding: Unexplained) -> None:
+        """Adopt a run of an earlier lead, or keep the worker free of more."""
+        active = finding.active
+        worker = session.worker
+        task = self._state.jobs.task(active.task)
+        if task is None:
+            # Its record may be on the way; without one its size is not known.
+            worker.unexplained += 1
+            return
+        run = Run(task, active.number, worker.id, self._state.now_ms())
+        run.adopted = True
+        run.confirmed_at_ms = self._state.now_ms()
+        run.state = RunState.RUNNING
+        run.percent = active.percent
+        task.last_run = max(task.last_run, active.number)
+        self._state.hold(worker, run)
+        job = task.step.job
+        self._starter.show_started(job)
+        if task.run is not None or task.done or job.final is not None:
+            session.stop_run(run, "not_needed")
+            return
+        task.run = run
+        if active.checkpoint and task.step.spec.checkpoints:
+            task.checkpoint = active.checkpoint
+        self._log.log_event(
+            LogLevel.INFO,
+            "run_adopted",
+            job=job.id,
+            task_name=str(active.task),
+            run=active.number,
+            worker=worker.id,
+        )
+
+    def _stop_stalled(self, session: WorkerSession) -> None:
+        now_ms = self._state.now_ms()
+        durations = self._state.planner.durations
+        for run in stalled_runs(session.worker, durations, now_ms):
+            self._starter.log_start(run, "stalled", percent=run.percent)
+            session.worker.note_stall(now_ms)
+            session.stop_run(run, "stalled")
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
@@ -0,0 +1,169 @@
+"""Starts tasks, and settles what became of the orders."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from savorylead.jobs import Job, JobState, Run, RunState, Task
+from savorylead.pools import (
+    Placement,
+    Plan,
+    PlannedGang,
+    RunOrder,
+    RunRejected,
+    RunStarted,
+    StartRejection,
+    WorkerNotReachedError,
+)
+from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+from ._pool_state import PoolState
+
+#: Run numbers of one term; the next lead begins above them without asking anybody.
+RUNS_PER_TERM = 64
+#: How far a number is raised when a worker says that it is too low.
+RUN_NUMBER_STEP = 16
+
+
+class RunStarter:
+    """Carries out what a plan starts and stops."""
+
+    def __init__(
+        self,
+        state: PoolState,
+        log: EventLog,
+        fence: int,
+        may_act: Callable[[], bool],
+        plan_soon: Callable[[], None],
+    ) -> None:
+        self._state = state
+        self._log = log
+        self._fence = fence
+        self._may_act = may_act
+        self._plan_soon = plan_soon
+
+    def carry_out(self, plan: Plan) -> None:
+        """Start what was placed and stop what was preempted."""
+        now_ms = self._state.now_ms()
+        for placement in plan.placements:
+            run = self._begin(placement, self._next_number(placement.task), now_ms)
+            spawn("start of a task", self._start(run, placement))
+        for gang in plan.gangs:
+            self._start_gang(gang, now_ms)
+        for run in plan.preempted:
+            self.log_start(run, "preempted", percent=run.percent)
+            self._state.sessions[run.worker].stop_run(run, "preempted")
+
+    def _start_gang(self, gang: PlannedGang, now_ms: int) -> None:
+        number = max(self._next_number(p.task) for p in gang.placements)
+        runs = [(self._begin(p, number, now_ms), p) for p in gang.placements]
+        for run, placement in runs:
+            spawn("start of a gang's task", self._start(run, placement))
+
+    def _next_number(self, task: Task) -> int:
+        return max(task.last_run, (self._fence - 1) * RUNS_PER_TERM) + 1
+
+    def _begin(self, placement: Placement, number: int, now_ms: int) -> Run:
+        """Hold the room of a run before its order is sent."""
+        task, worker = placement.task, placement.worker
+        run = Run(task, number, worker.id, now_ms)
+        run.resumed = bool(task.checkpoint)
+        task.run = run
+        task.last_run = number
+        self._state.hold(worker, run)
+        return run
+
+    async def _start(self, run: Run, placement: Placement) -> None:
+        task = run.task
+        session = self._state.sessions.get(run.worker)
+        if session is None or not self._may_act():
+            self._state.free(run)
+            return
+        order = RunOrder(
+            task=task.name,
+            number=run.number,
+            payload=task.step.job.record.spec.payload,
+            deadline_ms=0,
+            checkpoint=task.checkpoint,
+            ticket=placement.ticket,
+        )
+        try:
+            result = await session.start_run(run, order)
+        except WorkerNotReachedError as exc:
+            self.log_start(run, "not_reached", detail=str(exc))
+            self._failed_to_start(run)
+            return
+        if not self._state.sessions:
+            # The term ended meanwhile.
+            return
+        if result is None:
+            session.stop_run(run, "start_unanswered")
+            self.stop_rest_of_gang(run, "start_unanswered")
+        elif isinstance(result, RunRejected):
+            self.log_start(run, result.reason.value)
+            self._rejected(run, result)
+        else:
+            self._started(run, result)
+
+    def _started(self, run: Run, result: RunStarted) -> None:
+        job = run.task.step.job
+        run.confirmed_at_ms = self._state.now_ms()
+        if run.state is RunState.STARTING:
+            run.state = RunState.RUNNING
+        self.log_start(run, "started")
+        self.show_started(job)
+        if job.final is not None or run.task.done:
+            self.stop_needless(job)
+
+    def show_started(self, job: Job) -> None:
+        """Note that a task of the job runs or ran."""
+        job.started = True
+        if job.shown is JobState.QUEUED:
+            job.shown = JobState.RUNNING
+
+    def _rejected(self, run: Run, result: RunRejected) -> None:
+        worker = self._state.workers[run.worker]
+        task = run.task
+        if result.reason is StartRejection.STALE_NUMBER:
+            task.last_run += RUN_NUMBER_STEP
+        elif result.reason is StartRejection.BAD_TICKET:
+            self._state.planner.book.refused(task.step, run.worker)
+        elif result.reason in (StartRejection.UNHEALTHY, StartRejection.NO_ROOM):
+            worker.rest(self._state.now_ms())
+        self._failed_to_start(run)
+
+    def _failed_to_start(self, run: Run) -> None:
+        self._state.free(run)
+        self.stop_rest_of_gang(run, "gang_incomplete")
+        self._plan_soon()
+
+    def stop_rest_of_gang(self, run: Run, reason: str) -> None:
+        """Stop the other members of a run's gang, which can't go on without it."""
+        if not run.task.step.spec.gang:
+            return
+        for task in run.task.step.tasks:
+            other = task.run
+            if other is not None and other is not run:
+                self._state.sessions[other.worker].stop_run(other, reason)
+
+    def stop_needless(self, job: Job) -> None:
+        """Stop the runs of a job that has ended, or of tasks that are done."""
+        for run in self._state.jobs.runs_to_stop(job):
+            session = self._state.sessions.get(run.worker)
+            if session is not None:
+                session.stop_run(run, "not_needed")
+
+    def log_start(self, run: Run, outcome: str, **details: object) -> None:
+        """Write what was decided of a run."""
+        self._log.log_event(
+            LogLevel.INFO,
+            "task_start",
+            job=run.task.step.job.id,
+            task_name=str(run.task.name),
+            run=run.number,
+            worker=run.worker,
+            outcome=outcome,
+            **details,
+        )
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -105,6 +105,7 @@
         self._log = log
         self._wakeup = Wakeup(clock)
         self._look_soon = False
+        self._closed = False
         self._born_ms = 0
         self._clock_ms = 0
         self._clock_read_at: datetime | None = None
@@ -123,6 +124,7 @@
 
     def close(self) -> None:
         """Send nothing any more."""
+        self._closed = True
         if self._running is not None:
             self._running.cancel()
 
@@ -207,7 +209,7 @@
 
     async def _stop_until_gone(self, run: Run) -> None:
         key = (str(run.task.name), run.number)
-        while key in self.worker.runs:
+        while key in self.worker.runs and not self._closed:
             if not self._owner.may_act():
                 await self._clock.sleep(PAUSE)
                 continue
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
@@ -328,7 +328,7 @@
     cell.run(3.0)
     assert cell.workers.breaches == []
     lead = cell.nodes[cell.lead_of()].leads["pool"]
-    runs = list(lead._workers[machine.entry.id].runs.values())
+    runs = list(lead._state.workers[machine.entry.id].runs.values())
     lead.lost(None, runs, "without waiting")
     cell.run(1.0)
     assert any("runs twice" in breach for breach in cell.workers.breaches)
@@ -360,7 +360,7 @@
     cell.kill(cell.lead_of())
     cell.run(3.5)
     pool = cell.nodes[cell.lead_of()].leads["pool"]
-    assert pool._is_located()
+    assert pool._fleet.is_located()
     assert cell.workers.breaches == []
 
 
--- a/packages/savorylead/savorylead/pools/__init__.py
+++ b/packages/savorylead/savorylead/pools/__init__.py
@@ -41,7 +41,8 @@
 from ._durations import DurationEstimator
 from ._grants import GrantBook, PoolGrants, decode_grants, encode_grants
 from ._pace import PaceController
-from ._pool_planner import Placement, Plan, PlannedGang, PoolPlanner, could_ever_hold
+from ._planning_pass import Placement, Plan, PlannedGang, could_ever_hold
+from ._pool_planner import PoolPlanner
 from ._pool_worker import PoolWorker
 from ._reconcile import Ended, Finding, Listed, Unexplained, Vanished, reconcile
 from ._stalls import stalled_runs
--- /dev/null
+++ b/packages/savorylead/savorylead/pools/_planning_pass.py
@@ -0,0 +1,168 @@
+"""One pass of the planner: what was decided so far, and the room that is left."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from savorylead.jobs import Run, RunState, StepRun, Task
+from savorylead.resources import ZERO, Resources
+
+from ._advice import AdviceRequest
+from ._pool_worker import PoolWorker, held_by
+
+
+class Placement(NamedTuple):
+    """A task to start on a worker."""
+
+    task: Task
+    worker: PoolWorker
+    #: The adviser's ticket; empty if the queue needs none.
+    ticket: str
+
+
+class PlannedGang(NamedTuple):
+    """Tasks that must start together."""
+
+    step: StepRun
+    placements: tuple[Placement, ...]
+
+
+class Plan(NamedTuple):
+    """What one pass decided."""
+
+    placements: list[Placement]
+    gangs: list[PlannedGang]
+    requests: list[AdviceRequest]
+    #: What workers have room for but a team's limit keeps waiting, by team.
+    short_of_limit: dict[str, Resources]
+    #: Runs to stop, so that more urgent tasks can start.
+    preempted: list[Run]
+
+
+class PlanningPass:
+    """The state of one pass: what is still free, as placements are decided."""
+
+    def __init__(self, workers: Iterable[PoolWorker], now_ms: int) -> None:
+        self.now_ms = now_ms
+        self.workers = list(workers)
+        self.startable = [w for w in self.workers if w.may_start(now_ms)]
+        self.free = {w.id: w.free() for w in self.workers}
+        self.free_cores = sum(
+            max(0, self.free[w.id].cores_milli) for w in self.startable
+        )
+        #: Room that is held by runs which are being stopped.
+        self.coming = {w.id: coming_room(w) for w in self.startable}
+        self.added: dict[tuple[str, str], int] = {}
+        #: Room for which advice is under way, by worker.
+        self.asked_for: dict[str, Resources] = {}
+        #: Workers that are kept, and when they will be free for it.
+        self.reserved: dict[str, float] = {}
+        self.plan = Plan([], [], [], {}, [])
+
+    def take(self, worker: PoolWorker, step: StepRun) -> None:
+        """Hold the room of one task."""
+        held = held_by(step)
+        self.free[worker.id] = self.free[worker.id].minus(held)
+        self.free_cores -= held.cores_milli
+        key = (step.name, worker.id)
+        self.added[key] = self.added.get(key, 0) + 1
+
+    def give_back(self, worker: PoolWorker, step: StepRun) -> None:
+        """Undo ``take``."""
+        held = held_by(step)
+        self.free[worker.id] = self.free[worker.id].plus(held)
+        self.free_cores += held.cores_milli
+        self.added[(step.name, worker.id)] -= 1
+
+    def may_ask_for(self, worker: PoolWorker, step: StepRun) -> bool:
+        """Return whether room is left that no other step has asked for."""
+        asked = self.asked_for.get(worker.id, ZERO)
+        return held_by(step).fits(self.free[worker.id].minus(asked))
+
+    def note_asked(self, with_room: Iterable[PoolWorker], step: StepRun) -> None:
+        """Note for which room the step's advice is under way."""
+        left = len(step.waiting())
+        held = held_by(step)
+        for worker in with_room:
+            while left and self.may_ask_for(worker, step):
+                asked = self.asked_for.get(worker.id, ZERO)
+                self.asked_for[worker.id] = asked.plus(held)
+                left -= 1
+
+    def has_room(self, worker: PoolWorker, step: StepRun) -> bool:
+        """Return whether one more task of the step fits on the worker now."""
+        if not held_by(step).fits(self.free[worker.id]):
+            return False
+        bound = step.spec.max_per_worker
+        if not bound:
+            return True
+        added = self.added.get((step.name, worker.id), 0)
+        return worker.count_of(step) + added < bound
+
+
+def could_ever_hold(worker: PoolWorker, step: StepRun) -> bool:
+    """Return whether an empty worker could run a task of the step."""
+    label = step.spec.required_label
+    if label and label not in worker.entry.labels:
+        return False
+    return held_by(step).fits(worker.entry.capacity)
+
+
+def coming_room(worker: PoolWorker) -> Resources:
+    """Return the room that stops under way will free."""
+    coming = ZERO
+    for run in worker.runs.values():
+        if run.state is RunState.STOPPING:
+            coming = coming.plus(held_by(run.task.step))
+    return coming
+
+
+def rack_groups(
+    step: StepRun, candidates: Sequence[PoolWorker]
+) -> list[Sequence[PoolWorker]]:
+    """Return groups of workers to try for a gang, best first."""
+    if not step.spec.same_rack:
+        return [candidates]
+    racks: dict[str, list[PoolWorker]] = {}
+    for worker in candidates:
+        racks.setdefault(worker.entry.rack, []).append(worker)
+    by_size = sorted(racks.values(), key=len, reverse=True)
+    return [*by_size, candidates]
+
+
+def copies_that_fit(held: Resources, free: Resources, step: StepRun) -> int:
+    """Return how many tasks of the step fit into ``free``."""
+    fitting = min(
+        (f // h for f, h in zip(free, held, strict=True) if h > 0),
+        default=step.spec.count,
+    )
+    if step.spec.max_per_worker:
+        fitting = min(fitting, step.spec.max_per_worker)
+    return max(0, min(fitting, step.spec.count))
+
+
+def tasks_per_worker(step: StepRun, workers: Sequence[PoolWorker]) -> float:
+    if not workers:
+        return 1.0
+    held = held_by(step)
+    return sum(copies_that_fit(held, w.free(), step) for w in workers) / len(workers)
+
+
+def suitability(
+    state: PlanningPass, step: StepRun, worker: PoolWorker
+) -> tuple[float, ...]:
+    """Return how well a worker suits a task of the step; lower is better."""
+    spec = step.spec
+    free = state.free[worker.id]
+    far = float(bool(spec.data_rack) and worker.entry.rack != spec.data_rack)
+    if spec.fills:
+        left = free.cores_milli - worker.fill_load()
+        return (far, float(worker.serves()), -left)
+    if spec.long_running:
+        same = worker.count_of(step) + state.added.get((step.name, worker.id), 0)
+        disturbed = float(worker.fill_load() > 0)
+        return (far, same, disturbed, -free.cores_milli)
+    # Best fit: what is left free is smallest, so large tasks find room later.
+    left = free.minus(held_by(step))
+    return (far, left.dominant_share(worker.entry.capacity))
--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -10,131 +10,39 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from typing import NamedTuple
 
-from savorylead.jobs import Run, RunState, StepRun, Task
+from savorylead.jobs import StepRun, Task
 from savorylead.resources import ZERO, Resources
 
-from ._advice import AdviceBook, AdviceRequest
+from ._advice import AdviceBook
 from ._contracts import Queue
 from ._durations import DurationEstimator
 from ._headroom import UrgentHeadroom
+from ._planning_pass import (
+    Placement,
+    Plan,
+    PlannedGang,
+    PlanningPass,
+    copies_that_fit,
+    could_ever_hold,
+    rack_groups,
+    suitability,
+    tasks_per_worker,
+)
 from ._pool_worker import PoolWorker, held_by
 from ._preemption import Preemption
+from ._reservation import Reservation, may_reserve
 from ._urgency import Urgency, urgency_of
 
 #: Steps that may keep workers free for themselves at a time.
 MAX_RESERVING_STEPS = 4
-#: Part of the workers, as a divisor, that reservations may take.
-RESERVED_DIVISOR = 2
 #: A task may use a reserved worker if this many times its expected length is over
 #: before the worker is free for whom it is kept.
 BACKFILL_MARGIN = 1.2
-#: A task that takes this part of a worker may reserve one.
-LARGE_TASK_SHARE = 0.4
-#: Least urgent priority whose large tasks may reserve workers.
-RESERVING_PRIORITY = 1
 #: Steps without room whose advice is asked ahead of time.
 MAX_ASKED_AHEAD = 4
 
 
-class Placement(NamedTuple):
-    """A task to start on a worker."""
-
-    task: Task
-    worker: PoolWorker
-    #: The adviser's ticket; empty if the queue needs none.
-    ticket: str
-
-
-class PlannedGang(NamedTuple):
-    """Tasks that must start together."""
-
-    step: StepRun
-    placements: tuple[Placement, ...]
-
-
-class Plan(NamedTuple):
-    """What one pass decided."""
-
-    placements: list[Placement]
-    gangs: list[PlannedGang]
-    requests: list[AdviceRequest]
-    #: What workers have room for but a team's limit keeps waiting, by team.
-    short_of_limit: dict[str, Resources]
-    #: Runs to stop, so that more urgent tasks can start.
-    preempted: list[Run]
-
-
-class _Pass:
-    """The state of one pass: what is still free, as placements are decided."""
-
-    def __init__(self, workers: Iterable[PoolWorker], now_ms: int) -> None:
-        self.now_ms = now_ms
-        self.workers = list(workers)
-        self.startable = [w for w in self.workers if w.may_start(now_ms)]
-        self.free = {w.id: w.free() for w in self.workers}
-        self.free_cores = sum(
-            max(0, self.free[w.id].cores_milli) for w in self.startable
-        )
-        #: Room that is held by runs which are being stopped.
-        self.coming = {w.id: _coming(w) for w in self.startable}
-        self.added: dict[tuple[str, str], int] = {}
-        #: Room for which advice is under way, by worker.
-        self.asked_for: dict[str, Resources] = {}
-        #: Workers that are kept, and when they will be free for it.
-        self.reserved: dict[str, float] = {}
-        self.plan = Plan([], [], [], {}, [])
-
-    def take(self, worker: PoolWorker, step: StepRun) -> None:
-        """Hold the room of one task."""
-        held = held_by(step)
-        self.free[worker.id] = self.free[worker.id].minus(held)
-        self.free_cores -= held.cores_milli
-        key = (step.name, worker.id)
-        self.added[key] = self.added.get(key, 0) + 1
-
-    def give_back(self, worker: PoolWorker, step: StepRun) -> None:
-        """Undo ``take``."""
-        held = held_by(step)
-        self.free[worker.id] = self.free[worker.id].plus(held)
-        self.free_cores += held.cores_milli
-        self.added[(step.name, worker.id)] -= 1
-
-    def may_ask_for(self, worker: PoolWorker, step: StepRun) -> bool:
-        """Return whether room is left that no other step has asked for."""
-        asked = self.asked_for.get(worker.id, ZERO)
-        return held_by(step).fits(self.free[worker.id].minus(asked))
-
-    def note_asked(self, with_room: Iterable[PoolWorker], step: StepRun) -> None:
-        """Note for which room the step's advice is under way."""
-        left = len(step.waiting())
-        held = held_by(step)
-        for worker in with_room:
-            while left and self.may_ask_for(worker, step):
-                asked = self.asked_for.get(worker.id, ZERO)
-                self.asked_for[worker.id] = asked.plus(held)
-                left -= 1
-
-    def has_room(self, worker: PoolWorker, step: StepRun) -> bool:
-        """Return whether one more task of the step fits on the worker now."""
-        if not held_by(step).fits(self.free[worker.id]):
-            return False
-        bound = step.spec.max_per_worker
-        if not bound:
-            return True
-        added = self.added.get((step.name, worker.id), 0)
-        return worker.count_of(step) + added < bound
-
-
-def could_ever_hold(worker: PoolWorker, step: StepRun) -> bool:
-    """Return whether an empty worker could run a task of the step."""
-    label = step.spec.required_label
-    if label and label not in worker.entry.labels:
-        return False
-    return held_by(step).fits(worker.entry.capacity)
-
-
 class PoolPlanner:
     """Plans for one pool. Pure, but for what it remembers of loads and advice."""
 
@@ -143,6 +51,7 @@
         self.durations = DurationEstimator()
         self._headroom = UrgentHeadroom()
         self._preemption = Preemption(self.durations)
+        self._reservation = Reservation(self.book, self.durations)
 
     def plan(
         self,
@@ -157,7 +66,7 @@
         ``steps`` are ready and not done. ``team_room`` returns what a team may
         still start, None for no limit.
         """
-        state = _Pass(workers, now_ms)
+        state = PlanningPass(workers, now_ms)
         ranked = sorted(
             (
                 (self._urgency(step, queues, now_ms), index)
@@ -208,8 +117,9 @@
                     may_ask_ahead,
                     queues,
                 )
-            if reserving < MAX_RESERVING_STEPS and _may_reserve(step, queue, state):
-                reserving += self._reserve(state, step, waiting)
+            if reserving < MAX_RESERVING_STEPS and may_reserve(step, queue, state):
+                good = self.book.of(step).good if self._needs_advice(step) else ()
+                reserving += self._reservation.reserve(state, step, len(waiting), good)
         return state.plan
 
     def _urgency(
@@ -220,7 +130,7 @@
 
     def _make_room(
         self,
-        state: _Pass,
+        state: PlanningPass,
         step: StepRun,
         priority: int,
         waiting: Sequence[Task],
@@ -247,7 +157,7 @@
         )
         state.plan.preempted.extend(victims)
 
-    def _candidates(self, state: _Pass, step: StepRun) -> list[PoolWorker]:
+    def _candidates(self, state: PlanningPass, step: StepRun) -> list[PoolWorker]:
         """Return the workers that could start a task of the step now, best first."""
         queue = step.job.record.queue
         length_ms = self.durations.estimate_ms(queue, step.spec) * BACKFILL_MARGIN
@@ -263,11 +173,11 @@
                 or (ends_ms <= state.reserved[worker.id] and not lasts)
             )
         ]
-        found.sort(key=lambda worker: _rank(state, step, worker))
+        found.sort(key=lambda worker: suitability(state, step, worker))
         return found
 
     def _usable(
-        self, state: _Pass, step: StepRun, candidates: Iterable[PoolWorker]
+        self, state: PlanningPass, step: StepRun, candidates: Iterable[PoolWorker]
     ) -> dict[str, str] | None:
         """Return tickets by worker; None if the queue needs none."""
         if not self._needs_advice(step):
@@ -291,7 +201,7 @@
 
     def _place_each(
         self,
-        state: _Pass,
+        state: PlanningPass,
         step: StepRun,
         waiting: Sequence[Task],
         candidates: Sequence[PoolWorker],
@@ -322,7 +232,7 @@
 
     def _choose(
         self,
-        state: _Pass,
+        state: PlanningPass,
         step: StepRun,
         candidates: Sequence[PoolWorker],
         tickets: Mapping[str, str] | None,
@@ -334,14 +244,14 @@
                 continue
             if not state.has_room(worker, step):
                 continue
-            rank = _rank(state, step, worker)
+            rank = suitability(state, step, worker)
             if best_rank is None or rank < best_rank:
                 best, best_rank = worker, rank
         return best
 
     def _place_gang(
         self,
-        state: _Pass,
+        state: PlanningPass,
         step: StepRun,
         waiting: Sequence[Task],
         candidates: Sequence[PoolWorker],
@@ -356,7 +266,7 @@
         if room is not None and not whole.fits(room):
             return 0
         tickets = self._usable(state, step, candidates)
-        for group in _racks(step, candidates):
+        for group in rack_groups(step, candidates):
             chosen = self._fit_all(state, step, waiting, group, tickets)
             if chosen is None:
                 continue
@@ -368,7 +278,7 @@
 
     def _fit_all(
         self,
-        state: _Pass,
+        state: PlanningPass,
         step: StepRun,
         waiting: Sequence[Task],
         group: Sequence[PoolWorker],
@@ -388,7 +298,7 @@
 
     def _is_short_of_limit(
         self,
-        state: _Pass,
+        state: PlanningPass,
         step: StepRun,
         waiting: Sequence[Task],
         placed: int,
@@ -407,7 +317,7 @@
         if room is None or needed.fits(room):
             return False
         held = held_by(step)
-        fitting = sum(_copies(held, state.free[w.id], step) for w in candidates)
+        fitting = sum(copies_that_fit(held, state.free[w.id], step) for w in candidates)
         if step.spec.gang and fitting < left:
             fitting = 0
         short = state.plan.short_of_limit
@@ -417,7 +327,7 @@
 
     def _ask(
         self,
-        state: _Pass,
+        state: PlanningPass,
         step: StepRun,
         queue: Queue,
         priority: int,
@@ -453,7 +363,7 @@
             if w.entry.accepting and w.usable and could_ever_hold(w, step)
         ]
         others.sort(key=lambda w: -state.free[w.id].cores_milli)
-        fitting = _tasks_per_worker(step, with_room or others)
+        fitting = tasks_per_worker(step, with_room or others)
         assert queue.advice is not None
         request = self.book.request(
             step, queue.advice, with_room, others, fitting, state.now_ms
@@ -465,120 +375,10 @@
         return 0 if with_room else 1
 
     def _gang_could_fit(
-        self, state: _Pass, step: StepRun, with_room: Sequence[PoolWorker]
+        self, state: PlanningPass, step: StepRun, with_room: Sequence[PoolWorker]
     ) -> bool:
         """Return whether workers not known to be forbidden could hold the gang."""
         allowed = [w for w in with_room if self.book.may_be_allowed(step, w)]
         held = held_by(step)
-        total = sum(_copies(held, state.free[w.id], step) for w in allowed)
+        total = sum(copies_that_fit(held, state.free[w.id], step) for w in allowed)
         return total >= step.spec.count
-
-    def _reserve(self, state: _Pass, step: StepRun, waiting: Sequence[Task]) -> int:
-        """Keep the workers that are free first for the step; return 1 if any are."""
-        most = max(1, len(state.workers) // RESERVED_DIVISOR)
-        good = self.book.of(step).good if self._needs_advice(step) else {}
-        held = held_by(step)
-        allowed = [
-            (w.id not in good, self._free_at_ms(state, w, held), w.id, w)
-            for w in state.startable
-            if w.id not in state.reserved
-            and could_ever_hold(w, step)
-            and self.book.may_be_allowed(step, w)
-        ]
-        missing = len(waiting)
-        kept = 0
-        for _, free_at_ms, _, worker in sorted(allowed, key=lambda row: row[:3]):
-            if missing <= 0 or len(state.reserved) >= most:
-                break
-            state.reserved[worker.id] = free_at_ms
-            missing -= max(1, _copies(held, worker.entry.capacity, step))
-            kept += 1
-        return int(kept > 0)
-
-    def _free_at_ms(self, state: _Pass, worker: PoolWorker, held: Resources) -> float:
-        """Return when enough runs should have ended for one more task."""
-        room = state.free[worker.id]
-        ends = []
-        for run in worker.runs.values():
-            spec = run.task.step.spec
-            if spec.long_running:
-                continue
-            length_ms = self.durations.estimate_ms(run.task.step.job.record.queue, spec)
-            left_ms = length_ms * (1 - min(99, run.percent) / 100)
-            ends.append((run.percent_at_ms + left_ms, held_by(run.task.step)))
-        free_at_ms = float(state.now_ms)
-        for end_ms, freed in sorted(ends):
-            if held.fits(room):
-                break
-            room = room.plus(freed)
-            free_at_ms = max(free_at_ms, end_ms)
-        return free_at_ms
-
-
-def _coming(worker: PoolWorker) -> Resources:
-    """Return the room that stops under way will free."""
-    coming = ZERO
-    for run in worker.runs.values():
-        if run.state is RunState.STOPPING:
-            coming = coming.plus(held_by(run.task.step))
-    return coming
-
-
-def _may_reserve(step: StepRun, queue: Queue, state: _Pass) -> bool:
-    if queue.priority > RESERVING_PRIORITY or step.spec.fills:
-        return False
-    if step.spec.gang or step.spec.long_running:
-        return True
-    held = held_by(step)
-    return any(
-        held.dominant_share(w.entry.capacity) >= LARGE_TASK_SHARE
-        for w in state.workers[:1]
-    )
-
-
-def _racks(
-    step: StepRun, candidates: Sequence[PoolWorker]
-) -> list[Sequence[PoolWorker]]:
-    """Return groups of workers to try for a gang, best first."""
-    if not step.spec.same_rack:
-        return [candidates]
-    racks: dict[str, list[PoolWorker]] = {}
-    for worker in candidates:
-        racks.setdefault(worker.entry.rack, []).append(worker)
-    by_size = sorted(racks.values(), key=len, reverse=True)
-    return [*by_size, candidates]
-
-
-def _copies(held: Resources, free: Resources, step: StepRun) -> int:
-    """Return how many tasks of the step fit into ``free``."""
-    fitting = min(
-        (f // h for f, h in zip(free, held, strict=True) if h > 0),
-        default=step.spec.count,
-    )
-    if step.spec.max_per_worker:
-        fitting = min(fitting, step.spec.max_per_worker)
-    return max(0, min(fitting, step.spec.count))
-
-
-def _tasks_per_worker(step: StepRun, workers: Sequence[PoolWorker]) -> float:
-    if not workers:
-        return 1.0
-    held = held_by(step)
-    return sum(_copies(held, w.free(), step) for w in workers) / len(workers)
-
-
-def _rank(state: _Pass, step: StepRun, worker: PoolWorker) -> tuple[float, ...]:
-    """Return how well a worker suits a task of the step; lower is better."""
-    spec = step.spec
-    free = state.free[worker.id]
-    far = float(bool(spec.data_rack) and worker.entry.rack != spec.data_rack)
-    if spec.fills:
-        left = free.cores_milli - worker.fill_load()
-        return (far, float(worker.serves()), -left)
-    if spec.long_running:
-        same = worker.count_of(step) + state.added.get((step.name, worker.id), 0)
-        disturbed = float(worker.fill_load() > 0)
-        return (far, same, disturbed, -free.cores_milli)
-    # Best fit: what is left free is smallest, so large tasks find room later.
-    left = free.minus(held_by(step))
-    return (far, left.dominant_share(worker.entry.capacity))
--- /dev/null
+++ b/packages/savorylead/savorylead/pools/_reservation.py
@@ -0,0 +1,94 @@
+"""Workers that are kept free for a step that needs much of one.
+
+Load pattern: tasks that take a large part of a worker, or members of a gang, compete
+with small tasks that come all the time and take each bit of room as it appears.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Container
+
+from savorylead.jobs import StepRun
+from savorylead.resources import Resources
+
+from ._advice import AdviceBook
+from ._contracts import Queue
+from ._durations import DurationEstimator
+from ._planning_pass import PlanningPass, copies_that_fit, could_ever_hold
+from ._pool_worker import PoolWorker, held_by
+
+#: Part of the workers, as a divisor, that reservations may take.
+RESERVED_DIVISOR = 2
+#: A task that takes this part of a worker may reserve one.
+LARGE_TASK_SHARE = 0.4
+#: Least urgent priority whose large tasks may reserve workers.
+RESERVING_PRIORITY = 1
+
+
+class Reservation:
+    """Chooses the workers to keep, those first that will be free first. Pure."""
+
+    def __init__(self, book: AdviceBook, durations: DurationEstimator) -> None:
+        self._book = book
+        self._durations = durations
+
+    def reserve(
+        self, state: PlanningPass, step: StepRun, missing: int, good: Container[str]
+    ) -> int:
+        """Keep workers for ``missing`` tasks of a step; return 1 if any are kept.
+
+        Workers in ``good`` are known to be allowed and go first.
+        """
+        most = max(1, len(state.workers) // RESERVED_DIVISOR)
+        held = held_by(step)
+        allowed = [
+            (w.id not in good, self._free_at_ms(state, w, held), w.id, w)
+            for w in state.startable
+            if w.id not in state.reserved
+            and could_ever_hold(w, step)
+            and self._book.may_be_allowed(step, w)
+        ]
+        kept = 0
+        for _, free_at_ms, _, worker in sorted(allowed, key=lambda row: row[:3]):
+            if missing <= 0 or len(state.reserved) >= most:
+                break
+            state.reserved[worker.id] = free_at_ms
+            missing -= max(1, copies_that_fit(held, worker.entry.capacity, step))
+            kept += 1
+        return int(kept > 0)
+
+    def _free_at_ms(
+        self, state: PlanningPass, worker: PoolWorker, held: Resources
+    ) -> float:
+        """Return when enough runs should have ended for one more task."""
+        room = state.free[worker.id]
+        ends = []
+        for run in worker.runs.values():
+            spec = run.task.step.spec
+            if spec.long_running:
+                continue
+            length_ms = self._durations.estimate_ms(
+                run.task.step.job.record.queue, spec
+            )
+            left_ms = length_ms * (1 - min(99, run.percent) / 100)
+            ends.append((run.percent_at_ms + left_ms, held_by(run.task.step)))
+        free_at_ms = float(state.now_ms)
+        for end_ms, freed in sorted(ends):
+            if held.fits(room):
+                break
+            room = room.plus(freed)
+            free_at_ms = max(free_at_ms, end_ms)
+        return free_at_ms
+
+
+def may_reserve(step: StepRun, queue: Queue, state: PlanningPass) -> bool:
+    """Return whether the step is urgent and large enough to keep workers."""
+    if queue.priority > RESERVING_PRIORITY or step.spec.fills:
+        return False
+    if step.spec.gang or step.spec.long_running:
+        return True
+    held = held_by(step)
+    return any(
+        held.dominant_share(w.entry.capacity) >= LARGE_TASK_SHARE
+        for w in state.workers[:1]
+    )
