Store jobs through a peer, and hand a pool over when the store turns its lead away

A daemon now has a peer store the job (expecting its absence, so it stays one job), and a lead whose renewals fail for 0.3 s stops acting and has a peer end its lease, unless surely nobody reaches the store. Besides, a lead key of an earlier lease, still in view when the store answers again, was taken for a term of one's own. Ruled out: a shorter lease (lapses when the store is slow).

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_cell_lease.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_cell_lease.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from datetime import datetime, timedelta
+from typing import Any
 
 from twisted.internet.defer import Deferred
 
@@ -21,6 +22,9 @@
 RENEW_EVERY = timedelta(milliseconds=500)
 #: Time until a failed call is repeated.
 RETRY_AFTER = timedelta(milliseconds=150)
+#: After this long without an answer a peer is asked to end the lease. Two renewals
+#: failed by then, and the lease would hold for more than a second.
+GIVE_UP_AFTER = timedelta(milliseconds=300)
 #: The lease counts as over this much sooner, for orders under way and for drift.
 SAFETY = timedelta(milliseconds=200)
 
@@ -39,13 +43,21 @@
         log: EventLog,
         on_granted: Callable[[str], None],
         on_lost: Callable[[], None],
+        end_through_peer: Callable[[str], Coroutine[Any, Any, bool | None]],
     ) -> None:
+        """``end_through_peer(lease_id)`` returns whether a peer ended the lease.
+
+        None says that this is not known.
+        """
         self._store = store
         self._clock = clock
         self._log = log
         self._on_granted = on_granted
         self._on_lost = on_lost
+        self._end_through_peer = end_through_peer
         self._valid_until: datetime | None = None
+        self._failing_since: datetime | None = None
+        self._asked_peers = False
         self._running: Deferred[None] | None = None
         self._was_valid = False
         #: Empty while there is none.
@@ -86,12 +98,15 @@
                     await self._renew()
                 else:
                     await self._grant()
+                self._failing_since = None
+                self._asked_peers = False
             except StoreLeaseLostError:
                 self._lose()
                 pause = timedelta(0)
             except StoreError as exc:
                 pause = RETRY_AFTER
                 self._note_failure(exc)
+                await self._give_up_early()
             await self._clock.sleep(pause)
 
     async def _grant(self) -> None:
@@ -111,6 +126,31 @@
             self._was_valid = True
             self._log.log_event(LogLevel.INFO, "lease_regained", lease=self.id)
 
+    async def _give_up_early(self) -> None:
+        """Have a peer end the lease, if the store answers it and not this daemon.
+
+        Nothing is led from the moment the peer is asked, so that the next lead may
+        trust the end of the lease. Where surely no peer ended it, the lease goes on;
+        where that is not known, only a renewal proves that it does.
+        """
+        now = self._clock.now()
+        if self._failing_since is None:
+            self._failing_since = now
+        if not self.id or self._asked_peers or not self.holds():
+            return
+        if now - self._failing_since < GIVE_UP_AFTER:
+            return
+        self._asked_peers = True
+        valid_until, self._valid_until = self._valid_until, None
+        ended = await self._end_through_peer(self.id)
+        self._log.log_event(
+            LogLevel.WARNING, "lease_given_up", lease=self.id, ended=ended
+        )
+        if ended:
+            self._lose()
+        elif ended is False:
+            self._valid_until = valid_until
+
     def _lose(self) -> None:
         self._log.log_event(LogLevel.WARNING, "lease_lost", lease=self.id)
         self.id = ""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
@@ -109,7 +109,8 @@
             else:
                 return
         if seen is not None:
-            if seen.record.member.incarnation == self._member.incarnation:
+            # A key of an earlier lease may still be in view, but has ended with it.
+            if self._lease.id and seen.record.member.lease_id == self._lease.id:
                 self._adopt(pool, seen.record.term, seen.revision)
             return
         if pool in self._pools and pool not in self._timers:
@@ -156,14 +157,15 @@
         try:
             item = await self._store.get(term_key(pool))
             number = 1 + (int(item.value) if item is not None else 0)
-            record = LeadRecord(self._member, number)
+            lease_id = self._lease.id
+            record = LeadRecord(self._member._replace(lease_id=lease_id), number)
             result = await self._store.commit(
                 {
                     lead_key(pool): 0,
                     term_key(pool): item.revision if item is not None else 0,
                 },
                 [
-                    Put(lead_key(pool), encode_record(record), self._lease.id),
+                    Put(lead_key(pool), encode_record(record), lease_id),
                     Put(term_key(pool), str(number).encode()),
                 ],
             )
@@ -174,7 +176,8 @@
             )
             self._try_later(pool)
             return
-        if isinstance(result, Committed) and not self._closed:
+        is_current = lease_id == self._lease.id and not self._closed
+        if isinstance(result, Committed) and is_current:
             self._adopt(pool, number, result.revision)
         else:
             self._try_later(pool)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
@@ -38,6 +38,7 @@
 from ._peer_messages import (
     JobAccepted,
     JobCancelled,
+    JobStoreAsked,
     PendingAsked,
     StateAsked,
     Told,
@@ -207,6 +208,10 @@
                     self._accepted(record, result.revision)
                     return CallerAnswer(Kind.DONE)
                 return self._already_stored(result.current.get(key))
+            stored = await self._store_through_peer(record)
+            if stored:
+                return CallerAnswer(Kind.DONE)
+            unclear = unclear or stored is None
             # While the store is out of reach nothing is gained by holding the caller,
             # whom another daemon may serve.
             hopeless = not unclear and not self._config.store_answers()
@@ -224,6 +229,48 @@
                 return self._not_now("store_unavailable")
             await self._clock.sleep(WRITE_AGAIN)
 
+    async def store_for_peer(self, record: JobRecord) -> bool:
+        """Store a job for a daemon that can't; False if nothing was done.
+
+        Raises StoreError if that is not known.
+        """
+        key = job_key(record.pool, record.id)
+        try:
+            result = await self._store.commit({key: 0}, [Put(key, encode_job(record))])
+        except StoreRefusedError:
+            return False
+        if isinstance(result, Committed):
+            self._accepted(record, result.revision)
+        else:
+            self._already_stored(result.current.get(key))
+        return True
+
+    async def _store_through_peer(self, record: JobRecord) -> bool | None:
+        """Have another daemon store a job; None if it is not known whether it did."""
+        others = [m for n, m in self._view.members.items() if n != self._name]
+        if not others:
+            return False
+        peer = self._rng.choice(others)
+        try:
+            stored = await self._peers.ask_store(peer.address, JobStoreAsked(record))
+        except PeerError as exc:
+            self._log.log_event(
+                LogLevel.INFO,
+                "peer_not_reached",
+                job=record.id,
+                peer=peer.name,
+                detail=str(exc),
+            )
+            return None
+        self._log.log_event(
+            LogLevel.INFO,
+            "job_stored_by_peer",
+            job=record.id,
+            peer=peer.name,
+            stored=stored,
+        )
+        return stored
+
     def _already_stored(self, item: KeyValue | None) -> CallerAnswer:
         if item is not None:
             try:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_peer_messages.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peer_messages.py
@@ -43,6 +43,24 @@
     pool: str
 
 
+class JobStoreAsked(NamedTuple):
+    """Asks to store a job for a daemon that can't reach the store."""
+
+    record: JobRecord
+
+
+class LeaseEndAsked(NamedTuple):
+    """Asks to end the sender's lease, since the sender can't reach the store."""
+
+    lease_id: str
+
+
+class Done(NamedTuple):
+    """Whether what was asked for is done; if not, nothing of it was."""
+
+    done: bool
+
+
 class AdviceAsked(NamedTuple):
     """Asks to call the policy adviser."""
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
@@ -18,9 +18,12 @@
 from ._peer_messages import (
     AdviceAsked,
     AdviceTold,
+    Done,
     GrantsWritten,
     JobAccepted,
     JobCancelled,
+    JobStoreAsked,
+    LeaseEndAsked,
     PendingAsked,
     StateAsked,
     Told,
@@ -41,6 +44,8 @@
     StateAsked: "/peer/state",
     PendingAsked: "/peer/pending",
     GrantsWritten: "/peer/grants",
+    JobStoreAsked: "/peer/store",
+    LeaseEndAsked: "/peer/lease",
     AdviceAsked: "/peer/advise",
 }
 _KINDS: dict[str, Any] = {path: kind for kind, path in _PATHS.items()}
@@ -57,6 +62,15 @@
     async def tell(self, address: str, message: Message) -> Told:
         """Send a message to a lead; raises PeerError."""
 
+    @abstractmethod
+    async def ask_store(
+        self, address: str, asked: JobStoreAsked | LeaseEndAsked
+    ) -> bool:
+        """Have a peer use the store; return whether it did. Raises PeerError.
+
+        After a PeerError the peer may have done it or may do it later.
+        """
+
     @abstractmethod
     async def advise(self, address: str, asked: AdviceAsked) -> Advice:
         """Return advice through another daemon; raises AdviserError."""
@@ -73,12 +87,22 @@
 
     async def tell(self, address: str, message: Message) -> Told:
         """Send a message to a lead; raises PeerError."""
+        path = _PATHS[type(message)]
+        return await _call(self._link(address), path, message, PEER_TIMEOUT, kind=Told)
+
+    async def ask_store(
+        self, address: str, asked: JobStoreAsked | LeaseEndAsked
+    ) -> bool:
+        """Have a peer use the store; return whether it did."""
+        path = _PATHS[type(asked)]
+        link = self._link(address)
+        return (await _call(link, path, asked, PEER_TIMEOUT, kind=Done)).done
+
+    def _link(self, address: str) -> Link:
         link = self._open.get(address)
         if link is None:
             link = self._open[address] = self._links.open(address)
-        return await _call(
-            link, _PATHS[type(message)], message, PEER_TIMEOUT, kind=Told
-        )
+        return link
 
     async def advise(self, address: str, asked: AdviceAsked) -> Advice:
         """Return advice through another daemon; raises AdviserError."""
@@ -100,16 +124,23 @@
     """Answers other daemons from the leads of this one."""
 
     def __init__(
-        self, lead_of: Callable[[str], PoolLead | None], advice: AdviceQueue | None
+        self,
+        lead_of: Callable[[str], PoolLead | None],
+        advice: AdviceQueue | None,
+        use_store: Callable[[JobStoreAsked | LeaseEndAsked], Coroutine[Any, Any, bool]],
     ) -> None:
+        """``use_store`` does what a peer asks of the store, if this daemon can."""
         self._lead_of = lead_of
         self._advice = advice
+        self._use_store = use_store
         self._handlers: dict[type, Callable[[Any], Coroutine[Any, Any, Any]]] = {
             JobAccepted: self._accept,
             JobCancelled: self._cancel,
             StateAsked: self._state,
             PendingAsked: self._pending,
             GrantsWritten: self._review_grants,
+            JobStoreAsked: self._ask_store,
+            LeaseEndAsked: self._ask_store,
             AdviceAsked: self._advise,
         }
 
@@ -125,8 +156,8 @@
         told = await self.answer(message)
         return JsonResponse(200, msgspec.json.encode(told))
 
-    async def answer(self, message: Message | AdviceAsked) -> Any:
-        """Return the answer to a decoded message: Told or AdviceTold."""
+    async def answer(self, message: Any) -> Any:
+        """Return the answer to a decoded message: Told, Done or AdviceTold."""
         return await self._handlers[type(message)](message)
 
     async def _accept(self, message: JobAccepted) -> Told:
@@ -144,6 +175,9 @@
     async def _review_grants(self, message: GrantsWritten) -> Told:
         return tell_grants(self._lead_of(message.pool), message)
 
+    async def _ask_store(self, message: JobStoreAsked | LeaseEndAsked) -> Done:
+        return Done(await self._use_store(message))
+
     async def _advise(self, message: AdviceAsked) -> AdviceTold:
         if self._advice is None:
             return AdviceTold({}, 0, "no adviser here")
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -7,7 +7,10 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from twisted.internet.defer import Deferred
+
 from savorylead.clock import Clock
+from savorylead.links import DeadlineExceededError, within
 from savorylead.pools import Advice, AdviserError, CellDocument, Put, WorkerEntry
 from savorylead.store import KeyValue, StoreError
 from savorylead_daemon.concurrency import spawn
@@ -27,6 +30,8 @@
     GrantsWritten,
     JobAccepted,
     JobCancelled,
+    JobStoreAsked,
+    LeaseEndAsked,
     PendingAsked,
     StateAsked,
     Told,
@@ -47,6 +52,8 @@
 
 #: Part of the time for a withdrawn key after which a configuration is not trusted.
 FRESH_SHARE = 0.6
+#: Longest wait for the proof that the store answers; a peer gives up after 200 ms.
+PROOF_WAIT = timedelta(milliseconds=150)
 #: Time until a registration that failed is repeated.
 REGISTER_AGAIN = timedelta(milliseconds=200)
 
@@ -83,7 +90,12 @@
         self.leads: dict[str, PoolLead] = {}
         store = adapter.store
         self._lease = CellLease(
-            store, clock, log, self._lease_granted, self._lease_lost
+            store,
+            clock,
+            log,
+            self._lease_granted,
+            self._lease_lost,
+            self._end_lease_through_peer,
         )
         self.view = CellView(store, clock, log)
         self.config = ConfigFeed(
@@ -112,7 +124,7 @@
             self._advice = AdviceQueue(adapter.adviser, clock)
         self._router = AdviceRouter(self._ask_through)
         #: Answers messages of other daemons.
-        self.peer_server = PeerServer(self.leads.get, self._advice)
+        self.peer_server = PeerServer(self.leads.get, self._advice, self._use_store)
         #: Answers callers.
         self.gateway = JobGateway(
             self._member.name,
@@ -191,6 +203,37 @@
         if former.lease_id:
             await self._adapter.store.end_lease(former.lease_id)
 
+    async def _end_lease_through_peer(self, lease_id: str) -> bool | None:
+        """Return whether a peer ended the lease; None if that is not known."""
+        ended: bool | None = False
+        for name, member in list(self.view.members.items()):
+            if name == self._member.name or not self.leads:
+                continue
+            try:
+                asked = LeaseEndAsked(lease_id)
+                if await self._peers.ask_store(member.address, asked):
+                    return True
+            except PeerError as exc:
+                ended = None
+                self._log.log_event(
+                    LogLevel.INFO, "peer_not_reached", peer=name, detail=str(exc)
+                )
+        return ended
+
+    async def _use_store(self, asked: JobStoreAsked | LeaseEndAsked) -> bool:
+        """Do for a peer what it can't do at the store."""
+        if isinstance(asked, JobStoreAsked):
+            return await self.gateway.store_for_peer(asked.record)
+        # A store that answers nobody would not end the lease either.
+        reading = Deferred.fromCoroutine(self.config.read_now())
+        try:
+            if not await within(self._clock, PROOF_WAIT, reading):
+                return False
+        except DeadlineExceededError:
+            return False
+        await self._adapter.store.end_lease(asked.lease_id)
+        return True
+
     def _lease_lost(self) -> None:
         self._elections.lease_lost()
 
@@ -283,6 +326,8 @@
 
 __all__ = [
     "AdviceAsked",
+    "JobStoreAsked",
+    "LeaseEndAsked",
     "MemberRecord",
     "Message",
     "NodeSettings",
--- a/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
@@ -24,12 +24,14 @@
     WorkerListing,
 )
 from savorylead.resources import Resources
-from savorylead.store import KeyValue
+from savorylead.store import KeyValue, StoreError
 from savorylead_daemon.http import JsonRequest, JsonResponse
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.pool import AdapterParts, CallerAnswer, CallerCall, CallerCodec
 from savorylead_daemon.pool.node import (
     AdviceAsked,
+    JobStoreAsked,
+    LeaseEndAsked,
     MemberRecord,
     Message,
     NodeSettings,
@@ -93,6 +95,15 @@
         node = await self._reach(address)
         return await node.peer_server.answer(message)
 
+    async def ask_store(
+        self, address: str, asked: JobStoreAsked | LeaseEndAsked
+    ) -> bool:
+        node = await self._reach(address)
+        try:
+            return (await node.peer_server.answer(asked)).done
+        except StoreError as exc:
+            raise PeerError(str(exc)) from exc
+
     async def advise(self, address: str, asked: AdviceAsked) -> Advice:
         try:
             node = await self._reach(address)
