Write a pool daemon's log to standard output without ever blocking on it

Besides: jobs of a removed queue still run, a cancel of a job that was just forgotten says so, three peers at most are asked to store one job, and a peer that was not reached leaves a submit clear.

--- a/packages/savorylead-daemon/savorylead_daemon/observability/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/__init__.py
@@ -1,12 +1,14 @@
 """What an operator sees of a daemon: JSON log lines, metrics, readiness."""
 
 from ._event_log import EventLog, LogSubject, configure_logging
+from ._log_stream import LogStream
 from ._metrics import Metrics
 from ._readiness import Readiness
 from ._wait_histogram import WaitStage
 
 __all__ = [
     "EventLog",
+    "LogStream",
     "LogSubject",
     "Metrics",
     "Readiness",
--- a/packages/savorylead-daemon/savorylead_daemon/observability/_event_log.py
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/_event_log.py
@@ -20,6 +20,8 @@
 from savorylead.contracts import TaskId
 from savorylead_daemon.settings import LogLevel
 
+from ._log_stream import LogStream
+
 _SEVERITIES = {
     LogLevel.DEBUG: logging.DEBUG,
     LogLevel.INFO: logging.INFO,
@@ -77,12 +79,19 @@
         return msgspec.json.encode(line, enc_hook=str).decode()
 
 
-def configure_logging(daemon: str, level: LogLevel) -> None:
-    """Write JSON lines to standard error, those of Twisted from warnings on."""
+def configure_logging(
+    daemon: str, level: LogLevel, stream: LogStream | None = None
+) -> None:
+    """Write JSON lines to ``stream``, those of Twisted from warnings on.
+
+    Without a stream they go to standard error, and may wait for its reader.
+    """
     # The command line is parsed by argparse, so absl's own flags keep their values.
     flags.FLAGS.mark_as_parsed()
-    flags.FLAGS.logtostderr = True
+    flags.FLAGS.logtostderr = stream is None
     logging.use_absl_handler()
+    if stream is not None:
+        logging.get_absl_handler().python_handler.stream = stream
     logging.set_verbosity(_SEVERITIES[level])
     logging.get_absl_handler().setFormatter(_JsonLineFormatter(daemon))
     warnings_on = LogLevelFilterPredicate(defaultLogLevel=TwistedLevel.warn)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
@@ -47,6 +47,8 @@
 
 #: Time until a write to the store is tried again.
 WRITE_AGAIN = timedelta(milliseconds=60)
+#: Peers that are asked to store one job; more would only repeat an outage's answer.
+PEERS_ASKED = 3
 #: Part of the caller's deadline in which the store is tried.
 TRY_SHARE = 0.7
 #: Time between two attempts to tell a lead of a job, and how often it is tried; the
@@ -195,6 +197,7 @@
         key = job_key(record.pool, record.id)
         value = encode_job(record)
         unclear = False
+        peers_left = PEERS_ASKED
         while True:
             try:
                 result = await self._store.commit({key: 0}, [Put(key, value)])
@@ -208,10 +211,12 @@
                     self._accepted(record, result.revision)
                     return CallerAnswer(Kind.DONE)
                 return self._already_stored(result.current.get(key))
-            stored = await self._store_through_peer(record)
-            if stored:
-                return CallerAnswer(Kind.DONE)
-            unclear = unclear or stored is None
+            if peers_left:
+                peers_left -= 1
+                stored = await self._store_through_peer(record)
+                if stored:
+                    return CallerAnswer(Kind.DONE)
+                unclear = unclear or stored is None
             # While the store is out of reach nothing is gained by holding the caller,
             # whom another daemon may serve.
             hopeless = not unclear and not self._config.store_answers()
@@ -261,7 +266,7 @@
                 peer=peer.name,
                 detail=str(exc),
             )
-            return None
+            return None if exc.sent else False
         self._log.log_event(
             LogLevel.INFO,
             "job_stored_by_peer",
@@ -338,7 +343,9 @@
                     return self._refusal(Kind.NO_JOB, "no_job")
                 record = decode_job(item.key, item.value)
                 key = cancel_key(record.pool, job_id)
-                await self._store.commit({item.key: item.revision}, [Put(key, b"1")])
+                result = await self._store.commit(
+                    {item.key: item.revision}, [Put(key, b"1")]
+                )
             except (StoreError, RecordError) as exc:
                 if self._clock.now() + WRITE_AGAIN >= give_up_at:
                     self._log.log_event(
@@ -347,6 +354,9 @@
                     return self._refusal(Kind.UNCLEAR, "store_unclear")
                 await self._clock.sleep(WRITE_AGAIN)
                 continue
+            if not isinstance(result, Committed):
+                # The job was forgotten meanwhile, which the next look tells.
+                continue
             self._log.log_event(LogLevel.INFO, "cancel_stored", job=job_id)
             message = JobCancelled(record.pool, job_id)
             spawn("message of a cancel", self._tell_lead(record.pool, message))
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
@@ -54,6 +54,11 @@
 class PeerError(Exception):
     """Another daemon could not be reached, or its answer not be read."""
 
+    def __init__(self, detail: str, sent: bool = True) -> None:
+        super().__init__(detail)
+        #: Whether the other daemon may have got the message.
+        self.sent = sent
+
 
 class PeerCalls(ABC):
     """Calls other daemons by their address."""
@@ -249,7 +254,7 @@
     try:
         reply = await link.call(request, timeout)
     except LinkError as exc:
-        raise PeerError(str(exc)) from exc
+        raise PeerError(str(exc), exc.sent) from exc
     if reply.status != 200:
         raise PeerError(f"status {reply.status}")
     try:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -162,9 +162,10 @@
 
     def set_document(self, document: CellDocument) -> None:
         """Take over a configuration."""
-        self._state.queues = {q.name: q for q in document.queues}
+        # Jobs of a queue that was removed still run, by what it said last.
+        self._state.queues.update((q.name, q) for q in document.queues)
         self._state.weights = {t.name: t.weight for t in document.teams}
-        self._state.planner.set_queues(document.queues)
+        self._state.planner.set_queues(self._state.queues.values())
         self._grants.set_limits({t.name: t.limit for t in document.teams})
         self._grant_keeper.hurry()
         self._plan_soon()
--- a/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
@@ -6,6 +6,7 @@
 import importlib
 import random
 import signal
+import sys
 import time
 from datetime import timedelta
 
@@ -22,7 +23,12 @@
     JsonResponse,
     JsonSite,
 )
-from savorylead_daemon.observability import EventLog, Readiness, configure_logging
+from savorylead_daemon.observability import (
+    EventLog,
+    LogStream,
+    Readiness,
+    configure_logging,
+)
 from savorylead_daemon.settings import LogLevel
 
 from ._adapter import AdapterParts, PlatformAddresses
@@ -200,7 +206,8 @@
 
 def compose_pools(settings: PoolSettings) -> int:
     """Run a daemon until SIGTERM or SIGINT; return the exit code."""
-    configure_logging(settings.name, settings.log.level)
+    stream = LogStream(sys.stdout.fileno())
+    configure_logging(settings.name, settings.log.level, stream)
     daemon = PoolDaemon(settings)
     daemon.start()
     gc.collect()
--- a/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
@@ -118,7 +118,7 @@
         await self._cell.clock.sleep(PEER_DELAY)
         node = self._cell.nodes.get(address)
         if node is None:
-            raise PeerError("nobody answers")
+            raise PeerError("nobody answers", sent=False)
         return node
 
 
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
@@ -94,6 +94,16 @@
     assert not any(m.active for m in cell.workers.machines.values())
 
 
+def test_jobs_of_a_removed_queue_still_run() -> None:
+    cell = ready_cell(workers=1, cores=2)
+    cell.submit("one", job_spec(count=6))
+    cell.run(0.5)
+    cell.put_config(cell.document._replace(version=2, queues=()))
+    cell.run(8.0)
+    ended = {str(task) for task, _, how in cell.workers.ends if how is RunEnd.DONE}
+    assert len(ended) == 6
+
+
 def test_an_unknown_job_and_an_unknown_key_are_told() -> None:
     cell = ready_cell()
     cell.cancel("none")
--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -49,6 +49,8 @@
     def __init__(self) -> None:
         self.book = AdviceBook()
         self.durations = DurationEstimator()
+        #: Names of the queues whose steps need advice.
+        self._advised: frozenset[str] = frozenset()
         self._headroom = UrgentHeadroom()
         self._preemption = Preemption(self.durations)
         self._reservation = Reservation(self.book, self.durations)
@@ -192,9 +194,6 @@
     def _needs_advice(self, step: StepRun) -> bool:
         return step.job.record.queue in self._advised
 
-    #: Names of the queues whose steps need advice; set by the lead.
-    _advised: frozenset[str] = frozenset()
-
     def set_queues(self, queues: Iterable[Queue]) -> None:
         """Take over which queues need advice."""
         self._advised = frozenset(q.name for q in queues if q.advice is not None)
