--- a/packages/savorylead/savorylead/journal/tests/test_several_leads.py
+++ b/packages/savorylead/savorylead/journal/tests/test_several_leads.py
@@ -418,7 +418,8 @@
             _slot_writer.SlotWriter,
             "_read_back",
             _trust_in_a_timeout,
-            "epoch . never began|written as",
+            # An acknowledged event is missing, or an epoch, or a slot was overwritten.
+            "epoch . misses|epoch . never began|written as",
         ),
     ],
 )
