--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -8,6 +8,7 @@
 from savorylead.clock import Clock
 from savorylead.jobs import Run
 from savorylead.pools import PoolWorker, WorkerCalls, WorkerEntry
+from savorylead.resources import ZERO, Resources
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -125,6 +126,17 @@
         del self._state.workers[worker_id]
         del self._unlisted_since[worker_id]
 
+    def hidden_room(self) -> Resources:
+        """Return what runs that are not located yet may hold at most."""
+        hidden = ZERO
+        if self.is_located():
+            return hidden
+        for worker_id in self._to_locate:
+            session = self._state.sessions.get(worker_id)
+            if session is not None and not session.claimed:
+                hidden = hidden.plus(session.worker.entry.capacity)
+        return hidden
+
     def is_located(self) -> bool:
         """Return whether every run of earlier leads is known here, or over."""
         if self._located:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -338,7 +338,10 @@
         return self._fleet.is_located() or job.revision > self.term.revision
 
     def _team_room(self, team: str) -> Resources | None:
-        return self._grants.room(team, self._state.held.get(team, ZERO))
+        # What an earlier lead started on a worker that has not answered yet may be
+        # any team's.
+        held = self._state.held.get(team, ZERO).plus(self._fleet.hidden_room())
+        return self._grants.room(team, held)
 
     def _note_demand(self, plan: Plan) -> None:
         self._waiting_demand = plan.short_of_limit
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
@@ -219,6 +219,26 @@
     assert len(cell.workers.records) == 80
 
 
+def test_a_new_lead_counts_what_it_cannot_see_yet_against_the_limit() -> None:
+    # Replays a takeover while a worker does not answer: what runs there is the team's.
+    cell = ready_cell(workers=2, cores=8, limit=Resources(10_000, 100_000, 0))
+    cell.workers.length_of = lambda _: timedelta(seconds=30)
+    cell.submit("old", job_spec(count=8))
+    cell.run(1.0)
+    machine = max(cell.workers.machines.values(), key=lambda m: len(m.active))
+    assert len(machine.active) == 8
+    machine.is_cut = True
+    cell.kill(cell.lead_of())
+    cell.run(2.3)
+    cell.submit("new", job_spec(count=8), next(iter(cell.nodes)))
+    most = 0
+    for _ in range(40):
+        cell.run(0.05)
+        running = sum(len(m.active) for m in cell.workers.machines.values())
+        most = max(most, running)
+    assert most <= 10
+
+
 # Faults that befall a cell under load; each takes the cell and returns at once.
 
 
