--- a/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
@@ -52,11 +52,16 @@
         log: EventLog,
         term: Term,
         grants: PoolGrants,
-        demand: Callable[[], tuple[Mapping[str, Resources], Mapping[str, Resources]]],
+        demand: Callable[
+            [], tuple[Mapping[str, Resources], Mapping[str, Resources]] | None
+        ],
         on_change: Callable[[], None],
         on_written: Callable[[str], None],
     ) -> None:
-        """``demand()`` returns what teams hold and wait for in this pool."""
+        """``demand()`` returns what teams hold and wait for in this pool.
+
+        None says that it is not known yet.
+        """
         self._store = store
         self._clock = clock
         self._log = log
@@ -126,7 +131,11 @@
             self._read_again = False
             self._read_at = now
             self._take(await self._store.get(GRANTS_KEY))
-        held, waiting = self._demand()
+        demand = self._demand()
+        if demand is None:
+            # A part must not be given back while runs that use it are not seen yet.
+            return
+        held, waiting = demand
         wanted = self._grants.next_book(held, waiting)
         if wanted is None:
             if not self._unclear:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -362,7 +362,10 @@
                 **self._grants.explain(team),
             )
 
-    def _demand(self) -> tuple[dict[str, Resources], dict[str, Resources]]:
+    def _demand(self) -> tuple[dict[str, Resources], dict[str, Resources]] | None:
+        """Return what teams hold and wait for, None while that is not known whole."""
+        if not self._fleet.is_located():
+            return None
         return self._state.held, self._waiting_demand
 
     async def _ask(self, request: AdviceRequest) -> None:
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
@@ -7,6 +7,7 @@
 
 import msgspec
 import pytest
+from twisted.internet.defer import Deferred
 
 from savorylead.jobs import JobState
 from savorylead.pools import RunEnd
@@ -239,6 +240,32 @@
     assert most <= 10
 
 
+def test_a_new_lead_gives_back_no_part_of_a_limit_that_its_pool_uses() -> None:
+    # Replays a planned stop of one pool's lead while another pool is short of a team's
+    # limit: the new lead saw not all runs yet and gave its part away.
+    cell = ready_cell(
+        nodes=4, pools=("a", "b"), workers=4, limit=Resources(10_000, 100_000, 0)
+    )
+    cell.workers.length_of = lambda _: timedelta(seconds=30)
+    cell.submit("old", job_spec(count=6))
+    cell.run(2.0)
+    name = cell.lead_of("a")
+    body = msgspec.json.encode(job_spec(count=10))
+    via = next(n for n in cell.nodes if n != name)
+    cell.call("submit", "/b/new", via, body, "new")
+    cell.run(2.0)
+    machine = next(m for m in cell.workers.machines.values() if m.active)
+    machine.is_cut = True
+    Deferred.fromCoroutine(cell.nodes[name].resign())
+    most = 0
+    for _ in range(300):
+        cell.run(0.01)
+        running = sum(len(m.active) for m in cell.workers.machines.values())
+        most = max(most, running)
+    assert cell.lead_of("a") != name
+    assert most == 10
+
+
 # Faults that befall a cell under load; each takes the cell and returns at once.
 
 
