--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_adviser.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_adviser.py
@@ -3,24 +3,70 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Sequence
-from datetime import timedelta
+from collections.abc import Callable, Sequence
+from datetime import datetime, timedelta
+from typing import NamedTuple
 
 from savorylead.clock import Clock
+from savorylead.jobs import TaskName
 from savorylead.pools import Advice, AdviserBusyError, PolicyAdviser
 
 
+class IssuedTicket(NamedTuple):
+    """What a ticket allows: one step on one incarnation of a worker, for a while."""
+
+    step: str
+    worker: str
+    born_ms: int
+    valid_until: datetime
+
+
+class TicketOffice:
+    """Issues the tickets of all advisers of a cell, and checks them at starts."""
+
+    def __init__(self, clock: Clock, born_ms: Callable[[str], int]) -> None:
+        """``born_ms`` returns the start of a worker's present incarnation."""
+        self._clock = clock
+        self._born_ms = born_ms
+        self._issued: dict[str, IssuedTicket] = {}
+
+    def issue(self, step: str, worker: str, valid_ms: int) -> str:
+        """Return a new ticket."""
+        ticket = f"ticket-{len(self._issued)}"
+        valid_until = self._clock.now() + timedelta(milliseconds=valid_ms)
+        self._issued[ticket] = IssuedTicket(
+            step, worker, self._born_ms(worker), valid_until
+        )
+        return ticket
+
+    def accepts(self, ticket: str, task: TaskName, worker: str) -> bool:
+        """Return whether a start may use a ticket now."""
+        issued = self._issued.get(ticket)
+        return (
+            issued is not None
+            and str(task).startswith(f"{issued.step}.")
+            and issued.worker == worker
+            and issued.born_ms == self._born_ms(worker)
+            and self._clock.now() < issued.valid_until
+        )
+
+
 class MemoryAdviser(PolicyAdviser):
-    """Allows a fixed part of the workers for each step; the choice never changes."""
+    """Allows a fixed part of the workers for each step; the choice never changes.
+
+    One of these stands for the queue that the platform keeps for one calling machine.
+    """
 
     def __init__(
         self,
         clock: Clock,
+        office: TicketOffice,
         decide: timedelta = timedelta(milliseconds=20),
         good_of_ten: int = 7,
         valid_ms: int = 2_000,
     ) -> None:
         self._clock = clock
+        self._office = office
         self._decide = decide
         self._good_of_ten = good_of_ten
         self._valid_ms = valid_ms
@@ -37,7 +83,11 @@
             raise AdviserBusyError("too many calls wait")
         self._busy_until = max(now, self._busy_until) + self._decide
         await self._clock.sleep(self._busy_until - now)
-        tickets = {w: f"{step}/{w}" for w in workers if self.allows(step, w)}
+        tickets = {
+            w: self._office.issue(step, w, self._valid_ms)
+            for w in workers
+            if self.allows(step, w)
+        }
         return Advice(tickets, self._valid_ms)
 
     def allows(self, step: str, worker: str) -> bool:
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from datetime import datetime, timedelta
 from typing import Any, NamedTuple
@@ -114,8 +115,10 @@
             return RunStarted(clock_ms)
         if order.deadline_ms <= clock_ms:
             return RunRejected(StartRejection.TOO_LATE, clock_ms)
-        if order.number <= self._highest.get(str(order.task), 0):
-            return RunRejected(StartRejection.STALE_NUMBER, clock_ms)
+        rejection = self._rejection(order)
+        if rejection is not None:
+            self._owner.rejections[rejection] += 1
+            return RunRejected(rejection, clock_ms)
         self._extend(order.deadline_ms)
         resources = self._owner.resources_of(order.task)
         run = _Active(order, self._clock.now(), resources)
@@ -125,6 +128,20 @@
         self._owner.started(self, order, fence)
         return RunStarted(clock_ms)
 
+    def _rejection(self, order: RunOrder) -> StartRejection | None:
+        owner = self._owner
+        if order.number <= self._highest.get(str(order.task), 0):
+            # A start that comes too late for its run still extends the lease.
+            self._extend(order.deadline_ms)
+            return StartRejection.STALE_NUMBER
+        if not owner.ticket_accepted(order.ticket, order.task, self.entry.id):
+            return StartRejection.BAD_TICKET
+        needed = self.held().plus(owner.resources_of(order.task))
+        if owner.reject_overload and not needed.fits(self.entry.capacity):
+            self._extend(order.deadline_ms)
+            return StartRejection.NO_ROOM
+        return None
+
     def stop(self, task: TaskName, number: int, fence: int) -> None:
         """Execute a stop order."""
         self.check_fence(fence)
@@ -213,6 +230,11 @@
         self.length_of: Callable[[TaskName], timedelta] = lambda _: timedelta(seconds=1)
         self.resources_of: Callable[[TaskName], Resources] = lambda _: Resources(1_000)
         self.how_ends: Callable[[TaskName, int], RunEnd] = lambda *_: RunEnd.DONE
+        #: Returns whether a start may use its ticket for the task on the worker.
+        self.ticket_accepted: Callable[[str, TaskName, str], bool] = lambda *_: True
+        #: Whether workers reject what has no room; else they start it all the same.
+        self.reject_overload = False
+        self.rejections: Counter[StartRejection] = Counter()
         self.records: list[RunRecord] = []
         self.ends: list[tuple[TaskName, int, RunEnd]] = []
         #: What broke a promise, in words; a test asserts that it is empty.
--- a/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
@@ -42,7 +42,7 @@
 )
 from savorylead_standins.time import SteppedTime
 
-from ._memory_adviser import MemoryAdviser
+from ._memory_adviser import MemoryAdviser, TicketOffice
 from ._memory_cell_store import MemoryCellStore, StoreView
 from ._memory_workers import MemoryWorkers
 
@@ -148,6 +148,9 @@
         self.rng = random.Random(seed)
         self.store = MemoryCellStore(self.clock)
         self.workers = MemoryWorkers(self.clock)
+        self.tickets = TicketOffice(self.clock, self._born_ms)
+        if advised:
+            self.workers.ticket_accepted = self.tickets.accepts
         self.views: dict[str, StoreView] = {}
         self.nodes: dict[str, PoolNode] = {}
         self._advised = advised
@@ -166,7 +169,7 @@
         adapter = AdapterParts(
             store=view,
             workers=self.workers,
-            adviser=MemoryAdviser(self.clock) if self._advised else None,
+            adviser=self._adviser(),
             config=_Config(),
             listing=_Listing(),
             callers=_Codec(),
@@ -181,6 +184,9 @@
         self.nodes[name] = node
         node.start()
 
+    def _adviser(self) -> MemoryAdviser | None:
+        return MemoryAdviser(self.clock, self.tickets) if self._advised else None
+
     def kill(self, name: str) -> None:
         """End a node at once, without a word to anybody."""
         self.nodes.pop(name).stop()
@@ -265,6 +271,10 @@
             max_body_bytes=100_000,
         )
 
+    def _born_ms(self, worker: str) -> int:
+        machine = self.workers.machines.get(worker)
+        return 0 if machine is None else machine.entry.born_ms
+
     def _add_worker(self, number: int, pool: str, cores: int) -> None:
         entry = WorkerEntry(
             id=f"w{number}",
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_cell_callers.py
@@ -0,0 +1,156 @@
+"""What callers are told by a whole cell, also while the store or a node is away."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+
+from savorylead.jobs import JobState
+from savorylead_daemon.pool import CallerAnswer
+from savorylead_standins.pools import job_spec
+
+from .cell_cases import other_node, ready_cell
+
+Kind = CallerAnswer.Kind
+
+
+@pytest.mark.parametrize("advised", [False, True])
+def test_a_job_is_accepted_and_completed_at_any_node(advised: bool) -> None:
+    cell = ready_cell(advised=advised)
+    cell.submit("one", job_spec(count=6), other_node(cell))
+    cell.run(0.2)
+    assert cell.answer("one").kind is Kind.DONE
+    cell.run(3.0)
+    for name in cell.nodes:
+        assert cell.state("one", name) is JobState.COMPLETED
+    assert cell.workers.breaches == []
+    assert len(cell.workers.records) == 6
+
+
+def test_a_repeated_submit_stays_one_job() -> None:
+    cell = ready_cell()
+    for name in cell.nodes:
+        cell.submit("one", job_spec(count=2), name)
+    cell.run(3.0)
+    cell.submit("one", job_spec(count=2), other_node(cell))
+    cell.run(3.0)
+    assert len(cell.workers.records) == 2
+
+
+def test_a_cancelled_job_is_stopped() -> None:
+    cell = ready_cell()
+    cell.workers.length_of = lambda _: timedelta(seconds=60)
+    cell.submit("one", job_spec(count=4))
+    cell.run(1.0)
+    cell.cancel("one", other_node(cell))
+    cell.run(1.0)
+    assert cell.answer("cancel one").kind is Kind.DONE
+    assert cell.state("one") is JobState.CANCELLED
+    assert not any(m.active for m in cell.workers.machines.values())
+
+
+def test_an_unknown_job_and_an_unknown_key_are_told() -> None:
+    cell = ready_cell()
+    cell.cancel("none")
+    cell.call("state", "/q/x", "node-0", b"", "bad key", key="stolen")
+    cell.run(1.0)
+    assert cell.answer("cancel none").kind is Kind.NO_JOB
+    assert cell.answer("bad key").kind is Kind.UNKNOWN_KEY
+
+
+def test_a_withdrawn_key_stops_at_a_node_that_is_cut_off() -> None:
+    cell = ready_cell()
+    cell.views["node-0"].is_cut = True
+    cell.put_config(cell.document._replace(version=2, teams=()))
+    cell.run(4.9)
+    cell.submit("late", job_spec(), "node-0")
+    cell.submit("other", job_spec(), "node-1")
+    cell.run(2.5)
+    assert cell.answer("late").kind is Kind.NOT_NOW
+    assert cell.answer("late").retry_after_s is not None
+    assert cell.answer("other").kind is Kind.UNKNOWN_KEY
+
+
+def test_callers_are_turned_away_at_once_while_the_store_is_out_of_reach() -> None:
+    # Replays an outage: callers must not wait for two seconds before they hear of it.
+    cell = ready_cell()
+    cell.store.refuses = True
+    cell.run(2.0)
+    cell.submit("one", job_spec(), "node-0")
+    cell.run(0.1)
+    answer = cell.answer("one")
+    assert answer is not None
+    assert answer.kind is Kind.NOT_NOW
+    assert answer.retry_after_s is not None
+    cell.store.refuses = False
+    cell.run(1.0)
+    cell.submit("one", job_spec(), "node-0")
+    cell.run(4.0)
+    assert cell.state("one", "node-1") is JobState.COMPLETED
+
+
+@pytest.mark.parametrize("attribute", ["is_refused", "is_cut"])
+def test_a_node_that_the_store_turns_away_stores_jobs_through_another(
+    attribute: str,
+) -> None:
+    cell = ready_cell()
+    name = other_node(cell)
+    setattr(cell.views[name], attribute, True)
+    cell.submit("one", job_spec(), name)
+    cell.run(1.0)
+    answer = cell.answer("one")
+    assert answer is not None
+    assert answer.kind is Kind.DONE
+    cell.run(3.0)
+    assert cell.state("one", cell.lead_of()) is JobState.COMPLETED
+
+
+def test_a_final_state_is_not_told_before_it_is_durable_nor_missed_for_it() -> None:
+    # Callers ask right after the last task ended, and come back much later.
+    cell = ready_cell()
+    cell.submit("one", job_spec())
+    lead = cell.nodes[cell.lead_of()].leads["pool"]
+    while not cell.workers.ends:
+        cell.run(0.002)
+    job = lead._state.jobs.jobs["one"]
+    while job.final is None:
+        cell.run(0.001)
+    assert job.shown is JobState.RUNNING
+    assert cell.state("one", other_node(cell)) is JobState.COMPLETED
+
+
+def test_a_final_state_that_cannot_be_stored_is_waited_for_only_shortly() -> None:
+    cell = ready_cell()
+    cell.submit("one", job_spec())
+    cell.run(0.5)
+    via = cell.lead_of()
+    cell.store.refuses = True
+    cell.run(1.0)
+    began = cell.clock.now()
+    cell.call("state", "/q/one", via, b"", "state")
+    while cell.answer("state") is None:
+        cell.run(0.01)
+    assert cell.answer("state").state is JobState.RUNNING
+    assert cell.clock.now() - began < timedelta(milliseconds=300)
+
+
+def test_a_cancel_of_a_job_that_is_being_forgotten_finds_no_job() -> None:
+    # The record is deleted between the look at it and the write of the cancel.
+    cell = ready_cell()
+    cell.submit("one", job_spec())
+    cell.run(3.0)
+    [key] = [k for k in cell.store.items if k.endswith("/one") and "job" in k]
+    view = cell.views["node-0"]
+    commit = view.commit
+
+    async def forget_first(expected, puts=(), deletes=()):
+        if key in expected:
+            cell.store.delete(key)
+        return await commit(expected, puts, deletes)
+
+    view.commit = forget_first
+    cell.cancel("one", "node-0")
+    cell.run(2.5)
+    assert cell.answer("cancel one").kind is Kind.NO_JOB
+    assert not [k for k in cell.store.items if "cancel" in k]
