--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := $(patsubst %,-e packages/%,savorylead savorylead-daemon savorylead-ctl savorylead-standins) \
 	-e platform
 
-.PHONY: capacity faults demo rig test lint format bench venv clean
+.PHONY: capacity faults demo platform rig test lint format bench venv clean
 
 venv: $(VENV)/installed
 
@@ -22,6 +22,9 @@
 rig: venv
 	$(BIN)/python -m savorylead_standins.rig --config examples/$(EXAMPLE).json
 
+platform: venv
+	$(BIN)/python -m savorylead_platform_standin
+
 lint: venv
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
--- a/packages/savorylead-standins/savorylead_standins/pools/__init__.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/__init__.py
@@ -1,6 +1,6 @@
 """Stand-ins of a platform's store, workers and adviser, and whole cells of nodes."""
 
-from ._memory_adviser import MemoryAdviser
+from ._memory_adviser import MemoryAdviser, TicketOffice, policy_allows
 from ._memory_cell_store import MemoryCellStore, StoreView
 from ._memory_workers import MemoryMachine, MemoryWorkers, RunRecord
 from ._pool_cell import PoolCell, job_spec
@@ -13,5 +13,7 @@
     "PoolCell",
     "RunRecord",
     "StoreView",
+    "TicketOffice",
     "job_spec",
+    "policy_allows",
 ]
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_adviser.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_adviser.py
@@ -11,6 +11,14 @@
 from savorylead.jobs import TaskName
 from savorylead.pools import Advice, AdviserBusyError, PolicyAdviser
 
+#: Of ten workers the policy allows this many.
+GOOD_OF_TEN = 7
+
+
+def policy_allows(step: str, worker: str) -> bool:
+    """Return whether the policy allows a worker for a step; that never changes."""
+    return zlib.crc32(f"{step}/{worker}".encode()) % 10 < GOOD_OF_TEN
+
 
 class IssuedTicket(NamedTuple):
     """What a ticket allows: one step on one incarnation of a worker, for a while."""
@@ -62,13 +70,11 @@
         clock: Clock,
         office: TicketOffice,
         decide: timedelta = timedelta(milliseconds=20),
-        good_of_ten: int = 7,
         valid_ms: int = 2_000,
     ) -> None:
         self._clock = clock
         self._office = office
         self._decide = decide
-        self._good_of_ten = good_of_ten
         self._valid_ms = valid_ms
         self._busy_until = clock.now()
         self.calls = 0
@@ -86,10 +92,6 @@
         tickets = {
             w: self._office.issue(step, w, self._valid_ms)
             for w in workers
-            if self.allows(step, w)
+            if policy_allows(step, w)
         }
         return Advice(tickets, self._valid_ms)
-
-    def allows(self, step: str, worker: str) -> bool:
-        """Return whether the policy allows a worker."""
-        return zlib.crc32(f"{step}/{worker}".encode()) % 10 < self._good_of_ten
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
@@ -268,6 +268,11 @@
         if not machine.held().fits(machine.entry.capacity):
             self.breaches.append(f"{machine.entry.id} holds too much")
 
+    def done_is_void(self, task: TaskName) -> bool:
+        """Return whether a task was done, but its lease lapsed before the release."""
+        name = str(task)
+        return name in self._done and self._done[name].end_is_void(name)
+
     def ended(
         self, machine: MemoryMachine, task: TaskName, number: int, how: RunEnd
     ) -> None:
--- a/packages/savorylead-standins/savorylead_standins/rig/__init__.py
+++ b/packages/savorylead-standins/savorylead_standins/rig/__init__.py
@@ -2,7 +2,7 @@
 
 from ._command import run_from_command_line
 from ._http_caller import CallFailedError, HttpCaller
-from ._processes import HOST, CellProcesses, Child, ChildError, bounded
+from ._processes import HOST, CellProcesses, Child, ChildError, bounded, free_port
 from ._real_cell import DaemonPlace, RealCell
 from ._recorder import CallRecorder
 from ._run_report import RunReport
@@ -22,5 +22,6 @@
     "TaskDrafts",
     "WorkPlace",
     "bounded",
+    "free_port",
     "run_from_command_line",
 ]
--- a/packages/savorylead-standins/savorylead_standins/rig/_processes.py
+++ b/packages/savorylead-standins/savorylead_standins/rig/_processes.py
@@ -34,14 +34,15 @@
 
 
 class Child(ProcessProtocol):
-    """One child process; its standard error goes to a file."""
+    """One child process; its standard error goes to a file, its output if wanted."""
 
-    def __init__(self, name: str, errors: Path) -> None:
+    def __init__(self, name: str, errors: Path, output: Path | None = None) -> None:
         self.name = name
         self.ended: Deferred[int] = Deferred()
         self.first_line: Deferred[bytes] = Deferred()
         self.exit_code: int | None = None
         self._errors = errors.open("ab")
+        self._kept_output = None if output is None else output.open("ab")
         self._output = b""
 
     @property
@@ -62,7 +63,10 @@
             return
 
     def outReceived(self, data: bytes) -> None:  # noqa: N802
-        """Take the first line of output; drop the rest."""
+        """Take the first line of output; drop the rest unless it is kept."""
+        if self._kept_output is not None:
+            self._kept_output.write(data)
+            self._kept_output.flush()
         if self.first_line.called:
             return
         self._output += data
@@ -80,6 +84,8 @@
         code = status.exitCode
         self.exit_code = -(status.signal or 0) if code is None else code
         self._errors.close()
+        if self._kept_output is not None:
+            self._kept_output.close()
         if not self.first_line.called:
             # Nobody waits for the first line of a daemon.
             self.first_line.addErrback(lambda _: None)
@@ -146,7 +152,7 @@
         """Start a daemon; a name that was used before keeps its ports."""
         ports = self.ports.get(name)
         if ports is None:
-            ports = self.ports[name] = DaemonPorts(_free_port(), _free_port())
+            ports = self.ports[name] = DaemonPorts(free_port(), free_port())
         settings = Path(self.folder.name, f"{name}.json")
         settings.write_text(json.dumps(self._settings(name, region, domain, ports)))
         command = ["-m", "savorylead_standins.rig.run_daemon"]
@@ -216,7 +222,8 @@
     return Deferred.fromCoroutine(work).addTimeout(run_limit_s + KILL_S, reactor)
 
 
-def _free_port() -> int:
+def free_port() -> int:
+    """Return a port of loopback that nobody listens on now."""
     with socket.socket() as probe:
         probe.bind((HOST, 0))
         return probe.getsockname()[1]
