Judge a raised limit in the rig from when it was sent

Cause of the listed case (planning held 26 cores in the step that raises its limit): the store has the new limit before savoryctl has returned and the check noted it. Shown by a run of the check as it was, with one second between savoryctl's return and the note: the limit was sent at ...122482 and noted at ...123923, and the check told planning's 27 cores at ...123257 as a breach. Ruled out: a start above both limits; the check still tells that, and any start before the change was sent (test). Seen once besides, beside five busy processes: the rig took '' for the lead of a shard during an election and ended with KeyError.

--- a/packages/savorylead-standins/savorylead_standins/checkers/_checkers.py
+++ b/packages/savorylead-standins/savorylead_standins/checkers/_checkers.py
@@ -219,9 +219,11 @@
 def _may_apply(change: LimitChange, changes: list[LimitChange], at_ms: int) -> bool:
     """Return whether a limit may still bound what runs at a moment.
 
-    A raised limit holds at once; a lowered one once excess work had time to stop.
+    A raised limit may hold from when it was sent, since the daemons can see it in the
+    store before the operator is told; a lowered one holds once it was accepted and
+    excess work had time to stop.
     """
-    if change.accepted_at_ms > at_ms:
+    if change.sent_at_ms > at_ms:
         return False
     later = [c for c in changes if c.accepted_at_ms > change.accepted_at_ms]
     return all(c.accepted_at_ms + LIMIT_SHRINK_MS > at_ms for c in later)
--- a/packages/savorylead-standins/savorylead_standins/checkers/_history.py
+++ b/packages/savorylead-standins/savorylead_standins/checkers/_history.py
@@ -44,10 +44,13 @@
 
 
 class LimitChange(NamedTuple):
-    """A team's upper limit was accepted by the store."""
+    """An operator changed a team's upper limit."""
 
     team: str
     limit: Resources
+    #: When the operator sent the change; the store may have accepted it since.
+    sent_at_ms: int
+    #: When the operator knew that the store had accepted it.
     accepted_at_ms: int
 
 
--- a/packages/savorylead-standins/savorylead_standins/checkers/tests/test_checkers.py
+++ b/packages/savorylead-standins/savorylead_standins/checkers/tests/test_checkers.py
@@ -70,7 +70,17 @@
         (
             "limits",
             {
-                "limits": [LimitChange("dispatch", SMALL, 0)],
+                "limits": [LimitChange("dispatch", SMALL, 0, 0)],
+                "executions": [ran(), ran(OTHER, worker="w2", begin=1500)],
+            },
+        ),
+        (
+            "limits",
+            {
+                "limits": [
+                    LimitChange("dispatch", SMALL, 0, 0),
+                    LimitChange("dispatch", SMALL.times(2), 1501, 1600),
+                ],
                 "executions": [ran(), ran(OTHER, worker="w2", begin=1500)],
             },
         ),
@@ -131,8 +141,15 @@
         {"executions": [ran(), ran(OTHER, begin=2000, end=3000)]},
         {
             "limits": [
-                LimitChange("dispatch", SMALL.times(2), 0),
-                LimitChange("dispatch", SMALL, 1200),
+                LimitChange("dispatch", SMALL.times(2), 0, 0),
+                LimitChange("dispatch", SMALL, 1150, 1200),
+            ],
+            "executions": [ran(), ran(OTHER, worker="w2", begin=1500)],
+        },
+        {
+            "limits": [
+                LimitChange("dispatch", SMALL, 0, 0),
+                LimitChange("dispatch", SMALL.times(2), 1400, 1600),
             ],
             "executions": [ran(), ran(OTHER, worker="w2", begin=1500)],
         },
--- a/packages/savorylead-standins/savorylead_standins/faults/_operator.py
+++ b/packages/savorylead-standins/savorylead_standins/faults/_operator.py
@@ -93,7 +93,7 @@
             limit = limit_from_amounts(entry["limit"])
             if self._limits.get(team) != limit:
                 self._limits[team] = limit
-                history.limits.append(LimitChange(team, limit, now_ms))
+                history.limits.append(LimitChange(team, limit, now_ms, now_ms))
 
 
 async def _apply(operators: OperatorService, change: Change) -> object:
--- a/packages/savorylead-standins/savorylead_standins/rig/_observer.py
+++ b/packages/savorylead-standins/savorylead_standins/rig/_observer.py
@@ -51,7 +51,7 @@
         """Note the limits of the example and begin to sample."""
         for team, document in self._cell.example["cell"]["teams"].items():
             limit = limit_from_amounts(document["limit"])
-            self._limits.append(LimitChange(team, limit, 0))
+            self._limits.append(LimitChange(team, limit, 0, 0))
         for name, endpoint in self._cell.endpoints().items():
             self._operators[name] = self._cell.open_operator({name: endpoint})
             self._schedule(name)
@@ -72,10 +72,11 @@
         """Note that an operator was told a revision."""
         self._revisions[revision] = self._now_ms()
 
-    def note_limit(self, team: str, amounts: dict[str, int]) -> None:
-        """Note that a team's limit was changed just now."""
+    def note_limit(self, team: str, amounts: dict[str, int], sent_at_ms: int) -> None:
+        """Note that a change of a team's limit, sent then, was accepted by now."""
         limit = limit_from_amounts(amounts)
-        self._limits.append(LimitChange(team, limit, self._now_ms()))
+        change = LimitChange(team, limit, sent_at_ms, self._now_ms())
+        self._limits.append(change)
 
     def note_withdrawal(self, key: str) -> None:
         """Note that an operator was told that a key is withdrawn."""
--- a/packages/savorylead-standins/savorylead_standins/rig/_steps.py
+++ b/packages/savorylead-standins/savorylead_standins/rig/_steps.py
@@ -5,12 +5,15 @@
 import json
 from abc import ABC, abstractmethod
 from collections import Counter
+from collections.abc import Sequence
 from datetime import timedelta
 from pathlib import Path
 from typing import NamedTuple
 
 from twisted.internet.defer import Deferred, DeferredList
 
+from savorylead.clock import to_millis
+
 from ._http_caller import CallFailedError
 from ._observer import NO_RETRY, CellObserver
 from ._real_cell import RealCell
@@ -23,6 +26,19 @@
 POLL_WAIT = timedelta(seconds=25)
 
 
+#: Time between two looks for a lead.
+LEAD_POLL_S = 0.3
+
+
+def busiest_lead(leads: Sequence[str]) -> str | None:
+    """Return the name that leads most shards, the first of equals, None if none does.
+
+    ``leads`` has the lead of each shard; "" stands for a shard without one.
+    """
+    counts = Counter(name for name in leads if name)
+    return max(sorted(counts), key=lambda name: counts[name], default=None)
+
+
 class StepParts(NamedTuple):
     """What a step acts on."""
 
@@ -53,14 +69,20 @@
         await self._cell.clock.sleep(timedelta(seconds=seconds))
 
     async def _a_lead(self) -> str:
-        """Return the daemon that leads the most shards, the first by name."""
+        """Return the daemon that leads the most shards, the first by name.
+
+        While no shard has a lead, as during an election, the next one is waited for.
+        """
         operator = self._cell.open_operator()
         try:
-            answer = await operator.call("GET", "/v1/operators/shards")
+            while True:
+                answer = await operator.call("GET", "/v1/operators/shards")
+                lead = busiest_lead([shard["lead"] for shard in answer["shards"]])
+                if lead is not None:
+                    return lead
+                await self._sleep(LEAD_POLL_S)
         finally:
             operator.close()
-        leads = Counter(shard["lead"] for shard in answer["shards"])
-        return max(sorted(leads), key=lambda name: leads[name])
 
     async def _busiest_worker(self) -> str:
         histories = await self._cell.ask_platform("workers", "/admin/executions")
@@ -246,12 +268,17 @@
         document["teams"][team]["limit"] = self._limit
         path = Path(self._cell.processes.folder.name, "configuration.json")
         path.write_text(json.dumps(document))
+        sent_at_ms = to_millis(self._cell.clock.now())
         applied = await savoryctl.run(
             "config", "apply", str(path), "--expect-revision", str(shown["revision"])
         )
         self._observer.note_revision(applied["revision"])
-        self._observer.note_limit(team, self._limit)
+        self._observer.note_limit(team, self._limit, sent_at_ms)
         accepted = self._cell.elapsed_s()
+        self._cell.note(
+            f"limit of {team} sent at {sent_at_ms}, accepted by "
+            f"{to_millis(self._cell.clock.now())}"
+        )
         await savoryctl.run("wait-in-force", str(applied["revision"]))
         waited = self._cell.elapsed_s() - accepted
         self._cell.note(
