Start nothing on a worker that the new lead has not been told of itself

Ruled out: a list read late by the former lead (it noted the worker at 22.9 s, within its 2 s). After: a lead uses only workers that the list has named to it, and reads the list as it begins; a read that is overtaken by a newer one is dropped.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -350,7 +350,9 @@
             for _ in range(group.count):
                 name = f"w{len(workers)}"
                 entry = WorkerEntry(name, "pool", name, "z", capacity, (), "", True, 1)
-                workers.append(PoolWorker(entry))
+                worker = PoolWorker(entry)
+                worker.listed = True
+                workers.append(worker)
                 workers[-1].usable = True
         return workers
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -80,6 +80,7 @@
         for entry in entries:
             self._unlisted_since.pop(entry.id, None)
             self._open_session(entry)
+            self._state.workers[entry.id].listed = True
         for worker_id in [w for w in self._state.workers if w not in listed]:
             self._note_unlisted(worker_id, now_ms)
         self.record_workers()
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_workers_feed.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_workers_feed.py
@@ -40,6 +40,8 @@
         self._is_wanted = is_wanted
         self._on_list = on_list
         self._unreadable: set[str] = set()
+        #: Revision of the newest list that was handed on.
+        self._revision = 0
         self._running: Deferred[None] | None = None
 
     def start(self) -> None:
@@ -53,21 +55,27 @@
 
     async def _run(self) -> None:
         while True:
-            pause = READ_EVERY
-            if self._is_wanted():
-                try:
-                    await self._read()
-                except StoreError as exc:
-                    pause = RETRY_AFTER
-                    self._log.log_event(
-                        LogLevel.INFO, "workers_unread", detail=str(exc)
-                    )
-            else:
-                pause = RETRY_AFTER
-            await self._clock.sleep(pause)
+            is_read = self._is_wanted() and await self.read_now()
+            await self._clock.sleep(READ_EVERY if is_read else RETRY_AFTER)
+
+    async def read_now(self) -> bool:
+        """Read the list and hand it on; return whether the store answered.
+
+        A lead that has just begun must not wait for the next read.
+        """
+        try:
+            await self._read()
+        except StoreError as exc:
+            self._log.log_event(LogLevel.INFO, "workers_unread", detail=str(exc))
+            return False
+        return True
 
     async def _read(self) -> None:
         snapshot = await self._store.list(self._listing.prefix)
+        if snapshot.revision < self._revision:
+            # A read that was sent later was answered first.
+            return
+        self._revision = snapshot.revision
         entries = []
         unreadable = set()
         for item in snapshot.items:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -254,6 +254,7 @@
         lead = PoolLead(parts, term, document, self._superseded)
         self.leads[term.pool] = lead
         lead.start()
+        spawn("list of workers for a new lead", self._workers.read_now())
 
     def _deposed(self, pool: str) -> None:
         lead = self.leads.pop(pool, None)
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
@@ -5,13 +5,16 @@
 from datetime import timedelta
 
 import msgspec
+import pytest
 from twisted.internet.defer import Deferred
 
 from savorylead.jobs import JobState
 from savorylead.pools import RunEnd
 from savorylead.resources import Resources
+from savorylead.store import Snapshot
 from savorylead_daemon.pool import CallerAnswer
-from savorylead_standins.pools import job_spec
+from savorylead_standins.pools import PoolCell, StoreView, job_spec
+from savorylead_standins.pools._pool_cell import WORKERS_PREFIX
 
 from .cell_cases import ready_cell
 
@@ -211,3 +214,34 @@
     cell.start_node("node-0")
     cell.run(1.0)
     assert cell.nodes["node-0"].terms() == {"pool": term + 1}
+
+
+@pytest.mark.parametrize("list_takes_s", [0.0, 0.3, 0.9])
+def test_a_new_lead_starts_nothing_on_a_worker_that_said_it_leaves(
+    list_takes_s: float,
+) -> None:
+    # Replays a worker that said so while its lead was dead: the records of the former
+    # lead still call it ready, a backlog waits, and the list is read only later.
+    cell = ready_cell()
+    cell.kill(cell.lead_of())
+    entry = cell.workers.machines["w0"].entry._replace(accepting=False)
+    cell.list_worker(entry)
+    for view in cell.views.values():
+        delay_lists(cell, view, timedelta(seconds=list_takes_s))
+    for number in range(8):
+        cell.submit(f"job{number}", job_spec(count=6), next(iter(cell.nodes)))
+    cell.run(8.0)
+    assert cell.workers.records
+    assert not [r for r in cell.workers.records if r.worker == "w0"]
+
+
+def delay_lists(cell: PoolCell, view: StoreView, delay: timedelta) -> None:
+    """Let reads of the list of workers take longer."""
+    read = view.list
+
+    async def read_late(prefix: str) -> Snapshot:
+        if prefix == WORKERS_PREFIX:
+            await cell.clock.sleep(delay)
+        return await read(prefix)
+
+    view.list = read_late
--- a/packages/savorylead/savorylead/pools/_pool_worker.py
+++ b/packages/savorylead/savorylead/pools/_pool_worker.py
@@ -37,6 +37,9 @@
 
     def __init__(self, entry: WorkerEntry) -> None:
         self.entry = entry
+        #: Whether the platform has named it to this lead; what an earlier lead wrote
+        #: down may be older than that the worker leaves.
+        self.listed = False
         #: Whether its runs are known and it answers.
         self.usable = False
         #: Runs that may be on it, by task name and number.
@@ -63,6 +66,7 @@
         """Return whether the worker may be given work now."""
         return (
             self.usable
+            and self.listed
             and self.entry.accepting
             and not self.unexplained
             and now_ms >= self.rest_until_ms
--- a/packages/savorylead/savorylead/pools/tests/pool_cases.py
+++ b/packages/savorylead/savorylead/pools/tests/pool_cases.py
@@ -59,6 +59,7 @@
         born_ms=1,
     )
     made = PoolWorker(entry)
+    made.listed = True
     made.usable = True
     return made
 
