Tell callers early that the store answers nobody

After: every wait ends with the time in which the caller may be held, now 0.45 of its deadline; a store known to be silent gets no write, a peer that knows it silent answers so at once, and one unanswered read of 600 ms is enough to know it. The part that stores jobs is a module of its own. The stand-in store now gives a silent call up after 1 s, as the adapter does.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_config_feed.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_config_feed.py
@@ -28,6 +28,9 @@
 #: Age of the last confirming read after which the store counts as out of reach: one
 #: read was missed, and half a second of repeated ones.
 SILENT_AFTER = timedelta(milliseconds=1_300)
+#: Time for which one read may be unanswered until the store counts as out of reach; a
+#: store that is eighty times as slow as usual answers within half of it.
+SUSPECT_AFTER = timedelta(milliseconds=600)
 
 
 class ConfigFeed:
@@ -48,6 +51,8 @@
         self._log = log
         self._fresh_for = fresh_for
         self._confirmed_at: datetime | None = None
+        #: When the read that runs in the background was sent.
+        self._waiting_since: datetime | None = None
         self._on_change: list[Callable[[CellDocument], None]] = []
         self._running: Deferred[None] | None = None
         self._teams_by_key: dict[str, str] = {}
@@ -81,7 +86,10 @@
     def store_answers(self) -> bool:
         """Return whether the store answered this daemon lately."""
         age = self.age()
-        return age is not None and age < SILENT_AFTER
+        if age is None or age >= SILENT_AFTER:
+            return False
+        since = self._waiting_since
+        return since is None or self._clock.now() - since < SUSPECT_AFTER
 
     def age(self) -> timedelta | None:
         """Return the time since the last confirming read was sent; None before."""
@@ -121,7 +129,9 @@
 
     async def _run(self) -> None:
         while True:
+            self._waiting_since = self._clock.now()
             confirmed = await self.read_now()
+            self._waiting_since = None
             self.is_fresh()
             await self._clock.sleep(READ_EVERY if confirmed else RETRY_AFTER)
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
@@ -8,6 +8,8 @@
 from datetime import datetime, timedelta
 from typing import Any
 
+from twisted.internet.defer import Deferred
+
 from savorylead.clock import Clock, to_millis
 from savorylead.jobs import (
     JobRecord,
@@ -16,14 +18,13 @@
     SpecError,
     decode_job,
     decode_progress,
-    encode_job,
 )
+from savorylead.links import DeadlineExceededError, within
 from savorylead.pools import (
     CellStore,
     Committed,
     Put,
     Queue,
-    StoreRefusedError,
 )
 from savorylead.store import KeyValue, StoreError
 from savorylead_daemon.concurrency import spawn
@@ -34,11 +35,11 @@
 from ._adapter import CallerAnswer, CallerCall, CallerCodec, CallKind
 from ._cell_view import CellView
 from ._config_feed import ConfigFeed
+from ._job_keeper import JobKeeper, Stored
 from ._keys import cancel_key, job_key, progress_key
 from ._peer_messages import (
     JobAccepted,
     JobCancelled,
-    JobStoreAsked,
     PendingAsked,
     StateAsked,
     Told,
@@ -47,10 +48,9 @@
 
 #: Time until a write to the store is tried again.
 WRITE_AGAIN = timedelta(milliseconds=60)
-#: Peers that are asked to store one job; more would only repeat an outage's answer.
-PEERS_ASKED = 3
-#: Part of the caller's deadline in which the store is tried.
-TRY_SHARE = 0.7
+#: Part of the caller's deadline in which the store is tried: a caller that is turned
+#: away has more than half of its time left for another daemon.
+TRY_SHARE = 0.45
 #: Time between two attempts to tell a lead of a job, and how often it is tried; the
 #: lead also reads the records.
 TELL_AGAIN = timedelta(milliseconds=100)
@@ -90,6 +90,9 @@
         self._view = view
         self._peers = peers
         self._tell_here = tell_here
+        self._keeper = JobKeeper(
+            name, store, clock, rng, log, config, view, peers, self._accepted
+        )
         #: Answers so far by kind of call, kind of answer and code, for metrics.
         self.counts: Counter[tuple[str, str, str]] = Counter()
 
@@ -158,6 +161,8 @@
 
     async def _confirm_config(self) -> bool:
         """Return whether the configuration in force was the newest just now."""
+        if not self._config.store_answers():
+            return False
         age = self._config.age()
         if age is not None and age < CONFIRM_AFTER:
             return True
@@ -189,104 +194,19 @@
             accepted_at_ms=to_millis(arrived_at),
             spec=spec,
         )
-        give_up_at = arrived_at + timedelta(milliseconds=call.deadline_ms) * TRY_SHARE
-        return await self._store_job(record, give_up_at)
-
-    async def _store_job(self, record: JobRecord, give_up_at: datetime) -> CallerAnswer:
-        """Write the record once; whatever the answers, it is one job."""
-        key = job_key(record.pool, record.id)
-        value = encode_job(record)
-        unclear = False
-        peers_left = PEERS_ASKED
-        while True:
-            try:
-                result = await self._store.commit({key: 0}, [Put(key, value)])
-            except StoreRefusedError as exc:
-                detail = str(exc)
-            except StoreError as exc:
-                detail = str(exc)
-                unclear = True
-            else:
-                if isinstance(result, Committed):
-                    self._accepted(record, result.revision)
-                    return CallerAnswer(Kind.DONE)
-                return self._already_stored(result.current.get(key))
-            if peers_left:
-                peers_left -= 1
-                stored = await self._store_through_peer(record)
-                if stored:
-                    return CallerAnswer(Kind.DONE)
-                unclear = unclear or stored is None
-            # While the store is out of reach nothing is gained by holding the caller,
-            # whom another daemon may serve.
-            hopeless = not unclear and not self._config.store_answers()
-            if hopeless or self._clock.now() + WRITE_AGAIN >= give_up_at:
-                self._log.log_event(
-                    LogLevel.WARNING,
-                    "job_not_stored",
-                    job=record.id,
-                    unclear=unclear,
-                    config_age_ms=_millis(self._config.age()),
-                    detail=detail,
-                )
-                if unclear:
-                    return self._refusal(Kind.UNCLEAR, "store_unclear")
-                return self._not_now("store_unavailable")
-            await self._clock.sleep(WRITE_AGAIN)
+        outcome = await self._keeper.store(record, _give_up_at(call, arrived_at))
+        if outcome is Stored.UNCLEAR:
+            return self._refusal(Kind.UNCLEAR, "store_unclear")
+        if outcome is Stored.NOT_DONE:
+            return self._not_now("store_unavailable")
+        return CallerAnswer(Kind.DONE)
 
     async def store_for_peer(self, record: JobRecord) -> bool:
         """Store a job for a daemon that can't; False if nothing was done.
 
         Raises StoreError if that is not known.
         """
-        key = job_key(record.pool, record.id)
-        try:
-            result = await self._store.commit({key: 0}, [Put(key, encode_job(record))])
-        except StoreRefusedError:
-            return False
-        if isinstance(result, Committed):
-            self._accepted(record, result.revision)
-        else:
-            self._already_stored(result.current.get(key))
-        return True
-
-    async def _store_through_peer(self, record: JobRecord) -> bool | None:
-        """Have another daemon store a job; None if it is not known whether it did."""
-        others = [m for n, m in self._view.members.items() if n != self._name]
-        if not others:
-            return False
-        peer = self._rng.choice(others)
-        try:
-            stored = await self._peers.ask_store(peer.address, JobStoreAsked(record))
-        except PeerError as exc:
-            self._log.log_event(
-                LogLevel.INFO,
-                "peer_not_reached",
-                job=record.id,
-                peer=peer.name,
-                detail=str(exc),
-            )
-            return None if exc.sent else False
-        self._log.log_event(
-            LogLevel.INFO,
-            "job_stored_by_peer",
-            job=record.id,
-            peer=peer.name,
-            stored=stored,
-        )
-        return stored
-
-    def _already_stored(self, item: KeyValue | None) -> CallerAnswer:
-        if item is not None:
-            try:
-                record = decode_job(item.key, item.value)
-            except RecordError as exc:
-                self._log.log_event(
-                    LogLevel.ERROR, "job_record_unreadable", detail=str(exc)
-                )
-            else:
-                self._accepted(record, item.revision)
-        return CallerAnswer(Kind.DONE)
+        return await self._keeper.store_for_peer(record)
 
     def _accepted(self, record: JobRecord, revision: int) -> None:
         self._log.log_event(
@@ -335,25 +255,33 @@
     async def _cancel(
         self, call: CallerCall, queue: Queue, job_id: str, arrived_at: datetime
     ) -> CallerAnswer:
-        give_up_at = arrived_at + timedelta(milliseconds=call.deadline_ms) * TRY_SHARE
+        give_up_at = _give_up_at(call, arrived_at)
         while True:
+            left = give_up_at - self._clock.now()
+            storing = Deferred.fromCoroutine(self._store_cancel(queue, job_id))
             try:
-                item = await self._find(queue, job_id)
-                if item is None:
-                    return self._refusal(Kind.NO_JOB, "no_job")
-                record = decode_job(item.key, item.value)
-                key = cancel_key(record.pool, job_id)
-                result = await self._store.commit(
-                    {item.key: item.revision}, [Put(key, b"1")]
-                )
-            except (StoreError, RecordError) as exc:
+                return await within(self._clock, left, storing)
+            except (StoreError, RecordError, DeadlineExceededError) as exc:
                 if self._clock.now() + WRITE_AGAIN >= give_up_at:
                     self._log.log_event(
-                        LogLevel.WARNING, "cancel_unclear", job=job_id, detail=str(exc)
+                        LogLevel.WARNING,
+                        "cancel_unclear",
+                        job=job_id,
+                        detail=f"{type(exc).__name__}: {exc}",
                     )
                     return self._refusal(Kind.UNCLEAR, "store_unclear")
-                await self._clock.sleep(WRITE_AGAIN)
-                continue
+            await self._clock.sleep(WRITE_AGAIN)
+
+    async def _store_cancel(self, queue: Queue, job_id: str) -> CallerAnswer:
+        while True:
+            item = await self._find(queue, job_id)
+            if item is None:
+                return self._refusal(Kind.NO_JOB, "no_job")
+            record = decode_job(item.key, item.value)
+            key = cancel_key(record.pool, job_id)
+            result = await self._store.commit(
+                {item.key: item.revision}, [Put(key, b"1")]
+            )
             if not isinstance(result, Committed):
                 # The job was forgotten meanwhile, which the next look tells.
                 continue
@@ -421,5 +349,9 @@
         return None if document is None else document.version
 
 
+def _give_up_at(call: CallerCall, arrived_at: datetime) -> datetime:
+    return arrived_at + timedelta(milliseconds=call.deadline_ms) * TRY_SHARE
+
+
 def _millis(age: timedelta | None) -> int | None:
     return None if age is None else int(age.total_seconds() * 1000)
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_keeper.py
@@ -0,0 +1,192 @@
+"""Makes accepted jobs durable, through another daemon where that is needed."""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Callable
+from datetime import datetime, timedelta
+
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import Clock
+from savorylead.jobs import JobRecord, RecordError, decode_job, encode_job
+from savorylead.links import DeadlineExceededError, within
+from savorylead.pools import CellStore, Committed, Put, StoreRefusedError
+from savorylead.store import KeyValue, StoreError
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+from ._cell_view import CellView, MemberRecord
+from ._config_feed import ConfigFeed
+from ._keys import job_key
+from ._peer_messages import JobStoreAsked
+from ._peers import PeerCalls, PeerError
+
+#: Time until a write to the store is tried again.
+WRITE_AGAIN = timedelta(milliseconds=60)
+#: Longest wait for one write before a peer is asked: an answer takes 4 ms, and some
+#: 300 ms of a store that is eighty times as slow.
+WRITE_PATIENCE = timedelta(milliseconds=600)
+#: Peers that are asked to store one job; more would only repeat an outage's answer.
+PEERS_ASKED = 3
+
+
+class Stored(enum.Enum):
+    """What became of an attempt to store a job."""
+
+    DONE = "done"
+    #: Nothing was written, nor will be.
+    NOT_DONE = "not_done"
+    #: A write may have been carried out, or may be later.
+    UNCLEAR = "unclear"
+
+
+class JobKeeper:
+    """Writes each record once; whatever the answers, it is one job."""
+
+    def __init__(
+        self,
+        name: str,
+        store: CellStore,
+        clock: Clock,
+        rng: random.Random,
+        log: EventLog,
+        config: ConfigFeed,
+        view: CellView,
+        peers: PeerCalls,
+        on_stored: Callable[[JobRecord, int], None],
+    ) -> None:
+        """``on_stored`` is told each job that is durable, and its revision."""
+        self._name = name
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._config = config
+        self._view = view
+        self._peers = peers
+        self._on_stored = on_stored
+
+    async def store(self, record: JobRecord, give_up_at: datetime) -> Stored:
+        """Store a job by ``give_up_at``, or tell what is known then.
+
+        While the store answers nobody there is nothing to gain by holding the caller,
+        whom another daemon may serve.
+        """
+        others = [m for n, m in self._view.members.items() if n != self._name]
+        peers = self._rng.sample(others, min(PEERS_ASKED, len(others)))
+        unclear = False
+        while True:
+            outcome = Stored.NOT_DONE
+            if self._config.store_answers():
+                outcome = await self._write(record, give_up_at)
+            if outcome is not Stored.DONE and peers and self._clock.now() < give_up_at:
+                unclear = unclear or outcome is Stored.UNCLEAR
+                outcome = await self._write_through(peers.pop(), record, give_up_at)
+            if outcome is Stored.DONE:
+                return outcome
+            unclear = unclear or outcome is Stored.UNCLEAR
+            if not unclear and not self._config.store_answers():
+                if peers:
+                    continue
+                return self._give_up(record, Stored.NOT_DONE)
+            if self._clock.now() + WRITE_AGAIN >= give_up_at:
+                return self._give_up(
+                    record, Stored.UNCLEAR if unclear else Stored.NOT_DONE
+                )
+            await self._clock.sleep(WRITE_AGAIN)
+
+    async def store_for_peer(self, record: JobRecord) -> bool:
+        """Store a job for a daemon that can't; False if nothing was done.
+
+        Raises StoreError if that is not known.
+        """
+        if not self._config.store_answers():
+            return False
+        try:
+            await self._commit(record)
+        except StoreRefusedError:
+            return False
+        return True
+
+    async def _write(self, record: JobRecord, give_up_at: datetime) -> Stored:
+        patience = min(WRITE_PATIENCE, give_up_at - self._clock.now())
+        writing = Deferred.fromCoroutine(self._commit(record))
+        try:
+            await within(self._clock, patience, writing)
+        except StoreRefusedError as exc:
+            self._note_failure(record, Stored.NOT_DONE, exc)
+            return Stored.NOT_DONE
+        except (StoreError, DeadlineExceededError) as exc:
+            self._note_failure(record, Stored.UNCLEAR, exc)
+            return Stored.UNCLEAR
+        return Stored.DONE
+
+    async def _commit(self, record: JobRecord) -> None:
+        key = job_key(record.pool, record.id)
+        result = await self._store.commit({key: 0}, [Put(key, encode_job(record))])
+        if isinstance(result, Committed):
+            self._on_stored(record, result.revision)
+        else:
+            self._note_stored_before(result.current.get(key))
+
+    def _note_stored_before(self, item: KeyValue | None) -> None:
+        if item is None:
+            return
+        try:
+            record = decode_job(item.key, item.value)
+        except RecordError as exc:
+            self._log.log_event(
+                LogLevel.ERROR, "job_record_unreadable", detail=str(exc)
+            )
+        else:
+            self._on_stored(record, item.revision)
+
+    async def _write_through(
+        self, peer: MemberRecord, record: JobRecord, give_up_at: datetime
+    ) -> Stored:
+        left = give_up_at - self._clock.now()
+        asking = Deferred.fromCoroutine(
+            self._peers.ask_store(peer.address, JobStoreAsked(record))
+        )
+        try:
+            stored = await within(self._clock, left, asking)
+        except PeerError as exc:
+            outcome = Stored.UNCLEAR if exc.sent else Stored.NOT_DONE
+            self._note_failure(record, outcome, exc, peer.name)
+            return outcome
+        except DeadlineExceededError as exc:
+            self._note_failure(record, Stored.UNCLEAR, exc, peer.name)
+            return Stored.UNCLEAR
+        self._log.log_event(
+            LogLevel.INFO,
+            "job_stored_by_peer",
+            job=record.id,
+            peer=peer.name,
+            stored=stored,
+        )
+        return Stored.DONE if stored else Stored.NOT_DONE
+
+    def _note_failure(
+        self, record: JobRecord, outcome: Stored, exc: Exception, peer: str = ""
+    ) -> None:
+        self._log.log_event(
+            LogLevel.INFO,
+            "job_write_failed",
+            job=record.id,
+            outcome=outcome.value,
+            peer=peer,
+            detail=f"{type(exc).__name__}: {exc}",
+        )
+
+    def _give_up(self, record: JobRecord, outcome: Stored) -> Stored:
+        age = self._config.age()
+        self._log.log_event(
+            LogLevel.WARNING,
+            "job_not_stored",
+            job=record.id,
+            unclear=outcome is Stored.UNCLEAR,
+            config_age_ms=None if age is None else age // timedelta(milliseconds=1),
+        )
+        return outcome
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_cell_store.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_cell_store.py
@@ -29,8 +29,8 @@
 
 #: One way between a daemon and the store.
 DELAY = timedelta(milliseconds=2)
-#: After this long a call without an answer is given up.
-GIVE_UP = timedelta(milliseconds=400)
+#: After this long a call without an answer is given up, as the adapter does it.
+GIVE_UP = timedelta(seconds=1)
 #: Most entries of a transaction.
 MAX_ENTRIES = 32
 
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_cell_callers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_cell_callers.py
@@ -154,3 +154,55 @@
     cell.run(2.5)
     assert cell.answer("cancel one").kind is Kind.NO_JOB
     assert not [k for k in cell.store.items if "cancel" in k]
+
+
+@pytest.mark.parametrize("silent", [False, True])
+@pytest.mark.parametrize(
+    ("away_for_s", "answered_within_s", "kinds"),
+    [
+        # The write is under way as the store goes silent, so nobody knows.
+        (0.0, 1.36, {Kind.UNCLEAR, Kind.NOT_NOW}),
+        (0.3, 1.36, {Kind.UNCLEAR, Kind.NOT_NOW}),
+        # By now it is known that the store answers nobody.
+        (1.4, 0.05, {Kind.NOT_NOW}),
+    ],
+)
+def test_no_submit_is_held_through_an_outage(
+    silent: bool, away_for_s: float, answered_within_s: float, kinds: set[Kind]
+) -> None:
+    # Replays an outage of three seconds: callers were held until their deadline.
+    cell = ready_cell()
+    cell.store.silent, cell.store.refuses = silent, not silent
+    cell.run(away_for_s)
+    cell.submit("one", job_spec())
+    cell.run(answered_within_s)
+    answer = cell.answer("one")
+    assert answer is not None
+    assert answer.kind in kinds
+    if answer.kind is Kind.NOT_NOW:
+        assert answer.retry_after_s is not None
+
+
+def test_a_job_whose_daemon_lost_the_store_is_stored_by_a_peer_soon() -> None:
+    cell = ready_cell()
+    cell.views["node-0"].is_cut = True
+    cell.submit("one", job_spec(), "node-0")
+    cell.run(0.7)
+    assert cell.answer("one").kind is Kind.DONE
+    cell.run(1.0)
+    cell.submit("two", job_spec(), "node-0")
+    cell.run(0.05)
+    assert cell.answer("two").kind is Kind.DONE
+
+
+@pytest.mark.parametrize("silent_for_s", [0.0, 1.4])
+def test_no_cancel_is_held_until_the_deadline(silent_for_s: float) -> None:
+    cell = ready_cell()
+    cell.workers.length_of = lambda _: timedelta(seconds=60)
+    cell.submit("one", job_spec())
+    cell.run(0.5)
+    cell.store.silent = True
+    cell.run(silent_for_s)
+    cell.cancel("one")
+    cell.run(1.4)
+    assert cell.answer("cancel one").kind is Kind.UNCLEAR
