Divide a team's limit so that small wants are met whole, and give back what is owed

Once a part had shrunk below the want it never shrank again; the proportional part of the small want, 13.7 cores, could not have held it; and what ended in the large pool was started again before the next look. After: small wants are met whole and large ones share the rest; a pool gives back whatever its want, and starts nothing beyond what it is owed while others are short.

--- a/packages/savorylead/savorylead/pools/_grants.py
+++ b/packages/savorylead/savorylead/pools/_grants.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 import msgspec
@@ -72,7 +72,7 @@
         limit = self._limits.get(team)
         if limit is None:
             return None
-        usable = self._usable(team, limit)
+        usable = _least(self._usable(team, limit), self._owed(team, limit))
         room = usable.minus(held)
         # A dimension without a limit has room for anything.
         return Resources(
@@ -135,6 +135,24 @@
             )
         )
 
+    def _owed(self, team: str, limit: Resources) -> Resources:
+        """Return the most that this pool may come to hold while others are short.
+
+        What ends is not started again beyond that, or nothing would become free.
+        """
+        pools = self.book.parts.get(team, {})
+        own = pools.get(self.pool)
+        if own is None:
+            return limit
+        others = [part for pool, part in pools.items() if pool != self.pool]
+        owed = []
+        for index, bound in enumerate(limit):
+            wants = [part.wanted[index] for part in others]
+            is_short = sum(wants) > sum(part.granted[index] for part in others)
+            fair = _fair_part(bound, own.wanted[index], wants)
+            owed.append(fair if is_short else max(bound, own.granted[index]))
+        return Resources(*owed)
+
     def _next_part(
         self,
         limit: Resources,
@@ -153,7 +171,7 @@
                     held=held[index],
                     wanted=wanted[index],
                     granted_to_others=sum(p.granted[index] for p in others),
-                    wanted_by_others=sum(p.wanted[index] for p in others),
+                    wanted_by_others=[p.wanted[index] for p in others],
                 )
             )
         told = old.wanted
@@ -187,20 +205,36 @@
     held: int,
     wanted: int,
     granted_to_others: int,
-    wanted_by_others: int,
+    wanted_by_others: Sequence[int],
 ) -> int:
     """Return one dimension of this pool's part."""
     if bound <= 0:
         return 0
     free = max(0, bound - granted_to_others)
-    if wanted + wanted_by_others <= bound:
-        # All can have what they want; half of what is left goes to each side.
-        target = wanted + (bound - wanted - wanted_by_others) // 2
-    else:
-        target = bound * wanted // (wanted + wanted_by_others)
-    if wanted > own:
+    target = _fair_part(bound, wanted, wanted_by_others)
+    if wanted > own and target > own:
         return max(own, min(target, free))
-    others_are_short = wanted_by_others > granted_to_others
+    others_are_short = sum(wanted_by_others) > granted_to_others
     if own > target and others_are_short:
         return max(held, target)
     return own
+
+
+def _fair_part(bound: int, wanted: int, wanted_by_others: Sequence[int]) -> int:
+    """Return what one of several pools should have of a limit.
+
+    If all can have what they want, half of what is left is added. Else small wants
+    are met whole and the large ones share the rest evenly: a job that can't start
+    with less than it asks for would wait forever for a proportional part.
+    """
+    left = bound - wanted - sum(wanted_by_others)
+    if left >= 0:
+        return wanted + left // 2
+    remaining = bound
+    claims = sorted([*wanted_by_others, wanted])
+    for index, claim in enumerate(claims):
+        even = remaining // (len(claims) - index)
+        if claim > even:
+            return min(wanted, even)
+        remaining -= claim
+    return wanted
--- a/packages/savorylead/savorylead/pools/tests/test_grants.py
+++ b/packages/savorylead/savorylead/pools/tests/test_grants.py
@@ -85,6 +85,32 @@
     assert cell.room("two").cores_milli >= min(left.cores_milli, 45_000)
 
 
+@pytest.mark.parametrize(
+    "wanted_by_two", [Resources(15_000, 40_000, 4), Resources(50_000, 300_000, 10)]
+)
+def test_a_pool_whose_work_never_ends_gives_the_other_its_fair_part(
+    wanted_by_two: Resources,
+) -> None:
+    # Replays a backlog that fills a team's whole limit in one pool, while a job of
+    # the other pool, which can't start with less than it asks for, waits for 20 s.
+    cell = TwoPools()
+    cell.waiting["one"] = LIMIT
+    cell.settle()
+    cell.held["one"] = Resources(99_500, 599_000, 20)
+    cell.waiting["two"] = wanted_by_two
+    cell.settle()
+    for _ in range(40):
+        # A task ends, and the next one starts if there is room for it.
+        cell.held["one"] = cell.held["one"].minus(Resources(3_000, 18_000, 1))
+        if Resources(3_000, 18_000, 1).fits(cell.room("one")):
+            cell.held["one"] = cell.held["one"].plus(Resources(3_000, 18_000, 1))
+        cell.settle(1)
+        if wanted_by_two.fits(cell.room("two")):
+            break
+    assert wanted_by_two.fits(cell.room("two"))
+    assert cell.granted_sum().fits(LIMIT)
+
+
 def test_a_lowered_limit_binds_at_once() -> None:
     cell = TwoPools()
     cell.waiting = {"one": LIMIT, "two": LIMIT}
