Stop a team's own batch work for its urgent steps at the team's limit

Load pattern: a burst of urgent steps of a team whose own backlog fills its limit; the test replays it and fails without the change. What is left at that burst is urgent work beyond the limit itself.

--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -105,6 +105,17 @@
             if placed == len(waiting):
                 continue
             if self._is_short_of_limit(state, step, waiting, placed, candidates, rooms):
+                if urgency.lateness == 0:
+                    missing = len(waiting) - placed
+                    self._make_room_at_limit(
+                        state,
+                        step,
+                        urgency.priority,
+                        missing,
+                        candidates,
+                        rooms[team],
+                        queues,
+                    )
                 continue
             if urgency.lateness == 0:
                 self._make_room(state, step, urgency.priority, waiting[placed:], queues)
@@ -159,6 +170,35 @@
         )
         state.plan.preempted.extend(victims)
 
+    def _make_room_at_limit(
+        self,
+        state: PlanningPass,
+        step: StepRun,
+        priority: int,
+        missing: int,
+        candidates: Sequence[PoolWorker],
+        room: Resources | None,
+        queues: Mapping[str, Queue],
+    ) -> None:
+        """Stop less urgent runs of the team for tasks that its limit keeps waiting."""
+        if room is None:
+            return
+        held = held_by(step)
+        fitting = sum(copies_that_fit(held, state.free[w.id], step) for w in candidates)
+        if step.spec.gang and fitting < missing:
+            return
+        victims = self._preemption.victims_at_limit(
+            step,
+            priority,
+            min(missing, fitting),
+            room,
+            state.workers,
+            state.plan.preempted,
+            queues,
+            state.now_ms,
+        )
+        state.plan.preempted.extend(victims)
+
     def _candidates(self, state: PlanningPass, step: StepRun) -> list[PoolWorker]:
         """Return the workers that could start a task of the step now, best first."""
         queue = step.job.record.queue
--- a/packages/savorylead/savorylead/pools/_preemption.py
+++ b/packages/savorylead/savorylead/pools/_preemption.py
@@ -2,7 +2,8 @@
 
 Load pattern: a burst of short urgent steps arrives while wide batch work fills every
 worker. Tasks that can be checkpointed lose little when they are stopped, and their
-jobs have minutes where urgent ones have a second.
+jobs have minutes where urgent ones have a second. The same burst may come from a team
+whose own batch work has filled the team's upper limit.
 """
 
 from __future__ import annotations
@@ -32,6 +33,11 @@
     return Resources(*(max(0, min(a, b)) for a, b in zip(one, other, strict=True)))
 
 
+def _helps(freed: Resources, lacking: Resources) -> bool:
+    """Return whether something of what is lacking would be freed."""
+    return any(a > 0 and b > 0 for a, b in zip(freed, lacking, strict=True))
+
+
 class Preemption:
     """Chooses victims: the least urgent runs on the fewest workers. Pure."""
 
@@ -103,6 +109,54 @@
                 found.append(worker)
         return found
 
+    def victims_at_limit(
+        self,
+        step: StepRun,
+        priority: int,
+        missing: int,
+        room: Resources,
+        workers: Iterable[PoolWorker],
+        taken: Sequence[Run],
+        queues: Mapping[str, Queue],
+        now_ms: int,
+    ) -> list[Run]:
+        """Return runs of the step's own team to stop so that its limit has room.
+
+        ``room`` is what the limit leaves now, ``taken`` are runs that are stopped
+        already. A gang gets room for all its tasks or none.
+        """
+        team = step.job.record.team
+        needed = step.spec.resources.times(missing)
+        candidates: list[Run] = []
+        for worker in workers:
+            for run in worker.runs.values():
+                if run.task.step.job.record.team != team:
+                    continue
+                if run.state is RunState.STOPPING or run in taken:
+                    room = room.plus(run.task.step.spec.resources)
+            candidates += [
+                run
+                for run in self._stoppable(worker, priority, queues, now_ms, taken)
+                if run.task.step.job.record.team == team
+            ]
+        # Those with most time to spare first, as on one worker.
+        candidates.sort(
+            key=lambda run: (
+                -self._slack_ms(run, queues[run.task.step.job.record.queue], now_ms)
+            )
+        )
+        chosen: list[Run] = []
+        for run in candidates:
+            if needed.fits(room) or len(chosen) >= MAX_VICTIMS:
+                break
+            freed = run.task.step.spec.resources
+            if _helps(freed, needed.minus(room)):
+                chosen.append(run)
+                room = room.plus(freed)
+        if needed.fits(room):
+            return chosen
+        return [] if step.spec.gang or not step.spec.resources.fits(room) else chosen
+
     def _cheapest(
         self,
         needed: Resources,
--- a/packages/savorylead/savorylead/pools/tests/test_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/tests/test_pool_planner.py
@@ -258,3 +258,31 @@
     again = plan(steps, workers, planner, queues=queues)
     assert 4 <= len(made.requests) <= 8
     assert again.requests == []
+
+
+@pytest.mark.parametrize(
+    ("mine", "changes", "state", "stopped"),
+    [
+        ("urgent", {"checkpoints": True}, RunState.RUNNING, 2),
+        # Stopped already; the room comes by itself.
+        ("urgent", {"checkpoints": True}, RunState.STOPPING, 0),
+        # All its work would be lost.
+        ("urgent", {"checkpoints": False}, RunState.RUNNING, 0),
+        ("urgent", {"checkpoints": True, "team": "another"}, RunState.RUNNING, 0),
+        ("batch", {"checkpoints": True}, RunState.RUNNING, 0),
+    ],
+)
+def test_batch_work_that_fills_its_teams_limit_makes_room_for_urgent_work(
+    mine: str, changes: dict[str, object], state: RunState, stopped: int
+) -> None:
+    # Replays a backlog of a team that has filled the team's limit, though not the
+    # workers, as the team's urgent jobs come.
+    where = worker("w1", cores=16)
+    batch = step_of("backlog", "batch", cores=2.0, count=4, **changes)
+    for index in range(4):
+        run_on(where, batch, index, state)
+    urgent = step_of("mine", mine, cores=1.0, count=3)
+    made = plan([urgent, batch], [where], room=Resources(0, 1 << 60, 1 << 60))
+    assert starts(made) == []
+    assert len(made.preempted) == stopped
+    assert all(run.task.step.job.id == "backlog" for run in made.preempted)
