Let the next step start before the ends before it are durable

Why it is safe: an end is released only once it is durable, so until then the worker lists it to the next lead too; if the worker dies, the task runs again as any other whose end was not noted. The matrix of 17 faults at 3 moments now runs jobs of two steps too, with a check that no step starts early; it passed before and after. The replaying test (the store goes away while the first step runs) fails without the change.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -332,8 +332,8 @@
             spawn("call for advice", self._ask(request))
 
     def _may_start(self, job: Job) -> bool:
-        if self._progress.must_wait(job):
-            return False
+        # A step need not wait until the ends before it are durable: workers list them
+        # until then, so the next lead learns of them too.
         # A job accepted since this term began can't have runs of earlier leads.
         return self._fleet.is_located() or job.revision > self.term.revision
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_progress_log.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_progress_log.py
@@ -22,7 +22,7 @@
 JOBS_PER_WRITE = 15
 #: Records of jobs deleted in one transaction, with three keys each.
 JOBS_PER_DELETE = 10
-#: Time in which ends that nothing waits for are gathered.
+#: Time in which ends that nobody waits for are gathered.
 GATHER = timedelta(milliseconds=10)
 #: Time until a failed write is repeated.
 RETRY_AFTER = timedelta(milliseconds=100)
@@ -53,18 +53,15 @@
         self._on_superseded = on_superseded
         #: Jobs with changes that are not durable, and the count of their changes.
         self._dirty: dict[Job, int] = {}
-        #: Those of them on whose changes other decisions wait.
-        self._urgent: set[Job] = set()
         self._timer: Timer | None = None
         self._waiting: list[Deferred[None]] = []
         self._writing: Deferred[None] | None = None
         self._closed = False
 
     def note(self, job: Job, urgent: bool) -> None:
-        """Write the job's progress; at once if other decisions wait for it."""
+        """Write the job's progress; at once if callers wait for it."""
         self._dirty[job] = self._dirty.get(job, 0) + 1
         if urgent:
-            self._urgent.add(job)
             self._write_now()
         elif self._timer is None and self._writing is None:
             self._timer = self._clock.call_later(GATHER, self._write_now)
@@ -76,10 +73,6 @@
         if self._writing is None and not self._closed:
             self._writing = spawn("progress log", self._write_all())
 
-    def must_wait(self, job: Job) -> bool:
-        """Return whether the job has changes that nothing may build upon yet."""
-        return job in self._urgent
-
     async def durable(self) -> None:
         """Return once everything noted so far is durable."""
         if not self._dirty:
@@ -157,7 +150,6 @@
             job.progress_revision = revision
             if self._dirty.get(job) == versions[job]:
                 del self._dirty[job]
-                self._urgent.discard(job)
             self._on_durable(job, progress)
         if not self._dirty:
             waiting, self._waiting = self._waiting, []
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_report_judge.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_report_judge.py
@@ -112,8 +112,7 @@
             self._log.log_event(LogLevel.INFO, "worker_rested", worker=worker.id)
         if ended.how is not RunEnd.DONE and finding.run is not None:
             self._starter.stop_rest_of_gang(finding.run, "gang_broken")
-        opens_more = ended.how is RunEnd.FAILED or task.step.is_done
-        self._progress.note(job, urgent=opens_more or job.final is not None)
+        self._progress.note(job, urgent=job.final is not None)
         self._starter.stop_needless(job)
 
     def _learn(self, run: Run | None) -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -44,8 +44,10 @@
 WATCHFUL_WAIT = timedelta(milliseconds=400)
 #: Time between looks at a worker on which a stop is under way.
 STOPPING_LOOK = timedelta(milliseconds=60)
-#: Longest time between renewals while ends wait to become durable.
-UNRELEASED_LOOK = timedelta(milliseconds=300)
+#: Time between looks while seen ends are not durable: the answer comes at once, with
+#: those ends again, so a look can't wait for the next one. Ends of other tasks there
+#: are seen this late at most while the store is slow or away.
+UNRELEASED_LOOK = timedelta(milliseconds=100)
 #: Time until a call that failed is tried again.
 RETRY_AFTER = timedelta(milliseconds=200)
 #: Time until a stop that was accepted is sent again, if the run is still listed.
--- a/packages/savorylead-standins/savorylead_standins/pools/__init__.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/__init__.py
@@ -3,7 +3,7 @@
 from ._memory_adviser import MemoryAdviser, TicketOffice, policy_allows
 from ._memory_cell_store import MemoryCellStore, StoreView
 from ._memory_workers import MemoryMachine, MemoryWorkers, RunRecord
-from ._pool_cell import PoolCell, job_spec
+from ._pool_cell import PoolCell, in_turn, job_spec
 
 __all__ = [
     "MemoryAdviser",
@@ -14,6 +14,7 @@
     "RunRecord",
     "StoreView",
     "TicketOffice",
+    "in_turn",
     "job_spec",
     "policy_allows",
 ]
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import datetime, timedelta
 from typing import Any, NamedTuple
 
@@ -232,6 +232,8 @@
         self.how_ends: Callable[[TaskName, int], RunEnd] = lambda *_: RunEnd.DONE
         #: Returns whether a start may use its ticket for the task on the worker.
         self.ticket_accepted: Callable[[str, TaskName, str], bool] = lambda *_: True
+        #: Names of the tasks that must be done before a task starts.
+        self.waits_for: Callable[[TaskName], Iterable[str]] = lambda _: ()
         #: Whether workers reject what has no room; else they start it all the same.
         self.reject_overload = False
         self.rejections: Counter[StartRejection] = Counter()
@@ -265,6 +267,11 @@
             self.breaches.append(f"{name}/{order.number} runs twice: {elsewhere}")
         if name in self._done and not self._done[name].end_is_void(name):
             self.breaches.append(f"{name}/{order.number} starts after it was done")
+        early = [
+            other for other in self.waits_for(order.task) if other not in self._done
+        ]
+        if early:
+            self.breaches.append(f"{name}/{order.number} starts before {early}")
         if not machine.held().fits(machine.entry.capacity):
             self.breaches.append(f"{machine.entry.id} holds too much")
 
--- a/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
@@ -130,6 +130,13 @@
     return JobSpec("payload", (step,))
 
 
+def in_turn(steps: int, count: int) -> JobSpec:
+    """Return a job of equal steps, each after the one before it."""
+    step = job_spec(count).steps[0]
+    after = [step._replace(after=(number - 1,)) for number in range(1, steps)]
+    return JobSpec("payload", (step, *after))
+
+
 class PoolCell:
     """Nodes by name, one pool or more, and callers."""
 
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_cell_faults.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_cell_faults.py
@@ -8,7 +8,7 @@
 
 from savorylead.jobs import JobState
 from savorylead_daemon.pool import CallerAnswer
-from savorylead_standins.pools import PoolCell, job_spec
+from savorylead_standins.pools import PoolCell, in_turn
 
 from .cell_cases import ready_cell, states
 
@@ -147,13 +147,17 @@
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
 @pytest.mark.parametrize("offset_s", [0.0, 0.35, 1.1])
 @pytest.mark.parametrize("advised", [False, True])
+@pytest.mark.parametrize("steps", [1, 2])
 def test_nothing_is_lost_or_run_twice(
-    fault: Fault, offset_s: float, advised: bool
+    fault: Fault, offset_s: float, advised: bool, steps: int
 ) -> None:
     cell = ready_cell(advised=advised)
+    cell.workers.waits_for = lambda task: (
+        f"{task.job}.0.{task.step - 1}.{index}" for index in range(5) if task.step
+    )
     jobs = [f"job{number}" for number in range(12)]
     for number, job in enumerate(jobs):
-        cell.submit(job, job_spec(count=5), f"node-{number % 3}")
+        cell.submit(job, in_turn(steps, count=5), f"node-{number % 3}")
         cell.run(0.05)
     cell.run(offset_s)
     fault(cell)
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
@@ -13,7 +13,7 @@
 from savorylead.resources import Resources
 from savorylead.store import Snapshot
 from savorylead_daemon.pool import CallerAnswer
-from savorylead_standins.pools import PoolCell, StoreView, job_spec
+from savorylead_standins.pools import PoolCell, StoreView, in_turn, job_spec
 from savorylead_standins.pools._pool_cell import WORKERS_PREFIX
 
 from .cell_cases import ready_cell
@@ -245,3 +245,20 @@
         return await read(prefix)
 
     view.list = read_late
+
+
+@pytest.mark.parametrize("silent", [False, True])
+def test_the_next_step_does_not_wait_for_the_store(silent: bool) -> None:
+    # Replays a store that goes away, or takes 300 ms for each answer, while jobs of
+    # several steps run: each step waited for it once more.
+    cell = ready_cell()
+    cell.submit("one", in_turn(2, count=3))
+    cell.run(0.9)
+    cell.store.silent, cell.store.refuses = silent, not silent
+    cell.run(0.4)
+    assert {record.task.step for record in cell.workers.records} == {0, 1}
+    cell.store.silent = cell.store.refuses = False
+    cell.run(6.0)
+    assert cell.state("one") is JobState.COMPLETED
+    assert cell.workers.breaches == []
+    assert len(cell.workers.records) == 6
