Take over changes of the settings file, with or without a hang-up

Until now a hang-up did nothing and a change without a signal went unseen until the next start. The file is looked at once a second and at SIGHUP, checked as a whole; bounds and logging take effect at once, other sections at the next start, and one line tells which. A file with a fault changes nothing and is told once.

--- a/packages/savorylead-daemon/savorylead_daemon/main.py
+++ b/packages/savorylead-daemon/savorylead_daemon/main.py
@@ -59,7 +59,7 @@
     if args.check_config:
         print(f"{args.config}: ok")
         raise SystemExit(EXIT_OK)
-    raise SystemExit(_run(settings))
+    raise SystemExit(_run(settings, args.config))
 
 
 def _load(path: Path) -> Settings | PoolSettings:
@@ -72,14 +72,14 @@
     return load_pool_settings(path) if for_pools else load_settings(path)
 
 
-def _run(settings: Settings | PoolSettings) -> int:
+def _run(settings: Settings | PoolSettings, path: Path) -> int:
     """Wire the daemon and run it; return the exit code."""
     # Only a daemon that runs needs the reactor and everything behind it, and each
     # kind of daemon only its own half.
     if isinstance(settings, PoolSettings):
         from savorylead_daemon.pool.composition import compose_pools
 
-        return compose_pools(settings)
+        return compose_pools(settings, path)
     from savorylead_daemon.composition import compose
 
     return compose(settings)
--- a/packages/savorylead-daemon/savorylead_daemon/observability/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/__init__.py
@@ -1,6 +1,6 @@
 """What an operator sees of a daemon: JSON log lines, metrics, readiness."""
 
-from ._event_log import EventLog, LogSubject, configure_logging
+from ._event_log import EventLog, LogSubject, configure_logging, set_log_level
 from ._log_stream import LogStream
 from ._metrics import Metrics
 from ._readiness import Readiness
@@ -14,4 +14,5 @@
     "Readiness",
     "WaitStage",
     "configure_logging",
+    "set_log_level",
 ]
--- a/packages/savorylead-daemon/savorylead_daemon/observability/_event_log.py
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/_event_log.py
@@ -92,13 +92,18 @@
     logging.use_absl_handler()
     if stream is not None:
         logging.get_absl_handler().python_handler.stream = stream
-    logging.set_verbosity(_SEVERITIES[level])
+    set_log_level(level)
     logging.get_absl_handler().setFormatter(_JsonLineFormatter(daemon))
     warnings_on = LogLevelFilterPredicate(defaultLogLevel=TwistedLevel.warn)
     observer = FilteringLogObserver(STDLibLogObserver(), [warnings_on])
     globalLogBeginner.beginLoggingTo([observer], redirectStandardIO=False)
 
 
+def set_log_level(level: LogLevel) -> None:
+    """Change the least level that is written."""
+    logging.set_verbosity(_SEVERITIES[level])
+
+
 class _Window:
     """Lines of one event since the window began."""
 
@@ -121,6 +126,10 @@
         self._lines_per_window = lines_per_event_per_s
         self._windows: dict[str, _Window] = {}
 
+    def set_rate(self, lines_per_event_per_s: int) -> None:
+        """Change how many lines one event may have in a second."""
+        self._lines_per_window = lines_per_event_per_s
+
     def log_event(
         self,
         level: LogLevel,
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_config_feed.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_config_feed.py
@@ -73,6 +73,10 @@
         if self._running is not None:
             self._running.cancel()
 
+    def set_fresh_for(self, fresh_for: timedelta) -> None:
+        """Take over how long a confirming read counts."""
+        self._fresh_for = fresh_for
+
     def is_fresh(self) -> bool:
         """Return whether no key can have been withdrawn for longer than allowed."""
         age = self.age()
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_settings_watch.py
@@ -0,0 +1,84 @@
+"""Takes over changes of the settings file while the daemon runs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import timedelta
+from pathlib import Path
+
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import Clock
+from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel, SettingsError
+
+from .settings import PoolSettings, load_pool_settings
+
+#: Time between two looks: the file may change without a signal.
+LOOK_EVERY = timedelta(seconds=1)
+#: Sections that take effect while the daemon runs; others do at its next start.
+LIVE_SECTIONS = frozenset({"bounds", "log"})
+
+
+class SettingsWatch:
+    """Checks a changed file as a whole; one with a fault changes nothing."""
+
+    def __init__(
+        self,
+        path: Path,
+        current: PoolSettings,
+        clock: Clock,
+        log: EventLog,
+        on_change: Callable[[PoolSettings], None],
+    ) -> None:
+        """``current`` is what the daemon was started with."""
+        self._path = path
+        self._current = current
+        self._clock = clock
+        self._log = log
+        self._on_change = on_change
+        #: The fault that was told last, so that it is told once.
+        self._fault = ""
+        self._running: Deferred[None] | None = None
+
+    def start(self) -> None:
+        """Begin to look."""
+        self._running = spawn("settings watch", self._run())
+
+    def stop(self) -> None:
+        """End looking."""
+        if self._running is not None:
+            self._running.cancel()
+
+    def look(self) -> None:
+        """Read the file now, as a hang-up signal asks for."""
+        try:
+            settings = load_pool_settings(self._path)
+        except SettingsError as exc:
+            fault = "; ".join(f"{path}: {message}" for path, message in exc.faults)
+            if fault != self._fault:
+                self._fault = fault
+                self._log.log_event(LogLevel.ERROR, "settings_refused", faults=fault)
+            return
+        self._fault = ""
+        changed = [
+            name
+            for name in PoolSettings.__struct_fields__
+            if getattr(settings, name) != getattr(self._current, name)
+        ]
+        if not changed:
+            return
+        self._current = settings
+        self._log.log_event(
+            LogLevel.INFO,
+            "settings_reloaded",
+            in_force=[name for name in changed if name in LIVE_SECTIONS],
+            at_next_start=[name for name in changed if name not in LIVE_SECTIONS],
+        )
+        self._on_change(settings)
+
+    async def _run(self) -> None:
+        while True:
+            await self._clock.sleep(LOOK_EVERY)
+            self.look()
--- a/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
@@ -9,6 +9,7 @@
 import sys
 import time
 from datetime import timedelta
+from pathlib import Path
 
 import msgspec
 from twisted.internet import reactor
@@ -28,6 +29,7 @@
     LogStream,
     Readiness,
     configure_logging,
+    set_log_level,
 )
 from savorylead_daemon.settings import LogLevel
 
@@ -36,6 +38,7 @@
 from ._cell_view import MemberRecord
 from ._metrics import PoolMetrics
 from ._peers import PeerClient
+from ._settings_watch import SettingsWatch
 from .node import NodeSettings, PoolNode
 from .settings import PoolSettings
 
@@ -82,7 +85,7 @@
 class PoolDaemon:
     """A daemon with its sockets, from its start to its planned stop."""
 
-    def __init__(self, settings: PoolSettings) -> None:
+    def __init__(self, settings: PoolSettings, path: Path) -> None:
         self._settings = settings
         self._clock = BootClock(reactor)
         self._rng = random.Random(random.SystemRandom().getrandbits(128))
@@ -110,6 +113,9 @@
             self._rng,
             self._log,
         )
+        self._settings_watch = SettingsWatch(
+            path, settings, self._clock, self._log, self._take_settings
+        )
         self._metrics = PoolMetrics(time.process_time)
         self._sites: list[JsonSite] = []
 
@@ -122,6 +128,7 @@
         self._listen(listen.metrics, self._answer_metrics)
         self._listen(listen.callers, self._node.gateway.handle)
         self._node.start()
+        self._settings_watch.start()
         spawn("readiness", self._judge_readiness())
         self._log.log_event(
             LogLevel.INFO,
@@ -130,6 +137,17 @@
             callers=listen.callers,
         )
 
+    def read_settings(self) -> None:
+        """Look at the settings file now."""
+        self._settings_watch.look()
+
+    def _take_settings(self, settings: PoolSettings) -> None:
+        self._log.set_rate(settings.log.lines_per_event_per_s)
+        set_log_level(settings.log.level)
+        self._node.set_key_withdrawn(
+            timedelta(milliseconds=settings.bounds.key_withdrawn_ms)
+        )
+
     def stop(self) -> None:
         """Begin the planned stop; the reactor stops when it is through."""
         if self._stopping:
@@ -204,18 +222,22 @@
         return JsonResponse(200, body, {"content-type": content_type})
 
 
-def compose_pools(settings: PoolSettings) -> int:
-    """Run a daemon until SIGTERM or SIGINT; return the exit code."""
+def compose_pools(settings: PoolSettings, path: Path) -> int:
+    """Run a daemon until SIGTERM or SIGINT; return the exit code.
+
+    The file at ``path`` is read again when it changes.
+    """
     stream = LogStream(sys.stdout.fileno())
     configure_logging(settings.name, settings.log.level, stream)
-    daemon = PoolDaemon(settings)
+    daemon = PoolDaemon(settings, path)
     daemon.start()
     gc.collect()
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: reactor.callFromThread(daemon.stop))
-    # Settings are read at each start; a hang-up asks for nothing more.
-    signal.signal(signal.SIGHUP, lambda *_: None)
+    signal.signal(
+        signal.SIGHUP, lambda *_: reactor.callFromThread(daemon.read_settings)
+    )
     reactor.run(installSignalHandlers=False)
     return 0
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -234,6 +234,10 @@
         await self._adapter.store.end_lease(asked.lease_id)
         return True
 
+    def set_key_withdrawn(self, key_withdrawn: timedelta) -> None:
+        """Take over how soon a withdrawn key must do nothing."""
+        self.config.set_fresh_for(key_withdrawn * FRESH_SHARE)
+
     def _lease_lost(self) -> None:
         self._elections.lease_lost()
 
