Read the records of a pool at once when a lead begins

Earlier leads are fenced by then, so the order is no matter. The test, with 260 ms a call, has 780 ms without the change and at most 300 with it.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
@@ -18,7 +18,7 @@
 )
 from savorylead.pools import CellStore, Committed, HistoryLostError, Put, WorkerEntry
 from savorylead.store import StoreError
-from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.concurrency import gather, spawn
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -137,9 +137,15 @@
             return None
 
     async def _load_once(self) -> LoadedPool:
-        intake = await self._store.list(intake_prefix(self._term.pool))
-        progress = await self._store.list(progress_prefix(self._term.pool))
-        workers = await self._store.get(workers_key(self._term.pool))
+        # Earlier leads can write none of these any more, so the order is no matter,
+        # and one after the other takes a second while the store is slow.
+        intake, progress, workers = await gather(
+            [
+                self._store.list(intake_prefix(self._term.pool)),
+                self._store.list(progress_prefix(self._term.pool)),
+                self._store.get(workers_key(self._term.pool)),
+            ]
+        )
         loaded = LoadedPool([], set(), {}, [])
         for item in intake.items:
             job = self._job_of(item.key, item.value, loaded.cancelled.add)
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_cell_store.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_cell_store.py
@@ -27,7 +27,7 @@
     StoreTimeoutError,
 )
 
-#: One way between a daemon and the store.
+#: One way between a daemon and the store, as a rule.
 DELAY = timedelta(milliseconds=2)
 #: After this long a call without an answer is given up, as the adapter does it.
 GIVE_UP = timedelta(seconds=1)
@@ -53,6 +53,8 @@
         self.leases: dict[str, _Lease] = {}
         self._lease_ids = count(1)
         self._watchers: list[Deferred[None]] = []
+        #: One way between a daemon and the store; more while it is slow.
+        self.delay = DELAY
         #: While True, calls are refused at once and nothing is done.
         self.refuses = False
         #: While True, calls are neither done nor answered.
@@ -171,7 +173,7 @@
         self.is_refused = False
 
     async def _arrive(self) -> None:
-        await self._store.clock.sleep(DELAY)
+        await self._store.clock.sleep(self._store.delay)
         if self._store.refuses or self.is_refused:
             raise StoreRefusedError("refused")
         if self._store.silent or self.is_cut:
@@ -180,7 +182,7 @@
         self._store.expire()
 
     async def _answer(self) -> None:
-        await self._store.clock.sleep(DELAY)
+        await self._store.clock.sleep(self._store.delay)
         if self.is_cut:
             await self._store.clock.sleep(GIVE_UP)
             raise StoreTimeoutError("no answer")
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_takeover.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_takeover.py
@@ -54,3 +54,18 @@
     print(f"median {statistics.median(took):.3f} s, worst {max(took):.3f} s")
     assert statistics.median(took) <= median_s
     assert max(took) <= worst_s
+
+
+def test_a_slow_store_is_asked_for_all_records_at_once() -> None:
+    # Replays a lead that dies while each call takes 260 ms: its jobs, their progress
+    # and the workers were read one after the other.
+    cell = ready_cell()
+    cell.store.delay = timedelta(milliseconds=130)
+    cell.kill(cell.lead_of())
+    while not any(node.leads for node in cell.nodes.values()):
+        cell.run(0.01)
+    began_at = cell.clock.now()
+    lead = cell.nodes[cell.lead_of()].leads["pool"]
+    while not lead.loaded:
+        cell.run(0.01)
+    assert cell.clock.now() - began_at < timedelta(milliseconds=300)
