Gangs on the stand-in workers, under the same faults

Members wait for the others, work only together, end alone after 3 s and break when one of them ends. 34 cells of gangs under faults and one of gangs beside small jobs without faults: no gang was left alone there, and nothing broke a promise.

--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
@@ -31,6 +31,8 @@
 GIVE_UP = timedelta(milliseconds=400)
 #: A stop takes this long.
 STOP = timedelta(milliseconds=100)
+#: Members of a gang wait for the others this long.
+GANG_TIMEOUT = timedelta(seconds=3)
 #: Longest lease of a worker, in milliseconds.
 HOLD_MAX_MS = 6_000
 #: Every worker's clock runs this much slow, the most that is allowed.
@@ -123,9 +125,15 @@
         resources = self._owner.resources_of(order.task)
         run = _Active(order, self._clock.now(), resources)
         self.active[key] = run
-        length = self._owner.length_of(order.task)
-        run.timer = self._clock.call_later(length, self._finish, key)
-        self._owner.started(self, order, fence)
+        if self._owner.gang_size_of(order.task):
+            run.timer = self._clock.call_later(
+                GANG_TIMEOUT, self._end, key, RunEnd.ALONE
+            )
+            self._owner.started(self, order, fence)
+            self._owner.gang_joined(self, order)
+        else:
+            self.begin_work(key)
+            self._owner.started(self, order, fence)
         return RunStarted(clock_ms)
 
     def _rejection(self, order: RunOrder) -> StartRejection | None:
@@ -142,6 +150,18 @@
             return StartRejection.NO_ROOM
         return None
 
+    def begin_work(self, key: tuple[str, int]) -> None:
+        """Let a run work; a member of a gang waits for the others before."""
+        run = self.active[key]
+        if run.timer is not None:
+            run.timer.cancel()
+        length = self._owner.length_of(run.order.task)
+        run.timer = self._clock.call_later(length, self._finish, key)
+
+    def break_off(self, key: tuple[str, int]) -> None:
+        """End a run, if it is there, because another member of its gang ended."""
+        self._end(key, RunEnd.BROKEN)
+
     def stop(self, task: TaskName, number: int, fence: int) -> None:
         """Execute a stop order."""
         self.check_fence(fence)
@@ -232,6 +252,10 @@
         self.how_ends: Callable[[TaskName, int], RunEnd] = lambda *_: RunEnd.DONE
         #: Returns whether a start may use its ticket for the task on the worker.
         self.ticket_accepted: Callable[[str, TaskName, str], bool] = lambda *_: True
+        #: How many tasks work only together; 0 for a task that works by itself.
+        self.gang_size_of: Callable[[TaskName], int] = lambda _: 0
+        #: Members of gangs that wait or work, by step and number of the run.
+        self._gangs: dict[tuple[str, int], list[tuple[MemoryMachine, TaskName]]] = {}
         #: Names of the tasks that must be done before a task starts.
         self.waits_for: Callable[[TaskName], Iterable[str]] = lambda _: ()
         #: Whether workers reject what has no room; else they start it all the same.
@@ -275,6 +299,23 @@
         if not machine.held().fits(machine.entry.capacity):
             self.breaches.append(f"{machine.entry.id} holds too much")
 
+    def gang_joined(self, machine: MemoryMachine, order: RunOrder) -> None:
+        """Let a gang work once all its members are present."""
+        members = self._gangs.setdefault(_gang_of(order.task, order.number), [])
+        members.append((machine, order.task))
+        if len(members) == self.gang_size_of(order.task):
+            for where, task in members:
+                where.begin_work((str(task), order.number))
+
+    def _gang_ended(self, task: TaskName, number: int, how: RunEnd) -> None:
+        """Break the rest of a gang off; one that is done is done as a whole."""
+        members = self._gangs.pop(_gang_of(task, number), [])
+        if how is RunEnd.DONE:
+            return
+        for machine, other in members:
+            if other != task:
+                machine.break_off((str(other), number))
+
     def done_is_void(self, task: TaskName) -> bool:
         """Return whether a task was done, but its lease lapsed before the release."""
         name = str(task)
@@ -285,6 +326,7 @@
     ) -> None:
         """Take note of an end."""
         self.ends.append((task, number, how))
+        self._gang_ended(task, number, how)
         if how is RunEnd.DONE:
             self._done[str(task)] = machine
 
@@ -358,6 +400,10 @@
         raise WorkerTimeoutError("no answer")
 
 
+def _gang_of(task: TaskName, number: int) -> tuple[str, int]:
+    return f"{task.job}.{task.occurrence}.{task.step}", number
+
+
 def _fire(waiting: Deferred[None]) -> None:
     if not waiting.called:
         waiting.callback(None)
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_cell_faults.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_cell_faults.py
@@ -7,8 +7,9 @@
 import pytest
 
 from savorylead.jobs import JobState
+from savorylead.pools import RunEnd
 from savorylead_daemon.pool import CallerAnswer
-from savorylead_standins.pools import PoolCell, in_turn
+from savorylead_standins.pools import PoolCell, in_turn, job_spec
 
 from .cell_cases import ready_cell, states
 
@@ -167,3 +168,38 @@
         answer = cell.answer(job)
         if answer is not None and answer.kind is Kind.DONE:
             assert state is JobState.COMPLETED, job
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
+@pytest.mark.parametrize("offset_s", [0.0, 0.7])
+def test_gangs_start_whole_and_end_done(fault: Fault, offset_s: float) -> None:
+    cell = ready_cell()
+    cell.workers.gang_size_of = lambda _: 6
+    jobs = [f"job{number}" for number in range(8)]
+    for number, job in enumerate(jobs):
+        cell.submit(job, job_spec(count=6, gang=True), f"node-{number % 3}")
+        cell.run(0.1)
+    cell.run(offset_s)
+    fault(cell)
+    cell.run(45.0)
+    assert cell.workers.breaches == []
+    for job, state in states(cell, jobs).items():
+        answer = cell.answer(job)
+        if answer is not None and answer.kind is Kind.DONE:
+            assert state is JobState.COMPLETED, job
+
+
+def test_no_gang_waits_for_members_that_do_not_come() -> None:
+    # Replays gangs and small jobs that compete for the same workers all the time.
+    cell = ready_cell()
+    cell.workers.gang_size_of = lambda task: 6 if task.job.startswith("gang") else 0
+    for number in range(40):
+        cell.submit(f"gang{number}", job_spec(count=6, gang=True))
+        cell.submit(f"small{number}", job_spec(count=4))
+        cell.run(0.3)
+    cell.run(30.0)
+    ends = {how for _, _, how in cell.workers.ends}
+    assert RunEnd.ALONE not in ends
+    assert RunEnd.BROKEN not in ends
+    assert cell.workers.breaches == []
+    assert cell.state("gang39") is JobState.COMPLETED
