--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_keeper.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_keeper.py
@@ -87,11 +87,12 @@
             if outcome is Stored.DONE:
                 return outcome
             unclear = unclear or outcome is Stored.UNCLEAR
+            in_time = self._clock.now() + WRITE_AGAIN < give_up_at
             if not unclear and not self._config.store_answers():
-                if peers:
+                if peers and in_time:
                     continue
                 return self._give_up(record, Stored.NOT_DONE)
-            if self._clock.now() + WRITE_AGAIN >= give_up_at:
+            if not in_time:
                 return self._give_up(
                     record, Stored.UNCLEAR if unclear else Stored.NOT_DONE
                 )
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_cell_callers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_cell_callers.py
@@ -4,11 +4,15 @@
 
 from datetime import timedelta
 
+import msgspec
 import pytest
+from twisted.internet.defer import Deferred
 
 from savorylead.jobs import JobState
-from savorylead_daemon.pool import CallerAnswer
+from savorylead_daemon.http import JsonRequest
+from savorylead_daemon.pool import CallerAnswer, CallerCall
 from savorylead_standins.pools import job_spec
+from savorylead_standins.pools._pool_cell import KEY
 
 from .cell_cases import other_node, ready_cell
 
@@ -217,3 +221,20 @@
     cell.run(0.05)
     assert cell.answer("state").kind is Kind.NOT_NOW
     assert cell.answer("state").retry_after_s is not None
+
+
+@pytest.mark.parametrize("away", [False, True])
+def test_a_caller_without_time_is_answered(away: bool) -> None:
+    # A deadline of 0 left no time for any attempt, and the loop never ended.
+    cell = ready_cell()
+    cell.store.silent = away
+    cell.run(1.5)
+    spec = msgspec.json.encode(job_spec())
+    call = CallerCall("submit", "host", "/q/one", KEY, 0, spec)
+    body = msgspec.json.encode(call)
+    request = JsonRequest("POST", "/q/one", {}, {}, body)
+    answers: list[object] = []
+    handling = Deferred.fromCoroutine(cell.nodes["node-0"].gateway.handle(request))
+    handling.addCallback(answers.append)
+    cell.run(1.0)
+    assert len(answers) == 1
