Answer every call in the test of a full advice queue

Cause of a message seen at the end of test runs ("cannot reuse already awaited coroutine", 5 of 5 runs of this file): the test left 33 calls waiting, and as the collector ended the one under way, it woke another that had been ended already. Ruled out: a failed call in the product, whose results were all there.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_advice_queue.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_advice_queue.py
@@ -81,10 +81,15 @@
 
 def test_a_full_queue_is_told() -> None:
     clock = TwistedClock(StepClock(), datetime(2026, 1, 1, tzinfo=UTC))
-    queue = AdviceQueue(SlowAdviser(), clock)
+    adviser = SlowAdviser()
+    queue = AdviceQueue(adviser, clock)
     for _ in range(MAX_WAITING + 1):
         Deferred.fromCoroutine(queue.advise("s", (), 20))
     failures: list[object] = []
     Deferred.fromCoroutine(queue.advise("s", (), 20)).addErrback(failures.append)
     (failure,) = failures
     assert failure.check(AdviserBusyError)
+    # Calls that still wait would be woken while the collector ends them.
+    for _ in range(MAX_WAITING + 1):
+        adviser.open[-1].callback(None)
+    assert len(adviser.asked) == MAX_WAITING + 1
