Let a job of which nothing runs use a worker that is kept for another

From 52.4 s on that worker stood half empty for 6 s, kept for a task that needs all of it, since a run there was expected to end at 52.8 s and took until 58.9 s. Ruled out: the team's limit (32 cores granted, none held by then) and advice (the worker was known to be allowed). After: once a tenth of a run is done its own pace tells when it ends, so shorter tasks fill in; and a job of which nothing has run for 1.5 s gets one task onto a kept worker that will not be free within a second.

--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -18,6 +18,7 @@
 from ._contracts import Queue
 from ._durations import DurationEstimator
 from ._headroom import UrgentHeadroom
+from ._idle_jobs import IdleJobs
 from ._planning_pass import (
     Placement,
     Plan,
@@ -39,6 +40,8 @@
 #: A task may use a reserved worker if this many times its expected length is over
 #: before the worker is free for whom it is kept.
 BACKFILL_MARGIN = 1.2
+#: A kept worker that will be free for its task within this time is left alone.
+SPARE_MS = 1_000
 #: Steps without room whose advice is asked ahead of time.
 MAX_ASKED_AHEAD = 4
 
@@ -52,6 +55,7 @@
         #: Names of the queues whose steps need advice.
         self._advised: frozenset[str] = frozenset()
         self._headroom = UrgentHeadroom()
+        self._idle = IdleJobs()
         self._preemption = Preemption(self.durations)
         self._reservation = Reservation(self.book, self.durations)
 
@@ -69,6 +73,7 @@
         still start, None for no limit.
         """
         state = PlanningPass(workers, now_ms)
+        self._idle.note(steps, now_ms)
         ranked = sorted(
             (
                 (self._urgency(step, queues, now_ms), index)
@@ -95,12 +100,15 @@
             if team not in rooms:
                 rooms[team] = team_room(team)
             keep_free = 0 if urgency.priority <= 0 else headroom
-            candidates = self._candidates(state, step)
+            is_starved = self._idle.is_starved(step, now_ms)
+            candidates = self._candidates(state, step, is_starved)
             if step.spec.gang:
                 placed = self._place_gang(state, step, waiting, candidates, rooms)
             else:
+                # Only one task of a starved job goes where others may not.
+                placeable = waiting[:1] if is_starved else waiting
                 placed = self._place_each(
-                    state, step, waiting, candidates, rooms, keep_free
+                    state, step, placeable, candidates, rooms, keep_free
                 )
             if placed == len(waiting):
                 continue
@@ -199,8 +207,13 @@
         )
         state.plan.preempted.extend(victims)
 
-    def _candidates(self, state: PlanningPass, step: StepRun) -> list[PoolWorker]:
-        """Return the workers that could start a task of the step now, best first."""
+    def _candidates(
+        self, state: PlanningPass, step: StepRun, is_starved: bool
+    ) -> list[PoolWorker]:
+        """Return the workers that could start a task of the step now, best first.
+
+        A starved job may use workers that are kept for others.
+        """
         queue = step.job.record.queue
         length_ms = self.durations.estimate_ms(queue, step.spec) * BACKFILL_MARGIN
         ends_ms = state.now_ms + length_ms
@@ -212,6 +225,12 @@
             and state.has_room(worker, step)
             and (
                 worker.id not in state.reserved
+                or (
+                    is_starved
+                    and not step.spec.gang
+                    and not lasts
+                    and state.reserved[worker.id] - state.now_ms > SPARE_MS
+                )
                 or (ends_ms <= state.reserved[worker.id] and not lasts)
             )
         ]
--- a/packages/savorylead/savorylead/pools/_reservation.py
+++ b/packages/savorylead/savorylead/pools/_reservation.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Container
 
-from savorylead.jobs import StepRun
+from savorylead.jobs import Run, StepRun
 from savorylead.resources import Resources
 
 from ._advice import AdviceBook
@@ -19,6 +19,9 @@
 
 #: Part of the workers, as a divisor, that reservations may take.
 RESERVED_DIVISOR = 2
+#: From this percentage on the pace of a run tells its length better than the lengths
+#: that callers declare, which are up to ten times wrong.
+LEAST_PERCENT = 10
 #: A task that takes this part of a worker may reserve one.
 LARGE_TASK_SHARE = 0.4
 #: Least urgent priority whose large tasks may reserve workers.
@@ -67,11 +70,7 @@
             spec = run.task.step.spec
             if spec.long_running:
                 continue
-            length_ms = self._durations.estimate_ms(
-                run.task.step.job.record.queue, spec
-            )
-            left_ms = length_ms * (1 - min(99, run.percent) / 100)
-            ends.append((run.percent_at_ms + left_ms, held_by(run.task.step)))
+            ends.append((self._ends_at_ms(run), held_by(run.task.step)))
         free_at_ms = float(state.now_ms)
         for end_ms, freed in sorted(ends):
             if held.fits(room):
@@ -80,6 +79,16 @@
             free_at_ms = max(free_at_ms, end_ms)
         return free_at_ms
 
+    def _ends_at_ms(self, run: Run) -> float:
+        """Return when a run should end, by its own pace once that can be told."""
+        left = 1 - min(99, run.percent) / 100
+        if run.percent >= LEAST_PERCENT and run.confirmed_at_ms and not run.resumed:
+            worked_ms = run.percent_at_ms - run.confirmed_at_ms
+            return run.percent_at_ms + worked_ms * left / (1 - left)
+        queue = run.task.step.job.record.queue
+        length_ms = self._durations.estimate_ms(queue, run.task.step.spec)
+        return run.percent_at_ms + length_ms * left
+
 
 def may_reserve(step: StepRun, queue: Queue, state: PlanningPass) -> bool:
     """Return whether the step is urgent and large enough to keep workers."""
--- a/packages/savorylead/savorylead/pools/tests/test_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/tests/test_pool_planner.py
@@ -286,3 +286,50 @@
     assert starts(made) == []
     assert len(made.preempted) == stopped
     assert all(run.task.step.job.id == "backlog" for run in made.preempted)
+
+
+@pytest.mark.parametrize(
+    ("waited_ms", "free_in_ms", "started"),
+    [
+        (0, 30_000, 0),
+        (1_400, 30_000, 0),
+        (1_600, 30_000, 1),
+        # The worker is about to be free for the task that it is kept for.
+        (1_600, 2_400, 0),
+    ],
+)
+def test_a_kept_worker_takes_one_task_of_a_job_that_has_waited(
+    waited_ms: int, free_in_ms: int, started: int
+) -> None:
+    # Replays the end of a day: the only worker that may run the small tasks stood half
+    # empty for 6 s, kept for a task that needs all of it.
+    only = worker("w1")
+    running = step_of("running", "normal", cores=4, estimate_ms=free_in_ms)
+    planner = PoolPlanner()
+    large = step_of("large", "normal", cores=16)
+    small = step_of("small", "batch", cores=4, estimate_ms=40_000, count=3)
+    run_on(only, running).percent_at_ms = NOW_MS
+    plan([large, small], [only], planner)
+    made = plan([large, small], [only], planner, now_ms=NOW_MS + waited_ms)
+    assert [job for job, _ in starts(made)] == ["small"] * started
+    if started:
+        # Once something of the job runs, the worker is kept again.
+        run_on(only, small)
+        made = plan([large, small], [only], planner, now_ms=NOW_MS + waited_ms + 100)
+        assert starts(made) == []
+
+
+@pytest.mark.parametrize(("percent", "used"), [(0, []), (40, ["small"])])
+def test_a_run_tells_by_its_pace_when_a_kept_worker_will_be_free(
+    percent: int, used: list[str]
+) -> None:
+    # Replays tasks that take three times what their callers declared: a worker was
+    # kept for a moment that was 6 s away, and shorter work did not fill in.
+    only = worker("w1")
+    run = run_on(only, step_of("running", "normal", cores=4, estimate_ms=4_400))
+    run.confirmed_at_ms = NOW_MS - 4_000
+    run.percent, run.percent_at_ms = percent, NOW_MS - 100
+    large = step_of("large", "normal", cores=16)
+    small = step_of("small", "batch", cores=4, estimate_ms=2_200 * 2)
+    made = plan([large, small], [only])
+    assert [job for job, _ in starts(made)] == used
