Read the change once more: one copy of what stood twice, no test that shows nothing

- WRITE_AGAIN stood in the gateway and in the keeper, the parsing of a task's name in the adapter and in its stand-in; the contracts of the store are a module of their own.
- The cells under faults passed also if every job had been turned away; more than half must have been accepted now (they are).

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
@@ -35,7 +35,7 @@
 from ._adapter import CallerAnswer, CallerCall, CallerCodec, CallKind
 from ._cell_view import CellView
 from ._config_feed import ConfigFeed
-from ._job_keeper import JobKeeper, Stored
+from ._job_keeper import WRITE_AGAIN, JobKeeper, Stored
 from ._keys import cancel_key, job_key, progress_key
 from ._peer_messages import (
     JobAccepted,
@@ -46,8 +46,6 @@
 )
 from ._peers import Message, PeerCalls, PeerError
 
-#: Time until a write to the store is tried again.
-WRITE_AGAIN = timedelta(milliseconds=60)
 #: Part of the caller's deadline in which the store is tried: a caller that is turned
 #: away has more than half of its time left for another daemon.
 TRY_SHARE = 0.45
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_cell_faults.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_cell_faults.py
@@ -145,6 +145,16 @@
 ]
 
 
+def assert_accepted_jobs_are_completed(cell: PoolCell, jobs: list[str]) -> None:
+    assert cell.workers.breaches == []
+    answers = {job: cell.answer(job) for job in jobs}
+    accepted = [j for j, a in answers.items() if a is not None and a.kind is Kind.DONE]
+    # A cell that turned nearly all jobs away would show nothing.
+    assert len(accepted) > len(jobs) / 2
+    shown = states(cell, accepted)
+    assert shown == dict.fromkeys(accepted, JobState.COMPLETED)
+
+
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
 @pytest.mark.parametrize("offset_s", [0.0, 0.35, 1.1])
 @pytest.mark.parametrize("advised", [False, True])
@@ -163,11 +173,7 @@
     cell.run(offset_s)
     fault(cell)
     cell.run(35.0)
-    assert cell.workers.breaches == []
-    for job, state in states(cell, jobs).items():
-        answer = cell.answer(job)
-        if answer is not None and answer.kind is Kind.DONE:
-            assert state is JobState.COMPLETED, job
+    assert_accepted_jobs_are_completed(cell, jobs)
 
 
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
@@ -182,11 +188,7 @@
     cell.run(offset_s)
     fault(cell)
     cell.run(45.0)
-    assert cell.workers.breaches == []
-    for job, state in states(cell, jobs).items():
-        answer = cell.answer(job)
-        if answer is not None and answer.kind is Kind.DONE:
-            assert state is JobState.COMPLETED, job
+    assert_accepted_jobs_are_completed(cell, jobs)
 
 
 def test_no_gang_waits_for_members_that_do_not_come() -> None:
--- a/packages/savorylead/savorylead/jobs/_task_name.py
+++ b/packages/savorylead/savorylead/jobs/_task_name.py
@@ -17,5 +17,11 @@
     #: Index of the task in the step, from 0.
     index: int
 
+    @classmethod
+    def parse(cls, text: str) -> TaskName:
+        """Return the name whose text it is; raises ValueError."""
+        job, occurrence, step, index = text.rsplit(".", 3)
+        return cls(job, int(occurrence), int(step), int(index))
+
     def __str__(self) -> str:
         return f"{self.job}.{self.occurrence}.{self.step}.{self.index}"
--- a/packages/savorylead/savorylead/pools/__init__.py
+++ b/packages/savorylead/savorylead/pools/__init__.py
@@ -8,19 +8,11 @@
     AdviserBusyError,
     AdviserError,
     CellDocument,
-    CellStore,
-    Change,
-    Changes,
-    Committed,
     ConfigDecodeError,
     ConfigSource,
-    Conflict,
     EndedRun,
-    HistoryLostError,
-    LeaseGrant,
     PolicyAdviser,
     Pool,
-    Put,
     Queue,
     RunEnd,
     RunOrder,
@@ -28,7 +20,6 @@
     RunStarted,
     StaleFenceError,
     StartRejection,
-    StoreRefusedError,
     Team,
     WorkerCalls,
     WorkerEntry,
@@ -46,6 +37,17 @@
 from ._pool_worker import PoolWorker, held_by
 from ._reconcile import Ended, Finding, Listed, Unexplained, Vanished, reconcile
 from ._stalls import stalled_runs
+from ._store_contracts import (
+    CellStore,
+    Change,
+    Changes,
+    Committed,
+    Conflict,
+    HistoryLostError,
+    LeaseGrant,
+    Put,
+    StoreRefusedError,
+)
 from ._urgency import Urgency, due_ms, remaining_chain_ms, urgency_of
 
 __all__ = [
