Work out what a pass of the planner knows of runs and steps once, not for each step

A profile of a replayed hot team: 78 % in the choice of victims, which worked out the slack of every running task again for each waiting step. Ruled out: room (urgent tasks need 115 of 384 cores), the advice itself (15 ms a call). Change: times of steps are kept for 200 ms; what may be stopped on a worker and when its runs end is worked out once a pass. A run is now chosen as a victim once a pass: two steps could count on the room of the same run. Before and after, lookups of a length in one pass with 240 runs and 300 steps in line: 144,900, now at most 1,620 (the test); the new test of victims failed before.

--- a/packages/savorylead/savorylead/jobs/_job.py
+++ b/packages/savorylead/savorylead/jobs/_job.py
@@ -124,6 +124,7 @@
         "ready_at_ms",
         "spec",
         "tasks",
+        "time",
     )
 
     def __init__(self, job: Job, occurrence: int, index: int, spec: StepSpec) -> None:
@@ -139,6 +140,8 @@
         self.ready_at_ms: int | None = None
         #: What the policy adviser said of this step; owned by the planner.
         self.advice: object | None = None
+        #: When it is due and how long it should take; owned by the planner.
+        self.time: object | None = None
 
     @property
     def name(self) -> str:
--- a/packages/savorylead/savorylead/pools/__init__.py
+++ b/packages/savorylead/savorylead/pools/__init__.py
@@ -48,7 +48,7 @@
     Put,
     StoreRefusedError,
 )
-from ._urgency import Urgency, due_ms, remaining_chain_ms, urgency_of
+from ._urgency import Urgency, urgency_of
 
 __all__ = [
     "ActiveRun",
@@ -106,11 +106,9 @@
     "WrongIncarnationError",
     "could_ever_hold",
     "decode_grants",
-    "due_ms",
     "encode_grants",
     "held_by",
     "reconcile",
-    "remaining_chain_ms",
     "stalled_runs",
     "urgency_of",
 ]
--- a/packages/savorylead/savorylead/pools/_durations.py
+++ b/packages/savorylead/savorylead/pools/_durations.py
@@ -22,12 +22,14 @@
 class _Average:
     """Moving mean and variance of a logarithm."""
 
-    __slots__ = ("count", "mean", "variance")
+    __slots__ = ("count", "mean", "typical", "variance")
 
     def __init__(self) -> None:
         self.count = 0
         self.mean = 0.0
         self.variance = 0.0
+        #: Mean of the value itself, were it log-normal.
+        self.typical = 1.0
 
     def add(self, value: float) -> None:
         self.count += 1
@@ -35,10 +37,7 @@
         change = value - self.mean
         self.mean += weight * change
         self.variance = (1 - weight) * (self.variance + weight * change * change)
-
-    def typical(self) -> float:
-        """Return the mean of the value itself, were it log-normal."""
-        return math.exp(self.mean + self.variance / 2)
+        self.typical = math.exp(self.mean + self.variance / 2)
 
 
 class _QueueDurations:
@@ -72,5 +71,5 @@
         lengths, ratios = durations.lengths, durations.ratios
         declares = spec.estimate_ms > 0 and ratios.count >= ENDS_TO_TRUST
         if declares and ratios.variance < lengths.variance:
-            return declared * ratios.typical()
-        return lengths.typical()
+            return declared * ratios.typical
+        return lengths.typical
--- a/packages/savorylead/savorylead/pools/_planning_pass.py
+++ b/packages/savorylead/savorylead/pools/_planning_pass.py
@@ -58,6 +58,8 @@
         self.asked_for: dict[str, Resources] = {}
         #: Workers that are kept, and when they will be free for it.
         self.reserved: dict[str, float] = {}
+        #: When runs should end and what each frees, by worker, as it was asked for.
+        self.run_ends: dict[str, list[tuple[float, Resources]]] = {}
         self.plan = Plan([], [], [], {}, [])
 
     def take(self, worker: PoolWorker, step: StepRun) -> None:
--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -33,7 +33,8 @@
 from ._pool_worker import PoolWorker, held_by
 from ._preemption import Preemption
 from ._reservation import Reservation, may_reserve
-from ._urgency import Urgency, urgency_of
+from ._step_times import StepTimes
+from ._urgency import LASTING_PRIORITY, Urgency, urgency_of
 
 #: Steps that may keep workers free for themselves at a time.
 MAX_RESERVING_STEPS = 4
@@ -56,7 +57,7 @@
         self._advised: frozenset[str] = frozenset()
         self._headroom = UrgentHeadroom()
         self._idle = IdleJobs()
-        self._preemption = Preemption(self.durations)
+        self._times = StepTimes(self.durations)
         self._reservation = Reservation(self.book, self.durations)
 
     def plan(
@@ -73,6 +74,7 @@
         still start, None for no limit.
         """
         state = PlanningPass(workers, now_ms)
+        preemption = Preemption(self._times, queues, now_ms)
         self._idle.note(steps, now_ms)
         ranked = sorted(
             (
@@ -117,26 +119,26 @@
                     missing = len(waiting) - placed
                     self._make_room_at_limit(
                         state,
+                        preemption,
                         step,
                         urgency.priority,
                         missing,
                         candidates,
                         rooms[team],
-                        queues,
                     )
                 continue
             if urgency.lateness == 0:
-                self._make_room(state, step, urgency.priority, waiting[placed:], queues)
+                missing = len(waiting) - placed
+                self._make_room(state, preemption, step, urgency.priority, missing)
             if queue.advice is not None:
                 may_ask_ahead = asked_ahead < MAX_ASKED_AHEAD
                 asked_ahead += self._ask(
                     state,
+                    preemption,
                     step,
                     queue,
-                    urgency.priority,
                     candidates,
                     may_ask_ahead,
-                    queues,
                 )
             if reserving < MAX_RESERVING_STEPS and may_reserve(step, queue, state):
                 good = self.book.of(step).good if self._needs_advice(step) else ()
@@ -147,15 +149,15 @@
         self, step: StepRun, queues: Mapping[str, Queue], now_ms: int
     ) -> Urgency:
         queue = queues[step.job.record.queue]
-        return urgency_of(step, queue, self.durations, now_ms)
+        return urgency_of(step, queue, self._times, now_ms)
 
     def _make_room(
         self,
         state: PlanningPass,
+        preemption: Preemption,
         step: StepRun,
         priority: int,
-        waiting: Sequence[Task],
-        queues: Mapping[str, Queue],
+        missing: int,
     ) -> None:
         """Stop less urgent runs for tasks that found no room."""
         workers = [
@@ -166,27 +168,20 @@
         tickets = self._usable(state, step, workers)
         if tickets is not None:
             workers = [w for w in workers if w.id in tickets]
-        victims = self._preemption.victims(
-            step,
-            priority,
-            len(waiting),
-            workers,
-            state.free,
-            state.coming,
-            queues,
-            state.now_ms,
+        victims = preemption.victims(
+            step, priority, missing, workers, state.free, state.coming
         )
         state.plan.preempted.extend(victims)
 
     def _make_room_at_limit(
         self,
         state: PlanningPass,
+        preemption: Preemption,
         step: StepRun,
         priority: int,
         missing: int,
         candidates: Sequence[PoolWorker],
         room: Resources | None,
-        queues: Mapping[str, Queue],
     ) -> None:
         """Stop less urgent runs of the team for tasks that its limit keeps waiting."""
         if room is None:
@@ -195,15 +190,8 @@
         fitting = sum(copies_that_fit(held, state.free[w.id], step) for w in candidates)
         if step.spec.gang and fitting < missing:
             return
-        victims = self._preemption.victims_at_limit(
-            step,
-            priority,
-            min(missing, fitting),
-            room,
-            state.workers,
-            state.plan.preempted,
-            queues,
-            state.now_ms,
+        victims = preemption.victims_at_limit(
+            step, priority, min(missing, fitting), room, state.workers
         )
         state.plan.preempted.extend(victims)
 
@@ -221,8 +209,8 @@
         found = [
             worker
             for worker in state.startable
-            if could_ever_hold(worker, step)
-            and state.has_room(worker, step)
+            if state.has_room(worker, step)
+            and could_ever_hold(worker, step)
             and (
                 worker.id not in state.reserved
                 or (
@@ -386,14 +374,14 @@
     def _ask(
         self,
         state: PlanningPass,
+        preemption: Preemption,
         step: StepRun,
         queue: Queue,
-        priority: int,
         candidates: Sequence[PoolWorker],
         may_ask_ahead: bool,
-        queues: Mapping[str, Queue],
     ) -> int:
         """Add a call for advice if one is due; return 1 if it was asked ahead."""
+        priority = LASTING_PRIORITY if step.spec.long_running else queue.priority
         with_room = [w for w in candidates if state.has_room(w, step)]
         if priority > 0:
             # Room that others have asked for is not there for this step too.
@@ -406,8 +394,8 @@
         if not with_room:
             with_room = [
                 w
-                for w in self._preemption.could_make_room(
-                    step, priority, state.startable, state.free, queues, state.now_ms
+                for w in preemption.could_make_room(
+                    step, priority, state.startable, state.free
                 )
                 if w.id not in state.reserved and w.id not in state.asked_for
             ]
--- a/packages/savorylead/savorylead/pools/_preemption.py
+++ b/packages/savorylead/savorylead/pools/_preemption.py
@@ -8,15 +8,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
 
 from savorylead.jobs import Run, RunState, StepRun
 from savorylead.resources import ZERO, Resources
 
 from ._contracts import Queue
-from ._durations import DurationEstimator
 from ._pool_worker import PoolWorker, held_by
-from ._urgency import due_ms, remaining_chain_ms
+from ._step_times import StepTimes
 
 #: A run is left alone for this long after its start, in milliseconds, or work would
 #: only be moved about.
@@ -38,11 +38,34 @@
     return any(a > 0 and b > 0 for a, b in zip(freed, lacking, strict=True))
 
 
+class _Stoppable(NamedTuple):
+    """A run that may be stopped for more urgent work."""
+
+    #: What its job could still wait, in milliseconds.
+    slack_ms: float
+    priority: int
+    run: Run
+
+
 class Preemption:
-    """Chooses victims: the least urgent runs on the fewest workers. Pure."""
+    """Chooses victims in one pass: the least urgent runs on the fewest workers.
+
+    What is known of a worker's runs is worked out once a pass, however many steps
+    look for room. A run is chosen once.
+    """
 
-    def __init__(self, durations: DurationEstimator) -> None:
-        self._durations = durations
+    def __init__(
+        self, times: StepTimes, queues: Mapping[str, Queue], now_ms: int
+    ) -> None:
+        self._times = times
+        self._queues = queues
+        self._now_ms = now_ms
+        self._by_worker: dict[str, list[_Stoppable]] = {}
+        self._room: dict[tuple[str, int], Resources] = {}
+        self._by_team: dict[str, list[_Stoppable]] = {}
+        #: What stops under way will free of a team's limit.
+        self._team_coming: dict[str, Resources] = {}
+        self._chosen: set[Run] = set()
 
     def victims(
         self,
@@ -52,8 +75,6 @@
         workers: Iterable[PoolWorker],
         free: dict[str, Resources],
         coming: dict[str, Resources],
-        queues: Mapping[str, Queue],
-        now_ms: int,
     ) -> list[Run]:
         """Return the runs to stop so that ``missing`` tasks of the step can start.
 
@@ -66,13 +87,12 @@
         chosen: list[Run] = []
         undo: list[tuple[str, Resources, Resources]] = []
         for _ in range(missing):
-            best = self._cheapest(
-                needed, priority, workers, free, coming, queues, now_ms, chosen
-            )
+            best = self._cheapest(needed, priority, workers, free, coming)
             if best is None or len(chosen) >= MAX_VICTIMS:
                 if step.spec.gang:
                     for worker_id, old_free, old_coming in undo:
                         free[worker_id], coming[worker_id] = old_free, old_coming
+                    self._chosen.difference_update(chosen)
                     return []
                 break
             worker, runs = best
@@ -81,10 +101,12 @@
                 freed = held_by(run.task.step)
                 coming[worker.id] = coming[worker.id].plus(freed)
             chosen += runs
+            self._chosen.update(runs)
             # What is free now is used first, and the rest of what is coming.
             used = _lesser(needed, free[worker.id])
             free[worker.id] = free[worker.id].minus(used)
             coming[worker.id] = coming[worker.id].minus(needed.minus(used))
+        self._note_team_coming(chosen)
         return chosen
 
     def could_make_room(
@@ -93,21 +115,15 @@
         priority: int,
         workers: Iterable[PoolWorker],
         free: Mapping[str, Resources],
-        queues: Mapping[str, Queue],
-        now_ms: int,
     ) -> list[PoolWorker]:
         """Return the workers on which victims would make room for one task."""
         needed = held_by(step)
-        found = []
-        for worker in workers:
-            if not needed.fits(worker.entry.capacity):
-                continue
-            room = free[worker.id]
-            for run in self._stoppable(worker, priority, queues, now_ms, ()):
-                room = room.plus(held_by(run.task.step))
-            if needed.fits(room):
-                found.append(worker)
-        return found
+        return [
+            worker
+            for worker in workers
+            if needed.fits(free[worker.id].plus(self._stoppable_room(worker, priority)))
+            and needed.fits(worker.entry.capacity)
+        ]
 
     def victims_at_limit(
         self,
@@ -116,46 +132,33 @@
         missing: int,
         room: Resources,
         workers: Iterable[PoolWorker],
-        taken: Sequence[Run],
-        queues: Mapping[str, Queue],
-        now_ms: int,
     ) -> list[Run]:
         """Return runs of the step's own team to stop so that its limit has room.
 
-        ``room`` is what the limit leaves now, ``taken`` are runs that are stopped
-        already. A gang gets room for all its tasks or none.
+        ``room`` is what the limit leaves now. A gang gets room for all its tasks or
+        none.
         """
         team = step.job.record.team
         needed = step.spec.resources.times(missing)
-        candidates: list[Run] = []
-        for worker in workers:
-            for run in worker.runs.values():
-                if run.task.step.job.record.team != team:
-                    continue
-                if run.state is RunState.STOPPING or run in taken:
-                    room = room.plus(run.task.step.spec.resources)
-            candidates += [
-                run
-                for run in self._stoppable(worker, priority, queues, now_ms, taken)
-                if run.task.step.job.record.team == team
-            ]
-        # Those with most time to spare first, as on one worker.
-        candidates.sort(
-            key=lambda run: (
-                -self._slack_ms(run, queues[run.task.step.job.record.queue], now_ms)
-            )
-        )
+        candidates = self._stoppable_of_team(team, workers)
+        room = room.plus(self._team_coming[team])
         chosen: list[Run] = []
-        for run in candidates:
+        for stoppable in candidates:
             if needed.fits(room) or len(chosen) >= MAX_VICTIMS:
                 break
+            run = stoppable.run
+            if stoppable.priority <= priority or run in self._chosen:
+                continue
             freed = run.task.step.spec.resources
             if _helps(freed, needed.minus(room)):
                 chosen.append(run)
                 room = room.plus(freed)
-        if needed.fits(room):
-            return chosen
-        return [] if step.spec.gang or not step.spec.resources.fits(room) else chosen
+        is_enough = needed.fits(room)
+        if not is_enough and (step.spec.gang or not step.spec.resources.fits(room)):
+            return []
+        self._chosen.update(chosen)
+        self._note_team_coming(chosen)
+        return chosen
 
     def _cheapest(
         self,
@@ -164,9 +167,6 @@
         workers: Iterable[PoolWorker],
         free: Mapping[str, Resources],
         coming: Mapping[str, Resources],
-        queues: Mapping[str, Queue],
-        now_ms: int,
-        taken: Sequence[Run],
     ) -> tuple[PoolWorker, list[Run]] | None:
         """Return the worker with the fewest cores to stop, and the runs there."""
         best: tuple[PoolWorker, list[Run]] | None = None
@@ -175,7 +175,10 @@
             room = free[worker.id].plus(coming[worker.id])
             runs: list[Run] = []
             if not needed.fits(room):
-                for run in self._stoppable(worker, priority, queues, now_ms, taken):
+                for stoppable in self._stoppable(worker):
+                    run = stoppable.run
+                    if stoppable.priority <= priority or run in self._chosen:
+                        continue
                     runs.append(run)
                     room = room.plus(held_by(run.task.step))
                     if needed.fits(room):
@@ -185,41 +188,84 @@
             cost = sum(held_by(r.task.step).cores_milli for r in runs)
             if best is None or cost < best_cost:
                 best, best_cost = (worker, runs), cost
+                if not runs:
+                    break
         return best
 
-    def _stoppable(
-        self,
-        worker: PoolWorker,
-        priority: int,
-        queues: Mapping[str, Queue],
-        now_ms: int,
-        taken: Sequence[Run],
-    ) -> list[Run]:
+    def _stoppable_room(self, worker: PoolWorker, priority: int) -> Resources:
+        """Return what the runs of a worker hold that may be stopped."""
+        key = (worker.id, priority)
+        room = self._room.get(key)
+        if room is None:
+            room = ZERO
+            for stoppable in self._stoppable(worker):
+                if stoppable.priority > priority:
+                    room = room.plus(held_by(stoppable.run.task.step))
+            self._room[key] = room
+        return room
+
+    def _stoppable_of_team(
+        self, team: str, workers: Iterable[PoolWorker]
+    ) -> list[_Stoppable]:
+        """Return a team's runs that may be stopped, most time to spare first."""
+        found = self._by_team.get(team)
+        if found is not None:
+            return found
+        found = []
+        coming = self._team_coming.get(team, ZERO)
+        for worker in workers:
+            for run in worker.runs.values():
+                is_stopping = run.state is RunState.STOPPING
+                if is_stopping and run.task.step.job.record.team == team:
+                    coming = coming.plus(run.task.step.spec.resources)
+            found += [
+                stoppable
+                for stoppable in self._stoppable(worker)
+                if stoppable.run.task.step.job.record.team == team
+            ]
+        found.sort(key=lambda stoppable: -stoppable.slack_ms)
+        self._team_coming[team] = coming
+        self._by_team[team] = found
+        return found
+
+    def _note_team_coming(self, chosen: Iterable[Run]) -> None:
+        for run in chosen:
+            team = run.task.step.job.record.team
+            coming = self._team_coming.get(team, ZERO)
+            self._team_coming[team] = coming.plus(run.task.step.spec.resources)
+
+    def _stoppable(self, worker: PoolWorker) -> list[_Stoppable]:
         """Return the runs that may be stopped, those with most time to spare first."""
-        found: list[tuple[float, Run]] = []
-        for run in worker.runs.values():
-            spec = run.task.step.spec
-            if (
-                run.state is not RunState.RUNNING
-                or not spec.checkpoints
-                or spec.long_running
-                or spec.gang
-                or spec.fills
-                or run.percent > MOST_PERCENT
-                or now_ms - run.confirmed_at_ms < LEAST_RUN_MS
-                or run in taken
-            ):
-                continue
-            theirs = queues.get(run.task.step.job.record.queue)
-            if theirs is None or theirs.priority <= priority:
-                continue
-            slack = self._slack_ms(run, theirs, now_ms)
-            if slack >= LEAST_SLACK_MS or run.task.step.job.surplus:
-                found.append((-slack, run))
-        found.sort(key=lambda pair: pair[0])
-        return [run for _, run in found]
+        found = self._by_worker.get(worker.id)
+        if found is None:
+            found = [
+                stoppable
+                for run in worker.runs.values()
+                if (stoppable := self._judge(run)) is not None
+            ]
+            found.sort(key=lambda stoppable: -stoppable.slack_ms)
+            self._by_worker[worker.id] = found
+        return found
 
-    def _slack_ms(self, run: Run, queue: Queue, now_ms: int) -> float:
+    def _judge(self, run: Run) -> _Stoppable | None:
+        """Return the run with its slack, or None if it must not be stopped."""
         step = run.task.step
-        due = due_ms(step.job, queue, step.occurrence, self._durations)
-        return due - now_ms - remaining_chain_ms(step, self._durations)
+        spec = step.spec
+        if (
+            run.state is not RunState.RUNNING
+            or not spec.checkpoints
+            or spec.long_running
+            or spec.gang
+            or spec.fills
+            or run.percent > MOST_PERCENT
+            or self._now_ms - run.confirmed_at_ms < LEAST_RUN_MS
+        ):
+            return None
+        queue = self._queues.get(step.job.record.queue)
+        if queue is None:
+            return None
+        time = self._times.of(step, queue, self._now_ms)
+        slack_ms = time.due_ms - self._now_ms - time.remaining_ms
+        if slack_ms < LEAST_SLACK_MS and not step.job.surplus:
+            return None
+        return _Stoppable(slack_ms, queue.priority, run)
--- a/packages/savorylead/savorylead/pools/_reservation.py
+++ b/packages/savorylead/savorylead/pools/_reservation.py
@@ -43,6 +43,8 @@
         Workers in ``good`` are known to be allowed and go first.
         """
         most = max(1, len(state.workers) // RESERVED_DIVISOR)
+        if len(state.reserved) >= most:
+            return 0
         held = held_by(step)
         allowed = [
             (w.id not in good, self._free_at_ms(state, w, held), w.id, w)
@@ -65,20 +67,27 @@
     ) -> float:
         """Return when enough runs should have ended for one more task."""
         room = state.free[worker.id]
-        ends = []
-        for run in worker.runs.values():
-            spec = run.task.step.spec
-            if spec.long_running:
-                continue
-            ends.append((self._ends_at_ms(run), held_by(run.task.step)))
         free_at_ms = float(state.now_ms)
-        for end_ms, freed in sorted(ends):
+        for end_ms, freed in self._ends(state, worker):
             if held.fits(room):
                 break
             room = room.plus(freed)
             free_at_ms = max(free_at_ms, end_ms)
         return free_at_ms
 
+    def _ends(
+        self, state: PlanningPass, worker: PoolWorker
+    ) -> list[tuple[float, Resources]]:
+        """Return when the runs of a worker should end, and what each frees."""
+        ends = state.run_ends.get(worker.id)
+        if ends is None:
+            ends = state.run_ends[worker.id] = sorted(
+                (self._ends_at_ms(run), held_by(run.task.step))
+                for run in worker.runs.values()
+                if not run.task.step.spec.long_running
+            )
+        return ends
+
     def _ends_at_ms(self, run: Run) -> float:
         """Return when a run should end, by its own pace once that can be told."""
         left = 1 - min(99, run.percent) / 100
--- /dev/null
+++ b/packages/savorylead/savorylead/pools/_step_times.py
@@ -0,0 +1,77 @@
+"""When steps are due, and how long what is left of their jobs should take.
+
+Load pattern: hundreds of steps wait while hundreds of tasks run. A pass compares all
+of them, and the chain of expected work behind each hardly changes between two passes.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from savorylead.jobs import Job, StepRun
+
+from ._contracts import Queue
+from ._durations import DurationEstimator
+
+#: How long the times of a step are kept, in milliseconds: a fifth of a short task, so
+#: that what is learned of lengths shows in the order soon.
+KEPT_MS = 200
+
+
+class StepTime(NamedTuple):
+    """Times of one step in Unix milliseconds, as they were worked out."""
+
+    #: When the clock of its occurrence began.
+    begun_ms: int
+    #: When the occurrence should have ended.
+    due_ms: int
+    #: Longest chain of expected work from the step on.
+    remaining_ms: float
+    worked_out_ms: int
+
+
+class StepTimes:
+    """Works the times of steps out, and keeps them for a while."""
+
+    def __init__(self, durations: DurationEstimator) -> None:
+        self._durations = durations
+
+    def of(self, step: StepRun, queue: Queue, now_ms: int) -> StepTime:
+        """Return the times of a step."""
+        time = step.time
+        if isinstance(time, StepTime) and 0 <= now_ms - time.worked_out_ms < KEPT_MS:
+            return time
+        job = step.job
+        begun_ms = _begun_ms(job, step.occurrence)
+        objective_ms = queue.stretch * self._chain_ms(job) + queue.objective_ms
+        due_ms = begun_ms + int(objective_ms)
+        time = StepTime(begun_ms, due_ms, self._remaining_ms(step), now_ms)
+        step.time = time
+        return time
+
+    def _chain_ms(self, job: Job) -> float:
+        """Return the longest chain of expected work of the job."""
+        ends: list[float] = []
+        for step in job.record.spec.steps:
+            begin = max((ends[i] for i in step.after), default=0.0)
+            ends.append(begin + self._durations.estimate_ms(job.record.queue, step))
+        return max(ends, default=0.0)
+
+    def _remaining_ms(self, step: StepRun) -> float:
+        """Return the longest chain of expected work from the step on."""
+        queue = step.job.record.queue
+        steps = step.job.record.spec.steps
+        estimate_ms = self._durations.estimate_ms
+        ends: dict[int, float] = {step.index: estimate_ms(queue, step.spec)}
+        for index in range(step.index + 1, len(steps)):
+            begins = [ends[i] for i in steps[index].after if i in ends]
+            if begins:
+                ends[index] = max(begins) + estimate_ms(queue, steps[index])
+        return max(ends.values())
+
+
+def _begun_ms(job: Job, occurrence: int) -> int:
+    spec = job.record.spec
+    if spec.repeats:
+        return spec.first_due_ms + occurrence * spec.interval_ms
+    return job.record.accepted_at_ms
--- a/packages/savorylead/savorylead/pools/_urgency.py
+++ b/packages/savorylead/savorylead/pools/_urgency.py
@@ -11,10 +11,10 @@
 
 from typing import NamedTuple
 
-from savorylead.jobs import Job, StepRun
+from savorylead.jobs import StepRun
 
 from ._contracts import Queue
-from ._durations import DurationEstimator
+from ._step_times import StepTimes
 
 #: A job earns something until this many times its objective is over.
 LATE_FACTOR = 3.0
@@ -36,59 +36,17 @@
     due_ms: int
 
 
-def chain_ms(job: Job, durations: DurationEstimator) -> float:
-    """Return the longest chain of expected work of the job."""
-    ends: list[float] = []
-    for step in job.record.spec.steps:
-        begin = max((ends[i] for i in step.after), default=0.0)
-        ends.append(begin + durations.estimate_ms(job.record.queue, step))
-    return max(ends, default=0.0)
-
-
-def remaining_chain_ms(step: StepRun, durations: DurationEstimator) -> float:
-    """Return the longest chain of expected work from the step on."""
-    queue = step.job.record.queue
-    steps = step.job.record.spec.steps
-    ends: dict[int, float] = {step.index: durations.estimate_ms(queue, step.spec)}
-    for index in range(step.index + 1, len(steps)):
-        begins = [ends[i] for i in steps[index].after if i in ends]
-        if begins:
-            length = durations.estimate_ms(queue, steps[index])
-            ends[index] = max(begins) + length
-    return max(ends.values())
-
-
-def begun_ms(job: Job, occurrence: int) -> int:
-    """Return when the clock of an occurrence began."""
-    spec = job.record.spec
-    if spec.repeats:
-        return spec.first_due_ms + occurrence * spec.interval_ms
-    return job.record.accepted_at_ms
-
-
-def due_ms(
-    job: Job, queue: Queue, occurrence: int, durations: DurationEstimator
-) -> int:
-    """Return when the occurrence should have ended, in Unix milliseconds."""
-    objective_ms = queue.stretch * chain_ms(job, durations) + queue.objective_ms
-    return begun_ms(job, occurrence) + int(objective_ms)
-
-
-def urgency_of(
-    step: StepRun, queue: Queue, durations: DurationEstimator, now_ms: int
-) -> Urgency:
+def urgency_of(step: StepRun, queue: Queue, times: StepTimes, now_ms: int) -> Urgency:
     """Return where the step stands in line."""
-    job = step.job
-    due = due_ms(job, queue, step.occurrence, durations)
-    surplus = int(job.surplus)
+    surplus = int(step.job.surplus)
+    time = times.of(step, queue, now_ms)
     if step.spec.long_running:
         # It serves users of its own all the time, and is restarted before anything.
-        return Urgency(0, 0, LASTING_PRIORITY, due)
-    begun = begun_ms(job, step.occurrence)
-    objective_ms = due - begun
-    end_ms = now_ms + remaining_chain_ms(step, durations)
-    if end_ms > begun + LATE_FACTOR * objective_ms:
-        return Urgency(2, surplus, queue.priority, due)
-    if end_ms > due + DUE_SLACK * objective_ms:
-        return Urgency(1, surplus, queue.priority, due)
-    return Urgency(0, surplus, queue.priority, due)
+        return Urgency(0, 0, LASTING_PRIORITY, time.due_ms)
+    objective_ms = time.due_ms - time.begun_ms
+    end_ms = now_ms + time.remaining_ms
+    if end_ms > time.begun_ms + LATE_FACTOR * objective_ms:
+        return Urgency(2, surplus, queue.priority, time.due_ms)
+    if end_ms > time.due_ms + DUE_SLACK * objective_ms:
+        return Urgency(1, surplus, queue.priority, time.due_ms)
+    return Urgency(0, surplus, queue.priority, time.due_ms)
--- /dev/null
+++ b/packages/savorylead/savorylead/pools/tests/test_pass_cost.py
@@ -0,0 +1,56 @@
+"""What a pass of the planner looks at does not multiply steps by runs."""
+
+from __future__ import annotations
+
+import pytest
+
+from savorylead.pools import PoolPlanner
+
+from .pool_cases import plan, run_on, step_of, worker
+
+WORKERS = 24
+RUNS_PER_WORKER = 10
+
+
+class CountingPlanner(PoolPlanner):
+    """Counts how often the length of a task is asked for."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.asked = 0
+        estimate_ms = self.durations.estimate_ms
+
+        def count(queue: str, spec: object) -> float:
+            self.asked += 1
+            return estimate_ms(queue, spec)
+
+        self.durations.estimate_ms = count
+
+
+@pytest.mark.parametrize("waiting", [10, 100, 300])
+def test_runs_are_looked_at_once_however_many_steps_wait(waiting: int) -> None:
+    # Replays a team that sends urgent jobs at several times its rate while batch work
+    # fills every worker: with 250 steps waiting a pass took 50 to 100 ms, and each
+    # step waits for two.
+    workers = [worker(f"w{n}", cores=RUNS_PER_WORKER) for n in range(WORKERS)]
+    for n, each in enumerate(workers):
+        batch = step_of(f"b{n}", "batch", count=RUNS_PER_WORKER, checkpoints=True)
+        for index in range(RUNS_PER_WORKER):
+            run_on(each, batch, index)
+    steps = [step_of(f"u{n}", "urgent", cores=2) for n in range(waiting)]
+    planner = CountingPlanner()
+    made = plan(steps, workers, planner)
+    assert made.preempted
+    # Each waiting step and each running one has a chain and a rest, and a length for
+    # the choice of workers; running steps here share one record a worker.
+    assert planner.asked <= 3 * (waiting + WORKERS * RUNS_PER_WORKER)
+
+
+def test_a_run_is_stopped_for_one_step_only() -> None:
+    one = worker("w", cores=12)
+    batch = step_of("b", "batch", cores=3, count=4, checkpoints=True)
+    for index in range(4):
+        run_on(one, batch, index)
+    steps = [step_of(f"u{n}", "urgent", cores=3) for n in range(2)]
+    made = plan(steps, [one])
+    assert len({run.task.index for run in made.preempted}) == 2
