Keep calls for advice with the planner until they need not wait behind others

What a team sent beyond its weight took calls, workers to keep and other teams' room like owed work. Ruled out: the adviser's speed for short calls; the order in a daemon's line, which is by length and can't know what became urgent since. Change: the router tells how many short and long calls may be made without waiting long, and the most urgent steps of each pass get them. Work beyond its team's weight stops nobody and keeps no worker.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_advice_queue.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_advice_queue.py
@@ -14,14 +14,18 @@
 from twisted.internet.defer import Deferred
 
 from savorylead.clock import Clock, to_millis
-from savorylead.pools import Advice, AdviserBusyError, PolicyAdviser
+from savorylead.pools import (
+    SHORT_CALL_MS,
+    Advice,
+    AdviceSlots,
+    AdviserBusyError,
+    PolicyAdviser,
+)
 
 #: Calls that may wait in a daemon; the adviser itself lets 32 wait.
 MAX_WAITING = 24
 #: A waiting call gains this much of rank for each millisecond it waits.
 AGEING = 0.25
-#: Calls expected to take no longer are short.
-SHORT_MS = 60.0
 #: Part of the daemons, as a divisor, that are kept for short calls.
 SHORT_DIVISOR = 3
 #: Wait, in milliseconds, that a long call bears elsewhere before it goes to a daemon
@@ -29,6 +33,9 @@
 KEPT_FOR_SHORT_MS = 600.0
 #: What a short call is expected to wait for a long one: half of a usual long call.
 REST_OF_LONG_MS = 150.0
+#: Short calls that may be under way through one daemon: while one is answered the next
+#: ones are at hand, and none waits longer than a pass of the planner.
+SHORT_CALLS_AT_ONCE = 4
 
 
 class AdviceQueue:
@@ -72,9 +79,11 @@
 class _Backlog:
     """The calls of one lead that are under way through one daemon."""
 
-    __slots__ = ("long_ms", "short_ms")
+    __slots__ = ("long_calls", "long_ms", "short_calls", "short_ms")
 
     def __init__(self) -> None:
+        self.short_calls = 0
+        self.long_calls = 0
         self.short_ms = 0.0
         self.long_ms = 0.0
 
@@ -94,8 +103,8 @@
     def choose(self, names: Sequence[str], expected_ms: float) -> str:
         """Return the daemon that should make a call of that length."""
         ordered = sorted(names)
-        for_short = max(1, len(ordered) // SHORT_DIVISOR)
-        is_short = expected_ms <= SHORT_MS
+        for_short = _kept_for_short(len(ordered))
+        is_short = expected_ms <= SHORT_CALL_MS
 
         def cost(index: int) -> tuple[float, int]:
             backlog = self._backlogs.get(ordered[index]) or _Backlog()
@@ -104,12 +113,28 @@
                 wait_ms += backlog.long_ms
                 if index < for_short:
                     wait_ms += KEPT_FOR_SHORT_MS
-            elif index >= for_short:
+            elif backlog.long_calls:
                 wait_ms += REST_OF_LONG_MS
             return wait_ms, index
 
         return ordered[min(range(len(ordered)), key=cost)]
 
+    def slots(self, names: Sequence[str]) -> AdviceSlots:
+        """Return how many calls may be made now that need not wait long.
+
+        Load pattern: calls for work that nobody could start soon filled every daemon's
+        line, and those of urgent steps waited behind them.
+        """
+        for_short = _kept_for_short(len(names))
+        short = long = 0
+        for index, name in enumerate(sorted(names)):
+            backlog = self._backlogs.get(name) or _Backlog()
+            if backlog.long_calls:
+                continue
+            short += max(0, SHORT_CALLS_AT_ONCE - backlog.short_calls)
+            long += index >= for_short or len(names) <= for_short
+        return AdviceSlots(short, long)
+
     async def advise(
         self,
         names: Sequence[str],
@@ -121,15 +146,23 @@
         """Return advice through one of the daemons; raises AdviserError."""
         name = self.choose(names, expected_ms)
         backlog = self._backlogs.setdefault(name, _Backlog())
-        is_short = expected_ms <= SHORT_MS
+        is_short = expected_ms <= SHORT_CALL_MS
         if is_short:
+            backlog.short_calls += 1
             backlog.short_ms += expected_ms
         else:
+            backlog.long_calls += 1
             backlog.long_ms += expected_ms
         try:
             return await self._ask_through(name, step, workers, rank_ms)
         finally:
             if is_short:
+                backlog.short_calls -= 1
                 backlog.short_ms -= expected_ms
             else:
+                backlog.long_calls -= 1
                 backlog.long_ms -= expected_ms
+
+
+def _kept_for_short(daemons: int) -> int:
+    return max(1, daemons // SHORT_DIVISOR)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -20,6 +20,7 @@
 from savorylead.pools import (
     Advice,
     AdviceRequest,
+    AdviceSlots,
     AdviserError,
     CellDocument,
     CellStore,
@@ -71,6 +72,8 @@
     log: EventLog
     calls: WorkerCalls
     ask_adviser: AskAdviser
+    #: Returns the calls for advice that may be made now.
+    advice_slots: Callable[[], AdviceSlots]
     lease: CellLease
     #: How long states of ended jobs are told, in milliseconds.
     status_for_ms: int
@@ -328,7 +331,12 @@
             w for w in self._state.workers.values() if self._records.is_recorded(w.id)
         ]
         plan = self._state.planner.plan(
-            steps, self._state.queues, workers, self._team_room, now_ms
+            steps,
+            self._state.queues,
+            workers,
+            self._team_room,
+            now_ms,
+            self._parts.advice_slots(),
         )
         self._note_demand(plan)
         self._starter.carry_out(plan)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -251,6 +251,7 @@
             log=self._log,
             calls=self._adapter.workers,
             ask_adviser=self._ask_adviser,
+            advice_slots=lambda: self._router.slots(self._advice_names()),
             lease=self._lease,
             on_grants_written=self._grants_written,
             status_for_ms=self._settings.status_for // timedelta(milliseconds=1),
@@ -312,9 +313,12 @@
         expected_ms: float,
         rank_ms: float,
     ) -> Advice:
-        names = list(self.view.members) or [self._member.name]
+        names = self._advice_names()
         return await self._router.advise(names, step, workers, expected_ms, rank_ms)
 
+    def _advice_names(self) -> list[str]:
+        return list(self.view.members) or [self._member.name]
+
     async def _ask_through(
         self, name: str, step: str, workers: Sequence[str], rank_ms: float
     ) -> Advice:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_advice_queue.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_advice_queue.py
@@ -10,7 +10,7 @@
 from twisted.internet.task import Clock as StepClock
 
 from savorylead.clock import TwistedClock
-from savorylead.pools import Advice, AdviserBusyError, PolicyAdviser
+from savorylead.pools import Advice, AdviceSlots, AdviserBusyError, PolicyAdviser
 from savorylead_daemon.pool._advice_queue import (
     MAX_WAITING,
     AdviceQueue,
@@ -49,6 +49,42 @@
     assert router.choose(names, expected_ms) == chosen
 
 
+@pytest.mark.parametrize(
+    "daemons, long_at, short_at, slots",
+    [
+        (9, {}, {}, (36, 6)),
+        (9, {"d3": 1}, {}, (32, 5)),
+        (9, {f"d{n}": 1 for n in range(3, 9)}, {"d0": 4, "d1": 3}, (5, 0)),
+        (9, {f"d{n}": 1 for n in range(9)}, {}, (0, 0)),
+        (2, {"d1": 1}, {}, (4, 0)),
+        (1, {}, {"d0": 1}, (3, 1)),
+    ],
+)
+def test_no_more_calls_are_made_than_daemons_can_take_up(
+    daemons: int,
+    long_at: dict[str, int],
+    short_at: dict[str, int],
+    slots: tuple[int, int],
+) -> None:
+    # Replays a backlog in which urgent calls stood behind those of work that nobody
+    # could start soon.
+    unanswered: list[Deferred[None]] = []
+
+    async def ask(name: str, step: str, workers: object, rank_ms: float) -> Advice:
+        unanswered.append(Deferred())
+        await unanswered[-1]
+        raise AssertionError("never answered")
+
+    router = AdviceRouter(ask)
+    for busy, expected_ms in ((long_at, 500.0), (short_at, 15.0)):
+        for name, calls in busy.items():
+            for _ in range(calls):
+                one = router.advise([name], "s", (), expected_ms, 0.0)
+                Deferred.fromCoroutine(one).addErrback(lambda _: None)
+    names = [f"d{n}" for n in range(daemons)]
+    assert router.slots(names) == AdviceSlots(*slots)
+
+
 class SlowAdviser(PolicyAdviser):
     """Answers when told to."""
 
--- a/packages/savorylead/savorylead/pools/__init__.py
+++ b/packages/savorylead/savorylead/pools/__init__.py
@@ -1,6 +1,12 @@
 """Decisions for a pool of workers, and the interfaces that they need. No I/O."""
 
-from ._advice import AdviceBook, AdviceRequest, StepAdvice
+from ._advice import (
+    SHORT_CALL_MS,
+    AdviceBook,
+    AdviceRequest,
+    AdviceSlots,
+    StepAdvice,
+)
 from ._contracts import (
     ActiveRun,
     Advice,
@@ -51,11 +57,13 @@
 from ._urgency import Urgency, urgency_of
 
 __all__ = [
+    "SHORT_CALL_MS",
     "ActiveRun",
     "Advice",
     "AdviceBook",
     "AdviceCost",
     "AdviceRequest",
+    "AdviceSlots",
     "AdviserBusyError",
     "AdviserError",
     "CellDocument",
--- a/packages/savorylead/savorylead/pools/_advice.py
+++ b/packages/savorylead/savorylead/pools/_advice.py
@@ -36,6 +36,35 @@
 RETRY_MS = 200
 
 
+#: Calls expected to take no longer are short, in milliseconds.
+SHORT_CALL_MS = 60.0
+
+
+class AdviceSlots(NamedTuple):
+    """How many more calls may be made now.
+
+    A call that would only wait behind others is not made yet: by the time its turn
+    comes, another step may be more urgent.
+    """
+
+    short: int
+    long: int
+
+    def allow(self, expected_ms: float) -> bool:
+        """Return whether a call of that length may be made."""
+        return (self.short if expected_ms <= SHORT_CALL_MS else self.long) > 0
+
+    def without(self, expected_ms: float) -> AdviceSlots:
+        """Return what is left after a call of that length."""
+        if expected_ms <= SHORT_CALL_MS:
+            return self._replace(short=self.short - 1)
+        return self._replace(long=self.long - 1)
+
+
+#: Slots where nothing bounds the calls.
+UNBOUNDED = AdviceSlots(1 << 30, 1 << 30)
+
+
 class _Ticket(NamedTuple):
     text: str
     #: Start of the worker's incarnation; a ticket holds for one.
--- a/packages/savorylead/savorylead/pools/_planning_pass.py
+++ b/packages/savorylead/savorylead/pools/_planning_pass.py
@@ -8,7 +8,7 @@
 from savorylead.jobs import Run, RunState, StepRun, Task
 from savorylead.resources import ZERO, Resources
 
-from ._advice import AdviceRequest
+from ._advice import AdviceRequest, AdviceSlots
 from ._pool_worker import PoolWorker, held_by
 
 
@@ -43,8 +43,11 @@
 class PlanningPass:
     """The state of one pass: what is still free, as placements are decided."""
 
-    def __init__(self, workers: Iterable[PoolWorker], now_ms: int) -> None:
+    def __init__(
+        self, workers: Iterable[PoolWorker], now_ms: int, advice_slots: AdviceSlots
+    ) -> None:
         self.now_ms = now_ms
+        self.advice_slots = advice_slots
         self.workers = list(workers)
         self.startable = [w for w in self.workers if w.may_start(now_ms)]
         self.free = {w.id: w.free() for w in self.workers}
--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -14,7 +14,7 @@
 from savorylead.jobs import StepRun, Task
 from savorylead.resources import ZERO, Resources
 
-from ._advice import AdviceBook
+from ._advice import UNBOUNDED, AdviceBook, AdviceSlots
 from ._contracts import Queue
 from ._durations import DurationEstimator
 from ._headroom import UrgentHeadroom
@@ -67,13 +67,15 @@
         workers: Iterable[PoolWorker],
         team_room: Callable[[str], Resources | None],
         now_ms: int,
+        advice_slots: AdviceSlots = UNBOUNDED,
     ) -> Plan:
         """Return what to start and to ask now.
 
         ``steps`` are ready and not done. ``team_room`` returns what a team may
-        still start, None for no limit.
+        still start, None for no limit. ``advice_slots`` are the calls for advice that
+        may be made now; the most urgent steps get them.
         """
-        state = PlanningPass(workers, now_ms)
+        state = PlanningPass(workers, now_ms, advice_slots)
         preemption = Preemption(self._times, queues, now_ms)
         self._idle.note(steps, now_ms)
         ranked = sorted(
@@ -102,6 +104,8 @@
             if team not in rooms:
                 rooms[team] = team_room(team)
             keep_free = 0 if urgency.priority <= 0 else headroom
+            # Work beyond its team's share waits for room that nobody else wants.
+            may_displace = urgency.lateness == 0 and not urgency.surplus
             is_starved = self._idle.is_starved(step, now_ms)
             candidates = self._candidates(state, step, is_starved)
             if step.spec.gang:
@@ -115,7 +119,7 @@
             if placed == len(waiting):
                 continue
             if self._is_short_of_limit(state, step, waiting, placed, candidates, rooms):
-                if urgency.lateness == 0:
+                if may_displace:
                     missing = len(waiting) - placed
                     self._make_room_at_limit(
                         state,
@@ -127,7 +131,7 @@
                         rooms[team],
                     )
                 continue
-            if urgency.lateness == 0:
+            if may_displace:
                 missing = len(waiting) - placed
                 self._make_room(state, preemption, step, urgency.priority, missing)
             if queue.advice is not None:
@@ -139,8 +143,10 @@
                     queue,
                     candidates,
                     may_ask_ahead,
+                    may_displace,
                 )
-            if reserving < MAX_RESERVING_STEPS and may_reserve(step, queue, state):
+            may_keep = reserving < MAX_RESERVING_STEPS and not urgency.surplus
+            if may_keep and may_reserve(step, queue, state):
                 good = self.book.of(step).good if self._needs_advice(step) else ()
                 reserving += self._reservation.reserve(state, step, len(waiting), good)
         return state.plan
@@ -379,6 +385,7 @@
         queue: Queue,
         candidates: Sequence[PoolWorker],
         may_ask_ahead: bool,
+        may_displace: bool,
     ) -> int:
         """Add a call for advice if one is due; return 1 if it was asked ahead."""
         priority = LASTING_PRIORITY if step.spec.long_running else queue.priority
@@ -391,7 +398,10 @@
         if self.book.of(step).pending:
             state.note_asked(with_room, step)
             return 0
-        if not with_room:
+        assert queue.advice is not None
+        if not state.advice_slots.allow(queue.advice.decide_ms):
+            return 0
+        if not with_room and may_displace:
             with_room = [
                 w
                 for w in preemption.could_make_room(
@@ -410,12 +420,12 @@
         ]
         others.sort(key=lambda w: -state.free[w.id].cores_milli)
         fitting = tasks_per_worker(step, with_room or others)
-        assert queue.advice is not None
         request = self.book.request(
             step, queue.advice, with_room, others, fitting, state.now_ms
         )
-        if request is None:
+        if request is None or not state.advice_slots.allow(request.expected_ms):
             return 0
+        state.advice_slots = state.advice_slots.without(request.expected_ms)
         state.note_asked(with_room, step)
         state.plan.requests.append(request)
         return 0 if with_room else 1
--- a/packages/savorylead/savorylead/pools/tests/pool_cases.py
+++ b/packages/savorylead/savorylead/pools/tests/pool_cases.py
@@ -110,10 +110,11 @@
     room: Resources | None = None,
     now_ms: int = NOW_MS,
     queues: dict[str, Queue] = QUEUES,
+    **options: object,
 ) -> object:
     planner = planner or PoolPlanner()
     planner.set_queues(queues.values())
-    return planner.plan(steps, queues, workers, lambda team: room, now_ms)
+    return planner.plan(steps, queues, workers, lambda team: room, now_ms, **options)
 
 
 def starts(made: object) -> list[tuple[str, str]]:
