Tell from logs where jobs waited, by queue and part of the way

python -m bench.waits reads what daemons wrote and prints the median and 95th percentile of each part: accept, lead, advice, room, work.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,8 +8,8 @@
 
 import bench
 
-#: Takes minutes and writes a page; it has a command of its own.
-APART = frozenset({"capacity"})
+#: The one takes minutes and writes a page, the other reads logs that it is given.
+APART = frozenset({"capacity", "waits"})
 
 
 def main() -> None:
