Judge by when jobs came which of them are beyond their team's weight

Ruled out: the burst allowance of three seconds, which these teams never used up before. Test: failed before (28 of 41 owed jobs taken for surplus), passes now.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_book.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_book.py
@@ -41,12 +41,16 @@
         self.open: dict[str, Job] = {}
         self._meter = RateMeter()
 
-    def add(self, record: JobRecord, revision: int, weight: float, now_ms: int) -> Job:
-        """Return the job of a record, which may have been added before."""
+    def add(self, record: JobRecord, revision: int, weight: float, came_ms: int) -> Job:
+        """Return the job of a record, which may have been added before.
+
+        ``weight`` is the jobs a second that are owed to the team, and ``came_ms`` when
+        this one came.
+        """
         job = self.jobs.get(record.id)
         if job is None:
             job = Job(record, revision)
-            job.surplus = self._meter.is_surplus(record.team, weight, now_ms)
+            job.surplus = self._meter.is_surplus(record.team, weight, came_ms)
             self.jobs[record.id] = job
             self.open[record.id] = job
         return job
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -218,9 +218,13 @@
         loaded = await self._records.load()
         self._fleet.load(loaded.workers)
         now_ms = self._state.now_ms()
-        for record, revision in loaded.jobs:
+        # In the order in which they came, or all of them would count as come now.
+        for record, revision in sorted(
+            loaded.jobs, key=lambda row: row[0].accepted_at_ms
+        ):
             weight = self._state.weights.get(record.team, 1.0)
-            job = self._state.jobs.add(record, revision, weight, now_ms)
+            came_ms = min(record.accepted_at_ms, now_ms)
+            job = self._state.jobs.add(record, revision, weight, came_ms)
             saved = loaded.progress.get(record.id)
             if saved is not None:
                 job.restore(saved.progress)
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_takeover.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_takeover.py
@@ -69,3 +69,25 @@
     while not lead.loaded:
         cell.run(0.01)
     assert cell.clock.now() - began_at < timedelta(milliseconds=300)
+
+
+def test_a_new_lead_takes_no_owed_job_for_surplus() -> None:
+    # Replays a lead that dies after a team has handed in many jobs at the rate owed to
+    # it: the next one counted all of them as come at once, and those after them too.
+    cell = ready_cell()
+    (team,) = cell.document.teams
+    cell.put_config(
+        cell.document._replace(version=2, teams=(team._replace(weight=4.0),))
+    )
+    former = cell.lead_of()
+    via = next(name for name in cell.nodes if name != former)
+    for number in range(40):
+        cell.submit(f"job{number}", job_spec(), via)
+        cell.run(0.3)
+    cell.kill(former)
+    cell.run(3.0)
+    cell.submit("later", job_spec(), via)
+    cell.run(0.2)
+    jobs = cell.nodes[cell.lead_of()].leads["pool"]._state.jobs.jobs
+    assert len(jobs) == 41
+    assert not [job.id for job in jobs.values() if job.surplus]
