Keep workers that leave and run nothing out of the record for the next lead

Ruled out: the worker's lease, which had lapsed long before; nothing ran there. Change: a worker that leaves and runs nothing is taken out of the record at the next look at the list; nothing is started there again unless the platform lists it as ready anew. Test: failed before (no start within 3.5 s), passes now.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -89,9 +89,14 @@
     def record_workers(self) -> None:
         """Record the workers that are or may be used; the next lead claims these.
 
-        One that can't be reached and surely runs nothing would only hold it up.
+        One that can't be reached and surely runs nothing would only hold it up, and so
+        would one that leaves: it is soon gone, and nothing is started there again.
         """
-        used = [w for w in self._state.workers.values() if w.usable or w.runs]
+        used = [
+            w
+            for w in self._state.workers.values()
+            if w.runs or w.unexplained or (w.usable and w.entry.accepting)
+        ]
         unlocated = self._to_locate if not self._located else frozenset()
         recorded = [RecordedWorker(w.entry) for w in used]
         recorded += [
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_takeover.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_takeover.py
@@ -71,6 +71,26 @@
     assert cell.clock.now() - began_at < timedelta(milliseconds=300)
 
 
+def test_a_worker_that_left_holds_up_no_job_of_the_next_lead() -> None:
+    # Replays a worker that was leaving, ran nothing any more and was gone as the lead
+    # died: the next lead waited 4.9 s for it before it went on with older jobs.
+    cell = ready_cell(workers=2, cores=2)
+    leaving = cell.workers.machines["w0"]
+    cell.list_worker(leaving.entry._replace(accepting=False))
+    cell.run(2.0)
+    leaving.is_cut = True
+    former = cell.lead_of()
+    via = next(name for name in cell.nodes if name != former)
+    cell.submit("job", job_spec(count=12), via)
+    cell.run(0.5)
+    cell.kill(former)
+    killed_at = cell.clock.now()
+    cell.run(3.5)
+    began = [record.began_at for record in cell.workers.records]
+    assert max(began) > killed_at
+    assert cell.workers.breaches == []
+
+
 def test_a_new_lead_takes_no_owed_job_for_surplus() -> None:
     # Replays a lead that dies after a team has handed in many jobs at the rate owed to
     # it: the next one counted all of them as come at once, and those after them too.
