Give the only pool each team's limit whole

Change: where the configuration and the record know no other pool, the lead takes the whole at its first look. A second pool gets its part back by the same rules as before. Tests: the first failed before, the second is the way back.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -171,6 +171,7 @@
         self._state.queues.update((q.name, q) for q in document.queues)
         self._state.weights = {t.name: t.weight for t in document.teams}
         self._state.planner.set_queues(self._state.queues.values())
+        self._grants.set_pools(p.name for p in document.pools)
         self._grants.set_limits({t.name: t.limit for t in document.teams})
         self._grant_keeper.hurry()
         self._plan_soon()
--- a/packages/savorylead/savorylead/pools/_grants.py
+++ b/packages/savorylead/savorylead/pools/_grants.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 import msgspec
@@ -62,6 +62,11 @@
         self.pool = pool
         self.book = GrantBook()
         self._limits: dict[str, Resources] = {}
+        self._pools: frozenset[str] = frozenset()
+
+    def set_pools(self, pools: Iterable[str]) -> None:
+        """Take over which pools there are."""
+        self._pools = frozenset(pools)
 
     def set_limits(self, limits: Mapping[str, Resources]) -> None:
         """Take over the limits of a configuration; 0 is no limit in a dimension."""
@@ -103,7 +108,11 @@
     def next_book(
         self, held: Mapping[str, Resources], waiting: Mapping[str, Resources]
     ) -> GrantBook | None:
-        """Return the record as this pool would have it, None if it is as it should."""
+        """Return the record as this pool would have it, None if it is as it should.
+
+        The only pool has each limit whole, ahead of any want: a part that must grow
+        first keeps tasks waiting for a write, and for the whole of an outage.
+        """
         parts = {team: dict(pools) for team, pools in self.book.parts.items()}
         changed = False
         for team, limit in self._limits.items():
@@ -111,7 +120,10 @@
             wanted = _least(limit, now_held.plus(waiting.get(team, ZERO)))
             pools = parts.setdefault(team, {})
             old = pools.get(self.pool, _NO_PART)
-            new = self._next_part(limit, old, pools, now_held, wanted)
+            if self._pools == {self.pool} and pools.keys() <= {self.pool}:
+                new = old._replace(granted=tuple(limit))
+            else:
+                new = self._next_part(limit, old, pools, now_held, wanted)
             if new != old:
                 pools[self.pool] = new
                 changed = True
--- a/packages/savorylead/savorylead/pools/tests/test_grants.py
+++ b/packages/savorylead/savorylead/pools/tests/test_grants.py
@@ -158,3 +158,29 @@
     assert room.cores_milli == 0
     assert room.memory_mb > 1 << 40
     assert pool.room("another", ZERO) is None
+
+
+def test_the_only_pool_has_each_limit_whole_before_it_wants_any() -> None:
+    # Replays a store that goes away as a team's work grows: its part was 0.55 of the
+    # limit and could not rise before the store was back.
+    pool = PoolGrants("one")
+    pool.set_limits({TEAM: LIMIT})
+    pool.set_pools(["one"])
+    book = pool.next_book({}, {})
+    assert book is not None
+    pool.book = book
+    assert pool.room(TEAM, ZERO)[:3] == LIMIT[:3]
+    assert pool.next_book({TEAM: LIMIT}, {TEAM: LIMIT}) is None
+
+
+def test_the_only_pool_gives_back_what_another_one_needs() -> None:
+    cell = TwoPools()
+    cell.pools["one"].set_pools(["one"])
+    cell.turn("one")
+    cell.held["one"] = Resources(20_000, 100_000, 4)
+    for pool in cell.pools.values():
+        pool.set_pools(["one", "two"])
+    cell.waiting["two"] = Resources(50_000, 300_000, 8)
+    cell.settle()
+    assert cell.waiting["two"].fits(cell.room("two"))
+    assert cell.granted_sum().fits(LIMIT)
