Settle a lost order at once, and let one lost order rest no worker

Change: once the stop is accepted, a report is asked for beside the one that waits, over the link of orders; a report older than one already taken in is dropped. A worker gets no more work after two orders without an answer and no report between.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -48,6 +48,12 @@
 #: those ends again, so a look can't wait for the next one. Ends of other tasks there
 #: are seen this late at most while the store is slow or away.
 UNRELEASED_LOOK = timedelta(milliseconds=100)
+#: A report proves that a stopped run is gone only if it was asked for after the stop
+#: was accepted, by a clock that counts whole milliseconds.
+ASK_AFTER_STOP = timedelta(milliseconds=2)
+#: Orders without an answer, and no report between, after which a worker gets no more.
+#: A single one may have been lost on the way.
+UNANSWERED_TO_DOUBT = 2
 #: Time until a call that failed is tried again.
 RETRY_AFTER = timedelta(milliseconds=200)
 #: Time until a stop that was accepted is sent again, if the run is still listed.
@@ -56,6 +62,7 @@
 PAUSE = timedelta(milliseconds=50)
 #: Longest time without a look at an idle worker.
 IDLE_LOOK = timedelta(seconds=60)
+_NO_WAIT = timedelta(0)
 
 
 class SessionOwner(ABC):
@@ -118,6 +125,8 @@
         self._durable = 0
         self._released = 0
         self._failing_since: datetime | None = None
+        #: Orders without an answer since the last report.
+        self._unanswered = 0
         self._running: Deferred[None] | None = None
 
     def start(self) -> None:
@@ -163,11 +172,14 @@
             self.look_soon()
             raise
         except WorkerError as exc:
-            self.worker.usable = False
+            self._unanswered += 1
+            if self._unanswered >= UNANSWERED_TO_DOUBT:
+                self.worker.usable = False
             self._log.log_event(
                 LogLevel.INFO,
                 "start_unanswered",
                 worker=self.worker.id,
+                unanswered=self._unanswered,
                 task_run=f"{order.task}/{order.number}",
                 detail=str(exc),
             )
@@ -227,8 +239,35 @@
                 continue
             run.stopped_at_ms = to_millis(self._clock.now())
             self.look_soon()
+            if not run.confirmed_at_ms and self.claimed:
+                # Nothing ends where the order never arrived, so the report that is
+                # under way may wait a second for an end of another run.
+                await self._clock.sleep(ASK_AFTER_STOP)
+                await self._look_aside()
             await self._clock.sleep(STOP_AGAIN)
 
+    async def _look_aside(self) -> None:
+        """Ask for a report at once, beside one that waits for an end."""
+        if self._closed or not self._owner.may_act():
+            return
+        asked_at_ms = to_millis(self._clock.now())
+        try:
+            report = await self._calls.hold(
+                self.worker.entry, self._owner.fence, self._durable, None, _NO_WAIT
+            )
+        except StaleFenceError:
+            self._owner.superseded()
+        except (WorkerError, WrongIncarnationError, WorkerUnhealthyError) as exc:
+            self._log.log_event(
+                LogLevel.INFO,
+                "look_aside_failed",
+                worker=self.worker.id,
+                detail=f"{type(exc).__name__}: {exc}",
+            )
+        else:
+            if not self._closed:
+                self._take(report, asked_at_ms)
+
     async def _run(self) -> None:
         while True:
             if not self._owner.may_act():
@@ -277,7 +316,14 @@
             deadline_ms,
             self._wait(),
         )
-        self._released = released
+        self._released = max(self._released, released)
+        self._take(report, asked_at_ms)
+
+    def _take(self, report: WorkerReport, asked_at_ms: int) -> None:
+        """Take over a report, unless a later one came before it."""
+        is_older = report.clock_ms < self._clock_ms
+        if is_older and self._born_ms == report.born_ms and self._clock_read_at:
+            return
         self._heard(report)
         findings = reconcile(self.worker, report, self._seen, asked_at_ms)
         seen = max([self._seen, *(e.sequence for e in report.ended)])
@@ -298,13 +344,14 @@
     def _wait(self) -> timedelta:
         busy = any(r.state is RunState.STOPPING for r in self.worker.runs.values())
         if not self.claimed or busy or not self.worker.runs or self._failing_since:
-            return timedelta(0)
+            return _NO_WAIT
         if self.worker.serves() and self.worker.fill_load():
             return WATCHFUL_WAIT
         return RENEW_WAIT
 
     def _heard(self, report: WorkerReport) -> None:
         self._failing_since = None
+        self._unanswered = 0
         if self._born_ms and report.born_ms != self._born_ms:
             self._reborn(report)
         self._born_ms = report.born_ms
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
-from datetime import timedelta
+from datetime import datetime, timedelta
+from typing import Any
 
 import msgspec
 import pytest
 from twisted.internet.defer import Deferred
 
 from savorylead.jobs import JobState
-from savorylead.pools import RunEnd
+from savorylead.pools import RunEnd, RunRejected, RunStarted
 from savorylead.resources import Resources
 from savorylead.store import Snapshot
+from savorylead.workers import WorkerTimeoutError
 from savorylead_daemon.pool import CallerAnswer
 from savorylead_standins.pools import PoolCell, StoreView, in_turn, job_spec
 from savorylead_standins.pools._pool_cell import WORKERS_PREFIX
@@ -262,3 +264,29 @@
     assert cell.state("one") is JobState.COMPLETED
     assert cell.workers.breaches == []
     assert len(cell.workers.records) == 6
+
+
+def test_a_task_whose_order_was_lost_starts_elsewhere_at_once() -> None:
+    # Replays a worker that carries an order out late, or never: that nothing of it runs
+    # there was told only by the report that waited up to a second for another end.
+    cell = ready_cell(workers=2, cores=2)
+    cell.workers.length_of = lambda _: timedelta(seconds=5)
+    for number in range(2):
+        cell.submit(f"other{number}", job_spec())
+        cell.run(0.2)
+    start = cell.workers.start
+    lost: list[datetime] = []
+
+    async def lose_first(*order: Any) -> RunStarted | RunRejected:
+        if not lost:
+            lost.append(cell.clock.now())
+            await cell.clock.sleep(timedelta(milliseconds=300))
+            raise WorkerTimeoutError("no reply in time")
+        return await start(*order)
+
+    cell.workers.start = lose_first
+    cell.submit("one", job_spec())
+    cell.run(2.0)
+    (again,) = [r for r in cell.workers.records if r.task.job == "one"]
+    assert again.began_at - lost[0] < timedelta(milliseconds=400)
+    assert cell.workers.breaches == []
