Find the lead through a peer where the store does not answer

Cause: a daemon that the store turns away serves callers for 3 s more, and its view names the former lead. Ruled out: the lead (it decided again 25 ms after the hand-over); the accept, which goes through a peer already. Change: a daemon that does not lead says whom its view names; one without the store asks up to two peers and remembers the lead until its own view shows that term. Finding and telling leads is a class of its own now. Test: a state was refused before, is told now.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
@@ -37,6 +37,7 @@
 from ._config_feed import ConfigFeed
 from ._job_keeper import WRITE_AGAIN, JobKeeper, Stored
 from ._keys import cancel_key, job_key, progress_key
+from ._lead_finder import LeadFinder
 from ._peer_messages import (
     JobAccepted,
     JobCancelled,
@@ -44,15 +45,11 @@
     StateAsked,
     Told,
 )
-from ._peers import Message, PeerCalls, PeerError
+from ._peers import Message, PeerCalls
 
 #: Part of the caller's deadline in which the store is tried: a caller that is turned
 #: away has more than half of its time left for another daemon.
 TRY_SHARE = 0.45
-#: Time between two attempts to tell a lead of a job, and how often it is tried; the
-#: lead also reads the records.
-TELL_AGAIN = timedelta(milliseconds=100)
-TELL_ATTEMPTS = 20
 #: A configuration older than this is read again before a key or a path is refused.
 CONFIRM_AFTER = timedelta(milliseconds=50)
 #: Bounds of the time after which callers that were refused come back, in seconds.
@@ -86,8 +83,9 @@
         self._log = log
         self._config = config
         self._view = view
-        self._peers = peers
-        self._tell_here = tell_here
+        self._finder = LeadFinder(
+            name, clock, rng, log, view, peers, tell_here, config.store_answers
+        )
         self._keeper = JobKeeper(
             name, store, clock, rng, log, config, view, peers, self._accepted
         )
@@ -217,38 +215,7 @@
             config_version=self._version(),
         )
         message = JobAccepted(record, revision)
-        spawn("message of a job", self._tell_lead(record.pool, message))
-
-    async def _tell_lead(self, pool: str, message: Message) -> Told | None:
-        """Tell the lead of a pool, whoever that is by now."""
-        for _ in range(TELL_ATTEMPTS):
-            told = await self._ask_lead(pool, message)
-            if told is not None:
-                return told
-            await self._clock.sleep(TELL_AGAIN)
-        return None
-
-    async def _ask_lead(self, pool: str, message: Message) -> Told | None:
-        """Return the lead's answer, None if there is none to be had now."""
-        lead = self._view.lead(pool)
-        if lead is None:
-            return None
-        if lead.member.name == self._name:
-            told = await self._tell_here(message)
-        else:
-            try:
-                told = await self._peers.tell(lead.member.address, message)
-            except PeerError as exc:
-                self._log.log_event(
-                    LogLevel.INFO,
-                    "lead_not_reached",
-                    pool=pool,
-                    lead=lead.member.name,
-                    term=lead.term,
-                    detail=str(exc),
-                )
-                return None
-        return told if told.leads else None
+        spawn("message of a job", self._finder.tell(record.pool, message))
 
     async def _cancel(
         self, call: CallerCall, queue: Queue, job_id: str, arrived_at: datetime
@@ -285,7 +252,7 @@
                 continue
             self._log.log_event(LogLevel.INFO, "cancel_stored", job=job_id)
             message = JobCancelled(record.pool, job_id)
-            spawn("message of a cancel", self._tell_lead(record.pool, message))
+            spawn("message of a cancel", self._finder.tell(record.pool, message))
             return CallerAnswer(Kind.DONE)
 
     async def _find(self, queue: Queue, job_id: str) -> KeyValue | None:
@@ -302,7 +269,7 @@
         return None
 
     async def _state(self, queue: Queue, job_id: str) -> CallerAnswer:
-        told = await self._ask_lead(queue.pool, StateAsked(queue.pool, job_id))
+        told = await self._finder.ask(queue.pool, StateAsked(queue.pool, job_id))
         if told is not None and told.known:
             return CallerAnswer(Kind.DONE, state=JobState(told.state))
         if not self._config.store_answers():
@@ -331,7 +298,7 @@
         return JobState.RUNNING if progress.started else JobState.QUEUED
 
     async def _pending(self, queue: Queue) -> CallerAnswer:
-        told = await self._ask_lead(queue.pool, PendingAsked(queue.pool, queue.name))
+        told = await self._finder.ask(queue.pool, PendingAsked(queue.pool, queue.name))
         if told is None:
             return self._not_now("no_lead")
         return CallerAnswer(Kind.DONE, pending=told.pending)
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_lead_finder.py
@@ -0,0 +1,145 @@
+"""Hands messages to the lead of a pool, whoever that is by now."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+from savorylead.clock import Clock
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+from ._cell_view import CellView, MemberRecord
+from ._peer_messages import Told
+from ._peers import Message, PeerCalls, PeerError
+
+#: Time between two attempts to tell a lead of a job, and how often it is tried; the
+#: lead also reads the records.
+TELL_AGAIN = timedelta(milliseconds=100)
+TELL_ATTEMPTS = 20
+#: Peers that are asked who leads; a third of them may know as little.
+PEERS_ASKED = 2
+#: No further peer is asked after this time, so that the caller has time left to go
+#: elsewhere: a peer that is silent costs half a second.
+ASK_PEERS_FOR = timedelta(milliseconds=700)
+
+
+class _KnownLead(NamedTuple):
+    name: str
+    address: str
+    term: int
+
+
+class LeadFinder:
+    """Finds leads in the view of the cell and, without the store, through peers.
+
+    Load pattern: the store turns some daemons away, the lead among them, and serves the
+    others. The daemons without the store still serve callers for seconds, and their
+    view still names the former lead.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        clock: Clock,
+        rng: random.Random,
+        log: EventLog,
+        view: CellView,
+        peers: PeerCalls,
+        tell_here: Callable[[Message], Coroutine[Any, Any, Told]],
+        store_answers: Callable[[], bool],
+    ) -> None:
+        """``tell_here`` answers a message from the leads of this daemon."""
+        self._name = name
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._view = view
+        self._peers = peers
+        self._tell_here = tell_here
+        self._store_answers = store_answers
+        #: Leads that peers named, by pool.
+        self._named: dict[str, _KnownLead] = {}
+
+    async def tell(self, pool: str, message: Message) -> Told | None:
+        """Tell the lead of a pool, for some time if there is none."""
+        for _ in range(TELL_ATTEMPTS):
+            told = await self.ask(pool, message)
+            if told is not None:
+                return told
+            await self._clock.sleep(TELL_AGAIN)
+        return None
+
+    async def ask(self, pool: str, message: Message) -> Told | None:
+        """Return the lead's answer, None if there is none to be had now."""
+        began_at = self._clock.now()
+        lead = self._lead(pool)
+        if lead is not None:
+            told = await self._tell(pool, lead, message)
+            if told is not None and told.leads:
+                return told
+        if self._store_answers():
+            # The view shows the next lead as soon as there is one.
+            return None
+        term = 0 if lead is None else lead.term
+        others = [
+            member
+            for member in self._view.members.values()
+            if member.name != self._name and (lead is None or member.name != lead.name)
+        ]
+        for peer in self._rng.sample(others, min(PEERS_ASKED, len(others))):
+            if self._clock.now() - began_at >= ASK_PEERS_FOR:
+                break
+            told = await self._ask_through(pool, peer, term, message)
+            if told is not None:
+                return told
+        return None
+
+    async def _ask_through(
+        self, pool: str, peer: MemberRecord, term: int, message: Message
+    ) -> Told | None:
+        """Return the answer of a peer, or of the later lead that it names."""
+        lead = _KnownLead(peer.name, peer.address, term + 1)
+        told = await self._tell(pool, lead, message)
+        if told is not None and not told.leads and told.lead_term > term:
+            lead = _KnownLead(told.lead_name, told.lead_address, told.lead_term)
+            told = await self._tell(pool, lead, message)
+        if told is None or not told.leads:
+            return None
+        self._named[pool] = lead
+        self._log.log_event(
+            LogLevel.INFO,
+            "lead_named_by_peer",
+            pool=pool,
+            lead=lead.name,
+            term=lead.term,
+            peer=peer.name,
+        )
+        return told
+
+    def _lead(self, pool: str) -> _KnownLead | None:
+        """Return the latest lead that is known."""
+        named = self._named.get(pool)
+        seen = self._view.lead(pool)
+        if seen is None or (named is not None and named.term > seen.term):
+            return named
+        self._named.pop(pool, None)
+        return _KnownLead(seen.member.name, seen.member.address, seen.term)
+
+    async def _tell(self, pool: str, lead: _KnownLead, message: Message) -> Told | None:
+        if lead.name == self._name:
+            return await self._tell_here(message)
+        try:
+            return await self._peers.tell(lead.address, message)
+        except PeerError as exc:
+            self._log.log_event(
+                LogLevel.INFO,
+                "lead_not_reached",
+                pool=pool,
+                lead=lead.name,
+                term=lead.term,
+                detail=str(exc),
+            )
+            return None
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_peer_messages.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peer_messages.py
@@ -80,6 +80,10 @@
     #: State of a job; empty if it was not asked for.
     state: str = ""
     pending: int = 0
+    #: Whom a daemon that does not lead takes for the lead; empty if it knows none.
+    lead_name: str = ""
+    lead_address: str = ""
+    lead_term: int = 0
 
 
 class AdviceTold(NamedTuple):
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
@@ -15,6 +15,7 @@
 from savorylead_daemon.http import HttpLinks, JsonRequest, JsonResponse
 
 from ._advice_queue import AdviceQueue
+from ._cell_view import CellView
 from ._peer_messages import (
     AdviceAsked,
     AdviceTold,
@@ -133,9 +134,11 @@
         lead_of: Callable[[str], PoolLead | None],
         advice: AdviceQueue | None,
         use_store: Callable[[JobStoreAsked | LeaseEndAsked], Coroutine[Any, Any, bool]],
+        view: CellView,
     ) -> None:
         """``use_store`` does what a peer asks of the store, if this daemon can."""
         self._lead_of = lead_of
+        self._view = view
         self._advice = advice
         self._use_store = use_store
         self._handlers: dict[type, Callable[[Any], Coroutine[Any, Any, Any]]] = {
@@ -166,16 +169,31 @@
         return await self._handlers[type(message)](message)
 
     async def _accept(self, message: JobAccepted) -> Told:
-        return tell_accepted(self._lead_of(message.record.pool), message)
+        pool = message.record.pool
+        return self._naming_lead(pool, tell_accepted(self._lead_of(pool), message))
 
     async def _cancel(self, message: JobCancelled) -> Told:
-        return tell_cancelled(self._lead_of(message.pool), message)
+        told = tell_cancelled(self._lead_of(message.pool), message)
+        return self._naming_lead(message.pool, told)
 
     async def _state(self, message: StateAsked) -> Told:
-        return await tell_state(self._lead_of(message.pool), message)
+        told = await tell_state(self._lead_of(message.pool), message)
+        return self._naming_lead(message.pool, told)
 
     async def _pending(self, message: PendingAsked) -> Told:
-        return tell_pending(self._lead_of(message.pool), message)
+        told = tell_pending(self._lead_of(message.pool), message)
+        return self._naming_lead(message.pool, told)
+
+    def _naming_lead(self, pool: str, told: Told) -> Told:
+        """Add who leads, for a daemon that can't read it from the store."""
+        lead = None if told.leads else self._view.lead(pool)
+        if lead is None:
+            return told
+        return told._replace(
+            lead_name=lead.member.name,
+            lead_address=lead.member.address,
+            lead_term=lead.term,
+        )
 
     async def _review_grants(self, message: GrantsWritten) -> Told:
         return tell_grants(self._lead_of(message.pool), message)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -124,7 +124,9 @@
             self._advice = AdviceQueue(adapter.adviser, clock)
         self._router = AdviceRouter(self._ask_through)
         #: Answers messages of other daemons.
-        self.peer_server = PeerServer(self.leads.get, self._advice, self._use_store)
+        self.peer_server = PeerServer(
+            self.leads.get, self._advice, self._use_store, self.view
+        )
         #: Answers callers.
         self.gateway = JobGateway(
             self._member.name,
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_cell_callers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_cell_callers.py
@@ -238,3 +238,19 @@
     handling.addCallback(answers.append)
     cell.run(1.0)
     assert len(answers) == 1
+
+
+def test_a_daemon_without_the_store_finds_the_next_lead_through_a_peer() -> None:
+    # Replays a store that turns the lead and another daemon away: the lead hands over
+    # at once, and callers of the other one were refused each state for three seconds.
+    cell = ready_cell()
+    former = cell.lead_of()
+    via = next(name for name in cell.nodes if name != former)
+    cell.workers.length_of = lambda _: timedelta(seconds=3)
+    cell.submit("one", job_spec(), via)
+    cell.run(0.3)
+    for name in (former, via):
+        cell.views[name].is_refused = True
+    cell.run(1.5)
+    assert cell.lead_of() not in (former, via)
+    assert cell.state("one", via) is JobState.RUNNING
