Ask for all the tickets that a gang needs in one call

Cause: a call named 24 workers at first and renewed the tickets of four, and none was made while any ticket was valid. A gang needs all its tickets at the same time: one of 16 tasks, two a worker, where three workers in ten are allowed, never had them, and stood still beside free room. Ruled out: the room of the pool, limits, reservation (one gang on an empty pool, in the test); processor time of the lead, which binds there too but starts smaller steps. Change: for a gang the workers that are known to be allowed go first, then others by the part that the policy tends to allow, until they should hold 1.25 times its tasks; all are named in one call.

--- a/packages/savorylead/savorylead/pools/_advice.py
+++ b/packages/savorylead/savorylead/pools/_advice.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 from savorylead.jobs import StepRun
@@ -29,6 +29,12 @@
 CHEAP_SHARE = 0.25
 #: Most workers whose tickets one call renews.
 MAX_RENEWED = 4
+#: Most workers named for a gang, which needs its tickets at the same time; the adviser
+#: takes no more in one call.
+MAX_NAMED_FOR_GANG = 100
+#: Workers are named for a gang until they should hold this many times its tasks, since
+#: some room is taken before the answer comes.
+GANG_SPARE = 1.25
 #: A ticket is not used in its last part, in milliseconds, so that an order which
 #: carries it arrives in time.
 TICKET_MARGIN_MS = 150
@@ -129,15 +135,19 @@
         others: Sequence[PoolWorker],
         tasks_per_worker: float,
         now_ms: int,
+        copies: Mapping[str, int] | None = None,
     ) -> AdviceRequest | None:
         """Return the next call for a step, or None if it needs none now.
 
         ``with_room`` could start a task of the step now, best first; ``others``
-        could hold one later.
+        could hold one later. ``copies`` tells for a gang how many of its tasks each of
+        ``with_room`` could start.
         """
         known = self.of(step)
         if known.pending or now_ms < known.not_before_ms:
             return None
+        if copies is not None and with_room:
+            return self._request_for_gang(step, cost, with_room, copies, now_ms)
         if any(self.ticket(step, worker, now_ms) for worker in with_room):
             return None
         renewable = [w.id for w in with_room if w.id in known.good]
@@ -159,6 +169,36 @@
             ]
         return self._call(step, unknown[:wanted], cost)
 
+    def _request_for_gang(
+        self,
+        step: StepRun,
+        cost: AdviceCost,
+        with_room: Sequence[PoolWorker],
+        copies: Mapping[str, int],
+        now_ms: int,
+    ) -> AdviceRequest | None:
+        """Return a call that names as many workers as should hold the whole gang.
+
+        Load pattern: a gang that needs more workers than one call used to renew. Its
+        tickets were never valid at the same time, and it stood still beside free room.
+        """
+        known = self.of(step)
+        share = self._share_of(step)
+        unknown = [
+            w for w in with_room if w.id not in known.good and w.id not in known.bad
+        ]
+        wanted = step.spec.count * GANG_SPARE
+        named: list[PoolWorker] = []
+        for worker in [*(w for w in with_room if w.id in known.good), *unknown]:
+            if wanted <= 0 or len(named) >= MAX_NAMED_FOR_GANG:
+                break
+            held = max(1, copies[worker.id])
+            wanted -= held if worker.id in known.good else held * share
+            named.append(worker)
+        if all(self.ticket(step, worker, now_ms) for worker in named):
+            return None
+        return self._call(step, [worker.id for worker in named], cost)
+
     def asked(self, step: StepRun) -> None:
         """Note that a call is under way."""
         self.of(step).pending = True
@@ -214,10 +254,7 @@
 
     def _named(self, step: StepRun, cost: AdviceCost, tasks_per_worker: float) -> int:
         """Return how many unknown workers to name."""
-        # The step's queue is not needed: one queue feeds a pool with equal policy
-        # for all its steps, and the share is looked up by it.
-        share = self._good_share.get(step.job.record.queue, INITIAL_GOOD_SHARE)
-        share = min(0.95, max(0.05, share))
+        share = self._share_of(step)
         for_one = math.ceil(math.log(1 - HIT_PROBABILITY) / math.log(1 - share))
         for_all = math.ceil(len(step.waiting()) / max(1.0, tasks_per_worker) / share)
         cheap = MAX_NAMED
@@ -225,6 +262,11 @@
             cheap = int(CHEAP_SHARE * cost.decide_ms / cost.per_worker_ms)
         return min(MAX_NAMED, max(for_one, for_all, cheap, 2))
 
+    def _share_of(self, step: StepRun) -> float:
+        """Return the part of the workers that the policy of the step's queue allows."""
+        share = self._good_share.get(step.job.record.queue, INITIAL_GOOD_SHARE)
+        return min(0.95, max(0.05, share))
+
     def _call(
         self, step: StepRun, workers: Sequence[str], cost: AdviceCost
     ) -> AdviceRequest:
--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -420,8 +420,14 @@
         ]
         others.sort(key=lambda w: -state.free[w.id].cores_milli)
         fitting = tasks_per_worker(step, with_room or others)
+        copies = None
+        if step.spec.gang:
+            held = held_by(step)
+            copies = {
+                w.id: copies_that_fit(held, state.free[w.id], step) for w in with_room
+            }
         request = self.book.request(
-            step, queue.advice, with_room, others, fitting, state.now_ms
+            step, queue.advice, with_room, others, fitting, state.now_ms, copies
         )
         if request is None or not state.advice_slots.allow(request.expected_ms):
             return 0
--- /dev/null
+++ b/packages/savorylead/savorylead/pools/tests/test_wide_gangs.py
@@ -0,0 +1,61 @@
+"""A gang that needs many workers gets its tickets at the same time."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from savorylead.pools import Advice, PoolPlanner
+
+from .pool_cases import NOW_MS, plan, queue, starts, step_of, worker
+
+QUEUES = {"q": queue("q", 1, advised=True)}
+VALID_MS = 2_000
+
+
+@pytest.mark.parametrize(
+    "workers, count, cores, good, rounds",
+    [
+        # Two tasks a worker: at least eight of some fifty allowed workers.
+        (176, 16, 6.35, 0.3, 4),
+        (176, 35, 3.75, 0.3, 4),
+        (24, 12, 4.5, 0.3, 6),
+        (24, 2, 4.5, 0.3, 3),
+    ],
+)
+@pytest.mark.parametrize("seed", range(5))
+def test_a_wide_gang_starts_where_most_of_the_room_is_free(
+    workers: int, count: int, cores: float, good: float, rounds: int, seed: int
+) -> None:
+    # Replays gangs of 16 and 35 tasks on an empty pool, which never started: a call
+    # named 24 workers at first and renewed the tickets of four.
+    pool = [worker(f"w{n}") for n in range(workers)]
+    allowed = {w.id for w in Random(seed).sample(pool, round(good * workers))}
+    planner = PoolPlanner()
+    step = step_of("gang", "q", cores=cores, count=count, gang=True)
+    now_ms = NOW_MS
+    for _ in range(rounds):
+        made = plan([step], pool, planner, queues=QUEUES, now_ms=now_ms)
+        if starts(made):
+            break
+        for request in made.requests:
+            asked = [w for w in pool if w.id in request.workers]
+            tickets = {w.id: "t" for w in asked if w.id in allowed}
+            planner.book.asked(step)
+            now_ms += int(request.expected_ms)
+            advice = Advice(tickets, VALID_MS)
+            planner.book.answered(step, "q", asked, advice, now_ms)
+    else:
+        made = plan([step], pool, planner, queues=QUEUES, now_ms=now_ms)
+    assert len(starts(made)) == count
+
+
+def test_all_tickets_that_a_gang_needs_are_renewed_together() -> None:
+    planner = PoolPlanner()
+    pool = [worker(f"w{n}") for n in range(8)]
+    step = step_of("gang", "q", cores=8, count=12, gang=True)
+    advice = Advice({w.id: "t" for w in pool}, VALID_MS)
+    planner.book.answered(step, "q", pool, advice, NOW_MS - 5_000)
+    (request,) = plan([step], pool, planner, queues=QUEUES).requests
+    assert len(request.workers) >= 6
