Name as many workers for a small gang as for other steps

Cause: since a gang's call named just the workers that should hold it, two to four for a pair of short tasks, where a call names up to 17 or 24 as long as that costs next to nothing. Change: at least as many as before are named, a call is not made while valid tickets hold the gang, and a renewal names four at least. Test: 4 workers named where other steps get 10, before; as many now.

--- a/packages/savorylead/savorylead/pools/_advice.py
+++ b/packages/savorylead/savorylead/pools/_advice.py
@@ -147,7 +147,9 @@
         if known.pending or now_ms < known.not_before_ms:
             return None
         if copies is not None and with_room:
-            return self._request_for_gang(step, cost, with_room, copies, now_ms)
+            return self._request_for_gang(
+                step, cost, with_room, copies, tasks_per_worker, now_ms
+            )
         if any(self.ticket(step, worker, now_ms) for worker in with_room):
             return None
         renewable = [w.id for w in with_room if w.id in known.good]
@@ -175,6 +177,7 @@
         cost: AdviceCost,
         with_room: Sequence[PoolWorker],
         copies: Mapping[str, int],
+        tasks_per_worker: float,
         now_ms: int,
     ) -> AdviceRequest | None:
         """Return a call that names as many workers as should hold the whole gang.
@@ -183,17 +186,29 @@
         tickets were never valid at the same time, and it stood still beside free room.
         """
         known = self.of(step)
+        wanted = step.spec.count * GANG_SPARE
+        good = [w for w in with_room if w.id in known.good]
+        usable = [w for w in good if self.ticket(step, w, now_ms)]
+        if sum(max(1, copies[w.id]) for w in usable) >= wanted:
+            return None
+        named: list[PoolWorker] = []
+        for worker in good:
+            if wanted <= 0 and len(named) >= MAX_RENEWED:
+                break
+            wanted -= max(1, copies[worker.id])
+            named.append(worker)
+        if wanted <= 0:
+            return self._call(step, [w.id for w in named], cost)
         share = self._share_of(step)
+        fewest = self._named(step, cost, tasks_per_worker)
         unknown = [
             w for w in with_room if w.id not in known.good and w.id not in known.bad
         ]
-        wanted = step.spec.count * GANG_SPARE
-        named: list[PoolWorker] = []
-        for worker in [*(w for w in with_room if w.id in known.good), *unknown]:
-            if wanted <= 0 or len(named) >= MAX_NAMED_FOR_GANG:
+        for worker in unknown:
+            enough = wanted <= 0 and len(named) >= fewest
+            if enough or len(named) >= MAX_NAMED_FOR_GANG:
                 break
-            held = max(1, copies[worker.id])
-            wanted -= held if worker.id in known.good else held * share
+            wanted -= max(1, copies[worker.id]) * share
             named.append(worker)
         if all(self.ticket(step, worker, now_ms) for worker in named):
             return None
--- a/packages/savorylead/savorylead/pools/tests/test_wide_gangs.py
+++ b/packages/savorylead/savorylead/pools/tests/test_wide_gangs.py
@@ -59,3 +59,15 @@
     planner.book.answered(step, "q", pool, advice, NOW_MS - 5_000)
     (request,) = plan([step], pool, planner, queues=QUEUES).requests
     assert len(request.workers) >= 6
+
+
+def test_a_small_gang_is_asked_for_as_many_workers_as_other_steps() -> None:
+    # Naming more workers costs next to nothing in a short call, and with two workers
+    # named the next call is due as soon as one of them is taken.
+    pool = [worker(f"w{n}") for n in range(24)]
+    named = []
+    for gang in (False, True):
+        step = step_of(f"j{gang}", "q", cores=1, count=2, gang=gang)
+        (request,) = plan([step], pool, PoolPlanner(), queues=QUEUES).requests
+        named.append(len(request.workers))
+    assert named[1] >= named[0]
