--- a/packages/savorylead/savorylead/pools/_advice.py
+++ b/packages/savorylead/savorylead/pools/_advice.py
@@ -146,7 +146,7 @@
         known = self.of(step)
         if known.pending or now_ms < known.not_before_ms:
             return None
-        if copies is not None and with_room:
+        if copies is not None and _is_wide(step, copies):
             return self._request_for_gang(
                 step, cost, with_room, copies, tasks_per_worker, now_ms
             )
@@ -288,3 +288,9 @@
         expected_ms = cost.decide_ms + cost.per_worker_ms * len(workers)
         rank_ms = 0.0 if step.spec.long_running else expected_ms
         return AdviceRequest(step, tuple(workers), expected_ms, rank_ms)
+
+
+def _is_wide(step: StepRun, copies: Mapping[str, int]) -> bool:
+    """Return whether a gang needs more workers than one call renews for other steps."""
+    most = sum(sorted(copies.values(), reverse=True)[:MAX_RENEWED])
+    return bool(copies) and most < step.spec.count * GANG_SPARE
