Test cut replies by the cut, and silence by a second without a reply

A run of the suite failed once in test_a_reply_that_is_cut_is_asked_for_again (worker, 170 bytes): three connections where two were expected.

Cause: the links of these tests take a connection for silent after 0.3 s, and a process that is stopped for longer between a request and its reply takes a sound connection for a silent one.

Ruled out: a second connection opened beside the first; the link's budget and the size of the reply (all three sizes fail alike).

Change: the cut tests use links that are never silent, so that only the cut can tell, and also check that one call was sent again for a broken connection. The tests of forgotten connections wait for a second instead of 0.3 s.

--- a/packages/savorylead-standins/savorylead_standins/serving/tests/test_forgotten_connections.py
+++ b/packages/savorylead-standins/savorylead_standins/serving/tests/test_forgotten_connections.py
@@ -34,8 +34,9 @@
 )
 
 _PATIENT = timedelta(seconds=20)
-#: After this long a connection counts as silent.
-_SILENCE = timedelta(seconds=0.3)
+#: After this long a connection counts as silent. A process that is stopped for
+#: this long takes a sound connection for a silent one (0.3 s did so once).
+_SILENCE = timedelta(seconds=1)
 _LEASE = timedelta(seconds=15)
 _ORDER = StartOrder(TaskId("dispatch", "tours", "r1"), 1, Resources(), "")
 
@@ -56,7 +57,9 @@
 
 
 def _links(platform: LoopbackPlatform) -> HttpLinks:
-    settings = LinkSettings(attempt_timeout=_SILENCE, heartbeat_interval=_PATIENT)
+    settings = LinkSettings(
+        attempt_timeout=platform.silence, heartbeat_interval=_PATIENT
+    )
     return HttpLinks(reactor, platform.clock, random.Random(5), {}, settings)
 
 
@@ -122,8 +125,9 @@
 _KINDS = [_store_behind, _worker_behind, _vm_list_behind, _peer_behind]
 
 
-def _run(kind, test):
+def _run(kind, test, silence=_SILENCE):
     async def work(platform):
+        platform.silence = silence
         behind = kind(platform)
         try:
             await test(platform, behind)
@@ -156,8 +160,10 @@
         behind.device.cut_after(reply_bytes)
         assert await behind.call()
         assert behind.device.connections == 2
+        assert behind.links.counts[LinkCount.RETRIED_BROKEN] == 1
 
-    _run(kind, test)
+    # No connection is silent for so long: only the cut can tell that it is lost.
+    _run(kind, test, silence=_PATIENT)
 
 
 @pytest.mark.parametrize(("fault", "written"), [("forget", 0), ("forget_replies", 1)])
