Turn away work beyond a team's share that can't end in time

Cause: every job was accepted, whatever waited.

Change: the lead tells, with the answer to a job that was beyond its team's share, that the team's next jobs are asked for first (AdmissionDoor, for 2 s). Asked, the lead (Admission) sums up what waits and is of use still, divides it by the cores that are at work, and tells the caller to come back, with the time in which all that waits drains, if the job can't end by its objective. Callers come back up to half of that time later, so not all at once. Owed work is never turned away, but when 10,000 jobs are open (1.1 KB each, measured). A job that is known is accepted again; a lead that does not answer within 100 ms turns nothing away; the reason is counted as `backlog` and logged with its inputs.

Tests that failed before: a hot team at 30 jobs a second on a pool that does 16; ten times the load within its share, with the bound lowered.

--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_admission.py
@@ -0,0 +1,94 @@
+"""What a lead says of jobs that may come too late to be of use."""
+
+from __future__ import annotations
+
+from savorylead.pools import Backlog, backlog_of, retry_after_ms
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+from ._peer_messages import AdmissionAsked
+from ._pool_state import PoolState
+
+#: Jobs without a final state that a lead keeps in memory, of all teams. A job of five
+#: tasks takes 1.1 KB (measured), so they take a third of the 32 MB that control may use
+#: on a machine.
+MAX_OPEN_JOBS = 10_000
+#: How long a sum of the waiting work is used, in milliseconds: a busy lead plans about
+#: as often.
+BACKLOG_KEPT_MS = 100
+
+
+class Admission:
+    """Tells which callers should come back, and when.
+
+    Only work beyond its team's share is turned away, and only if it can't end in time;
+    all work is once as much waits as the lead can keep in memory.
+    """
+
+    def __init__(self, state: PoolState, log: EventLog) -> None:
+        self._state = state
+        self._log = log
+        #: What waits ahead of a priority, and when it was summed up.
+        self._backlogs: dict[int, tuple[Backlog, int]] = {}
+
+    def asks_first(self, job_id: str) -> bool:
+        """Return whether the next job of a job's team should be asked for."""
+        job = self._state.jobs.jobs.get(job_id)
+        return self._is_full() or (job is not None and job.surplus)
+
+    def retry_after_ms(self, asked: AdmissionAsked) -> int:
+        """Return when the caller should come back; 0 if the job is taken in."""
+        state = self._state
+        queue = state.queues.get(asked.queue)
+        # A job that is known was accepted before: its caller lost the answer.
+        if queue is None or asked.job in state.jobs.jobs:
+            return 0
+        if any(step.long_running for step in asked.steps):
+            return 0
+        now_ms = state.now_ms()
+        weight = state.weights.get(asked.team, 1.0)
+        is_surplus = state.jobs.meter.would_be_surplus(asked.team, weight, now_ms)
+        if not is_surplus and not self._is_full():
+            return 0
+        backlog = self._backlog(queue.priority, now_ms)
+        times = state.planner.times
+        needed_ms = times.chain_ms(queue.name, asked.steps)
+        objective_ms = times.objective_ms(queue, asked.steps)
+        if self._is_full():
+            objective_ms = 0
+        after_ms = retry_after_ms(backlog, needed_ms, objective_ms)
+        if after_ms:
+            self._log.log_event(
+                LogLevel.INFO,
+                "admission_refused",
+                job=asked.job,
+                team=asked.team,
+                queue=queue.name,
+                open_jobs=len(state.jobs.open),
+                ahead_core_s=round(backlog.ahead / 1e6, 1),
+                waiting_core_s=round(backlog.whole / 1e6, 1),
+                draining_cores=round(backlog.draining_milli / 1000, 1),
+                needed_ms=round(needed_ms),
+                objective_ms=round(objective_ms),
+                retry_after_ms=after_ms,
+            )
+        return after_ms
+
+    def _is_full(self) -> bool:
+        return len(self._state.jobs.open) >= MAX_OPEN_JOBS
+
+    def _backlog(self, priority: int, now_ms: int) -> Backlog:
+        kept = self._backlogs.get(priority)
+        if kept is not None and 0 <= now_ms - kept[1] < BACKLOG_KEPT_MS:
+            return kept[0]
+        state = self._state
+        backlog = backlog_of(
+            state.jobs.ready_steps(now_ms, lambda _: True),
+            state.workers.values(),
+            state.queues,
+            state.planner.times,
+            priority,
+            now_ms,
+        )
+        self._backlogs[priority] = (backlog, now_ms)
+        return backlog
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_book.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_book.py
@@ -23,13 +23,20 @@
 
     def is_surplus(self, team: str, per_s: float, now_ms: int) -> bool:
         """Count one job; return whether it is beyond the team's rate."""
-        most = max(1.0, per_s * self.BURST_S)
-        level, at_ms = self._levels.get(team, (most, now_ms))
-        level = min(most, level + per_s * max(0, now_ms - at_ms) / 1000)
+        level = self._level(team, per_s, now_ms)
         surplus = level < 1.0
         self._levels[team] = (level if surplus else level - 1.0, now_ms)
         return surplus
 
+    def would_be_surplus(self, team: str, per_s: float, now_ms: int) -> bool:
+        """Return whether one more job would be beyond the team's rate."""
+        return self._level(team, per_s, now_ms) < 1.0
+
+    def _level(self, team: str, per_s: float, now_ms: int) -> float:
+        most = max(1.0, per_s * self.BURST_S)
+        level, at_ms = self._levels.get(team, (most, now_ms))
+        return min(most, level + per_s * max(0, now_ms - at_ms) / 1000)
+
 
 class JobBook:
     """Every job of a pool that is not forgotten yet."""
@@ -39,7 +46,7 @@
         self.jobs: dict[str, Job] = {}
         #: Jobs without a final state.
         self.open: dict[str, Job] = {}
-        self._meter = RateMeter()
+        self.meter = RateMeter()
 
     def add(self, record: JobRecord, revision: int, weight: float, came_ms: int) -> Job:
         """Return the job of a record, which may have been added before.
@@ -50,7 +57,7 @@
         job = self.jobs.get(record.id)
         if job is None:
             job = Job(record, revision)
-            job.surplus = self._meter.is_surplus(record.team, weight, came_ms)
+            job.surplus = self.meter.is_surplus(record.team, weight, came_ms)
             self.jobs[record.id] = job
             self.open[record.id] = job
         return job
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
@@ -33,6 +33,7 @@
 from savorylead_daemon.settings import LogLevel
 
 from ._adapter import CallerAnswer, CallerCall, CallerCodec, CallKind
+from ._admission_door import AdmissionDoor
 from ._cell_view import CellView
 from ._config_feed import ConfigFeed
 from ._job_keeper import WRITE_AGAIN, JobKeeper, Stored
@@ -86,6 +87,7 @@
         self._finder = LeadFinder(
             name, clock, rng, log, view, peers, tell_here, config.store_answers
         )
+        self._door = AdmissionDoor(clock, rng, log, self._finder)
         self._keeper = JobKeeper(
             name, store, clock, rng, log, config, view, peers, self._accepted
         )
@@ -190,6 +192,9 @@
             accepted_at_ms=to_millis(arrived_at),
             spec=spec,
         )
+        retry_after_s = await self._door.retry_after_s(record)
+        if retry_after_s:
+            return self._refusal(Kind.NOT_NOW, "backlog", retry_after_s)
         outcome = await self._keeper.store(record, _give_up_at(call, arrived_at))
         if outcome is Stored.UNCLEAR:
             return self._refusal(Kind.UNCLEAR, "store_unclear")
@@ -214,8 +219,11 @@
             revision_stored=revision,
             config_version=self._version(),
         )
+        spawn("message of a job", self._tell_accepted(record, revision))
+
+    async def _tell_accepted(self, record: JobRecord, revision: int) -> None:
         message = JobAccepted(record, revision)
-        spawn("message of a job", self._finder.tell(record.pool, message))
+        self._door.note(record, await self._finder.tell(record.pool, message))
 
     async def _cancel(
         self, call: CallerCall, queue: Queue, job_id: str, arrived_at: datetime
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_peer_messages.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peer_messages.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from savorylead.jobs import JobRecord
+from savorylead.jobs import JobRecord, StepSpec
 
 
 class JobAccepted(NamedTuple):
@@ -15,6 +15,16 @@
     revision: int
 
 
+class AdmissionAsked(NamedTuple):
+    """Asks whether a job of a team that sends more than its share is taken in."""
+
+    pool: str
+    job: str
+    queue: str
+    team: str
+    steps: tuple[StepSpec, ...]
+
+
 class JobCancelled(NamedTuple):
     """A job's cancellation is durable."""
 
@@ -80,6 +90,10 @@
     #: State of a job; empty if it was not asked for.
     state: str = ""
     pending: int = 0
+    #: Whether the team's next job should be asked for before it is stored.
+    asks_first: bool = False
+    #: When a caller should come back whose job is not taken in; 0 if it is.
+    retry_after_ms: int = 0
     #: Whom a daemon that does not lead takes for the lead; empty if it knows none.
     lead_name: str = ""
     lead_address: str = ""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
@@ -17,6 +17,7 @@
 from ._advice_queue import AdviceQueue
 from ._cell_view import CellView
 from ._peer_messages import (
+    AdmissionAsked,
     AdviceAsked,
     AdviceTold,
     Done,
@@ -32,7 +33,14 @@
 from ._pool_lead import PoolLead
 
 T = TypeVar("T")
-Message = JobAccepted | JobCancelled | StateAsked | PendingAsked | GrantsWritten
+Message = (
+    JobAccepted
+    | JobCancelled
+    | StateAsked
+    | PendingAsked
+    | GrantsWritten
+    | AdmissionAsked
+)
 
 #: Longest wait for a lead's answer; past it a caller is answered from the store.
 PEER_TIMEOUT = timedelta(milliseconds=500)
@@ -45,6 +53,7 @@
     StateAsked: "/peer/state",
     PendingAsked: "/peer/pending",
     GrantsWritten: "/peer/grants",
+    AdmissionAsked: "/peer/admission",
     JobStoreAsked: "/peer/store",
     LeaseEndAsked: "/peer/lease",
     AdviceAsked: "/peer/advise",
@@ -147,6 +156,7 @@
             StateAsked: self._state,
             PendingAsked: self._pending,
             GrantsWritten: self._review_grants,
+            AdmissionAsked: self._admit,
             JobStoreAsked: self._ask_store,
             LeaseEndAsked: self._ask_store,
             AdviceAsked: self._advise,
@@ -195,6 +205,10 @@
             lead_term=lead.term,
         )
 
+    async def _admit(self, message: AdmissionAsked) -> Told:
+        told = tell_admission(self._lead_of(message.pool), message)
+        return self._naming_lead(message.pool, told)
+
     async def _review_grants(self, message: GrantsWritten) -> Told:
         return tell_grants(self._lead_of(message.pool), message)
 
@@ -226,7 +240,16 @@
     if lead is None:
         return _NOT_LEADING
     lead.accept(message.record, message.revision)
-    return Told(leads=True, known=True)
+    asks_first = lead.admission.asks_first(message.record.id)
+    return Told(leads=True, known=True, asks_first=asks_first)
+
+
+def tell_admission(lead: PoolLead | None, message: AdmissionAsked) -> Told:
+    """Return when the caller of a job should come back, if it is not taken in."""
+    lead = _ready(lead)
+    if lead is None:
+        return _NOT_LEADING
+    return Told(leads=True, retry_after_ms=lead.admission.retry_after_ms(message))
 
 
 def tell_cancelled(lead: PoolLead | None, message: JobCancelled) -> Told:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -36,6 +36,7 @@
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
+from ._admission import Admission
 from ._cell_lease import CellLease
 from ._elections import Term
 from ._grant_keeper import GrantKeeper
@@ -103,6 +104,7 @@
         #: The platform's newest list, which may come before the jobs are loaded.
         self._listed: Sequence[WorkerEntry] | None = None
         self._state = PoolState(parts.clock, parts.status_for_ms)
+        self.admission = Admission(self._state, parts.log)
         self._plan_timer: Timer | None = None
         self._plan_due_ms = 0
         self._plan_not_before = parts.clock.now()
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -26,6 +26,7 @@
 from ._job_gateway import JobGateway
 from ._keys import member_key
 from ._peer_messages import (
+    AdmissionAsked,
     AdviceAsked,
     GrantsWritten,
     JobAccepted,
@@ -42,6 +43,7 @@
     PeerError,
     PeerServer,
     tell_accepted,
+    tell_admission,
     tell_cancelled,
     tell_grants,
     tell_pending,
@@ -285,6 +287,8 @@
             return await tell_state(lead, message)
         if isinstance(message, GrantsWritten):
             return tell_grants(lead, message)
+        if isinstance(message, AdmissionAsked):
+            return tell_admission(lead, message)
         assert isinstance(message, PendingAsked)
         return tell_pending(lead, message)
 
--- a/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
@@ -219,7 +219,11 @@
 
     def submit(self, job_id: str, spec: JobSpec, via: str = "node-0") -> None:
         """Hand in a job; the answer is in ``answer`` once it came."""
-        self.call("submit", f"/q/{job_id}", via, msgspec.json.encode(spec), job_id)
+        self.call("submit", f"/q/{job_id}", via, self.encode(spec), job_id)
+
+    def encode(self, spec: JobSpec) -> bytes:
+        """Return a job as a caller sends it."""
+        return msgspec.json.encode(spec)
 
     def cancel(self, job_id: str, via: str = "node-0") -> None:
         """Cancel a job."""
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_admission.py
@@ -0,0 +1,138 @@
+"""Callers of a hot team are told at once what can't be served in time."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+
+from savorylead.jobs import JobState
+from savorylead.pools import Team
+from savorylead.resources import Resources
+from savorylead_daemon.pool import CallerAnswer, _admission
+from savorylead_standins.pools import PoolCell, job_spec
+from savorylead_standins.pools._pool_cell import KEY
+
+from .cell_cases import ready_cell
+
+Kind = CallerAnswer.Kind
+#: Jobs a second owed to each team. The pool's 32 cores do 16 such jobs a second.
+WEIGHT = 4.0
+STEP = {"count": 2, "estimate_ms": 1_000}
+
+
+def two_teams(**changes: Any) -> PoolCell:
+    """Return a cell with two teams of equal weight."""
+    cell = ready_cell(**changes)
+    teams = (
+        Team("team", frozenset({KEY}), WEIGHT, Resources()),
+        Team("calm", frozenset({"calm-key"}), WEIGHT, Resources()),
+    )
+    cell.put_config(cell.document._replace(version=2, teams=teams))
+    cell.run(1.0)
+    return cell
+
+
+def send(cell: PoolCell, name: str, rng: random.Random, key: str = KEY) -> None:
+    """Hand in one job at any node."""
+    body = cell.encode(job_spec(**STEP))
+    via = rng.choice(sorted(cell.nodes))
+    cell.call("submit", f"/q/{name}", via, body, name, key=key)
+
+
+def load(cell: PoolCell, seconds: int, hot_per_s: int) -> tuple[list[str], list[str]]:
+    """Let one team send that many jobs a second, the other three; return their ids."""
+    rng = random.Random(3)
+    hot, calm = [], []
+    for tick in range(seconds * 60):
+        if tick % (60 // hot_per_s) == 0:
+            hot.append(f"hot{tick}")
+            send(cell, hot[-1], rng)
+        if tick % 20 == 0:
+            calm.append(f"calm{tick}")
+            send(cell, calm[-1], rng, "calm-key")
+        cell.run(1 / 60)
+    cell.run(2.0)
+    return hot, calm
+
+
+def kinds(cell: PoolCell, names: list[str]) -> list[CallerAnswer.Kind]:
+    """Return what became of the calls."""
+    return [cell.answer(name).kind for name in names]
+
+
+def test_a_hot_team_is_told_when_to_come_back_and_the_others_are_served() -> None:
+    # Replays a team that sends 30 jobs a second where 4 are owed to it, and 16 are all
+    # that the pool can do: all were accepted, and waited for up to 10 s.
+    cell = two_teams()
+    hot, calm = load(cell, seconds=8, hot_per_s=30)
+    assert set(kinds(cell, calm)) == {Kind.DONE}
+    answers = [cell.answer(name) for name in hot]
+    refused = [a for a in answers if a.kind is Kind.NOT_NOW]
+    assert {a.error for a in refused} == {"backlog"}
+    assert all(1 <= a.retry_after_s <= 45 for a in refused)
+    accepted = [n for n, a in zip(hot, answers, strict=True) if a.kind is Kind.DONE]
+    # What the pool can do beyond the calm team's jobs is still done for the hot one.
+    assert len(accepted) >= 8 * (16 - 4) * 0.75
+    assert len(refused) >= 8 * (30 - 16) * 0.75
+    cell.run(8.0)
+    done = [cell.state(name, "node-0") for name in accepted + calm]
+    assert set(done) == {JobState.COMPLETED}
+
+
+def test_a_team_beyond_its_share_is_served_where_there_is_room() -> None:
+    cell = two_teams()
+    hot, calm = load(cell, seconds=4, hot_per_s=10)
+    assert set(kinds(cell, hot + calm)) == {Kind.DONE}
+
+
+def test_a_job_that_was_accepted_is_accepted_again() -> None:
+    # Its caller lost the answer and asks once more while the team is turned away.
+    cell = two_teams()
+    hot, _ = load(cell, seconds=4, hot_per_s=30)
+    accepted = next(n for n in reversed(hot) if cell.answer(n).kind is Kind.DONE)
+    assert Kind.NOT_NOW in kinds(cell, hot)
+    rng = random.Random(4)
+    for tick in range(30):
+        send(cell, f"more{tick}", rng)
+        cell.run(1 / 30)
+    send(cell, accepted, rng)
+    cell.run(0.5)
+    assert cell.answer(accepted).kind is Kind.DONE
+
+
+def test_no_one_waits_for_a_lead_that_does_not_answer() -> None:
+    cell = two_teams()
+    load(cell, seconds=4, hot_per_s=30)
+    cell.kill(cell.lead_of())
+    via = next(iter(cell.nodes))
+    cell.call("submit", "/q/late", via, cell.encode(job_spec(**STEP)), "late")
+    cell.run(0.2)
+    assert cell.answer("late").kind is Kind.DONE
+
+
+@pytest.mark.parametrize("most", [10, 40])
+def test_no_more_jobs_are_accepted_than_a_lead_can_keep(
+    most: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Ten times the load, none of it beyond a share: memory must not grow with it.
+    monkeypatch.setattr(_admission, "MAX_OPEN_JOBS", most)
+    cell = two_teams()
+    teams = (Team("team", frozenset({KEY}), 1_000.0, Resources()),)
+    cell.put_config(cell.document._replace(version=3, teams=teams))
+    cell.run(1.0)
+    rng = random.Random(5)
+    open_jobs = cell.nodes[cell.lead_of()].leads["pool"]._state.jobs.open
+    largest = 0
+    for tick in range(600):
+        send(cell, f"j{tick}", rng)
+        cell.run(1 / 160)
+        largest = max(largest, len(open_jobs))
+    # Jobs on their way while the last place was taken: those of 50 ms.
+    assert largest <= most + 8
+    refused = [
+        a for n in range(600) if (a := cell.answer(f"j{n}")) and a.kind is Kind.NOT_NOW
+    ]
+    assert refused
+    assert {a.error for a in refused} == {"backlog"}
--- a/packages/savorylead/savorylead/pools/__init__.py
+++ b/packages/savorylead/savorylead/pools/__init__.py
@@ -1,5 +1,6 @@
 """Decisions for a pool of workers, and the interfaces that they need. No I/O."""
 
+from ._admission import Backlog, backlog_of, retry_after_ms
 from ._advice import (
     SHORT_CALL_MS,
     UNBOUNDED,
@@ -121,4 +122,7 @@
     "reconcile",
     "stalled_runs",
     "urgency_of",
+    "Backlog",
+    "backlog_of",
+    "retry_after_ms",
 ]
--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -57,7 +57,8 @@
         self._advised: frozenset[str] = frozenset()
         self._headroom = UrgentHeadroom()
         self._idle = IdleJobs()
-        self._times = StepTimes(self.durations)
+        #: Expected times of steps.
+        self.times = StepTimes(self.durations)
         self._reservation = Reservation(self.book, self.durations)
 
     def plan(
@@ -76,7 +77,7 @@
         may be made now; the most urgent steps get them.
         """
         state = PlanningPass(workers, now_ms, advice_slots)
-        preemption = Preemption(self._times, queues, now_ms)
+        preemption = Preemption(self.times, queues, now_ms)
         self._idle.note(steps, now_ms)
         ranked = sorted(
             (
@@ -155,7 +156,7 @@
         self, step: StepRun, queues: Mapping[str, Queue], now_ms: int
     ) -> Urgency:
         queue = queues[step.job.record.queue]
-        return urgency_of(step, queue, self._times, now_ms)
+        return urgency_of(step, queue, self.times, now_ms)
 
     def _make_room(
         self,
--- a/packages/savorylead/savorylead/pools/_step_times.py
+++ b/packages/savorylead/savorylead/pools/_step_times.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
-from savorylead.jobs import Job, StepRun
+from savorylead.jobs import Job, StepRun, StepSpec
 
 from ._contracts import Queue
 from ._durations import DurationEstimator
@@ -43,20 +44,27 @@
             return time
         job = step.job
         begun_ms = _begun_ms(job, step.occurrence)
-        objective_ms = queue.stretch * self._chain_ms(job) + queue.objective_ms
-        due_ms = begun_ms + int(objective_ms)
+        due_ms = begun_ms + int(self.objective_ms(queue, job.record.spec.steps))
         time = StepTime(begun_ms, due_ms, self._remaining_ms(step), now_ms)
         step.time = time
         return time
 
-    def _chain_ms(self, job: Job) -> float:
-        """Return the longest chain of expected work of the job."""
+    def objective_ms(self, queue: Queue, steps: Sequence[StepSpec]) -> float:
+        """Return in what time a job of these steps should have ended."""
+        return queue.stretch * self.chain_ms(queue.name, steps) + queue.objective_ms
+
+    def chain_ms(self, queue: str, steps: Sequence[StepSpec]) -> float:
+        """Return the longest chain of expected work of a job."""
         ends: list[float] = []
-        for step in job.record.spec.steps:
+        for step in steps:
             begin = max((ends[i] for i in step.after), default=0.0)
-            ends.append(begin + self._durations.estimate_ms(job.record.queue, step))
+            ends.append(begin + self._durations.estimate_ms(queue, step))
         return max(ends, default=0.0)
 
+    def length_ms(self, step: StepRun) -> float:
+        """Return the expected length of a task of the step."""
+        return self._durations.estimate_ms(step.job.record.queue, step.spec)
+
     def _remaining_ms(self, step: StepRun) -> float:
         """Return the longest chain of expected work from the step on."""
         queue = step.job.record.queue
--- a/packages/savorylead/savorylead/pools/_urgency.py
+++ b/packages/savorylead/savorylead/pools/_urgency.py
@@ -23,6 +23,8 @@
 #: A job this much past its due time is not given up as late yet, since estimates
 #: of its length are rough; a share of its objective.
 DUE_SLACK = 0.15
+#: Lateness of jobs that earn nothing any more.
+NO_USE = 2
 
 
 class Urgency(NamedTuple):
@@ -46,7 +48,7 @@
     objective_ms = time.due_ms - time.begun_ms
     end_ms = now_ms + time.remaining_ms
     if end_ms > time.begun_ms + LATE_FACTOR * objective_ms:
-        return Urgency(2, surplus, queue.priority, time.due_ms)
+        return Urgency(NO_USE, surplus, queue.priority, time.due_ms)
     if end_ms > time.due_ms + DUE_SLACK * objective_ms:
         return Urgency(1, surplus, queue.priority, time.due_ms)
     return Urgency(0, surplus, queue.priority, time.due_ms)
