Have the lease of a lead ended that no daemon can connect to

Ruled out: a shorter lease (in an outage of the whole store the lead would stop too early, which a test holds); taking a lead without an answer for dead (a busy one answers late, and the next would be as busy).

Change: a daemon that can't open a connection to the lead asks three others, who answer from a failure of their own in the last 0.7 s or try once. If no one can connect and three agree (all, where there are fewer), it ends the lead's lease. A busy lead takes connections; one that is cut off from the daemons, but not from the store, sees its key gone, and its fencing token is the lower one.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
@@ -74,6 +74,7 @@
         view: CellView,
         peers: PeerCalls,
         tell_here: Callable[[Message], Coroutine[Any, Any, Told]],
+        on_unreached: Callable[[str, str], None],
     ) -> None:
         """``tell_here`` answers a message from the leads of this daemon."""
         self._name = name
@@ -85,7 +86,15 @@
         self._config = config
         self._view = view
         self._finder = LeadFinder(
-            name, clock, rng, log, view, peers, tell_here, config.store_answers
+            name,
+            clock,
+            rng,
+            log,
+            view,
+            peers,
+            tell_here,
+            config.store_answers,
+            on_unreached,
         )
         self._door = AdmissionDoor(clock, rng, log, self._finder)
         self._keeper = JobKeeper(
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_lead_finder.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_lead_finder.py
@@ -50,8 +50,12 @@
         peers: PeerCalls,
         tell_here: Callable[[Message], Coroutine[Any, Any, Told]],
         store_answers: Callable[[], bool],
+        on_unreached: Callable[[str, str], None],
     ) -> None:
-        """``tell_here`` answers a message from the leads of this daemon."""
+        """``tell_here`` answers a message from the leads of this daemon.
+
+        ``on_unreached(pool, address)`` is told of a lead that can't be connected to.
+        """
         self._name = name
         self._clock = clock
         self._rng = rng
@@ -60,6 +64,7 @@
         self._peers = peers
         self._tell_here = tell_here
         self._store_answers = store_answers
+        self._on_unreached = on_unreached
         #: Leads that peers named, by pool.
         self._named: dict[str, _KnownLead] = {}
 
@@ -142,4 +147,6 @@
                 term=lead.term,
                 detail=str(exc),
             )
+            if not exc.connected:
+                self._on_unreached(pool, lead.address)
             return None
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_lead_watch.py
@@ -0,0 +1,134 @@
+"""Has the lease of a lead ended that no daemon can connect to any more."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from datetime import datetime, timedelta
+
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import Clock
+from savorylead.links import DeadlineExceededError, within
+from savorylead.pools import CellStore
+from savorylead.store import StoreError
+from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+from ._cell_view import CellView, MemberRecord
+from ._peer_messages import PendingAsked, ReachAsked
+from ._peers import PeerCalls, PeerError
+
+#: Daemons that are asked whether they can connect to a lead.
+PEERS_ASKED = 3
+#: Daemons, this one included, that must have failed to connect to a lead.
+AGREEING = 3
+#: A failure to connect counts for this long: a second call would take half a second.
+FAILURE_KEPT = timedelta(milliseconds=700)
+#: Longest wait for the word of a peer, which may call the lead first.
+PATIENCE = timedelta(milliseconds=700)
+#: Time between two rounds of questions about one lead.
+ASK_AGAIN = timedelta(milliseconds=300)
+
+
+class LeadWatch:
+    """Ends the lease of a dead lead before it lapses.
+
+    Load pattern: the machine of a lead loses power. Its lease at the store holds for
+    two more seconds, in which nothing is started and no end is seen.
+
+    A lead that is only busy still takes connections, so its lease goes on. One that is
+    cut off from the other daemons, but not from the store, sees its key gone, and its
+    fencing token is the lower one from then on.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        store: CellStore,
+        clock: Clock,
+        rng: random.Random,
+        log: EventLog,
+        view: CellView,
+        peers: PeerCalls,
+        store_answers: Callable[[], bool],
+    ) -> None:
+        self._name = name
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._view = view
+        self._peers = peers
+        self._store_answers = store_answers
+        #: When this daemon could last not connect to an address.
+        self._failed_at: dict[str, datetime] = {}
+        self._not_before: dict[str, datetime] = {}
+
+    def note_unreached(self, pool: str, address: str) -> None:
+        """Take note that this daemon could not connect to the lead of a pool."""
+        now = self._clock.now()
+        self._failed_at = {
+            a: t for a, t in self._failed_at.items() if now - t < FAILURE_KEPT
+        }
+        self._failed_at[address] = now
+        lead = self._view.lead(pool)
+        if lead is None or lead.member.address != address or not self._store_answers():
+            return
+        if now < self._not_before.get(pool, now):
+            return
+        self._not_before[pool] = now + ASK_AGAIN
+        spawn("question about a lead", self._ask(pool, lead.member))
+
+    async def reaches(self, asked: ReachAsked) -> bool:
+        """Return whether this daemon can connect to a lead."""
+        failed_at = self._failed_at.get(asked.address)
+        if failed_at is not None and self._clock.now() - failed_at < FAILURE_KEPT:
+            return False
+        try:
+            await self._peers.tell(asked.address, PendingAsked(asked.pool, ""))
+        except PeerError as exc:
+            if not exc.connected:
+                self._failed_at[asked.address] = self._clock.now()
+            return exc.connected
+        return True
+
+    async def _ask(self, pool: str, lead: MemberRecord) -> None:
+        others = [
+            m
+            for m in self._view.members.values()
+            if m.name not in (self._name, lead.name)
+        ]
+        chosen = self._rng.sample(others, min(PEERS_ASKED, len(others)))
+        asked = ReachAsked(pool, lead.address)
+        answers = [Deferred.fromCoroutine(self._ask_one(m, asked)) for m in chosen]
+        words = [await each for each in answers]
+        cannot = 1 + words.count(False)
+        agreed = True not in words and cannot >= min(AGREEING, 1 + len(others))
+        seen = self._view.lead(pool)
+        if agreed and seen is not None and seen.member == lead:
+            await self._end(pool, lead, cannot)
+
+    async def _ask_one(self, peer: MemberRecord, asked: ReachAsked) -> bool | None:
+        asking = Deferred.fromCoroutine(self._peers.ask_store(peer.address, asked))
+        try:
+            return await within(self._clock, PATIENCE, asking)
+        except (PeerError, DeadlineExceededError):
+            return None
+
+    async def _end(self, pool: str, lead: MemberRecord, cannot: int) -> None:
+        detail = ""
+        try:
+            await self._store.end_lease(lead.lease_id)
+        except StoreError as exc:
+            detail = str(exc)
+        self._log.log_event(
+            LogLevel.WARNING,
+            "lead_lease_ended",
+            pool=pool,
+            lead=lead.name,
+            lease=lead.lease_id,
+            cannot_connect=cannot,
+            detail=detail,
+        )
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_peer_messages.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peer_messages.py
@@ -65,6 +65,13 @@
     lease_id: str
 
 
+class ReachAsked(NamedTuple):
+    """Asks whether the asked daemon can connect to a lead."""
+
+    pool: str
+    address: str
+
+
 class Done(NamedTuple):
     """Whether what was asked for is done; if not, nothing of it was."""
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from savorylead.jobs import JobState
-from savorylead.links import Link, LinkError, LinkRequest
+from savorylead.links import Link, LinkError, LinkRequest, LinkUnavailableError
 from savorylead.pools import Advice, AdviserError
 from savorylead_daemon.http import HttpLinks, JsonRequest, JsonResponse
 
@@ -27,6 +27,7 @@
     JobStoreAsked,
     LeaseEndAsked,
     PendingAsked,
+    ReachAsked,
     StateAsked,
     Told,
 )
@@ -41,6 +42,8 @@
     | GrantsWritten
     | AdmissionAsked
 )
+#: What a daemon does, or tells, in place of one that can't reach the store or a lead.
+AskedOfPeer = JobStoreAsked | LeaseEndAsked | ReachAsked
 
 #: Longest wait for a lead's answer; past it a caller is answered from the store.
 PEER_TIMEOUT = timedelta(milliseconds=500)
@@ -56,6 +59,7 @@
     AdmissionAsked: "/peer/admission",
     JobStoreAsked: "/peer/store",
     LeaseEndAsked: "/peer/lease",
+    ReachAsked: "/peer/reach",
     AdviceAsked: "/peer/advise",
 }
 _KINDS: dict[str, Any] = {path: kind for kind, path in _PATHS.items()}
@@ -64,8 +68,10 @@
 class PeerError(Exception):
     """Another daemon could not be reached, or its answer not be read."""
 
-    def __init__(self, detail: str, sent: bool = True) -> None:
+    def __init__(self, detail: str, sent: bool = True, connected: bool = True) -> None:
         super().__init__(detail)
+        #: False if no connection could be opened.
+        self.connected = connected
         #: Whether the other daemon may have got the message.
         self.sent = sent
 
@@ -78,9 +84,7 @@
         """Send a message to a lead; raises PeerError."""
 
     @abstractmethod
-    async def ask_store(
-        self, address: str, asked: JobStoreAsked | LeaseEndAsked
-    ) -> bool:
+    async def ask_store(self, address: str, asked: AskedOfPeer) -> bool:
         """Have a peer use the store; return whether it did. Raises PeerError.
 
         After a PeerError the peer may have done it or may do it later.
@@ -105,9 +109,7 @@
         path = _PATHS[type(message)]
         return await _call(self._link(address), path, message, PEER_TIMEOUT, kind=Told)
 
-    async def ask_store(
-        self, address: str, asked: JobStoreAsked | LeaseEndAsked
-    ) -> bool:
+    async def ask_store(self, address: str, asked: AskedOfPeer) -> bool:
         """Have a peer use the store; return whether it did."""
         path = _PATHS[type(asked)]
         link = self._link(address)
@@ -142,7 +144,7 @@
         self,
         lead_of: Callable[[str], PoolLead | None],
         advice: AdviceQueue | None,
-        use_store: Callable[[JobStoreAsked | LeaseEndAsked], Coroutine[Any, Any, bool]],
+        use_store: Callable[[AskedOfPeer], Coroutine[Any, Any, bool]],
         view: CellView,
     ) -> None:
         """``use_store`` does what a peer asks of the store, if this daemon can."""
@@ -159,6 +161,7 @@
             AdmissionAsked: self._admit,
             JobStoreAsked: self._ask_store,
             LeaseEndAsked: self._ask_store,
+            ReachAsked: self._ask_store,
             AdviceAsked: self._advise,
         }
 
@@ -212,7 +215,7 @@
     async def _review_grants(self, message: GrantsWritten) -> Told:
         return tell_grants(self._lead_of(message.pool), message)
 
-    async def _ask_store(self, message: JobStoreAsked | LeaseEndAsked) -> Done:
+    async def _ask_store(self, message: AskedOfPeer) -> Done:
         return Done(await self._use_store(message))
 
     async def _advise(self, message: AdviceAsked) -> AdviceTold:
@@ -295,7 +298,8 @@
     try:
         reply = await link.call(request, timeout)
     except LinkError as exc:
-        raise PeerError(str(exc), exc.sent) from exc
+        connected = not isinstance(exc, LinkUnavailableError)
+        raise PeerError(str(exc), exc.sent, connected) from exc
     if reply.status != 200:
         raise PeerError(f"status {reply.status}")
     try:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -25,6 +25,7 @@
 from ._elections import Elections, Term
 from ._job_gateway import JobGateway
 from ._keys import member_key
+from ._lead_watch import LeadWatch
 from ._peer_messages import (
     AdmissionAsked,
     AdviceAsked,
@@ -34,10 +35,12 @@
     JobStoreAsked,
     LeaseEndAsked,
     PendingAsked,
+    ReachAsked,
     StateAsked,
     Told,
 )
 from ._peers import (
+    AskedOfPeer,
     Message,
     PeerCalls,
     PeerError,
@@ -127,7 +130,17 @@
         self._router = AdviceRouter(self._ask_through)
         #: Answers messages of other daemons.
         self.peer_server = PeerServer(
-            self.leads.get, self._advice, self._use_store, self.view
+            self.leads.get, self._advice, self._do_for_peer, self.view
+        )
+        self._lead_watch = LeadWatch(
+            self._member.name,
+            store,
+            clock,
+            rng,
+            log,
+            self.view,
+            peers,
+            self.config.store_answers,
         )
         #: Answers callers.
         self.gateway = JobGateway(
@@ -141,6 +154,7 @@
             self.view,
             peers,
             self._tell_here,
+            self._lead_watch.note_unreached,
         )
 
     def start(self) -> None:
@@ -224,8 +238,10 @@
                 )
         return ended
 
-    async def _use_store(self, asked: JobStoreAsked | LeaseEndAsked) -> bool:
-        """Do for a peer what it can't do at the store."""
+    async def _do_for_peer(self, asked: AskedOfPeer) -> bool:
+        """Do for a peer what it can't do at the store, or tell what it can't see."""
+        if isinstance(asked, ReachAsked):
+            return await self._lead_watch.reaches(asked)
         if isinstance(asked, JobStoreAsked):
             return await self.gateway.store_for_peer(asked.record)
         # A store that answers nobody would not end the lease either.
--- a/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
@@ -51,6 +51,8 @@
 KEY = "team-key"
 #: One way between two daemons.
 PEER_DELAY = timedelta(milliseconds=1)
+#: After this long a call to a daemon without an answer is given up.
+SILENCE = timedelta(milliseconds=500)
 
 
 class _Config(ConfigSource):
@@ -88,8 +90,9 @@
 class _Peers(PeerCalls):
     """Calls nodes of the same cell; one that is down does not answer."""
 
-    def __init__(self, cell: PoolCell) -> None:
+    def __init__(self, cell: PoolCell, name: str) -> None:
         self._cell = cell
+        self._name = name
 
     async def tell(self, address: str, message: Message) -> Told:
         node = await self._reach(address)
@@ -115,10 +118,15 @@
         return Advice(told.tickets, told.valid_ms)
 
     async def _reach(self, address: str) -> PoolNode:
-        await self._cell.clock.sleep(PEER_DELAY)
-        node = self._cell.nodes.get(address)
-        if node is None:
-            raise PeerError("nobody answers", sent=False)
+        cell = self._cell
+        await cell.clock.sleep(PEER_DELAY)
+        node = cell.nodes.get(address)
+        if node is None or frozenset({self._name, address}) in cell.cut_pairs:
+            await cell.clock.sleep(cell.connect_wait)
+            raise PeerError("nobody answers", sent=False, connected=False)
+        if address in cell.mute:
+            await cell.clock.sleep(SILENCE)
+            raise PeerError("no reply in time")
         return node
 
 
@@ -160,6 +168,13 @@
             self.workers.ticket_accepted = self.tickets.accepts
         self.views: dict[str, StoreView] = {}
         self.nodes: dict[str, PoolNode] = {}
+        #: Nodes that can't connect to each other.
+        self.cut_pairs: set[frozenset[str]] = set()
+        #: Nodes that take connections of others and do not answer.
+        self.mute: set[str] = set()
+        #: Time until it shows that no connection can be opened; a process that ended
+        #: refuses it at once, a machine without power does not.
+        self.connect_wait = timedelta(0)
         self._advised = advised
         self._answers: dict[str, CallerAnswer] = {}
         self.document = self._document(pools, limit, advised)
@@ -187,7 +202,9 @@
             key_withdrawn=timedelta(seconds=5),
             status_for=timedelta(seconds=120),
         )
-        node = PoolNode(settings, adapter, _Peers(self), self.clock, self.rng, log)
+        node = PoolNode(
+            settings, adapter, _Peers(self, name), self.clock, self.rng, log
+        )
         self.nodes[name] = node
         node.start()
 
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_lead_watch.py
@@ -0,0 +1,94 @@
+"""A lead whom nobody can connect to is followed before its lease lapses."""
+
+from __future__ import annotations
+
+import statistics
+from datetime import timedelta
+
+import pytest
+
+from savorylead.jobs import JobState
+from savorylead_standins.pools import PoolCell, job_spec
+
+from .cell_cases import ready_cell
+
+#: Time until a connection to a machine without power is given up.
+DARK = timedelta(milliseconds=400)
+
+
+def load(cell: PoolCell, via: list[str], seconds: float, prefix: str) -> list[str]:
+    """Hand in 20 jobs a second at these nodes in turn; return their ids."""
+    names = []
+    for number in range(int(seconds * 20)):
+        names.append(f"{prefix}{number}")
+        cell.submit(names[-1], job_spec(), via[number % len(via)])
+        cell.run(0.05)
+    return names
+
+
+def others(cell: PoolCell) -> list[str]:
+    """Return the nodes that do not lead."""
+    return [name for name in cell.nodes if name != cell.lead_of()]
+
+
+def decides_again_after(number: int) -> float:
+    """Return the seconds from a lead's loss of power to the next start of a task."""
+    cell = ready_cell(seed=number, nodes=5)
+    cell.run(0.037 * number)
+    via = others(cell)
+    cell.connect_wait = DARK
+    cell.kill(cell.lead_of())
+    lost_at = cell.clock.now()
+    load(cell, via, 3.0, "j")
+    assert cell.workers.breaches == []
+    return (cell.workers.records[0].began_at - lost_at).total_seconds()
+
+
+def test_a_lead_that_lost_power_is_followed_before_its_lease_lapses() -> None:
+    # Replays the power loss of a lead's machine: the others could not connect to it
+    # after 0.4 s, and waited for the end of its lease, 1.8 s on average. Now they wait
+    # for two failures to connect at the most, and the election.
+    took = [decides_again_after(number) for number in range(20)]
+    assert statistics.median(took) <= 1.0
+    assert max(took) <= 1.2
+
+
+def test_a_busy_lead_keeps_its_pool() -> None:
+    # It takes connections and answers nobody for three seconds.
+    cell = ready_cell(nodes=5)
+    lead = cell.lead_of()
+    via = others(cell)
+    cell.mute.add(lead)
+    load(cell, via, 3.0, "j")
+    cell.mute.clear()
+    assert cell.lead_of() == lead
+    assert cell.nodes[lead].terms() == {"pool": 1}
+
+
+@pytest.mark.parametrize("cut", [1, 2])
+def test_a_lead_that_others_reach_keeps_its_pool(cut: int) -> None:
+    cell = ready_cell(nodes=5)
+    lead = cell.lead_of()
+    via = others(cell)
+    cell.cut_pairs = {frozenset({lead, name}) for name in via[:cut]}
+    load(cell, via, 3.0, "j")
+    assert cell.lead_of() == lead
+    assert cell.nodes[lead].terms() == {"pool": 1}
+
+
+def test_a_lead_that_no_daemon_reaches_is_followed_and_does_no_harm() -> None:
+    # It still reaches the store and the workers, and acts until it learns of its end.
+    cell = ready_cell(nodes=5, workers=6)
+    lead = cell.lead_of()
+    via = others(cell)
+    cell.workers.length_of = lambda _: timedelta(seconds=0.7)
+    names = load(cell, via, 1.0, "before")
+    cell.cut_pairs = {frozenset({lead, name}) for name in via}
+    names += load(cell, via, 3.0, "cut")
+    assert cell.lead_of() != lead
+    cell.cut_pairs = set()
+    names += load(cell, via, 1.0, "after")
+    cell.run(4.0)
+    assert {cell.state(name, via[0]) for name in names} == {JobState.COMPLETED}
+    assert cell.workers.breaches == []
+    assert len(cell.workers.records) == len(names)
