Log which read of a takeover failed, after how long, and how long one took

load_repeated named neither the read nor its time, so a store that is slow could not be told from an answer that a thin link can't carry in time.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -218,6 +218,7 @@
         return self._state.jobs.pending(queue)
 
     async def _load(self) -> None:
+        began_at = self._clock.now()
         loaded = await self._records.load()
         self._fleet.load(loaded.workers)
         now_ms = self._state.now_ms()
@@ -247,6 +248,7 @@
             jobs=len(self._state.jobs.jobs),
             open_jobs=len(self._state.jobs.open),
             workers=len(self._state.sessions),
+            took_ms=to_millis(self._clock.now()) - to_millis(began_at),
         )
         self._plan_soon()
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Coroutine, Sequence
 from datetime import timedelta
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
 
@@ -31,6 +31,9 @@
 LOOKS_PER_REREAD = 16
 #: Time until a failed call is repeated.
 RETRY_AFTER = timedelta(milliseconds=100)
+_MS = timedelta(milliseconds=1)
+
+T = TypeVar("T")
 
 
 class RecordedWorker(NamedTuple):
@@ -83,13 +86,7 @@
         while True:
             try:
                 return await self._load_once()
-            except StoreError as exc:
-                self._log.log_event(
-                    LogLevel.INFO,
-                    "load_repeated",
-                    pool=self._term.pool,
-                    detail=str(exc),
-                )
+            except StoreError:
                 await self._clock.sleep(RETRY_AFTER)
 
     def want_workers(self, workers: Sequence[RecordedWorker]) -> None:
@@ -139,19 +136,21 @@
     async def _load_once(self) -> LoadedPool:
         # Earlier leads can write none of these any more, so the order is no matter,
         # and one after the other takes a second while the store is slow.
-        intake, progress, workers = await gather(
+        pool = self._term.pool
+        intake, prefix = intake_prefix(pool), progress_prefix(pool)
+        workers_at = workers_key(pool)
+        jobs, progress, workers = await gather(
             [
-                self._store.list(intake_prefix(self._term.pool)),
-                self._store.list(progress_prefix(self._term.pool)),
-                self._store.get(workers_key(self._term.pool)),
+                self._logged(self._store.list(intake), intake),
+                self._logged(self._store.list(prefix), prefix),
+                self._logged(self._store.get(workers_at), workers_at),
             ]
         )
         loaded = LoadedPool([], set(), {}, [])
-        for item in intake.items:
+        for item in jobs.items:
             job = self._job_of(item.key, item.value, loaded.cancelled.add)
             if job is not None:
                 loaded.jobs.append((job, item.revision))
-        prefix = progress_prefix(self._term.pool)
         for item in progress.items:
             saved = SavedProgress(decode_progress(item.key, item.value), item.revision)
             loaded.progress[item.key.removeprefix(prefix)] = saved
@@ -159,9 +158,26 @@
             recorded = msgspec.json.decode(workers.value, type=list[RecordedWorker])
             loaded.workers.extend(recorded)
             self._workers_revision = workers.revision
-        self._revision = intake.revision
+        self._revision = jobs.revision
         return loaded
 
+    async def _logged(self, reading: Coroutine[Any, Any, T], what: str) -> T:
+        """Return what is read, and log which read failed and after how long."""
+        began_at = self._clock.now()
+        try:
+            return await reading
+        except StoreError as exc:
+            self._log.log_event(
+                LogLevel.INFO,
+                "load_repeated",
+                pool=self._term.pool,
+                term=self._term.number,
+                what=what,
+                after_ms=(self._clock.now() - began_at) // _MS,
+                detail=str(exc),
+            )
+            raise
+
     async def _read_changes(
         self,
         on_job: Callable[[JobRecord, int], None],
