Let a reply that is arriving arrive, and keep the pages that a takeover has read

What callers saw: long-running tasks that lapsed with the store's leases in an outage of five seconds ran again 15 s after it (LOST), and no other job of either pool went on.

Cause: a new lead reads all records of its pool, 2.7 MB for 800 jobs, in pages of up to 1 MB. A page had to arrive whole within 400 ms, then within 800 ms, then the whole takeover began anew. A link of 5 Mbit/s carries 625 KB a second, so no attempt could succeed, and each one used the link up for the next. The class of the fault: a fixed limit on the time of an answer whose size has no bound, and a retry that keeps nothing.

Evidence: load_repeated every 0.5 to 1.6 s at both leads for 14 s, while each received 500 to 750 KB a second at 1 to 5 % of a core. The test, which reads the same amount through the adapter and its link, had loaded nothing after 60 s and 32.5 MB.

A listing goes page by page and repeats only the page that failed.

--- a/packages/savorylead-daemon/savorylead_daemon/http/_http_store.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/_http_store.py
@@ -38,8 +38,12 @@
 class StoreTimeouts(NamedTuple):
     """Longest waits of a store's caller."""
 
-    #: Enough for a second attempt that waits twice as long as the first.
+    #: Until the answer begins to arrive, and for each silence within it; enough for a
+    #: second attempt that waits twice as long as the first.
     read: timedelta = timedelta(seconds=3)
+    #: For which the answer to a read may keep arriving: 8 MB, the largest that a
+    #: connection takes, on a link of 5 Mbit/s.
+    read_longest: timedelta = timedelta(seconds=13)
     #: A write is sent once, so this is also how long its fate may be unclear.
     write: timedelta = timedelta(seconds=1)
     lease: timedelta = timedelta(seconds=3)
@@ -129,7 +133,9 @@
         )
 
     async def _read(self, path: str) -> LinkReply:
-        request = LinkRequest("GET", path, idempotent=True)
+        request = LinkRequest(
+            "GET", path, idempotent=True, longest=self._timeouts.read_longest
+        )
         return await self._call(request, self._timeouts.read)
 
     async def _lease(self, method: str, query: dict[str, Any]) -> LinkReply:
--- a/packages/savorylead-daemon/savorylead_daemon/http/_http_transport.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/_http_transport.py
@@ -149,6 +149,10 @@
             head += b"Content-Length: %d\r\n" % len(body)
         return len(head) + self._header_bytes + len(body)
 
+    def received(self) -> int:
+        """Return how many bytes have arrived on the connection."""
+        return self._protocol.received
+
     def close(self) -> None:
         """Drop the connection at once."""
         self._protocol.drop()
@@ -164,6 +168,8 @@
     def __init__(self) -> None:
         super().__init__(self._become_ready)
         self.is_ready = True
+        #: Bytes that have arrived.
+        self.received = 0
 
     def connectionMade(self) -> None:  # noqa: N802 - the name is Twisted's.
         """Send small requests without delay."""
@@ -177,6 +183,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Count and interpret bytes."""
+        self.received += len(data)
         self.factory.traffic.received += len(data)
         super().dataReceived(data)
 
--- a/packages/savorylead-daemon/savorylead_daemon/http/tests/test_http_transport.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/tests/test_http_transport.py
@@ -104,6 +104,17 @@
     _run(test, _reply(b"one"), _reply(b"", b"503 Down"))
 
 
+def test_bytes_of_a_reply_count_before_it_is_whole():
+    async def test(server):
+        conn = await server.connect()
+        cut = _reply(b"12345")[:-1]
+        with pytest.raises(DeadlineExceededError):
+            await server.call(conn, _GET, _HASTY)
+        assert conn.received() == len(cut)
+
+    _run(test, _reply(b"12345")[:-1])
+
+
 def test_a_chunked_reply_arrives_whole():
     async def test(server):
         conn = await server.connect()
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Coroutine, Sequence
 from datetime import timedelta
-from typing import Any, NamedTuple, TypeVar
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -16,8 +16,15 @@
     decode_job,
     decode_progress,
 )
-from savorylead.pools import CellStore, Committed, HistoryLostError, Put, WorkerEntry
-from savorylead.store import StoreError
+from savorylead.pools import (
+    CellStore,
+    Committed,
+    HistoryLostError,
+    Put,
+    StorePage,
+    WorkerEntry,
+)
+from savorylead.store import Snapshot, StoreError
 from savorylead_daemon.concurrency import gather, spawn
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
@@ -33,8 +40,6 @@
 RETRY_AFTER = timedelta(milliseconds=100)
 _MS = timedelta(milliseconds=1)
 
-T = TypeVar("T")
-
 
 class RecordedWorker(NamedTuple):
     """A worker on which a lead may have started tasks."""
@@ -82,12 +87,32 @@
         return all(worker_id in workers for workers in lists)
 
     async def load(self) -> LoadedPool:
-        """Return all records; repeats failed reads until it has them."""
-        while True:
-            try:
-                return await self._load_once()
-            except StoreError:
-                await self._clock.sleep(RETRY_AFTER)
+        """Return all records; repeats each read that fails until it has them."""
+        # Earlier leads can write none of these any more, so the order is no matter,
+        # and one after the other takes a second while the store is slow.
+        pool = self._term.pool
+        jobs, progress, workers = await gather(
+            [
+                self._read_all(intake_prefix(pool)),
+                self._read_all(progress_prefix(pool)),
+                self._read_all(workers_key(pool)),
+            ]
+        )
+        loaded = LoadedPool([], set(), {}, [])
+        for item in jobs.items:
+            job = self._job_of(item.key, item.value, loaded.cancelled.add)
+            if job is not None:
+                loaded.jobs.append((job, item.revision))
+        for item in progress.items:
+            saved = SavedProgress(decode_progress(item.key, item.value), item.revision)
+            loaded.progress[item.key.removeprefix(progress_prefix(pool))] = saved
+        for item in workers.items:
+            if item.key == workers_key(pool):
+                recorded = msgspec.json.decode(item.value, type=list[RecordedWorker])
+                loaded.workers.extend(recorded)
+                self._workers_revision = item.revision
+        self._revision = jobs.revision
+        return loaded
 
     def want_workers(self, workers: Sequence[RecordedWorker]) -> None:
         """Record these workers, so that a later lead claims them."""
@@ -133,50 +158,33 @@
             )
             return None
 
-    async def _load_once(self) -> LoadedPool:
-        # Earlier leads can write none of these any more, so the order is no matter,
-        # and one after the other takes a second while the store is slow.
-        pool = self._term.pool
-        intake, prefix = intake_prefix(pool), progress_prefix(pool)
-        workers_at = workers_key(pool)
-        jobs, progress, workers = await gather(
-            [
-                self._logged(self._store.list(intake), intake),
-                self._logged(self._store.list(prefix), prefix),
-                self._logged(self._store.get(workers_at), workers_at),
-            ]
-        )
-        loaded = LoadedPool([], set(), {}, [])
-        for item in jobs.items:
-            job = self._job_of(item.key, item.value, loaded.cancelled.add)
-            if job is not None:
-                loaded.jobs.append((job, item.revision))
-        for item in progress.items:
-            saved = SavedProgress(decode_progress(item.key, item.value), item.revision)
-            loaded.progress[item.key.removeprefix(prefix)] = saved
-        if workers is not None:
-            recorded = msgspec.json.decode(workers.value, type=list[RecordedWorker])
-            loaded.workers.extend(recorded)
-            self._workers_revision = workers.revision
-        self._revision = jobs.revision
-        return loaded
+    async def _read_all(self, prefix: str) -> Snapshot:
+        """Return all keys below a prefix; what was read is kept if a page fails."""
+        page = await self._read_page(prefix, "")
+        pages = [page]
+        while page.has_more:
+            page = await self._read_page(prefix, page.items[-1].key)
+            pages.append(page)
+        items = tuple(item for page in pages for item in page.items)
+        return Snapshot(items, pages[0].revision)
 
-    async def _logged(self, reading: Coroutine[Any, Any, T], what: str) -> T:
-        """Return what is read, and log which read failed and after how long."""
-        began_at = self._clock.now()
-        try:
-            return await reading
-        except StoreError as exc:
-            self._log.log_event(
-                LogLevel.INFO,
-                "load_repeated",
-                pool=self._term.pool,
-                term=self._term.number,
-                what=what,
-                after_ms=(self._clock.now() - began_at) // _MS,
-                detail=str(exc),
-            )
-            raise
+    async def _read_page(self, prefix: str, after: str) -> StorePage:
+        while True:
+            began_at = self._clock.now()
+            try:
+                return await self._store.page(prefix, after)
+            except StoreError as exc:
+                self._log.log_event(
+                    LogLevel.INFO,
+                    "load_repeated",
+                    pool=self._term.pool,
+                    term=self._term.number,
+                    prefix=prefix,
+                    after=after,
+                    after_ms=(self._clock.now() - began_at) // _MS,
+                    detail=str(exc),
+                )
+                await self._clock.sleep(RETRY_AFTER)
 
     async def _read_changes(
         self,
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_cell_store.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_cell_store.py
@@ -18,11 +18,11 @@
     HistoryLostError,
     LeaseGrant,
     Put,
+    StorePage,
     StoreRefusedError,
 )
 from savorylead.store import (
     KeyValue,
-    Snapshot,
     StoreLeaseLostError,
     StoreTimeoutError,
 )
@@ -31,6 +31,8 @@
 DELAY = timedelta(milliseconds=2)
 #: After this long a call without an answer is given up, as the adapter does it.
 GIVE_UP = timedelta(seconds=1)
+#: Most items of one page.
+PAGE_ITEMS = 500
 #: Most entries of a transaction.
 MAX_ENTRIES = 32
 
@@ -194,15 +196,19 @@
         await self._answer()
         return item
 
-    async def list(self, prefix: str) -> Snapshot:
-        """Return all keys below a prefix."""
+    async def page(self, prefix: str, after: str = "") -> StorePage:
+        """Return the next keys below a prefix."""
         await self._arrive()
         items = sorted(
-            i for i in self._store.items.values() if i.key.startswith(prefix)
+            item
+            for item in self._store.items.values()
+            if item.key.startswith(prefix) and item.key > after
+        )
+        page = StorePage(
+            tuple(items[:PAGE_ITEMS]), self._store.revision, len(items) > PAGE_ITEMS
         )
-        snapshot = Snapshot(tuple(items), self._store.revision)
         await self._answer()
-        return snapshot
+        return page
 
     async def changes(
         self, prefix: str, after_revision: int, wait: timedelta
--- a/packages/savorylead/savorylead/links/__init__.py
+++ b/packages/savorylead/savorylead/links/__init__.py
@@ -4,7 +4,12 @@
 from ._backoff import Backoff, DecorrelatedJitterBackoff, FullJitterBackoff
 from ._connection_pool import ConnectionPool
 from ._counts import LinkCount
-from ._deadline import Deadline, DeadlineExceededError, within
+from ._deadline import (
+    Deadline,
+    DeadlineExceededError,
+    while_progressing,
+    within,
+)
 from ._errors import (
     LinkBrokenError,
     LinkClosedError,
@@ -44,5 +49,6 @@
     "ResilientLink",
     "RetryBudget",
     "Transport",
+    "while_progressing",
     "within",
 ]
--- a/packages/savorylead/savorylead/links/_deadline.py
+++ b/packages/savorylead/savorylead/links/_deadline.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from datetime import datetime, timedelta
 from typing import NamedTuple, TypeVar
 
@@ -41,14 +42,40 @@
 class _Expiry:
     """Cancels a Deferred when its time is up, and remembers that it did."""
 
-    def __init__(self, pending: Deferred[T]) -> None:
-        self._pending = pending
+    def __init__(
+        self,
+        clock: Clock,
+        pending: Deferred[T],
+        limit: timedelta,
+        longest: timedelta,
+        progress: Callable[[], int],
+    ) -> None:
         self.happened = False
+        self._clock = clock
+        self._pending = pending
+        self._limit = limit
+        self._deadline = Deadline.after(clock, longest)
+        self._progress = progress
+        self._before = progress()
+        self._timer = clock.call_later(limit, self._look)
+
+    def cancel(self) -> None:
+        """Let the Deferred be."""
+        self._timer.cancel()
+
+    def _look(self) -> None:
+        now = self._progress()
+        left = self._deadline.remaining(self._clock)
+        if now == self._before or left == _NONE_LEFT:
+            self.happened = True
+            self._pending.cancel()
+            return
+        self._before = now
+        self._timer = self._clock.call_later(min(self._limit, left), self._look)
+
 
-    def happen(self) -> None:
-        """Cancel the Deferred."""
-        self.happened = True
-        self._pending.cancel()
+def _no_progress() -> int:
+    return 0
 
 
 async def within(clock: Clock, limit: timedelta, pending: Deferred[T]) -> T:
@@ -56,8 +83,22 @@
 
     Raises DeadlineExceededError after the limit, otherwise what ``pending`` does.
     """
-    expiry = _Expiry(pending)
-    timer = clock.call_later(limit, expiry.happen)
+    return await while_progressing(clock, limit, limit, _no_progress, pending)
+
+
+async def while_progressing(
+    clock: Clock,
+    limit: timedelta,
+    longest: timedelta,
+    progress: Callable[[], int],
+    pending: Deferred[T],
+) -> T:
+    """Await ``pending``, cancelling it once ``progress()`` stands still.
+
+    That is looked at each ``limit``. It is cancelled after ``longest`` in any case, and
+    DeadlineExceededError raised; otherwise what ``pending`` raises.
+    """
+    expiry = _Expiry(clock, pending, limit, longest, progress)
     try:
         return await pending
     except Exception:
@@ -65,4 +106,4 @@
             raise DeadlineExceededError from None
         raise
     finally:
-        timer.cancel()
+        expiry.cancel()
--- a/packages/savorylead/savorylead/links/_link.py
+++ b/packages/savorylead/savorylead/links/_link.py
@@ -22,6 +22,9 @@
     body: bytes = b""
     #: Whether the call may be sent again after it may already have run.
     idempotent: bool = False
+    #: While the reply is arriving the call goes on beyond its timeout, up to this time;
+    #: for replies whose size has no bound. None: the timeout bounds the whole reply.
+    longest: timedelta | None = None
 
 
 class LinkReply(NamedTuple):
@@ -44,6 +47,10 @@
         never be taken for the reply to another call.
         """
 
+    def received(self) -> int:
+        """Return how many bytes have arrived so far; 0 where that is not known."""
+        return 0
+
     @abstractmethod
     def close(self) -> None:
         """Drop the connection at once, without waiting for the other end."""
@@ -75,8 +82,9 @@
     async def call(self, request: LinkRequest, timeout: timedelta) -> LinkReply:
         """Return the reply within ``timeout``, or raise LinkError.
 
-        A reply of any status is a reply. The error's ``sent`` tells whether the
-        call may have run.
+        With ``request.longest`` the timeout bounds the time until the reply begins to
+        arrive, and each silence within it. A reply of any status is a reply. The
+        error's ``sent`` tells whether the call may have run.
         """
 
     @abstractmethod
--- a/packages/savorylead/savorylead/links/_resilient_link.py
+++ b/packages/savorylead/savorylead/links/_resilient_link.py
@@ -11,7 +11,12 @@
 from ._backoff import Backoff, DecorrelatedJitterBackoff
 from ._connection_pool import ConnectionPool
 from ._counts import LinkCount
-from ._deadline import Deadline, DeadlineExceededError, within
+from ._deadline import (
+    Deadline,
+    DeadlineExceededError,
+    while_progressing,
+    within,
+)
 from ._errors import (
     LinkBrokenError,
     LinkClosedError,
@@ -116,11 +121,20 @@
         self, conn: Connection, request: LinkRequest, limit: timedelta
     ) -> LinkReply:
         sent_at = self._clock.now()
+        before = conn.received()
+        calling = conn.call(request)
         try:
-            reply = await within(self._clock, limit, conn.call(request))
+            if request.longest is None:
+                reply = await within(self._clock, limit, calling)
+            else:
+                reply = await while_progressing(
+                    self._clock, limit, request.longest, conn.received, calling
+                )
         except DeadlineExceededError:
+            received = conn.received() - before
             self._close_silent(conn, sent_at)
-            raise LinkTimeoutError("no reply in time", sent=True) from None
+            detail = f"no reply in time, {received} bytes of it arrived"
+            raise LinkTimeoutError(detail, sent=True) from None
         except BaseException:
             self._pool.discard(conn)
             raise
--- a/packages/savorylead/savorylead/pools/__init__.py
+++ b/packages/savorylead/savorylead/pools/__init__.py
@@ -54,6 +54,7 @@
     HistoryLostError,
     LeaseGrant,
     Put,
+    StorePage,
     StoreRefusedError,
 )
 from ._urgency import Urgency, urgency_of
@@ -103,6 +104,7 @@
     "StaleFenceError",
     "StartRejection",
     "StepAdvice",
+    "StorePage",
     "StoreRefusedError",
     "Team",
     "Unexplained",
--- a/packages/savorylead/savorylead/pools/_store_contracts.py
+++ b/packages/savorylead/savorylead/pools/_store_contracts.py
@@ -60,6 +60,16 @@
     revision: int
 
 
+class StorePage(NamedTuple):
+    """Some of the keys below a prefix, in their order."""
+
+    items: tuple[KeyValue, ...]
+    #: The store's revision; the pages of one listing are not a snapshot.
+    revision: int
+    #: Whether more keys follow the last of these.
+    has_more: bool
+
+
 class LeaseGrant(NamedTuple):
     """A lease of the store."""
 
@@ -81,8 +91,16 @@
         """Return the key, or None if it does not exist."""
 
     @abstractmethod
+    async def page(self, prefix: str, after: str = "") -> StorePage:
+        """Return the first keys below ``prefix`` that come after the key ``after``."""
+
     async def list(self, prefix: str) -> Snapshot:
         """Return all keys below ``prefix``, and the lowest revision of the pages."""
+        pages = [await self.page(prefix)]
+        while pages[-1].has_more:
+            pages.append(await self.page(prefix, pages[-1].items[-1].key))
+        items = tuple(item for page in pages for item in page.items)
+        return Snapshot(items, pages[0].revision)
 
     @abstractmethod
     async def changes(
