--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_ended_lead.py
@@ -0,0 +1,340 @@
+"""A lead that has ended calls the store, the workers and the adviser no more."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.logger import LogEvent, globalLogPublisher
+
+from savorylead.pools import CellDocument
+from savorylead.pools._pace import PaceOrder
+from savorylead.resources import Resources
+from savorylead_daemon.pool import _pool_lead, node as node_module
+from savorylead_daemon.pool._elections import Term
+from savorylead_daemon.pool._keys import (
+    GRANTS_KEY,
+    lead_key,
+    progress_prefix,
+    workers_key,
+)
+from savorylead_standins.pools import PoolCell, job_spec
+
+from .cell_cases import ready_cell
+
+#: Longer than any call to a stand-in takes and than any task of a lead sleeps, which is
+#: 10 s between two deletions of ended jobs.
+WATCHED_S = 15.0
+#: Every kind of call begins within this time of what leads to it: ended jobs are
+#: deleted every 10 s.
+BEGINS_WITHIN = timedelta(seconds=12)
+#: A call to the store and back takes 4 ms, one to a worker 2 ms.
+ROUND_TRIP_S = 0.005
+
+#: States of ended jobs are told for 120 s in these cells, and kept for 30 s more.
+KEPT_S = 150.0
+#: Parts of a team's limit are kept only where there is another pool.
+POOLS = ("pool", "other")
+LIMIT = Resources(16_000, 64_000, 0)
+
+
+class Call(NamedTuple):
+    """A call that a lead made."""
+
+    what: str
+    args: tuple[Any, ...]
+
+    def writes(self, key: str) -> bool:
+        """Return whether it is a transaction that puts a key or one below it."""
+        return self.what == "commit" and any(
+            put.key.startswith(key) for put in self.args[1]
+        )
+
+
+class Calls:
+    """The calls of one lead: how many began, and which are under way."""
+
+    def __init__(self) -> None:
+        self.began: list[Call] = []
+        self.under_way: list[Call] = []
+
+    def recorded(self, what: str, call: Callable[..., Any]) -> Callable[..., Any]:
+        """Return a call that is recorded here, and made."""
+
+        async def make(*args: Any) -> Any:
+            made = Call(what, args)
+            self.began.append(made)
+            self.under_way.append(made)
+            try:
+                return await call(*args)
+            finally:
+                self.under_way.remove(made)
+
+        return make
+
+
+class Recorded:
+    """What a lead calls, with every call recorded."""
+
+    def __init__(self, called: object, calls: Calls) -> None:
+        self._called = called
+        self._calls = calls
+
+    def __getattr__(self, name: str) -> Callable[..., Any]:
+        return self._calls.recorded(name, getattr(self._called, name))
+
+
+@pytest.fixture
+def calls(monkeypatch: pytest.MonkeyPatch) -> dict[int, Calls]:
+    """Return the calls of the leads of one pool by their terms."""
+    recorded: dict[int, Calls] = {}
+
+    def recorded_lead(
+        parts: _pool_lead.LeadParts,
+        term: Term,
+        document: CellDocument,
+        on_superseded: Callable[[str], None],
+    ) -> _pool_lead.PoolLead:
+        if term.pool != "pool":
+            return _pool_lead.PoolLead(parts, term, document, on_superseded)
+        of_term = recorded[term.number] = Calls()
+        parts = parts._replace(
+            store=Recorded(parts.store, of_term),
+            calls=Recorded(parts.calls, of_term),
+            ask_adviser=of_term.recorded("advise", parts.ask_adviser),
+        )
+        return _pool_lead.PoolLead(parts, term, document, on_superseded)
+
+    monkeypatch.setattr(node_module, "PoolLead", recorded_lead)
+    return recorded
+
+
+@pytest.fixture(autouse=True)
+def failures() -> Iterator[list[LogEvent]]:
+    """Fail a test in which a coroutine by itself failed."""
+    seen: list[LogEvent] = []
+
+    def note(event: LogEvent) -> None:
+        if "log_failure" in event:
+            seen.append(event)
+
+    globalLogPublisher.addObserver(note)
+    yield seen
+    globalLogPublisher.removeObserver(note)
+    assert [event["log_failure"].getTraceback() for event in seen] == []
+
+
+def lead_calls(cell: PoolCell) -> Calls:
+    """Return the calls of the present lead."""
+    return cell.nodes[cell.lead_of()].leads["pool"]._parts.store._calls
+
+
+def run_until(cell: PoolCell, happened: Callable[[], bool]) -> None:
+    """Let time pass until something happened."""
+    until = cell.clock.now() + BEGINS_WITHIN
+    while not happened():
+        assert cell.clock.now() < until
+        cell.run(0.001)
+
+
+def run_until_called(cell: PoolCell, is_meant: Callable[[Call], bool]) -> None:
+    """Let time pass until a call of the lead is under way."""
+    run_until(cell, lambda: any(is_meant(c) for c in lead_calls(cell).under_way))
+
+
+def list_new_worker(cell: PoolCell) -> None:
+    """Let one more worker register, which the lead records before it uses it."""
+    entry = cell.workers.machines["w0"].entry._replace(id="new")
+    cell.workers.add(entry)
+    cell.list_worker(entry)
+
+
+def test_a_lead_whose_lease_lapsed_with_the_store_writes_nothing_afterwards(
+    calls: dict[int, Calls],
+) -> None:
+    # Replays an outage that ended all leases while the list of workers was to be
+    # written: the former lead repeated the write for ever, and each was refused.
+    cell = ready_cell()
+    former = cell.lead_of()
+    list_new_worker(cell)
+    run_until_called(cell, writes_workers)
+    cell.store.refuses = True
+    cell.run(5.0)
+    cell.store.refuses = False
+    run_until(cell, lambda: cell.nodes[former].terms().get("pool") != 1)
+    began = len(calls[1].began)
+    cell.run(WATCHED_S)
+    assert calls[1].began[began:] == []
+
+
+def test_a_lead_that_another_one_followed_during_its_write_writes_nothing_afterwards(
+    calls: dict[int, Calls],
+) -> None:
+    cell = ready_cell()
+    former = cell.lead_of()
+    cell.store.delay = timedelta(milliseconds=60)
+    list_new_worker(cell)
+    run_until_called(cell, writes_workers)
+    cell.store.delete(lead_key("pool"))
+    cell.store.wake()
+    run_until(cell, lambda: cell.nodes[former].terms().get("pool") != 1)
+    began = len(calls[1].began)
+    cell.run(WATCHED_S)
+    assert 2 in calls
+    assert calls[1].began[began:] == []
+
+
+def writes_workers(call: Call) -> bool:
+    return call.writes(workers_key("pool"))
+
+
+def writes_progress(call: Call) -> bool:
+    return call.writes(progress_prefix("pool"))
+
+
+def writes_grants(call: Call) -> bool:
+    return call.writes(GRANTS_KEY)
+
+
+def deletes(call: Call) -> bool:
+    return call.what == "commit" and len(call.args) > 2
+
+
+def is_call(what: str) -> Callable[[Call], bool]:
+    return lambda call: call.what == what
+
+
+def submit(cell: PoolCell) -> None:
+    cell.submit("job", job_spec(count=4))
+
+
+def cancel(cell: PoolCell) -> None:
+    cell.workers.length_of = lambda _: timedelta(seconds=60)
+    submit(cell)
+    cell.run(0.5)
+    cell.cancel("job")
+
+
+def start_at_silent_workers(cell: PoolCell) -> None:
+    submit(cell)
+    run_until_called(cell, is_call("start"))
+    for machine in cell.workers.machines.values():
+        machine.is_cut = True
+
+
+def pace(cell: PoolCell) -> None:
+    cell.workers.length_of = lambda _: timedelta(seconds=60)
+    submit(cell)
+    cell.run(0.5)
+    lead = cell.nodes[cell.lead_of()].leads["pool"]
+    lead._judge._pace.decide = lambda worker, _: [
+        PaceOrder(run, 50) for run in worker.runs.values()
+    ]
+
+
+def outlive_a_job(cell: PoolCell) -> None:
+    submit(cell)
+    cell.run(KEPT_S)
+
+
+def start_anew(cell: PoolCell) -> None:
+    former = cell.lead_of()
+    Deferred.fromCoroutine(cell.nodes[former].resign())
+    run_until(cell, lambda: any(node.leads for node in cell.nodes.values()))
+
+
+@pytest.mark.parametrize(
+    ("prepare", "is_meant"),
+    [
+        (start_anew, is_call("list")),
+        (start_anew, is_call("get")),
+        (lambda _: None, is_call("changes")),
+        (list_new_worker, writes_workers),
+        (submit, writes_progress),
+        (submit, writes_grants),
+        (outlive_a_job, deletes),
+        (submit, is_call("hold")),
+        (submit, is_call("start")),
+        (start_at_silent_workers, is_call("stop")),
+        (cancel, is_call("stop")),
+        (pace, is_call("pace")),
+        (submit, is_call("advise")),
+    ],
+    ids=[
+        "load",
+        "load of workers",
+        "intake",
+        "record of workers",
+        "progress",
+        "grants",
+        "deletion of ended jobs",
+        "look at a worker",
+        "start",
+        "stop of an unclear start",
+        "stop",
+        "pace",
+        "advice",
+    ],
+)
+def test_no_call_of_a_lead_outlasts_it(
+    prepare: Callable[[PoolCell], None],
+    is_meant: Callable[[Call], bool],
+    calls: dict[int, Calls],
+) -> None:
+    cell = ready_cell(advised=True, pools=POOLS, limit=LIMIT)
+    prepare(cell)
+    run_until_called(cell, is_meant)
+    ended = lead_calls(cell)
+    Deferred.fromCoroutine(cell.nodes[cell.lead_of()].resign())
+    began = len(ended.began)
+    assert ended.under_way == []
+    cell.run(WATCHED_S)
+    assert ended.began[began:] == []
+
+
+@pytest.mark.parametrize(
+    ("prepare", "is_meant"),
+    [
+        (list_new_worker, writes_workers),
+        (submit, writes_progress),
+        (submit, writes_grants),
+        (outlive_a_job, deletes),
+    ],
+    ids=["record of workers", "progress", "grants", "deletion of ended jobs"],
+)
+def test_a_lead_ends_by_the_first_write_that_shows_that_its_key_is_gone(
+    prepare: Callable[[PoolCell], None],
+    is_meant: Callable[[Call], bool],
+    calls: dict[int, Calls],
+) -> None:
+    cell = ready_cell(pools=POOLS, limit=LIMIT)
+    former = cell.lead_of()
+    prepare(cell)
+    run_until_called(cell, is_meant)
+    ended = lead_calls(cell)
+    # Nobody is woken, so the view of the cell does not show it yet.
+    cell.store.delete(lead_key("pool"))
+    cell.run(ROUND_TRIP_S)
+    assert "pool" not in cell.nodes[former].terms()
+    began = len(ended.began)
+    cell.run(WATCHED_S)
+    assert ended.began[began:] == []
+
+
+def test_a_lead_ends_by_the_first_worker_that_a_later_one_has_used(
+    calls: dict[int, Calls],
+) -> None:
+    cell = ready_cell()
+    former = cell.lead_of()
+    for machine in cell.workers.machines.values():
+        machine.fence = 2
+    submit(cell)
+    run_until_called(cell, is_call("start"))
+    cell.run(ROUND_TRIP_S)
+    assert "pool" not in cell.nodes[former].terms()
+    began = len(calls[1].began)
+    cell.run(WATCHED_S)
+    assert calls[1].began[began:] == []
