End everything that a lead spawned when the lead ends

Cause: close() of a lead cancelled what it had kept a Deferred of, which were the load, the intake, the deletion of ended jobs, progress, grants and the looks at workers. The write of the list of workers, starts, stops, paces, releases and calls for advice were spawned without one. The list is written until the store takes it, which it never does once the key of the term is gone.

A lead, and each session with a worker, now spawns through a TaskSet, which cancels what runs and begins nothing more once it is closed; flags that told single coroutines of the end are gone. A coroutine that runs can't be cancelled, since Twisted cancels what it waits for, so a lead whose own task learns of a later lead acts no more at once and is closed at the next turn.

--- a/packages/savorylead-daemon/savorylead_daemon/concurrency/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/concurrency/__init__.py
@@ -2,5 +2,6 @@
 
 from ._gather import first_of, gather
 from ._spawn import spawn
+from ._task_set import TaskSet
 
-__all__ = ["first_of", "gather", "spawn"]
+__all__ = ["TaskSet", "first_of", "gather", "spawn"]
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
@@ -6,7 +6,6 @@
 from datetime import timedelta
 
 import msgspec
-from twisted.internet.defer import Deferred
 
 from savorylead.clock import Clock, Wakeup
 from savorylead.pools import (
@@ -21,7 +20,7 @@
 )
 from savorylead.resources import Resources
 from savorylead.store import KeyValue, StoreError
-from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.concurrency import TaskSet
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -51,6 +50,7 @@
         clock: Clock,
         log: EventLog,
         term: Term,
+        tasks: TaskSet,
         grants: PoolGrants,
         demand: Callable[
             [], tuple[Mapping[str, Resources], Mapping[str, Resources]] | None
@@ -66,6 +66,7 @@
         self._clock = clock
         self._log = log
         self._term = term
+        self._tasks = tasks
         self._grants = grants
         self._demand = demand
         self._on_change = on_change
@@ -78,16 +79,10 @@
         self._read_again = True
         self._read_at = clock.now()
         self._wakeup = Wakeup(clock)
-        self._running: Deferred[None] | None = None
 
     def start(self) -> None:
         """Begin to keep the parts."""
-        self._running = spawn("grant keeper", self._run())
-
-    def close(self) -> None:
-        """Write nothing more."""
-        if self._running is not None:
-            self._running.cancel()
+        self._tasks.spawn("grant keeper", self._run())
 
     def hurry(self) -> None:
         """Look soon, since another pool has written."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -32,7 +32,7 @@
     WorkerReport,
 )
 from savorylead.resources import ZERO, Resources
-from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.concurrency import TaskSet
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -98,7 +98,9 @@
         self.term = term
         self.fence = term.number
         self._on_superseded = on_superseded
-        self._closed = False
+        self._tasks = TaskSet()
+        #: Whether a later lead was seen; this one ends at the next turn.
+        self._is_superseded = False
         #: Whether the jobs are loaded; callers are not answered before.
         self.loaded = False
         #: The platform's newest list, which may come before the jobs are loaded.
@@ -110,17 +112,27 @@
         self._plan_not_before = parts.clock.now()
         self._waiting_demand: dict[str, Resources] = {}
         self._short_logged_until: dict[str, datetime] = {}
-        self._running: list[Deferred[None]] = []
         store, clock, log = parts.store, parts.clock, parts.log
-        self._records = PoolRecords(store, clock, log, term)
+        self._records = PoolRecords(store, clock, log, term, self._tasks)
         self._progress = ProgressLog(
-            store, clock, log, term, self._on_durable, self.superseded
+            store,
+            clock,
+            log,
+            term,
+            self._tasks,
+            self._on_durable,
+            self.superseded,
         )
         self._fleet = PoolFleet(
             self._state, self, parts.calls, self._records, clock, log, term
         )
         self._starter = RunStarter(
-            self._state, log, term.number, self.may_act, self._plan_soon
+            self._state,
+            log,
+            term.number,
+            self._tasks,
+            self.may_act,
+            self._plan_soon,
         )
         self._judge = ReportJudge(self._state, self._starter, self._progress, log)
         self._grants = PoolGrants(term.pool)
@@ -129,6 +141,7 @@
             clock,
             log,
             term,
+            self._tasks,
             self._grants,
             self._demand,
             self._plan_soon,
@@ -138,33 +151,37 @@
 
     def start(self) -> None:
         """Load the jobs, claim the workers and begin to decide."""
-        self._running = [
-            spawn("start of a lead", self._load()),
-            spawn(
-                "intake of jobs", self._records.follow(self._take_in, self._cancelled)
-            ),
-            spawn("forgetting of jobs", self._forget_ended()),
-        ]
+        self._tasks.spawn("start of a lead", self._load())
+        self._tasks.spawn(
+            "intake of jobs", self._records.follow(self._take_in, self._cancelled)
+        )
+        self._tasks.spawn("forgetting of jobs", self._forget_ended())
         self._grant_keeper.start()
 
     def close(self) -> None:
-        """Order nothing more; workers go on under their leases."""
-        self._closed = True
-        for running in self._running:
-            running.cancel()
+        """Order and write nothing more; workers go on under their leases."""
+        self._tasks.close()
         self._fleet.close()
         self._progress.close()
-        self._grant_keeper.close()
         if self._plan_timer is not None:
             self._plan_timer.cancel()
 
     def may_act(self) -> bool:
         """Return whether this daemon surely still leads."""
-        return not self._closed and self._parts.lease.holds()
+        is_over = self._tasks.is_closed or self._is_superseded
+        return not is_over and self._parts.lease.holds()
 
     def superseded(self) -> None:
-        """Give the pool up: a later lead has written or used a worker."""
-        if not self._closed:
+        """Give the pool up: a later lead has written or used a worker.
+
+        That happens at the next turn, since one of the lead's own tasks tells it.
+        """
+        if not self._is_superseded:
+            self._is_superseded = True
+            self._clock.call_later(timedelta(0), self._give_up)
+
+    def _give_up(self) -> None:
+        if not self._tasks.is_closed:
             self._on_superseded(self.term.pool)
 
     def set_document(self, document: CellDocument) -> None:
@@ -307,7 +324,7 @@
         self._plan_at(self._plan_not_before)
 
     def _plan_at(self, moment: datetime) -> None:
-        if self._closed or not self.loaded:
+        if self._tasks.is_closed or not self.loaded:
             return
         now = self._clock.now()
         delay = max(timedelta(0), moment - now)
@@ -348,7 +365,7 @@
         self._note_demand(plan)
         self._starter.carry_out(plan)
         for request in plan.requests:
-            spawn("call for advice", self._ask(request))
+            self._tasks.spawn("call for advice", self._ask(request))
 
     def _may_start(self, job: Job) -> bool:
         # A step need not wait until the ends before it are durable: workers list them
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
@@ -18,7 +18,7 @@
 )
 from savorylead.pools import CellStore, Committed, HistoryLostError, Put, WorkerEntry
 from savorylead.store import StoreError
-from savorylead_daemon.concurrency import gather, spawn
+from savorylead_daemon.concurrency import TaskSet, gather
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -59,12 +59,18 @@
     """Reads a pool's records, and records its workers before they are used."""
 
     def __init__(
-        self, store: CellStore, clock: Clock, log: EventLog, term: Term
+        self,
+        store: CellStore,
+        clock: Clock,
+        log: EventLog,
+        term: Term,
+        tasks: TaskSet,
     ) -> None:
         self._store = store
         self._clock = clock
         self._log = log
         self._term = term
+        self._tasks = tasks
         self._revision = 0
         self._workers_revision = 0
         self._recorded: frozenset[str] = frozenset()
@@ -97,7 +103,7 @@
         self._wanted = workers
         if {w.entry.id for w in workers} != self._recorded and not self._writing:
             self._writing = True
-            spawn("record of workers", self._write_workers())
+            self._tasks.spawn("record of workers", self._write_workers())
 
     async def follow(
         self,
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_progress_log.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_progress_log.py
@@ -12,7 +12,7 @@
 from savorylead.links import AnswerTimes, DeadlineExceededError, within
 from savorylead.pools import CellStore, Committed, Conflict, Put
 from savorylead.store import StoreError
-from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.concurrency import TaskSet
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -44,6 +44,7 @@
         clock: Clock,
         log: EventLog,
         term: Term,
+        tasks: TaskSet,
         on_durable: Callable[[Job, ProgressRecord], None],
         on_superseded: Callable[[], None],
     ) -> None:
@@ -52,6 +53,7 @@
         self._clock = clock
         self._log = log
         self._term = term
+        self._tasks = tasks
         self._on_durable = on_durable
         self._on_superseded = on_superseded
         self._answer_times = AnswerTimes()
@@ -61,23 +63,23 @@
         self._dirty: dict[Job, int] = {}
         self._timer: Timer | None = None
         self._waiting: list[Deferred[None]] = []
-        self._writing: Deferred[None] | None = None
-        self._closed = False
+        self._writing = False
 
     def note(self, job: Job, urgent: bool) -> None:
         """Write the job's progress; at once if callers wait for it."""
         self._dirty[job] = self._dirty.get(job, 0) + 1
         if urgent:
             self._write_now()
-        elif self._timer is None and self._writing is None:
+        elif self._timer is None and not self._writing:
             self._timer = self._clock.call_later(GATHER, self._write_now)
 
     def _write_now(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if self._writing is None and not self._closed:
-            self._writing = spawn("progress log", self._write_all())
+        if not self._writing:
+            self._writing = True
+            self._tasks.spawn("progress log", self._write_all())
 
     async def durable(self) -> None:
         """Return once everything noted so far is durable."""
@@ -88,12 +90,9 @@
         await turn
 
     def close(self) -> None:
-        """Write nothing more; whoever waits is cancelled."""
-        self._closed = True
+        """Write nothing more, with the end of the tasks; whoever waits is cancelled."""
         if self._timer is not None:
             self._timer.cancel()
-        if self._writing is not None:
-            self._writing.cancel()
         for turn in self._waiting:
             if not turn.called:
                 turn.cancel()
@@ -118,12 +117,12 @@
 
     async def _write_all(self) -> None:
         try:
-            while self._dirty and not self._closed:
+            while self._dirty:
                 batch = list(self._dirty.items())[:JOBS_PER_WRITE]
                 if not await self._write([job for job, _ in batch], dict(batch)):
                     await self._clock.sleep(RETRY_AFTER)
         finally:
-            self._writing = None
+            self._writing = False
 
     async def _write(self, jobs: list[Job], versions: dict[Job, int]) -> bool:
         written = {job: job.progress() for job in jobs}
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_report_judge.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_report_judge.py
@@ -16,7 +16,6 @@
     Vanished,
     stalled_runs,
 )
-from savorylead_daemon.concurrency import spawn
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -67,7 +66,7 @@
                 task_name=str(order.run.task.name),
                 percent=order.percent,
             )
-            spawn("pace of a run", session.pace(order.run, order.percent))
+            session.pace(order.run, order.percent)
 
     def _listed(self, finding: Listed) -> None:
         run, active = finding.run, finding.active
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
@@ -15,7 +15,7 @@
     StartRejection,
     WorkerNotReachedError,
 )
-from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.concurrency import TaskSet
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -35,12 +35,14 @@
         state: PoolState,
         log: EventLog,
         fence: int,
+        tasks: TaskSet,
         may_act: Callable[[], bool],
         plan_soon: Callable[[], None],
     ) -> None:
         self._state = state
         self._log = log
         self._fence = fence
+        self._tasks = tasks
         self._may_act = may_act
         self._plan_soon = plan_soon
 
@@ -49,7 +51,7 @@
         now_ms = self._state.now_ms()
         for placement in plan.placements:
             run = self._begin(placement, self._next_number(placement.task), now_ms)
-            spawn("start of a task", self._start(run, placement))
+            self._tasks.spawn("start of a task", self._start(run, placement))
         for gang in plan.gangs:
             self._start_gang(gang, now_ms)
         for run in plan.preempted:
@@ -60,7 +62,7 @@
         number = max(self._next_number(p.task) for p in gang.placements)
         runs = [(self._begin(p, number, now_ms), p) for p in gang.placements]
         for run, placement in runs:
-            spawn("start of a gang's task", self._start(run, placement))
+            self._tasks.spawn("start of a gang's task", self._start(run, placement))
 
     def _next_number(self, task: Task) -> int:
         return max(task.last_run, (self._fence - 1) * RUNS_PER_TERM) + 1
@@ -95,9 +97,6 @@
             self.log_start(run, "not_reached", detail=str(exc))
             self._failed_to_start(run)
             return
-        if not self._state.sessions:
-            # The term ended meanwhile.
-            return
         if result is None:
             session.stop_run(run, "start_unanswered")
             self.stop_rest_of_gang(run, "start_unanswered")
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -27,7 +27,7 @@
     reconcile,
 )
 from savorylead.workers import WorkerError, WorkerTimeoutError
-from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.concurrency import TaskSet
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -121,7 +121,7 @@
         self._answers = answers
         self._wakeup = Wakeup(clock)
         self._look_soon = False
-        self._closed = False
+        self._tasks = TaskSet()
         self._born_ms = 0
         self._clock_ms = 0
         self._clock_read_at: datetime | None = None
@@ -135,17 +135,14 @@
         self._misses = 0
         #: Orders without an answer since the last report.
         self._unanswered = 0
-        self._running: Deferred[None] | None = None
 
     def start(self) -> None:
         """Claim the worker and keep in touch with it."""
-        self._running = spawn("worker session", self._run())
+        self._tasks.spawn("worker session", self._run())
 
     def close(self) -> None:
         """Send nothing any more."""
-        self._closed = True
-        if self._running is not None:
-            self._running.cancel()
+        self._tasks.close()
 
     def look_soon(self) -> None:
         """Ask for a report now."""
@@ -208,10 +205,13 @@
             return
         run.state = RunState.STOPPING
         run.stop_reason = reason
-        spawn("stop of a run", self._stop_until_gone(run))
+        self._tasks.spawn("stop of a run", self._stop_until_gone(run))
 
-    async def pace(self, run: Run, percent: int) -> None:
+    def pace(self, run: Run, percent: int) -> None:
         """Let a run work at a part of its pace."""
+        self._tasks.spawn("pace of a run", self._pace(run, percent))
+
+    async def _pace(self, run: Run, percent: int) -> None:
         before, run.paced = run.paced, percent
         try:
             await self._calls.pace(
@@ -231,7 +231,7 @@
 
     async def _stop_until_gone(self, run: Run) -> None:
         key = (str(run.task.name), run.number)
-        while key in self.worker.runs and not self._closed:
+        while key in self.worker.runs:
             if not self._owner.may_act():
                 await self._clock.sleep(PAUSE)
                 continue
@@ -256,7 +256,7 @@
 
     async def _look_aside(self) -> None:
         """Ask for a report at once, beside one that waits for an end."""
-        if self._closed or not self._owner.may_act():
+        if not self._owner.may_act():
             return
         asked_at_ms = to_millis(self._clock.now())
         try:
@@ -271,8 +271,7 @@
                 detail=f"{type(exc).__name__}: {exc}",
             )
         else:
-            if not self._closed:
-                self._take(report, asked_at_ms)
+            self._take(report, asked_at_ms)
 
     async def _run(self) -> None:
         while True:
@@ -351,7 +350,9 @@
         self._owner.apply(self, findings, report)
         if seen != self._seen:
             self._seen = seen
-            spawn("release of ends", self._release_when_durable(seen, self._born_ms))
+            self._tasks.spawn(
+                "release of ends", self._release_when_durable(seen, self._born_ms)
+            )
 
     async def _release_when_durable(self, seen: int, born_ms: int) -> None:
         """Release ends only once nothing that they led to can be lost."""
