Let every refused write of a lead show that its term is over

Cause: each writer put the key of the term among its expectations by itself, and only the progress log looked whether that key was the one that did not hold.

Fix: TermWrites adds the expectation and judges the refusal for all writers of a lead (workers, progress, deletions, grants). A refused write of a term that is over ends the lead and the task that made it; what is left to a writer is a conflict on its own keys.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
@@ -26,6 +26,7 @@
 
 from ._elections import Term
 from ._keys import GRANTS_KEY
+from ._term_writes import TermWrites
 
 #: Time between two looks at what other pools have and want.
 LOOK_EVERY = timedelta(milliseconds=800)
@@ -51,6 +52,7 @@
         log: EventLog,
         term: Term,
         tasks: TaskSet,
+        writes: TermWrites,
         grants: PoolGrants,
         demand: Callable[
             [], tuple[Mapping[str, Resources], Mapping[str, Resources]] | None
@@ -67,6 +69,7 @@
         self._log = log
         self._term = term
         self._tasks = tasks
+        self._writes = writes
         self._grants = grants
         self._demand = demand
         self._on_change = on_change
@@ -140,9 +143,8 @@
         before = self._grants.book
         self._grants.book = self._grants.lesser_of(before, wanted)
         self._unclear = True
-        result = await self._store.commit(
-            {self._term.key: self._term.revision, GRANTS_KEY: self._revision},
-            [Put(GRANTS_KEY, encode_grants(wanted))],
+        result = await self._writes.commit(
+            {GRANTS_KEY: self._revision}, [Put(GRANTS_KEY, encode_grants(wanted))]
         )
         if isinstance(result, Committed):
             self._unclear = False
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -46,6 +46,7 @@
 from ._progress_log import ProgressLog
 from ._report_judge import ReportJudge
 from ._run_starter import RunStarter
+from ._term_writes import TermWrites
 from ._worker_session import SessionOwner, WorkerSession
 
 #: Least time between two passes of the planner.
@@ -113,16 +114,9 @@
         self._waiting_demand: dict[str, Resources] = {}
         self._short_logged_until: dict[str, datetime] = {}
         store, clock, log = parts.store, parts.clock, parts.log
-        self._records = PoolRecords(store, clock, log, term, self._tasks)
-        self._progress = ProgressLog(
-            store,
-            clock,
-            log,
-            term,
-            self._tasks,
-            self._on_durable,
-            self.superseded,
-        )
+        writes = TermWrites(store, term, self.superseded)
+        self._records = PoolRecords(store, clock, log, term, self._tasks, writes)
+        self._progress = ProgressLog(writes, clock, log, self._tasks, self._on_durable)
         self._fleet = PoolFleet(
             self._state, self, parts.calls, self._records, clock, log, term
         )
@@ -142,6 +136,7 @@
             log,
             term,
             self._tasks,
+            writes,
             self._grants,
             self._demand,
             self._plan_soon,
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
@@ -24,6 +24,7 @@
 
 from ._elections import Term
 from ._keys import intake_prefix, progress_prefix, workers_key
+from ._term_writes import TermWrites
 
 #: Time between two looks for jobs whose message was lost.
 INTAKE_EVERY = timedelta(milliseconds=500)
@@ -65,12 +66,14 @@
         log: EventLog,
         term: Term,
         tasks: TaskSet,
+        writes: TermWrites,
     ) -> None:
         self._store = store
         self._clock = clock
         self._log = log
         self._term = term
         self._tasks = tasks
+        self._writes = writes
         self._revision = 0
         self._workers_revision = 0
         self._recorded: frozenset[str] = frozenset()
@@ -230,8 +233,8 @@
         key = workers_key(self._term.pool)
         ids = frozenset(w.entry.id for w in workers)
         self._unclear.append(ids)
-        result = await self._store.commit(
-            {self._term.key: self._term.revision, key: self._workers_revision},
+        result = await self._writes.commit(
+            {key: self._workers_revision},
             [Put(key, msgspec.json.encode(list(workers)))],
         )
         if isinstance(result, Committed):
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_progress_log.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_progress_log.py
@@ -10,14 +10,14 @@
 from savorylead.clock import Clock, Timer
 from savorylead.jobs import Job, ProgressRecord, encode_progress
 from savorylead.links import AnswerTimes, DeadlineExceededError, within
-from savorylead.pools import CellStore, Committed, Conflict, Put
+from savorylead.pools import Committed, Conflict, Put
 from savorylead.store import StoreError
 from savorylead_daemon.concurrency import TaskSet
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
-from ._elections import Term
 from ._keys import cancel_key, job_key, progress_key
+from ._term_writes import TermWrites
 
 #: Jobs in one transaction; each takes an expectation and a write, of 32 entries.
 JOBS_PER_WRITE = 15
@@ -40,22 +40,18 @@
 
     def __init__(
         self,
-        store: CellStore,
+        writes: TermWrites,
         clock: Clock,
         log: EventLog,
-        term: Term,
         tasks: TaskSet,
         on_durable: Callable[[Job, ProgressRecord], None],
-        on_superseded: Callable[[], None],
     ) -> None:
         """Call ``on_durable(job, progress)`` after each record that was written."""
-        self._store = store
+        self._writes = writes
         self._clock = clock
         self._log = log
-        self._term = term
         self._tasks = tasks
         self._on_durable = on_durable
-        self._on_superseded = on_superseded
         self._answer_times = AnswerTimes()
         #: Answers that were overdue, one after the other.
         self._misses = 0
@@ -107,13 +103,8 @@
             deletes += [job_key(pool, job.id), progress_key(pool, job.id)]
             if job.cancelled:
                 deletes.append(cancel_key(pool, job.id))
-        result = await self._store.commit(
-            {self._term.key: self._term.revision}, (), deletes
-        )
-        if isinstance(result, Conflict):
-            self._on_superseded()
-            return 0
-        return len(chosen)
+        result = await self._writes.commit({}, deletes=deletes)
+        return len(chosen) if isinstance(result, Committed) else 0
 
     async def _write_all(self) -> None:
         try:
@@ -126,7 +117,7 @@
 
     async def _write(self, jobs: list[Job], versions: dict[Job, int]) -> bool:
         written = {job: job.progress() for job in jobs}
-        expected = {self._term.key: self._term.revision}
+        expected = {}
         puts = []
         for job, progress in written.items():
             key = progress_key(job.record.pool, job.id)
@@ -134,7 +125,7 @@
             puts.append(Put(key, encode_progress(progress)))
         began_at = self._clock.now()
         patience = self._answer_times.overdue_after(self._misses)
-        writing = Deferred.fromCoroutine(self._store.commit(expected, puts))
+        writing = Deferred.fromCoroutine(self._writes.commit(expected, puts))
         try:
             result = await within(self._clock, patience, writing)
         except StoreError as exc:
@@ -177,10 +168,6 @@
 
     def _resolve(self, jobs: list[Job], conflict: Conflict) -> None:
         """Adopt the revisions of earlier writes whose answers were lost."""
-        own = conflict.current.get(self._term.key)
-        if own is None or own.revision != self._term.revision:
-            self._on_superseded()
-            return
         for job in jobs:
             item = conflict.current.get(progress_key(job.record.pool, job.id))
             job.progress_revision = 0 if item is None else item.revision
