Cancel a call whose connection is opening, instead of trying it again

Cause: a cancelled attempt to connect was told as LinkUnavailableError, as a refused one is. The link took that for the other end's failure, backed off and sent the call after all, so a call whose caller had ended, as those of a lead that ends, went out.

Evidence: a link whose call is cancelled while its connection opens ended with a reply, not with CancelledError (new test, over loopback). It passes now: the transport passes a cancellation on; a limit on the attempt is told by the wait for it, as before.

--- a/packages/savorylead-daemon/savorylead_daemon/http/_http_transport.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/_http_transport.py
@@ -12,8 +12,9 @@
 from typing import Any, NamedTuple
 from urllib.parse import urlsplit
 
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import CancelledError, Deferred, succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
+from twisted.internet.error import ConnectingCancelledError
 from twisted.internet.interfaces import IConsumer, IReactorTCP
 from twisted.internet.protocol import Factory, Protocol
 from twisted.python.failure import Failure
@@ -301,4 +302,7 @@
 
 
 def _fail_to_connect(failure: Failure) -> None:
+    if failure.check(ConnectingCancelledError):
+        # Whoever gave up must not be told to try again.
+        raise CancelledError from failure.value
     raise LinkUnavailableError(str(failure.value)) from failure.value
--- a/packages/savorylead-daemon/savorylead_daemon/http/tests/test_http_transport.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/tests/test_http_transport.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import random
 from datetime import timedelta
 
 import pytest
 from twisted.internet import reactor
-from twisted.internet.defer import maybeDeferred
+from twisted.internet.defer import CancelledError, Deferred, maybeDeferred
 from twisted.internet.protocol import Factory, Protocol
 
 from savorylead.clock import TwistedClock
@@ -16,6 +17,8 @@
     LinkReply,
     LinkRequest,
     LinkUnavailableError,
+    ResilientLink,
+    RetryBudget,
     within,
 )
 from savorylead_daemon.http import HttpEndpoint, HttpTransport, Traffic
@@ -193,6 +196,26 @@
     _run(test)
 
 
+def test_a_call_that_is_cancelled_while_its_connection_opens_is_never_sent():
+    # The cancellation counted as a failure to connect, and the call was tried again.
+    async def test(server):
+        link = ResilientLink(
+            server.clock,
+            random.Random(1),
+            HttpTransport(reactor, server.endpoint),
+            RetryBudget(0.1, 1.0),
+        )
+        calling = Deferred.fromCoroutine(link.call(_POST, _PATIENT))
+        calling.cancel()
+        with pytest.raises(CancelledError):
+            await within(server.clock, _HASTY, calling)
+        await server.clock.sleep(_HASTY)
+        link.close()
+        assert server.factory.received == []
+
+    _run(test, _reply(b""))
+
+
 def test_closing_a_connection_fails_its_call():
     async def test(server):
         conn = await server.connect()
