Log a peer that is asked for a lead as a peer, not as the lead of the next term

Cause: a peer that is asked who leads was handled as a lead of the term after the known one, and a failure to reach it was logged so. lead_named_by_peer told the same term of a peer that leads itself, whose term the answer does not tell.

Now the failure is peer_not_reached with the peer's name, and the term of a peer that leads itself is null.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_lead_finder.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_lead_finder.py
@@ -102,9 +102,14 @@
         self, pool: str, peer: MemberRecord, term: int, message: Message
     ) -> Told | None:
         """Return the answer of a peer, or of the later lead that it names."""
+        # A peer that leads does so after the lead that is known here.
         lead = _KnownLead(peer.name, peer.address, term + 1)
-        told = await self._tell(pool, lead, message)
+        named_term = None
+        told = await self._send(
+            pool, peer.name, peer.address, message, "peer_not_reached", peer=peer.name
+        )
         if told is not None and not told.leads and told.lead_term > term:
+            named_term = told.lead_term
             lead = _KnownLead(told.lead_name, told.lead_address, told.lead_term)
             told = await self._tell(pool, lead, message)
         if told is None or not told.leads:
@@ -115,7 +120,8 @@
             "lead_named_by_peer",
             pool=pool,
             lead=lead.name,
-            term=lead.term,
+            # A peer that leads itself does not tell its term.
+            term=named_term,
             peer=peer.name,
         )
         return told
@@ -130,19 +136,34 @@
         return _KnownLead(seen.member.name, seen.member.address, seen.term)
 
     async def _tell(self, pool: str, lead: _KnownLead, message: Message) -> Told | None:
-        if lead.name == self._name:
+        return await self._send(
+            pool,
+            lead.name,
+            lead.address,
+            message,
+            "lead_not_reached",
+            lead=lead.name,
+            term=lead.term,
+        )
+
+    async def _send(
+        self,
+        pool: str,
+        name: str,
+        address: str,
+        message: Message,
+        failure: str,
+        **fields: object,
+    ) -> Told | None:
+        """Return an answer; None after a failure, logged as an event of that name."""
+        if name == self._name:
             return await self._tell_here(message)
         try:
-            return await self._peers.tell(lead.address, message)
+            return await self._peers.tell(address, message)
         except PeerError as exc:
             self._log.log_event(
-                LogLevel.INFO,
-                "lead_not_reached",
-                pool=pool,
-                lead=lead.name,
-                term=lead.term,
-                detail=str(exc),
+                LogLevel.INFO, failure, pool=pool, **fields, detail=str(exc)
             )
             if not exc.connected:
-                self._on_unreached(pool, lead.address)
+                self._on_unreached(pool, address)
             return None
