Log in one line what an ended lead leaves unwritten

Nothing told what a lead that ended had still to write, and a write that outlasted it logged one line per attempt.

Now close() writes lead_writes_dropped with the count of jobs, and whether the list of workers and the grants were open, if anything was; tasks that are cancelled log nothing.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
@@ -87,6 +87,10 @@
         """Begin to keep the parts."""
         self._tasks.spawn("grant keeper", self._run())
 
+    def is_unclear(self) -> bool:
+        """Return whether a write may have taken effect or not."""
+        return self._unclear
+
     def hurry(self) -> None:
         """Look soon, since another pool has written."""
         self._read_again = True
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -156,11 +156,28 @@
     def close(self) -> None:
         """Order and write nothing more; workers go on under their leases."""
         self._tasks.close()
+        self._log_dropped()
         self._fleet.close()
         self._progress.close()
         if self._plan_timer is not None:
             self._plan_timer.cancel()
 
+    def _log_dropped(self) -> None:
+        """Tell in one line what the next lead has to find out by itself."""
+        jobs = self._progress.unwritten()
+        workers = not self._records.has_written()
+        grants = self._grant_keeper.is_unclear()
+        if jobs or workers or grants:
+            self._log.log_event(
+                LogLevel.INFO,
+                "lead_writes_dropped",
+                pool=self.term.pool,
+                term=self.fence,
+                jobs=jobs,
+                workers=workers,
+                grants=grants,
+            )
+
     def may_act(self) -> bool:
         """Return whether this daemon surely still leads."""
         is_over = self._tasks.is_closed or self._is_superseded
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
@@ -104,10 +104,14 @@
     def want_workers(self, workers: Sequence[RecordedWorker]) -> None:
         """Record these workers, so that a later lead claims them."""
         self._wanted = workers
-        if {w.entry.id for w in workers} != self._recorded and not self._writing:
+        if not self.has_written() and not self._writing:
             self._writing = True
             self._tasks.spawn("record of workers", self._write_workers())
 
+    def has_written(self) -> bool:
+        """Return whether the workers in the store are the ones wanted."""
+        return {w.entry.id for w in self._wanted} == self._recorded
+
     async def follow(
         self,
         on_job: Callable[[JobRecord, int], None],
@@ -221,7 +225,7 @@
 
     async def _write_workers(self) -> None:
         try:
-            while {w.entry.id for w in self._wanted} != self._recorded:
+            while not self.has_written():
                 workers = self._wanted
                 done = await self.guarded(self._write_workers_once(workers))
                 if not done:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_progress_log.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_progress_log.py
@@ -85,6 +85,10 @@
         self._waiting.append(turn)
         await turn
 
+    def unwritten(self) -> int:
+        """Return how many jobs have changes that are not durable."""
+        return len(self._dirty)
+
     def close(self) -> None:
         """Write nothing more, with the end of the tasks; whoever waits is cancelled."""
         if self._timer is not None:
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_ended_lead.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_ended_lead.py
@@ -13,6 +13,7 @@
 from savorylead.pools import CellDocument
 from savorylead.pools._pace import PaceOrder
 from savorylead.resources import Resources
+from savorylead_daemon.observability import EventLog
 from savorylead_daemon.pool import _pool_lead, node as node_module
 from savorylead_daemon.pool._elections import Term
 from savorylead_daemon.pool._keys import (
@@ -21,6 +22,7 @@
     progress_prefix,
     workers_key,
 )
+from savorylead_daemon.settings import LogLevel
 from savorylead_standins.pools import PoolCell, job_spec
 
 from .cell_cases import ready_cell
@@ -152,6 +154,11 @@
     cell.list_worker(entry)
 
 
+def begin_to_record_workers(cell: PoolCell) -> None:
+    list_new_worker(cell)
+    run_until_called(cell, writes_workers)
+
+
 def test_a_lead_whose_lease_lapsed_with_the_store_writes_nothing_afterwards(
     calls: dict[int, Calls],
 ) -> None:
@@ -159,8 +166,7 @@
     # written: the former lead repeated the write for ever, and each was refused.
     cell = ready_cell()
     former = cell.lead_of()
-    list_new_worker(cell)
-    run_until_called(cell, writes_workers)
+    begin_to_record_workers(cell)
     cell.store.refuses = True
     cell.run(5.0)
     cell.store.refuses = False
@@ -176,8 +182,7 @@
     cell = ready_cell()
     former = cell.lead_of()
     cell.store.delay = timedelta(milliseconds=60)
-    list_new_worker(cell)
-    run_until_called(cell, writes_workers)
+    begin_to_record_workers(cell)
     cell.store.delete(lead_key("pool"))
     cell.store.wake()
     run_until(cell, lambda: cell.nodes[former].terms().get("pool") != 1)
@@ -235,6 +240,11 @@
     ]
 
 
+def finish_a_job(cell: PoolCell) -> None:
+    submit(cell)
+    cell.run(0.9)
+
+
 def outlive_a_job(cell: PoolCell) -> None:
     submit(cell)
     cell.run(KEPT_S)
@@ -338,3 +348,39 @@
     began = len(calls[1].began)
     cell.run(WATCHED_S)
     assert calls[1].began[began:] == []
+
+
+#: Lines of a lead on writes of its own.
+ON_WRITES = {"lead_writes_dropped", "progress_unwritten", "store_failed"}
+
+
+@pytest.mark.parametrize(
+    ("prepare", "dropped"),
+    [
+        (lambda _: None, []),
+        (begin_to_record_workers, [{"jobs": 0, "workers": True, "grants": False}]),
+        (finish_a_job, [{"jobs": 1, "workers": False, "grants": False}]),
+    ],
+    ids=["nothing", "workers", "progress"],
+)
+def test_what_a_lead_leaves_unwritten_is_one_line(
+    prepare: Callable[[PoolCell], None],
+    dropped: list[dict[str, object]],
+    calls: dict[int, Calls],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    cell = ready_cell()
+    prepare(cell)
+    cell.store.refuses = True
+    cell.run(1.0)
+    lines: list[tuple[str, dict[str, object]]] = []
+
+    def note(log: EventLog, level: LogLevel, event: str, **details: object) -> None:
+        if event in ON_WRITES:
+            lines.append((event, details))
+
+    monkeypatch.setattr(EventLog, "log_event", note)
+    Deferred.fromCoroutine(cell.nodes[cell.lead_of()].resign())
+    cell.run(WATCHED_S)
+    own = {"pool": "pool", "term": 1}
+    assert lines == [("lead_writes_dropped", {**own, **row}) for row in dropped]
