--- a/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
@@ -6,7 +6,6 @@
 from datetime import timedelta
 
 import msgspec
-from twisted.internet.defer import Deferred
 
 from savorylead.clock import Clock, Wakeup
 from savorylead.pools import (
@@ -21,12 +20,13 @@
 )
 from savorylead.resources import Resources
 from savorylead.store import KeyValue, StoreError
-from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.concurrency import TaskSet
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
 from ._elections import Term
 from ._keys import GRANTS_KEY
+from ._term_writes import TermWrites
 
 #: Time between two looks at what other pools have and want.
 LOOK_EVERY = timedelta(milliseconds=800)
@@ -51,6 +51,8 @@
         clock: Clock,
         log: EventLog,
         term: Term,
+        tasks: TaskSet,
+        writes: TermWrites,
         grants: PoolGrants,
         demand: Callable[
             [], tuple[Mapping[str, Resources], Mapping[str, Resources]] | None
@@ -66,6 +68,8 @@
         self._clock = clock
         self._log = log
         self._term = term
+        self._tasks = tasks
+        self._writes = writes
         self._grants = grants
         self._demand = demand
         self._on_change = on_change
@@ -78,16 +82,14 @@
         self._read_again = True
         self._read_at = clock.now()
         self._wakeup = Wakeup(clock)
-        self._running: Deferred[None] | None = None
 
     def start(self) -> None:
         """Begin to keep the parts."""
-        self._running = spawn("grant keeper", self._run())
+        self._tasks.spawn("grant keeper", self._run())
 
-    def close(self) -> None:
-        """Write nothing more."""
-        if self._running is not None:
-            self._running.cancel()
+    def is_unclear(self) -> bool:
+        """Return whether a write may have taken effect or not."""
+        return self._unclear
 
     def hurry(self) -> None:
         """Look soon, since another pool has written."""
@@ -145,9 +147,8 @@
         before = self._grants.book
         self._grants.book = self._grants.lesser_of(before, wanted)
         self._unclear = True
-        result = await self._store.commit(
-            {self._term.key: self._term.revision, GRANTS_KEY: self._revision},
-            [Put(GRANTS_KEY, encode_grants(wanted))],
+        result = await self._writes.commit(
+            {GRANTS_KEY: self._revision}, [Put(GRANTS_KEY, encode_grants(wanted))]
         )
         if isinstance(result, Committed):
             self._unclear = False
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
@@ -25,12 +25,13 @@
     WorkerEntry,
 )
 from savorylead.store import Snapshot, StoreError
-from savorylead_daemon.concurrency import gather, spawn
+from savorylead_daemon.concurrency import TaskSet, gather
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
 from ._elections import Term
 from ._keys import intake_prefix, progress_prefix, workers_key
+from ._term_writes import TermWrites
 
 #: Time between two looks for jobs whose message was lost.
 INTAKE_EVERY = timedelta(milliseconds=500)
@@ -67,12 +68,20 @@
     """Reads a pool's records, and records its workers before they are used."""
 
     def __init__(
-        self, store: CellStore, clock: Clock, log: EventLog, term: Term
+        self,
+        store: CellStore,
+        clock: Clock,
+        log: EventLog,
+        term: Term,
+        tasks: TaskSet,
+        writes: TermWrites,
     ) -> None:
         self._store = store
         self._clock = clock
         self._log = log
         self._term = term
+        self._tasks = tasks
+        self._writes = writes
         self._revision = 0
         self._workers_revision = 0
         self._recorded: frozenset[str] = frozenset()
@@ -117,9 +126,13 @@
     def want_workers(self, workers: Sequence[RecordedWorker]) -> None:
         """Record these workers, so that a later lead claims them."""
         self._wanted = workers
-        if {w.entry.id for w in workers} != self._recorded and not self._writing:
+        if not self.has_written() and not self._writing:
             self._writing = True
-            spawn("record of workers", self._write_workers())
+            self._tasks.spawn("record of workers", self._write_workers())
+
+    def has_written(self) -> bool:
+        """Return whether the workers in the store are the ones wanted."""
+        return {w.entry.id for w in self._wanted} == self._recorded
 
     async def follow(
         self,
@@ -236,7 +249,7 @@
 
     async def _write_workers(self) -> None:
         try:
-            while {w.entry.id for w in self._wanted} != self._recorded:
+            while not self.has_written():
                 workers = self._wanted
                 done = await self.guarded(self._write_workers_once(workers))
                 if not done:
@@ -248,8 +261,8 @@
         key = workers_key(self._term.pool)
         ids = frozenset(w.entry.id for w in workers)
         self._unclear.append(ids)
-        result = await self._store.commit(
-            {self._term.key: self._term.revision, key: self._workers_revision},
+        result = await self._writes.commit(
+            {key: self._workers_revision},
             [Put(key, msgspec.json.encode(list(workers)))],
         )
         if isinstance(result, Committed):
