Daemons tell each other what their machines have

An optional section `machine` of the settings, which the deploy template fills in, is written to savorylead/cell/machine/NAME with the registration, under the same lease.

It is a key of its own and no field of the member's record: msgspec refuses an array with a field more ("Expected `array` of length 1 to 2" for a record that grew from two to three), so daemons of an earlier version would see neither the new members nor the pools that these lead. They pass over keys that they don't know. The template has four more fields, so the table of values in test_deploy_files.py has them too.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_cell_view.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_cell_view.py
@@ -16,7 +16,8 @@
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
-from ._keys import CELL_PREFIX, LEAD_PREFIX, MEMBER_PREFIX
+from ._candidates import Machine
+from ._keys import CELL_PREFIX, LEAD_PREFIX, MACHINE_PREFIX, MEMBER_PREFIX
 
 #: Longest wait of one watch. A connection that went silent is noticed after it.
 WATCH_WAIT = timedelta(milliseconds=2_000)
@@ -53,7 +54,7 @@
     revision: int
 
 
-def encode_record(record: MemberRecord | LeadRecord) -> bytes:
+def encode_record(record: MemberRecord | LeadRecord | Machine) -> bytes:
     """Return a record as JSON."""
     return msgspec.json.encode(record)
 
@@ -67,7 +68,7 @@
 
 
 class CellView:
-    """Follows the keys of members and leads; ``on_change`` after each change."""
+    """Follows members, their machines and leads; ``on_change`` after each change."""
 
     def __init__(self, store: CellStore, clock: Clock, log: EventLog) -> None:
         self._store = store
@@ -76,6 +77,8 @@
         self._on_change: list[Callable[[], None]] = []
         self._running: Deferred[None] | None = None
         self.members: dict[str, MemberRecord] = {}
+        #: By the daemon's name; none of daemons of earlier versions.
+        self.machines: dict[str, Machine] = {}
         self.leads: dict[str, SeenLead] = {}
         #: Store revision up to which the view is complete; 0 before the first read.
         self.revision = 0
@@ -115,12 +118,12 @@
 
     async def _read(self) -> None:
         snapshot = await self._store.list(CELL_PREFIX)
-        before = (self.members, self.leads)
-        self.members, self.leads = {}, {}
+        before = (self.members, self.machines, self.leads)
+        self.members, self.machines, self.leads = {}, {}, {}
         for item in snapshot.items:
             self._put(item.key, item.value, item.revision)
         self.revision = max(self.revision, snapshot.revision)
-        if (self.members, self.leads) != before:
+        if (self.members, self.machines, self.leads) != before:
             self._notify()
 
     async def _watch(self, until: datetime) -> None:
@@ -140,6 +143,9 @@
             if key.startswith(MEMBER_PREFIX):
                 name = key.removeprefix(MEMBER_PREFIX)
                 self.members[name] = msgspec.json.decode(value, type=MemberRecord)
+            elif key.startswith(MACHINE_PREFIX):
+                name = key.removeprefix(MACHINE_PREFIX)
+                self.machines[name] = msgspec.json.decode(value, type=Machine)
             elif key.startswith(LEAD_PREFIX):
                 pool = key.removeprefix(LEAD_PREFIX)
                 record = msgspec.json.decode(value, type=LeadRecord)
@@ -152,6 +158,8 @@
     def _drop(self, key: str) -> None:
         if key.startswith(MEMBER_PREFIX):
             self.members.pop(key.removeprefix(MEMBER_PREFIX), None)
+        elif key.startswith(MACHINE_PREFIX):
+            self.machines.pop(key.removeprefix(MACHINE_PREFIX), None)
         elif key.startswith(LEAD_PREFIX):
             self.leads.pop(key.removeprefix(LEAD_PREFIX), None)
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_keys.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_keys.py
@@ -7,6 +7,8 @@
 CELL_PREFIX = f"{_ROOT}cell/"
 MEMBER_PREFIX = f"{CELL_PREFIX}member/"
 LEAD_PREFIX = f"{CELL_PREFIX}lead/"
+#: What the machines of members have; daemons of earlier versions pass over it.
+MACHINE_PREFIX = f"{CELL_PREFIX}machine/"
 #: How the limits of teams are divided among the pools.
 GRANTS_KEY = f"{_ROOT}grants"
 
@@ -16,6 +18,11 @@
     return f"{MEMBER_PREFIX}{name}"
 
 
+def machine_key(name: str) -> str:
+    """Return the key of what a daemon's machine has, while the daemon lives."""
+    return f"{MACHINE_PREFIX}{name}"
+
+
 def lead_key(pool: str) -> str:
     """Return the key of the lead of a pool."""
     return f"{LEAD_PREFIX}{pool}"
--- a/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
@@ -35,6 +35,7 @@
 
 from ._adapter import AdapterParts, PlatformAddresses
 from ._boot_clock import BootClock
+from ._candidates import Machine
 from ._cell_view import MemberRecord
 from ._metrics import PoolMetrics
 from ._peers import PeerClient
@@ -101,11 +102,17 @@
         )
         self._adapter = self._open_adapter()
         bounds = settings.bounds
+        machine = settings.machine
         self._node = PoolNode(
             NodeSettings(
                 member=self._member,
                 key_withdrawn=timedelta(milliseconds=bounds.key_withdrawn_ms),
                 status_for=timedelta(seconds=bounds.status_for_s),
+                machine=Machine(
+                    machine.cpu_share * machine.cores,
+                    machine.link_mbps,
+                    machine.memory_mb,
+                ),
             ),
             self._adapter,
             PeerClient(self._open_links("peer"), self._open_links("peer_advice")),
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -19,12 +19,13 @@
 
 from ._adapter import AdapterParts
 from ._advice_queue import AdviceQueue, AdviceRouter
+from ._candidates import Machine
 from ._cell_lease import CellLease
 from ._cell_view import CellView, MemberRecord, decode_member, encode_record
 from ._config_feed import ConfigFeed
 from ._elections import Elections, Term
 from ._job_gateway import JobGateway
-from ._keys import member_key
+from ._keys import machine_key, member_key
 from ._lead_watch import LeadWatch
 from ._peer_messages import (
     AdviceAsked,
@@ -60,6 +61,8 @@
     key_withdrawn: timedelta
     #: How long states of ended jobs are told.
     status_for: timedelta
+    #: What its machine has, which decides who leads.
+    machine: Machine = Machine()
 
 
 class PoolNode:
@@ -182,10 +185,15 @@
     async def _register(self, lease_id: str) -> None:
         key = member_key(self._member.name)
         record = encode_record(self._member._replace(lease_id=lease_id))
+        machine = encode_record(self._settings.machine)
+        puts = [
+            Put(key, record, lease_id),
+            Put(machine_key(self._member.name), machine, lease_id),
+        ]
         while self._lease.id == lease_id:
             try:
                 await self._end_former(await self._adapter.store.get(key))
-                await self._adapter.store.commit({}, [Put(key, record, lease_id)])
+                await self._adapter.store.commit({}, puts)
             except StoreError as exc:
                 self._log.log_event(LogLevel.INFO, "unregistered", detail=str(exc))
                 await self._clock.sleep(REGISTER_AGAIN)
@@ -332,6 +340,7 @@
     "AdviceAsked",
     "JobStoreAsked",
     "LeaseEndAsked",
+    "Machine",
     "MemberRecord",
     "Message",
     "NodeSettings",
--- a/packages/savorylead-daemon/savorylead_daemon/pool/settings.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/settings.py
@@ -44,6 +44,18 @@
     machines: str = ""
 
 
+class MachineSettings(_Section):
+    """What the machine has for the daemon; 0 where that is not told."""
+
+    #: Part of the processor that the daemon may use.
+    cpu_share: Annotated[float, msgspec.Meta(gt=0, le=10_000)] = 1.0
+    #: The whole processor, in cores.
+    cores: Annotated[float, msgspec.Meta(ge=0, le=10_000)] = 0.0
+    #: Rate of the link in megabits a second.
+    link_mbps: Annotated[float, msgspec.Meta(ge=0, le=10_000_000)] = 0.0
+    memory_mb: Annotated[int, msgspec.Meta(ge=0, le=1_000_000_000)] = 0
+
+
 class BoundSettings(_Section):
     """Times that the platform's operators promise to callers."""
 
@@ -71,6 +83,7 @@
     domain: str
     listen: ListenSettings
     platform: PlatformSettings
+    machine: MachineSettings = MachineSettings()
     bounds: BoundSettings = BoundSettings()
     log: LogSettings = LogSettings()
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_settings.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_settings.py
@@ -62,6 +62,11 @@
         ("platform.store", None, "store"),
         ("bounds.key_withdrawn_ms", 0, "$.bounds.key_withdrawn_ms"),
         ("bounds.stop_s", "six", "$.bounds.stop_s"),
+        ("machine", {"cores": -1}, "$.machine.cores"),
+        ("machine", {"cpu_share": 0}, "$.machine.cpu_share"),
+        ("machine", {"link_mbps": "wide"}, "$.machine.link_mbps"),
+        ("machine", {"memory_mb": 0.5}, "$.machine.memory_mb"),
+        ("machine", {"disk_mb": 1}, "disk_mb"),
     ],
 )
 def test_a_fault_is_told_with_its_path(path: str, value: Any, told: str) -> None:
--- a/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Mapping
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
@@ -32,6 +33,7 @@
     AdviceAsked,
     JobStoreAsked,
     LeaseEndAsked,
+    Machine,
     MemberRecord,
     Message,
     NodeSettings,
@@ -155,7 +157,9 @@
         advised: bool = False,
         limit: Resources = Resources(),  # noqa: B008 - immutable.
         seed: int = 1,
+        machines: Mapping[str, Machine] | None = None,
     ) -> None:
+        """``machines`` tells what a node's machine has, by name."""
         self.time = SteppedTime()
         self.clock = TwistedClock(self.time, datetime(2026, 1, 1, tzinfo=UTC))
         self.rng = random.Random(seed)
@@ -173,6 +177,7 @@
         #: Time until it shows that no connection can be opened; a process that ended
         #: refuses it at once, a machine without power does not.
         self.connect_wait = timedelta(0)
+        self._machines = machines or {}
         self._advised = advised
         self._answers: dict[str, CallerAnswer] = {}
         self.document = self._document(pools, limit, advised)
@@ -199,6 +204,7 @@
             MemberRecord(name, incarnation, name),
             key_withdrawn=timedelta(seconds=5),
             status_for=timedelta(seconds=120),
+            machine=self._machines.get(name, Machine()),
         )
         node = PoolNode(
             settings, adapter, _Peers(self, name), self.clock, self.rng, log
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_deploy_files.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_deploy_files.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from savorylead_daemon.pool import parse_pool_settings
+from savorylead_daemon.pool.settings import MachineSettings
 
 DEPLOY = Path(__file__).resolve().parents[5] / "deploy"
 VALUES = {
@@ -21,6 +22,10 @@
     "platform.address|json": '"10.200.1.7:8683"',
     "advice": "10.200.1.9:8683",
     "cloud_api.address": "10.200.0.50:8683",
+    "limits.cpu_share|json": "0.5",
+    "limits.cores|json": "3",
+    "limits.link_mbps|json": "100.0",
+    "limits.memory_mb|json": "300",
     "bounds.revoke_ms": "5000",
     "bounds.grace_s": "6",
     "bounds.status_s": "120",
@@ -33,6 +38,7 @@
     settings = parse_pool_settings(text.encode())
     assert settings.listen.peers == "10.1.0.5:7180"
     assert settings.bounds.status_for_s == 120
+    assert settings.machine == MachineSettings(0.5, 3.0, 100.0, 300)
 
 
 def test_the_role_starts_the_daemon_with_the_template() -> None:
