--- a/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
@@ -177,7 +177,7 @@
         #: Time until it shows that no connection can be opened; a process that ended
         #: refuses it at once, a machine without power does not.
         self.connect_wait = timedelta(0)
-        self._machines = machines or {}
+        self.machines = dict(machines or {})
         self._advised = advised
         self._answers: dict[str, CallerAnswer] = {}
         self.document = self._document(pools, limit, advised)
@@ -204,7 +204,7 @@
             MemberRecord(name, incarnation, name),
             key_withdrawn=timedelta(seconds=5),
             status_for=timedelta(seconds=120),
-            machine=self._machines.get(name, Machine()),
+            machine=self.machines.get(name, Machine()),
         )
         node = PoolNode(
             settings, adapter, _Peers(self, name), self.clock, self.rng, log
