The machine that has most left stands first for a pool without a lead

The line was by the number of pools led, then by a hash of the names; nothing looked at the machines.

The line is now by what a machine has left, the hash only decides among equals. `lead_began` tells the machine's cores and link.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_candidates.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_candidates.py
@@ -1,7 +1,13 @@
-"""Which daemons should lead a pool, by what their machines have; no I/O."""
+"""Which daemons should lead a pool, by what their machines have; no I/O.
+
+Load pattern: a lead used 1.4 cores and 6 Mbit/s each way. Its lease ended, and daemons
+with half a core and 5 Mbit/s followed it because a hash of their names came first.
+"""
 
 from __future__ import annotations
 
+import hashlib
+from collections.abc import Sequence
 from typing import NamedTuple
 
 
@@ -14,3 +20,51 @@
     link_mbps: float = 0.0
     #: Memory in megabytes; it is told, and decides nothing.
     memory_mb: int = 0
+
+
+class Candidate(NamedTuple):
+    """A daemon that may lead a pool."""
+
+    name: str
+    machine: Machine
+    #: Other pools that it leads.
+    leads: int = 0
+
+
+def strengths(candidates: Sequence[Candidate]) -> dict[str, float]:
+    """Return how strong each daemon's machine is, 1.0 at the most, by name.
+
+    The scarcer of processor and link counts, each as a part of the best one. What is
+    not told counts as the best, so that machines are equal where none tells anything.
+    """
+    best_cores = max((c.machine.cores for c in candidates), default=0.0)
+    best_link = max((c.machine.link_mbps for c in candidates), default=0.0)
+    return {
+        c.name: min(
+            _part(c.machine.cores, best_cores), _part(c.machine.link_mbps, best_link)
+        )
+        for c in candidates
+    }
+
+
+def line(pool: str, candidates: Sequence[Candidate]) -> list[str]:
+    """Return the names of candidates, the one that should lead the pool first.
+
+    A machine that leads pools already has half, a third, ... left for one more. Equal
+    ones are in an order of their own for each pool, so that leads spread.
+    """
+    strength = strengths(candidates)
+
+    def order(candidate: Candidate) -> tuple[float, str]:
+        digest = hashlib.blake2s(f"{pool}/{candidate.name}".encode()).hexdigest()
+        return -_left(strength, candidate), digest
+
+    return [candidate.name for candidate in sorted(candidates, key=order)]
+
+
+def _left(strength: dict[str, float], candidate: Candidate) -> float:
+    return strength[candidate.name] / (1 + candidate.leads)
+
+
+def _part(has: float, best: float) -> float:
+    return has / best if has else 1.0
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import hashlib
+from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 from typing import NamedTuple
@@ -14,6 +14,7 @@
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
+from ._candidates import Candidate, Machine, line
 from ._cell_lease import CellLease
 from ._cell_view import CellView, LeadRecord, MemberRecord, encode_record
 from ._keys import lead_key, term_key
@@ -49,11 +50,13 @@
         view: CellView,
         on_elected: Callable[[Term], None],
         on_deposed: Callable[[str], None],
+        machine: Machine = Machine(),  # noqa: B008 - immutable.
     ) -> None:
         self._store = store
         self._clock = clock
         self._log = log
         self._member = member
+        self._machine = machine
         self._lease = lease
         self._view = view
         self._on_elected = on_elected
@@ -123,22 +126,32 @@
             return
         term = Term(pool, number, lead_key(pool), revision)
         self.terms[pool] = term
-        self._log.log_event(LogLevel.INFO, "lead_began", pool=pool, term=number)
+        self._log.log_event(
+            LogLevel.INFO,
+            "lead_began",
+            pool=pool,
+            term=number,
+            cores=self._machine.cores,
+            link_mbps=self._machine.link_mbps,
+        )
         self._on_elected(term)
 
     def _place_in_line(self, pool: str) -> int:
         """Return how many daemons should try before this one."""
-        leading: dict[str, int] = {}
-        for seen in self._view.leads.values():
-            name = seen.record.member.name
-            leading[name] = leading.get(name, 0) + 1
-
-        def order(name: str) -> tuple[int, str]:
-            digest = hashlib.blake2s(f"{pool}/{name}".encode()).hexdigest()
-            return leading.get(name, 0), digest
-
-        names = {*self._view.members, self._member.name}
-        return sorted(names, key=order).index(self._member.name)
+        return line(pool, self._candidates(pool)).index(self._member.name)
+
+    def _candidates(self, pool: str) -> list[Candidate]:
+        """Return the daemons that live, with the other pools that each leads."""
+        leads = Counter(
+            seen.record.member.name
+            for led, seen in self._view.leads.items()
+            if led != pool
+        )
+        machines = {**self._view.machines, self._member.name: self._machine}
+        return [
+            Candidate(name, machines.get(name, Machine()), leads[name])
+            for name in {*self._view.members, self._member.name}
+        ]
 
     def _try(self, pool: str) -> None:
         del self._timers[pool]
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -107,6 +107,7 @@
             self.view,
             self._elected,
             self._deposed,
+            settings.machine,
         )
         self._workers = WorkersFeed(
             store,
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_candidates.py
@@ -0,0 +1,75 @@
+"""Who should lead a pool, by what machines have and what they lead already."""
+
+from __future__ import annotations
+
+import hashlib
+
+import pytest
+
+from savorylead_daemon.pool._candidates import Candidate, Machine, line, strengths
+
+STRONG = Machine(2.0, 100.0)
+WEAK = Machine(0.5, 5.0)
+NOT_TOLD = Machine()
+
+
+def row(name: str, machine: Machine, leads: int = 0) -> Candidate:
+    return Candidate(name, machine, leads)
+
+
+@pytest.mark.parametrize(
+    "machines, expected",
+    [
+        ([NOT_TOLD, NOT_TOLD], [1.0, 1.0]),
+        ([STRONG, STRONG], [1.0, 1.0]),
+        # The link is the scarcer of the two here, the processor there.
+        ([STRONG, WEAK], [1.0, 0.05]),
+        ([STRONG, Machine(0.5, 100.0)], [1.0, 0.25]),
+        # The best processor and the best link are of two machines.
+        ([Machine(2.0, 10.0), Machine(1.0, 100.0)], [0.1, 0.5]),
+        # What a machine does not tell is not held against it.
+        ([STRONG, NOT_TOLD, Machine(1.0)], [1.0, 1.0, 0.5]),
+    ],
+)
+def test_the_scarcer_of_processor_and_link_counts(
+    machines: list[Machine], expected: list[float]
+) -> None:
+    found = strengths([row(f"d{i}", machine) for i, machine in enumerate(machines)])
+    assert list(found.values()) == pytest.approx(expected)
+
+
+@pytest.mark.parametrize(
+    "candidates, expected",
+    [
+        ([row("weak", WEAK), row("strong", STRONG)], ["strong", "weak"]),
+        # One that leads still has more left than a weak one that does not.
+        ([row("weak", WEAK), row("strong", STRONG, 3)], ["strong", "weak"]),
+        (
+            [row("led", STRONG, 1), row("half", Machine(1.5, 100.0))],
+            ["half", "led"],
+        ),
+        (
+            [row("led", STRONG, 1), row("third", Machine(0.7, 100.0))],
+            ["led", "third"],
+        ),
+        ([row("led", NOT_TOLD, 1), row("free", NOT_TOLD)], ["free", "led"]),
+    ],
+)
+def test_no_weak_machine_stands_before_one_with_more_left(
+    candidates: list[Candidate], expected: list[str]
+) -> None:
+    assert line("pool", candidates) == expected
+    assert line("pool", candidates[::-1]) == expected
+
+
+@pytest.mark.parametrize("machine", [NOT_TOLD, STRONG, WEAK, Machine(0.1, 0.3)])
+@pytest.mark.parametrize("pool", ["pool", "other"])
+def test_equal_machines_do_not_change_places(machine: Machine, pool: str) -> None:
+    leads = {f"node-{number}": number % 3 for number in range(9)}
+
+    def order(name: str) -> tuple[int, str]:
+        digest = hashlib.blake2s(f"{pool}/{name}".encode()).hexdigest()
+        return leads[name], digest
+
+    candidates = [row(name, machine, count) for name, count in leads.items()]
+    assert line(pool, candidates) == sorted(leads, key=order)
