--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_weak_leads.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_weak_leads.py
@@ -32,14 +32,15 @@
 
 
 @pytest.mark.parametrize("strong", [{0}, {1, 3}, {2, 4}, {4, 5}])
-@pytest.mark.parametrize("away_s", [2.5, 4.0, 9.0])
+@pytest.mark.parametrize("away_s", [2.1, 2.3, 2.5, 2.8, 3.3, 4.0, 9.0])
+@pytest.mark.parametrize("after_s", [0.0, 0.15, 0.4])
 def test_no_weak_machine_leads_after_an_outage_of_the_store(
-    strong: set[int], away_s: float
+    strong: set[int], away_s: float, after_s: float
 ) -> None:
     # Replays an outage that ended every lease: a hash of the names chose machines with
     # a quarter of the processor and a twentieth of the link that the pools needed.
     cell = unequal_cell(strong)
-    cell.run(READY_S)
+    cell.run(READY_S + after_s)
     cell.store.silent = True
     cell.run(away_s)
     cell.store.silent = False
