A weak machine that is back first after an outage waits for strong ones

It stands only once it is registered, and takes its place anew then. Equal machines are never waited for.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_candidates.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_candidates.py
@@ -10,6 +10,10 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+#: A machine is much stronger that has this many times as much: a change of the lead
+#: costs a load of all records, so one that is somewhat better is not worth it.
+MUCH_STRONGER = 2.0
+
 
 class Machine(NamedTuple):
     """What a daemon's machine has for it; 0 where that is not told."""
@@ -68,3 +72,21 @@
 
 def _part(has: float, best: float) -> float:
     return has / best if has else 1.0
+
+
+def turns(
+    pool: str, name: str, living: Sequence[Candidate], gone: Sequence[Candidate]
+) -> int:
+    """Return how many daemons should try before this one.
+
+    Load pattern: an outage of the store ends all registrations. The first daemon that
+    is back sees no other one, and would take every pool whatever its machine has. So
+    those that may come back are waited for too, where they are much stronger.
+    """
+    candidates = [*living, *gone]
+    strength = strengths(candidates)
+    waited_for = {c.name for c in living} | {
+        c.name for c in gone if strength[c.name] >= MUCH_STRONGER * strength[name]
+    }
+    order = line(pool, candidates)
+    return len(waited_for.intersection(order[: order.index(name)]))
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
@@ -14,10 +14,11 @@
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
-from ._candidates import Candidate, Machine, line
+from ._candidates import Candidate, Machine, turns
 from ._cell_lease import CellLease
 from ._cell_view import CellView, LeadRecord, MemberRecord, encode_record
 from ._keys import lead_key, term_key
+from ._members_seen import MembersSeen
 
 #: Each daemon waits this much longer than the one before it in line, so that one
 #: transaction usually decides.
@@ -64,6 +65,9 @@
         self._pools: frozenset[str] = frozenset()
         self._timers: dict[str, Timer] = {}
         self._closed = False
+        #: The lease under which this daemon is registered; empty before.
+        self._registered_under = ""
+        self._members_seen = MembersSeen(clock)
         self.terms: dict[str, Term] = {}
 
     def set_pools(self, pools: frozenset[str]) -> None:
@@ -75,9 +79,19 @@
         """Compare the view of the cell with what is led here."""
         if self._closed or not self._view.revision:
             return
+        self._members_seen.note(self._view)
         for pool in self._pools | set(self.terms):
             self._review_pool(pool)
 
+    def registered(self, lease_id: str) -> None:
+        """Take a place in line anew: attempts without a lease had none."""
+        self._registered_under = lease_id
+        self._members_seen.note_registered()
+        for timer in self._timers.values():
+            timer.cancel()
+        self._timers.clear()
+        self.review()
+
     def resign_all(self) -> None:
         """Lead nothing any more; the keys end with the lease."""
         self._closed = True
@@ -138,7 +152,14 @@
 
     def _place_in_line(self, pool: str) -> int:
         """Return how many daemons should try before this one."""
-        return line(pool, self._candidates(pool)).index(self._member.name)
+        gone = self._members_seen.may_come_back()
+        gone.pop(self._member.name, None)
+        return turns(
+            pool,
+            self._member.name,
+            self._candidates(pool),
+            [Candidate(name, machine) for name, machine in gone.items()],
+        )
 
     def _candidates(self, pool: str) -> list[Candidate]:
         """Return the daemons that live, with the other pools that each leads."""
@@ -157,7 +178,8 @@
         del self._timers[pool]
         if self._closed or pool in self._view.leads or pool not in self._pools:
             return
-        if not self._lease.holds():
+        is_registered = self._registered_under == self._lease.id
+        if not is_registered or not self._lease.holds():
             self._try_later(pool)
             return
         spawn("election", self._stand(pool))
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -199,8 +199,8 @@
                 self._log.log_event(LogLevel.INFO, "unregistered", detail=str(exc))
                 await self._clock.sleep(REGISTER_AGAIN)
             else:
+                self._elections.registered(lease_id)
                 break
-        self._elections.review()
 
     async def _end_former(self, item: KeyValue | None) -> None:
         """End the lease of the former process of this name, which is dead.
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_candidates.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_candidates.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from savorylead_daemon.pool._candidates import Candidate, Machine, line, strengths
+from savorylead_daemon.pool._candidates import (
+    Candidate,
+    Machine,
+    line,
+    strengths,
+    turns,
+)
 
 STRONG = Machine(2.0, 100.0)
 WEAK = Machine(0.5, 5.0)
@@ -73,3 +79,23 @@
 
     candidates = [row(name, machine, count) for name, count in leads.items()]
     assert line(pool, candidates) == sorted(leads, key=order)
+
+
+@pytest.mark.parametrize(
+    "living, gone, expected",
+    [
+        ([row("me", WEAK)], [], 0),
+        ([row("me", WEAK), row("a", STRONG), row("b", STRONG)], [], 2),
+        # The first daemon that is back after an outage sees no other one.
+        ([row("me", WEAK)], [row("a", STRONG), row("b", STRONG)], 2),
+        ([row("me", STRONG)], [row("a", WEAK)], 0),
+        # Nobody waits for machines that are no better, or not much.
+        ([row("me", STRONG)], [row("a", STRONG), row("b", STRONG)], 0),
+        ([row("me", NOT_TOLD)], [row("a", NOT_TOLD), row("b", NOT_TOLD)], 0),
+        ([row("me", Machine(1.5, 100.0))], [row("a", STRONG)], 0),
+    ],
+)
+def test_a_weak_machine_that_is_back_first_waits_for_strong_ones(
+    living: list[Candidate], gone: list[Candidate], expected: int
+) -> None:
+    assert turns("pool", "me", living, gone) == expected
