A weak machine waits half a second for a strong one that may come back

After an outage of the store a strong daemon may be back some tenths of a second later than a weak one, since their calls were given up at different moments.

A daemon now waits 550 ms in all while a machine twice as strong is gone and may come back: the longest call to the store and the pause after it. Equal machines never wait. Where the only strong machine died, the next lead begins 550 ms later than before.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_candidates.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_candidates.py
@@ -74,22 +74,16 @@
     return has / best if has else 1.0
 
 
-def turns(
-    pool: str, name: str, living: Sequence[Candidate], gone: Sequence[Candidate]
-) -> int:
-    """Return how many daemons should try before this one.
+def stronger_is_gone(
+    name: str, living: Sequence[Candidate], gone: Sequence[Candidate]
+) -> bool:
+    """Return whether a daemon should wait for one that may come back.
 
     Load pattern: an outage of the store ends all registrations. The first daemon that
-    is back sees no other one, and would take every pool whatever its machine has. So
-    those that may come back are waited for too, where they are much stronger.
+    is back sees no other one, and would take every pool whatever its machine has.
     """
-    candidates = [*living, *gone]
-    strength = strengths(candidates)
-    waited_for = {c.name for c in living} | {
-        c.name for c in gone if strength[c.name] >= MUCH_STRONGER * strength[name]
-    }
-    order = line(pool, candidates)
-    return len(waited_for.intersection(order[: order.index(name)]))
+    strength = strengths([*living, *gone])
+    return any(strength[c.name] >= MUCH_STRONGER * strength[name] for c in gone)
 
 
 class Successor(NamedTuple):
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
@@ -13,7 +13,7 @@
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
-from ._candidates import Candidate, Machine, turns
+from ._candidates import Candidate, Machine, line, stronger_is_gone
 from ._cell_lease import CellLease
 from ._cell_view import CellView, LeadRecord, MemberRecord, encode_record
 from ._hand_over import HandOver
@@ -26,6 +26,9 @@
 TURN = timedelta(milliseconds=60)
 #: Time until a pool without a lead is tried again.
 RETRY_AFTER = timedelta(milliseconds=300)
+#: Time by which a much stronger machine may be back later than this one after an outage
+#: of the store: a call is given up after 400 ms, and repeated 150 ms later.
+STRONGER_BACK_WITHIN = timedelta(milliseconds=550)
 
 
 class Elections:
@@ -136,8 +139,8 @@
                 self._adopt(pool, seen.record.term, seen.revision)
             return
         if pool in self._pools and pool not in self._timers:
-            delay = TURN * self._place_in_line(pool)
-            self._timers[pool] = self._clock.call_later(delay, self._try, pool)
+            wait = self._wait(pool)
+            self._timers[pool] = self._clock.call_later(wait, self._try, pool)
 
     def _adopt(self, pool: str, number: int, revision: int) -> None:
         """Lead under a key of ours, also if the answer to its write was lost."""
@@ -156,16 +159,15 @@
         self.hand_over.began(term)
         self._on_elected(term)
 
-    def _place_in_line(self, pool: str) -> int:
-        """Return how many daemons should try before this one."""
+    def _wait(self, pool: str) -> timedelta:
+        """Return how long others should be left to try before this daemon."""
+        me, living = self._member.name, self._candidates(pool)
+        wait = TURN * line(pool, living).index(me)
         gone = self._members_seen.may_come_back()
-        gone.pop(self._member.name, None)
-        return turns(
-            pool,
-            self._member.name,
-            self._candidates(pool),
-            [Candidate(name, machine) for name, machine in gone.items()],
-        )
+        gone.pop(me, None)
+        if stronger_is_gone(me, living, [Candidate(n, m) for n, m in gone.items()]):
+            wait += STRONGER_BACK_WITHIN
+        return wait
 
     def _candidates(self, pool: str) -> list[Candidate]:
         """Return the daemons that live, with the other pools that each leads."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_candidates.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_candidates.py
@@ -11,8 +11,8 @@
     Machine,
     line,
     strengths,
+    stronger_is_gone,
     successor,
-    turns,
 )
 
 STRONG = Machine(2.0, 100.0)
@@ -85,21 +85,22 @@
 @pytest.mark.parametrize(
     "living, gone, expected",
     [
-        ([row("me", WEAK)], [], 0),
-        ([row("me", WEAK), row("a", STRONG), row("b", STRONG)], [], 2),
+        ([row("me", WEAK)], [], False),
+        ([row("me", WEAK), row("a", STRONG)], [], False),
         # The first daemon that is back after an outage sees no other one.
-        ([row("me", WEAK)], [row("a", STRONG), row("b", STRONG)], 2),
-        ([row("me", STRONG)], [row("a", WEAK)], 0),
+        ([row("me", WEAK)], [row("a", STRONG), row("b", WEAK)], True),
+        ([row("me", WEAK), row("a", STRONG)], [row("b", STRONG)], True),
+        ([row("me", STRONG)], [row("a", WEAK)], False),
         # Nobody waits for machines that are no better, or not much.
-        ([row("me", STRONG)], [row("a", STRONG), row("b", STRONG)], 0),
-        ([row("me", NOT_TOLD)], [row("a", NOT_TOLD), row("b", NOT_TOLD)], 0),
-        ([row("me", Machine(1.5, 100.0))], [row("a", STRONG)], 0),
+        ([row("me", STRONG)], [row("a", STRONG), row("b", STRONG)], False),
+        ([row("me", NOT_TOLD)], [row("a", NOT_TOLD), row("b", NOT_TOLD)], False),
+        ([row("me", Machine(1.5, 100.0))], [row("a", STRONG)], False),
     ],
 )
 def test_a_weak_machine_that_is_back_first_waits_for_strong_ones(
-    living: list[Candidate], gone: list[Candidate], expected: int
+    living: list[Candidate], gone: list[Candidate], expected: bool
 ) -> None:
-    assert turns("pool", "me", living, gone) == expected
+    assert stronger_is_gone("me", living, gone) is expected
 
 
 @pytest.mark.parametrize(
