--- a/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import hashlib
+from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
-from typing import NamedTuple
 
 from savorylead.clock import Clock, Timer
 from savorylead.pools import CellStore, Committed, Put
@@ -14,26 +13,22 @@
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
+from ._candidates import Candidate, Machine, line, stronger_is_gone
 from ._cell_lease import CellLease
 from ._cell_view import CellView, LeadRecord, MemberRecord, encode_record
+from ._hand_over import HandOver
 from ._keys import lead_key, term_key
+from ._members_seen import MembersSeen
+from ._term import Term
 
 #: Each daemon waits this much longer than the one before it in line, so that one
 #: transaction usually decides.
 TURN = timedelta(milliseconds=60)
 #: Time until a pool without a lead is tried again.
 RETRY_AFTER = timedelta(milliseconds=300)
-
-
-class Term(NamedTuple):
-    """This daemon leads a pool."""
-
-    pool: str
-    #: Rises with each lead; also the fencing token towards workers.
-    number: int
-    #: The lead's key and its revision, which every write of the lead expects.
-    key: str
-    revision: int
+#: Time by which a much stronger machine may be back later than this one after an outage
+#: of the store: a call is given up after 400 ms, and repeated 150 ms later.
+STRONGER_BACK_WITHIN = timedelta(milliseconds=550)
 
 
 class Elections:
@@ -49,11 +44,13 @@
         view: CellView,
         on_elected: Callable[[Term], None],
         on_deposed: Callable[[str], None],
+        machine: Machine = Machine(),  # noqa: B008 - immutable.
     ) -> None:
         self._store = store
         self._clock = clock
         self._log = log
         self._member = member
+        self._machine = machine
         self._lease = lease
         self._view = view
         self._on_elected = on_elected
@@ -61,7 +58,21 @@
         self._pools: frozenset[str] = frozenset()
         self._timers: dict[str, Timer] = {}
         self._closed = False
+        #: The lease under which this daemon is registered; empty before.
+        self._registered_under = ""
+        self._members_seen = MembersSeen(clock)
         self.terms: dict[str, Term] = {}
+        self.hand_over = HandOver(
+            store,
+            clock,
+            log,
+            member.name,
+            lease,
+            view,
+            self._members_seen,
+            self._candidates,
+            self.depose,
+        )
 
     def set_pools(self, pools: frozenset[str]) -> None:
         """Take over which pools need a lead."""
@@ -72,14 +83,26 @@
         """Compare the view of the cell with what is led here."""
         if self._closed or not self._view.revision:
             return
+        self._members_seen.note(self._view)
+        self.hand_over.note_leads()
         for pool in self._pools | set(self.terms):
             self._review_pool(pool)
 
+    def registered(self, lease_id: str) -> None:
+        """Take a place in line anew: attempts without a lease had none."""
+        self._registered_under = lease_id
+        self._members_seen.note_registered()
+        for timer in self._timers.values():
+            timer.cancel()
+        self._timers.clear()
+        self.review()
+
     def resign_all(self) -> None:
         """Lead nothing any more; the keys end with the lease."""
         self._closed = True
         for timer in self._timers.values():
             timer.cancel()
+        self.hand_over.close()
         for pool in list(self.terms):
             self.depose(pool, "resigned")
 
@@ -91,6 +114,7 @@
         self._log.log_event(
             LogLevel.INFO, "lead_ended", pool=pool, term=term.number, reason=reason
         )
+        self.hand_over.ended(pool)
         self._on_deposed(pool)
 
     def lease_lost(self) -> None:
@@ -110,12 +134,13 @@
                 return
         if seen is not None:
             # A key of an earlier lease may still be in view, but has ended with it.
-            if self._lease.id and seen.record.member.lease_id == self._lease.id:
+            is_ours = seen.record.member.lease_id == self._lease.id != ""
+            if is_ours and not self.hand_over.was_given_up(pool, seen.revision):
                 self._adopt(pool, seen.record.term, seen.revision)
             return
         if pool in self._pools and pool not in self._timers:
-            delay = TURN * self._place_in_line(pool)
-            self._timers[pool] = self._clock.call_later(delay, self._try, pool)
+            wait = self._wait(pool)
+            self._timers[pool] = self._clock.call_later(wait, self._try, pool)
 
     def _adopt(self, pool: str, number: int, revision: int) -> None:
         """Lead under a key of ours, also if the answer to its write was lost."""
@@ -123,28 +148,46 @@
             return
         term = Term(pool, number, lead_key(pool), revision)
         self.terms[pool] = term
-        self._log.log_event(LogLevel.INFO, "lead_began", pool=pool, term=number)
+        self._log.log_event(
+            LogLevel.INFO,
+            "lead_began",
+            pool=pool,
+            term=number,
+            cores=self._machine.cores,
+            link_mbps=self._machine.link_mbps,
+        )
+        self.hand_over.began(term)
         self._on_elected(term)
 
-    def _place_in_line(self, pool: str) -> int:
-        """Return how many daemons should try before this one."""
-        leading: dict[str, int] = {}
-        for seen in self._view.leads.values():
-            name = seen.record.member.name
-            leading[name] = leading.get(name, 0) + 1
-
-        def order(name: str) -> tuple[int, str]:
-            digest = hashlib.blake2s(f"{pool}/{name}".encode()).hexdigest()
-            return leading.get(name, 0), digest
-
-        names = {*self._view.members, self._member.name}
-        return sorted(names, key=order).index(self._member.name)
+    def _wait(self, pool: str) -> timedelta:
+        """Return how long others should be left to try before this daemon."""
+        me, living = self._member.name, self._candidates(pool)
+        wait = TURN * line(pool, living).index(me)
+        gone = self._members_seen.may_come_back()
+        gone.pop(me, None)
+        if stronger_is_gone(me, living, [Candidate(n, m) for n, m in gone.items()]):
+            wait += STRONGER_BACK_WITHIN
+        return wait
+
+    def _candidates(self, pool: str) -> list[Candidate]:
+        """Return the daemons that live, with the other pools that each leads."""
+        leads = Counter(
+            seen.record.member.name
+            for led, seen in self._view.leads.items()
+            if led != pool
+        )
+        machines = {**self._view.machines, self._member.name: self._machine}
+        return [
+            Candidate(name, machines.get(name, Machine()), leads[name])
+            for name in {*self._view.members, self._member.name}
+        ]
 
     def _try(self, pool: str) -> None:
         del self._timers[pool]
         if self._closed or pool in self._view.leads or pool not in self._pools:
             return
-        if not self._lease.holds():
+        is_registered = self._registered_under == self._lease.id
+        if not is_registered or not self._lease.holds():
             self._try_later(pool)
             return
         spawn("election", self._stand(pool))
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
@@ -24,8 +24,8 @@
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
-from ._elections import Term
 from ._keys import GRANTS_KEY
+from ._term import Term
 from ._term_writes import TermWrites
 
 #: Time between two looks at what other pools have and want.
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
@@ -29,8 +29,8 @@
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
-from ._elections import Term
 from ._keys import intake_prefix, progress_prefix, workers_key
+from ._term import Term
 from ._term_writes import TermWrites
 
 #: Time between two looks for jobs whose message was lost.
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_term_writes.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_term_writes.py
@@ -8,7 +8,7 @@
 
 from savorylead.pools import CellStore, Committed, Conflict, Put
 
-from ._elections import Term
+from ._term import Term
 
 
 class TermWrites:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -19,12 +19,13 @@
 
 from ._adapter import AdapterParts
 from ._advice_queue import AdviceQueue, AdviceRouter
+from ._candidates import Machine
 from ._cell_lease import CellLease
 from ._cell_view import CellView, MemberRecord, decode_member, encode_record
 from ._config_feed import ConfigFeed
-from ._elections import Elections, Term
+from ._elections import Elections
 from ._job_gateway import JobGateway
-from ._keys import member_key
+from ._keys import machine_key, member_key
 from ._lead_watch import LeadWatch
 from ._peer_messages import (
     AdviceAsked,
@@ -42,6 +43,7 @@
     PeerServer,
 )
 from ._pool_lead import LeadParts, PoolLead
+from ._term import Term
 from ._workers_feed import WorkersFeed
 
 #: Part of the time for a withdrawn key after which a configuration is not trusted.
@@ -60,6 +62,8 @@
     key_withdrawn: timedelta
     #: How long states of ended jobs are told.
     status_for: timedelta
+    #: What its machine has, which decides who leads.
+    machine: Machine = Machine()
 
 
 class PoolNode:
@@ -104,6 +108,7 @@
             self.view,
             self._elected,
             self._deposed,
+            settings.machine,
         )
         self._workers = WorkersFeed(
             store,
@@ -171,6 +176,13 @@
         """Return the term of each pool led here."""
         return {pool: lead.term.number for pool, lead in self.leads.items()}
 
+    def hand_overs(self) -> Mapping[tuple[str, str], int]:
+        """Return how many pools were given up to stronger machines.
+
+        By pool and by what became of the key.
+        """
+        return self._elections.hand_over.counts
+
     def _document_in_force(self, document: CellDocument) -> None:
         self._elections.set_pools(frozenset(p.name for p in document.pools))
         for lead in self.leads.values():
@@ -182,16 +194,21 @@
     async def _register(self, lease_id: str) -> None:
         key = member_key(self._member.name)
         record = encode_record(self._member._replace(lease_id=lease_id))
+        machine = encode_record(self._settings.machine)
+        puts = [
+            Put(key, record, lease_id),
+            Put(machine_key(self._member.name), machine, lease_id),
+        ]
         while self._lease.id == lease_id:
             try:
                 await self._end_former(await self._adapter.store.get(key))
-                await self._adapter.store.commit({}, [Put(key, record, lease_id)])
+                await self._adapter.store.commit({}, puts)
             except StoreError as exc:
                 self._log.log_event(LogLevel.INFO, "unregistered", detail=str(exc))
                 await self._clock.sleep(REGISTER_AGAIN)
             else:
+                self._elections.registered(lease_id)
                 break
-        self._elections.review()
 
     async def _end_former(self, item: KeyValue | None) -> None:
         """End the lease of the former process of this name, which is dead.
@@ -332,6 +349,7 @@
     "AdviceAsked",
     "JobStoreAsked",
     "LeaseEndAsked",
+    "Machine",
     "MemberRecord",
     "Message",
     "NodeSettings",
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_ended_lead.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_ended_lead.py
@@ -15,13 +15,13 @@
 from savorylead.resources import Resources
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.pool import _pool_lead, node as node_module
-from savorylead_daemon.pool._elections import Term
 from savorylead_daemon.pool._keys import (
     GRANTS_KEY,
     lead_key,
     progress_prefix,
     workers_key,
 )
+from savorylead_daemon.pool._term import Term
 from savorylead_daemon.settings import LogLevel
 from savorylead_standins.pools import PoolCell, job_spec
 
