Give back the place of a call for advice that is given up

Cause: a cancelled call stayed in its daemon's line until its turn came, and counted among the 24 that may wait. Now that the calls of a lead end with it, a line full of them would turn the next lead's calls away.

Evidence: after 24 calls that were cancelled, the next one was refused with AdviserBusyError (new test); it is answered now, since a cancelled call leaves the line.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_advice_queue.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_advice_queue.py
@@ -11,7 +11,7 @@
 from itertools import count
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 
 from savorylead.clock import Clock, to_millis
 from savorylead.pools import (
@@ -55,8 +55,14 @@
                 raise AdviserBusyError("too many calls wait in this daemon")
             turn: Deferred[None] = Deferred()
             rank = rank_ms + AGEING * to_millis(self._clock.now())
-            heapq.heappush(self._waiting, (rank, next(self._order), turn))
-            await turn
+            place = (rank, next(self._order), turn)
+            heapq.heappush(self._waiting, place)
+            try:
+                await turn
+            except CancelledError:
+                self._waiting.remove(place)
+                heapq.heapify(self._waiting)
+                raise
         self._busy = True
         try:
             return await self._adviser.advise(step, workers)
@@ -65,11 +71,8 @@
             self._next()
 
     def _next(self) -> None:
-        while self._waiting:
-            turn = heapq.heappop(self._waiting)[2]
-            if not turn.called:
-                turn.callback(None)
-                return
+        if self._waiting:
+            heapq.heappop(self._waiting)[2].callback(None)
 
 
 #: Makes a call through the daemon of that name; raises AdviserError.
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_advice_queue.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_advice_queue.py
@@ -6,7 +6,7 @@
 from datetime import UTC, datetime
 
 import pytest
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import Clock as StepClock
 
 from savorylead.clock import TwistedClock
@@ -113,6 +113,25 @@
     assert adviser.asked == ["first", "lasts", "short", "long", "late"]
 
 
+def test_a_call_that_is_given_up_keeps_no_place() -> None:
+    # Calls of a lead that had ended kept those of the next one out of a daemon.
+    clock = TwistedClock(StepClock(), datetime(2026, 1, 1, tzinfo=UTC))
+    adviser = SlowAdviser()
+    queue = AdviceQueue(adviser, clock)
+    Deferred.fromCoroutine(queue.advise("first", (), 20))
+    waiting = [
+        Deferred.fromCoroutine(queue.advise("given up", (), 20))
+        for _ in range(MAX_WAITING)
+    ]
+    for call in waiting:
+        call.addErrback(lambda failure: failure.trap(CancelledError))
+        call.cancel()
+    Deferred.fromCoroutine(queue.advise("next", (), 20))
+    for _ in range(2):
+        adviser.open[-1].callback(None)
+    assert adviser.asked == ["first", "next"]
+
+
 def test_a_full_queue_is_told() -> None:
     clock = TwistedClock(StepClock(), datetime(2026, 1, 1, tzinfo=UTC))
     adviser = SlowAdviser()
