Failing test: a candidate that resigns during its election locks its pool

Cause, not mended here: Elections._stand takes the id of its lease after a read. If the daemon resigns, or loses its lease, during that read, the id is empty and the key of the lead is written without a lease, so it never ends and nobody stands for the pool again.

Evidence: 5 s later the key rests on no lease.

--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_elected_late.py
@@ -0,0 +1,39 @@
+"""An election that is under way while its candidate loses its lease."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from twisted.internet.defer import Deferred
+
+from savorylead.store import KeyValue
+from savorylead_daemon.pool._keys import lead_key, term_key
+
+from .cell_cases import ready_cell
+
+
+def test_a_candidate_that_resigns_leaves_no_key_that_never_ends() -> None:
+    # The key was written without a lease, so nobody led the pool any more.
+    cell = ready_cell()
+    cell.store.delay = timedelta(milliseconds=30)
+    cell.kill(cell.lead_of())
+    standing: list[str] = []
+
+    def note(name: str, get):
+        async def noted(key: str) -> KeyValue | None:
+            if key == term_key("pool"):
+                standing.append(name)
+            return await get(key)
+
+        return noted
+
+    for name in cell.nodes:
+        cell.views[name].get = note(name, cell.views[name].get)
+    while not standing:
+        cell.run(0.001)
+        assert not any(node.leads for node in cell.nodes.values())
+    Deferred.fromCoroutine(cell.nodes[standing[0]].resign())
+    cell.run(5.0)
+    leased = {key for lease in cell.store.leases.values() for key in lease.keys}
+    assert lead_key("pool") in leased
+    assert [name for name, node in cell.nodes.items() if node.leads] != []
