Write no lead's key without a lease

What callers saw: nothing reported; found by reading what a daemon does after it resigned. A pool of which no daemon takes the lead any more.

Cause: a candidate read its lease's id after it had waited for the number of the last term. Had it resigned or lost its lease meanwhile, the id was empty, and the lead's key was written without a lease: it named a lead that had ended and never ended itself.

Why this works: the candidate gives up where it has no lease by then. One that loses its lease later writes under an id that the store refuses.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
@@ -199,8 +199,12 @@
     async def _stand(self, pool: str) -> None:
         try:
             item = await self._store.get(term_key(pool))
-            number = 1 + (int(item.value) if item is not None else 0)
             lease_id = self._lease.id
+            if self._closed or not lease_id:
+                # A key without a lease would name a lead that never ends.
+                self._try_later(pool)
+                return
+            number = 1 + (int(item.value) if item is not None else 0)
             record = LeadRecord(self._member._replace(lease_id=lease_id), number)
             result = await self._store.commit(
                 {
