Have a lead that can't read its pool's records leave the pool to others

Cause: a lead keeps its key for as long as it renews its lease. Whether it has taken its pool up was known to nobody and led to nothing.

Why this works: a lead of which no read of the takeover was answered for 3 s, while the store answers it otherwise, gives the pool up as in a planned hand-over and stands back for 10 s, so the next one in line takes it. In an outage of the store it stays, since nobody else could load either.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
@@ -117,6 +117,12 @@
         self.hand_over.ended(pool)
         self._on_deposed(pool)
 
+    def give_way(self, pool: str) -> None:
+        """Leave a pool to others that this daemon leads and can't take up."""
+        term = self.terms.get(pool)
+        if term is not None:
+            self.hand_over.give_way(term)
+
     def lease_lost(self) -> None:
         """Give up every term, since their keys ended with the lease."""
         for pool in list(self.terms):
@@ -187,7 +193,8 @@
         if self._closed or pool in self._view.leads or pool not in self._pools:
             return
         is_registered = self._registered_under == self._lease.id
-        if not is_registered or not self._lease.holds():
+        stands_back = self.hand_over.must_stand_back(pool)
+        if not is_registered or not self._lease.holds() or stands_back:
             self._try_later(pool)
             return
         spawn("election", self._stand(pool))
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_hand_over.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_hand_over.py
@@ -36,6 +36,8 @@
 AGAIN_AFTER = timedelta(seconds=30)
 #: Time between two pools of one daemon, in which the next lead of the first shows.
 APART = timedelta(milliseconds=200)
+#: Time for which a daemon leaves a pool to others that it could not take up.
+STAND_BACK = timedelta(seconds=10)
 #: Time until a deletion that failed is repeated.
 RETRY_AFTER = timedelta(milliseconds=150)
 
@@ -90,6 +92,7 @@
         self._not_before = clock.now()
         self._is_deleting = False
         self._deleting: Deferred[None] | None = None
+        self._stand_back_until: dict[str, datetime] = {}
         #: Decisions by pool and outcome.
         self.counts: Counter[tuple[str, str]] = Counter()
 
@@ -116,6 +119,18 @@
         """Return whether a lead key is one that this daemon deletes or has deleted."""
         return revision <= self._given_up.get(pool, 0)
 
+    def give_way(self, term: Term) -> None:
+        """Give a pool up that this daemon can't take up, to whoever can."""
+        if self._is_deleting or not self._lease.holds():
+            return
+        self._stand_back_until[term.pool] = self._clock.now() + STAND_BACK
+        self._give_up(term, "not_loaded", None)
+
+    def must_stand_back(self, pool: str) -> bool:
+        """Return whether others should have the pool first."""
+        until = self._stand_back_until.get(pool)
+        return until is not None and self._clock.now() < until
+
     def close(self) -> None:
         """Delete no key any more; keys end with the lease."""
         if self._deleting is not None:
@@ -133,10 +148,13 @@
         to = successor(term.pool, self._name, candidates)
         if to is not None:
             self._handed_over_at[term.pool] = self._clock.now()
-            self._given_up[term.pool] = term.revision
-            self._depose(term.pool, "handed_over")
-            self._is_deleting = True
-            self._deleting = spawn("hand-over of a pool", self._delete_key(term, to))
+            self._give_up(term, "handed_over", to)
+
+    def _give_up(self, term: Term, reason: str, to: Successor | None) -> None:
+        self._given_up[term.pool] = term.revision
+        self._depose(term.pool, reason)
+        self._is_deleting = True
+        self._deleting = spawn("hand-over of a pool", self._delete_key(term, to))
 
     def _may_go(self, term: Term) -> bool:
         now = self._clock.now()
@@ -157,7 +175,7 @@
         member = former.record.member
         return self._view.members.get(member.name) != member
 
-    async def _delete_key(self, term: Term, to: Successor) -> None:
+    async def _delete_key(self, term: Term, to: Successor | None) -> None:
         lease_id = self._lease.id
         outcome = ""
         attempts = 0
@@ -186,16 +204,23 @@
             return ""
         return "deleted" if isinstance(result, Committed) else "gone_before"
 
-    def _note(self, term: Term, to: Successor, outcome: str, attempts: int) -> None:
+    def _note(
+        self, term: Term, to: Successor | None, outcome: str, attempts: int
+    ) -> None:
         self.counts[term.pool, outcome] += 1
+        known = {}
+        if to is not None:
+            known = {
+                "to": to.name,
+                "strength_here": round(to.left_here, 3),
+                "strength_there": round(to.left_there, 3),
+            }
         self._log.log_event(
             LogLevel.INFO,
             "lead_handed_over",
             pool=term.pool,
             term=term.number,
-            to=to.name,
-            strength_here=round(to.left_here, 3),
-            strength_there=round(to.left_there, 3),
             outcome=outcome,
             attempts=attempts,
+            **known,
         )
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -79,6 +79,8 @@
     lease: CellLease
     #: How long states of ended jobs are told, in milliseconds.
     status_for_ms: int
+    #: Takes note of the pool that this daemon can't take up.
+    on_unloadable: Callable[[str], None]
     #: Tells the other leads that they should look at the teams' limits.
     on_grants_written: Callable[[str], None]
 
@@ -115,7 +117,9 @@
         self._short_logged_until: dict[str, datetime] = {}
         store, clock, log = parts.store, parts.clock, parts.log
         writes = TermWrites(store, term, self.superseded)
-        self._records = PoolRecords(store, clock, log, term, self._tasks, writes)
+        self._records = PoolRecords(
+            store, clock, log, term, self._tasks, writes, self._unloadable
+        )
         self._progress = ProgressLog(writes, clock, log, self._tasks, self._on_durable)
         self._fleet = PoolFleet(
             self._state, self, parts.calls, self._records, clock, log, term
@@ -192,6 +196,10 @@
             self._is_superseded = True
             self._clock.call_later(timedelta(0), self._give_up)
 
+    def _unloadable(self) -> None:
+        # At the next turn, since one of the lead's own tasks tells it.
+        self._clock.call_later(timedelta(0), self._parts.on_unloadable, self.term.pool)
+
     def _give_up(self) -> None:
         if not self._tasks.is_closed:
             self._on_superseded(self.term.pool)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
@@ -37,6 +37,9 @@
 INTAKE_EVERY = timedelta(milliseconds=500)
 #: Looks after which all records are read again, since changes may be missed.
 LOOKS_PER_REREAD = 16
+#: A lead whose reads of a takeover failed for this long, and none was answered, leaves
+#: the pool to others: two reads of 1.5 s, which the link has tried several times.
+LOAD_PATIENCE = timedelta(seconds=3)
 #: Time until a failed call is repeated.
 RETRY_AFTER = timedelta(milliseconds=100)
 _MS = timedelta(milliseconds=1)
@@ -75,13 +78,18 @@
         term: Term,
         tasks: TaskSet,
         writes: TermWrites,
+        on_unloadable: Callable[[], None],
     ) -> None:
+        """``on_unloadable()`` is called while reads of a takeover fail all the time."""
         self._store = store
         self._clock = clock
         self._log = log
         self._term = term
         self._tasks = tasks
         self._writes = writes
+        self._on_unloadable = on_unloadable
+        #: Since when no read of the takeover was answered.
+        self._unread_since = clock.now()
         self._revision = 0
         self._workers_revision = 0
         self._recorded: frozenset[str] = frozenset()
@@ -185,7 +193,7 @@
         while True:
             began_at = self._clock.now()
             try:
-                return await self._store.page(prefix, after)
+                page = await self._store.page(prefix, after)
             except StoreError as exc:
                 self._log.log_event(
                     LogLevel.INFO,
@@ -197,7 +205,12 @@
                     after_ms=(self._clock.now() - began_at) // _MS,
                     detail=str(exc),
                 )
+                if self._clock.now() - self._unread_since >= LOAD_PATIENCE:
+                    self._on_unloadable()
                 await self._clock.sleep(RETRY_AFTER)
+            else:
+                self._unread_since = self._clock.now()
+                return page
 
     async def _read_changes(
         self,
