Look again for processes that have ended, where a test's reactor runs in a thread

Cause: such a reactor hears no SIGCHLD. Twisted then looks for the end of a process once, as its pipes close, and a process that is killed closes them before it can be waited for. If the look comes between the two, the end is never seen, and whoever waits for it hangs.

The test's own limit of 60 s stays.

--- a/packages/savorylead-standins/savorylead_standins/loopback.py
+++ b/packages/savorylead-standins/savorylead_standins/loopback.py
@@ -8,10 +8,15 @@
 
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
+from twisted.internet.process import reapAllProcesses
+from twisted.internet.task import LoopingCall
 from twisted.internet.threads import blockingCallFromThread
 
 T = TypeVar("T")
 
+#: Time between two looks for processes that have ended. A reactor in a thread hears no
+#: SIGCHLD, and one look when the pipes close may come before the process is over.
+REAP_EVERY_S = 0.1
 #: Keeps a test that would hang from hanging the whole run.
 LIMIT_S = 60.0
 _lock = threading.Lock()
@@ -37,6 +42,8 @@
             return
         started = threading.Event()
         reactor.callWhenRunning(started.set)
+        reaping = LoopingCall(reapAllProcesses)
+        reactor.callWhenRunning(reaping.start, REAP_EVERY_S)
         threading.Thread(
             target=reactor.run, args=(False,), name="reactor", daemon=True
         ).start()
