--- a/packages/savorylead-ctl/savorylead_ctl/tests/test_explain.py
+++ b/packages/savorylead-ctl/savorylead_ctl/tests/test_explain.py
@@ -82,6 +82,14 @@
             line(4.0, "edge-3", "lead_began", pool="pool", term=4),
             "another daemon began to lead the pool",
         ),
+        (
+            line(4.0, "edge-3", "load_repeated", pool="pool", prefix="in/pool/"),
+            "the next lead could not read the pool's records yet",
+        ),
+        (
+            line(4.0, "edge-3", "lead_handed_over", pool="pool", outcome="deleted"),
+            "the lead gave the pool up to another daemon",
+        ),
         (
             line(5.0, "edge-1", "worker_unreachable", worker="w1"),
             "a worker could not be reached",
