--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_slow_takeover.py
@@ -0,0 +1,55 @@
+"""What a takeover that takes long costs."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from savorylead.clock import Clock
+from savorylead.pools import RunEnd, StorePage
+from savorylead_daemon.pool._keys import intake_prefix, progress_prefix
+from savorylead_standins.pools import MemoryCellStore, PoolCell, StoreView, job_spec
+
+from .cell_cases import READY_S
+
+POOL = "pool"
+#: What 800 jobs take on a link of 5 Mbit/s that carries nothing else.
+LOAD = timedelta(seconds=4.6)
+JOBS = 16
+
+
+class SlowListings(StoreView):
+    """The store over a link on which the records of jobs take long."""
+
+    def __init__(self, store: MemoryCellStore, clock: Clock) -> None:
+        super().__init__(store)
+        self._clock = clock
+        self.took = timedelta(0)
+
+    async def page(self, prefix: str, after: str = "") -> StorePage:
+        """Return the next keys, those of jobs after a time."""
+        if prefix in (intake_prefix(POOL), progress_prefix(POOL)):
+            await self._clock.sleep(self.took)
+        return await super().page(prefix, after)
+
+
+def test_tasks_run_on_while_a_new_lead_reads_its_records() -> None:
+    # Leases of tasks hold for 4.5 s, of which the former lead's lease takes 2 s, and
+    # nobody renews them before all records are read.
+    cell = PoolCell(nodes=0, workers=4)
+    views = []
+    for number in range(3):
+        view = SlowListings(cell.store, cell.clock)
+        cell.views[f"node-{number}"] = view
+        views.append(view)
+        cell.start_node(f"node-{number}")
+    cell.workers.length_of = lambda _: timedelta(seconds=30)
+    cell.run(READY_S)
+    for number in range(JOBS):
+        cell.submit(f"job{number}", job_spec(), "node-1")
+    cell.run(2.0)
+    for view in views:
+        view.took = LOAD
+    cell.kill(cell.lead_of())
+    cell.run(12.0)
+    assert [how for _, _, how in cell.workers.ends if how is RunEnd.LAPSED] == []
+    assert len(cell.workers.records) == JOBS
