--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_cut_from_workers.py
@@ -0,0 +1,57 @@
+"""A strong machine that reaches the store and the daemons, but no worker."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import Any, NoReturn
+
+from savorylead.clock import Clock
+from savorylead.jobs import JobState
+from savorylead.pools import WorkerNotReachedError
+from savorylead_daemon.pool.node import Machine
+from savorylead_standins.pools import PoolCell, job_spec
+
+from .cell_cases import states
+
+STRONG = Machine(2.15, 100.0, 550)
+WEAK = Machine(0.5, 5.0, 200)
+JOBS = 20
+
+
+class NoWorkers:
+    """Workers of which none can be connected to."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+
+    def keep_only(self, worker_ids: frozenset[str]) -> None:
+        """Do nothing."""
+
+    async def _fail(self, *args: Any) -> NoReturn:
+        await self._clock.sleep(timedelta(milliseconds=400))
+        raise WorkerNotReachedError("connecting took too long")
+
+    start = stop = pace = hold = _fail
+
+
+def test_a_pool_does_not_stay_with_a_lead_that_reaches_no_worker() -> None:
+    # The weak lead gives a pool that it serves up to the strong machine, whose lead
+    # renews its lease for ever and starts nothing.
+    cell = PoolCell(
+        nodes=0, machines={"node-0": WEAK, "node-1": WEAK, "node-2": STRONG}
+    )
+    cell.start_node("node-0")
+    cell.start_node("node-1")
+    cell.run(1.0)
+    cell.submit("first", job_spec(), "node-1")
+    cell.run(3.0)
+    assert states(cell, ["first"]) == {"first": JobState.COMPLETED}
+    workers, cell.workers = cell.workers, NoWorkers(cell.clock)
+    cell.start_node("node-2")
+    cell.workers = workers
+    cell.run(3.0)
+    jobs = [f"job{number}" for number in range(JOBS)]
+    for job in jobs:
+        cell.submit(job, job_spec(), "node-1")
+    cell.run(15.0)
+    assert set(states(cell, jobs).values()) == {JobState.COMPLETED}
