Share reads of the configuration, and bound what is taken for fresh between them

Each unknown key of a caller read all of it, so that renewals of the lease found no connection: 2 s of 12 without a proved lease. After a read that other traffic had slowed, changes alone were asked for without a bound: a withdrawn key counted for 8.1 and 10.7 s where the changes missed it. And an answer that was arriving counted as silence of the store for 16 % of the time.

Why this works: calls share the read that is under way, and one that took longer than a configuration counts as fresh confirms nothing; changes alone are asked for during 1.5 s at the most; a whole read may take one and a half times as long as the one before.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_config_feed.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_config_feed.py
@@ -28,6 +28,9 @@
 #: took. A large configuration takes no more than a third of the link; one that is read
 #: at once is always read whole, since what tells of changes may miss some.
 FOLLOW_FACTOR = 2.0
+#: That is at most this long, since changes that are missed meanwhile are not seen: with
+#: the time for which a read counts as fresh, less than a withdrawn key may be used.
+FOLLOW_MOST = timedelta(milliseconds=1_500)
 #: Time until a failed read is repeated.
 RETRY_AFTER = timedelta(milliseconds=150)
 #: Age of the last confirming read after which the store counts as out of reach: one
@@ -36,6 +39,8 @@
 #: Time for which one read may be unanswered until the store counts as out of reach; a
 #: store that is eighty times as slow as usual answers within half of it.
 SUSPECT_AFTER = timedelta(milliseconds=600)
+#: A whole read may take this many times as long as the one before it.
+WHOLE_READ_SPREAD = 1.5
 
 
 class ConfigFeed:
@@ -67,6 +72,11 @@
         self._decoded_revision = 0
         #: Store revision up to which changes of the key are known.
         self._followed_revision = 0
+        #: How long the last whole read took.
+        self._whole_took = timedelta(0)
+        #: Who waits for the read that is under way.
+        self._waiting: list[Deferred[bool]] = []
+        self._reading: Deferred[None] | None = None
         #: Until when changes alone are asked for.
         self._follow_until = clock.now()
         self.document: CellDocument | None = None
@@ -81,8 +91,9 @@
 
     def stop(self) -> None:
         """End reading."""
-        if self._running is not None:
-            self._running.cancel()
+        for running in (self._running, self._reading):
+            if running is not None:
+                running.cancel()
 
     def set_fresh_for(self, fresh_for: timedelta) -> None:
         """Take over how long a confirming read counts."""
@@ -104,7 +115,10 @@
         if age is None or age >= SILENT_AFTER:
             return False
         since = self._waiting_since
-        return since is None or self._clock.now() - since < SUSPECT_AFTER
+        # A large configuration takes as long to arrive as it did before.
+        usual = min(self._whole_took * WHOLE_READ_SPREAD, SILENT_AFTER)
+        patience = max(SUSPECT_AFTER, usual)
+        return since is None or self._clock.now() - since < patience
 
     def age(self) -> timedelta | None:
         """Return the time since the last confirming read was sent; None before."""
@@ -127,7 +141,29 @@
         return best
 
     async def read_now(self) -> bool:
-        """Read once; return whether the store confirmed what is now in force."""
+        """Read once; return whether the store confirmed what is now in force.
+
+        Calls that come while a read is under way share it: each unknown key of a caller
+        asks for one, and reads of a large configuration fill a thin link.
+        """
+        turn: Deferred[bool] = Deferred()
+        self._waiting.append(turn)
+        if len(self._waiting) == 1:
+            self._reading = spawn("read of the configuration", self._read_for_all())
+        return await turn
+
+    async def _read_for_all(self) -> None:
+        confirmed = False
+        try:
+            # What a read that took too long confirmed may be old by now.
+            confirmed = await self._read_once() and self.is_fresh()
+        finally:
+            waiting, self._waiting = self._waiting, []
+            for turn in waiting:
+                if not turn.called:
+                    turn.callback(confirmed)
+
+    async def _read_once(self) -> bool:
         sent_at = self._clock.now()
         try:
             if not await self._read(sent_at):
@@ -163,7 +199,8 @@
         page = await self._store.page(self._source.key)
         took = self._clock.now() - now
         self._followed_revision = page.revision
-        self._follow_until = self._clock.now() + FOLLOW_FACTOR * took
+        self._whole_took = took
+        self._follow_until = self._clock.now() + min(FOLLOW_FACTOR * took, FOLLOW_MOST)
         item = next((i for i in page.items if i.key == self._source.key), None)
         return item is not None and self._decode(item.value, item.revision)
 
