--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_ended_lead.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_ended_lead.py
@@ -17,6 +17,7 @@
 from savorylead_daemon.pool import _pool_lead, node as node_module
 from savorylead_daemon.pool._keys import (
     GRANTS_KEY,
+    intake_prefix,
     lead_key,
     progress_prefix,
     workers_key,
@@ -208,6 +209,10 @@
     return call.what == "commit" and len(call.args) > 2
 
 
+def reads(prefix: str) -> Callable[[Call], bool]:
+    return lambda call: call.what == "page" and call.args[0] == prefix
+
+
 def is_call(what: str) -> Callable[[Call], bool]:
     return lambda call: call.what == what
 
@@ -259,8 +264,8 @@
 @pytest.mark.parametrize(
     ("prepare", "is_meant"),
     [
-        (start_anew, is_call("list")),
-        (start_anew, is_call("get")),
+        (start_anew, reads(intake_prefix("pool"))),
+        (start_anew, reads(workers_key("pool"))),
         (lambda _: None, is_call("changes")),
         (list_new_worker, writes_workers),
         (submit, writes_progress),
