--- a/packages/savorylead-daemon/savorylead_daemon/pool/_config_feed.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_config_feed.py
@@ -28,8 +28,8 @@
 #: took. A large configuration takes no more than a third of the link; one that is read
 #: at once is always read whole, since what tells of changes may miss some.
 FOLLOW_FACTOR = 2.0
-#: That is at most this long, since changes that are missed meanwhile are not seen: with
-#: the time for which a read counts as fresh, less than a withdrawn key may be used.
+#: The longest such time. A change that is missed in it is seen after it, so a withdrawn
+#: key is used for no longer than this and the time for which a read counts as fresh.
 FOLLOW_MOST = timedelta(milliseconds=1_500)
 #: Time until a failed read is repeated.
 RETRY_AFTER = timedelta(milliseconds=150)
