Resume no waiting coroutine while the one it waits for is collected

Cause: shared reads of the configuration and turns of first looks called back whoever waits in a finally clause. That also runs when Python collects a cell that an earlier test left, and the waiting coroutines are closed by then. A daemon is not touched: its coroutines end by cancellation.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_config_feed.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_config_feed.py
@@ -153,15 +153,19 @@
         return await turn
 
     async def _read_for_all(self) -> None:
-        confirmed = False
         try:
             # What a read that took too long confirmed may be old by now.
             confirmed = await self._read_once() and self.is_fresh()
-        finally:
-            waiting, self._waiting = self._waiting, []
-            for turn in waiting:
-                if not turn.called:
-                    turn.callback(confirmed)
+        except Exception:
+            self._answer_waiting(False)
+            raise
+        self._answer_waiting(confirmed)
+
+    def _answer_waiting(self, confirmed: bool) -> None:
+        waiting, self._waiting = self._waiting, []
+        for turn in waiting:
+            if not turn.called:
+                turn.callback(confirmed)
 
     async def _read_once(self) -> bool:
         sent_at = self._clock.now()
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -310,12 +310,7 @@
 
     async def _claim(self) -> None:
         """Look for the first time, when it is this worker's turn."""
-        await self._answers.claims.acquire()
-        try:
-            if self._owner.may_act():
-                await self._look()
-        finally:
-            self._answers.claims.release()
+        await self._answers.claims.run(lambda: Deferred.fromCoroutine(self._look()))
 
     async def _look(self) -> None:
         deadline_ms = None
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_ended_lead.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_ended_lead.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 from collections.abc import Callable, Iterator
 from datetime import timedelta
 from typing import Any, NamedTuple
@@ -389,3 +390,16 @@
     cell.run(WATCHED_S)
     own = {"pool": "pool", "term": 1}
     assert lines == [("lead_writes_dropped", {**own, **row}) for row in dropped]
+
+
+@pytest.mark.parametrize("silent", [False, True])
+def test_nothing_that_is_collected_resumes_what_is_collected_too(silent: bool) -> None:
+    # A coroutine that is collected runs its "finally"; what that called back was over.
+    for number in range(6):
+        cell = PoolCell(workers=24, seed=number)
+        cell.run(0.05 + 0.02 * number)
+        submit(cell)
+        cell.store.silent = silent
+        cell.run(0.9)
+        del cell
+        gc.collect()
