Read pages in one place, and bound a page of the store in memory by bytes too

A takeover and CellStore.list had the same loop, and the stand-in's pages were bounded by items alone, kinder than the platform's.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
@@ -23,6 +23,7 @@
     Put,
     StorePage,
     WorkerEntry,
+    read_pages,
 )
 from savorylead.store import Snapshot, StoreError
 from savorylead_daemon.concurrency import TaskSet, gather
@@ -181,13 +182,7 @@
 
     async def _read_all(self, prefix: str) -> Snapshot:
         """Return all keys below a prefix; what was read is kept if a page fails."""
-        page = await self._read_page(prefix, "")
-        pages = [page]
-        while page.has_more:
-            page = await self._read_page(prefix, page.items[-1].key)
-            pages.append(page)
-        items = tuple(item for page in pages for item in page.items)
-        return Snapshot(items, pages[0].revision)
+        return await read_pages(self._read_page, prefix)
 
     async def _read_page(self, prefix: str, after: str) -> StorePage:
         while True:
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_cell_store.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_cell_store.py
@@ -31,8 +31,9 @@
 DELAY = timedelta(milliseconds=2)
 #: After this long a call without an answer is given up, as the adapter does it.
 GIVE_UP = timedelta(seconds=1)
-#: Most items of one page.
+#: Most items of one page, and most bytes of its values before the last item.
 PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
 #: Most entries of a transaction.
 MAX_ENTRIES = 32
 
@@ -204,8 +205,13 @@
             for item in self._store.items.values()
             if item.key.startswith(prefix) and item.key > after
         )
+        fitting = 0
+        size = 0
+        while fitting < min(len(items), PAGE_ITEMS) and size < PAGE_BYTES:
+            size += len(items[fitting].value)
+            fitting += 1
         page = StorePage(
-            tuple(items[:PAGE_ITEMS]), self._store.revision, len(items) > PAGE_ITEMS
+            tuple(items[:fitting]), self._store.revision, len(items) > fitting
         )
         await self._answer()
         return page
--- a/packages/savorylead/savorylead/pools/__init__.py
+++ b/packages/savorylead/savorylead/pools/__init__.py
@@ -56,6 +56,7 @@
     Put,
     StorePage,
     StoreRefusedError,
+    read_pages,
 )
 from ._urgency import Urgency, urgency_of
 
@@ -121,6 +122,7 @@
     "decode_grants",
     "encode_grants",
     "held_by",
+    "read_pages",
     "reconcile",
     "stalled_runs",
     "urgency_of",
--- a/packages/savorylead/savorylead/pools/_store_contracts.py
+++ b/packages/savorylead/savorylead/pools/_store_contracts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import NamedTuple
@@ -78,6 +78,20 @@
     ttl: timedelta
 
 
+async def read_pages(
+    read_page: Callable[[str, str], Awaitable[StorePage]], prefix: str
+) -> Snapshot:
+    """Return all keys below ``prefix`` by ``read_page(prefix, after)``.
+
+    The revision is the one of the first page. Raises what ``read_page`` does.
+    """
+    pages = [await read_page(prefix, "")]
+    while pages[-1].has_more:
+        pages.append(await read_page(prefix, pages[-1].items[-1].key))
+    items = tuple(item for page in pages for item in page.items)
+    return Snapshot(items, pages[0].revision)
+
+
 class CellStore(ABC):
     """The platform's store, with transactions over several keys.
 
@@ -96,11 +110,7 @@
 
     async def list(self, prefix: str) -> Snapshot:
         """Return all keys below ``prefix``, and the lowest revision of the pages."""
-        pages = [await self.page(prefix)]
-        while pages[-1].has_more:
-            pages.append(await self.page(prefix, pages[-1].items[-1].key))
-        items = tuple(item for page in pages for item in page.items)
-        return Snapshot(items, pages[0].revision)
+        return await read_pages(self.page, prefix)
 
     @abstractmethod
     async def changes(
