--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -4,7 +4,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
-from datetime import datetime, timedelta
+from datetime import timedelta
 
 from twisted.internet.defer import Deferred
 
@@ -32,6 +32,7 @@
 from savorylead_daemon.settings import LogLevel
 
 from ._worker_answers import WorkerAnswers
+from ._worker_clock import WorkerClock
 
 #: How long a worker keeps its runs without being renewed. It must outlast a change
 #: of the lead: a store lease of 2 s, the election and the claim.
@@ -39,8 +40,6 @@
 #: How long a start order is valid. A worker executes an order whose answer was lost
 #: up to 12 s late, and refuses it after this time.
 ORDER_VALID_MS = 1_500
-#: A worker's clock may be this much slow.
-CLOCK_DRIFT = 0.02
 #: Longest wait of one renewal for an end; also the time between renewals.
 RENEW_WAIT = timedelta(milliseconds=1_000)
 #: The same while tasks that serve share the worker with tasks that fill.
@@ -123,10 +122,7 @@
         self._look_soon = False
         self._tasks = TaskSet()
         self._born_ms = 0
-        self._clock_ms = 0
-        self._clock_read_at: datetime | None = None
-        #: On the worker's clock: the latest deadline that it was told.
-        self._lease_until_ms = 0
+        self._worker_clock = WorkerClock(clock)
         self._seen = 0
         #: Ends up to this one are durable here and may be released.
         self._durable = 0
@@ -149,14 +145,6 @@
         self._look_soon = True
         self._wakeup.wake()
 
-    def worker_clock_ms(self) -> int:
-        """Return the worker's clock, at most as far as it surely is."""
-        if self._clock_read_at is None:
-            return 0
-        elapsed = self._clock.now() - self._clock_read_at
-        elapsed_ms = elapsed.total_seconds() * 1000 * (1 - CLOCK_DRIFT)
-        return self._clock_ms + int(elapsed_ms)
-
     async def start_run(
         self, run: Run, order: RunOrder
     ) -> RunStarted | RunRejected | None:
@@ -164,9 +152,8 @@
 
         Raises WorkerNotReachedError if it surely did not.
         """
-        deadline_ms = self.worker_clock_ms() + ORDER_VALID_MS
+        deadline_ms = self._worker_clock.extend_lease(ORDER_VALID_MS)
         run.void_clock_ms = deadline_ms + 1
-        self._lease_until_ms = max(self._lease_until_ms, deadline_ms)
         order = order._replace(deadline_ms=deadline_ms)
         try:
             result = await self._calls.start(
@@ -316,10 +303,9 @@
         deadline_ms = None
         # A worker that does not answer may hear all the same. Were its lease renewed,
         # what runs there would never be surely over.
-        answers = self._clock_read_at is not None and not self._misses
+        answers = self._worker_clock.is_known and not self._misses
         if answers and self.worker.runs:
-            deadline_ms = self.worker_clock_ms() + WORKER_LEASE_MS
-            self._lease_until_ms = max(self._lease_until_ms, deadline_ms)
+            deadline_ms = self._worker_clock.extend_lease(WORKER_LEASE_MS)
         asked_at_ms = to_millis(self._clock.now())
         released = self._durable
         report = await self._hold(released, deadline_ms, self._wait())
@@ -346,8 +332,8 @@
 
     def _take(self, report: WorkerReport, asked_at_ms: int) -> None:
         """Take over a report, unless a later one came before it."""
-        is_older = report.clock_ms < self._clock_ms
-        if is_older and self._born_ms == report.born_ms and self._clock_read_at:
+        is_older = self._worker_clock.is_older(report.clock_ms)
+        if is_older and self._born_ms == report.born_ms:
             return
         self._heard(report)
         findings = reconcile(self.worker, report, self._seen, asked_at_ms)
@@ -383,8 +369,7 @@
         if self._born_ms and report.born_ms != self._born_ms:
             self._reborn(report)
         self._born_ms = report.born_ms
-        self._clock_ms = report.clock_ms
-        self._clock_read_at = self._clock.now()
+        self._worker_clock.read(report.clock_ms)
 
     def _reborn(self, report: WorkerReport) -> None:
         """Take over that nothing of the earlier incarnation runs any more."""
@@ -392,7 +377,7 @@
             LogLevel.INFO, "worker_reborn", worker=self.worker.id, born=report.born_ms
         )
         self._seen = self._durable = self._released = 0
-        self._lease_until_ms = 0
+        self._worker_clock.forget_lease()
         gone = []
         for run in list(self.worker.runs.values()):
             if run.confirmed_at_ms:
@@ -408,7 +393,7 @@
     def _note_failure(self, exc: Exception) -> None:
         self._misses += 1
         if self._misses == 1:
-            if isinstance(exc, WorkerTimeoutError) and self._clock_read_at is not None:
+            if isinstance(exc, WorkerTimeoutError) and self._worker_clock.is_known:
                 self._answers.note_lost()
             self._log.log_event(
                 LogLevel.INFO,
@@ -418,8 +403,6 @@
                 detail=f"{type(exc).__name__}: {exc}",
             )
         self.worker.usable = False
-        if self._clock_read_at is None or not self.worker.runs:
-            return
-        if self.worker_clock_ms() > self._lease_until_ms:
+        if self.worker.runs and self._worker_clock.lease_is_over():
             runs = list(self.worker.runs.values())
             self._owner.lost(self, runs, "worker_lease_lapsed")
