Renew workers while a new lead still reads its records

Callers of long tasks saw all of them start again after a change of the lead on a thin link: 16 of 16 lapsed during a load of 4.6 s. Cause: sessions with workers began only once all records were read, and leases hold for 4.5 s, of which the former lead's lease and the election take 2 s.

The record of workers is read beside the jobs. If these take over 500 ms, the workers in it are renewed without judging what they report.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -62,6 +62,17 @@
         self._loaded = True
         for each in recorded:
             self._open_session(each.entry)
+        for session in self._state.sessions.values():
+            session.look_soon()
+
+    def renew(self, recorded: Sequence[RecordedWorker]) -> None:
+        """Keep what runs there, before it is known what should.
+
+        Load pattern: a new lead on a thin link reads its records for longer than the
+        leases of workers hold that the former lead renewed last.
+        """
+        for each in recorded:
+            self._open_session(each.entry)
 
     def close(self) -> None:
         """Send nothing any more."""
@@ -151,9 +162,8 @@
             return True
         if not self._loaded:
             return False
-        waited = self._clock.now() - self._began_at >= UNREACHED_WAIT
         sessions = [self._state.sessions.get(w) for w in self._to_locate]
-        if waited or all(s is None or s.claimed for s in sessions):
+        if not any(s is not None and self._may_hide_runs(s) for s in sessions):
             self._located = True
             self._log.log_event(
                 LogLevel.INFO,
@@ -168,6 +178,14 @@
             )
         return self._located
 
+    def _may_hide_runs(self, session: WorkerSession) -> bool:
+        """Return whether runs of earlier leads may go on that are not known here."""
+        if session.claimed:
+            return False
+        if session.was_renewed:
+            return not session.lease_is_over()
+        return self._clock.now() - self._began_at < UNREACHED_WAIT
+
     def _leave_in_time(self) -> None:
         """Move what a leaving worker would otherwise end."""
         for session in self._state.sessions.values():
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -40,7 +40,7 @@
 from ._cell_lease import CellLease
 from ._grant_keeper import GrantKeeper
 from ._pool_fleet import PoolFleet
-from ._pool_records import PoolRecords
+from ._pool_records import LoadedPool, PoolRecords, RecordedWorker
 from ._pool_state import PoolState
 from ._progress_log import ProgressLog
 from ._report_judge import ReportJudge
@@ -55,6 +55,9 @@
 PLAN_PAUSE_FACTOR = 2.0
 #: Longest time without a pass, since tickets, rests and deadlines end by themselves.
 PLAN_AT_LEAST = timedelta(milliseconds=250)
+#: Workers are renewed before the jobs are loaded if that takes longer. A strong machine
+#: takes less than 0.3 s, and looks at each worker once.
+RENEW_AFTER = timedelta(milliseconds=500)
 #: Time between two lines on the same team at its limit.
 SHORT_LOG_EVERY = timedelta(seconds=1)
 #: Longest wait of a caller for a final state to become durable.
@@ -256,8 +259,26 @@
 
     async def _load(self) -> None:
         began_at = self._clock.now()
-        loaded = await self._records.load()
+        loaded = await self._records.load(self._renew_meanwhile)
+        self._restore(loaded)
+        self.loaded = True
         self._fleet.load(loaded.workers)
+        if self._listed is not None:
+            self._fleet.set_workers(self._listed)
+        self._log.log_event(
+            LogLevel.INFO,
+            "lead_loaded",
+            pool=self.term.pool,
+            term=self.fence,
+            jobs=len(self._state.jobs.jobs),
+            open_jobs=len(self._state.jobs.open),
+            workers=len(self._state.sessions),
+            took_ms=to_millis(self._clock.now()) - to_millis(began_at),
+        )
+        self._plan_soon()
+
+    def _restore(self, loaded: LoadedPool) -> None:
+        """Take in the jobs that earlier leads and the gateways left."""
         now_ms = self._state.now_ms()
         # In the order in which they came, or all of them would count as come now.
         for record, revision in sorted(
@@ -274,20 +295,18 @@
                     self._state.jobs.open.pop(job.id, None)
             if record.id in loaded.cancelled:
                 self._cancelled(record.id)
-        self.loaded = True
-        if self._listed is not None:
-            self._fleet.set_workers(self._listed)
-        self._log.log_event(
-            LogLevel.INFO,
-            "lead_loaded",
-            pool=self.term.pool,
-            term=self.fence,
-            jobs=len(self._state.jobs.jobs),
-            open_jobs=len(self._state.jobs.open),
-            workers=len(self._state.sessions),
-            took_ms=to_millis(self._clock.now()) - to_millis(began_at),
-        )
-        self._plan_soon()
+
+    def _renew_meanwhile(self, workers: Sequence[RecordedWorker]) -> None:
+        async def renew() -> None:
+            await self._clock.sleep(RENEW_AFTER)
+            if not self.loaded:
+                self._fleet.renew(workers)
+
+        self._tasks.spawn("renewal while records are read", renew())
+
+    def takes_reports(self) -> bool:
+        """Return whether reports can be judged, since the jobs are known."""
+        return self.loaded
 
     def _take_in(self, record: JobRecord, revision: int) -> None:
         if record.id in self._state.jobs.jobs:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
@@ -104,8 +104,14 @@
         lists = [self._recorded, *self._unclear]
         return all(worker_id in workers for workers in lists)
 
-    async def load(self) -> LoadedPool:
-        """Return all records; repeats each read that fails until it has them."""
+    async def load(
+        self, on_workers: Callable[[Sequence[RecordedWorker]], None]
+    ) -> LoadedPool:
+        """Return all records; repeats each read that fails until it has them.
+
+        ``on_workers(workers)`` is called with the recorded workers as soon as they
+        are read, which is before the jobs where there are many of these.
+        """
         # Earlier leads can write none of these any more, so the order is no matter,
         # and one after the other takes a second while the store is slow.
         pool = self._term.pool
@@ -113,10 +119,10 @@
             [
                 self._read_all(intake_prefix(pool)),
                 self._read_all(progress_prefix(pool)),
-                self._read_all(workers_key(pool)),
+                self._read_workers(on_workers),
             ]
         )
-        loaded = LoadedPool([], set(), {}, [])
+        loaded = LoadedPool([], set(), {}, workers)
         for item in jobs.items:
             job = self._job_of(item.key, item.value, loaded.cancelled.add)
             if job is not None:
@@ -124,11 +130,6 @@
         for item in progress.items:
             saved = SavedProgress(decode_progress(item.key, item.value), item.revision)
             loaded.progress[item.key.removeprefix(progress_prefix(pool))] = saved
-        for item in workers.items:
-            if item.key == workers_key(pool):
-                recorded = msgspec.json.decode(item.value, type=list[RecordedWorker])
-                loaded.workers.extend(recorded)
-                self._workers_revision = item.revision
         self._revision = jobs.revision
         return loaded
 
@@ -180,6 +181,18 @@
             )
             return None
 
+    async def _read_workers(
+        self, on_workers: Callable[[Sequence[RecordedWorker]], None]
+    ) -> list[RecordedWorker]:
+        key = workers_key(self._term.pool)
+        recorded: list[RecordedWorker] = []
+        for item in (await self._read_all(key)).items:
+            if item.key == key:
+                recorded = msgspec.json.decode(item.value, type=list[RecordedWorker])
+                self._workers_revision = item.revision
+        on_workers(recorded)
+        return recorded
+
     async def _read_all(self, prefix: str) -> Snapshot:
         """Return all keys below a prefix; what was read is kept if a page fails."""
         return await read_pages(self._read_page, prefix)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_clock.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_clock.py
@@ -26,6 +26,11 @@
         """Whether the worker has told its time."""
         return self._read_at is not None
 
+    @property
+    def has_lease(self) -> bool:
+        """Whether the worker may have been told a deadline."""
+        return self._lease_until_ms > 0
+
     def read(self, clock_ms: int) -> None:
         """Take note of the time that the worker told just now."""
         self._read_ms = clock_ms
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from datetime import timedelta
+from typing import Any
 
 from twisted.internet.defer import Deferred
 
@@ -78,6 +79,10 @@
     def may_act(self) -> bool:
         """Return whether this daemon surely still leads."""
 
+    @abstractmethod
+    def takes_reports(self) -> bool:
+        """Return whether reports can be judged; before, workers are only renewed."""
+
     @abstractmethod
     def superseded(self) -> None:
         """Take note that a later lead has used a worker."""
@@ -127,6 +132,8 @@
         #: Ends up to this one are durable here and may be released.
         self._durable = 0
         self._released = 0
+        #: Whether runs of an earlier lead go on while this one reads its records.
+        self._is_renewed = False
         #: Looks that failed, one after the other.
         self._misses = 0
         #: Orders without an answer since the last report.
@@ -145,6 +152,15 @@
         self._look_soon = True
         self._wakeup.wake()
 
+    @property
+    def was_renewed(self) -> bool:
+        """Whether this lead may have told the worker a deadline."""
+        return self._worker_clock.has_lease
+
+    def lease_is_over(self) -> bool:
+        """Return whether nothing can run there under a deadline of this lead."""
+        return self._worker_clock.lease_is_over()
+
     async def start_run(
         self, run: Run, order: RunOrder
     ) -> RunStarted | RunRejected | None:
@@ -269,11 +285,13 @@
                 await self._wakeup.wait(IDLE_LOOK)
                 continue
             self._look_soon = False
+            takes_reports = self._owner.takes_reports()
+            look = self._look if takes_reports else self._renew
             try:
-                if self.claimed or self._misses:
-                    await self._look()
+                if self._worker_clock.is_known or self._misses:
+                    await look()
                 else:
-                    await self._claim()
+                    await self._in_turn(look)
             except StaleFenceError:
                 self._owner.superseded()
                 return
@@ -282,7 +300,9 @@
                 if self._misses != 1:
                     await self._clock.sleep(RETRY_AFTER)
                 continue
-            if self._seen != self._durable:
+            if not takes_reports:
+                await self._wakeup.wait(RENEW_WAIT if self._is_renewed else _NO_WAIT)
+            elif self._seen != self._durable:
                 await self._wakeup.wait(UNRELEASED_LOOK)
             elif any(r.state is RunState.STOPPING for r in self.worker.runs.values()):
                 await self._wakeup.wait(STOPPING_LOOK)
@@ -295,9 +315,18 @@
             and not self._misses
         )
 
-    async def _claim(self) -> None:
+    async def _in_turn(self, look: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Look for the first time, when it is this worker's turn."""
-        await self._answers.claims.run(lambda: Deferred.fromCoroutine(self._look()))
+        await self._answers.claims.run(lambda: Deferred.fromCoroutine(look()))
+
+    async def _renew(self) -> None:
+        """Renew whatever runs there; what the worker reports can't be judged yet."""
+        deadline_ms = None
+        if self._worker_clock.is_known and not self._misses:
+            deadline_ms = self._worker_clock.extend_lease(WORKER_LEASE_MS)
+        report = await self._hold(0, deadline_ms, _NO_WAIT)
+        self._is_renewed = deadline_ms is not None or not report.active
+        self._heard(report)
 
     async def _look(self) -> None:
         deadline_ms = None
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
@@ -58,6 +58,8 @@
         self.began_at = began_at
         self.resources = cores
         self.timer: Any = None
+        #: When it began to work; a member of a gang waits for the others before.
+        self.works_since: datetime | None = None
 
 
 class MemoryMachine:
@@ -157,6 +159,7 @@
         run = self.active[key]
         if run.timer is not None:
             run.timer.cancel()
+        run.works_since = self._clock.now()
         length = self._owner.length_of(run.order.task)
         run.timer = self._clock.call_later(length, self._finish, key)
 
@@ -188,13 +191,20 @@
     def report(self) -> WorkerReport:
         """Return what runs and what ended."""
         active = tuple(
-            ActiveRun(r.order.task, r.order.number, "", 50, 0)
+            ActiveRun(r.order.task, r.order.number, "", self._percent(r), 0)
             for r in self.active.values()
         )
         return WorkerReport(
             self.clock_ms(), self.entry.born_ms, active, tuple(self.ended), False
         )
 
+    def _percent(self, run: _Active) -> int:
+        """Return how far a run is."""
+        if run.works_since is None:
+            return 0
+        length = self._owner.length_of(run.order.task)
+        return min(99, int(100 * (self._clock.now() - run.works_since) / length))
+
     def end_is_void(self, name: str) -> bool:
         """Return whether the lease lapsed before the end of a task was released.
 
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_slow_takeover.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_slow_takeover.py
@@ -4,6 +4,8 @@
 
 from datetime import timedelta
 
+import pytest
+
 from savorylead.clock import Clock
 from savorylead.pools import RunEnd, StorePage
 from savorylead_daemon.pool._keys import intake_prefix, progress_prefix
@@ -32,9 +34,8 @@
         return await super().page(prefix, after)
 
 
-def test_tasks_run_on_while_a_new_lead_reads_its_records() -> None:
-    # Leases of tasks hold for 4.5 s, of which the former lead's lease takes 2 s, and
-    # nobody renews them before all records are read.
+def slow_cell() -> tuple[PoolCell, list[SlowListings]]:
+    """Return a cell with 16 long tasks, and its nodes' views of the store."""
     cell = PoolCell(nodes=0, workers=4)
     views = []
     for number in range(3):
@@ -47,9 +48,35 @@
     for number in range(JOBS):
         cell.submit(f"job{number}", job_spec(), "node-1")
     cell.run(2.0)
+    return cell, views
+
+
+def test_tasks_run_on_while_a_new_lead_reads_its_records() -> None:
+    # Leases of tasks hold for 4.5 s, of which the former lead's lease takes 2 s.
+    # Nobody renewed them before all records were read.
+    cell, views = slow_cell()
     for view in views:
         view.took = LOAD
     cell.kill(cell.lead_of())
     cell.run(12.0)
     assert [how for _, _, how in cell.workers.ends if how is RunEnd.LAPSED] == []
     assert len(cell.workers.records) == JOBS
+
+
+@pytest.mark.parametrize("cut_after_s", [2.5, 4.0, 5.5, 6.2, 7.0])
+def test_a_worker_that_is_cut_off_during_a_load_keeps_its_tasks_until_they_lapse(
+    cut_after_s: float,
+) -> None:
+    # What a lead renews before it knows the jobs holds for longer than the former
+    # lead's last renewal.
+    cell, views = slow_cell()
+    for view in views:
+        view.took = LOAD
+    cell.kill(cell.lead_of())
+    cell.run(cut_after_s)
+    cell.workers.machines["w0"].is_cut = True
+    on_cut = {r.task for r in cell.workers.records if r.worker == "w0"}
+    cell.run(14.0)
+    assert cell.workers.breaches == []
+    again = {r.task for r in cell.workers.records if r.number > 1}
+    assert again == on_cut
