Have a lead that reaches no worker leave its pool to others

Callers of a pool waited without end while its lead reached the store and the daemons, but no worker: it renewed its lease for ever and started nothing (no job of 20 in 15 s). All 20 jobs complete. Where the workers are silent to everybody, leads leave the pool to each other; a second test shows that nothing runs twice then and all goes on afterwards.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
@@ -117,11 +117,11 @@
         self.hand_over.ended(pool)
         self._on_deposed(pool)
 
-    def give_way(self, pool: str) -> None:
-        """Leave a pool to others that this daemon leads and can't take up."""
+    def give_way(self, pool: str, reason: str) -> None:
+        """Leave a pool to others that this daemon leads and can't serve."""
         term = self.terms.get(pool)
         if term is not None:
-            self.hand_over.give_way(term)
+            self.hand_over.give_way(term, reason)
 
     def lease_lost(self) -> None:
         """Give up every term, since their keys ended with the lease."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_hand_over.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_hand_over.py
@@ -119,12 +119,12 @@
         """Return whether a lead key is one that this daemon deletes or has deleted."""
         return revision <= self._given_up.get(pool, 0)
 
-    def give_way(self, term: Term) -> None:
-        """Give a pool up that this daemon can't take up, to whoever can."""
+    def give_way(self, term: Term, reason: str) -> None:
+        """Give a pool up that this daemon can't serve, to whoever can."""
         if self._is_deleting or not self._lease.holds():
             return
         self._stand_back_until[term.pool] = self._clock.now() + STAND_BACK
-        self._give_up(term, "not_loaded", None)
+        self._give_up(term, reason, None)
 
     def must_stand_back(self, pool: str) -> bool:
         """Return whether others should have the pool first."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 from savorylead.clock import Clock
 from savorylead.jobs import Run
@@ -24,6 +24,11 @@
 #: A worker that is not listed any more is given up after this time, if it runs
 #: nothing. Entries that lapsed with the store are back two seconds after it.
 UNLISTED_WAIT = timedelta(milliseconds=2_500)
+#: A lead that no worker answers for this long leaves the pool to others: seven looks of
+#: 400 ms each. Workers of one failure domain are lost together, those of all are not.
+REACH_PATIENCE = timedelta(seconds=3)
+#: Fewer silent workers tell nothing of their lead.
+LEAST_SILENT = 2
 #: A task moves from a leaving worker that it would outlast, or nearly.
 LEAVING_MARGIN_MS = 500
 
@@ -55,6 +60,8 @@
         #: Workers that earlier leads may have used.
         self._to_locate: frozenset[str] = frozenset()
         self._unlisted_since: dict[str, int] = {}
+        #: Since when no worker has answered its last look.
+        self._silent_since: datetime | None = None
 
     def load(self, recorded: Sequence[RecordedWorker]) -> None:
         """Claim the workers that earlier leads may have used."""
@@ -145,6 +152,20 @@
         del self._state.workers[worker_id]
         del self._unlisted_since[worker_id]
 
+    def is_cut_off(self) -> bool:
+        """Return whether this daemon has reached no worker for too long."""
+        sessions = self._state.sessions.values()
+        is_silent = len(sessions) >= LEAST_SILENT and all(
+            session.is_silent for session in sessions
+        )
+        now = self._clock.now()
+        if not is_silent:
+            self._silent_since = None
+        elif self._silent_since is None:
+            self._silent_since = now
+        since = self._silent_since
+        return since is not None and now - since >= REACH_PATIENCE
+
     def hidden_room(self) -> Resources:
         """Return what runs that are not located yet may hold at most."""
         hidden = ZERO
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -82,8 +82,8 @@
     lease: CellLease
     #: How long states of ended jobs are told, in milliseconds.
     status_for_ms: int
-    #: Takes note of the pool that this daemon can't take up.
-    on_unloadable: Callable[[str], None]
+    #: Takes note of the pool that this daemon can't serve, and why.
+    on_unable: Callable[[str, str], None]
     #: Tells the other leads that they should look at the teams' limits.
     on_grants_written: Callable[[str], None]
 
@@ -200,8 +200,12 @@
             self._clock.call_later(timedelta(0), self._give_up)
 
     def _unloadable(self) -> None:
+        self._give_way("not_loaded")
+
+    def _give_way(self, reason: str) -> None:
         # At the next turn, since one of the lead's own tasks tells it.
-        self._clock.call_later(timedelta(0), self._parts.on_unloadable, self.term.pool)
+        tell = self._parts.on_unable
+        self._clock.call_later(timedelta(0), tell, self.term.pool, reason)
 
     def _give_up(self) -> None:
         if not self._tasks.is_closed:
@@ -380,7 +384,9 @@
     def _plan_now(self) -> None:
         self._plan_timer = None
         began = self._clock.now()
-        if self.may_act():
+        if self._fleet.is_cut_off():
+            self._give_way("workers_not_reached")
+        elif self.may_act():
             self._plan_once(to_millis(began))
         ended = self._clock.now()
         pause = max(PLAN_EVERY, (ended - began) * PLAN_PAUSE_FACTOR)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -152,6 +152,11 @@
         self._look_soon = True
         self._wakeup.wake()
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether the worker did not answer when it was last looked at."""
+        return self._misses > 0
+
     @property
     def was_renewed(self) -> bool:
         """Whether this lead may have told the worker a deadline."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -278,7 +278,7 @@
             ask_adviser=self._ask_adviser,
             advice_slots=lambda: self._router.slots(self._advice_names()),
             lease=self._lease,
-            on_unloadable=self._unloadable,
+            on_unable=self._unable,
             on_grants_written=self._grants_written,
             status_for_ms=self._settings.status_for // timedelta(milliseconds=1),
         )
@@ -295,10 +295,10 @@
     def _superseded(self, pool: str) -> None:
         self._elections.depose(pool, "superseded")
 
-    def _unloadable(self, pool: str) -> None:
+    def _unable(self, pool: str, reason: str) -> None:
         """Leave a pool to others, unless the store answers nobody."""
         if self.config.store_answers() and len(self.view.members) > 1:
-            self._elections.give_way(pool)
+            self._elections.give_way(pool, reason)
 
     def _workers_listed(self, entries: Sequence[WorkerEntry]) -> None:
         for pool, lead in list(self.leads.items()):
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_cut_from_workers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_cut_from_workers.py
@@ -55,3 +55,22 @@
         cell.submit(job, job_spec(), "node-1")
     cell.run(15.0)
     assert set(states(cell, jobs).values()) == {JobState.COMPLETED}
+
+
+def test_work_goes_on_after_all_workers_were_silent_to_everybody() -> None:
+    # Leads leave the pool to each other meanwhile; none of them has run anything twice.
+    cell = PoolCell()
+    cell.run(2.0)
+    cell.workers.length_of = lambda _: timedelta(seconds=2)
+    jobs = [f"job{number}" for number in range(JOBS)]
+    for job in jobs:
+        cell.submit(job, job_spec(), "node-1")
+    cell.run(0.5)
+    for machine in cell.workers.machines.values():
+        machine.is_cut = True
+    cell.run(20.0)
+    for machine in cell.workers.machines.values():
+        machine.is_cut = False
+    cell.run(12.0)
+    assert set(states(cell, jobs).values()) == {JobState.COMPLETED}
+    assert cell.workers.breaches == []
