Load a pool beside records that can't be read

One unreadable record of progress, or of the pool's workers, ended a lead's load with an unhandled error: it kept the pool and started nothing, and so would each next one.

A job whose progress can't be read is kept out of what is started, is told as running, and its record is left as it is; what of it was done could run again otherwise. A cancel still ends it.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -59,12 +59,15 @@
         self._located = False
         #: Workers that earlier leads may have used.
         self._to_locate: frozenset[str] = frozenset()
+        self._to_locate_is_known = True
         self._unlisted_since: dict[str, int] = {}
         #: Since when no worker has answered its last look.
         self._silent_since: datetime | None = None
 
-    def load(self, recorded: Sequence[RecordedWorker]) -> None:
-        """Claim the workers that earlier leads may have used."""
+    def load(self, recorded: Sequence[RecordedWorker] | None) -> None:
+        """Claim the workers that earlier leads may have used; None if not known."""
+        self._to_locate_is_known = recorded is not None
+        recorded = recorded or ()
         self._to_locate = frozenset(r.entry.id for r in recorded)
         self._loaded = True
         for each in recorded:
@@ -183,6 +186,8 @@
             return True
         if not self._loaded:
             return False
+        if not self._to_locate_is_known and not self._has_waited():
+            return False
         sessions = [self._state.sessions.get(w) for w in self._to_locate]
         if not any(s is not None and self._may_hide_runs(s) for s in sessions):
             self._located = True
@@ -205,7 +210,11 @@
             return False
         if session.was_renewed:
             return not session.lease_is_over()
-        return self._clock.now() - self._began_at < UNREACHED_WAIT
+        return not self._has_waited()
+
+    def _has_waited(self) -> bool:
+        """Return whether what former leads renewed last is over by now."""
+        return self._clock.now() - self._began_at >= UNREACHED_WAIT
 
     def _leave_in_time(self) -> None:
         """Move what a leaving worker would otherwise end."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -292,7 +292,12 @@
             came_ms = min(record.accepted_at_ms, now_ms)
             job = self._state.jobs.add(record, revision, weight, came_ms)
             saved = loaded.progress.get(record.id)
-            if saved is not None:
+            if record.id in loaded.unreadable:
+                # What of it is done can't be told, and must not run again.
+                job.is_unreadable = True
+                job.shown = JobState.RUNNING
+                self._state.jobs.open.pop(job.id, None)
+            elif saved is not None:
                 job.restore(saved.progress)
                 job.progress_revision = saved.revision
                 if job.final is not None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
@@ -65,7 +65,10 @@
     jobs: list[tuple[JobRecord, int]]
     cancelled: set[str]
     progress: dict[str, SavedProgress]
-    workers: list[RecordedWorker]
+    #: Ids of jobs whose progress can't be read.
+    unreadable: set[str]
+    #: None if their record can't be read.
+    workers: list[RecordedWorker] | None
 
 
 class PoolRecords:
@@ -122,14 +125,20 @@
                 self._read_workers(on_workers),
             ]
         )
-        loaded = LoadedPool([], set(), {}, workers)
+        loaded = LoadedPool([], set(), {}, set(), workers)
         for item in jobs.items:
             job = self._job_of(item.key, item.value, loaded.cancelled.add)
             if job is not None:
                 loaded.jobs.append((job, item.revision))
         for item in progress.items:
-            saved = SavedProgress(decode_progress(item.key, item.value), item.revision)
-            loaded.progress[item.key.removeprefix(progress_prefix(pool))] = saved
+            job_id = item.key.removeprefix(progress_prefix(pool))
+            try:
+                progress = decode_progress(item.key, item.value)
+            except RecordError as exc:
+                loaded.unreadable.add(job_id)
+                self._log_unreadable("progress_record_unreadable", item.key, exc)
+                continue
+            loaded.progress[job_id] = SavedProgress(progress, item.revision)
         self._revision = jobs.revision
         return loaded
 
@@ -183,16 +192,24 @@
 
     async def _read_workers(
         self, on_workers: Callable[[Sequence[RecordedWorker]], None]
-    ) -> list[RecordedWorker]:
+    ) -> list[RecordedWorker] | None:
         key = workers_key(self._term.pool)
         recorded: list[RecordedWorker] = []
         for item in (await self._read_all(key)).items:
-            if item.key == key:
+            if item.key != key:
+                continue
+            self._workers_revision = item.revision
+            try:
                 recorded = msgspec.json.decode(item.value, type=list[RecordedWorker])
-                self._workers_revision = item.revision
+            except msgspec.DecodeError as exc:
+                self._log_unreadable("workers_record_unreadable", key, exc)
+                return None
         on_workers(recorded)
         return recorded
 
+    def _log_unreadable(self, event: str, key: str, exc: Exception) -> None:
+        self._log.log_event(LogLevel.ERROR, event, key=key, detail=str(exc))
+
     async def _read_all(self, prefix: str) -> Snapshot:
         """Return all keys below a prefix; what was read is kept if a page fails."""
         return await read_pages(self._read_page, prefix)
@@ -263,9 +280,7 @@
         try:
             return decode_job(key, value)
         except RecordError as exc:
-            self._log.log_event(
-                LogLevel.ERROR, "job_record_unreadable", key=key, detail=str(exc)
-            )
+            self._log_unreadable("job_record_unreadable", key, exc)
             return None
 
     async def _write_workers(self) -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_progress_log.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_progress_log.py
@@ -62,7 +62,12 @@
         self._writing = False
 
     def note(self, job: Job, urgent: bool) -> None:
-        """Write the job's progress; at once if callers wait for it."""
+        """Write the job's progress; at once if callers wait for it.
+
+        A record that can't be read is left as it is, for whoever can read it.
+        """
+        if job.is_unreadable:
+            return
         self._dirty[job] = self._dirty.get(job, 0) + 1
         if urgent:
             self._write_now()
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_unreadable_records.py
@@ -0,0 +1,62 @@
+"""A record that can't be read costs its job, not its pool."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+
+from savorylead.jobs import JobState
+from savorylead_daemon.pool._keys import job_key, progress_key, workers_key
+from savorylead_standins.pools import PoolCell, in_turn, job_spec
+
+from .cell_cases import ready_cell, states
+
+POOL = "pool"
+#: The first lead is gone, a second one has waited for unreached workers.
+FOLLOWED_S = 10.0
+
+
+def followed(cell: PoolCell, key: str, value: bytes) -> None:
+    """Spoil a record and let the lead of the pool change."""
+    cell.kill(cell.lead_of())
+    cell.store.put(key, value)
+    cell.run(FOLLOWED_S)
+
+
+@pytest.mark.parametrize("value", [b"", b"{", b"[1, 2", b"\xff\xfe", b'{"a": 1}'])
+@pytest.mark.parametrize("record", ["progress", "workers", "job"])
+def test_a_pool_goes_on_beside_a_record_that_cannot_be_read(
+    record: str, value: bytes
+) -> None:
+    cell = ready_cell()
+    cell.submit("spoiled", in_turn(3, 2), "node-1")
+    cell.submit("sound", in_turn(3, 2), "node-1")
+    cell.run(1.5)
+    key = {
+        "progress": progress_key(POOL, "spoiled"),
+        "workers": workers_key(POOL),
+        "job": job_key(POOL, "spoiled"),
+    }[record]
+    followed(cell, key, value)
+    via = next(iter(cell.nodes))
+    cell.submit("later", job_spec(count=3), via)
+    cell.run(6.0)
+    assert set(states(cell, ["sound", "later"]).values()) == {JobState.COMPLETED}
+    assert cell.workers.breaches == []
+
+
+def test_nothing_of_a_job_runs_again_whose_progress_cannot_be_read() -> None:
+    cell = ready_cell()
+    cell.workers.length_of = lambda _: timedelta(milliseconds=300)
+    cell.submit("one", in_turn(20, 2), "node-1")
+    cell.run(2.0)
+    began = len(cell.workers.records)
+    assert began > 4
+    followed(cell, progress_key(POOL, "one"), b"{")
+    assert states(cell, ["one"]) == {"one": JobState.RUNNING}
+    assert len({r.task for r in cell.workers.records}) == len(cell.workers.records)
+    via = next(iter(cell.nodes))
+    cell.cancel("one", via)
+    cell.run(1.0)
+    assert states(cell, ["one"]) == {"one": JobState.CANCELLED}
--- a/packages/savorylead/savorylead/jobs/_job.py
+++ b/packages/savorylead/savorylead/jobs/_job.py
@@ -198,6 +198,8 @@
         self.shown = JobState.QUEUED
         #: Store revision of its progress record; 0 if there is none.
         self.progress_revision = 0
+        #: Whether its progress record can't be read, so that nothing of it is started.
+        self.is_unreadable = False
         #: Whether its owner sends more than its weight allows.
         self.surplus = False
 
