Split a pool's lead and the session with a worker by job

Passes of the planner, calls for advice, the intake of jobs, pace orders and what a session needs of its lead are parts of their own. No change of behaviour.

--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_advice_asker.py
@@ -0,0 +1,61 @@
+"""Makes the calls for advice that a lead's planner wants."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
+
+from savorylead.pools import Advice, AdviceRequest, AdviserError
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+from ._pool_state import PoolState
+
+#: Asks the adviser through one of the cell's daemons; raises AdviserError.
+AskAdviser = Callable[[str, Sequence[str], float, float], Coroutine[Any, Any, Advice]]
+
+
+class AdviceAsker:
+    """Asks, and tells the planner's book what came of it."""
+
+    def __init__(
+        self,
+        state: PoolState,
+        log: EventLog,
+        ask_adviser: AskAdviser,
+        plan_soon: Callable[[], None],
+    ) -> None:
+        self._state = state
+        self._log = log
+        self._ask_adviser = ask_adviser
+        self._plan_soon = plan_soon
+
+    async def ask(self, request: AdviceRequest) -> None:
+        """Make one call; the answer leads to another pass of the planner."""
+        book = self._state.planner.book
+        step = request.step
+        asked = [
+            self._state.workers[w] for w in request.workers if w in self._state.workers
+        ]
+        book.asked(step)
+        try:
+            advice = await self._ask_adviser(
+                step.name, request.workers, request.expected_ms, request.rank_ms
+            )
+        except AdviserError as exc:
+            self._log.log_event(
+                LogLevel.INFO, "advice_failed", step=step.name, detail=str(exc)
+            )
+            book.failed(step, self._state.now_ms())
+        else:
+            book.answered(
+                step, step.job.record.queue, asked, advice, self._state.now_ms()
+            )
+            self._log.log_event(
+                LogLevel.INFO,
+                "advice",
+                step=step.name,
+                asked=len(asked),
+                allowed=len(advice.tickets),
+            )
+        self._plan_soon()
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_intake.py
@@ -0,0 +1,86 @@
+"""Takes a pool's jobs and their cancellations into what its lead knows."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from savorylead.jobs import JobRecord, JobState
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+from ._pool_records import LoadedPool
+from ._pool_state import PoolState
+from ._progress_log import ProgressLog
+from ._run_starter import RunStarter
+
+
+class JobIntake:
+    """Adds jobs as they are loaded, accepted or found in the store."""
+
+    def __init__(
+        self,
+        state: PoolState,
+        starter: RunStarter,
+        progress: ProgressLog,
+        log: EventLog,
+        pool: str,
+        plan_soon: Callable[[], None],
+    ) -> None:
+        self._state = state
+        self._starter = starter
+        self._progress = progress
+        self._log = log
+        self._pool = pool
+        self._plan_soon = plan_soon
+
+    def restore(self, loaded: LoadedPool) -> None:
+        """Take in the jobs that earlier leads and the gateways left."""
+        now_ms = self._state.now_ms()
+        # In the order in which they came, or all of them would count as come now.
+        for record, revision in sorted(
+            loaded.jobs, key=lambda row: row[0].accepted_at_ms
+        ):
+            weight = self._state.weights.get(record.team, 1.0)
+            came_ms = min(record.accepted_at_ms, now_ms)
+            job = self._state.jobs.add(record, revision, weight, came_ms)
+            saved = loaded.progress.get(record.id)
+            if record.id in loaded.unreadable:
+                # What of it is done can't be told, and must not run again.
+                job.is_unreadable = True
+                job.shown = JobState.RUNNING
+                self._state.jobs.open.pop(job.id, None)
+            elif saved is not None:
+                job.restore(saved.progress)
+                job.progress_revision = saved.revision
+                if job.final is not None:
+                    self._state.jobs.open.pop(job.id, None)
+            if record.id in loaded.cancelled:
+                self.cancel(record.id)
+
+    def take_in(self, record: JobRecord, revision: int) -> None:
+        """Take in a job that is durable, once."""
+        if record.id in self._state.jobs.jobs:
+            return
+        weight = self._state.weights.get(record.team, 1.0)
+        job = self._state.jobs.add(record, revision, weight, self._state.now_ms())
+        self._log.log_event(
+            LogLevel.INFO,
+            "job_taken_in",
+            job=record.id,
+            pool=self._pool,
+            age_ms=self._state.now_ms() - record.accepted_at_ms,
+            surplus=job.surplus,
+            steps=[
+                [s.count, s.resources[:3], s.estimate_ms] for s in record.spec.steps
+            ],
+        )
+        self._plan_soon()
+
+    def cancel(self, job_id: str) -> None:
+        """Stop a job whose cancellation is durable, if it is known."""
+        job = self._state.jobs.jobs.get(job_id)
+        if job is None or not self._state.jobs.cancel(job, self._state.now_ms()):
+            return
+        self._log.log_event(LogLevel.INFO, "job_cancelled", job=job_id)
+        self._progress.note(job, urgent=True)
+        self._starter.stop_needless(job)
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pace_orders.py
@@ -0,0 +1,58 @@
+"""Orders to one worker that let a run work at a part of its pace."""
+
+from __future__ import annotations
+
+from savorylead.jobs import Run
+from savorylead.pools import (
+    PoolWorker,
+    StaleFenceError,
+    WorkerCalls,
+    WorkerUnhealthyError,
+    WrongIncarnationError,
+)
+from savorylead.workers import WorkerError
+from savorylead_daemon.concurrency import TaskSet
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.settings import LogLevel
+
+from ._session_owner import SessionOwner
+
+
+class PaceOrders:
+    """Sends them, and undoes what is believed of a run if one fails."""
+
+    def __init__(
+        self,
+        worker: PoolWorker,
+        owner: SessionOwner,
+        calls: WorkerCalls,
+        log: EventLog,
+        tasks: TaskSet,
+    ) -> None:
+        self._worker = worker
+        self._owner = owner
+        self._calls = calls
+        self._log = log
+        self._tasks = tasks
+
+    def send(self, run: Run, percent: int) -> None:
+        """Let a run work at a part of its pace."""
+        self._tasks.spawn("pace of a run", self._send(run, percent))
+
+    async def _send(self, run: Run, percent: int) -> None:
+        before, run.paced = run.paced, percent
+        try:
+            await self._calls.pace(
+                self._worker.entry,
+                self._owner.fence,
+                run.task.name,
+                run.number,
+                percent,
+            )
+        except StaleFenceError:
+            self._owner.superseded()
+        except (WorkerError, WrongIncarnationError, WorkerUnhealthyError) as exc:
+            run.paced = before
+            self._log.log_event(
+                LogLevel.INFO, "pace_failed", worker=self._worker.id, detail=str(exc)
+            )
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -14,9 +14,10 @@
 
 from ._pool_records import PoolRecords, RecordedWorker
 from ._pool_state import PoolState
+from ._session_owner import SessionOwner
 from ._term import Term
 from ._worker_answers import WorkerAnswers
-from ._worker_session import SessionOwner, WorkerSession
+from ._worker_session import WorkerSession
 
 #: How long a worker may run on that the former lead used and that can't be reached:
 #: its longest lease of 4.5 s, the drift of its clock, and calls under way.
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Sequence
 from datetime import datetime, timedelta
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from twisted.internet.defer import CancelledError, Deferred
 
-from savorylead.clock import Clock, Timer, to_millis
+from savorylead.clock import Clock, to_millis
 from savorylead.jobs import (
     Job,
     JobRecord,
@@ -18,10 +18,7 @@
 )
 from savorylead.links import DeadlineExceededError, within
 from savorylead.pools import (
-    Advice,
-    AdviceRequest,
     AdviceSlots,
-    AdviserError,
     CellDocument,
     CellStore,
     Finding,
@@ -37,24 +34,22 @@
 from savorylead_daemon.settings import LogLevel
 
 from ._admission import Admission
+from ._advice_asker import AdviceAsker, AskAdviser
 from ._cell_lease import CellLease
 from ._grant_keeper import GrantKeeper
+from ._job_intake import JobIntake
+from ._plan_timer import PlanTimer
 from ._pool_fleet import PoolFleet
-from ._pool_records import LoadedPool, PoolRecords, RecordedWorker
+from ._pool_records import PoolRecords, RecordedWorker
 from ._pool_state import PoolState
 from ._progress_log import ProgressLog
 from ._report_judge import ReportJudge
 from ._run_starter import RunStarter
+from ._session_owner import SessionOwner
 from ._term import Term
 from ._term_writes import TermWrites
-from ._worker_session import SessionOwner, WorkerSession
-
-#: Least time between two passes of the planner.
-PLAN_EVERY = timedelta(milliseconds=5)
-#: A pass is followed by a pause of this many times its own length.
-PLAN_PAUSE_FACTOR = 2.0
-#: Longest time without a pass, since tickets, rests and deadlines end by themselves.
-PLAN_AT_LEAST = timedelta(milliseconds=250)
+from ._worker_session import WorkerSession
+
 #: Workers are renewed before the jobs are loaded if that takes longer. A strong machine
 #: takes less than 0.3 s, and looks at each worker once.
 RENEW_AFTER = timedelta(milliseconds=500)
@@ -65,9 +60,6 @@
 #: How often records of ended jobs are deleted.
 FORGET_EVERY = timedelta(seconds=10)
 
-#: Asks the adviser through one of the cell's daemons; raises AdviserError.
-AskAdviser = Callable[[str, Sequence[str], float, float], Coroutine[Any, Any, Advice]]
-
 
 class LeadParts(NamedTuple):
     """What a lead is built from."""
@@ -113,9 +105,7 @@
         self._listed: Sequence[WorkerEntry] | None = None
         self._state = PoolState(parts.clock, parts.status_for_ms)
         self.admission = Admission(self._state, parts.log)
-        self._plan_timer: Timer | None = None
-        self._plan_due_ms = 0
-        self._plan_not_before = parts.clock.now()
+        self._passes = PlanTimer(parts.clock, self._plan_now)
         self._waiting_demand: dict[str, Resources] = {}
         self._short_logged_until: dict[str, datetime] = {}
         store, clock, log = parts.store, parts.clock, parts.log
@@ -135,6 +125,10 @@
             self.may_act,
             self._plan_soon,
         )
+        self._asker = AdviceAsker(self._state, log, parts.ask_adviser, self._plan_soon)
+        self._intake = JobIntake(
+            self._state, self._starter, self._progress, log, term.pool, self._plan_soon
+        )
         self._judge = ReportJudge(self._state, self._starter, self._progress, log)
         self._grants = PoolGrants(term.pool)
         self._grant_keeper = GrantKeeper(
@@ -155,7 +149,8 @@
         """Load the jobs, claim the workers and begin to decide."""
         self._tasks.spawn("start of a lead", self._load())
         self._tasks.spawn(
-            "intake of jobs", self._records.follow(self._take_in, self._cancelled)
+            "intake of jobs",
+            self._records.follow(self._intake.take_in, self._intake.cancel),
         )
         self._tasks.spawn("forgetting of jobs", self._forget_ended())
         self._grant_keeper.start()
@@ -166,8 +161,7 @@
         self._log_dropped()
         self._fleet.close()
         self._progress.close()
-        if self._plan_timer is not None:
-            self._plan_timer.cancel()
+        self._passes.close()
 
     def _log_dropped(self) -> None:
         """Tell in one line what the next lead has to find out by itself."""
@@ -224,13 +218,13 @@
 
     def accept(self, record: JobRecord, revision: int) -> None:
         """Take in a job that is durable."""
-        self._take_in(record, revision)
+        self._intake.take_in(record, revision)
 
     def cancel(self, job_id: str) -> bool:
         """Stop a job whose cancellation is durable; False if it is not known."""
         if job_id not in self._state.jobs.jobs:
             return False
-        self._cancelled(job_id)
+        self._intake.cancel(job_id)
         return True
 
     async def shown_state(self, job_id: str) -> JobState | None:
@@ -264,7 +258,7 @@
     async def _load(self) -> None:
         began_at = self._clock.now()
         loaded = await self._records.load(self._renew_meanwhile)
-        self._restore(loaded)
+        self._intake.restore(loaded)
         self.loaded = True
         self._fleet.load(loaded.workers)
         if self._listed is not None:
@@ -281,30 +275,6 @@
         )
         self._plan_soon()
 
-    def _restore(self, loaded: LoadedPool) -> None:
-        """Take in the jobs that earlier leads and the gateways left."""
-        now_ms = self._state.now_ms()
-        # In the order in which they came, or all of them would count as come now.
-        for record, revision in sorted(
-            loaded.jobs, key=lambda row: row[0].accepted_at_ms
-        ):
-            weight = self._state.weights.get(record.team, 1.0)
-            came_ms = min(record.accepted_at_ms, now_ms)
-            job = self._state.jobs.add(record, revision, weight, came_ms)
-            saved = loaded.progress.get(record.id)
-            if record.id in loaded.unreadable:
-                # What of it is done can't be told, and must not run again.
-                job.is_unreadable = True
-                job.shown = JobState.RUNNING
-                self._state.jobs.open.pop(job.id, None)
-            elif saved is not None:
-                job.restore(saved.progress)
-                job.progress_revision = saved.revision
-                if job.final is not None:
-                    self._state.jobs.open.pop(job.id, None)
-            if record.id in loaded.cancelled:
-                self._cancelled(record.id)
-
     def _renew_meanwhile(self, workers: Sequence[RecordedWorker]) -> None:
         async def renew() -> None:
             await self._clock.sleep(RENEW_AFTER)
@@ -317,32 +287,6 @@
         """Return whether reports can be judged, since the jobs are known."""
         return self.loaded
 
-    def _take_in(self, record: JobRecord, revision: int) -> None:
-        if record.id in self._state.jobs.jobs:
-            return
-        weight = self._state.weights.get(record.team, 1.0)
-        job = self._state.jobs.add(record, revision, weight, self._state.now_ms())
-        self._log.log_event(
-            LogLevel.INFO,
-            "job_taken_in",
-            job=record.id,
-            pool=self.term.pool,
-            age_ms=self._state.now_ms() - record.accepted_at_ms,
-            surplus=job.surplus,
-            steps=[
-                [s.count, s.resources[:3], s.estimate_ms] for s in record.spec.steps
-            ],
-        )
-        self._plan_soon()
-
-    def _cancelled(self, job_id: str) -> None:
-        job = self._state.jobs.jobs.get(job_id)
-        if job is None or not self._state.jobs.cancel(job, self._state.now_ms()):
-            return
-        self._log.log_event(LogLevel.INFO, "job_cancelled", job=job_id)
-        self._progress.note(job, urgent=True)
-        self._starter.stop_needless(job)
-
     def _on_durable(self, job: Job, progress: ProgressRecord) -> None:
         shown = job.shown
         if progress.state:
@@ -371,33 +315,14 @@
                 self._state.jobs.forget(job)
 
     def _plan_soon(self) -> None:
-        self._plan_at(self._plan_not_before)
-
-    def _plan_at(self, moment: datetime) -> None:
-        if self._tasks.is_closed or not self.loaded:
-            return
-        now = self._clock.now()
-        delay = max(timedelta(0), moment - now)
-        due_ms = to_millis(now + delay)
-        if self._plan_timer is not None:
-            if due_ms >= self._plan_due_ms:
-                return
-            self._plan_timer.cancel()
-        self._plan_due_ms = due_ms
-        self._plan_timer = self._clock.call_later(delay, self._plan_now)
-
-    def _plan_now(self) -> None:
-        self._plan_timer = None
-        began = self._clock.now()
+        if self.loaded and not self._tasks.is_closed:
+            self._passes.soon()
+
+    def _plan_now(self, now_ms: int) -> None:
         if self._fleet.is_cut_off():
             self._give_way("workers_not_reached")
         elif self.may_act():
-            self._plan_once(to_millis(began))
-        ended = self._clock.now()
-        pause = max(PLAN_EVERY, (ended - began) * PLAN_PAUSE_FACTOR)
-        self._plan_not_before = ended + pause
-        if self._plan_timer is None:
-            self._plan_at(ended + PLAN_AT_LEAST)
+            self._plan_once(now_ms)
 
     def _plan_once(self, now_ms: int) -> None:
         self._fleet.is_located()
@@ -417,7 +342,7 @@
         self._note_demand(plan)
         self._starter.carry_out(plan)
         for request in plan.requests:
-            self._tasks.spawn("call for advice", self._ask(request))
+            self._tasks.spawn("call for advice", self._asker.ask(request))
 
     def _may_start(self, job: Job) -> bool:
         # A step need not wait until the ends before it are durable: workers list them
@@ -456,35 +381,6 @@
             return None
         return self._state.held, self._waiting_demand
 
-    async def _ask(self, request: AdviceRequest) -> None:
-        book = self._state.planner.book
-        step = request.step
-        asked = [
-            self._state.workers[w] for w in request.workers if w in self._state.workers
-        ]
-        book.asked(step)
-        try:
-            advice = await self._parts.ask_adviser(
-                step.name, request.workers, request.expected_ms, request.rank_ms
-            )
-        except AdviserError as exc:
-            self._log.log_event(
-                LogLevel.INFO, "advice_failed", step=step.name, detail=str(exc)
-            )
-            book.failed(step, self._state.now_ms())
-        else:
-            book.answered(
-                step, step.job.record.queue, asked, advice, self._state.now_ms()
-            )
-            self._log.log_event(
-                LogLevel.INFO,
-                "advice",
-                step=step.name,
-                asked=len(asked),
-                allowed=len(advice.tickets),
-            )
-        self._plan_soon()
-
     async def durable(self) -> None:
         """Return once what was applied is durable."""
         await self._progress.durable()
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_report_judge.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_report_judge.py
@@ -66,7 +66,7 @@
                 task_name=str(order.run.task.name),
                 percent=order.percent,
             )
-            session.pace(order.run, order.percent)
+            session.pace.send(order.run, order.percent)
 
     def _listed(self, finding: Listed) -> None:
         run, active = finding.run, finding.active
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from abc import ABC, abstractmethod
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine
 from datetime import timedelta
 from typing import Any
 
@@ -13,7 +12,6 @@
 from savorylead.jobs import Run, RunState
 from savorylead.links import DeadlineExceededError, within
 from savorylead.pools import (
-    Finding,
     PoolWorker,
     RunOrder,
     RunRejected,
@@ -32,6 +30,8 @@
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
+from ._pace_orders import PaceOrders
+from ._session_owner import SessionOwner
 from ._worker_answers import WorkerAnswers
 from ._worker_clock import WorkerClock
 
@@ -69,39 +69,6 @@
 _NO_WAIT = timedelta(0)
 
 
-class SessionOwner(ABC):
-    """What a session needs of its lead."""
-
-    #: The fencing token.
-    fence: int
-
-    @abstractmethod
-    def may_act(self) -> bool:
-        """Return whether this daemon surely still leads."""
-
-    @abstractmethod
-    def takes_reports(self) -> bool:
-        """Return whether reports can be judged; before, workers are only renewed."""
-
-    @abstractmethod
-    def superseded(self) -> None:
-        """Take note that a later lead has used a worker."""
-
-    @abstractmethod
-    def apply(
-        self, session: WorkerSession, findings: Sequence[Finding], report: WorkerReport
-    ) -> None:
-        """Take over what a report says."""
-
-    @abstractmethod
-    def lost(self, session: WorkerSession, runs: Sequence[Run], reason: str) -> None:
-        """Take over that runs are surely over without a report of their end."""
-
-    @abstractmethod
-    async def durable(self) -> None:
-        """Return once what was applied is durable."""
-
-
 class WorkerSession:
     """Renews the worker's lease, reads its reports and carries orders to it."""
 
@@ -126,6 +93,7 @@
         self._wakeup = Wakeup(clock)
         self._look_soon = False
         self._tasks = TaskSet()
+        self.pace = PaceOrders(worker, owner, calls, log, self._tasks)
         self._born_ms = 0
         self._worker_clock = WorkerClock(clock)
         self._seen = 0
@@ -215,28 +183,6 @@
         run.stop_reason = reason
         self._tasks.spawn("stop of a run", self._stop_until_gone(run))
 
-    def pace(self, run: Run, percent: int) -> None:
-        """Let a run work at a part of its pace."""
-        self._tasks.spawn("pace of a run", self._pace(run, percent))
-
-    async def _pace(self, run: Run, percent: int) -> None:
-        before, run.paced = run.paced, percent
-        try:
-            await self._calls.pace(
-                self.worker.entry,
-                self._owner.fence,
-                run.task.name,
-                run.number,
-                percent,
-            )
-        except StaleFenceError:
-            self._owner.superseded()
-        except (WorkerError, WrongIncarnationError, WorkerUnhealthyError) as exc:
-            run.paced = before
-            self._log.log_event(
-                LogLevel.INFO, "pace_failed", worker=self.worker.id, detail=str(exc)
-            )
-
     async def _stop_until_gone(self, run: Run) -> None:
         key = (str(run.task.name), run.number)
         while key in self.worker.runs:
