Look at unclaimed workers in turn, also after a renewal

Sessions that had renewed their worker while records were read all looked at once when these were there, so that on a thin link, where alone this happens, the reports would share it and be overdue, as before claims were made sixteen at a time. Found by reading.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_answers.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_answers.py
@@ -44,7 +44,7 @@
         self._workers = workers
         self._times = AnswerTimes(OVERDUE)
         self._lossy_until: datetime | None = None
-        #: Held by each first look at a worker.
+        #: Held by each look at a worker that is not claimed yet.
         self.claims = DeferredSemaphore(CLAIMS_AT_ONCE)
 
     def wait(self, longest: timedelta) -> timedelta:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -239,7 +239,7 @@
             takes_reports = self._owner.takes_reports()
             look = self._look if takes_reports else self._renew
             try:
-                if self._worker_clock.is_known or self._misses:
+                if self.claimed or self._misses:
                     await look()
                 else:
                     await self._in_turn(look)
@@ -267,7 +267,7 @@
         )
 
     async def _in_turn(self, look: Callable[[], Coroutine[Any, Any, None]]) -> None:
-        """Look for the first time, when it is this worker's turn."""
+        """Look before the worker is claimed, when it is its turn."""
         await self._answers.claims.run(lambda: Deferred.fromCoroutine(look()))
 
     async def _renew(self) -> None:
