Keep the lease of a lead that answers, though nobody can open a new connection to it

Seen, in stepped time: a lead whose link takes no new connection, but which answers everybody over the open ones and renews its lease, lost its pool; the others could not open a second connection beside the one in use, and more than half of them agreed to end the lease. Callers waited for the load of the next lead, without need.

Cause: a failure to connect counted as a sign of a dead machine whatever else was heard of it meanwhile. On a link that drops packets an open connection recovers in some 200 ms, but the first packet of a new one is sent again only after a second, past the 400 ms for connecting.

Now each daemon notes when others answered it. A failure to connect does not count if the same daemon was heard after the attempt began, nor does an earlier one if it was heard since, and nobody ends the lease of a lead that it heard during the vote. A machine without power is never heard after its loss, so it is followed as fast as before.

What still ends early is the lease of a lead that neither takes connections nor answers within 400 ms.

--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_heard_peers.py
@@ -0,0 +1,58 @@
+"""Remembers when each daemon was heard, which proves that it lives."""
+
+from __future__ import annotations
+
+from collections.abc import Coroutine
+from datetime import datetime
+from typing import Any, TypeVar
+
+from savorylead.clock import Clock
+from savorylead.pools import Advice
+
+from ._peer_messages import AdviceAsked, Told
+from ._peers import AskedOfPeer, Message, PeerCalls, PeerError
+
+T = TypeVar("T")
+
+
+class HeardPeers(PeerCalls):
+    """Calls daemons through another object, and notes who answered.
+
+    Load pattern: the link of a lead is saturated and drops what opens connections, or
+    its process accepts late, while calls over open connections are answered. A daemon
+    that was heard during a call that could not connect does not count as one that
+    nobody can connect to.
+    """
+
+    def __init__(self, calls: PeerCalls, clock: Clock) -> None:
+        self._calls = calls
+        self._clock = clock
+        self._heard_at: dict[str, datetime] = {}
+
+    def heard_since(self, address: str, moment: datetime) -> bool:
+        """Return whether a daemon answered after this moment."""
+        heard_at = self._heard_at.get(address)
+        return heard_at is not None and heard_at > moment
+
+    async def tell(self, address: str, message: Message) -> Told:
+        """Send a message to a lead; raises PeerError."""
+        return await self._note(address, self._calls.tell(address, message))
+
+    async def ask(self, address: str, asked: AskedOfPeer) -> bool:
+        """Have a peer do, or tell, something; return its answer."""
+        return await self._note(address, self._calls.ask(address, asked))
+
+    async def advise(self, address: str, asked: AdviceAsked) -> Advice:
+        """Return advice through another daemon; raises AdviserError."""
+        return await self._note(address, self._calls.advise(address, asked))
+
+    async def _note(self, address: str, calling: Coroutine[Any, Any, T]) -> T:
+        began_at = self._clock.now()
+        try:
+            answer = await calling
+        except PeerError as exc:
+            if not exc.connected and self.heard_since(address, began_at):
+                raise PeerError(str(exc), exc.sent, connected=True) from exc
+            raise
+        self._heard_at[address] = self._clock.now()
+        return answer
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_lead_watch.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_lead_watch.py
@@ -16,8 +16,9 @@
 from savorylead_daemon.settings import LogLevel
 
 from ._cell_view import CellView, MemberRecord
+from ._heard_peers import HeardPeers
 from ._peer_messages import PendingAsked, ReachAsked
-from ._peers import PeerCalls, PeerError
+from ._peers import PeerError
 
 #: A failure to connect counts for this long: a second call would take half a second.
 FAILURE_KEPT = timedelta(milliseconds=700)
@@ -58,8 +59,9 @@
     Load pattern: the machine of a lead loses power. Its lease at the store holds for
     two more seconds, in which nothing is started and no end is seen.
 
-    A lead that is only busy still takes connections, so its lease goes on. One that is
-    cut off from the larger part of the daemons, but not from the store, sees its key
+    A lead that is only busy still takes connections, so its lease goes on. So does that
+    of one that takes no new ones, but answers over those that are open. One that is cut
+    off from the larger part of the daemons, but not from the store, sees its key
     gone, and its fencing token is the lower one from then on. A part that is not the
     larger one ends nothing, or two parts would take the lead from each other in turn
     for as long as the link between them is cut.
@@ -72,7 +74,7 @@
         clock: Clock,
         log: EventLog,
         view: CellView,
-        peers: PeerCalls,
+        peers: HeardPeers,
         store_answers: Callable[[], bool],
     ) -> None:
         self._name = name
@@ -105,7 +107,7 @@
         """Return whether this daemon can connect to a lead."""
         failed_at = self._failed_at.get(asked.address)
         if failed_at is not None and self._clock.now() - failed_at < FAILURE_KEPT:
-            return False
+            return self._peers.heard_since(asked.address, failed_at)
         try:
             # Any message opens a connection; the answer to this one is not used.
             await self._peers.tell(asked.address, PendingAsked(asked.pool, ""))
@@ -116,6 +118,7 @@
         return True
 
     async def _ask(self, pool: str, lead: MemberRecord) -> None:
+        began_at = self._clock.now()
         others = self._view.others(self._name, lead.name)
         # All daemons, with this one and the lead.
         needed = (len(others) + 2) // 2 + 1
@@ -124,6 +127,8 @@
             spawn("question about a lead", self._ask_one(member, pool, lead, vote))
         agreed = await vote.outcome
         seen = self._view.lead(pool)
+        if self._peers.heard_since(lead.address, began_at):
+            return
         if agreed and seen is not None and seen.member == lead:
             await self._end(pool, lead, vote.cannot)
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -24,6 +24,7 @@
 from ._cell_view import CellView, MemberRecord, decode_member, encode_record
 from ._config_feed import ConfigFeed
 from ._elections import Elections
+from ._heard_peers import HeardPeers
 from ._job_gateway import JobGateway
 from ._keys import machine_key, member_key
 from ._lead_watch import LeadWatch
@@ -81,7 +82,7 @@
         self._settings = settings
         self._member = settings.member
         self._adapter = adapter
-        self._peers = peers
+        self._peers = HeardPeers(peers, clock)
         self._clock = clock
         self._log = log
         #: The pools led here.
@@ -132,7 +133,7 @@
             clock,
             log,
             self.view,
-            peers,
+            self._peers,
             self.config.store_answers,
         )
         #: Answers callers.
@@ -145,7 +146,7 @@
             log,
             self.config,
             self.view,
-            peers,
+            self._peers,
             self.peer_server.answer,
             self._lead_watch.note_unreached,
         )
--- a/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
@@ -55,6 +55,9 @@
 PEER_DELAY = timedelta(milliseconds=1)
 #: After this long a call to a daemon without an answer is given up.
 SILENCE = timedelta(milliseconds=500)
+#: An answer over a saturated link takes this long; chosen below the 400 ms after which
+#: daemons give a call to the store or a connection up, so that the lease there goes on.
+SATURATED_ANSWER = timedelta(milliseconds=300)
 
 
 class _Config(ConfigSource):
@@ -95,6 +98,8 @@
     def __init__(self, cell: PoolCell, name: str) -> None:
         self._cell = cell
         self._name = name
+        #: Addresses on whose only connection over a saturated link a call is under way.
+        self._in_use: set[str] = set()
 
     async def tell(self, address: str, message: Message) -> Told:
         node = await self._reach(address)
@@ -127,8 +132,22 @@
         if address in cell.mute:
             await cell.clock.sleep(SILENCE)
             raise PeerError("no reply in time")
+        if address in cell.saturated:
+            await self._reach_over_saturated_link(address)
         return node
 
+    async def _reach_over_saturated_link(self, address: str) -> None:
+        cell = self._cell
+        if address in self._in_use:
+            # A second connection would be needed.
+            await cell.clock.sleep(cell.connect_wait)
+            raise PeerError("connecting took too long", sent=False, connected=False)
+        self._in_use.add(address)
+        try:
+            await cell.clock.sleep(SATURATED_ANSWER)
+        finally:
+            self._in_use.discard(address)
+
 
 def job_spec(count: int = 1, cores: float = 1.0, **changes: Any) -> JobSpec:
     """Return a job of one step."""
@@ -174,6 +193,9 @@
         self.cut_pairs: set[frozenset[str]] = set()
         #: Nodes that take connections of others and do not answer.
         self.mute: set[str] = set()
+        #: Nodes that answer late on the one connection that each other node has to
+        #: them, and to which no other can be opened: what opens one is dropped.
+        self.saturated: set[str] = set()
         #: Time until it shows that no connection can be opened; a process that ended
         #: refuses it at once, a machine without power does not.
         self.connect_wait = timedelta(0)
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_lead_watch.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_lead_watch.py
@@ -65,6 +65,41 @@
     assert cell.nodes[lead].terms() == {"pool": 1}
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3, 4, 5])
+@pytest.mark.parametrize("nodes", [3, 5, 9])
+def test_a_lead_on_a_saturated_link_keeps_its_pool(nodes: int, seed: int) -> None:
+    # It answers everybody and renews its lease, but takes no new connection: each other
+    # daemon could not open one more beside the one that was in use, and together they
+    # ended the lease.
+    cell = ready_cell(nodes=nodes, seed=seed)
+    lead = cell.lead_of()
+    via = others(cell)
+    cell.connect_wait = DARK
+    cell.saturated = {lead}
+    load(cell, via, 6.0, "j")
+    assert cell.lead_of() == lead
+    assert cell.nodes[lead].terms() == {"pool": 1}
+
+
+def test_a_lead_on_a_saturated_link_is_followed_once_it_loses_power() -> None:
+    # What was heard of it before counts no more.
+    took = []
+    for seed in range(10):
+        cell = ready_cell(nodes=5, seed=seed)
+        via = others(cell)
+        cell.connect_wait = DARK
+        cell.saturated = {cell.lead_of()}
+        load(cell, via, 2.0 + 0.037 * seed, "before")
+        cell.kill(cell.lead_of())
+        lost_at = cell.clock.now()
+        load(cell, via, 3.0, "j")
+        assert cell.workers.breaches == []
+        starts = [r.began_at for r in cell.workers.records if r.began_at > lost_at]
+        took.append((min(starts) - lost_at).total_seconds())
+    assert statistics.median(took) <= 1.0
+    assert max(took) <= 1.2
+
+
 @pytest.mark.parametrize("cut", [1, 2])
 def test_a_lead_that_others_reach_keeps_its_pool(cut: int) -> None:
     cell = ready_cell(nodes=5)
