Free the parts of teams' limits that a pool without a lead still had

Seen, in stepped time: a pool is removed from the configuration and its lead's daemon starts again. Nobody follows, and the pool's part of each team's limit stays in the record for ever. A job of another pool that needs more than what is left never starts: none of its ten tasks ran. The same for as long as no daemon can become the lead of a pool.

Cause: only the lead of a pool gives its part back.

Now a lead takes the parts of pools out of the record that have had no lead for 6.9 s: the 2 s of a lead's lease, under which it may act once its key is gone, and the 4.9 s after which a new lead takes what an unreachable worker ran to be over. The write expects that the pool has no lead's key and that the number of its last term is unchanged, so no lead can have begun meanwhile; one that begins later reads the record after that write, and asks for its part as any pool does that has none.

A lead that holds its key and never loads still keeps the part of its pool: it renews the workers, so what runs there still uses the part, and nobody knows how much.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
@@ -25,6 +25,7 @@
 from savorylead_daemon.settings import LogLevel
 
 from ._keys import GRANTS_KEY
+from ._leadless_pools import LeadlessPools
 from ._term import Term
 from ._term_writes import TermWrites
 
@@ -54,6 +55,7 @@
         tasks: TaskSet,
         writes: TermWrites,
         grants: PoolGrants,
+        leadless: LeadlessPools,
         demand: Callable[
             [], tuple[Mapping[str, Resources], Mapping[str, Resources]] | None
         ],
@@ -71,6 +73,7 @@
         self._tasks = tasks
         self._writes = writes
         self._grants = grants
+        self._leadless = leadless
         self._demand = demand
         self._on_change = on_change
         self._on_written = on_written
@@ -133,12 +136,13 @@
             self._read_again = False
             self._read_at = now
             self._take(await self._store.get(GRANTS_KEY))
+        idle = await self._leadless.idle(self._grants.others())
         demand = self._demand()
         if demand is None:
             # A part must not be given back while runs that use it are not seen yet.
             return
         held, waiting = demand
-        wanted = self._grants.next_book(held, waiting)
+        wanted = self._grants.next_book(held, waiting, idle)
         if wanted is None:
             if not self._unclear:
                 return
@@ -147,14 +151,19 @@
         before = self._grants.book
         self._grants.book = self._grants.lesser_of(before, wanted)
         self._unclear = True
+        expected = {GRANTS_KEY: self._revision}
+        for keys in idle.values():
+            expected |= keys
         result = await self._writes.commit(
-            {GRANTS_KEY: self._revision}, [Put(GRANTS_KEY, encode_grants(wanted))]
+            expected, [Put(GRANTS_KEY, encode_grants(wanted))]
         )
         if isinstance(result, Committed):
             self._unclear = False
             self._put(wanted, result.revision)
             self._on_written(self._term.pool)
         elif isinstance(result, Conflict):
+            for pool in idle:
+                self._leadless.forget(pool)
             item = result.current.get(GRANTS_KEY)
             if item is not None and item.revision != self._revision:
                 self._unclear = False
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -38,6 +38,7 @@
 from ._cell_lease import CellLease
 from ._grant_keeper import GrantKeeper
 from ._job_intake import JobIntake
+from ._leadless_pools import LeadlessPools
 from ._plan_timer import PlanTimer
 from ._pool_fleet import PoolFleet
 from ._pool_records import PoolRecords, RecordedWorker
@@ -76,6 +77,8 @@
     status_for_ms: int
     #: Takes note of the pool that this daemon can't serve, and why.
     on_unable: Callable[[str, str], None]
+    #: Returns whether a pool has a lead, as far as is known here.
+    has_lead: Callable[[str], bool]
     #: Tells the other leads that they should look at the teams' limits.
     on_grants_written: Callable[[str], None]
 
@@ -139,6 +142,7 @@
             self._tasks,
             writes,
             self._grants,
+            LeadlessPools(store, clock, parts.has_lead),
             self._demand,
             self._plan_soon,
             parts.on_grants_written,
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -280,6 +280,7 @@
             advice_slots=lambda: self._router.slots(self._advice_names()),
             lease=self._lease,
             on_unable=self._unable,
+            has_lead=lambda pool: pool in self.view.leads,
             on_grants_written=self._grants_written,
             status_for_ms=self._settings.status_for // timedelta(milliseconds=1),
         )
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_leadless_pools.py
@@ -0,0 +1,147 @@
+"""A pool that nobody leads keeps no part of a team's limit, once nothing runs there."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from datetime import timedelta
+
+import pytest
+
+from savorylead.jobs import JobSpec
+from savorylead.pools import Committed, Conflict, Put, StoreRefusedError
+from savorylead.resources import Resources
+from savorylead_daemon.pool._keys import lead_key
+from savorylead_standins.pools import PoolCell, StoreView, job_spec
+
+from .cell_cases import ready_cell
+
+POOLS = ("a", "b")
+CORES = 10
+LIMIT = Resources(CORES * 1_000, 100_000, 0)
+#: Two leases of a lead, the leases of workers and two looks at the limits.
+SURELY_OVER_S = 11.0
+LONG = timedelta(seconds=60)
+SHORT = timedelta(seconds=1)
+
+
+class NoLeadOfB(StoreView):
+    """The store as it refuses that a daemon becomes the lead of pool b."""
+
+    refuses_b = False
+
+    async def commit(
+        self,
+        expected: Mapping[str, int],
+        puts: Sequence[Put] = (),
+        deletes: Sequence[str] = (),
+    ) -> Committed | Conflict:
+        """Make all changes or none."""
+        if self.refuses_b and any(put.key == lead_key("b") for put in puts):
+            raise StoreRefusedError("refused")
+        return await super().commit(expected, puts, deletes)
+
+
+def two_pools(seed: int = 1) -> PoolCell:
+    """Return a cell of four daemons that can be kept from the lead of pool b."""
+    cell = PoolCell(nodes=0, workers=6, pools=POOLS, limit=LIMIT, seed=seed)
+    for number in range(4):
+        cell.views[f"node-{number}"] = NoLeadOfB(cell.store)
+        cell.start_node(f"node-{number}")
+    cell.run(4.0)
+    return cell
+
+
+def submit_to_b(cell: PoolCell, name: str, spec: JobSpec) -> None:
+    """Hand a job in to pool b."""
+    via = next(iter(cell.nodes))
+    cell.call("submit", f"/b/{name}", via, cell.encode(spec), name)
+
+
+def running(cell: PoolCell) -> int:
+    """Return how many tasks of one core run."""
+    for machine in cell.workers.machines.values():
+        machine.expire()
+    return sum(len(machine.active) for machine in cell.workers.machines.values())
+
+
+def most_running(cell: PoolCell, seconds: float) -> int:
+    """Let time pass; return the most tasks that ran at one time."""
+    most = 0
+    for _ in range(int(seconds * 50)):
+        cell.run(0.02)
+        most = max(most, running(cell))
+    return most
+
+
+def refuse_leads_of_b(cell: PoolCell, refuses: bool) -> None:
+    """Let no daemon become the lead of pool b, or all of them again."""
+    for view in cell.views.values():
+        assert isinstance(view, NoLeadOfB)
+        view.refuses_b = refuses
+
+
+def test_a_removed_pool_keeps_no_part_of_a_limit() -> None:
+    # Replays a pool that is removed, and a restart of its lead: nobody follows it, and
+    # its part stayed in the record for ever, so that what needs more never started.
+    cell = ready_cell(pools=POOLS, limit=LIMIT, workers=6)
+    submit_to_b(cell, "before", job_spec(count=CORES))
+    cell.run(4.0)
+    queues = tuple(queue for queue in cell.document.queues if queue.pool == "a")
+    pools = tuple(pool for pool in cell.document.pools if pool.name == "a")
+    cell.put_config(cell.document._replace(version=2, queues=queues, pools=pools))
+    cell.run(2.0)
+    name = cell.lead_of("b")
+    cell.kill(name)
+    cell.start_node(name)
+    cell.run(SURELY_OVER_S)
+    cell.submit("after", job_spec(count=CORES), "node-1")
+    assert most_running(cell, 3.0) == CORES
+
+
+def test_a_pool_that_nobody_can_lead_keeps_no_part_of_a_limit() -> None:
+    cell = two_pools()
+    submit_to_b(cell, "before", job_spec(count=CORES))
+    cell.run(4.0)
+    refuse_leads_of_b(cell, True)
+    cell.kill(cell.lead_of("b"))
+    via = next(iter(cell.nodes))
+    cell.submit("after", job_spec(count=CORES), via)
+    assert most_running(cell, SURELY_OVER_S + 3.0) == CORES
+    # Once the pool has a lead again it gets a part like any other.
+    refuse_leads_of_b(cell, False)
+    cell.run(4.0)
+    submit_to_b(cell, "again", job_spec(count=CORES))
+    cell.run(4.0)
+    started = {r.task.job for r in cell.workers.records}
+    assert "again" in started
+    assert cell.workers.breaches == []
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("cut", [0, 1, 3])
+@pytest.mark.parametrize("leadless_s", [0.0, 2.0, 4.0, 6.0, 6.9, 7.5, 8.5, 12.0])
+def test_a_part_is_not_used_twice_while_a_pool_has_no_lead(
+    leadless_s: float, cut: int, seed: int
+) -> None:
+    # What ran in the pool goes on until the leases of its workers lapse, also on those
+    # that nobody reaches.
+    cell = two_pools(seed)
+    cell.workers.length_of = lambda _: LONG
+    submit_to_b(cell, "old", job_spec(count=CORES))
+    cell.run(2.0)
+    assert running(cell) == CORES
+    cut_off = [m for m in cell.workers.machines.values() if m.active][:cut]
+    for machine in cut_off:
+        machine.is_cut = True
+    refuse_leads_of_b(cell, True)
+    cell.kill(cell.lead_of("b"))
+    cell.workers.length_of = lambda task: SHORT if task.job == "new" else LONG
+    cell.submit("new", job_spec(count=4 * CORES), next(iter(cell.nodes)))
+    most = most_running(cell, leadless_s)
+    refuse_leads_of_b(cell, False)
+    most = max(most, most_running(cell, 2.0))
+    for machine in cut_off:
+        machine.is_cut = False
+    most = max(most, most_running(cell, 12.0))
+    assert most <= CORES
+    assert cell.workers.breaches == []
--- a/packages/savorylead/savorylead/pools/_grants.py
+++ b/packages/savorylead/savorylead/pools/_grants.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 import msgspec
@@ -105,16 +105,30 @@
             "wanted": {pool: part.wanted[:3] for pool, part in pools.items()},
         }
 
+    def others(self) -> list[str]:
+        """Return the other pools that have a part of some limit."""
+        pools = {pool for parts in self.book.parts.values() for pool in parts}
+        return sorted(pools - {self.pool})
+
     def next_book(
-        self, held: Mapping[str, Resources], waiting: Mapping[str, Resources]
+        self,
+        held: Mapping[str, Resources],
+        waiting: Mapping[str, Resources],
+        idle: Collection[str] = (),
     ) -> GrantBook | None:
         """Return the record as this pool would have it, None if it is as it should.
 
+        ``idle`` pools surely run nothing and have no lead who could give their parts
+        back, so these are free; a lead that they get later asks for its part anew.
+
         The only pool has each limit whole, ahead of any want: a part that must grow
         first keeps tasks waiting for a write, and for the whole of an outage.
         """
-        parts = {team: dict(pools) for team, pools in self.book.parts.items()}
-        changed = False
+        parts = {
+            team: {pool: part for pool, part in pools.items() if pool not in idle}
+            for team, pools in self.book.parts.items()
+        }
+        changed = parts != self.book.parts
         for team, limit in self._limits.items():
             now_held = held.get(team, ZERO)
             wanted = _least(limit, now_held.plus(waiting.get(team, ZERO)))
