Refuse jobs of numbers that no lead can compute with

A caller's job with an estimate of 1.7e308 ms (or an amount, a target or a due time beyond what a float holds) was accepted and stored. Each pass of its pool's planner then raised OverflowError, so that nothing of the pool was placed or asked about any more, by this lead or the next one. With an estimate of 1e300 ms it was the average of learned lengths that overflowed, in the middle of a report of ends: the ends counted as not taken in, and tasks that were done were started again. A billion occurrences without an interval would have filled the lead's memory.

check_spec now bounds all numbers of a job, which the callers' codec tells as a malformed job. A record or a message of such a job, from a daemon that does not check, counts as a record that can't be read, and costs only that job.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_intake.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_intake.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from savorylead.jobs import JobRecord, JobState
+from savorylead.jobs import JobRecord, JobState, SpecError, check_spec
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -58,9 +58,16 @@
                 self.cancel(record.id)
 
     def take_in(self, record: JobRecord, revision: int) -> None:
-        """Take in a job that is durable, once."""
+        """Take in a job that is durable, once, unless it can't be computed with."""
         if record.id in self._state.jobs.jobs:
             return
+        try:
+            check_spec(record.spec)
+        except SpecError as exc:
+            self._log.log_event(
+                LogLevel.ERROR, "job_unreasonable", job=record.id, detail=str(exc)
+            )
+            return
         weight = self._state.weights.get(record.team, 1.0)
         job = self._state.jobs.add(record, revision, weight, self._state.now_ms())
         self._log.log_event(
--- a/packages/savorylead/savorylead/jobs/_records.py
+++ b/packages/savorylead/savorylead/jobs/_records.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ._spec import JobSpec
+from ._spec import JobSpec, SpecError, check_spec
 
 
 class JobRecord(NamedTuple):
@@ -63,11 +63,16 @@
 
 
 def decode_job(key: str, value: bytes) -> JobRecord:
-    """Return the record stored under ``key``; raises RecordError."""
+    """Return the record stored under ``key``; raises RecordError.
+
+    A daemon of another version may have accepted what can't be computed with.
+    """
     try:
-        return msgspec.json.decode(value, type=JobRecord)
-    except msgspec.DecodeError as exc:
+        record = msgspec.json.decode(value, type=JobRecord)
+        check_spec(record.spec)
+    except (msgspec.DecodeError, SpecError) as exc:
         raise RecordError(key, str(exc)) from exc
+    return record
 
 
 def encode_progress(record: ProgressRecord) -> bytes:
--- a/packages/savorylead/savorylead/jobs/_spec.py
+++ b/packages/savorylead/savorylead/jobs/_spec.py
@@ -12,6 +12,14 @@
 MAX_TASKS_PER_STEP = 4096
 #: Most tasks of a job, over all steps of one occurrence.
 MAX_TASKS_PER_JOB = 16384
+#: Most occurrences of a job: one a minute for a week. All may be due at once, and an
+#: open one takes 1 KB and more of its lead.
+MAX_OCCURRENCES = 10_080
+#: Largest number of any other kind, each way: 31 years in milliseconds. Times of 2026
+#: in Unix milliseconds are twice that, so a time may be ten times as large. Sums and
+#: products of such numbers stay far within what a float holds.
+MAX_AMOUNT = 10**12
+MAX_TIME_MS = 10 * MAX_AMOUNT
 
 
 class StepSpec(NamedTuple):
@@ -81,6 +89,10 @@
         raise SpecError("steps", f"needs 1 to {MAX_STEPS} steps")
     if spec.repeats < 0 or (spec.repeats > 1 and spec.interval_ms < 0):
         raise SpecError("repeats", "must not be negative")
+    if spec.repeats > MAX_OCCURRENCES:
+        raise SpecError("repeats", f"more than {MAX_OCCURRENCES} occurrences")
+    if max(abs(spec.first_due_ms), abs(spec.interval_ms)) > MAX_TIME_MS:
+        raise SpecError("repeats", "a time is out of range")
     total = 0
     for index, step in enumerate(spec.steps):
         path = f"steps[{index}]"
@@ -88,8 +100,21 @@
             raise SpecError(f"{path}.count", f"needs 1 to {MAX_TASKS_PER_STEP} tasks")
         if any(amount < 0 for amount in step.resources):
             raise SpecError(path, "an amount is negative")
+        if any(abs(number) > MAX_AMOUNT for number in _numbers(step)):
+            raise SpecError(path, f"a number is over {MAX_AMOUNT}")
         if any(not 0 <= earlier < index for earlier in step.after):
             raise SpecError(f"{path}.after", "must name earlier steps")
         total += step.count
     if total > MAX_TASKS_PER_JOB:
         raise SpecError("steps", f"more than {MAX_TASKS_PER_JOB} tasks")
+
+
+def _numbers(step: StepSpec) -> tuple[int, ...]:
+    """Return what a lead computes with, but for what has bounds of its own."""
+    return (
+        *step.resources,
+        step.estimate_ms,
+        step.max_per_worker,
+        step.target_ms,
+        step.may_miss,
+    )
