Begin loops again after an error that nobody expected

Each long-running task of a daemon (the lease, the view of the cell, the list of workers, the intake, a worker's session, a run's stop, the writers of records, the load of a lead) passed over the errors of its own kind only. Any other one was logged and ended the task for good, while the rest of the process went on. Callers saw a pool in part: without a worker's session its runs lapse and its room is held for ever, without the list no new worker is used, without the lease loop the daemon never leads again, without the view it follows no change of a lead.

Such a task is begun again half a second after the error, which is logged with its trace. The tasks keep their state in their objects, so they go on from there. A look at a worker that failed this way counts as one that was not answered: nothing more is started there, and what runs there is taken for over once its lease is.

In stepped time, each of 16 calls raised an unexpected error for one second.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+from twisted.internet.defer import CancelledError
+
 from savorylead.clock import Clock, Timer
 from savorylead.pools import CellStore, Committed, Put
 from savorylead.store import StoreError
@@ -230,6 +232,11 @@
             )
             self._try_later(pool)
             return
+        except CancelledError:
+            raise
+        except Exception:
+            self._try_later(pool)
+            raise
         is_current = lease_id == self._lease.id and not self._closed
         if isinstance(result, Committed) and is_current:
             self._adopt(pool, number, result.revision)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -29,7 +29,7 @@
     WorkerReport,
 )
 from savorylead.resources import ZERO, Resources
-from savorylead_daemon.concurrency import TaskSet
+from savorylead_daemon.concurrency import TaskSet, lasting
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -147,12 +147,12 @@
 
     def start(self) -> None:
         """Load the jobs, claim the workers and begin to decide."""
-        self._tasks.spawn("start of a lead", self._load())
-        self._tasks.spawn(
-            "intake of jobs",
-            self._records.follow(self._intake.take_in, self._intake.cancel),
-        )
-        self._tasks.spawn("forgetting of jobs", self._forget_ended())
+        for what, begin in (
+            ("start of a lead", self._load),
+            ("intake of jobs", self._follow),
+            ("forgetting of jobs", self._forget_ended),
+        ):
+            self._tasks.spawn(what, lasting(what, self._clock, begin))
         self._grant_keeper.start()
 
     def close(self) -> None:
@@ -275,6 +275,9 @@
         )
         self._plan_soon()
 
+    async def _follow(self) -> None:
+        await self._records.follow(self._intake.take_in, self._intake.cancel)
+
     def _renew_meanwhile(self, workers: Sequence[RecordedWorker]) -> None:
         async def renew() -> None:
             await self._clock.sleep(RENEW_AFTER)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 
 from savorylead.clock import Clock, Wakeup, to_millis
 from savorylead.jobs import Run, RunState
@@ -26,7 +26,7 @@
     reconcile,
 )
 from savorylead.workers import WorkerError, WorkerTimeoutError
-from savorylead_daemon.concurrency import TaskSet
+from savorylead_daemon.concurrency import TaskSet, lasting
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -109,7 +109,8 @@
 
     def start(self) -> None:
         """Claim the worker and keep in touch with it."""
-        self._tasks.spawn("worker session", self._run())
+        running = lasting("worker session", self._clock, self._run)
+        self._tasks.spawn("worker session", running)
 
     def close(self) -> None:
         """Send nothing any more."""
@@ -181,7 +182,10 @@
             return
         run.state = RunState.STOPPING
         run.stop_reason = reason
-        self._tasks.spawn("stop of a run", self._stop_until_gone(run))
+        stopping = lasting(
+            "stop of a run", self._clock, lambda: self._stop_until_gone(run)
+        )
+        self._tasks.spawn("stop of a run", stopping)
 
     async def _stop_until_gone(self, run: Run) -> None:
         key = (str(run.task.name), run.number)
@@ -251,6 +255,12 @@
                 if self._misses != 1:
                     await self._clock.sleep(RETRY_AFTER)
                 continue
+            except CancelledError:
+                raise
+            except Exception as exc:
+                # Nothing more is started on a worker whose reports can't be followed.
+                self._note_failure(exc)
+                raise
             if not takes_reports:
                 await self._wakeup.wait(RENEW_WAIT if self._is_renewed else _NO_WAIT)
             elif self._seen != self._durable:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -13,7 +13,7 @@
 from savorylead.links import DeadlineExceededError, within
 from savorylead.pools import Advice, AdviserError, CellDocument, Put, WorkerEntry
 from savorylead.store import KeyValue, StoreError
-from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.concurrency import lasting, spawn
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -189,7 +189,10 @@
             lead.set_document(document)
 
     def _lease_granted(self, lease_id: str) -> None:
-        spawn("registration", self._register(lease_id))
+        registering = lasting(
+            "registration", self._clock, lambda: self._register(lease_id)
+        )
+        spawn("registration", registering)
 
     async def _register(self, lease_id: str) -> None:
         key = member_key(self._member.name)
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_unexpected_errors.py
@@ -0,0 +1,124 @@
+"""An error that nobody expected delays what it hits, and ends nothing for good."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from datetime import timedelta
+from typing import Any
+from unittest.mock import patch
+
+import pytest
+
+from savorylead.jobs import Job, JobRecord, JobState, encode_job
+from savorylead.pools import PoolGrants, WorkerEntry
+from savorylead.resources import Resources
+from savorylead_daemon.pool._elections import Elections
+from savorylead_daemon.pool._job_book import JobBook
+from savorylead_daemon.pool._job_intake import JobIntake
+from savorylead_daemon.pool._keys import job_key
+from savorylead_daemon.pool._pool_fleet import PoolFleet
+from savorylead_daemon.pool._report_judge import ReportJudge
+from savorylead_standins.pools import MemoryWorkers, PoolCell, job_spec
+from savorylead_standins.pools._memory_cell_store import StoreView
+
+from .cell_cases import ready_cell, states
+
+POOL = "pool"
+#: Each call fails for this long.
+ODD_FOR_S = 1.0
+#: Leases have lapsed and leads have changed by then, if any had to.
+SETTLED_S = 8.0
+
+#: What fails.
+PARTS = [
+    (StoreView, "get"),
+    (StoreView, "page"),
+    (StoreView, "changes"),
+    (StoreView, "commit"),
+    (StoreView, "grant_lease"),
+    (StoreView, "renew_lease"),
+    (MemoryWorkers, "start"),
+    (MemoryWorkers, "stop"),
+    (MemoryWorkers, "hold"),
+    (ReportJudge, "apply"),
+    (JobBook, "apply_end"),
+    (Job, "progress"),
+    (Elections, "_review_pool"),
+    (PoolFleet, "set_workers"),
+    (PoolGrants, "next_book"),
+    (JobIntake, "take_in"),
+]
+
+
+@contextmanager
+def odd(kind: type, call: str) -> Iterator[list[str]]:
+    """Have each call raise what no caller of it expects; yields the calls."""
+    calls = []
+
+    def fail(*_: Any, **__: Any) -> Any:
+        calls.append(call)
+        raise ZeroDivisionError(f"an odd error of {call}")
+
+    with patch.object(kind, call, fail):
+        yield calls
+
+
+def new_worker(cell: PoolCell, name: str) -> None:
+    entry = WorkerEntry(
+        name, POOL, name, "zone", Resources(8_000, 64_000), ("big",), "r0", True, 1
+    )
+    cell.workers.add(entry)
+    cell.list_worker(entry)
+
+
+def check_all_goes_on(cell: PoolCell) -> None:
+    """Work, a worker that is new, a cancel and a change of the lead."""
+    cell.run(SETTLED_S)
+    new_worker(cell, "late")
+    cell.submit("plain", job_spec(count=6), "node-1")
+    cell.submit("on the new one", job_spec(required_label="big"), "node-2")
+    cell.submit("lasting", job_spec(long_running=True), "node-1")
+    # One whose message was lost.
+    record = JobRecord("untold", POOL, "q-pool", "team", 1, job_spec())
+    cell.store.put(job_key(POOL, "untold"), encode_job(record))
+    cell.run(5.0)
+    jobs = ["plain", "on the new one", "untold"]
+    assert states(cell, jobs) == dict.fromkeys(jobs, JobState.COMPLETED)
+    cell.cancel("lasting", "node-1")
+    cell.cancel("cancelled", "node-1")
+    cell.run(2.0)
+    assert not any(m.active for m in cell.workers.machines.values())
+    cell.kill(cell.lead_of())
+    cell.run(SETTLED_S)
+    via = next(iter(cell.nodes))
+    cell.submit("later", job_spec(count=6), via)
+    cell.run(5.0)
+    assert states(cell, ["later"]) == {"later": JobState.COMPLETED}
+    assert cell.workers.breaches == []
+
+
+def busy_cell(**changes: object) -> PoolCell:
+    cell = ready_cell(**changes)
+    cell.workers.length_of = lambda task: timedelta(
+        seconds=600 if task.job in ("lasting", "cancelled") else 1
+    )
+    cell.submit("before", job_spec(count=12), "node-1")
+    cell.submit("cancelled", job_spec(count=2, long_running=True), "node-1")
+    cell.run(0.5)
+    return cell
+
+
+@pytest.mark.parametrize("kind, call", PARTS)
+def test_a_cell_outlasts_an_odd_error(kind: type, call: str) -> None:
+    cell = busy_cell()
+    with odd(kind, call) as calls:
+        if call in ("grant_lease", "_review_pool"):
+            cell.store.end_lease(next(iter(cell.store.leases)))
+        new_worker(cell, "meanwhile")
+        cell.submit("meanwhile", job_spec(count=2), "node-1")
+        cell.cancel("cancelled", "node-1")
+        cell.run(ODD_FOR_S)
+    assert calls
+    check_all_goes_on(cell)
+    assert states(cell, ["before"]) == {"before": JobState.COMPLETED}
