Ask about a step again after an error that nobody expected

A step is not asked about while a call for it is under way, and only an AdviserError or an answer ended that. After any other error of the call the step, or the gang, was never asked about and never placed again under that lead; its caller saw the job queued for ever.

Any error now counts as a call that brought no advice, so the step is asked about after the usual 200 ms; the error is logged with its trace.

Both cases of the test (tasks, and a gang of two) failed before: the job was still queued 4 s after the errors ended.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_advice_asker.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_advice_asker.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
+from twisted.internet.defer import CancelledError
+
 from savorylead.pools import Advice, AdviceRequest, AdviserError
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
@@ -47,6 +49,13 @@
                 LogLevel.INFO, "advice_failed", step=step.name, detail=str(exc)
             )
             book.failed(step, self._state.now_ms())
+        except CancelledError:
+            raise
+        except Exception:
+            # No further call is made for a step while one counts as under way.
+            book.failed(step, self._state.now_ms())
+            self._plan_soon()
+            raise
         else:
             book.answered(
                 step, step.job.record.queue, asked, advice, self._state.now_ms()
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_unexpected_errors.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_unexpected_errors.py
@@ -20,6 +20,7 @@
 from savorylead_daemon.pool._pool_fleet import PoolFleet
 from savorylead_daemon.pool._report_judge import ReportJudge
 from savorylead_standins.pools import MemoryWorkers, PoolCell, job_spec
+from savorylead_standins.pools._memory_adviser import MemoryAdviser
 from savorylead_standins.pools._memory_cell_store import StoreView
 
 from .cell_cases import ready_cell, states
@@ -30,7 +31,7 @@
 #: Leases have lapsed and leads have changed by then, if any had to.
 SETTLED_S = 8.0
 
-#: What fails.
+#: What fails, besides the planner and the adviser.
 PARTS = [
     (StoreView, "get"),
     (StoreView, "page"),
@@ -122,3 +123,15 @@
     assert calls
     check_all_goes_on(cell)
     assert states(cell, ["before"]) == {"before": JobState.COMPLETED}
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_a_step_is_asked_about_again_after_an_odd_error(gang: bool) -> None:
+    cell = ready_cell(advised=True, workers=6)
+    cell.workers.gang_size_of = lambda _: 2 if gang else 0
+    with odd(MemoryAdviser, "advise") as calls:
+        cell.submit("asked", job_spec(count=2, gang=gang), "node-1")
+        cell.run(ODD_FOR_S)
+    assert calls
+    cell.run(4.0)
+    assert states(cell, ["asked"]) == {"asked": JobState.COMPLETED}
