Go on with passes of the planner after one that failed

An error in a pass left no timer for the next one, and no pause after it. An idle pool had no pass any more until a report or a job came, and a busy one had passes without a pause between them, as fast as reports came, all of which failed.

The error is logged with its trace, and the pause and the next pass follow as after any other one.

Both tests failed before: the error left the timer's call.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_plan_timer.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_plan_timer.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from datetime import datetime, timedelta
 
+from twisted.logger import Logger
+
 from savorylead.clock import Clock, Timer, to_millis
 
 #: Least time between two passes of the planner.
@@ -14,6 +16,8 @@
 #: Longest time without a pass, since tickets, rests and deadlines end by themselves.
 PLAN_AT_LEAST = timedelta(milliseconds=250)
 
+_log = Logger()
+
 
 class PlanTimer:
     """Calls ``plan(now_ms)`` soon after something changed, and now and then anyway."""
@@ -52,7 +56,11 @@
     def _pass(self) -> None:
         self._timer = None
         began = self._clock.now()
-        self._plan(to_millis(began))
+        try:
+            self._plan(to_millis(began))
+        except Exception:
+            # The next pass may see something else; an end of all passes ends the pool.
+            _log.failure("a pass of the planner failed")
         ended = self._clock.now()
         pause = max(PLAN_EVERY, (ended - began) * PLAN_PAUSE_FACTOR)
         self._not_before = ended + pause
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_unexpected_errors.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_unexpected_errors.py
@@ -135,3 +135,24 @@
     assert calls
     cell.run(4.0)
     assert states(cell, ["asked"]) == {"asked": JobState.COMPLETED}
+
+
+def test_passes_go_on_after_one_that_failed() -> None:
+    cell = ready_cell()
+    lead = cell.nodes[cell.lead_of()].leads[POOL]
+    with odd(type(lead._state.planner), "plan") as calls:
+        cell.submit("one", job_spec(), "node-1")
+        cell.run(ODD_FOR_S)
+    assert calls
+    cell.run(3.0)
+    assert states(cell, ["one"]) == {"one": JobState.COMPLETED}
+
+
+def test_a_pass_that_fails_is_followed_by_the_usual_pause() -> None:
+    cell = ready_cell()
+    lead = cell.nodes[cell.lead_of()].leads[POOL]
+    with odd(type(lead._state.planner), "plan") as calls:
+        for _ in range(100):
+            lead._plan_soon()
+            cell.run(0.001)
+    assert 0 < len(calls) <= 21
