--- a/packages/savorylead/savorylead/jobs/__init__.py
+++ b/packages/savorylead/savorylead/jobs/__init__.py
@@ -10,10 +10,19 @@
     encode_job,
     encode_progress,
 )
-from ._spec import JobSpec, SpecError, StepSpec, check_spec
+from ._spec import (
+    MAX_AMOUNT,
+    MAX_TIME_MS,
+    JobSpec,
+    SpecError,
+    StepSpec,
+    check_spec,
+)
 from ._task_name import TaskName
 
 __all__ = [
+    "MAX_AMOUNT",
+    "MAX_TIME_MS",
     "Job",
     "JobRecord",
     "JobSpec",
