Load a pool beside progress that makes no sense for its job

A record of progress that decodes, but tells a state that this version does not know or a task that the step has not, raised ValueError or IndexError when a lead took it over. The lead never had its pool loaded, nor had the next one: nothing of the pool was started, and its callers saw no change. Where it named an unknown step, or a task before the first one, the rest was taken over, and tasks that may be done could run again.

Such a record now counts as one that can't be read: its job is set aside and its pool goes on. A caller who asks a daemon without the lead is told that the state is not known now, not status 500.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
@@ -18,6 +18,7 @@
     SpecError,
     decode_job,
     decode_progress,
+    saved_state,
 )
 from savorylead.links import DeadlineExceededError, within
 from savorylead.pools import (
@@ -317,8 +318,9 @@
         if saved is None:
             return JobState.QUEUED
         progress = decode_progress(saved.key, saved.value)
-        if progress.state:
-            return JobState(progress.state)
+        state = saved_state(record.id, progress)
+        if state is not None:
+            return state
         return JobState.RUNNING if progress.started else JobState.QUEUED
 
     async def _pending(self, queue: Queue) -> CallerAnswer:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_intake.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_intake.py
@@ -4,11 +4,19 @@
 
 from collections.abc import Callable
 
-from savorylead.jobs import JobRecord, JobState, SpecError, check_spec
+from savorylead.jobs import (
+    Job,
+    JobRecord,
+    JobState,
+    RecordError,
+    SpecError,
+    check_spec,
+)
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
-from ._pool_records import LoadedPool
+from ._keys import progress_key
+from ._pool_records import LoadedPool, SavedProgress
 from ._pool_state import PoolState
 from ._progress_log import ProgressLog
 from ._run_starter import RunStarter
@@ -45,18 +53,34 @@
             job = self._state.jobs.add(record, revision, weight, came_ms)
             saved = loaded.progress.get(record.id)
             if record.id in loaded.unreadable:
-                # What of it is done can't be told, and must not run again.
-                job.is_unreadable = True
-                job.shown = JobState.RUNNING
-                self._state.jobs.open.pop(job.id, None)
+                self._set_aside(job)
             elif saved is not None:
-                job.restore(saved.progress)
-                job.progress_revision = saved.revision
-                if job.final is not None:
-                    self._state.jobs.open.pop(job.id, None)
+                self._restore(job, saved)
             if record.id in loaded.cancelled:
                 self.cancel(record.id)
 
+    def _restore(self, job: Job, saved: SavedProgress) -> None:
+        job.progress_revision = saved.revision
+        try:
+            job.restore(saved.progress)
+        except RecordError as exc:
+            self._log.log_event(
+                LogLevel.ERROR,
+                "progress_record_unreadable",
+                key=progress_key(self._pool, job.id),
+                detail=str(exc),
+            )
+            self._set_aside(job)
+        if job.final is not None:
+            self._state.jobs.open.pop(job.id, None)
+
+    def _set_aside(self, job: Job) -> None:
+        """Start nothing of a job; what of it is done must not run again."""
+        job.is_unreadable = True
+        job.final = None
+        job.shown = JobState.RUNNING
+        self._state.jobs.open.pop(job.id, None)
+
     def take_in(self, record: JobRecord, revision: int) -> None:
         """Take in a job that is durable, once, unless it can't be computed with."""
         if record.id in self._state.jobs.jobs:
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_unreadable_records.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_unreadable_records.py
@@ -4,6 +4,7 @@
 
 from datetime import timedelta
 
+import msgspec
 import pytest
 
 from savorylead.jobs import JobState
@@ -60,3 +61,39 @@
     cell.cancel("one", via)
     cell.run(1.0)
     assert states(cell, ["one"]) == {"one": JobState.CANCELLED}
+
+
+#: Progress that is decoded and makes no sense for a job of three steps of two tasks.
+SENSELESS = {
+    "a state of another version": ["paused", True, 0, []],
+    "a task that the step has not": ["", True, 0, [[0, 0, False, [7], []]]],
+    "a task before the first one": ["", True, 0, [[0, 0, False, [-1], []]]],
+    "a failed task beyond the last": [
+        "",
+        True,
+        0,
+        [[0, 0, False, [], [[9, [1]]]]],
+    ],
+    "a failed task below a gang's": ["", True, 0, [[0, 0, False, [], [[-2, [1]]]]]],
+    "a step that the job has not": ["", True, 0, [[0, 9, True, [], []]]],
+    "an occurrence that the job has not": ["", True, 0, [[5, 0, True, [], []]]],
+}
+
+
+@pytest.mark.parametrize("name", SENSELESS)
+def test_a_pool_goes_on_beside_progress_that_makes_no_sense(name: str) -> None:
+    cell = ready_cell()
+    cell.submit("spoiled", in_turn(3, 2), "node-1")
+    cell.submit("sound", in_turn(3, 2), "node-1")
+    cell.run(1.5)
+    began = [r.task for r in cell.workers.records if r.task.job == "spoiled"]
+    value = msgspec.json.encode(SENSELESS[name])
+    followed(cell, progress_key(POOL, "spoiled"), value)
+    via = next(iter(cell.nodes))
+    cell.submit("later", job_spec(count=3), via)
+    cell.run(6.0)
+    assert set(states(cell, ["sound", "later"]).values()) == {JobState.COMPLETED}
+    # What of it is done can't be told, so nothing of it is started.
+    assert states(cell, ["spoiled"]) == {"spoiled": JobState.RUNNING}
+    assert began == [r.task for r in cell.workers.records if r.task.job == "spoiled"]
+    assert cell.workers.breaches == []
--- a/packages/savorylead/savorylead/jobs/__init__.py
+++ b/packages/savorylead/savorylead/jobs/__init__.py
@@ -1,6 +1,6 @@
 """Jobs of steps: what a caller submits, its graph, and its durable records."""
 
-from ._job import Job, JobState, Run, RunState, StepRun, Task
+from ._job import Job, JobState, Run, RunState, StepRun, Task, saved_state
 from ._records import (
     JobRecord,
     ProgressRecord,
@@ -41,4 +41,5 @@
     "decode_progress",
     "encode_job",
     "encode_progress",
+    "saved_state",
 ]
--- a/packages/savorylead/savorylead/jobs/_job.py
+++ b/packages/savorylead/savorylead/jobs/_job.py
@@ -5,7 +5,7 @@
 import enum
 from collections.abc import Iterator
 
-from ._records import JobRecord, ProgressRecord, StepProgress
+from ._records import JobRecord, ProgressRecord, RecordError, StepProgress
 from ._spec import StepSpec
 from ._task_name import TaskName
 
@@ -290,16 +290,25 @@
         return ProgressRecord(state, self.started, self.ended_at_ms, tuple(steps))
 
     def restore(self, progress: ProgressRecord) -> None:
-        """Take over what an earlier lead wrote."""
+        """Take over what an earlier lead wrote.
+
+        Raises RecordError, perhaps half-way, if it is not about such a job: a daemon
+        of another version may have written it.
+        """
         self.started = progress.started
-        if progress.state:
-            self.final = JobState(progress.state)
+        state = saved_state(self.id, progress)
+        if state is not None:
+            self.final = state
             self.ended_at_ms = progress.ended_at_ms
         for saved in progress.steps:
             first = self.task(saved.occurrence, saved.step, 0)
             if first is None:
-                continue
+                raise RecordError(self.id, f"no step {saved[:2]}")
             step = first.step
+            failed_tasks = [index for index, _ in saved.failed if index != -1]
+            for index in (*saved.done, *failed_tasks):
+                if not 0 <= index < step.spec.count:
+                    raise RecordError(self.id, f"no task {index} in {saved[:2]}")
             indices = range(step.spec.count) if saved.all_done else saved.done
             for index in indices:
                 step.mark_done(index)
@@ -311,6 +320,16 @@
         self.shown = self.state()
 
 
+def saved_state(job_id: str, progress: ProgressRecord) -> JobState | None:
+    """Return the final state that a record tells, if any; raises RecordError."""
+    if not progress.state:
+        return None
+    try:
+        return JobState(progress.state)
+    except ValueError as exc:
+        raise RecordError(job_id, str(exc)) from exc
+
+
 def _step_progress(step: StepRun) -> StepProgress:
     done: tuple[int, ...] = ()
     if not step.is_done:
