Ask for the permission to act at the moment of a pace or a first look

A pace was ordered after a report without asking whether the lease still held, and a report may come up to a second after the look was allowed. A first look at a worker asked before it waited for its turn, which comes seconds later where many workers are silent; it may renew the worker's lease. So a daemon cut off from the store, whose lease had lapsed, went on to order on workers beside the next lead until these had seen the next fencing token, and the next lead's wait for unreached workers counts on no such renewal.

Both now ask right before the call. A pace that is not sent is not believed either, so the next report decides it again.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pace_orders.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pace_orders.py
@@ -40,6 +40,9 @@
         self._tasks.spawn("pace of a run", self._send(run, percent))
 
     async def _send(self, run: Run, percent: int) -> None:
+        # A report that leads to it may have waited for an end for a second.
+        if not self._owner.may_act():
+            return
         before, run.paced = run.paced, percent
         try:
             await self._calls.pace(
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_answers.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_answers.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from datetime import datetime, timedelta
+from typing import Any
 
 from twisted.internet.defer import DeferredSemaphore
 
@@ -45,7 +46,19 @@
         self._times = AnswerTimes(OVERDUE)
         self._lossy_until: datetime | None = None
         #: Held by each look at a worker that is not claimed yet.
-        self.claims = DeferredSemaphore(CLAIMS_AT_ONCE)
+        self._claims = DeferredSemaphore(CLAIMS_AT_ONCE)
+
+    async def claim(
+        self, may_act: Callable[[], bool], look: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Look at a worker that is not claimed yet, when it is its turn."""
+        await self._claims.acquire()
+        try:
+            # Where many workers are silent, that turn may come seconds later.
+            if may_act():
+                await look()
+        finally:
+            self._claims.release()
 
     def wait(self, longest: timedelta) -> timedelta:
         """Return how long a look may wait for an end."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Coroutine
 from datetime import timedelta
-from typing import Any
 
 from twisted.internet.defer import CancelledError, Deferred
 
@@ -246,7 +244,7 @@
                 if self.claimed or self._misses:
                     await look()
                 else:
-                    await self._in_turn(look)
+                    await self._answers.claim(self._owner.may_act, look)
             except StaleFenceError:
                 self._owner.superseded()
                 return
@@ -276,10 +274,6 @@
             and not self._misses
         )
 
-    async def _in_turn(self, look: Callable[[], Coroutine[Any, Any, None]]) -> None:
-        """Look before the worker is claimed, when it is its turn."""
-        await self._answers.claims.run(lambda: Deferred.fromCoroutine(look()))
-
     async def _renew(self) -> None:
         """Renew whatever runs there; what the worker reports can't be judged yet."""
         deadline_ms = None
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
@@ -0,0 +1,132 @@
+"""Orders are sent only by a lead that may act at the moment of sending."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from datetime import UTC, datetime
+from typing import Any
+
+import pytest
+
+from savorylead.clock import TwistedClock
+from savorylead.jobs import Job, JobRecord, JobSpec, Run, StepSpec
+from savorylead.pools import (
+    PoolWorker,
+    WorkerEntry,
+    WorkerReport,
+)
+from savorylead.resources import Resources
+from savorylead_daemon.concurrency import TaskSet
+from savorylead_daemon.observability import EventLog
+from savorylead_daemon.pool._pace_orders import PaceOrders
+from savorylead_daemon.pool._session_owner import SessionOwner
+from savorylead_daemon.pool._worker_answers import CLAIMS_AT_ONCE, WorkerAnswers
+from savorylead_daemon.pool._worker_session import WorkerSession
+from savorylead_standins.time import SteppedTime
+
+ENTRY = WorkerEntry("w", "p", "w", "z", Resources(8_000, 8_000), (), "r", True, 1)
+
+
+class Owner(SessionOwner):
+    """A lead whose permission a test takes away."""
+
+    fence = 3
+
+    def __init__(self) -> None:
+        self.is_permitted = True
+        #: How often it may still act; None for no bound.
+        self.turns: int | None = None
+        self.is_loaded = True
+
+    def may_act(self) -> bool:
+        if self.turns is not None:
+            self.turns -= 1
+            return self.turns >= 0
+        return self.is_permitted
+
+    def takes_reports(self) -> bool:
+        return self.is_loaded
+
+    def superseded(self) -> None:
+        raise AssertionError("nothing supersedes it here")
+
+    def apply(
+        self, session: WorkerSession, findings: Sequence[Any], report: WorkerReport
+    ) -> None:
+        pass
+
+    def lost(self, session: WorkerSession, runs: Sequence[Run], reason: str) -> None:
+        pass
+
+    async def durable(self) -> None:
+        pass
+
+
+class Calls:
+    """Takes note of what is sent; every call is answered at once."""
+
+    def __init__(self) -> None:
+        self.sent: list[str] = []
+
+    async def hold(self, *_: Any) -> WorkerReport:
+        self.sent.append("hold")
+        return WorkerReport(1_000, 1, (), (), False)
+
+    async def pace(self, *_: Any) -> None:
+        self.sent.append("pace")
+
+    async def stop(self, *_: Any) -> None:
+        self.sent.append("stop")
+
+
+class Bench:
+    def __init__(self) -> None:
+        self.time = SteppedTime()
+        self.clock = TwistedClock(self.time, datetime(2026, 1, 1, tzinfo=UTC))
+        self.log = EventLog(self.clock, 1)
+        self.owner = Owner()
+        self.calls = Calls()
+        self.worker = PoolWorker(ENTRY)
+        self.tasks = TaskSet()
+
+
+def step_run(count: int = 1, gang: bool = False) -> Any:
+    spec = JobSpec("", (StepSpec(count, Resources(1_000), gang=gang),))
+    job = Job(JobRecord("j", "p", "q", "t", 1, spec), 1)
+    job.open_due(1)
+    return job.occurrences[0][0]
+
+
+@pytest.mark.parametrize("is_permitted", [True, False])
+def test_a_pace_is_sent_only_with_permission(is_permitted: bool) -> None:
+    bench = Bench()
+    orders = PaceOrders(bench.worker, bench.owner, bench.calls, bench.log, bench.tasks)
+    run = Run(step_run().tasks[0], 1, "w", 1)
+    bench.owner.is_permitted = is_permitted
+    orders.send(run, 30)
+    assert bench.calls.sent == ["pace"] * is_permitted
+    # What was not told is decided again by the next report.
+    assert run.paced == (30 if is_permitted else 100)
+
+
+@pytest.mark.parametrize("is_loaded", [True, False])
+@pytest.mark.parametrize("is_permitted", [True, False])
+def test_a_first_look_that_waited_for_its_turn_needs_permission_still(
+    is_permitted: bool, is_loaded: bool
+) -> None:
+    bench = Bench()
+    answers = WorkerAnswers(bench.clock, lambda: 1)
+    for _ in range(CLAIMS_AT_ONCE):
+        answers._claims.acquire()
+    session = WorkerSession(
+        bench.worker, bench.owner, bench.calls, bench.clock, bench.log, answers
+    )
+    bench.owner.is_loaded = is_loaded
+    session.start()
+    bench.time.advance(2.0)
+    assert bench.calls.sent == []
+    bench.owner.is_permitted = is_permitted
+    answers._claims.release()
+    bench.time.advance(0.5)
+    assert bool(bench.calls.sent) is is_permitted
+    session.close()
