Stop a gang whose lead lost its permission between two of its starts

A gang's orders are sent one after the other, each if the lease still holds. Where it ended in between (a pause of the process there, as the lease lapses) the rest of the gang was given up and the members that had been ordered were not stopped: they held their workers until they ended as "alone", and the gang was not placed again before.

The members that were ordered are now stopped like those of a gang of which a start failed; the stop is sent once the lease holds again, or never, by a lead that is over.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
@@ -82,6 +82,7 @@
         session = self._state.sessions.get(run.worker)
         if session is None or not self._may_act():
             self._state.free(run)
+            self.stop_rest_of_gang(run, "gang_incomplete")
             return
         order = RunOrder(
             task=task.name,
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
@@ -7,10 +7,14 @@
 from typing import Any
 
 import pytest
+from twisted.internet.defer import Deferred
 
 from savorylead.clock import TwistedClock
-from savorylead.jobs import Job, JobRecord, JobSpec, Run, StepSpec
+from savorylead.jobs import Job, JobRecord, JobSpec, Run, RunState, StepSpec
 from savorylead.pools import (
+    Placement,
+    Plan,
+    PlannedGang,
     PoolWorker,
     WorkerEntry,
     WorkerReport,
@@ -19,6 +23,8 @@
 from savorylead_daemon.concurrency import TaskSet
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.pool._pace_orders import PaceOrders
+from savorylead_daemon.pool._pool_state import PoolState
+from savorylead_daemon.pool._run_starter import RunStarter
 from savorylead_daemon.pool._session_owner import SessionOwner
 from savorylead_daemon.pool._worker_answers import CLAIMS_AT_ONCE, WorkerAnswers
 from savorylead_daemon.pool._worker_session import WorkerSession
@@ -130,3 +136,42 @@
     bench.time.advance(0.5)
     assert bool(bench.calls.sent) is is_permitted
     session.close()
+
+
+class Session:
+    """Answers no start; keeps what is stopped."""
+
+    def __init__(self) -> None:
+        self.started: list[Run] = []
+        self.stopped: list[Run] = []
+
+    async def start_run(self, run: Run, order: Any) -> None:
+        self.started.append(run)
+        await Deferred()
+
+    def stop_run(self, run: Run, reason: str) -> None:
+        run.state = RunState.STOPPING
+        self.stopped.append(run)
+
+
+@pytest.mark.parametrize("turns", [0, 1, 2, 3])
+def test_a_gang_whose_lead_lost_its_permission_half_way_is_stopped_whole(
+    turns: int,
+) -> None:
+    bench = Bench()
+    state = PoolState(bench.clock, 1_000)
+    state.workers["w"] = bench.worker
+    session = state.sessions["w"] = Session()
+    step = step_run(3, gang=True)
+    starter = RunStarter(
+        state, bench.log, 1, bench.tasks, bench.owner.may_act, lambda: None
+    )
+    bench.owner.turns = turns
+    placements = tuple(Placement(t, bench.worker, "") for t in step.tasks)
+    starter.carry_out(Plan([], [PlannedGang(step, placements)], [], {}, []))
+    assert len(session.started) == turns
+    is_whole = turns == step.spec.count
+    stopped = [run for run in session.started if run in session.stopped]
+    assert stopped == ([] if is_whole else session.started)
+    assert len(step.running()) == turns
+    assert bench.worker.held == Resources(1_000).times(turns)
