Test that a frozen lead orders only under its lease

A process of the stand-in cell may be frozen: its timers, and the answers that come to it, wait, while its clock goes on. Each call to a worker is checked against the lease of its process at the moment of the call.

--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/frozen_cell.py
@@ -0,0 +1,210 @@
+"""A cell whose processes can be frozen, and what they order without permission."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+from datetime import datetime, timedelta
+from typing import Any
+from unittest.mock import patch
+
+from twisted.internet.defer import Deferred
+
+from savorylead.clock import Clock, Timer
+from savorylead.jobs import TaskName
+from savorylead.pools import (
+    RunOrder,
+    RunRejected,
+    RunStarted,
+    WorkerCalls,
+    WorkerEntry,
+    WorkerReport,
+)
+from savorylead_standins.pools import MemoryWorkers, PoolCell, _pool_cell
+from savorylead_standins.pools._memory_cell_store import StoreView
+
+
+class _Held(Timer):
+    def __init__(self) -> None:
+        self.is_cancelled = False
+        self.inner: Timer | None = None
+
+    def cancel(self) -> None:
+        self.is_cancelled = True
+        if self.inner is not None:
+            self.inner.cancel()
+
+
+class Process:
+    """Whether one process runs; while it is frozen, what comes to it waits."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.is_frozen = False
+        self._waiting: list[Callable[[], None]] = []
+
+    def freeze(self, seconds: float) -> None:
+        """Stop the process for a time."""
+        self.is_frozen = True
+        self.clock.call_later(timedelta(seconds=seconds), self._thaw)
+
+    def _thaw(self) -> None:
+        self.is_frozen = False
+        # All of it is due by now, and runs in the order in which it came.
+        waiting, self._waiting = self._waiting, []
+        for each in waiting:
+            each()
+
+    def when_running(self, func: Callable[[], None]) -> None:
+        """Call ``func()`` now, or when the process goes on."""
+        if self.is_frozen:
+            self._waiting.append(func)
+        else:
+            func()
+
+    async def receive(self, call: Coroutine[Any, Any, Any]) -> Any:
+        """Return what a call returns, once the process can see it."""
+        try:
+            return await call
+        finally:
+            if self.is_frozen:
+                seen: Deferred[None] = Deferred()
+                self._waiting.append(lambda: seen.called or seen.callback(None))
+                await seen
+
+
+class ProcessClock(Clock):
+    """Goes on while the process is frozen, as boot time does; its timers wait."""
+
+    def __init__(self, process: Process) -> None:
+        self._process = process
+
+    def now(self) -> datetime:
+        return self._process.clock.now()
+
+    def call_later(
+        self, delay: timedelta, func: Callable[..., Any], *args: Any
+    ) -> Timer:
+        held = _Held()
+
+        def run() -> None:
+            if not held.is_cancelled:
+                func(*args)
+
+        held.inner = self._process.clock.call_later(
+            delay, self._process.when_running, run
+        )
+        return held
+
+
+class ProcessView(StoreView):
+    """The store as a process that may be frozen sees it."""
+
+    def __init__(self, view: StoreView, process: Process) -> None:
+        super().__init__(view._store)
+        self._process = process
+
+    async def _answer(self) -> None:
+        await self._process.receive(super()._answer())
+
+    async def _arrive(self) -> None:
+        await super()._arrive()
+
+
+class ProcessWorkers(WorkerCalls):
+    """Carries calls, and keeps those that a process made without permission."""
+
+    def __init__(
+        self, inner: MemoryWorkers, process: Process, may_act: Callable[[], bool]
+    ) -> None:
+        self._inner = inner
+        self._process = process
+        self._may_act = may_act
+        self.unpermitted: list[str] = []
+
+    def _note(self, order: str) -> None:
+        if not self._may_act():
+            self.unpermitted.append(order)
+
+    async def start(
+        self, worker: WorkerEntry, fence: int, order: RunOrder
+    ) -> RunStarted | RunRejected:
+        self._note(f"start of {order.task}/{order.number}")
+        return await self._process.receive(self._inner.start(worker, fence, order))
+
+    async def stop(
+        self, worker: WorkerEntry, fence: int, task: TaskName, number: int
+    ) -> None:
+        self._note(f"stop of {task}/{number}")
+        await self._process.receive(self._inner.stop(worker, fence, task, number))
+
+    async def pace(
+        self, worker: WorkerEntry, fence: int, task: TaskName, number: int, percent: int
+    ) -> None:
+        self._note(f"pace of {task}/{number}")
+        await self._process.receive(
+            self._inner.pace(worker, fence, task, number, percent)
+        )
+
+    async def hold(
+        self,
+        worker: WorkerEntry,
+        fence: int,
+        released: int,
+        deadline_ms: int | None,
+        wait: timedelta,
+    ) -> WorkerReport:
+        self._note(f"look at {worker.id}")
+        return await self._process.receive(
+            self._inner.hold(worker, fence, released, deadline_ms, wait)
+        )
+
+
+class FrozenCell(PoolCell):
+    """Processes by name; each may be frozen."""
+
+    def __init__(self, **changes: Any) -> None:
+        self.processes: dict[str, Process] = {}
+        self.calls: dict[str, ProcessWorkers] = {}
+        super().__init__(**changes)
+
+    def start_node(self, name: str) -> None:
+        """Start a process of its own clock, store, workers and peers."""
+        clock, workers = self.clock, self.workers
+        process = self.processes[name] = Process(clock)
+        self.views[name] = ProcessView(StoreView(self.store), process)
+        calls = ProcessWorkers(workers, process, lambda: self._holds(name))
+        self.calls[name] = calls
+        self.clock, self.workers = ProcessClock(process), calls  # type: ignore[assignment]
+        try:
+            with patch.object(_pool_cell, "_Peers", _gated(process)):
+                super().start_node(name)
+        finally:
+            self.clock, self.workers = clock, workers
+
+    def _holds(self, name: str) -> bool:
+        node = self.nodes.get(name)
+        return node is not None and node._lease.holds()
+
+    def freeze(self, name: str, seconds: float) -> None:
+        """Freeze a process; others get no answer from it meanwhile."""
+        self.processes[name].freeze(seconds)
+        self.mute.add(name)
+        self.clock.call_later(timedelta(seconds=seconds), self.mute.discard, name)
+
+    def unpermitted(self) -> list[str]:
+        """Return what was ordered without the lease of its process."""
+        return [order for calls in self.calls.values() for order in calls.unpermitted]
+
+
+def _gated(process: Process) -> type:
+    class Gated(_pool_cell._Peers):
+        async def tell(self, address: str, message: Any) -> Any:
+            return await process.receive(super().tell(address, message))
+
+        async def ask(self, address: str, asked: Any) -> bool:
+            return await process.receive(super().ask(address, asked))
+
+        async def advise(self, address: str, asked: Any) -> Any:
+            return await process.receive(super().advise(address, asked))
+
+    return Gated
