Don't let a gang wait for allowed workers that can't take it

A gang's calls for advice counted each allowed worker that answers: one that rests (up to 30 s), one whose room a lasting task holds for good, one that the platform's list no longer names, one with a run that nobody knows. With as many of these as the gang has tasks it was asked about no other worker: its own tickets were fetched again every 1.85 s, and it stood beside empty workers for the rest or for ever. Its caller saw the job queued.

A worker that rests now counts as free from the end of its rest, one that lasting tasks fill as never free, and neither such a one nor one that may not be given work counts at all for the call; reservations pass over workers that are never free, too. So the gang lacks known workers and learns of others.

--- a/packages/savorylead/savorylead/pools/_advice_calls.py
+++ b/packages/savorylead/savorylead/pools/_advice_calls.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 
 from savorylead.jobs import StepRun
@@ -113,6 +114,9 @@
         soon = {w.id for w in makeable}
         rooms = []
         for worker in _able(state, step):
+            if not worker.listed or worker.unexplained:
+                # Nobody can tell when it may be given work.
+                continue
             copies = 1
             if worker.id in now:
                 copies = copies_that_fit(held, state.free[worker.id], step)
@@ -122,6 +126,9 @@
             else:
                 free_at_ms = self._reservation.free_at_ms(state, worker, held)
                 free_at_ms = max(free_at_ms, state.reserved.get(worker.id, 0.0))
+                free_at_ms = max(free_at_ms, float(worker.rest_until_ms))
+            if free_at_ms == math.inf:
+                continue
             empty = copies_that_fit(held, worker.entry.capacity, step)
             rooms.append(GangRoom(worker, max(1, copies), empty, free_at_ms))
         fitting = tasks_per_worker(step, with_room or [r.worker for r in rooms])
--- a/packages/savorylead/savorylead/pools/_reservation.py
+++ b/packages/savorylead/savorylead/pools/_reservation.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Container
 
-from savorylead.jobs import Run, StepRun
+from savorylead.jobs import Run, RunState, StepRun
 from savorylead.resources import Resources
 
 from ._advice import AdviceBook
@@ -58,6 +59,7 @@
             if w.id not in state.reserved
             and could_ever_hold(w, step)
             and self._book.may_be_allowed(step, w)
+            and self.free_at_ms(state, w, held) < math.inf
         ]
         kept: dict[str, float] = {}
         for _, _, free_at_ms, _, worker in sorted(allowed, key=lambda row: row[:4]):
@@ -74,7 +76,10 @@
     def free_at_ms(
         self, state: PlanningPass, worker: PoolWorker, held: Resources
     ) -> float:
-        """Return when enough runs should have ended for one more task."""
+        """Return when enough runs should have ended for one more task.
+
+        That is never where tasks that last hold the room.
+        """
         room = state.free[worker.id]
         key = (worker.id, held)
         known = state.free_at.get(key)
@@ -88,6 +93,8 @@
         self, state: PlanningPass, worker: PoolWorker, held: Resources
     ) -> float:
         room = state.free[worker.id]
+        if not held.fits(_room_but_for_lasting(worker)):
+            return math.inf
         free_at_ms = float(state.now_ms)
         for end_ms, freed in self._ends(state, worker):
             if held.fits(room):
@@ -120,6 +127,15 @@
         return run.percent_at_ms + length_ms * left
 
 
+def _room_but_for_lasting(worker: PoolWorker) -> Resources:
+    """Return what is left of a worker once all of its runs that end have ended."""
+    room = worker.entry.capacity
+    for run in worker.runs.values():
+        if run.task.step.spec.long_running and run.state is not RunState.STOPPING:
+            room = room.minus(held_by(run.task.step))
+    return room
+
+
 def may_reserve(step: StepRun, queue: Queue, state: PlanningPass) -> bool:
     """Return whether the step is urgent and large enough to keep workers."""
     if queue.priority > RESERVING_PRIORITY or step.spec.fills:
