Test that changes of the lead order nothing twice

64 cases: a working lead resigns, is killed, starts again at once or later, is cut from the other daemons or from the store, is refused by it, or has its lease ended, with and without late starts and lost answers; 16 more with a watch that stands still.

--- a/packages/savorylead-standins/savorylead_standins/pools/tests/frozen_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/frozen_cell.py
@@ -12,6 +12,7 @@
 from savorylead.clock import Clock, Timer
 from savorylead.jobs import TaskName
 from savorylead.pools import (
+    Changes,
     RunOrder,
     RunRejected,
     RunStarted,
@@ -19,6 +20,7 @@
     WorkerEntry,
     WorkerReport,
 )
+from savorylead.store import StoreTimeoutError
 from savorylead_standins.pools import MemoryWorkers, PoolCell, _pool_cell
 from savorylead_standins.pools._memory_cell_store import StoreView
 
@@ -102,12 +104,20 @@
     def __init__(self, view: StoreView, process: Process) -> None:
         super().__init__(view._store)
         self._process = process
+        #: While True, no watch tells anything.
+        self.is_deaf = False
 
     async def _answer(self) -> None:
         await self._process.receive(super()._answer())
 
-    async def _arrive(self) -> None:
-        await super()._arrive()
+    async def changes(
+        self, prefix: str, after_revision: int, wait: timedelta
+    ) -> Changes:
+        """Return changes since a revision; a watch may stand still."""
+        if self.is_deaf and wait:
+            await self._process.clock.sleep(wait)
+            raise StoreTimeoutError("the watch stood still")
+        return await super().changes(prefix, after_revision, wait)
 
 
 class ProcessWorkers(WorkerCalls):
@@ -120,6 +130,8 @@
         self._process = process
         self._may_act = may_act
         self.unpermitted: list[str] = []
+        #: Numbers of the terms under which starts were ordered, and when.
+        self.starts: list[tuple[int, datetime]] = []
 
     def _note(self, order: str) -> None:
         if not self._may_act():
@@ -129,6 +141,7 @@
         self, worker: WorkerEntry, fence: int, order: RunOrder
     ) -> RunStarted | RunRejected:
         self._note(f"start of {order.task}/{order.number}")
+        self.starts.append((fence, self._process.clock.now()))
         return await self._process.receive(self._inner.start(worker, fence, order))
 
     async def stop(
@@ -165,6 +178,8 @@
     def __init__(self, **changes: Any) -> None:
         self.processes: dict[str, Process] = {}
         self.calls: dict[str, ProcessWorkers] = {}
+        #: Those of processes that were started again.
+        self.former_calls: list[ProcessWorkers] = []
         super().__init__(**changes)
 
     def start_node(self, name: str) -> None:
@@ -172,6 +187,8 @@
         clock, workers = self.clock, self.workers
         process = self.processes[name] = Process(clock)
         self.views[name] = ProcessView(StoreView(self.store), process)
+        if name in self.calls:
+            self.former_calls.append(self.calls[name])
         calls = ProcessWorkers(workers, process, lambda: self._holds(name))
         self.calls[name] = calls
         self.clock, self.workers = ProcessClock(process), calls  # type: ignore[assignment]
@@ -191,9 +208,27 @@
         self.mute.add(name)
         self.clock.call_later(timedelta(seconds=seconds), self.mute.discard, name)
 
+    def overlap(self) -> timedelta:
+        """Return for how long starts of a term came after those of a later one."""
+        starts = [each for calls in self._all_calls() for each in calls.starts]
+        first: dict[int, datetime] = {}
+        last: dict[int, datetime] = {}
+        for fence, at in sorted(starts, key=lambda row: row[1]):
+            first.setdefault(fence, at)
+            last[fence] = at
+        longest = timedelta(0)
+        for fence, at in last.items():
+            later = [begin for other, begin in first.items() if other > fence]
+            if later:
+                longest = max(longest, at - min(later))
+        return longest
+
     def unpermitted(self) -> list[str]:
         """Return what was ordered without the lease of its process."""
-        return [order for calls in self.calls.values() for order in calls.unpermitted]
+        return [order for calls in self._all_calls() for order in calls.unpermitted]
+
+    def _all_calls(self) -> list[ProcessWorkers]:
+        return [*self.former_calls, *self.calls.values()]
 
 
 def _gated(process: Process) -> type:
