--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Coroutine
 from datetime import timedelta
-from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 
 from savorylead.clock import Clock, Wakeup, to_millis
 from savorylead.jobs import Run, RunState
@@ -26,7 +24,7 @@
     reconcile,
 )
 from savorylead.workers import WorkerError, WorkerTimeoutError
-from savorylead_daemon.concurrency import TaskSet
+from savorylead_daemon.concurrency import TaskSet, lasting
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -109,7 +107,8 @@
 
     def start(self) -> None:
         """Claim the worker and keep in touch with it."""
-        self._tasks.spawn("worker session", self._run())
+        running = lasting("worker session", self._clock, self._run)
+        self._tasks.spawn("worker session", running)
 
     def close(self) -> None:
         """Send nothing any more."""
@@ -181,7 +180,10 @@
             return
         run.state = RunState.STOPPING
         run.stop_reason = reason
-        self._tasks.spawn("stop of a run", self._stop_until_gone(run))
+        stopping = lasting(
+            "stop of a run", self._clock, lambda: self._stop_until_gone(run)
+        )
+        self._tasks.spawn("stop of a run", stopping)
 
     async def _stop_until_gone(self, run: Run) -> None:
         key = (str(run.task.name), run.number)
@@ -242,7 +244,7 @@
                 if self.claimed or self._misses:
                     await look()
                 else:
-                    await self._in_turn(look)
+                    await self._answers.claim(self._owner.may_act, look)
             except StaleFenceError:
                 self._owner.superseded()
                 return
@@ -251,6 +253,12 @@
                 if self._misses != 1:
                     await self._clock.sleep(RETRY_AFTER)
                 continue
+            except CancelledError:
+                raise
+            except Exception as exc:
+                # Nothing more is started on a worker whose reports can't be followed.
+                self._note_failure(exc)
+                raise
             if not takes_reports:
                 await self._wakeup.wait(RENEW_WAIT if self._is_renewed else _NO_WAIT)
             elif self._seen != self._durable:
@@ -266,10 +274,6 @@
             and not self._misses
         )
 
-    async def _in_turn(self, look: Callable[[], Coroutine[Any, Any, None]]) -> None:
-        """Look before the worker is claimed, when it is its turn."""
-        await self._answers.claims.run(lambda: Deferred.fromCoroutine(look()))
-
     async def _renew(self) -> None:
         """Renew whatever runs there; what the worker reports can't be judged yet."""
         deadline_ms = None
--- a/packages/savorylead/savorylead/jobs/__init__.py
+++ b/packages/savorylead/savorylead/jobs/__init__.py
@@ -1,6 +1,6 @@
 """Jobs of steps: what a caller submits, its graph, and its durable records."""
 
-from ._job import Job, JobState, Run, RunState, StepRun, Task
+from ._job import Job, JobState, Run, RunState, StepRun, Task, saved_state
 from ._records import (
     JobRecord,
     ProgressRecord,
@@ -10,10 +10,19 @@
     encode_job,
     encode_progress,
 )
-from ._spec import JobSpec, SpecError, StepSpec, check_spec
+from ._spec import (
+    MAX_AMOUNT,
+    MAX_TIME_MS,
+    JobSpec,
+    SpecError,
+    StepSpec,
+    check_spec,
+)
 from ._task_name import TaskName
 
 __all__ = [
+    "MAX_AMOUNT",
+    "MAX_TIME_MS",
     "Job",
     "JobRecord",
     "JobSpec",
@@ -32,4 +41,5 @@
     "decode_progress",
     "encode_job",
     "encode_progress",
+    "saved_state",
 ]
