--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/gang_cases.py
@@ -0,0 +1,210 @@
+"""A cell with a slow adviser and one wide gang, for tests of what befalls the gang."""
+
+from __future__ import annotations
+
+import math
+import zlib
+from collections.abc import Callable, Sequence
+from datetime import datetime, timedelta
+
+from savorylead.clock import Clock
+from savorylead.jobs import Job, JobSpec, StepSpec
+from savorylead.pools import (
+    Advice,
+    AdviceCost,
+    AdviserError,
+    PolicyAdviser,
+    RunEnd,
+    RunOrder,
+    RunRejected,
+    RunStarted,
+    WorkerEntry,
+)
+from savorylead.resources import Resources
+from savorylead_standins.pools import MemoryMachine, PoolCell, TicketOffice
+
+from .cell_cases import READY_S
+
+#: What the adviser of the large site takes for a call and for each worker named, in
+#: milliseconds; most workers that it takes in a call; how long its tickets hold.
+DECIDE_MS = 560.0
+PER_WORKER_MS = 5.0
+MOST_NAMED = 100
+VALID_MS = 2_000
+#: Of ten workers its policy allows this many.
+ALLOWED_OF_TEN = 3
+#: Cores of a worker, and what a task takes so that one, two or three fit.
+CORES = 16
+TASK_CORES = {1: 9.0, 2: 6.3, 3: 4.5}
+#: Workers are listed until the allowed ones hold this many times the gang.
+ROOM_FACTOR = 2.0
+#: Length of a member, in seconds: longer than what befalls a gang.
+LENGTH_S = 6.0
+#: Longest time without a run beside free room, in seconds; the platform's owners count
+#: the gang as lost after it.
+MOST_IDLE_S = 3.0
+#: Longest that a test looks for a run, in seconds.
+LOOK_S = 40.0
+GANG = "gang"
+#: Time until a worker's answer is there.
+ANSWER = timedelta(milliseconds=2)
+
+Refusal = Callable[[RunOrder, str], RunRejected | RunStarted | Exception | None]
+
+
+def allows(step: str, worker: str) -> bool:
+    """Return whether the policy allows a worker for a step."""
+    return zlib.crc32(f"{step}/{worker}".encode()) % 10 < ALLOWED_OF_TEN
+
+
+def workers_for(count: int, copies: int, job: str = GANG) -> int:
+    """Return how many workers hold a gang ``ROOM_FACTOR`` times, of allowed ones."""
+    wanted = math.ceil(ROOM_FACTOR * count / copies) + 1
+    number = 0
+    while wanted:
+        wanted -= allows(f"{job}.0.0", f"w{number}")
+        number += 1
+    return number
+
+
+class SlowAdviser(PolicyAdviser):
+    """Takes long, longer for more workers, and fails when it is told to."""
+
+    def __init__(self, clock: Clock, office: TicketOffice) -> None:
+        self._clock = clock
+        self._office = office
+        self._busy_until = clock.now()
+        #: Whether each call fails at once.
+        self.fails = False
+        #: Time in seconds that the next call takes beyond its usual one.
+        self.late_s = 0.0
+        #: Time and workers of each call.
+        self.calls: list[tuple[datetime, tuple[str, ...]]] = []
+
+    async def advise(self, step: str, workers: Sequence[str]) -> Advice:
+        """Return which of the workers may run the step."""
+        now = self._clock.now()
+        self.calls.append((now, tuple(workers)))
+        if self.fails:
+            raise AdviserError("no answer")
+        assert len(workers) <= MOST_NAMED
+        takes = timedelta(milliseconds=DECIDE_MS + PER_WORKER_MS * len(workers))
+        takes += timedelta(seconds=self.late_s)
+        self.late_s = 0.0
+        self._busy_until = max(now, self._busy_until) + takes
+        await self._clock.sleep(self._busy_until - now)
+        tickets = {
+            w: self._office.issue(step, w, VALID_MS) for w in workers if allows(step, w)
+        }
+        return Advice(tickets, VALID_MS)
+
+
+class GangCell(PoolCell):
+    """A cell whose one queue needs the slow adviser's advice."""
+
+    def __init__(self, count: int, copies: int, nodes: int = 3) -> None:
+        self.count = count
+        self.copies = copies
+        self.advisers: list[SlowAdviser] = []
+        #: Time from the gang's beginning to its fault, in seconds.
+        self.fault_after_s = 0.0
+        #: Number of the run that broke.
+        self.broken = 0
+        #: Says of a start what becomes of it in place of its execution, None for that.
+        self.refuse: Refusal = lambda order, worker: None
+        super().__init__(
+            nodes=nodes, workers=workers_for(count, copies), cores=CORES, advised=True
+        )
+        self.workers.length_of = lambda _: timedelta(seconds=LENGTH_S)
+        cores = TASK_CORES[copies]
+        self.need = Resources(int(cores * 1000), 100, 0)
+        self.workers.resources_of = lambda _: self.need
+        self.workers.gang_size_of = lambda task: count if task.job == GANG else 0
+        self.workers.reject_overload = True
+        self._carry = self.workers.start
+        self.workers.start = self._start  # type: ignore[method-assign]
+        cost = AdviceCost(DECIDE_MS, PER_WORKER_MS, VALID_MS)
+        queue = self.document.queues[0]
+        queue = queue._replace(priority=1, advice=cost, objective_ms=3_000)
+        self.put_config(self.document._replace(version=2, queues=(queue,)))
+        self.run(READY_S)
+
+    def _adviser(self) -> SlowAdviser:
+        self.advisers.append(SlowAdviser(self.clock, self.tickets))
+        return self.advisers[-1]
+
+    async def _start(
+        self, worker: WorkerEntry, fence: int, order: RunOrder
+    ) -> RunStarted | RunRejected:
+        instead = self.refuse(order, worker.id)
+        if instead is not None:
+            await self.clock.sleep(ANSWER)
+        if isinstance(instead, Exception):
+            raise instead
+        if instead is not None:
+            return instead
+        return await self._carry(worker, fence, order)
+
+    def submit_gang(self) -> None:
+        """Hand in the gang."""
+        step = StepSpec(self.count, self.need, estimate_ms=int(LENGTH_S * 1000))
+        self.submit(GANG, JobSpec("payload", (step._replace(gang=True),)))
+
+    # -- what is seen of the gang --
+
+    def job(self) -> Job:
+        """Return the gang's job as its lead knows it."""
+        return self.lead()._state.jobs.jobs[GANG]
+
+    def lead(self) -> object:
+        """Return the pool's lead."""
+        return self.nodes[self.lead_of()].leads["pool"]
+
+    def members(self) -> list[tuple[MemoryMachine, tuple[str, int]]]:
+        """Return the members that work, with their workers."""
+        return [
+            (machine, key)
+            for machine in self.workers.machines.values()
+            for key, active in machine.active.items()
+            if active.works_since is not None and not machine.is_cut
+        ]
+
+    def works(self) -> bool:
+        """Return whether the whole gang works."""
+        return len(self.members()) == self.count
+
+    def note_broken_run(self) -> None:
+        """Take note that the run which was ordered last is broken."""
+        self.broken = max(t.last_run for t in self.job().occurrences[0][0].tasks)
+
+    def wait_until_it_works(self) -> float:
+        """Return after how many seconds the whole gang works, ``inf`` if never."""
+        return self._wait_for(self.works)
+
+    def wait_until_broken_run_is_over(self) -> float:
+        """Return after how many seconds the lead knows that, ``inf`` if never."""
+        step = self.job().occurrences[0][0]
+        return self._wait_for(
+            lambda: all(t.run is None or t.run.number > self.broken for t in step.tasks)
+        )
+
+    def wait_until_it_works_again(self) -> float:
+        """Return after how many seconds a later run works, ``inf`` if never."""
+        return self._wait_for(
+            lambda: (
+                self.works() and all(key[1] > self.broken for _, key in self.members())
+            )
+        )
+
+    def _wait_for(self, condition: Callable[[], bool]) -> float:
+        began = self.clock.now()
+        while not condition():
+            if (self.clock.now() - began).total_seconds() > LOOK_S:
+                return math.inf
+            self.run(0.01)
+        return (self.clock.now() - began).total_seconds()
+
+    def end_member(self, number: int, how: RunEnd) -> None:
+        """End one member's run."""
+        machine, key = self.members()[number]
+        machine._end(key, how)
--- /dev/null
+++ b/packages/savorylead/savorylead/pools/tests/test_gangs_at_limit.py
@@ -0,0 +1,110 @@
+"""A gang whose team is at its limit gets its turn beside the team's other work."""
+
+from __future__ import annotations
+
+import pytest
+
+from savorylead.jobs import RunState, StepRun
+from savorylead.pools import PoolPlanner
+from savorylead.resources import Resources
+
+from .pool_cases import NOW_MS, plan, run_on, starts, step_of, worker
+
+#: Workers of 16 cores: several times the team's limit.
+WORKERS = 40
+#: The team's small tasks: how many wait at any time, their cores and their length.
+SMALL_WAITING = 10
+SMALL_CORES = 1.7
+SMALL_MS = 3_400
+#: The gang comes when the team's limit has been in use for a while.
+GANG_AFTER_MS = 4_000
+#: What runs ends within one length, and the gang needs no more than the limit.
+MOST_WAIT_MS = 2 * SMALL_MS
+STEP_MS = 50
+
+
+class _Team:
+    """One team's small work, which comes all the time, and a gang beside it."""
+
+    def __init__(self, limit_milli: int, checkpoints: bool) -> None:
+        self._limit_milli = limit_milli
+        self._checkpoints = checkpoints
+        self._pool = {f"w{n}": worker(f"w{n}") for n in range(WORKERS)}
+        self._planner = PoolPlanner()
+        self._small: list[StepRun] = []
+        self._held_milli = 0
+        self._number = 0
+
+    def gang_starts(self, gang: StepRun | None, now_ms: int) -> bool:
+        """Pass once over what waits; return whether the gang starts."""
+        self._end_runs(now_ms)
+        self._small = [step for step in self._small if not step.is_done]
+        if sum(len(step.waiting()) for step in self._small) < SMALL_WAITING:
+            self._number += 1
+            small = step_of(
+                f"small{self._number}",
+                "batch",
+                cores=SMALL_CORES,
+                count=SMALL_WAITING,
+                accepted_at_ms=now_ms,
+                estimate_ms=SMALL_MS,
+                checkpoints=self._checkpoints,
+            )
+            self._small.append(small)
+        made = plan(
+            [*self._small, *([gang] if gang else [])],
+            list(self._pool.values()),
+            self._planner,
+            Resources(self._limit_milli - self._held_milli, 1 << 40, 1 << 40),
+            now_ms,
+        )
+        for placement in made.placements:
+            task = placement.task
+            run = run_on(
+                placement.worker, task.step, task.index, confirmed_at_ms=now_ms
+            )
+            run.percent_at_ms = now_ms
+            self._held_milli += task.step.spec.resources.cores_milli
+        for run in made.preempted:
+            run.state = RunState.STOPPING
+        return bool(made.gangs) and len(starts(made)) >= len(gang.tasks)
+
+    def _end_runs(self, now_ms: int) -> None:
+        for each in self._pool.values():
+            for run in list(each.runs.values()):
+                is_over = now_ms - run.confirmed_at_ms >= SMALL_MS
+                if not is_over and run.state is not RunState.STOPPING:
+                    continue
+                task = run.task
+                each.remove(run)
+                task.run = None
+                self._held_milli -= task.step.spec.resources.cores_milli
+                if is_over:
+                    task.step.mark_done(task.index)
+
+
+@pytest.mark.parametrize("checkpoints", [False, True])
+@pytest.mark.parametrize("limit_factor", [1.2, 2.0])
+@pytest.mark.parametrize("count, cores", [(3, 4.5), (8, 4.5), (15, 4.5), (17, 6.3)])
+def test_a_gang_at_its_teams_limit_starts_in_time(
+    count: int, cores: float, limit_factor: float, checkpoints: bool
+) -> None:
+    # Less urgent tasks of the gang's own team took each bit of the limit as it became
+    # free, for as long as they came.
+    team = _Team(int(count * cores * limit_factor * 1000), checkpoints)
+    gang = step_of(
+        "gang",
+        "normal",
+        cores=cores,
+        count=count,
+        gang=True,
+        accepted_at_ms=NOW_MS + GANG_AFTER_MS,
+        estimate_ms=4_000,
+    )
+    for now_ms in range(NOW_MS, NOW_MS + GANG_AFTER_MS, STEP_MS):
+        team.gang_starts(None, now_ms)
+    began_ms = NOW_MS + GANG_AFTER_MS
+    assert any(
+        team.gang_starts(gang, now_ms)
+        for now_ms in range(began_ms, began_ms + MOST_WAIT_MS, STEP_MS)
+    )
--- a/packages/savorylead/savorylead/pools/tests/test_wide_gangs.py
+++ b/packages/savorylead/savorylead/pools/tests/test_wide_gangs.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from savorylead.pools import Advice, PoolPlanner
+from savorylead.pools import Advice, AdviceCost, PoolPlanner
 
 from .pool_cases import NOW_MS, plan, queue, starts, step_of, worker
 
@@ -71,3 +71,45 @@
         (request,) = plan([step], pool, PoolPlanner(), queues=QUEUES).requests
         named.append(len(request.workers))
     assert named[1] >= named[0]
+
+
+#: What the adviser of the large site takes: milliseconds for a call and a worker named.
+SLOW = {"q": queue("q", 1, advised=True)._replace(advice=AdviceCost(560.0, 5.0, 2_000))}
+#: Rest of a worker, and longest that a gang may wait beside free room, in milliseconds.
+REST_MS = 30_000
+MOST_IDLE_MS = 3_000
+
+
+@pytest.mark.parametrize("cause", ["rests", "unexplained", "unlisted"])
+@pytest.mark.parametrize(
+    "count, cores", [(2, 9), (3, 9), (8, 6.3), (15, 4.5), (17, 6.3), (40, 4.5)]
+)
+def test_a_gang_that_is_known_goes_where_work_may_be_started(
+    count: int, cores: float, cause: str
+) -> None:
+    # Tickets were renewed only for the first workers by name, also for those that may
+    # be given no work, and the gang waited beside free ones until they might.
+    pool = [worker(f"w{n:03}") for n in range(80)]
+    planner = PoolPlanner()
+    step = step_of("gang", "q", cores=cores, count=count, gang=True)
+    known = Advice({w.id: "t" for w in pool}, VALID_MS)
+    planner.book.answered(step, "q", pool, known, NOW_MS - 5_000)
+    for each in pool[:40]:
+        if cause == "rests":
+            each.rest(NOW_MS, REST_MS)
+        elif cause == "unexplained":
+            each.unexplained = 1
+        else:
+            each.listed = False
+    now_ms = NOW_MS
+    while now_ms < NOW_MS + MOST_IDLE_MS:
+        made = plan([step], pool, planner, queues=SLOW, now_ms=now_ms)
+        if starts(made):
+            break
+        for request in made.requests:
+            asked = [w for w in pool if w.id in request.workers]
+            now_ms += int(request.expected_ms)
+            tickets = Advice({w.id: "t" for w in asked}, VALID_MS)
+            planner.book.answered(step, "q", asked, tickets, now_ms)
+        now_ms += 50
+    assert len(starts(made)) == count
