Pass a daemon over for a while when a call for advice through it failed

Callers saw a gang, or any step, without a run beside free room for as long as one daemon could not reach the adviser. It is now passed over for 1 s, and twice as long after each further failure, up to 30 s, while there is another one; so the retry 0.2 s later goes elsewhere.

The tests of the router now hand it a clock; what they check is as it was.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_advice_queue.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_advice_queue.py
@@ -8,6 +8,7 @@
 
 import heapq
 from collections.abc import Callable, Coroutine, Sequence
+from datetime import datetime, timedelta
 from itertools import count
 from typing import Any
 
@@ -19,6 +20,7 @@
     Advice,
     AdviceSlots,
     AdviserBusyError,
+    AdviserError,
     PolicyAdviser,
 )
 
@@ -36,6 +38,12 @@
 #: Short calls that may be under way through one daemon: while one is answered the next
 #: ones are at hand, and none waits longer than a pass of the planner.
 SHORT_CALLS_AT_ONCE = 4
+#: A daemon through which a call failed is passed over for this long, and twice as long
+#: after each further failure: a call that fails at once leaves no line behind it, so it
+#: would draw every other call.
+FIRST_PASS_OVER = timedelta(seconds=1)
+#: Longest time for which a daemon is passed over.
+LONGEST_PASS_OVER = timedelta(seconds=30)
 
 
 class AdviceQueue:
@@ -82,25 +90,48 @@
 class _Backlog:
     """The calls of one lead that are under way through one daemon."""
 
-    __slots__ = ("long_calls", "long_ms", "short_calls", "short_ms")
+    __slots__ = (
+        "long_calls",
+        "long_ms",
+        "pass_over",
+        "passed_over_until",
+        "short_calls",
+        "short_ms",
+    )
 
     def __init__(self) -> None:
+        #: For how long the daemon is passed over after the next failure.
+        self.pass_over = FIRST_PASS_OVER
+        self.passed_over_until: datetime | None = None
         self.short_calls = 0
         self.long_calls = 0
         self.short_ms = 0.0
         self.long_ms = 0.0
 
+    def succeeded(self) -> None:
+        """Take note that a call brought advice."""
+        self.pass_over = FIRST_PASS_OVER
+        self.passed_over_until = None
+
+    def failed(self, now: datetime) -> None:
+        """Take note that a call failed; calls that fail together count once."""
+        if self.passed_over_until is None or self.passed_over_until <= now:
+            self.passed_over_until = now + self.pass_over
+            self.pass_over = min(2 * self.pass_over, LONGEST_PASS_OVER)
+
 
 class AdviceRouter:
     """Chooses the daemon for each call by what it is expected to wait there.
 
     The first daemons by name are kept for short calls, by every lead alike, as far
     as the others are not much busier. A daemon makes short calls first, so a short
-    one waits for the others and, at most, for the rest of a long one.
+    one waits for the others and, at most, for the rest of a long one. A daemon through
+    which calls fail is passed over while there is another one.
     """
 
-    def __init__(self, ask_through: AskThrough) -> None:
+    def __init__(self, ask_through: AskThrough, clock: Clock) -> None:
         self._ask_through = ask_through
+        self._clock = clock
         self._backlogs: dict[str, _Backlog] = {}
 
     def choose(self, names: Sequence[str], expected_ms: float) -> str:
@@ -120,7 +151,7 @@
                 wait_ms += REST_OF_LONG_MS
             return wait_ms, index
 
-        return ordered[min(range(len(ordered)), key=cost)]
+        return ordered[min(self._usable(ordered), key=cost)]
 
     def slots(self, names: Sequence[str]) -> AdviceSlots:
         """Return how many calls may be made now that need not wait long.
@@ -130,14 +161,28 @@
         """
         for_short = _kept_for_short(len(names))
         short = long = 0
-        for index, name in enumerate(sorted(names)):
-            backlog = self._backlogs.get(name) or _Backlog()
+        ordered = sorted(names)
+        usable = self._usable(ordered)
+        for_long = [index for index in usable if index >= for_short] or usable
+        for index in usable:
+            backlog = self._backlogs.get(ordered[index]) or _Backlog()
             if backlog.long_calls:
                 continue
             short += max(0, SHORT_CALLS_AT_ONCE - backlog.short_calls)
-            long += index >= for_short or len(names) <= for_short
+            long += index in for_long
         return AdviceSlots(short, long)
 
+    def _usable(self, ordered: Sequence[str]) -> Sequence[int]:
+        """Return the places of the daemons that are not passed over, or all places."""
+        now = self._clock.now()
+        usable = []
+        for index, name in enumerate(ordered):
+            backlog = self._backlogs.get(name)
+            until = None if backlog is None else backlog.passed_over_until
+            if until is None or until <= now:
+                usable.append(index)
+        return usable or range(len(ordered))
+
     async def advise(
         self,
         names: Sequence[str],
@@ -157,7 +202,13 @@
             backlog.long_calls += 1
             backlog.long_ms += expected_ms
         try:
-            return await self._ask_through(name, step, workers, rank_ms)
+            advice = await self._ask_through(name, step, workers, rank_ms)
+        except AdviserError:
+            backlog.failed(self._clock.now())
+            raise
+        else:
+            backlog.succeeded()
+            return advice
         finally:
             if is_short:
                 backlog.short_calls -= 1
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -121,7 +121,7 @@
         self._advice: AdviceQueue | None = None
         if adapter.adviser is not None:
             self._advice = AdviceQueue(adapter.adviser, clock)
-        self._router = AdviceRouter(self._ask_through)
+        self._router = AdviceRouter(self._ask_through, clock)
         #: Answers messages of other daemons.
         self.peer_server = PeerServer(
             self.leads.get, self._advice, self._do_for_peer, self.view
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_advice_queue.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_advice_queue.py
@@ -10,8 +10,15 @@
 from twisted.internet.task import Clock as StepClock
 
 from savorylead.clock import TwistedClock
-from savorylead.pools import Advice, AdviceSlots, AdviserBusyError, PolicyAdviser
+from savorylead.pools import (
+    Advice,
+    AdviceSlots,
+    AdviserBusyError,
+    AdviserError,
+    PolicyAdviser,
+)
 from savorylead_daemon.pool._advice_queue import (
+    FIRST_PASS_OVER,
     MAX_WAITING,
     AdviceQueue,
     AdviceRouter,
@@ -21,6 +28,10 @@
 UNDER_WAY: list[Deferred[None]] = []
 
 
+def new_clock(steps: StepClock | None = None) -> TwistedClock:
+    return TwistedClock(steps or StepClock(), datetime(2026, 1, 1, tzinfo=UTC))
+
+
 async def never_answered(
     name: str, step: str, workers: object, rank_ms: float
 ) -> Advice:
@@ -45,7 +56,7 @@
     expected_ms: float, busy: dict[str, int], chosen: str
 ) -> None:
     # Replays a burst of short calls beside long ones on six daemons.
-    router = AdviceRouter(never_answered)
+    router = AdviceRouter(never_answered, new_clock())
     names = [f"d{n}" for n in range(6)]
     for name, calls in busy.items():
         for _ in range(calls):
@@ -73,7 +84,7 @@
 ) -> None:
     # Replays a backlog in which urgent calls stood behind those of work that nobody
     # could start soon.
-    router = AdviceRouter(never_answered)
+    router = AdviceRouter(never_answered, new_clock())
     for busy, expected_ms in ((long_at, 500.0), (short_at, 15.0)):
         for name, calls in busy.items():
             for _ in range(calls):
@@ -83,6 +94,47 @@
     assert router.slots(names) == AdviceSlots(*slots)
 
 
+def test_a_daemon_whose_calls_fail_is_passed_over_for_a_while() -> None:
+    # A daemon that could not reach the adviser failed each call at once, had the
+    # shortest line and so got every call.
+    steps = StepClock()
+    failing = {"d1"}
+
+    async def ask_through(
+        name: str, step: str, workers: object, rank_ms: float
+    ) -> Advice:
+        if name in failing:
+            raise AdviserError("no answer")
+        return Advice({}, 0)
+
+    router = AdviceRouter(ask_through, new_clock(steps))
+    names = ["d0", "d1", "d2"]
+
+    def call() -> str:
+        name = router.choose(names, 600.0)
+        one = router.advise(names, "s", (), 600.0, 0.0)
+        Deferred.fromCoroutine(one).addErrback(lambda failure: None)
+        return name
+
+    assert [call(), call(), call()] == ["d1", "d2", "d2"]
+    assert router.slots(names) == AdviceSlots(8, 1)
+    passed_over = FIRST_PASS_OVER.total_seconds()
+    steps.advance(passed_over)
+    assert [call(), call()] == ["d1", "d2"]
+    steps.advance(passed_over)
+    assert call() == "d2"
+    steps.advance(passed_over)
+    failing.clear()
+    assert [call(), call()] == ["d1", "d1"]
+    failing.update(["d1", "d2"])
+    assert [call(), call()] == ["d1", "d2"]
+    # The one that is left is kept for short calls, but no long call would be made.
+    assert router.slots(names) == AdviceSlots(4, 1)
+    # Where every daemon fails, each is as good as the others.
+    failing.update(names)
+    assert [call(), call(), call()] == ["d0", "d1", "d1"]
+
+
 class SlowAdviser(PolicyAdviser):
     """Answers when told to."""
 
