Fetch a gang's tickets for workers that may be given work

Callers saw a gang that had run wait up to 30 s, the longest rest of a worker, beside enough free ones. A call renews the tickets of the allowed workers that are free first, by name, for 1.25 times the gang; workers that rest, run something unexplained or are not listed counted as free, so with enough of these in front every call named the same ones, and those that could start a member got no ticket. Their room now counts from the end of the rest, or as not known.

test_a_gang_that_is_known_goes_where_work_may_be_started failed before in all its rows.

--- a/packages/savorylead/savorylead/pools/_advice_calls.py
+++ b/packages/savorylead/savorylead/pools/_advice_calls.py
@@ -121,7 +121,11 @@
                 free_at_ms = float(state.now_ms)
             else:
                 free_at_ms = self._reservation.free_at_ms(state, worker, held)
-                free_at_ms = max(free_at_ms, state.reserved.get(worker.id, 0.0))
+                free_at_ms = max(
+                    free_at_ms,
+                    state.reserved.get(worker.id, 0.0),
+                    worker.may_start_at_ms(),
+                )
             empty = copies_that_fit(held, worker.entry.capacity, step)
             rooms.append(GangRoom(worker, max(1, copies), empty, free_at_ms))
         fitting = tasks_per_worker(step, with_room or [r.worker for r in rooms])
--- a/packages/savorylead/savorylead/pools/_pool_worker.py
+++ b/packages/savorylead/savorylead/pools/_pool_worker.py
@@ -72,6 +72,12 @@
             and now_ms >= self.rest_until_ms
         )
 
+    def may_start_at_ms(self) -> float:
+        """Return from when on it may be given work, infinite if that is not known."""
+        if not self.usable or not self.listed or self.unexplained:
+            return math.inf
+        return float(self.rest_until_ms)
+
     def add(self, run: Run) -> None:
         """Hold the room of a run."""
         key = (str(run.task.name), run.number)
