Let a gang on more than a hundred workers learn of enough workers

Callers saw a gang of 120 tasks, each on a worker of its own, without a start in 40 s in a pool of 811 empty workers. A call names at most a hundred workers, those first that are known to be allowed, to renew their tickets; the more were known the fewer new ones it named, 73 in the second call and 4 in the twelfth. Half of a call that is to learn is now left to new workers, and where one call can't take all tickets the next one names those that it left.

test_a_gang_of_more_workers_than_a_call_names_runs failed before.

--- a/packages/savorylead/savorylead/pools/_gang_advice.py
+++ b/packages/savorylead/savorylead/pools/_gang_advice.py
@@ -26,6 +26,8 @@
 TICKET_SPARE = 1.25
 #: Most workers that the adviser takes in one call.
 MAX_NAMED = 100
+#: Part of such a call, as a divisor, that tickets leave to workers that are not known.
+LEARNING_DIVISOR = 2
 
 
 class GangRoom(NamedTuple):
@@ -68,9 +70,13 @@
         if copies >= self.count:
             if self._ticketed(soon) >= self.count:
                 return []
+            if len(soon) > MAX_NAMED:
+                # One call does not take all; the next one fetches what this one left.
+                soon.sort(key=lambda room: self.has_ticket(room.worker))
             return [room.worker.id for room in soon[:MAX_NAMED]]
         named = self._to_learn(good, unknown, now_ms)
-        rooms = [*soon, *named] if named else []
+        renewed = max(MAX_NAMED - len(named), MAX_NAMED // LEARNING_DIVISOR)
+        rooms = [*soon[:renewed], *named] if named else []
         return [room.worker.id for room in rooms[:MAX_NAMED]]
 
     def _to_learn(
