--- a/packages/savorylead/savorylead/pools/_advice_calls.py
+++ b/packages/savorylead/savorylead/pools/_advice_calls.py
@@ -114,9 +114,6 @@
         soon = {w.id for w in makeable}
         rooms = []
         for worker in _able(state, step):
-            if not worker.listed or worker.unexplained:
-                # Nobody can tell when it may be given work.
-                continue
             copies = 1
             if worker.id in now:
                 copies = copies_that_fit(held, state.free[worker.id], step)
@@ -125,9 +122,13 @@
                 free_at_ms = float(state.now_ms)
             else:
                 free_at_ms = self._reservation.free_at_ms(state, worker, held)
-                free_at_ms = max(free_at_ms, state.reserved.get(worker.id, 0.0))
-                free_at_ms = max(free_at_ms, float(worker.rest_until_ms))
+                free_at_ms = max(
+                    free_at_ms,
+                    state.reserved.get(worker.id, 0.0),
+                    worker.may_start_at_ms(),
+                )
             if free_at_ms == math.inf:
+                # Nobody can tell when it may be given the task.
                 continue
             empty = copies_that_fit(held, worker.entry.capacity, step)
             rooms.append(GangRoom(worker, max(1, copies), empty, free_at_ms))
