--- /dev/null
+++ b/packages/savorylead/savorylead/pools/tests/test_late_gangs.py
@@ -0,0 +1,127 @@
+"""Gangs that wait behind others get their turn."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+import pytest
+
+from savorylead.jobs import StepRun
+from savorylead.pools import Advice, AdviceCost, AdviceSlots, PoolPlanner, PoolWorker
+from savorylead.resources import Resources
+
+from .pool_cases import NOW_MS, plan, queue, run_on, starts, step_of, worker
+
+#: A call of a queue of wide gangs, as on a site of 176 workers.
+COST = AdviceCost(350.0, 5.0, 2_000)
+QUEUES = {"q": queue("q", 1)._replace(advice=COST)}
+#: Time between two passes of the planner.
+PASS_EVERY_MS = 50
+#: A job that nothing keeps from running goes on within this time.
+GOES_ON_MS = 3_000
+#: Longest wait of a late gang while work that is in time takes every call: the
+#: patience with it, and the two turns before its own.
+LATE_GANG_MS = 12_000
+
+
+class _Adviser:
+    """Answers calls in time, and allows each step some workers."""
+
+    def __init__(
+        self,
+        planner: PoolPlanner,
+        pool: list[PoolWorker],
+        allows: Callable[[StepRun, PoolWorker], bool],
+        at_once: int = 1 << 30,
+    ) -> None:
+        self._planner = planner
+        self._pool = pool
+        self._allows = allows
+        self._at_once = at_once
+        self._calls: deque[tuple[float, object]] = deque()
+
+    def slots(self) -> AdviceSlots:
+        return AdviceSlots(1 << 30, self._at_once - len(self._calls))
+
+    def call(self, request: object, now_ms: int) -> None:
+        self._planner.book.asked(request.step)
+        self._calls.append((now_ms + request.expected_ms, request))
+
+    def answer(self, now_ms: int) -> None:
+        for call in [c for c in self._calls if c[0] <= now_ms]:
+            self._calls.remove(call)
+            step = call[1].step
+            asked = [w for w in self._pool if w.id in call[1].workers]
+            tickets = {w.id: "t" for w in asked if self._allows(step, w)}
+            advice = Advice(tickets, COST.valid_ms)
+            self._planner.book.answered(step, "q", asked, advice, now_ms)
+
+
+@pytest.mark.parametrize("count, cores", [(2, 4), (2, 16), (15, 4.5), (17, 6.3)])
+def test_a_gang_is_not_asked_about_for_workers_that_others_keep(
+    count: int, cores: float
+) -> None:
+    # Tickets were fetched, again and again, for workers that a gang ahead kept, beside
+    # others that were empty and allowed.
+    pool = [worker(f"w{n:03}") for n in range(60)]
+    planner = PoolPlanner()
+    planner.set_queues(QUEUES.values())
+    ahead = step_of("ahead", "q", cores=16, count=20, gang=True)
+    planner.book.asked(ahead)
+    long_ago_ms = NOW_MS - 60_000
+    gang = step_of(
+        "gang", "q", cores=cores, count=count, gang=True, accepted_at_ms=long_ago_ms
+    )
+    known = Advice({w.id: "t" for w in pool[:40]}, COST.valid_ms)
+    planner.book.answered(gang, "q", pool[:40], known, NOW_MS - 5_000)
+    adviser = _Adviser(planner, pool, lambda step, each: step is gang)
+    for now_ms in range(NOW_MS, NOW_MS + GOES_ON_MS, PASS_EVERY_MS):
+        adviser.answer(now_ms)
+        made = plan([ahead, gang], pool, planner, now_ms=now_ms, queues=QUEUES)
+        if starts(made):
+            return
+        for request in made.requests:
+            adviser.call(request, now_ms)
+    pytest.fail("the gang was not started")
+
+
+@pytest.mark.parametrize("gang", [True, False])
+@pytest.mark.parametrize("count", [1, 2, 3, 15, 17, 40])
+@pytest.mark.parametrize("at_once", [1, 4])
+def test_a_late_step_gets_calls_beside_work_in_time(
+    at_once: int, count: int, gang: bool
+) -> None:
+    # Work that was in time took every call for advice, and a step that was late was not
+    # asked about while that lasted, beside free room.
+    pool = [worker(f"w{n:03}") for n in range(60)]
+    planner = PoolPlanner()
+    planner.set_queues(QUEUES.values())
+    late = step_of("late", "q", count=count, gang=gang, accepted_at_ms=NOW_MS - 600_000)
+    adviser = _Adviser(
+        planner, pool, lambda step, each: int(each.id[1:]) % 3 == 0, at_once
+    )
+    in_time: list[StepRun] = []
+    for now_ms in range(NOW_MS, NOW_MS + LATE_GANG_MS, PASS_EVERY_MS):
+        adviser.answer(now_ms)
+        in_time = [step for step in in_time if step.waiting()]
+        while len(in_time) < 8:
+            in_time.append(
+                step_of(f"s{now_ms}-{len(in_time)}", "q", accepted_at_ms=now_ms)
+            )
+        made = plan(
+            [*in_time, late],
+            pool,
+            planner,
+            now_ms=now_ms,
+            queues=QUEUES,
+            advice_slots=adviser.slots(),
+        )
+        if "late" in {job for job, _ in starts(made)}:
+            return
+        for placement in made.placements:
+            # They end at once, so that room is always free.
+            placement.task.step.mark_done(placement.task.index)
+        for request in made.requests:
+            adviser.call(request, now_ms)
+    pytest.fail("the late step was not started")
