--- a/packages/savorylead/savorylead/pools/tests/test_late_gangs.py
+++ b/packages/savorylead/savorylead/pools/tests/test_late_gangs.py
@@ -9,9 +9,8 @@
 
 from savorylead.jobs import StepRun
 from savorylead.pools import Advice, AdviceCost, AdviceSlots, PoolPlanner, PoolWorker
-from savorylead.resources import Resources
 
-from .pool_cases import NOW_MS, plan, queue, run_on, starts, step_of, worker
+from .pool_cases import NOW_MS, plan, queue, starts, step_of, worker
 
 #: A call of a queue of wide gangs, as on a site of 176 workers.
 COST = AdviceCost(350.0, 5.0, 2_000)
