Don't wait for tickets of workers that others keep

Callers saw a gang without a start beside empty workers that it may use. A worker that a gang ahead keeps counted as free from the time for which it is kept, often now. So the gang's tickets were fetched there, "enough have tickets" ended all further calls, and the planner refused these workers; both orders break ties by the worker's id, so they tend to pick the same ones. Such a worker can still be learned about, but counts as never free: whoever keeps it goes first there, and nobody knows for how long.

--- a/packages/savorylead/savorylead/pools/_advice_calls.py
+++ b/packages/savorylead/savorylead/pools/_advice_calls.py
@@ -121,15 +121,16 @@
             elif worker.id in soon:
                 free_at_ms = float(state.now_ms)
             else:
-                free_at_ms = self._reservation.free_at_ms(state, worker, held)
                 free_at_ms = max(
-                    free_at_ms,
-                    state.reserved.get(worker.id, 0.0),
+                    self._reservation.free_at_ms(state, worker, held),
                     worker.may_start_at_ms(),
                 )
-            if free_at_ms == math.inf:
-                # Nobody can tell when it may be given the task.
-                continue
+                if free_at_ms == math.inf:
+                    # Nobody can tell when it may be given the task.
+                    continue
+                if worker.id in state.reserved:
+                    # Others go first there. What the policy allows is still learned.
+                    free_at_ms = math.inf
             empty = copies_that_fit(held, worker.entry.capacity, step)
             rooms.append(GangRoom(worker, max(1, copies), empty, free_at_ms))
         fitting = tasks_per_worker(step, with_room or [r.worker for r in rooms])
