Let late steps that have waited longest go first for a while

Callers saw a step, most of all a wide gang whose run broke, without a start for as long as the load lasted, beside free room. Calls for advice and room went in order of lateness without end: a late step came after all work in time, had no call while that used every daemon's turn at the adviser, and never one of the four sets of kept workers. The class is starvation by a strict order.

Of the late steps of whose jobs nothing has run for 5 s, two at a time now go first, for 3 s each, the longest waiting ones first; work beyond a team's weight comes after that of others, and one that could not start on empty workers, or not under its team's limit, takes no turn from others.

--- a/packages/savorylead/savorylead/pools/_idle_jobs.py
+++ b/packages/savorylead/savorylead/pools/_idle_jobs.py
@@ -28,7 +28,11 @@
             job: self._since_ms.get(job, now_ms) for job in waiting if not job.runs()
         }
 
+    def since_ms(self, step: StepRun) -> int | None:
+        """Return since when nothing of the step's job runs, None if something does."""
+        return self._since_ms.get(step.job)
+
     def is_starved(self, step: StepRun, now_ms: int) -> bool:
         """Return whether nothing of the step's job has run for too long."""
-        since_ms = self._since_ms.get(step.job)
+        since_ms = self.since_ms(step)
         return since_ms is not None and now_ms - since_ms >= IDLE_MS
--- a/packages/savorylead/savorylead/pools/_planning_pass.py
+++ b/packages/savorylead/savorylead/pools/_planning_pass.py
@@ -117,6 +117,28 @@
     return held_by(step).fits(worker.entry.capacity)
 
 
+def may_place(step: StepRun) -> bool:
+    """Return whether tasks of the step wait, and with a gang all of them."""
+    return bool(step.waiting()) and not (step.spec.gang and step.running())
+
+
+def could_start(state: PlanningPass, step: StepRun, room: Resources | None) -> bool:
+    """Return whether a task, or the whole gang, could start on empty workers.
+
+    ``room`` is what the limit of its team leaves now, None for no limit.
+    """
+    count = step.spec.count if step.spec.gang else 1
+    if room is not None and not step.spec.resources.times(count).fits(room):
+        return False
+    held = held_by(step)
+    for worker in state.startable:
+        if could_ever_hold(worker, step):
+            count -= copies_that_fit(held, worker.entry.capacity, step)
+            if count <= 0:
+                return True
+    return False
+
+
 def coming_room(worker: PoolWorker) -> Resources:
     """Return the room that stops under way will free."""
     coming = ZERO
--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -27,6 +27,8 @@
     PlanningPass,
     copies_that_fit,
     could_ever_hold,
+    could_start,
+    may_place,
     rack_groups,
     suitability,
 )
@@ -34,6 +36,7 @@
 from ._preemption import Preemption
 from ._reservation import Reservation, may_reserve
 from ._step_times import StepTimes
+from ._turns import Turns
 from ._urgency import Urgency, urgency_of
 
 #: Steps that may keep workers free for themselves at a time.
@@ -57,6 +60,7 @@
         self._advised: frozenset[str] = frozenset()
         self._headroom = UrgentHeadroom()
         self._idle = IdleJobs()
+        self._turns = Turns()
         #: Expected times of steps.
         self.times = StepTimes(self.durations)
         self._reservation = Reservation(self.book, self.durations)
@@ -96,11 +100,19 @@
         )
         in_time = [steps[index] for urgency, index in ranked if not urgency.lateness]
         headroom = self._headroom.cores_milli(state.workers, in_time, queues, now_ms)
+        late = [steps[index] for urgency, index in ranked if urgency.lateness]
+        first = self._turns.choose(
+            [step for step in late if may_place(step)],
+            self._idle.since_ms,
+            lambda step: could_start(state, step, team_room(step.job.record.team)),
+            now_ms,
+        )
+        ranked.sort(key=lambda row: steps[row[1]] not in first)
         for urgency, index in ranked:
             step = steps[index]
-            waiting = step.waiting()
-            if not waiting or (step.spec.gang and step.running()):
+            if not may_place(step):
                 continue
+            waiting = step.waiting()
             queue = queues[step.job.record.queue]
             team = step.job.record.team
             if team not in rooms:
@@ -147,7 +159,9 @@
                     may_ask_ahead,
                     may_displace,
                 )
-            may_keep = reserving < MAX_RESERVING_STEPS and not urgency.surplus
+            may_keep = reserving < MAX_RESERVING_STEPS and (
+                step in first or not urgency.surplus
+            )
             if may_keep and may_reserve(step, queue, state):
                 good = self.book.of(step).good if self._needs_advice(step) else ()
                 reserving += self._reservation.reserve(state, step, len(waiting), good)
--- /dev/null
+++ b/packages/savorylead/savorylead/pools/tests/test_turns.py
@@ -0,0 +1,88 @@
+"""Who goes first among steps that have waited long."""
+
+from __future__ import annotations
+
+import pytest
+
+from savorylead.jobs import StepRun
+from savorylead.pools import PoolPlanner
+from savorylead.pools._turns import PATIENCE_MS, TURN_MS, Turns
+
+from .pool_cases import NOW_MS, plan, starts, step_of, worker
+
+
+class _Waits:
+    """Steps by name, since when each waits, and which of them could start."""
+
+    def __init__(self, since_ms: dict[str, int], stuck: str = "") -> None:
+        self.steps = {name: step_of(name, "normal") for name in since_ms}
+        self.since_ms = since_ms
+        self.stuck = stuck
+        self.asked = 0
+        self.turns = Turns()
+
+    def first(self, now_ms: int) -> str:
+        chosen = self.turns.choose(
+            [step for name, step in self.steps.items() if name in self.since_ms],
+            lambda step: self.since_ms[step.job.id],
+            self._may_start,
+            now_ms,
+        )
+        return "".join(sorted(step.job.id for step in chosen))
+
+    def _may_start(self, step: StepRun) -> bool:
+        self.asked += 1
+        return step.job.id not in self.stuck
+
+
+@pytest.mark.parametrize(
+    "since_ms, surplus, stuck, expected",
+    [
+        ({"a": 0}, "", "", "a"),
+        ({"a": 1}, "", "", ""),
+        # The longest waiting ones, two at a time.
+        ({"a": 0, "b": -2, "c": -1}, "", "", "bc"),
+        # Work beyond a team's weight goes after that of others.
+        ({"a": 0, "b": -2, "c": -1}, "b", "", "ac"),
+        # A step that can't start takes no turn from others.
+        ({"a": 0, "b": -2, "c": -1}, "", "b", "ac"),
+    ],
+)
+def test_steps_that_have_a_turn(
+    since_ms: dict[str, int], surplus: str, stuck: str, expected: str
+) -> None:
+    waits = _Waits({n: NOW_MS + ms for n, ms in since_ms.items()}, stuck)
+    for name in surplus:
+        waits.steps[name].job.surplus = True
+    assert waits.first(NOW_MS + PATIENCE_MS) == expected
+
+
+def test_a_turn_that_brought_no_start_passes_on() -> None:
+    waits = _Waits({"a": NOW_MS, "b": NOW_MS + 1, "c": NOW_MS + 2})
+    now_ms = NOW_MS + PATIENCE_MS + 2
+    assert waits.first(now_ms) == "ab"
+    assert waits.first(now_ms + TURN_MS - 1) == "ab"
+    assert waits.first(now_ms + TURN_MS) == "c"
+    del waits.since_ms["c"]
+    assert waits.first(now_ms + TURN_MS + 1) == ""
+    assert waits.first(now_ms + TURN_MS + PATIENCE_MS) == "ab"
+
+
+def test_a_step_that_cannot_start_is_judged_again_after_a_while() -> None:
+    waits = _Waits({"a": NOW_MS}, stuck="a")
+    for elapsed_ms in range(0, 2 * PATIENCE_MS + 1, 50):
+        assert waits.first(NOW_MS + elapsed_ms) == ""
+    assert waits.asked == 2
+
+
+def test_a_late_step_takes_room_before_work_in_time_once_it_waited_long() -> None:
+    # Small tasks that were in time took each core as it became free.
+    pool = [worker("w0", cores=2)]
+    late = step_of("late", "normal", cores=2, accepted_at_ms=NOW_MS - 600_000)
+    small = step_of("small", "normal", cores=1)
+    planner = PoolPlanner()
+    assert starts(plan([small, late], pool, planner)) == [("small", "w0")]
+    later_ms = NOW_MS + PATIENCE_MS
+    fresh = step_of("fresh", "normal", cores=1, accepted_at_ms=later_ms)
+    made = plan([fresh, late], pool, planner, now_ms=later_ms)
+    assert starts(made) == [("late", "w0")]
