Let a machine that leads several pools give one to an equal one that leads none

Cause: a pool was only ever handed over to a much stronger machine, so that pools don't go round among equal ones.

Now a machine that leads other pools too also gives one up to a machine that leads none and is no weaker. That can't go round: no move makes the machines that lead weaker, and where they stay equal, more machines lead. One pool of a machine goes at a time, 0.2 s apart, and none twice within 30 s, as before.

The cost: where one daemon takes several pools, as after a start or the end of a lead, one of them has one load more, a second later.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_candidates.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_candidates.py
@@ -100,9 +100,13 @@
 ) -> Successor | None:
     """Return to whom the lead of a pool should give it up, None if it should stay.
 
-    The machine itself must be much stronger too, not only less busy: pools would go
-    round among equal machines, each time with a load. So a pool only ever goes to a
-    stronger machine, and never back. Where one of the two tells nothing, it stays.
+    It goes to a machine that is much stronger by itself, not only less busy. A machine
+    that leads other pools too also gives one up to a machine that leads none and is no
+    weaker. Load pattern: the first of many thin machines that is up takes all pools,
+    and carries none of them.
+
+    Neither goes round: no move makes the machines that lead weaker, and where they stay
+    equal, more of them lead. Where one of the two tells nothing, the pool stays.
     """
     by_name = {candidate.name: candidate for candidate in candidates}
     here, there = by_name[lead], by_name[line(pool, candidates)[0]]
@@ -111,9 +115,10 @@
     strength = strengths(candidates)
     found = Successor(there.name, _left(strength, here), _left(strength, there))
     is_much_stronger = strength[there.name] >= MUCH_STRONGER * strength[lead]
-    if is_much_stronger and found.left_there >= MUCH_STRONGER * found.left_here:
-        return found
-    return None
+    is_no_weaker = strength[there.name] >= strength[lead]
+    spreads = here.leads > 0 and there.leads == 0 and is_no_weaker
+    has_much_more_left = found.left_there >= MUCH_STRONGER * found.left_here
+    return found if has_much_more_left and (is_much_stronger or spreads) else None
 
 
 def _tells(machine: Machine) -> bool:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -178,7 +178,7 @@
         return {pool: lead.term.number for pool, lead in self.leads.items()}
 
     def hand_overs(self) -> Mapping[tuple[str, str], int]:
-        """Return how many pools were given up to stronger machines.
+        """Return how many pools were given up to other machines.
 
         By pool and by what became of the key.
         """
--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_spread_leads.py
@@ -0,0 +1,166 @@
+"""Pools spread over machines that are equal, and then stay where they are."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping, Sequence
+from datetime import timedelta
+
+import pytest
+
+from savorylead.jobs import JobState
+from savorylead.pools import Committed, Conflict, Put, StoreRefusedError
+from savorylead_daemon.pool import CallerAnswer
+from savorylead_daemon.pool._keys import LEAD_PREFIX
+from savorylead_daemon.pool.node import Machine
+from savorylead_standins.pools import PoolCell, StoreView, job_spec
+
+from .cell_cases import states
+
+POOLS = ("p0", "p1")
+THIN = Machine(0.12, 2.0)
+#: All moves are over by then: each takes a second of a term and a look.
+SETTLED_S = 20.0
+#: No pool is handed over twice within 30 s, so a pool that goes round shows in this.
+WATCHED_S = 70.0
+LOOK_S = 0.05
+
+
+def equal_cell(nodes: int, pools: int, seed: int) -> PoolCell:
+    """Return a cell of equal machines, of which one is up before the others."""
+    cell = PoolCell(
+        nodes=0,
+        pools=tuple(f"p{number}" for number in range(pools)),
+        workers=2 * pools,
+        seed=seed,
+        machines={f"node-{number}": THIN for number in range(nodes)},
+    )
+    cell.start_node("node-0")
+    cell.run(0.3)
+    for number in range(1, nodes):
+        cell.start_node(f"node-{number}")
+    return cell
+
+
+def leads_over(cell: PoolCell, seconds: float) -> dict[str, list[str]]:
+    """Return who led each pool, in turn; an empty name while nobody did."""
+    seen: dict[str, list[str]] = {pool.name: [] for pool in cell.document.pools}
+    for _ in range(int(seconds / LOOK_S)):
+        cell.run(LOOK_S)
+        now = {pool: n for n, node in cell.nodes.items() for pool in node.leads}
+        for pool, names in seen.items():
+            if names[-1:] != [now.get(pool, "")]:
+                names.append(now.get(pool, ""))
+    return seen
+
+
+def most_led(cell: PoolCell) -> int:
+    """Return how many pools the busiest daemon leads."""
+    return max(len(node.leads) for node in cell.nodes.values())
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("nodes", [2, 3, 6, 18])
+@pytest.mark.parametrize("pools", [2, 3, 5])
+def test_one_of_many_equal_machines_does_not_keep_all_pools(
+    pools: int, nodes: int, seed: int
+) -> None:
+    # Replays a site of 18 thin machines whose first daemon led both pools, and fell
+    # over: 2,306 calls of other daemons got no answer from it in time.
+    cell = equal_cell(nodes, pools, seed)
+    for names in leads_over(cell, SETTLED_S).values():
+        led = [name for name in names if name]
+        assert len(led) <= 2
+    assert sum(bool(node.leads) for node in cell.nodes.values()) == min(nodes, pools)
+    # Nothing moves any more, and there is no moment without a lead.
+    assert all(len(names) == 1 for names in leads_over(cell, WATCHED_S).values())
+
+
+class NeverElected(StoreView):
+    """The store as it refuses that this daemon becomes the lead of a pool."""
+
+    async def commit(
+        self,
+        expected: Mapping[str, int],
+        puts: Sequence[Put] = (),
+        deletes: Sequence[str] = (),
+    ) -> Committed | Conflict:
+        """Make all changes or none."""
+        if any(put.key.startswith(LEAD_PREFIX) for put in puts):
+            raise StoreRefusedError("refused")
+        return await super().commit(expected, puts, deletes)
+
+
+@pytest.mark.parametrize("free", [1, 3])
+def test_an_equal_machine_that_is_never_elected_does_not_make_pools_flap(
+    free: int,
+) -> None:
+    # It is registered and seems free; all other machines lead a pool already.
+    cell = PoolCell(
+        nodes=0, pools=POOLS, machines={f"node-{n}": THIN for n in range(free + 1)}
+    )
+    for number in range(1, free + 1):
+        cell.views[f"node-{number}"] = NeverElected(cell.store)
+    for number in range(free + 1):
+        cell.start_node(f"node-{number}")
+    for _ in range(3):
+        seen = leads_over(cell, 29.0)
+        assert all(names.count("") <= 2 for names in seen.values())
+        assert all({*names} <= {"", "node-0"} for names in seen.values())
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_pools_come_to_rest_after_troubles_and_no_job_is_lost(seed: int) -> None:
+    rng = random.Random(seed)
+    cell = equal_cell(6, 3, seed)
+    cell.run(4.0)
+    cell.workers.length_of = lambda _: timedelta(seconds=0.7)
+    rounds, jobs_each = 4, 20
+    for number in range(rounds):
+        trouble(cell, rng)
+        jobs = [f"job{number}-{each}" for each in range(jobs_each)]
+        hand_in(cell, jobs, rng)
+        # A pool that moved just before waits for 30 s until it moves again.
+        cell.run(40.0)
+        assert all(len(names) == 1 for names in leads_over(cell, 35.0).values())
+        assert most_led(cell) == 1
+        assert set(states(cell, jobs).values()) == {JobState.COMPLETED}
+    assert len(cell.workers.records) == rounds * jobs_each
+    assert cell.workers.breaches == []
+
+
+def hand_in(cell: PoolCell, jobs: list[str], rng: random.Random) -> None:
+    """Hand jobs in, again at another daemon until each is accepted."""
+    attempts = 5
+    for _ in range(attempts):
+        for job in jobs:
+            cell.submit(job, job_spec(), rng.choice(sorted(cell.nodes)))
+            cell.run(LOOK_S)
+        cell.run(1.0)
+        jobs = [job for job in jobs if not is_accepted(cell, job)]
+    assert jobs == []
+
+
+def is_accepted(cell: PoolCell, job: str) -> bool:
+    """Return whether the last call with a job was answered with success."""
+    answer = cell.answer(job)
+    return answer is not None and answer.kind is CallerAnswer.Kind.DONE
+
+
+def trouble(cell: PoolCell, rng: random.Random) -> None:
+    """Kill a daemon, let the store be away, or start all leads again."""
+    kind = rng.choice(["kill", "outage", "restart"])
+    if kind == "kill":
+        name = rng.choice(sorted(cell.nodes))
+        cell.kill(name)
+        cell.run(rng.uniform(0.2, 4.0))
+        cell.start_node(name)
+    elif kind == "outage":
+        cell.store.silent = True
+        cell.run(rng.uniform(0.5, 5.0))
+        cell.store.silent = False
+        cell.run(1.5)
+    else:
+        for name in [n for n, node in cell.nodes.items() if node.leads]:
+            cell.kill(name)
+            cell.start_node(name)
