--- a/packages/savorylead-standins/savorylead_standins/pools/__init__.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/__init__.py
@@ -2,7 +2,8 @@
 
 from ._memory_adviser import MemoryAdviser, TicketOffice, policy_allows
 from ._memory_cell_store import MemoryCellStore, StoreView
-from ._memory_workers import MemoryMachine, MemoryWorkers, RunRecord
+from ._memory_machine import MemoryMachine
+from ._memory_workers import MemoryWorkers, RunRecord
 from ._pool_cell import PoolCell, in_turn, job_spec
 
 __all__ = [
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
@@ -5,20 +5,17 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 from datetime import datetime, timedelta
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from twisted.internet.defer import Deferred
 
 from savorylead.clock import Clock
 from savorylead.jobs import TaskName
 from savorylead.pools import (
-    ActiveRun,
-    EndedRun,
     RunEnd,
     RunOrder,
     RunRejected,
     RunStarted,
-    StaleFenceError,
     StartRejection,
     WorkerCalls,
     WorkerEntry,
@@ -27,19 +24,12 @@
 from savorylead.resources import Resources
 from savorylead.workers import WorkerTimeoutError
 
+from ._memory_machine import MemoryMachine
+
 DELAY = timedelta(milliseconds=1)
 GIVE_UP = timedelta(milliseconds=400)
 #: A hold without an answer is given up this long after its wait, as in the adapter.
 HOLD_SLACK = timedelta(milliseconds=700)
-#: A stop takes this long.
-STOP = timedelta(milliseconds=100)
-#: Members of a gang wait for the others this long.
-GANG_TIMEOUT = timedelta(seconds=3)
-#: Longest lease of a worker, in milliseconds.
-HOLD_MAX_MS = 6_000
-#: Every worker's clock runs this much slow, the most that is allowed.
-SLOW_CLOCK = 0.02
-_MS = timedelta(milliseconds=1)
 
 
 class RunRecord(NamedTuple):
@@ -52,206 +42,6 @@
     began_at: datetime
 
 
-class _Active:
-    def __init__(self, order: RunOrder, began_at: datetime, cores: Resources) -> None:
-        self.order = order
-        self.began_at = began_at
-        self.resources = cores
-        self.timer: Any = None
-        #: When it began to work; a member of a gang waits for the others before.
-        self.works_since: datetime | None = None
-
-
-class MemoryMachine:
-    """One worker: its incarnation, its lease and what runs on it."""
-
-    def __init__(self, entry: WorkerEntry, owner: MemoryWorkers) -> None:
-        self.entry = entry
-        self._owner = owner
-        self._clock = owner.clock
-        self._began_at = self._clock.now()
-        self.fence = 0
-        self.deadline_ms = 0
-        self.active: dict[tuple[str, int], _Active] = {}
-        self.ended: list[EndedRun] = []
-        self._highest: dict[str, int] = {}
-        self._sequence = 0
-        self._waiting: list[Deferred[None]] = []
-        #: While True, nothing reaches it and no answer leaves it.
-        self.is_cut = False
-        #: Answers of this many further starts are lost after they took effect.
-        self.lost_starts = 0
-        #: This many further starts are executed this much later, without an answer.
-        self.late_starts = 0
-        self.late_by = timedelta(seconds=3)
-
-    def clock_ms(self) -> int:
-        """Return the worker's own clock."""
-        elapsed = (self._clock.now() - self._began_at) / _MS
-        return 1_000 + int(elapsed * (1 - SLOW_CLOCK))
-
-    def crash(self) -> None:
-        """Start again under the same id; nothing of before is known."""
-        for run in self.active.values():
-            run.timer.cancel()
-        born_ms = self.entry.born_ms + 1
-        self.__init__(self.entry._replace(born_ms=born_ms), self._owner)
-
-    def expire(self) -> None:
-        """Kill everything if the lease is over."""
-        if self.active and self.clock_ms() >= self.deadline_ms:
-            for key in list(self.active):
-                self._end(key, RunEnd.LAPSED)
-
-    def check_fence(self, fence: int) -> None:
-        """Raise StaleFenceError for a lower fencing token than one seen before."""
-        if fence < self.fence:
-            raise StaleFenceError
-        self.fence = fence
-
-    def start(self, order: RunOrder, fence: int) -> RunStarted | RunRejected:
-        """Execute a start order."""
-        self.expire()
-        clock_ms = self.clock_ms()
-        if fence < self.fence:
-            return RunRejected(StartRejection.STALE_FENCE, clock_ms)
-        self.fence = fence
-        key = (str(order.task), order.number)
-        if key in self.active:
-            return RunStarted(clock_ms)
-        if order.deadline_ms <= clock_ms:
-            return RunRejected(StartRejection.TOO_LATE, clock_ms)
-        rejection = self._rejection(order)
-        if rejection is not None:
-            self._owner.rejections[rejection] += 1
-            return RunRejected(rejection, clock_ms)
-        self._extend(order.deadline_ms)
-        resources = self._owner.resources_of(order.task)
-        run = _Active(order, self._clock.now(), resources)
-        self.active[key] = run
-        if self._owner.gang_size_of(order.task):
-            run.timer = self._clock.call_later(
-                GANG_TIMEOUT, self._end, key, RunEnd.ALONE
-            )
-            self._owner.started(self, order, fence)
-            self._owner.gang_joined(self, order)
-        else:
-            self.begin_work(key)
-            self._owner.started(self, order, fence)
-        return RunStarted(clock_ms)
-
-    def _rejection(self, order: RunOrder) -> StartRejection | None:
-        owner = self._owner
-        if order.number <= self._highest.get(str(order.task), 0):
-            # A start that comes too late for its run still extends the lease.
-            self._extend(order.deadline_ms)
-            return StartRejection.STALE_NUMBER
-        if not owner.ticket_accepted(order.ticket, order.task, self.entry.id):
-            return StartRejection.BAD_TICKET
-        needed = self.held().plus(owner.resources_of(order.task))
-        if owner.reject_overload and not needed.fits(self.entry.capacity):
-            self._extend(order.deadline_ms)
-            return StartRejection.NO_ROOM
-        return None
-
-    def begin_work(self, key: tuple[str, int]) -> None:
-        """Let a run work; a member of a gang waits for the others before."""
-        run = self.active[key]
-        if run.timer is not None:
-            run.timer.cancel()
-        run.works_since = self._clock.now()
-        length = self._owner.length_of(run.order.task)
-        run.timer = self._clock.call_later(length, self._finish, key)
-
-    def break_off(self, key: tuple[str, int]) -> None:
-        """End a run, if it is there, because another member of its gang ended."""
-        self._end(key, RunEnd.BROKEN)
-
-    def stop(self, task: TaskName, number: int, fence: int) -> None:
-        """Execute a stop order."""
-        self.check_fence(fence)
-        self.expire()
-        highest = self._highest.get(str(task), 0)
-        self._highest[str(task)] = max(highest, number)
-        key = (str(task), number)
-        if key in self.active:
-            self._clock.call_later(STOP, self._end, key, RunEnd.STOPPED)
-
-    def look(
-        self, fence: int, released: int, deadline_ms: int | None
-    ) -> WorkerReport | None:
-        """Renew the lease; return the report, None if there is no end to tell."""
-        self.check_fence(fence)
-        self.expire()
-        if deadline_ms is not None:
-            self._extend(deadline_ms)
-        self.ended = [e for e in self.ended if e.sequence > released]
-        return self.report() if self.ended else None
-
-    def report(self) -> WorkerReport:
-        """Return what runs and what ended."""
-        active = tuple(
-            ActiveRun(r.order.task, r.order.number, "", self._percent(r), 0)
-            for r in self.active.values()
-        )
-        return WorkerReport(
-            self.clock_ms(), self.entry.born_ms, active, tuple(self.ended), False
-        )
-
-    def _percent(self, run: _Active) -> int:
-        """Return how far a run is."""
-        if run.works_since is None:
-            return 0
-        length = self._owner.length_of(run.order.task)
-        return min(99, int(100 * (self._clock.now() - run.works_since) / length))
-
-    def end_is_void(self, name: str) -> bool:
-        """Return whether the lease lapsed before the end of a task was released.
-
-        Such an end counts as not taken note of, so the task may run again.
-        """
-        unreleased = any(str(ended.task) == name for ended in self.ended)
-        return unreleased and self.clock_ms() >= self.deadline_ms
-
-    def ended_soon(self) -> Deferred[None]:
-        """Return a Deferred that fires when a run ends."""
-        waiting: Deferred[None] = Deferred()
-        self._waiting.append(waiting)
-        return waiting
-
-    def held(self) -> Resources:
-        """Return what the active runs take."""
-        total = Resources()
-        for run in self.active.values():
-            total = total.plus(run.resources)
-        return total
-
-    def _extend(self, deadline_ms: int) -> None:
-        bounded = min(deadline_ms, self.clock_ms() + HOLD_MAX_MS)
-        self.deadline_ms = max(self.deadline_ms, bounded)
-
-    def _finish(self, key: tuple[str, int]) -> None:
-        self.expire()
-        if key in self.active:
-            task = self.active[key].order.task
-            self._end(key, self._owner.how_ends(task, key[1]))
-
-    def _end(self, key: tuple[str, int], how: RunEnd) -> None:
-        run = self.active.pop(key, None)
-        if run is None:
-            return
-        run.timer.cancel()
-        self._sequence += 1
-        highest = self._highest.get(key[0], 0)
-        self._highest[key[0]] = max(highest, key[1])
-        self.ended.append(EndedRun(self._sequence, run.order.task, key[1], how, ""))
-        self._owner.ended(self, run.order.task, key[1], how)
-        waiting, self._waiting = self._waiting, []
-        for each in waiting:
-            if not each.called:
-                each.callback(None)
-
-
 class MemoryWorkers(WorkerCalls):
     """All workers, and what they did, seen from outside."""
 
