--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -4,11 +4,10 @@
 
 from collections.abc import Callable, Sequence
 from datetime import datetime, timedelta
-from typing import NamedTuple
 
 from twisted.internet.defer import CancelledError, Deferred
 
-from savorylead.clock import Clock, to_millis
+from savorylead.clock import to_millis
 from savorylead.jobs import (
     Job,
     JobRecord,
@@ -18,26 +17,22 @@
 )
 from savorylead.links import DeadlineExceededError, within
 from savorylead.pools import (
-    AdviceSlots,
     CellDocument,
-    CellStore,
     Finding,
     Plan,
     PoolGrants,
-    WorkerCalls,
     WorkerEntry,
     WorkerReport,
 )
 from savorylead.resources import ZERO, Resources
 from savorylead_daemon.concurrency import TaskSet
-from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
 from ._admission import Admission
-from ._advice_asker import AdviceAsker, AskAdviser
-from ._cell_lease import CellLease
+from ._advice_asker import AdviceAsker
 from ._grant_keeper import GrantKeeper
 from ._job_intake import JobIntake
+from ._lead_parts import LeadParts
 from ._leadless_pools import LeadlessPools
 from ._plan_timer import PlanTimer
 from ._pool_fleet import PoolFleet
@@ -62,27 +57,6 @@
 FORGET_EVERY = timedelta(seconds=10)
 
 
-class LeadParts(NamedTuple):
-    """What a lead is built from."""
-
-    store: CellStore
-    clock: Clock
-    log: EventLog
-    calls: WorkerCalls
-    ask_adviser: AskAdviser
-    #: Returns the calls for advice that may be made now.
-    advice_slots: Callable[[], AdviceSlots]
-    lease: CellLease
-    #: How long states of ended jobs are told, in milliseconds.
-    status_for_ms: int
-    #: Takes note of the pool that this daemon can't serve, and why.
-    on_unable: Callable[[str, str], None]
-    #: Returns whether a pool has a lead, as far as is known here.
-    has_lead: Callable[[str], bool]
-    #: Tells the other leads that they should look at the teams' limits.
-    on_grants_written: Callable[[str], None]
-
-
 class PoolLead(SessionOwner):
     """Everything about one pool during one term; it is thrown away afterwards."""
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -27,6 +27,7 @@
 from ._heard_peers import HeardPeers
 from ._job_gateway import JobGateway
 from ._keys import machine_key, member_key
+from ._lead_parts import LeadParts
 from ._lead_watch import LeadWatch
 from ._peer_messages import (
     AdviceAsked,
@@ -43,7 +44,7 @@
     PeerError,
     PeerServer,
 )
-from ._pool_lead import LeadParts, PoolLead
+from ._pool_lead import PoolLead
 from ._term import Term
 from ._workers_feed import WorkersFeed
 
