Count the lease that a former lead gave a worker which ran nothing

A worker that is claimed without runs counted as having no lease. It may have run tasks of the former lead until a moment before, whose renewal holds for 4.5 s, and a lease never shortens. Where a task was started there while a look without a deadline was under way, and the worker fell silent at that moment, the task was given up and started again elsewhere once its own order's 1.5 s were over, beside the first one, which may run on under the longer lease.

The lease of a claimed worker now counts from the claim for as long as a former lead may have given it; that is the time which adopted runs had anyway.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -322,6 +322,9 @@
         self._heard(report)
         findings = reconcile(self.worker, report, self._seen, asked_at_ms)
         seen = max([self._seen, *(e.sequence for e in report.ended)])
+        if not self.claimed:
+            # A former lead may have renewed it just before, also if nothing runs now.
+            self._worker_clock.extend_lease(WORKER_LEASE_MS)
         self.claimed = True
         self.worker.usable = True
         self._owner.apply(self, findings, report)
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_former_lease.py
@@ -0,0 +1,76 @@
+"""What a former lead renewed counts until it is surely over."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import Any
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from savorylead.jobs import Run
+from savorylead.pools import RunOrder, RunStarted, WorkerReport
+from savorylead.workers import WorkerTimeoutError
+from savorylead_daemon.pool._worker_answers import WorkerAnswers
+from savorylead_daemon.pool._worker_session import WORKER_LEASE_MS, WorkerSession
+
+from .test_permission import Bench, Owner, step_run
+
+#: The worker's clock when it is claimed.
+CLAIMED_MS = 50_000
+SLOW_CLOCK = 0.98
+
+
+class LosingOwner(Owner):
+    def __init__(self, bench: Bench) -> None:
+        super().__init__()
+        self._bench = bench
+        self.lost_at_s: float | None = None
+
+    def lost(self, session: WorkerSession, runs: Any, reason: str) -> None:
+        self.lost_at_s = self._bench.time.seconds()
+        for run in runs:
+            session.worker.remove(run)
+
+
+class SilentSoon:
+    """Answers one look and one start, and nothing after that."""
+
+    def __init__(self, bench: Bench) -> None:
+        self._bench = bench
+        self.looks = 0
+        self.is_silent = False
+
+    async def hold(self, *args: Any) -> WorkerReport:
+        self.looks += 1
+        if self.looks > 1:
+            await self._bench.clock.sleep(timedelta(seconds=1))
+            raise WorkerTimeoutError("no answer")
+        return WorkerReport(CLAIMED_MS, 1, (), (), False)
+
+    async def start(self, *_: Any) -> RunStarted:
+        return RunStarted(CLAIMED_MS)
+
+
+@pytest.mark.parametrize("looks_s", [0.0, 0.02])
+def test_a_run_is_not_given_up_while_a_former_lease_may_hold(looks_s: float) -> None:
+    # A worker that ran tasks of the former lead until just now is claimed with none.
+    # A look is under way as a task is started, and from then on it is silent.
+    bench = Bench()
+    owner = LosingOwner(bench)
+    calls = SilentSoon(bench)
+    answers = WorkerAnswers(bench.clock, lambda: 1)
+    session = WorkerSession(bench.worker, owner, calls, bench.clock, bench.log, answers)
+    session.start()
+    assert session.claimed
+    session.look_soon()
+    bench.time.advance(looks_s)
+    run = Run(step_run().tasks[0], 1, "w", 1)
+    bench.worker.add(run)
+    order = RunOrder(run.task.name, 1, "", 0, "", "")
+    Deferred.fromCoroutine(session.start_run(run, order))
+    bench.time.advance(12.0)
+    assert owner.lost_at_s is not None
+    # The former lead's last renewal was no later than the claim, and as long.
+    assert owner.lost_at_s * SLOW_CLOCK * 1000 >= WORKER_LEASE_MS
+    session.close()
