Don't take a run for stalled for the time in which its worker was not seen

A run counted as standing still by the time since its percent changed. After a worker, or the machine under it, had been silent for three seconds, its first report could show the percent of before (it had stood still as a whole, or had been cut off and the report was an old one), and its runs were stopped, started again elsewhere, and the worker rested.

Time beyond 1.2 s between two reports does not count any more; a worker in touch reports once a second. A run that stands still where reports come is found as before, after 2.5 s of them.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_report_judge.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_report_judge.py
@@ -14,6 +14,7 @@
     RunEnd,
     Unexplained,
     Vanished,
+    note_seen,
     stalled_runs,
 )
 from savorylead_daemon.observability import EventLog
@@ -76,9 +77,11 @@
             if run.state is RunState.STARTING:
                 run.state = RunState.RUNNING
             self._starter.show_started(run.task.step.job)
+        note_seen(run, now_ms)
         if active.percent != run.percent:
             run.percent = active.percent
             run.percent_at_ms = now_ms
+            run.unseen_ms = 0
         run.load = active.load
         step = run.task.step
         if active.checkpoint and step.spec.checkpoints:
--- a/packages/savorylead/savorylead/jobs/_job.py
+++ b/packages/savorylead/savorylead/jobs/_job.py
@@ -42,11 +42,13 @@
         "percent",
         "percent_at_ms",
         "resumed",
+        "seen_at_ms",
         "sent_at_ms",
         "state",
         "stop_reason",
         "stopped_at_ms",
         "task",
+        "unseen_ms",
         "void_clock_ms",
         "worker",
     )
@@ -70,6 +72,10 @@
         self.percent = 0
         #: When ``percent`` last changed.
         self.percent_at_ms = sent_at_ms
+        #: When a report last listed it; 0 before.
+        self.seen_at_ms = 0
+        #: For how long since ``percent`` changed no report came that was due.
+        self.unseen_ms = 0
         #: Tail response time in ms of a serving task, else cores_milli in use.
         self.load = 0
         #: Share of its normal pace that it was told to keep, 0 to 100.
--- a/packages/savorylead/savorylead/pools/__init__.py
+++ b/packages/savorylead/savorylead/pools/__init__.py
@@ -50,7 +50,7 @@
 from ._pool_planner import PoolPlanner
 from ._pool_worker import PoolWorker, held_by
 from ._reconcile import Ended, Finding, Listed, Unexplained, Vanished, reconcile
-from ._stalls import stalled_runs
+from ._stalls import note_seen, stalled_runs
 from ._store_contracts import (
     CellStore,
     Change,
@@ -131,6 +131,7 @@
     "held_by",
     "read_pages",
     "reconcile",
+    "note_seen",
     "stalled_runs",
     "urgency_of",
     "Backlog",
