--- a/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
@@ -54,6 +54,17 @@
             self._tasks.spawn("start of a task", self._start(run, placement))
         for gang in plan.gangs:
             self._start_gang(gang, now_ms)
+        for step, waited_ms in plan.turns:
+            self._log.log_event(
+                LogLevel.INFO,
+                "late_step_first",
+                job=step.job.id,
+                step=step.name,
+                tasks=step.spec.count,
+                gang=step.spec.gang,
+                waited_ms=waited_ms,
+                allowed=self._state.planner.book.allowed(step),
+            )
         for run in plan.preempted:
             self.log_start(run, "preempted", percent=run.percent)
             self._state.sessions[run.worker].stop_run(run, "preempted")
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
@@ -168,7 +168,7 @@
     )
     bench.owner.turns = turns
     placements = tuple(Placement(t, bench.worker, "") for t in step.tasks)
-    starter.carry_out(Plan([], [PlannedGang(step, placements)], [], {}, []))
+    starter.carry_out(Plan([], [PlannedGang(step, placements)], [], {}, [], []))
     assert len(session.started) == turns
     is_whole = turns == step.spec.count
     stopped = [run for run in session.started if run in session.stopped]
--- a/packages/savorylead/savorylead/pools/_advice.py
+++ b/packages/savorylead/savorylead/pools/_advice.py
@@ -196,6 +196,10 @@
         )
         return self._call(step, named, cost) if named else None
 
+    def allowed(self, step: StepRun) -> int:
+        """Return how many workers are known to be allowed for a step."""
+        return len(self.of(step).good)
+
     def asked(self, step: StepRun) -> None:
         """Note that a call is under way."""
         self.of(step).pending = True
--- a/packages/savorylead/savorylead/pools/_planning_pass.py
+++ b/packages/savorylead/savorylead/pools/_planning_pass.py
@@ -38,6 +38,9 @@
     short_of_limit: dict[str, Resources]
     #: Runs to stop, so that more urgent tasks can start.
     preempted: list[Run]
+    #: Late steps that go first from this pass on, and for how long they have waited, in
+    #: milliseconds.
+    turns: list[tuple[StepRun, int]]
 
 
 class PlanningPass:
@@ -66,7 +69,7 @@
         #: When a worker should have room for a task, by what the task holds; worked out
         #: with the free room that stands beside it.
         self.free_at: dict[tuple[str, Resources], tuple[Resources, float]] = {}
-        self.plan = Plan([], [], [], {}, [])
+        self.plan = Plan([], [], [], {}, [], [])
 
     def take(self, worker: PoolWorker, step: StepRun) -> None:
         """Hold the room of one task."""
--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -101,12 +101,13 @@
         in_time = [steps[index] for urgency, index in ranked if not urgency.lateness]
         headroom = self._headroom.cores_milli(state.workers, in_time, queues, now_ms)
         late = [steps[index] for urgency, index in ranked if urgency.lateness]
-        first = self._turns.choose(
+        first, begun = self._turns.choose(
             [step for step in late if may_place(step)],
             self._idle.since_ms,
             lambda step: could_start(state, step, team_room(step.job.record.team)),
             now_ms,
         )
+        state.plan.turns.extend(begun)
         ranked.sort(key=lambda row: steps[row[1]] not in first)
         for urgency, index in ranked:
             step = steps[index]
--- a/packages/savorylead/savorylead/pools/_turns.py
+++ b/packages/savorylead/savorylead/pools/_turns.py
@@ -34,8 +34,10 @@
         idle_since_ms: Callable[[StepRun], int | None],
         may_start: Callable[[StepRun], bool],
         now_ms: int,
-    ) -> frozenset[StepRun]:
-        """Return the steps that go first in this pass.
+    ) -> tuple[frozenset[StepRun], list[tuple[StepRun, int]]]:
+        """Return the steps that go first in this pass, and those whose turn begins.
+
+        Beside the latter stands for how long they have waited, in milliseconds.
 
         ``late`` are steps that wait and are late. ``idle_since_ms`` tells since when
         nothing of a step's job runs, None if something does. ``may_start`` tells
@@ -54,6 +56,7 @@
             elif now_ms >= until_ms:
                 del self._until_ms[step]
                 self._ended_ms[step] = now_ms
+        begun = []
         for _, since_ms, _, step in sorted(waiting, key=lambda row: row[:3]):
             if len(self._until_ms) >= TURNS_AT_ONCE:
                 break
@@ -62,6 +65,7 @@
                 continue
             if may_start(step):
                 self._until_ms[step] = now_ms + TURN_MS
+                begun.append((step, now_ms - since_ms))
             else:
                 self._ended_ms[step] = now_ms
-        return frozenset(self._until_ms)
+        return frozenset(self._until_ms), begun
--- a/packages/savorylead/savorylead/pools/tests/test_turns.py
+++ b/packages/savorylead/savorylead/pools/tests/test_turns.py
@@ -20,9 +20,10 @@
         self.stuck = stuck
         self.asked = 0
         self.turns = Turns()
+        self.begun: list[tuple[StepRun, int]] = []
 
     def first(self, now_ms: int) -> str:
-        chosen = self.turns.choose(
+        chosen, self.begun = self.turns.choose(
             [step for name, step in self.steps.items() if name in self.since_ms],
             lambda step: self.since_ms[step.job.id],
             self._may_start,
@@ -61,7 +62,12 @@
     waits = _Waits({"a": NOW_MS, "b": NOW_MS + 1, "c": NOW_MS + 2})
     now_ms = NOW_MS + PATIENCE_MS + 2
     assert waits.first(now_ms) == "ab"
+    assert [waited_ms for _, waited_ms in waits.begun] == [
+        PATIENCE_MS + 2,
+        PATIENCE_MS + 1,
+    ]
     assert waits.first(now_ms + TURN_MS - 1) == "ab"
+    assert waits.begun == []
     assert waits.first(now_ms + TURN_MS) == "c"
     del waits.since_ms["c"]
     assert waits.first(now_ms + TURN_MS + 1) == ""
@@ -86,3 +92,4 @@
     fresh = step_of("fresh", "normal", cores=1, accepted_at_ms=later_ms)
     made = plan([fresh, late], pool, planner, now_ms=later_ms)
     assert starts(made) == [("late", "w0")]
+    assert made.turns == [(late, PATIENCE_MS)]
