--- a/packages/savorylead/savorylead/pools/_planning_pass.py
+++ b/packages/savorylead/savorylead/pools/_planning_pass.py
@@ -125,8 +125,10 @@
     return bool(step.waiting()) and not (step.spec.gang and step.running())
 
 
-def could_start(state: PlanningPass, step: StepRun, room: Resources | None) -> bool:
-    """Return whether a task, or the whole gang, could start on empty workers.
+def could_start(
+    step: StepRun, workers: Iterable[PoolWorker], room: Resources | None
+) -> bool:
+    """Return whether a task, or the whole gang, could start on these workers if empty.
 
     ``room`` is what the limit of its team leaves now, None for no limit.
     """
@@ -134,7 +136,7 @@
     if room is not None and not step.spec.resources.times(count).fits(room):
         return False
     held = held_by(step)
-    for worker in state.startable:
+    for worker in workers:
         if could_ever_hold(worker, step):
             count -= copies_that_fit(held, worker.entry.capacity, step)
             if count <= 0:
--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -36,7 +36,7 @@
 from ._preemption import Preemption
 from ._reservation import Reservation, may_reserve
 from ._step_times import StepTimes
-from ._turns import Turns
+from ._turns import Turns, may_take_turn
 from ._urgency import Urgency, urgency_of
 
 #: Steps that may keep workers free for themselves at a time.
@@ -100,11 +100,15 @@
         )
         in_time = [steps[index] for urgency, index in ranked if not urgency.lateness]
         headroom = self._headroom.cores_milli(state.workers, in_time, queues, now_ms)
-        late = [steps[index] for urgency, index in ranked if urgency.lateness]
+        may_be_allowed = self.book.may_be_allowed
         first, begun = self._turns.choose(
-            [step for step in late if may_place(step)],
+            [s for _, index in ranked if may_take_turn(s := steps[index])],
             self._idle.since_ms,
-            lambda step: could_start(state, step, team_room(step.job.record.team)),
+            lambda step: could_start(
+                step,
+                [w for w in state.startable if may_be_allowed(step, w)],
+                team_room(step.job.record.team),
+            ),
             now_ms,
         )
         state.plan.turns.extend(begun)
