Don't pass a daemon over when the adviser refuses a call

Such a refusal has a type of its own now, which peers pass on, and says nothing of the daemon.

test_a_daemon_whose_call_is_refused_goes_on_getting_calls was written with the change; the type did not exist before.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_advice_queue.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_advice_queue.py
@@ -21,6 +21,7 @@
     AdviceSlots,
     AdviserBusyError,
     AdviserError,
+    AdviserRefusedError,
     PolicyAdviser,
 )
 
@@ -203,6 +204,8 @@
             backlog.long_ms += expected_ms
         try:
             advice = await self._ask_through(name, step, workers, rank_ms)
+        except AdviserRefusedError:
+            raise
         except AdviserError:
             backlog.failed(self._clock.now())
             raise
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_peer_messages.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peer_messages.py
@@ -114,3 +114,5 @@
     valid_ms: int
     #: Empty if there is advice.
     error: str = ""
+    #: Whether the call was refused, not failed.
+    refused: bool = False
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
@@ -11,7 +11,7 @@
 
 from savorylead.jobs import JobState
 from savorylead.links import Link, LinkError, LinkRequest, LinkUnavailableError
-from savorylead.pools import Advice, AdviserError
+from savorylead.pools import Advice, AdviserError, AdviserRefusedError
 from savorylead_daemon.http import HttpLinks, JsonRequest, JsonResponse
 
 from ._advice_queue import AdviceQueue
@@ -132,6 +132,8 @@
             )
         except PeerError as exc:
             raise AdviserError(str(exc)) from exc
+        if told.refused:
+            raise AdviserRefusedError(told.error)
         if told.error:
             raise AdviserError(told.error)
         return Advice(told.tickets, told.valid_ms)
@@ -226,7 +228,8 @@
                 message.step, message.workers, message.rank_ms
             )
         except AdviserError as exc:
-            return AdviceTold({}, 0, str(exc) or type(exc).__name__)
+            refused = isinstance(exc, AdviserRefusedError)
+            return AdviceTold({}, 0, str(exc) or type(exc).__name__, refused)
         return AdviceTold(dict(advice.tickets), advice.valid_ms)
 
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_advice_queue.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_advice_queue.py
@@ -15,6 +15,7 @@
     AdviceSlots,
     AdviserBusyError,
     AdviserError,
+    AdviserRefusedError,
     PolicyAdviser,
 )
 from savorylead_daemon.pool._advice_queue import (
@@ -135,6 +136,19 @@
     assert [call(), call(), call()] == ["d0", "d1", "d1"]
 
 
+def test_a_daemon_whose_call_is_refused_goes_on_getting_calls() -> None:
+    # One step whose calls were refused had all daemons passed over in turn.
+    async def refuse(name: str, step: str, workers: object, rank_ms: float) -> Advice:
+        raise AdviserRefusedError("status 400")
+
+    router = AdviceRouter(refuse, new_clock())
+    names = ["d0", "d1", "d2"]
+    for _ in range(3):
+        one = router.advise(names, "s", (), 600.0, 0.0)
+        Deferred.fromCoroutine(one).addErrback(lambda failure: None)
+    assert router.slots(names) == AdviceSlots(12, 2)
+
+
 class SlowAdviser(PolicyAdviser):
     """Answers when told to."""
 
--- a/packages/savorylead/savorylead/pools/_contracts.py
+++ b/packages/savorylead/savorylead/pools/_contracts.py
@@ -272,7 +272,11 @@
     """The adviser did not answer, or not with advice."""
 
 
-class AdviserBusyError(AdviserError):
+class AdviserRefusedError(AdviserError):
+    """A call was refused for what it asks; another machine would fare no better."""
+
+
+class AdviserBusyError(AdviserRefusedError):
     """Too many calls of this machine wait at the adviser already."""
 
 
