--- a/packages/savorylead-ctl/savorylead_ctl/explain/_story.py
+++ b/packages/savorylead-ctl/savorylead_ctl/explain/_story.py
@@ -22,7 +22,7 @@
     "state_unread": "the state could not be read from the store",
     "advice_failed": "the adviser did not answer",
     "start_unanswered": "a worker did not answer a start",
-    "late_step_first": "a late step had waited long behind work that was in time",
+    "step_goes_first": "a step had waited long behind others",
     "team_short_of_limit": "the team's limit kept tasks waiting",
     "lead_not_reached": "the lead of the pool could not be reached",
     "lead_ended": "the lead of the pool gave it up",
--- a/packages/savorylead-ctl/savorylead_ctl/tests/test_explain.py
+++ b/packages/savorylead-ctl/savorylead_ctl/tests/test_explain.py
@@ -79,8 +79,8 @@
             "the team's limit kept tasks waiting",
         ),
         (
-            line(4.0, "edge-1", "late_step_first", job=JOB, waited_ms=5_010),
-            "a late step had waited long behind work that was in time",
+            line(4.0, "edge-1", "step_goes_first", job=JOB, waited_ms=5_010),
+            "a step had waited long behind others",
         ),
         (
             line(4.0, "edge-3", "lead_began", pool="pool", term=4),
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
@@ -57,7 +57,7 @@
         for step, waited_ms in plan.turns:
             self._log.log_event(
                 LogLevel.INFO,
-                "late_step_first",
+                "step_goes_first",
                 job=step.job.id,
                 step=step.name,
                 tasks=step.spec.count,
--- a/packages/savorylead/savorylead/pools/_planning_pass.py
+++ b/packages/savorylead/savorylead/pools/_planning_pass.py
@@ -38,8 +38,8 @@
     short_of_limit: dict[str, Resources]
     #: Runs to stop, so that more urgent tasks can start.
     preempted: list[Run]
-    #: Late steps that go first from this pass on, and for how long they have waited, in
-    #: milliseconds.
+    #: Steps that go first from this pass on, as their jobs have waited longest, and for
+    #: how long that was, in milliseconds.
     turns: list[tuple[StepRun, int]]
 
 
