List exactly the rows of gangs at a team's limit that fail

Twelve of sixteen rows fail; the other four have a test of their own, so that a known fault doesn't cover them. Rows and check are the same.

--- a/packages/savorylead/savorylead/pools/tests/test_gangs_at_limit.py
+++ b/packages/savorylead/savorylead/pools/tests/test_gangs_at_limit.py
@@ -83,14 +83,9 @@
                     task.step.mark_done(task.index)
 
 
-@pytest.mark.parametrize("checkpoints", [False, True])
-@pytest.mark.parametrize("limit_factor", [1.2, 2.0])
-@pytest.mark.parametrize("count, cores", [(3, 4.5), (8, 4.5), (15, 4.5), (17, 6.3)])
-def test_a_gang_at_its_teams_limit_starts_in_time(
+def _starts_in_time(
     count: int, cores: float, limit_factor: float, checkpoints: bool
-) -> None:
-    # Less urgent tasks of the gang's own team took each bit of the limit as it became
-    # free, for as long as they came.
+) -> bool:
     team = _Team(int(count * cores * limit_factor * 1000), checkpoints)
     gang = step_of(
         "gang",
@@ -104,7 +99,47 @@
     for now_ms in range(NOW_MS, NOW_MS + GANG_AFTER_MS, STEP_MS):
         team.gang_starts(None, now_ms)
     began_ms = NOW_MS + GANG_AFTER_MS
-    assert any(
+    return any(
         team.gang_starts(gang, now_ms)
         for now_ms in range(began_ms, began_ms + MOST_WAIT_MS, STEP_MS)
     )
+
+
+@pytest.mark.parametrize(
+    "count, cores, limit_factor, checkpoints",
+    [
+        (3, 4.5, 1.2, True),
+        (3, 4.5, 2.0, False),
+        (3, 4.5, 2.0, True),
+        (8, 4.5, 2.0, True),
+    ],
+)
+def test_a_small_gang_at_its_teams_limit_starts_in_time(
+    count: int, cores: float, limit_factor: float, checkpoints: bool
+) -> None:
+    assert _starts_in_time(count, cores, limit_factor, checkpoints)
+
+
+@pytest.mark.parametrize(
+    "count, cores, limit_factor, checkpoints",
+    [
+        (3, 4.5, 1.2, False),
+        (8, 4.5, 1.2, False),
+        (8, 4.5, 1.2, True),
+        (8, 4.5, 2.0, False),
+        (15, 4.5, 1.2, False),
+        (15, 4.5, 1.2, True),
+        (15, 4.5, 2.0, False),
+        (15, 4.5, 2.0, True),
+        (17, 6.3, 1.2, False),
+        (17, 6.3, 1.2, True),
+        (17, 6.3, 2.0, False),
+        (17, 6.3, 2.0, True),
+    ],
+)
+def test_a_gang_at_its_teams_limit_starts_in_time(
+    count: int, cores: float, limit_factor: float, checkpoints: bool
+) -> None:
+    # Less urgent tasks of the gang's own team took each bit of the limit as it became
+    # free, for as long as they came.
+    assert _starts_in_time(count, cores, limit_factor, checkpoints)
