--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -54,8 +54,14 @@
     Switch(
         "idle-jobs",
         f"{_PLANNING}/_idle_jobs.py",
-        "        since_ms = self._since_ms.get(step.job)",
-        "        return False\n        since_ms = self._since_ms.get(step.job)",
+        "        since_ms = self.since_ms(step)",
+        "        return False\n        since_ms = self.since_ms(step)",
+    ),
+    Switch(
+        "turns",
+        f"{_PLANNING}/_turns.py",
+        "TURNS_AT_ONCE = 2",
+        "TURNS_AT_ONCE = 0",
     ),
     Switch(
         "learned-lengths",
