Names: supervised coroutines, counts and estimates by what they are

lasting() read like the long-running tasks that the code calls lasting; a refusal of the adviser says nothing against the machine that called, which its docstring denied for the busy one. No change of behaviour.

--- a/packages/savorylead-daemon/savorylead_daemon/concurrency/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/concurrency/__init__.py
@@ -1,8 +1,8 @@
 """Waiting for several coroutines at once, and starting some by themselves."""
 
 from ._gather import first_of, gather
-from ._lasting import lasting
 from ._spawn import spawn
+from ._supervised import supervised
 from ._task_set import TaskSet
 
-__all__ = ["TaskSet", "first_of", "gather", "lasting", "spawn"]
+__all__ = ["TaskSet", "first_of", "gather", "spawn", "supervised"]
--- a/packages/savorylead-daemon/savorylead_daemon/concurrency/_lasting.py
+++ b/packages/savorylead-daemon/savorylead_daemon/concurrency/_supervised.py
@@ -17,7 +17,7 @@
 _log = Logger()
 
 
-async def lasting(
+async def supervised(
     what: str, clock: Clock, begin: Callable[[], Coroutine[Any, Any, None]]
 ) -> None:
     """Run ``begin()`` until it returns or is cancelled; an error begins it again."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_cell_lease.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_cell_lease.py
@@ -11,7 +11,7 @@
 from savorylead.clock import Clock
 from savorylead.pools import CellStore
 from savorylead.store import StoreError, StoreLeaseLostError
-from savorylead_daemon.concurrency import lasting, spawn
+from savorylead_daemon.concurrency import spawn, supervised
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -65,7 +65,7 @@
 
     def start(self) -> None:
         """Get a lease and keep it."""
-        running = lasting("cell lease", self._clock, self._run)
+        running = supervised("cell lease", self._clock, self._run)
         self._running = spawn("cell lease", running)
 
     def holds(self) -> bool:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_cell_view.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_cell_view.py
@@ -12,7 +12,7 @@
 from savorylead.clock import Clock
 from savorylead.pools import CellStore
 from savorylead.store import KeyValue, StoreError
-from savorylead_daemon.concurrency import lasting, spawn
+from savorylead_daemon.concurrency import spawn, supervised
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -89,7 +89,7 @@
 
     def start(self) -> None:
         """Begin to read and to watch."""
-        running = lasting("cell view", self._clock, self._run)
+        running = supervised("cell view", self._clock, self._run)
         self._running = spawn("cell view", running)
 
     def stop(self) -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_config_feed.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_config_feed.py
@@ -17,7 +17,7 @@
     Queue,
 )
 from savorylead.store import StoreError
-from savorylead_daemon.concurrency import lasting, spawn
+from savorylead_daemon.concurrency import spawn, supervised
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -87,7 +87,7 @@
 
     def start(self) -> None:
         """Begin to read."""
-        running = lasting("config feed", self._clock, self._run)
+        running = supervised("config feed", self._clock, self._run)
         self._running = spawn("config feed", running)
 
     def stop(self) -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_grant_keeper.py
@@ -20,7 +20,7 @@
 )
 from savorylead.resources import Resources
 from savorylead.store import KeyValue, StoreError
-from savorylead_daemon.concurrency import TaskSet, lasting
+from savorylead_daemon.concurrency import TaskSet, supervised
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -88,7 +88,7 @@
 
     def start(self) -> None:
         """Begin to keep the parts."""
-        running = lasting("grant keeper", self._clock, self._run)
+        running = supervised("grant keeper", self._clock, self._run)
         self._tasks.spawn("grant keeper", running)
 
     def is_unclear(self) -> bool:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_hand_over.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_hand_over.py
@@ -12,7 +12,7 @@
 from savorylead.clock import Clock, Timer
 from savorylead.pools import CellStore, Committed
 from savorylead.store import StoreError
-from savorylead_daemon.concurrency import lasting, spawn
+from savorylead_daemon.concurrency import spawn, supervised
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -154,7 +154,7 @@
         self._given_up[term.pool] = term.revision
         self._depose(term.pool, reason)
         self._is_deleting = True
-        deleting = lasting(
+        deleting = supervised(
             "hand-over of a pool", self._clock, lambda: self._delete_key(term, to)
         )
         self._deleting = spawn("hand-over of a pool", deleting)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -25,7 +25,7 @@
     WorkerReport,
 )
 from savorylead.resources import ZERO, Resources
-from savorylead_daemon.concurrency import TaskSet, lasting
+from savorylead_daemon.concurrency import TaskSet, supervised
 from savorylead_daemon.settings import LogLevel
 
 from ._admission import Admission
@@ -130,7 +130,7 @@
             ("intake of jobs", self._follow),
             ("forgetting of jobs", self._forget_ended),
         ):
-            self._tasks.spawn(what, lasting(what, self._clock, begin))
+            self._tasks.spawn(what, supervised(what, self._clock, begin))
         self._grant_keeper.start()
 
     def close(self) -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
@@ -26,7 +26,7 @@
     read_pages,
 )
 from savorylead.store import Snapshot, StoreError
-from savorylead_daemon.concurrency import TaskSet, gather, lasting
+from savorylead_daemon.concurrency import TaskSet, gather, supervised
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -147,7 +147,7 @@
         self._wanted = workers
         if not self.has_written() and not self._writing:
             self._writing = True
-            writing = lasting("record of workers", self._clock, self._write_workers)
+            writing = supervised("record of workers", self._clock, self._write_workers)
             self._tasks.spawn("record of workers", writing)
 
     def has_written(self) -> bool:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_progress_log.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_progress_log.py
@@ -12,7 +12,7 @@
 from savorylead.links import AnswerTimes, DeadlineExceededError, within
 from savorylead.pools import Committed, Conflict, Put
 from savorylead.store import StoreError
-from savorylead_daemon.concurrency import TaskSet, lasting
+from savorylead_daemon.concurrency import TaskSet, supervised
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -80,7 +80,7 @@
             self._timer = None
         if not self._writing:
             self._writing = True
-            writing = lasting("progress log", self._clock, self._write_all)
+            writing = supervised("progress log", self._clock, self._write_all)
             self._tasks.spawn("progress log", writing)
 
     async def durable(self) -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
@@ -63,7 +63,7 @@
                 tasks=step.spec.count,
                 gang=step.spec.gang,
                 waited_ms=waited_ms,
-                allowed=self._state.planner.book.allowed(step),
+                allowed=self._state.planner.book.allowed_count(step),
             )
         for run in plan.preempted:
             self.log_start(run, "preempted", percent=run.percent)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_settings_watch.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_settings_watch.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred
 
 from savorylead.clock import Clock
-from savorylead_daemon.concurrency import lasting, spawn
+from savorylead_daemon.concurrency import spawn, supervised
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel, SettingsError
 
@@ -44,7 +44,7 @@
 
     def start(self) -> None:
         """Begin to look."""
-        running = lasting("settings watch", self._clock, self._run)
+        running = supervised("settings watch", self._clock, self._run)
         self._running = spawn("settings watch", running)
 
     def stop(self) -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -24,7 +24,7 @@
     reconcile,
 )
 from savorylead.workers import WorkerError, WorkerTimeoutError
-from savorylead_daemon.concurrency import TaskSet, lasting
+from savorylead_daemon.concurrency import TaskSet, supervised
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -107,7 +107,7 @@
 
     def start(self) -> None:
         """Claim the worker and keep in touch with it."""
-        running = lasting("worker session", self._clock, self._run)
+        running = supervised("worker session", self._clock, self._run)
         self._tasks.spawn("worker session", running)
 
     def close(self) -> None:
@@ -180,7 +180,7 @@
             return
         run.state = RunState.STOPPING
         run.stop_reason = reason
-        stopping = lasting(
+        stopping = supervised(
             "stop of a run", self._clock, lambda: self._stop_until_gone(run)
         )
         self._tasks.spawn("stop of a run", stopping)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_workers_feed.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_workers_feed.py
@@ -10,7 +10,7 @@
 from savorylead.clock import Clock
 from savorylead.pools import CellStore, WorkerEntry, WorkerListing
 from savorylead.store import StoreError
-from savorylead_daemon.concurrency import lasting, spawn
+from savorylead_daemon.concurrency import spawn, supervised
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -46,7 +46,7 @@
 
     def start(self) -> None:
         """Begin to read."""
-        running = lasting("list of workers", self._clock, self._run)
+        running = supervised("list of workers", self._clock, self._run)
         self._running = spawn("list of workers", running)
 
     def stop(self) -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
@@ -16,7 +16,7 @@
 from twisted.internet.interfaces import IListeningPort
 
 from savorylead.links import LinkSettings
-from savorylead_daemon.concurrency import lasting, spawn
+from savorylead_daemon.concurrency import spawn, supervised
 from savorylead_daemon.http import (
     HttpLinks,
     JsonRequest,
@@ -136,7 +136,7 @@
         self._listen(listen.callers, self._node.gateway.handle)
         self._node.start()
         self._settings_watch.start()
-        spawn("readiness", lasting("readiness", self._clock, self._judge_readiness))
+        spawn("readiness", supervised("readiness", self._clock, self._judge_readiness))
         self._log.log_event(
             LogLevel.INFO,
             "daemon_started",
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -13,7 +13,7 @@
 from savorylead.links import DeadlineExceededError, within
 from savorylead.pools import Advice, AdviserError, CellDocument, Put, WorkerEntry
 from savorylead.store import KeyValue, StoreError
-from savorylead_daemon.concurrency import lasting, spawn
+from savorylead_daemon.concurrency import spawn, supervised
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
@@ -191,7 +191,7 @@
             lead.set_document(document)
 
     def _lease_granted(self, lease_id: str) -> None:
-        registering = lasting(
+        registering = supervised(
             "registration", self._clock, lambda: self._register(lease_id)
         )
         spawn("registration", registering)
--- a/packages/savorylead/savorylead/pools/_advice.py
+++ b/packages/savorylead/savorylead/pools/_advice.py
@@ -196,7 +196,7 @@
         )
         return self._call(step, named, cost) if named else None
 
-    def allowed(self, step: StepRun) -> int:
+    def allowed_count(self, step: StepRun) -> int:
         """Return how many workers are known to be allowed for a step."""
         return len(self.of(step).good)
 
--- a/packages/savorylead/savorylead/pools/_contracts.py
+++ b/packages/savorylead/savorylead/pools/_contracts.py
@@ -273,7 +273,7 @@
 
 
 class AdviserRefusedError(AdviserError):
-    """A call was refused for what it asks; another machine would fare no better."""
+    """A call was refused, which tells nothing against the machine that made it."""
 
 
 class AdviserBusyError(AdviserRefusedError):
--- a/packages/savorylead/savorylead/pools/_reservation.py
+++ b/packages/savorylead/savorylead/pools/_reservation.py
@@ -85,11 +85,11 @@
         known = state.free_at.get(key)
         if known is not None and known[0] is room:
             return known[1]
-        free_at_ms = self._work_free_at_out(state, worker, held)
+        free_at_ms = self._estimate_free_at_ms(state, worker, held)
         state.free_at[key] = (room, free_at_ms)
         return free_at_ms
 
-    def _work_free_at_out(
+    def _estimate_free_at_ms(
         self, state: PlanningPass, worker: PoolWorker, held: Resources
     ) -> float:
         room = state.free[worker.id]
--- a/packages/savorylead/savorylead/pools/_turns.py
+++ b/packages/savorylead/savorylead/pools/_turns.py
@@ -25,9 +25,9 @@
 #: A turn whose step started sooner is not given to another before this time, in
 #: milliseconds, so that turns are no more than two starts a second under overload.
 LEAST_TURN_MS = 1_000
-#: Steps that are judged in one pass, and time in milliseconds until one that could not
-#: start is judged again: a judgement looks at all workers.
+#: Most steps that are judged in one pass: a judgement looks at all workers.
 JUDGED_AT_ONCE = 20
+#: Time in milliseconds until a step that could not start is judged again.
 JUDGED_AGAIN_MS = 500
 
 
