One reading of a peer's advice, one store that elects nobody, and an adviser's cap

- PeerClient and the stand-in cell read a peer's answer apart, and the stand-in lost whether a call was refused.
Both use advice_of() now, and a test of five errors holds that a refusal is told from a failure across daemons.
- The adviser in memory took any number of workers, the platform's takes a hundred.
It refuses more now, for all cells.
SlowAdviser asserted it inside a call, where the lead takes any error for a failed call and goes on, so that the assertion could not fail a test; it refuses too.
- Three test files had a view of the store that elects nobody; cell_cases.py has one.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
@@ -132,11 +132,16 @@
             )
         except PeerError as exc:
             raise AdviserError(str(exc)) from exc
-        if told.refused:
-            raise AdviserRefusedError(told.error)
-        if told.error:
-            raise AdviserError(told.error)
-        return Advice(told.tickets, told.valid_ms)
+        return advice_of(told)
+
+
+def advice_of(told: AdviceTold) -> Advice:
+    """Return the advice that a peer passed on; raises AdviserError."""
+    if told.refused:
+        raise AdviserRefusedError(told.error)
+    if told.error:
+        raise AdviserError(told.error)
+    return Advice(told.tickets, told.valid_ms)
 
 
 class PeerServer:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -43,6 +43,7 @@
     PeerCalls,
     PeerError,
     PeerServer,
+    advice_of,
 )
 from ._pool_lead import PoolLead
 from ._term import Term
@@ -369,4 +370,5 @@
     "PeerError",
     "PoolNode",
     "Told",
+    "advice_of",
 ]
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_advice_queue.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_advice_queue.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from datetime import UTC, datetime
 
+import msgspec
 import pytest
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import Clock as StepClock
@@ -24,6 +25,8 @@
     AdviceQueue,
     AdviceRouter,
 )
+from savorylead_daemon.pool._peer_messages import AdviceAsked, AdviceTold
+from savorylead_daemon.pool._peers import PeerServer, advice_of
 
 #: Calls that are under way; kept, or they would end as nobody refers to them.
 UNDER_WAY: list[Deferred[None]] = []
@@ -149,6 +152,40 @@
     assert router.slots(names) == AdviceSlots(12, 2)
 
 
+class FailingAdviser(PolicyAdviser):
+    """Raises the same error for each call."""
+
+    def __init__(self, exc: AdviserError) -> None:
+        self._exc = exc
+
+    async def advise(self, step: str, workers: Sequence[str]) -> Advice:
+        raise self._exc
+
+
+@pytest.mark.parametrize(
+    "raised, told",
+    [
+        (AdviserError("no answer"), AdviserError),
+        (AdviserError(), AdviserError),
+        (AdviserRefusedError("status 400"), AdviserRefusedError),
+        (AdviserBusyError("too many calls wait"), AdviserRefusedError),
+        (AdviserBusyError(), AdviserRefusedError),
+    ],
+)
+def test_a_peer_tells_a_refused_call_from_a_failed_one(
+    raised: AdviserError, told: type[AdviserError]
+) -> None:
+    queue = AdviceQueue(FailingAdviser(raised), new_clock())
+    server = PeerServer(lambda pool: None, queue, None, None)
+    answers: list[AdviceTold] = []
+    asking = Deferred.fromCoroutine(server.answer(AdviceAsked("s", (), 0.0)))
+    asking.addCallback(answers.append)
+    sent = msgspec.json.encode(answers.pop())
+    with pytest.raises(AdviserError) as caught:
+        advice_of(msgspec.json.decode(sent, type=AdviceTold))
+    assert caught.type is told
+
+
 class SlowAdviser(PolicyAdviser):
     """Answers when told to."""
 
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_adviser.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_adviser.py
@@ -9,10 +9,17 @@
 
 from savorylead.clock import Clock
 from savorylead.jobs import TaskName
-from savorylead.pools import Advice, AdviserBusyError, PolicyAdviser
+from savorylead.pools import (
+    Advice,
+    AdviserBusyError,
+    AdviserRefusedError,
+    PolicyAdviser,
+)
 
 #: Of ten workers the policy allows this many.
 GOOD_OF_TEN = 7
+#: Most workers that one call may name.
+MOST_NAMED = 100
 
 
 def policy_allows(step: str, worker: str) -> bool:
@@ -82,6 +89,8 @@
 
     async def advise(self, step: str, workers: Sequence[str]) -> Advice:
         """Return which of the workers may run the step."""
+        if len(workers) > MOST_NAMED:
+            raise AdviserRefusedError("too many workers are named")
         self.calls += 1
         now = self._clock.now()
         waiting = (self._busy_until - now) / self._decide
--- a/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
@@ -41,6 +41,7 @@
     PeerError,
     PoolNode,
     Told,
+    advice_of,
 )
 from savorylead_standins.time import SteppedTime
 
@@ -117,10 +118,7 @@
             node = await self._reach(address)
         except PeerError as exc:
             raise AdviserError(str(exc)) from exc
-        told = await node.peer_server.answer(asked)
-        if told.error:
-            raise AdviserError(told.error)
-        return Advice(told.tickets, told.valid_ms)
+        return advice_of(await node.peer_server.answer(asked))
 
     async def _reach(self, address: str) -> PoolNode:
         cell = self._cell
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/cell_cases.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/cell_cases.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping, Sequence
+
 from savorylead.jobs import JobState
-from savorylead_standins.pools import PoolCell
+from savorylead.pools import Committed, Conflict, Put, StoreRefusedError
+from savorylead_daemon.pool._keys import LEAD_PREFIX, lead_key
+from savorylead_standins.pools import MemoryCellStore, PoolCell, StoreView
 
 #: A cell has its leads by then, and they know their workers.
 READY_S = 4.0
@@ -25,3 +29,24 @@
     """Return the states of jobs as one node tells them."""
     via = next(iter(cell.nodes))
     return {job: cell.state(job, via) for job in jobs}
+
+
+class NeverElected(StoreView):
+    """The store as it serves a daemon in all but the keys of leads."""
+
+    def __init__(self, store: MemoryCellStore, pool: str = "") -> None:
+        """``pool`` is the one that the daemon can't lead; empty for all."""
+        super().__init__(store)
+        self._refused = lead_key(pool) if pool else LEAD_PREFIX
+        self.refuses = True
+
+    async def commit(
+        self,
+        expected: Mapping[str, int],
+        puts: Sequence[Put] = (),
+        deletes: Sequence[str] = (),
+    ) -> Committed | Conflict:
+        """Refuse to make this daemon the lead of a pool."""
+        if self.refuses and any(put.key.startswith(self._refused) for put in puts):
+            raise StoreRefusedError("refused")
+        return await super().commit(expected, puts, deletes)
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/gang_cases.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/gang_cases.py
@@ -13,6 +13,7 @@
     Advice,
     AdviceCost,
     AdviserError,
+    AdviserRefusedError,
     PolicyAdviser,
     RunEnd,
     RunOrder,
@@ -21,7 +22,12 @@
     WorkerEntry,
 )
 from savorylead.resources import Resources
-from savorylead_standins.pools import MemoryMachine, PoolCell, TicketOffice
+from savorylead_standins.pools import (
+    MOST_NAMED,
+    MemoryMachine,
+    PoolCell,
+    TicketOffice,
+)
 
 from .cell_cases import READY_S
 
@@ -29,7 +35,6 @@
 #: milliseconds; most workers that it takes in a call; how long its tickets hold.
 DECIDE_MS = 560.0
 PER_WORKER_MS = 5.0
-MOST_NAMED = 100
 VALID_MS = 2_000
 #: Of ten workers its policy allows this many.
 ALLOWED_OF_TEN = 3
@@ -87,7 +92,8 @@
         self.calls.append((now, tuple(workers)))
         if self.fails:
             raise AdviserError("no answer")
-        assert len(workers) <= MOST_NAMED
+        if len(workers) > MOST_NAMED:
+            raise AdviserRefusedError("too many workers are named")
         takes = timedelta(milliseconds=DECIDE_MS + PER_WORKER_MS * len(workers))
         takes += timedelta(seconds=self.late_s)
         self.late_s = 0.0
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_leadless_pools.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_leadless_pools.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
 from datetime import timedelta
 
 import pytest
 
 from savorylead.jobs import JobSpec
-from savorylead.pools import Committed, Conflict, Put, StoreRefusedError
 from savorylead.resources import Resources
-from savorylead_daemon.pool._keys import lead_key
-from savorylead_standins.pools import PoolCell, StoreView, job_spec
+from savorylead_standins.pools import PoolCell, job_spec
 
-from .cell_cases import ready_cell
+from .cell_cases import NeverElected, ready_cell
 
 POOLS = ("a", "b")
 CORES = 10
@@ -24,28 +21,12 @@
 SHORT = timedelta(seconds=1)
 
 
-class NoLeadOfB(StoreView):
-    """The store as it refuses that a daemon becomes the lead of pool b."""
-
-    refuses_b = False
-
-    async def commit(
-        self,
-        expected: Mapping[str, int],
-        puts: Sequence[Put] = (),
-        deletes: Sequence[str] = (),
-    ) -> Committed | Conflict:
-        """Make all changes or none."""
-        if self.refuses_b and any(put.key == lead_key("b") for put in puts):
-            raise StoreRefusedError("refused")
-        return await super().commit(expected, puts, deletes)
-
-
 def two_pools(seed: int = 1) -> PoolCell:
     """Return a cell of four daemons that can be kept from the lead of pool b."""
     cell = PoolCell(nodes=0, workers=6, pools=POOLS, limit=LIMIT, seed=seed)
     for number in range(4):
-        cell.views[f"node-{number}"] = NoLeadOfB(cell.store)
+        view = cell.views[f"node-{number}"] = NeverElected(cell.store, "b")
+        view.refuses = False
         cell.start_node(f"node-{number}")
     cell.run(4.0)
     return cell
@@ -76,8 +57,8 @@
 def refuse_leads_of_b(cell: PoolCell, refuses: bool) -> None:
     """Let no daemon become the lead of pool b, or all of them again."""
     for view in cell.views.values():
-        assert isinstance(view, NoLeadOfB)
-        view.refuses_b = refuses
+        assert isinstance(view, NeverElected)
+        view.refuses = refuses
 
 
 def test_a_removed_pool_keeps_no_part_of_a_limit() -> None:
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_spread_leads.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_spread_leads.py
@@ -3,19 +3,16 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Mapping, Sequence
 from datetime import timedelta
 
 import pytest
 
 from savorylead.jobs import JobState
-from savorylead.pools import Committed, Conflict, Put, StoreRefusedError
 from savorylead_daemon.pool import CallerAnswer
-from savorylead_daemon.pool._keys import LEAD_PREFIX
 from savorylead_daemon.pool.node import Machine
-from savorylead_standins.pools import PoolCell, StoreView, job_spec
+from savorylead_standins.pools import PoolCell, job_spec
 
-from .cell_cases import states
+from .cell_cases import NeverElected, states
 
 POOLS = ("p0", "p1")
 THIN = Machine(0.12, 2.0)
@@ -76,21 +73,6 @@
     assert all(len(names) == 1 for names in leads_over(cell, WATCHED_S).values())
 
 
-class NeverElected(StoreView):
-    """The store as it refuses that this daemon becomes the lead of a pool."""
-
-    async def commit(
-        self,
-        expected: Mapping[str, int],
-        puts: Sequence[Put] = (),
-        deletes: Sequence[str] = (),
-    ) -> Committed | Conflict:
-        """Make all changes or none."""
-        if any(put.key.startswith(LEAD_PREFIX) for put in puts):
-            raise StoreRefusedError("refused")
-        return await super().commit(expected, puts, deletes)
-
-
 @pytest.mark.parametrize("free", [1, 3])
 def test_an_equal_machine_that_is_never_elected_does_not_make_pools_flap(
     free: int,
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_weak_leads.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_weak_leads.py
@@ -15,7 +15,7 @@
 from savorylead_daemon.pool.node import Machine
 from savorylead_standins.pools import PoolCell, StoreView, job_spec
 
-from .cell_cases import READY_S, states
+from .cell_cases import READY_S, NeverElected, states
 
 STRONG = Machine(2.15, 100.0, 550)
 WEAK = Machine(0.5, 5.0, 200)
@@ -71,21 +71,6 @@
     assert machines_that_lead(cell) == [STRONG, STRONG]
 
 
-class NeverElected(StoreView):
-    """The store as it serves a daemon in all but the keys of leads."""
-
-    async def commit(
-        self,
-        expected: Mapping[str, int],
-        puts: Sequence[Put] = (),
-        deletes: Sequence[str] = (),
-    ) -> Committed | Conflict:
-        """Refuse to make this daemon the lead of a pool."""
-        if any(put.key.startswith(LEAD_PREFIX) for put in puts):
-            raise StoreRefusedError("refused")
-        return await super().commit(expected, puts, deletes)
-
-
 class FailsToDelete(StoreView):
     """The store as it fails a daemon that deletes the key of its term."""
 
