--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_advice_queue.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_advice_queue.py
@@ -146,9 +146,10 @@
 
     router = AdviceRouter(refuse, new_clock())
     names = ["d0", "d1", "d2"]
-    for _ in range(3):
-        one = router.advise(names, "s", (), 600.0, 0.0)
-        Deferred.fromCoroutine(one).addErrback(lambda failure: None)
+    chosen = router.choose(names, 600.0)
+    one = router.advise(names, "s", (), 600.0, 0.0)
+    Deferred.fromCoroutine(one).addErrback(lambda failure: None)
+    assert router.choose(names, 600.0) == chosen
     assert router.slots(names) == AdviceSlots(12, 2)
 
 
--- a/packages/savorylead/savorylead/pools/tests/test_late_gangs.py
+++ b/packages/savorylead/savorylead/pools/tests/test_late_gangs.py
@@ -102,7 +102,9 @@
     pool = [worker(f"w{n:03}") for n in range(60)]
     planner = PoolPlanner()
     planner.set_queues(QUEUES.values())
-    late = step_of("late", "q", count=count, gang=gang, accepted_at_ms=NOW_MS - 600_000)
+    late = step_of(
+        "late", queue_name, count=count, gang=gang, accepted_at_ms=accepted_at_ms
+    )
     adviser = _Adviser(
         planner, pool, lambda step, each: int(each.id[1:]) % 3 == 0, at_once
     )
--- a/packages/savorylead/savorylead/pools/tests/test_turns.py
+++ b/packages/savorylead/savorylead/pools/tests/test_turns.py
@@ -8,6 +8,7 @@
 from savorylead.pools import Advice, PoolPlanner
 from savorylead.pools._turns import (
     JUDGED_AGAIN_MS,
+    JUDGED_AT_ONCE,
     LEAST_TURN_MS,
     PATIENCE_MS,
     TURN_MS,
@@ -15,7 +16,16 @@
     Turns,
 )
 
-from .pool_cases import NOW_MS, QUEUES, plan, queue, starts, step_of, worker
+from .pool_cases import (
+    NOW_MS,
+    QUEUES,
+    plan,
+    queue,
+    run_on,
+    starts,
+    step_of,
+    worker,
+)
 
 
 class _Waits:
@@ -88,6 +98,33 @@
     assert waits.asked == 1 + PATIENCE_MS // JUDGED_AGAIN_MS
 
 
+def test_a_pass_judges_few_steps() -> None:
+    # A judgement looks at all workers; thousands of them in one pass held up the lead.
+    names = {f"s{n}": NOW_MS for n in range(200)}
+    waits = _Waits(names, stuck="".join(names))
+    assert waits.first(NOW_MS + PATIENCE_MS) == ""
+    assert waits.asked == JUDGED_AT_ONCE
+
+
+@pytest.mark.parametrize("surplus", [False, True])
+def test_a_gang_with_a_turn_keeps_workers(surplus: bool) -> None:
+    # Work beyond a team's weight keeps none otherwise, and never has room at once.
+    pool = [worker("w0"), worker("w1")]
+    run_on(pool[1], step_of("holder", "normal", cores=16, estimate_ms=6_000))
+    long_ago_ms = NOW_MS - 600_000
+    gang = step_of(
+        "gang", "normal", cores=16, count=2, gang=True, accepted_at_ms=long_ago_ms
+    )
+    gang.job.surplus = surplus
+    planner = PoolPlanner()
+    plan([gang], pool, planner)
+    later_ms = NOW_MS + PATIENCE_MS
+    small = step_of("small", "batch", cores=16, estimate_ms=60_000)
+    made = plan([gang, small], pool, planner, now_ms=later_ms)
+    assert made.turns == [(gang, PATIENCE_MS)]
+    assert starts(made) == []
+
+
 @pytest.mark.parametrize("stuck", [2, 6, 8])
 def test_steps_that_never_start_leave_turns_to_a_newer_one(stuck: int) -> None:
     # Of six stuck steps two had a turn at any time, and a newer one never had any.
