Known red: the users' three seconds, where turns and wide gangs take longer

The bounds of the tests that pass, 12 s and 10 s, say how long things take here; the users count a job as lost after 3 s beside free room. The bounds that were there stay.

--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_broken_gangs.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_broken_gangs.py
@@ -233,6 +233,12 @@
     assert cell.wait_until_it_works() < 10.0
 
 
+def test_a_gang_of_more_workers_than_a_call_names_runs_soon() -> None:
+    cell = GangCell(120, 1)
+    cell.submit_gang()
+    assert cell.wait_until_it_works() <= MOST_IDLE_S
+
+
 def assert_runs_again_soon(
     count: int, copies: int, cause: Cause, after_s: float = 0.0
 ) -> None:
--- a/packages/savorylead/savorylead/pools/tests/test_late_gangs.py
+++ b/packages/savorylead/savorylead/pools/tests/test_late_gangs.py
@@ -88,17 +88,13 @@
     pytest.fail("the gang was not started")
 
 
-@pytest.mark.parametrize("gang", [True, False])
-@pytest.mark.parametrize("count", [1, 2, 3, 15, 17, 40])
-@pytest.mark.parametrize("at_once", [1, 4])
-@pytest.mark.parametrize(
-    "queue_name, accepted_at_ms", [("q", NOW_MS - 600_000), ("slow", NOW_MS)]
-)
-def test_a_late_step_gets_calls_beside_work_in_time(
+def late_start_ms(
     queue_name: str, accepted_at_ms: int, at_once: int, count: int, gang: bool
-) -> None:
-    # Work that was in time took every call for advice, and a step that was late, or had
-    # more time, was not asked about while that lasted, beside free room.
+) -> int | None:
+    """Return when a step starts behind work that is in time; None for not in time.
+
+    That work takes every call, and room is always free.
+    """
     pool = [worker(f"w{n:03}") for n in range(60)]
     planner = PoolPlanner()
     planner.set_queues(QUEUES.values())
@@ -125,10 +121,39 @@
             advice_slots=adviser.slots(),
         )
         if "late" in {job for job, _ in starts(made)}:
-            return
+            return now_ms - NOW_MS
         for placement in made.placements:
             # They end at once, so that room is always free.
             placement.task.step.mark_done(placement.task.index)
         for request in made.requests:
             adviser.call(request, now_ms)
-    pytest.fail("the late step was not started")
+    return None
+
+
+#: Steps that wait behind work in time: late ones, and ones with much time.
+LATE_STEPS = [
+    (queue_name, accepted_at_ms, at_once, count, gang)
+    for queue_name, accepted_at_ms in [("q", NOW_MS - 600_000), ("slow", NOW_MS)]
+    for at_once in (1, 4)
+    for count in (1, 2, 3, 15, 17, 40)
+    for gang in (True, False)
+]
+
+
+@pytest.mark.parametrize("queue_name, accepted_at_ms, at_once, count, gang", LATE_STEPS)
+def test_a_late_step_gets_calls_beside_work_in_time(
+    queue_name: str, accepted_at_ms: int, at_once: int, count: int, gang: bool
+) -> None:
+    # Work that was in time took every call for advice, and a step that was late, or had
+    # more time, was not asked about while that lasted, beside free room.
+    found = late_start_ms(queue_name, accepted_at_ms, at_once, count, gang)
+    assert found is not None
+
+
+@pytest.mark.parametrize("queue_name, accepted_at_ms, at_once, count, gang", LATE_STEPS)
+def test_a_late_step_beside_free_room_goes_on_soon(
+    queue_name: str, accepted_at_ms: int, at_once: int, count: int, gang: bool
+) -> None:
+    found = late_start_ms(queue_name, accepted_at_ms, at_once, count, gang)
+    assert found is not None
+    assert found <= GOES_ON_MS
