--- /dev/null
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/conftest.py
@@ -0,0 +1,28 @@
+"""Fails tests of whole cells in which an error was logged that nobody expected."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+from twisted.logger import LogEvent, globalLogPublisher
+
+
+@pytest.fixture(autouse=True)
+def unexpected_errors(request: pytest.FixtureRequest) -> Iterator[list[str]]:
+    """Collect errors that a daemon logged and went on after.
+
+    A test that raises them itself is marked ``raises_unexpected_errors``.
+    """
+    seen: list[str] = []
+
+    def observe(event: LogEvent) -> None:
+        failure = event.get("log_failure")
+        if failure is not None:
+            seen.append(f"{event.get('log_format')}: {failure.getTraceback()}")
+
+    globalLogPublisher.addObserver(observe)
+    yield seen
+    globalLogPublisher.removeObserver(observe)
+    if request.node.get_closest_marker("raises_unexpected_errors") is None:
+        assert seen == []
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_unexpected_errors.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_unexpected_errors.py
@@ -25,6 +25,8 @@
 
 from .cell_cases import ready_cell, states
 
+pytestmark = pytest.mark.raises_unexpected_errors
+
 POOL = "pool"
 #: Each call fails for this long.
 ODD_FOR_S = 1.0
