--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_ended_lead.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_ended_lead.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import gc
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, NamedTuple
 
 import pytest
 from twisted.internet.defer import Deferred
-from twisted.logger import LogEvent, globalLogPublisher
 
 from savorylead.pools import CellDocument
 from savorylead.pools._pace import PaceOrder
@@ -116,21 +115,6 @@
     return recorded
 
 
-@pytest.fixture(autouse=True)
-def failures() -> Iterator[list[LogEvent]]:
-    """Fail a test in which a coroutine by itself failed."""
-    seen: list[LogEvent] = []
-
-    def note(event: LogEvent) -> None:
-        if "log_failure" in event:
-            seen.append(event)
-
-    globalLogPublisher.addObserver(note)
-    yield seen
-    globalLogPublisher.removeObserver(note)
-    assert [event["log_failure"].getTraceback() for event in seen] == []
-
-
 def lead_calls(cell: PoolCell) -> Calls:
     """Return the calls of the present lead."""
     return cell.nodes[cell.lead_of()].leads["pool"]._parts.store._calls
