--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -91,8 +91,8 @@
     Switch(
         "health",
         f"{_PLANNING}/_pool_worker.py",
-        "            and now_ms >= self.rest_until_ms\n",
-        "",
+        "        return float(self.rest_until_ms)",
+        "        return 0.0",
     ),
     Switch(
         "early-hand-over",
