Evacuation of a failure domain

Change: the read of the configuration now covers all keys that operators write, so the orders come with it, as fresh and at no call more. Workers of an evacuated domain start nothing and are left out of the room kept for urgent work, the bound on reserved workers, advice and what drains; their runs continue. Cold workers are used last and teach no lengths.

--- a/packages/savorylead-ctl/savorylead_ctl/explain/_explanation.py
+++ b/packages/savorylead-ctl/savorylead_ctl/explain/_explanation.py
@@ -41,6 +41,7 @@
     "worker_leaving": "a worker was leaving",
     "worker_rested": "a worker failed consecutive tasks and was suspended",
     "worker_slow": "a worker was slow and was suspended",
+    "evacuation_in_force": "a failure domain was evacuated",
     "config_unread": "the configuration could not be read",
     "config_unreadable": "the configuration could not be decoded",
 }
@@ -48,7 +49,15 @@
 GOOD_OUTCOMES = frozenset({"done", "started"})
 #: Events of a whole daemon that may have delayed any request.
 CELL_EVENTS = frozenset(
-    {"lead_began", "lead_ended", "lease_lost", "lease_given_up", "store_failed"}
+    {
+        "lead_began",
+        "lead_ended",
+        "lease_lost",
+        "lease_given_up",
+        "store_failed",
+        "evacuation_in_force",
+        "evacuation_ended",
+    }
 )
 
 
--- a/packages/savorylead-daemon/savorylead_daemon/observability/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/__init__.py
@@ -2,7 +2,7 @@
 
 from ._event_log import EventLog, LogSubject, configure_logging, set_log_level
 from ._log_stream import LogStream
-from ._metrics import Metrics
+from ._metrics import Metrics, escape_label
 from ._readiness import Readiness
 from ._wait_histogram import WaitStage
 
@@ -14,5 +14,6 @@
     "Readiness",
     "WaitStage",
     "configure_logging",
+    "escape_label",
     "set_log_level",
 ]
--- a/packages/savorylead-daemon/savorylead_daemon/observability/_metrics.py
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/_metrics.py
@@ -50,7 +50,7 @@
     def publish(self) -> None:
         self._collector.values.store.clear()
         for values, amount in self._values.items():
-            escaped = map(_escape, values)
+            escaped = map(escape_label, values)
             labels = dict(zip(self._labels, escaped, strict=True))
             self._collector.set_value(labels, amount)
 
@@ -235,6 +235,6 @@
         return series
 
 
-def _escape(value: str) -> str:
+def escape_label(value: str) -> str:
     """Escape a label's value, because the text formatter does not."""
     return value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_config_feed.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_config_feed.py
@@ -1,4 +1,4 @@
-"""The configuration in force in one daemon, and its freshness."""
+"""The operators' configuration and evacuations in one daemon, and their freshness."""
 
 from __future__ import annotations
 
@@ -21,6 +21,8 @@
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
+from ._evacuations import Evacuations
+
 #: Time between two reads. A change is in force after one read and its answer, so more
 #: than half of two seconds is left for a slow store.
 READ_INTERVAL = timedelta(milliseconds=700)
@@ -44,7 +46,11 @@
 
 
 class ConfigFeed:
-    """Polls the configuration and never returns to a lower version."""
+    """Polls what operators write, and never returns to a lower version.
+
+    One read returns the configuration and the orders to evacuate, so the orders cost
+    no call of their own and are as fresh as the configuration.
+    """
 
     def __init__(
         self,
@@ -80,6 +86,8 @@
         #: Time until which only changes are requested.
         self._changes_only_until = clock.now()
         self.document: CellDocument | None = None
+        #: The failure domains that operators have ordered to be evacuated.
+        self.evacuations = Evacuations(source, clock, log)
 
     def subscribe(self, on_change: Callable[[CellDocument], None]) -> None:
         """Call ``on_change(document)`` for each version that comes into force."""
@@ -203,20 +211,22 @@
             except HistoryLostError:
                 # The full read below gives the value and the revision to continue from.
                 pass
-        page = await self._store.page(self._source.key)
+        listing = await self._store.list(self._source.prefix)
         duration = self._clock.now() - now
-        self._changes_revision = page.revision
+        self._changes_revision = listing.revision
         self._full_read_duration = duration
         self._changes_only_until = self._clock.now() + min(
             CHANGES_ONLY_FACTOR * duration, MAX_CHANGES_ONLY
         )
-        item = next((i for i in page.items if i.key == self._source.key), None)
+        self.evacuations.replace(item.key for item in listing.items)
+        item = next((i for i in listing.items if i.key == self._source.key), None)
         return item is not None and self._decode(item.value, item.revision)
 
     async def _read_changes(self) -> bool:
         changes = await self._store.changes(
-            self._source.key, self._changes_revision, timedelta(0)
+            self._source.prefix, self._changes_revision, timedelta(0)
         )
+        self.evacuations.apply(changes.events)
         is_readable = self._decoded_revision > 0
         for change in changes.events:
             if change.key == self._source.key and change.value is not None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_metrics.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_metrics.py
@@ -4,11 +4,13 @@
 
 from collections import Counter
 from collections.abc import Callable, Mapping
+from datetime import datetime
 
 from aioprometheus import Counter as CounterSeries, Gauge, Registry
 from aioprometheus.renderer import render
 
 from savorylead.links import LinkCount
+from savorylead_daemon.observability import escape_label
 
 
 class PoolMetrics:
@@ -35,6 +37,11 @@
             "Pools given up to a stronger machine, by what became of the key.",
             registry=self._registry,
         )
+        self._evacuated = Gauge(
+            "savorylead_evacuated_since_seconds",
+            "Unix time at which each failure domain under evacuation was found so.",
+            registry=self._registry,
+        )
         self._ready = Gauge(
             "savorylead_ready", "1 while callers may be sent.", registry=self._registry
         )
@@ -50,6 +57,7 @@
         links: Mapping[str, Counter[LinkCount]],
         terms: Mapping[str, int],
         hand_overs: Mapping[tuple[str, str], int],
+        evacuated_since: Mapping[str, datetime],
         ready: bool,
     ) -> tuple[bytes, str]:
         """Return the text exposition and its content type."""
@@ -64,6 +72,10 @@
             self._terms.set_value({"pool": pool}, term)
         for (pool, outcome), total in hand_overs.items():
             self._hand_overs.set_value({"pool": pool, "outcome": outcome}, total)
+        self._evacuated.values.store.clear()
+        for domain, since in evacuated_since.items():
+            labels = {"domain": escape_label(domain)}
+            self._evacuated.set_value(labels, since.timestamp())
         self._ready.set_value({}, int(ready))
         self._cpu.set_value({}, self._cpu_seconds())
         body, headers = render(self._registry, [])
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -63,6 +63,8 @@
         self._to_locate: frozenset[str] = frozenset()
         self._to_locate_is_known = True
         self._unlisted_since: dict[str, int] = {}
+        #: Failure domains in which nothing may start.
+        self._evacuated: frozenset[str] = frozenset()
         #: Start of the period in which no worker has answered its last poll.
         self._silent_since: datetime | None = None
 
@@ -111,6 +113,12 @@
         self.record_workers()
         self._drain_leaving_workers()
 
+    def set_evacuated(self, domains: frozenset[str]) -> None:
+        """Start nothing in these failure domains; what runs there continues."""
+        self._evacuated = domains
+        for worker in self._state.workers.values():
+            worker.evacuated = worker.entry.zone in domains
+
     def record_workers(self) -> None:
         """Record the workers that are or may be in use; the next lead claims them.
 
@@ -137,15 +145,25 @@
         if worker is not None:
             if worker.entry.accepting and not entry.accepting:
                 self._log.log_event(LogLevel.INFO, "worker_leaving", worker=entry.id)
-            worker.entry = entry
+            self._update_entry(worker, entry)
             return
         worker = self._state.workers[entry.id] = PoolWorker(entry)
+        worker.evacuated = entry.zone in self._evacuated
+        worker.cold_until_ms = self._state.now_ms() + entry.cold_remaining_ms
         session = WorkerSession(
             worker, self._owner, self._calls, self._clock, self._log, self._answers
         )
         self._state.sessions[entry.id] = session
         session.start()
 
+    def _update_entry(self, worker: PoolWorker, entry: WorkerEntry) -> None:
+        # Its entry is rewritten only every few seconds, so an unchanged remaining time
+        # counts from when it was first read.
+        if entry.cold_remaining_ms != worker.entry.cold_remaining_ms:
+            worker.cold_until_ms = self._state.now_ms() + entry.cold_remaining_ms
+        worker.entry = entry
+        worker.evacuated = entry.zone in self._evacuated
+
     def _note_unlisted(self, worker_id: str, now_ms: int) -> None:
         worker = self._state.workers[worker_id]
         worker.entry = worker.entry._replace(accepting=False)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -65,8 +65,10 @@
         parts: LeadParts,
         term: Term,
         document: CellDocument,
+        evacuated: frozenset[str],
         on_superseded: Callable[[str], None],
     ) -> None:
+        """``evacuated`` are the failure domains in which nothing may start."""
         self._parts = parts
         self._clock = parts.clock
         self._log = parts.log
@@ -125,6 +127,7 @@
             parts.on_grants_written,
         )
         self.set_document(document)
+        self.set_evacuated(evacuated)
 
     def start(self) -> None:
         """Load the jobs, claim the workers and start planning."""
@@ -198,6 +201,11 @@
         self._grant_updater.update_soon()
         self._plan_soon()
 
+    def set_evacuated(self, domains: frozenset[str]) -> None:
+        """Start nothing in these failure domains; what runs there continues."""
+        self._fleet.set_evacuated(domains)
+        self._plan_soon()
+
     def accept(self, record: JobRecord, revision: int) -> None:
         """Add a durable job."""
         self._intake.add(record, revision)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
@@ -126,12 +126,15 @@
         spec = run.task.step.spec
         if spec.gang or spec.fills or spec.long_running:
             return
+        worker = self._state.workers[run.worker]
+        if worker.is_cold(run.confirmed_at_ms):
+            # Neither the worker's usual speed nor the queue's usual duration.
+            return
         took_ms = self._state.now_ms() - run.confirmed_at_ms
         queue = run.task.step.job.record.queue
         durations = self._state.planner.durations
         expected_ms = durations.estimate_ms(queue, spec)
         durations.observe(queue, spec, took_ms)
-        worker = self._state.workers[run.worker]
         if worker.note_duration(took_ms / expected_ms, self._state.now_ms()):
             self._log.log_event(LogLevel.INFO, "worker_slow", worker=worker.id)
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Mapping, Sequence
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import NamedTuple
 
 from twisted.internet.defer import Deferred
@@ -161,6 +161,7 @@
         """Join the cell."""
         self.view.subscribe(self._elections.review)
         self.config.subscribe(self._document_in_force)
+        self.config.evacuations.subscribe(self._set_evacuated)
         self.config.start()
         self.view.start()
         self._lease.start()
@@ -183,6 +184,10 @@
         """Return the term of each pool that this daemon leads."""
         return {pool: lead.term.number for pool, lead in self.leads.items()}
 
+    def evacuated_since(self) -> Mapping[str, datetime]:
+        """Return the failure domains under evacuation, and since when."""
+        return self.config.evacuations.since
+
     def hand_overs(self) -> Mapping[tuple[str, str], int]:
         """Return how many pools were handed over to other machines.
 
@@ -195,6 +200,10 @@
         for lead in self.leads.values():
             lead.set_document(document)
 
+    def _set_evacuated(self, domains: frozenset[str]) -> None:
+        for lead in self.leads.values():
+            lead.set_evacuated(domains)
+
     def _lease_granted(self, lease_id: str) -> None:
         registering = supervised(
             "registration", self._clock, lambda: self._register(lease_id)
@@ -293,7 +302,8 @@
             on_grants_written=self._grants_written,
             status_for_ms=self._settings.status_for // timedelta(milliseconds=1),
         )
-        lead = PoolLead(parts, term, document, self._superseded)
+        evacuated = self.config.evacuations.domains()
+        lead = PoolLead(parts, term, document, evacuated, self._superseded)
         self.leads[term.pool] = lead
         lead.start()
         spawn("list of workers for a new lead", self._workers.read_now())
--- a/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
@@ -17,6 +17,7 @@
     AdviceCost,
     AdviserError,
     CellDocument,
+    ConfigDecodeError,
     ConfigSource,
     Pool,
     Queue,
@@ -49,7 +50,9 @@
 from ._memory_cell_store import MemoryCellStore, StoreView
 from ._memory_workers import MemoryWorkers
 
-CONFIG_KEY = "config"
+OPERATORS_PREFIX = "operators/"
+CONFIG_KEY = OPERATORS_PREFIX + "config"
+EVACUATION_PREFIX = OPERATORS_PREFIX + "evacuated/"
 WORKERS_PREFIX = "workers/"
 KEY = "team-key"
 #: One-way delay between two daemons.
@@ -62,10 +65,15 @@
 
 
 class _Config(ConfigSource):
+    prefix = OPERATORS_PREFIX
     key = CONFIG_KEY
+    evacuation_prefix = EVACUATION_PREFIX
 
     def decode(self, value: bytes) -> CellDocument:
-        return msgspec.json.decode(value, type=CellDocument)
+        try:
+            return msgspec.json.decode(value, type=CellDocument)
+        except msgspec.DecodeError as exc:
+            raise ConfigDecodeError(str(exc)) from exc
 
 
 class _Listing(WorkerListing):
@@ -181,8 +189,12 @@
         limit: Resources = Resources(),  # noqa: B008 - immutable.
         seed: int = 1,
         machines: Mapping[str, Machine] | None = None,
+        domains: tuple[str, ...] = ("zone",),
     ) -> None:
-        """``machines`` gives the machine of each node, by node name."""
+        """``machines`` gives the machine of each node, by node name.
+
+        Workers are in the failure domains ``domains`` by turns.
+        """
         self.time = SteppedTime()
         self.clock = TwistedClock(self.time, datetime(2026, 1, 1, tzinfo=UTC))
         self.rng = random.Random(seed)
@@ -209,7 +221,8 @@
         self.document = self._document(pools, limit, advised)
         self.put_config(self.document)
         for number in range(workers):
-            self._add_worker(number, pools[number % len(pools)], cores)
+            domain = domains[number % len(domains)]
+            self._add_worker(number, pools[number % len(pools)], cores, domain)
         for number in range(nodes):
             self.start_node(f"node-{number}")
 
@@ -258,6 +271,14 @@
         self.document = document
         self.store.put(CONFIG_KEY, msgspec.json.encode(document))
 
+    def evacuate(self, domain: str, value: bytes = b"{}") -> None:
+        """Order a failure domain to be evacuated, as the operator does."""
+        self.store.put(EVACUATION_PREFIX + domain, value)
+
+    def end_evacuation(self, domain: str) -> None:
+        """Take the order back."""
+        self.store.delete(EVACUATION_PREFIX + domain)
+
     def list_worker(self, entry: WorkerEntry) -> None:
         """Write a worker's registration to the store."""
         self.store.put(WORKERS_PREFIX + entry.id, msgspec.json.encode(entry))
@@ -333,12 +354,12 @@
         machine = self.workers.machines.get(worker)
         return 0 if machine is None else machine.entry.incarnation_start_ms
 
-    def _add_worker(self, number: int, pool: str, cores: int) -> None:
+    def _add_worker(self, number: int, pool: str, cores: int, domain: str) -> None:
         entry = WorkerEntry(
             id=f"w{number}",
             pool=pool,
             address=f"w{number}",
-            zone="zone",
+            zone=domain,
             capacity=Resources(cores * 1000, 64_000, 0),
             labels=("a", f"r{number % 2}"),
             rack=f"r{number % 2}",
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_cell_callers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_cell_callers.py
@@ -13,7 +13,7 @@
 from savorylead_daemon.http import JsonRequest
 from savorylead_daemon.pool import CallerAnswer, CallerCall
 from savorylead_standins.pools import PoolCell, StoreView, job_spec
-from savorylead_standins.pools._pool_cell import CONFIG_KEY, KEY
+from savorylead_standins.pools._pool_cell import KEY, OPERATORS_PREFIX
 
 from .cell_cases import READY_S, other_node, ready_cell
 
@@ -320,7 +320,7 @@
 
     async def page(self, prefix: str, after: str = "") -> StorePage:
         page = await super().page(prefix, after)
-        if prefix == CONFIG_KEY:
+        if prefix == OPERATORS_PREFIX:
             await self._clock.sleep(self.delay)
         return page
 
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_ended_lead.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_ended_lead.py
@@ -99,17 +99,18 @@
         parts: _pool_lead.LeadParts,
         term: Term,
         document: CellDocument,
+        evacuated: frozenset[str],
         on_superseded: Callable[[str], None],
     ) -> _pool_lead.PoolLead:
         if term.pool != "pool":
-            return _pool_lead.PoolLead(parts, term, document, on_superseded)
+            return _pool_lead.PoolLead(parts, term, document, evacuated, on_superseded)
         of_term = recorded[term.number] = Calls()
         parts = parts._replace(
             store=Recorded(parts.store, of_term),
             calls=Recorded(parts.calls, of_term),
             ask_adviser=of_term.recorded("advise", parts.ask_adviser),
         )
-        return _pool_lead.PoolLead(parts, term, document, on_superseded)
+        return _pool_lead.PoolLead(parts, term, document, evacuated, on_superseded)
 
     monkeypatch.setattr(node_module, "PoolLead", recorded_lead)
     return recorded
--- a/packages/savorylead/savorylead/pools/_admission.py
+++ b/packages/savorylead/savorylead/pools/_admission.py
@@ -32,7 +32,7 @@
     ahead: float
     #: All waiting work.
     total: float
-    #: Thousandths of a core that run finite tasks.
+    #: Thousandths of a core that run finite tasks and will be available to others.
     draining_milli: int
 
 
@@ -67,6 +67,7 @@
     draining_milli = sum(
         run.task.step.spec.resources.cores_milli
         for worker in workers
+        if worker.accepts_tasks
         for run in worker.runs.values()
         if not run.task.step.spec.long_running
     )
--- a/packages/savorylead/savorylead/pools/_advice_calls.py
+++ b/packages/savorylead/savorylead/pools/_advice_calls.py
@@ -144,5 +144,5 @@
     return [
         w
         for w in state.workers
-        if w.entry.accepting and w.usable and could_ever_hold(w, step)
+        if w.accepts_tasks and w.usable and could_ever_hold(w, step)
     ]
--- a/packages/savorylead/savorylead/pools/_contracts.py
+++ b/packages/savorylead/savorylead/pools/_contracts.py
@@ -103,6 +103,8 @@
     incarnation_start_ms: int
     #: Least time for which a leaving worker remains; None if unknown.
     remaining_ms: int | None = None
+    #: How much longer its tasks are slow after a start or an evacuation.
+    cold_remaining_ms: int = 0
 
 
 class ActiveRun(NamedTuple):
@@ -294,15 +296,29 @@
 
 
 class ConfigSource(ABC):
-    """Location and format of the operators' configuration in the store."""
+    """Location and format of the operators' keys in the store.
 
-    #: Key of the configuration in the store.
+    They are the configuration and the orders to evacuate failure domains.
+    """
+
+    #: Prefix of all keys that operators write.
+    prefix: str
+    #: Key of the configuration.
     key: str
+    #: Prefix of the orders to evacuate a failure domain, whose name follows it. An
+    #: order is in force while its key exists, whatever its value.
+    evacuation_prefix: str
 
     @abstractmethod
     def decode(self, value: bytes) -> CellDocument:
         """Return the configuration; raises ConfigDecodeError."""
 
+    def evacuated_domain(self, key: str) -> str | None:
+        """Return the failure domain that a key evacuates; None for other keys."""
+        if not key.startswith(self.evacuation_prefix):
+            return None
+        return key.removeprefix(self.evacuation_prefix) or None
+
 
 class ConfigDecodeError(Exception):
     """A stored configuration is malformed."""
--- a/packages/savorylead/savorylead/pools/_headroom.py
+++ b/packages/savorylead/savorylead/pools/_headroom.py
@@ -42,7 +42,8 @@
         held = 0
         capacity = 0
         for worker in workers:
-            capacity += worker.entry.capacity.cores_milli
+            if worker.accepts_tasks:
+                capacity += worker.entry.capacity.cores_milli
             for run in worker.runs.values():
                 if run.task.step.job.record.queue in urgent:
                     held += run.task.step.spec.resources.cores_milli
--- a/packages/savorylead/savorylead/pools/_planning_pass.py
+++ b/packages/savorylead/savorylead/pools/_planning_pass.py
@@ -192,15 +192,16 @@
     spec = step.spec
     free = state.free[worker.id]
     remote = float(bool(spec.data_rack) and worker.entry.rack != spec.data_rack)
+    cold = float(worker.is_cold(state.now_ms))
     if spec.fills:
         remaining = free.cores_milli - worker.filler_demand_milli()
-        return (remote, float(worker.serves()), -remaining)
+        return (remote, cold, float(worker.serves()), -remaining)
     if spec.long_running:
         of_same_step = worker.count_of(step) + state.placed_counts.get(
             (step.name, worker.id), 0
         )
         disturbed = float(worker.filler_demand_milli() > 0)
-        return (remote, of_same_step, disturbed, -free.cores_milli)
+        return (remote, cold, of_same_step, disturbed, -free.cores_milli)
     # Best fit: the least capacity remains, which leaves other workers for large tasks.
     remaining = free.minus(reservation_of(step))
-    return (remote, remaining.dominant_share(worker.entry.capacity))
+    return (remote, cold, remaining.dominant_share(worker.entry.capacity))
--- a/packages/savorylead/savorylead/pools/_pool_worker.py
+++ b/packages/savorylead/savorylead/pools/_pool_worker.py
@@ -44,6 +44,11 @@
         self.listed = False
         #: Whether it answers and its runs are known.
         self.usable = False
+        #: Whether operators have ordered its failure domain to be evacuated: its runs
+        #: continue, but nothing starts on it.
+        self.evacuated = False
+        #: Until when its tasks are slow after a start or an evacuation.
+        self.cold_until_ms = 0
         #: Runs that may be active on it, by task name and run number.
         self.runs: dict[tuple[str, int], Run] = {}
         self.held = ZERO
@@ -65,13 +70,22 @@
         """Return the unreserved capacity; a dimension may be negative."""
         return self.entry.capacity.minus(self.held)
 
+    @property
+    def accepts_tasks(self) -> bool:
+        """Whether its capacity is available to tasks, now or once it is freed."""
+        return self.entry.accepting and not self.evacuated
+
+    def is_cold(self, now_ms: int) -> bool:
+        """Return whether its tasks are slow after a start or an evacuation."""
+        return now_ms < self.cold_until_ms
+
     def may_start(self, now_ms: int) -> bool:
         """Return whether tasks may be started on the worker now."""
         return now_ms >= self.may_start_at_ms()
 
     def may_start_at_ms(self) -> float:
         """Return the time from which tasks may start on it; infinite if unknown."""
-        is_ready = self.usable and self.listed and self.entry.accepting
+        is_ready = self.usable and self.listed and self.accepts_tasks
         if not is_ready or self.unknown_runs:
             return math.inf
         return float(self.quarantined_until_ms)
--- a/packages/savorylead/savorylead/pools/_reservation.py
+++ b/packages/savorylead/savorylead/pools/_reservation.py
@@ -47,7 +47,8 @@
 
         Workers in ``known_allowed`` are known to be allowed and are preferred.
         """
-        max_reserved = max(1, len(state.workers) // RESERVED_DIVISOR)
+        accepting = sum(1 for worker in state.workers if worker.accepts_tasks)
+        max_reserved = max(1, accepting // RESERVED_DIVISOR)
         if len(state.reserved) >= max_reserved:
             return 0
         held = reservation_of(step)
