A hand-over waits while workers with runs are silent

Change: the check waits as long as a worker with runs does not answer or a run is not located, 6 s at most, since the workers may be silent because this machine is weak.

Ruled out: writing the runs down for the next lead, which costs a write at each hand-over and is not needed where the hand-over can wait.

Before and after: with the wait taken out, a row of test_hand_over.py fails.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
@@ -47,6 +47,7 @@
         view: CellView,
         on_elected: Callable[[Term], None],
         on_deposed: Callable[[str], None],
+        reaches_all_runs: Callable[[str], bool],
         machine: Machine = Machine(),  # noqa: B008 - immutable.
     ) -> None:
         self._store = store
@@ -75,6 +76,7 @@
             self._member_history,
             self._candidates,
             self.depose,
+            reaches_all_runs,
         )
 
     def set_pools(self, pools: frozenset[str]) -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_hand_over.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_hand_over.py
@@ -41,6 +41,9 @@
 #: Time for which a daemon does not stand for election for a pool that it could not
 #: serve.
 ABSTAIN_FOR = timedelta(seconds=10)
+#: Longest time for which a handover waits for workers that do not answer: their leases
+#: end within 5 s. They may also be silent because this daemon's machine is too weak.
+MAX_SILENCE_WAIT = timedelta(seconds=6)
 #: Time until a failed deletion is retried.
 RETRY_DELAY = timedelta(milliseconds=150)
 
@@ -58,6 +61,9 @@
     Load pattern: one daemon starts before all others and takes every pool; its machine
     has a quarter of the processor and a twentieth of the link of the best ones.
 
+    Load pattern: workers were lost shortly before. This lead knows their runs, whereas
+    the next one would start no earlier job until their leases are over.
+
     The term ends before its key is deleted, so the next lead can begin immediately. It
     is not resumed if the deletion fails or is not answered: work that it accepted may
     run by then, and the same term would start it again. The deletion is retried until
@@ -75,8 +81,12 @@
         member_history: MemberHistory,
         candidates: Callable[[str], list[Candidate]],
         depose: Callable[[str, str], None],
+        reaches_all_runs: Callable[[str], bool],
     ) -> None:
-        """``candidates(pool)`` returns the daemons with their leads of other pools."""
+        """``candidates(pool)`` returns the daemons with their leads of other pools.
+
+        ``reaches_all_runs(pool)`` returns whether all workers with runs answer.
+        """
         self._store = store
         self._clock = clock
         self._log = log
@@ -86,6 +96,9 @@
         self._member_history = member_history
         self._candidates = candidates
         self._depose = depose
+        self._reaches_all_runs = reaches_all_runs
+        #: Since when a pool's handover waits for workers that do not answer.
+        self._waits_since: dict[str, datetime] = {}
         self._timers: dict[str, Timer] = {}
         self._last_leads: dict[str, LeadRecord] = {}
         self._former_leads: dict[str, _FormerLead] = {}
@@ -110,6 +123,7 @@
 
     def began(self, term: Term) -> None:
         """Check periodically from now on whether the pool should be handed over."""
+        self._waits_since.pop(term.pool, None)
         self._schedule_check(MIN_TERM, term)
 
     def ended(self, pool: str) -> None:
@@ -149,10 +163,17 @@
         up = {self._name, *self._member_history.visible_for(MIN_VISIBLE)}
         candidates = [c for c in self._candidates(term.pool) if c.name in up]
         to = successor(term.pool, self._name, candidates)
-        if to is not None:
+        if to is not None and not self._waits_for_workers(term.pool):
             self._handed_over_at[term.pool] = self._clock.now()
             self._release(term, "handed_over", to)
 
+    def _waits_for_workers(self, pool: str) -> bool:
+        now = self._clock.now()
+        if self._reaches_all_runs(pool):
+            return False
+        since = self._waits_since.setdefault(pool, now)
+        return now - since < MAX_SILENCE_WAIT
+
     def _release(self, term: Term, reason: str, to: Successor | None) -> None:
         self._released[term.pool] = term.revision
         self._depose(term.pool, reason)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -225,6 +225,13 @@
             )
         return self._located
 
+    def reaches_all_runs(self) -> bool:
+        """Return whether every run is known, and every worker with runs answers."""
+        return self.all_runs_located() and not any(
+            session.is_silent and (session.worker.runs or session.worker.unknown_runs)
+            for session in self._state.sessions.values()
+        )
+
     def _may_have_unknown_runs(self, session: WorkerSession) -> bool:
         """Return whether unknown runs of earlier leads may continue on the worker."""
         if session.claimed:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -163,6 +163,10 @@
                 grants=grants,
             )
 
+    def reaches_all_runs(self) -> bool:
+        """Return whether the next lead would locate all runs at once."""
+        return self._fleet.reaches_all_runs()
+
     def may_act(self) -> bool:
         """Return whether this daemon is guaranteed to still be the lead."""
         is_over = self._tasks.is_closed or self._is_superseded
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -115,6 +115,7 @@
             self.view,
             self._elected,
             self._deposed,
+            self._reaches_all_runs,
             settings.machine,
         )
         self._workers = WorkersFeed(
@@ -313,6 +314,10 @@
         if lead is not None:
             lead.close()
 
+    def _reaches_all_runs(self, pool: str) -> bool:
+        lead = self.leads.get(pool)
+        return lead is None or lead.reaches_all_runs()
+
     def _superseded(self, pool: str) -> None:
         self._elections.depose(pool, "superseded")
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_elections.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_elections.py
@@ -29,6 +29,7 @@
         view=SimpleNamespace(revision=9, members={}, leads={"pool": entry}),
         on_elected=elected.append,
         on_deposed=lambda pool: None,
+        reaches_all_runs=lambda pool: True,
     )
     return made, elected
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_hand_over.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_hand_over.py
@@ -42,6 +42,7 @@
         )
         self.lease: Any = SimpleNamespace(id="7", holds=lambda: True)
         self.deposed: list[str] = []
+        self.reaches_all_runs = True
         self.member_history = MemberHistory(clock)
         self.hand_over = HandOver(
             StoreView(self.store),
@@ -53,6 +54,7 @@
             self.member_history,
             lambda pool: [Candidate(name, m) for name, m in MACHINES.items()],
             self.depose,
+            lambda pool: self.reaches_all_runs,
         )
 
     def depose(self, pool: str, reason: str) -> None:
@@ -103,6 +105,29 @@
     assert scenario.deposed == ["handed_over"]
 
 
+def test_a_pool_is_not_given_up_while_workers_with_runs_are_silent() -> None:
+    # The next lead would start no earlier job until their leases are over.
+    scenario = Scenario()
+    scenario.reaches_all_runs = False
+    scenario.note()
+    scenario.hand_over.began(scenario.term)
+    scenario.run(4.0)
+    assert scenario.deposed == []
+    scenario.reaches_all_runs = True
+    scenario.run(0.3)
+    assert scenario.deposed == ["handed_over"]
+
+
+def test_a_pool_is_given_up_although_workers_stay_silent() -> None:
+    # They may be silent because this daemon's machine is too weak.
+    scenario = Scenario()
+    scenario.reaches_all_runs = False
+    scenario.note()
+    scenario.hand_over.began(scenario.term)
+    scenario.run(9.0)
+    assert scenario.deposed == ["handed_over"]
+
+
 def test_no_pool_is_given_up_while_the_lease_is_unproved() -> None:
     scenario = Scenario()
     scenario.lease.holds = lambda: False
