Bound the growth of the timeout of missed answers

Cause: the timeout doubles with each miss without a bound, and a timedelta overflows after some 45. A worker that refuses calls at once (its process is gone and its entry still listed) is missed five times a second, so after 9 s its session failed with OverflowError and was restarted again and again.

Change: at most 16 doublings, which is far above the longest timeout. A row of test_answer_times.py with 1,000 misses raised before and passes now.

--- a/packages/savorylead/savorylead/links/_answer_times.py
+++ b/packages/savorylead/savorylead/links/_answer_times.py
@@ -5,6 +5,10 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+#: Number of misses from which on the timeout does not grow any more. A timedelta
+#: overflows after some 45 doublings.
+MAX_DOUBLINGS = 16
+
 
 class OverdueSettings(NamedTuple):
     """Parameters of the timeout after which a response is overdue."""
@@ -50,4 +54,4 @@
         settings = self._settings
         average = self._average or timedelta(0)
         wait = max(settings.min_timeout, average * settings.factor)
-        return min(settings.max_timeout, wait * 2**misses)
+        return min(settings.max_timeout, wait * 2 ** min(misses, MAX_DOUBLINGS))
--- a/packages/savorylead/savorylead/links/tests/test_answer_times.py
+++ b/packages/savorylead/savorylead/links/tests/test_answer_times.py
@@ -19,6 +19,8 @@
         ([], 0, 80),
         ([], 1, 160),
         ([], 9, 600),
+        # A server that refuses each call at once is missed hundreds of times.
+        ([], 1_000, 600),
         ([4.0] * 20, 0, 80),
         ([20.0] * 20, 0, 160),
         ([20.0] * 20, 1, 320),
