A worker has ended once another one answers at its address

Its runs counted as alive until its lease was over, up to 4.5 s, and a new lead waited 4.9 s for it before it started earlier jobs.

Change: such an answer ends the runs at once, and the worker is located for a new lead. Not if the worker's entry has named another address since the call was sent.

Ruled out: the same for refused connections, which a disturbed link may also give.

--- a/packages/savorylead-ctl/savorylead_ctl/explain/_explanation.py
+++ b/packages/savorylead-ctl/savorylead_ctl/explain/_explanation.py
@@ -38,6 +38,7 @@
     "worker_unreachable": "a worker could not be reached",
     "worker_reborn": "a worker had restarted and lost its tasks",
     "worker_gone": "a worker was removed",
+    "worker_replaced": "another worker answered at a worker's address",
     "worker_leaving": "a worker was leaving",
     "worker_rested": "a worker failed consecutive tasks and was suspended",
     "worker_slow": "a worker was slow and was suspended",
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -197,7 +197,7 @@
             return total
         for worker_id in self._to_locate:
             session = self._state.sessions.get(worker_id)
-            if session is not None and not session.claimed:
+            if session is not None and self._may_have_unknown_runs(session):
                 total = total.plus(session.worker.entry.capacity)
         return total
 
@@ -234,7 +234,7 @@
 
     def _may_have_unknown_runs(self, session: WorkerSession) -> bool:
         """Return whether unknown runs of earlier leads may continue on the worker."""
-        if session.claimed:
+        if session.claimed or session.is_replaced:
             return False
         if session.was_renewed:
             return not session.lease_is_over()
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -103,6 +103,8 @@
         self._is_renewed = False
         #: Number of consecutive failed polls.
         self._misses = 0
+        #: Whether another worker answers at its address, so that it has ended.
+        self.is_replaced = False
         #: Number of unanswered orders since the last report.
         self._unanswered = 0
 
@@ -241,6 +243,7 @@
             self._poll_soon = False
             takes_reports = self._owner.can_apply_reports()
             call = self._poll if takes_reports else self._renew
+            address = self.worker.entry.address
             try:
                 if self.claimed or self._misses:
                     await call()
@@ -251,6 +254,9 @@
                 return
             except (WorkerError, WrongIncarnationError, WorkerUnhealthyError) as exc:
                 self._note_failure(exc)
+                is_replaced = isinstance(exc, WrongIncarnationError)
+                if is_replaced and address == self.worker.entry.address:
+                    self._note_replaced()
                 if self._misses != 1:
                     await self._clock.sleep(RETRY_AFTER)
                 continue
@@ -358,6 +364,7 @@
     def _note_report(self, report: WorkerReport) -> None:
         self._misses = 0
         self._unanswered = 0
+        self.is_replaced = False
         if (
             self._incarnation_start_ms
             and report.incarnation_start_ms != self._incarnation_start_ms
@@ -388,6 +395,21 @@
         if lost:
             self._owner.lost(self, lost, "worker_reborn")
 
+    def _note_replaced(self) -> None:
+        """Record that the worker has ended: its address belongs to another one."""
+        if not self.is_replaced:
+            self.is_replaced = True
+            self._log.log_event(
+                LogLevel.INFO,
+                "worker_replaced",
+                worker=self.worker.id,
+                address=self.worker.entry.address,
+                runs=len(self.worker.runs),
+            )
+        runs = list(self.worker.runs.values())
+        if runs:
+            self._owner.lost(self, runs, "worker_replaced")
+
     def _note_failure(self, exc: Exception) -> None:
         self._misses += 1
         if self._misses == 1:
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_machine.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_machine.py
@@ -63,6 +63,8 @@
         self._waiting: list[Deferred[None]] = []
         #: While True, the worker receives no calls and its responses are lost.
         self.is_cut = False
+        #: While True, another worker answers at its address.
+        self.is_replaced = False
         #: Number of next starts that take effect but whose response is lost.
         self.lost_starts = 0
         #: Number of next starts that time out and are executed after ``late_by``.
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
@@ -20,6 +20,7 @@
     WorkerCalls,
     WorkerEntry,
     WorkerReport,
+    WrongIncarnationError,
 )
 from savorylead.resources import Resources
 from savorylead.workers import WorkerTimeoutError
@@ -141,7 +142,10 @@
         self, worker: WorkerEntry, fence: int, order: RunOrder
     ) -> RunStarted | RunRejected:
         """Send a start order to its worker."""
-        machine = await self._arrive(worker)
+        try:
+            machine = await self._arrive(worker)
+        except WrongIncarnationError:
+            return RunRejected(StartRejection.WRONG_INCARNATION, None)
         if machine.late_starts:
             machine.late_starts -= 1
             self.clock.call_later(machine.late_by, machine.start, order, fence)
@@ -198,6 +202,8 @@
         if machine is None or machine.is_cut:
             await self._time_out()
         assert machine is not None
+        if machine.is_replaced:
+            raise WrongIncarnationError
         return machine
 
     async def _answer(self, machine: MemoryMachine) -> None:
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_cell_faults.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_cell_faults.py
@@ -88,6 +88,20 @@
     cell.list_worker(entry)
 
 
+def worker_is_replaced(cell: PoolCell) -> None:
+    machine = cell.workers.machines["w0"]
+    machine.crash()
+    machine.is_cut = True
+    cell.run(1.0)
+    machine.is_cut = False
+    machine.is_replaced = True
+
+
+def lead_dies_while_a_worker_is_replaced(cell: PoolCell) -> None:
+    worker_is_replaced(cell)
+    kill_lead(cell)
+
+
 def worker_is_cut_and_runs_on(cell: PoolCell) -> None:
     cell.workers.machines["w0"].is_cut = True
     cell.run(8.0)
@@ -136,6 +150,8 @@
     lead_is_cut_from_the_store,
     lead_alone_is_refused,
     worker_crashes,
+    worker_is_replaced,
+    lead_dies_while_a_worker_is_replaced,
     worker_is_cut_and_runs_on,
     lead_dies_while_a_worker_is_cut,
     answers_of_starts_are_lost,
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_takeover.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_takeover.py
@@ -46,6 +46,24 @@
     return (cell.workers.records[0].began_at - lost_at).total_seconds()
 
 
+def test_a_replaced_worker_delays_no_job_of_the_former_lead() -> None:
+    # A crashed worker's lease lasts 4.5 s longer. Another worker at its address proves
+    # that it has ended, so earlier jobs need not wait for the end of the lease.
+    cell = ready_cell()
+    for number in range(8):
+        cell.submit(f"job{number}", job_spec(count=6), "node-0")
+    cell.run(0.3)
+    machine = cell.workers.machines["w0"]
+    machine.crash()
+    machine.is_replaced = True
+    began_at = cell.clock.now()
+    kill(cell)
+    cell.run(4.5)
+    resumed = [r for r in cell.workers.records if r.began_at > began_at and r.fence > 1]
+    assert resumed
+    assert cell.workers.breaches == []
+
+
 @pytest.mark.parametrize(
     ("lose_lead", "median_s", "worst_s"), [(kill, 2.0, 3.0), (hand_over, 0.3, 0.3)]
 )
