Most of a limit that no pool uses goes to the urgent pool

The unused part of a limit was split in halves, and to move a part takes two leads some 0.2 s each, where an urgent job is due within about a second.

Change: where only some pools have a queue of the most urgent priority, these get nine tenths of what is unused. Pools that are equally urgent still share it evenly.

Ruled out: shorter intervals between updates, which cost calls to the store.

A row of test_grants.py fails with halves.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -201,6 +201,7 @@
         self._state.weights = {t.name: t.weight for t in document.teams}
         self._state.planner.set_queues(self._state.queues.values())
         self._grants.set_pools(p.name for p in document.pools)
+        self._grants.set_queues(document.queues)
         self._grants.set_limits({t.name: t.limit for t in document.teams})
         self._grant_updater.update_soon()
         self._plan_soon()
--- a/packages/savorylead/savorylead/pools/_grants.py
+++ b/packages/savorylead/savorylead/pools/_grants.py
@@ -15,8 +15,15 @@
 
 from savorylead.resources import ZERO, Resources
 
+from ._contracts import Queue
+
+#: Share of a limit's unused part that a pool takes if all pools are equally urgent.
+EVEN_SURPLUS_SHARE = 0.5
 #: Change of a met demand, as a fraction of the limit, above which it is written again.
 MET_DEMAND_CHANGE_SHARE = 0.1
+#: Share of the unused limit that goes to the pools with the most urgent queues, where
+#: some pools have none: their demand rises within less than an update takes.
+URGENT_SURPLUS_SHARE = 0.9
 #: The same for an unmet demand.
 UNMET_DEMAND_CHANGE_SHARE = 0.08
 
@@ -64,11 +71,28 @@
         self.record = GrantRecord()
         self._limits: dict[str, Resources] = {}
         self._pools: frozenset[str] = frozenset()
+        #: Share of a limit's unused part that this pool takes.
+        self._surplus_share = EVEN_SURPLUS_SHARE
 
     def set_pools(self, pools: Iterable[str]) -> None:
         """Replace the names of the cell's pools."""
         self._pools = frozenset(pools)
 
+    def set_queues(self, queues: Iterable[Queue]) -> None:
+        """Set the queues of all pools, which determine who gets the unused limits."""
+        priorities: dict[str, int] = {}
+        for queue in queues:
+            known = priorities.get(queue.pool, queue.priority)
+            priorities[queue.pool] = min(known, queue.priority)
+        most_urgent = min(priorities.values(), default=0)
+        urgent = {pool for pool, each in priorities.items() if each == most_urgent}
+        self._surplus_share = EVEN_SURPLUS_SHARE
+        if 0 < len(urgent) < len(priorities):
+            is_urgent = self.pool in urgent
+            self._surplus_share = (
+                URGENT_SURPLUS_SHARE if is_urgent else 1 - URGENT_SURPLUS_SHARE
+            )
+
     def set_limits(self, limits: Mapping[str, Resources]) -> None:
         """Replace the teams' limits; 0 means no limit in that dimension."""
         self._limits = {team: limit for team, limit in limits.items() if any(limit)}
@@ -181,7 +205,8 @@
         for index, bound in enumerate(limit):
             wants = [part.wanted[index] for part in others]
             others_are_short = sum(wants) > sum(part.granted[index] for part in others)
-            fair_part = _fair_part(bound, own.wanted[index], wants)
+            share = self._surplus_share
+            fair_part = _fair_part(bound, own.wanted[index], wants, share)
             even_part = bound // len(pools)
             without_ceiling = max(bound, own.granted[index])
             ceilings.append(
@@ -208,6 +233,7 @@
                     wanted=wanted[index],
                     granted_to_others=sum(p.granted[index] for p in others),
                     wanted_by_others=[p.wanted[index] for p in others],
+                    surplus_share=self._surplus_share,
                 )
             )
         published = old.wanted
@@ -242,12 +268,16 @@
     wanted: int,
     granted_to_others: int,
     wanted_by_others: Sequence[int],
+    surplus_share: float,
 ) -> int:
     """Return this pool's new grant in one dimension."""
     if bound <= 0:
         return 0
     free = max(0, bound - granted_to_others)
-    target = _fair_part(bound, wanted, wanted_by_others)
+    if not granted_to_others and not any(wanted_by_others):
+        # No other pool uses this kind of resource.
+        surplus_share = max(surplus_share, EVEN_SURPLUS_SHARE)
+    target = _fair_part(bound, wanted, wanted_by_others, surplus_share)
     if wanted > own and target > own:
         return max(own, min(target, free))
     others_are_short = sum(wanted_by_others) > granted_to_others
@@ -256,16 +286,18 @@
     return own
 
 
-def _fair_part(bound: int, wanted: int, wanted_by_others: Sequence[int]) -> int:
+def _fair_part(
+    bound: int, wanted: int, wanted_by_others: Sequence[int], surplus_share: float
+) -> int:
     """Return the max-min fair part of a limit for one of several pools.
 
-    If all demands can be met, half of the surplus is added. Otherwise small demands are
-    met in full and the large ones divide the rest evenly; with proportional parts, a
-    job that can't start with less than its full demand would starve.
+    If all demands can be met, a share of the surplus is added. Otherwise small demands
+    are met in full and the large ones divide the rest evenly; with proportional parts,
+    a job that can't start with less than its full demand would starve.
     """
     left = bound - wanted - sum(wanted_by_others)
     if left >= 0:
-        return wanted + left // 2
+        return wanted + int(left * surplus_share)
     remaining = bound
     demands = sorted([*wanted_by_others, wanted])
     for index, demand in enumerate(demands):
--- a/packages/savorylead/savorylead/pools/tests/test_grants.py
+++ b/packages/savorylead/savorylead/pools/tests/test_grants.py
@@ -7,6 +7,8 @@
 from savorylead.pools import GrantRecord, PoolGrants, decode_grants, encode_grants
 from savorylead.resources import ZERO, Resources
 
+from .pool_cases import queue
+
 LIMIT = Resources(100_000, 600_000, 20)
 TEAM = "team"
 
@@ -186,3 +188,31 @@
     cell.settle()
     assert cell.waiting["two"].fits(cell.room("two"))
     assert cell.granted_sum().fits(LIMIT)
+
+
+@pytest.mark.parametrize(
+    "priorities, first_gets, second_gets",
+    [
+        # An urgent pool gets nearly all that nobody uses,
+        ((0, 2), 90_000, 10_000),
+        # and pools that are equally urgent get half of it each.
+        ((1, 1), 50_000, 50_000),
+        ((0, 0), 50_000, 50_000),
+    ],
+)
+def test_an_urgent_pool_gets_most_of_what_no_pool_uses(
+    priorities: tuple[int, int], first_gets: int, second_gets: int
+) -> None:
+    # A wide urgent step needs hundreds of cores within less time than two leads take to
+    # move a part of the limit.
+    for name, expected in (("one", first_gets), ("two", second_gets)):
+        cell = TwoPools()
+        queues = [
+            queue(pool, priority, pool=pool)
+            for pool, priority in zip(("one", "two"), priorities, strict=True)
+        ]
+        for pool in cell.pools.values():
+            pool.set_queues(queues)
+        cell.waiting = dict.fromkeys(("one", "two"), Resources(1, 1, 0))
+        cell.settle()
+        assert cell.room(name).cores_milli == pytest.approx(expected, abs=2)
