Crashes of workers are told from planned ends, with the runs there

The logs could not tell why: a crash showed only as worker_replaced, as does an address that went to another service, and no line said which tasks had been on the worker together.

Change: worker_crashed and worker_left name the worker and its runs, the youngest first, with the age of the youngest when the worker fell silent; runs whose lease lapsed before the worker came back are among them. savorylead_pool_worker_ends_total{pool,how} counts both. Nothing is decided by it yet.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_metrics.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_metrics.py
@@ -37,6 +37,11 @@
             "Pools given up to a stronger machine, by what became of the key.",
             registry=self._registry,
         )
+        self._worker_ends = CounterSeries(
+            "savorylead_pool_worker_ends_total",
+            "Workers that ended while their pool was led here: crashed or planned.",
+            registry=self._registry,
+        )
         self._evacuated = Gauge(
             "savorylead_evacuated_since_seconds",
             "Unix time at which each failure domain under evacuation was found so.",
@@ -57,6 +62,7 @@
         links: Mapping[str, Counter[LinkCount]],
         terms: Mapping[str, int],
         hand_overs: Mapping[tuple[str, str], int],
+        worker_ends: Mapping[tuple[str, str], int],
         evacuated_since: Mapping[str, datetime],
         ready: bool,
     ) -> tuple[bytes, str]:
@@ -72,6 +78,8 @@
             self._terms.set_value({"pool": pool}, term)
         for (pool, outcome), total in hand_overs.items():
             self._hand_overs.set_value({"pool": pool, "outcome": outcome}, total)
+        for (pool, how), total in worker_ends.items():
+            self._worker_ends.set_value({"pool": pool, "how": how}, total)
         self._evacuated.values.store.clear()
         for domain, since in evacuated_since.items():
             labels = {"domain": escape_label(domain)}
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -162,6 +162,7 @@
         if entry.cold_remaining_ms != worker.entry.cold_remaining_ms:
             worker.cold_until_ms = self._state.now_ms() + entry.cold_remaining_ms
         worker.entry = entry
+        worker.is_leaving = not entry.accepting
         worker.evacuated = entry.zone in self._evacuated
 
     def _note_unlisted(self, worker_id: str, now_ms: int) -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -30,6 +30,7 @@
 
 from ._admission import Admission
 from ._advice_caller import AdviceCaller
+from ._crash_tracker import CrashTracker
 from ._grant_updater import GrantUpdater
 from ._job_intake import JobIntake
 from ._lead_parts import LeadParts
@@ -112,6 +113,7 @@
         self._report_processor = ReportProcessor(
             self._state, self._starter, self._progress, log
         )
+        self._crashes = CrashTracker(term.pool, log, parts.worker_end_counts)
         self._grants = PoolGrants(term.pool)
         self._grant_updater = GrantUpdater(
             store,
@@ -399,6 +401,12 @@
         self._report_processor.apply(session, findings)
         self._plan_soon()
 
+    def worker_ended(self, session: WorkerSession, runs: Sequence[Run]) -> None:
+        """Record that the worker's incarnation ended while ``runs`` were on it."""
+        worker = session.worker
+        at_ms = worker.silent_since_ms or self._state.now_ms()
+        self._crashes.note_worker_ended(worker, runs, at_ms)
+
     def lost(self, session: WorkerSession, runs: Sequence[Run], reason: str) -> None:
         """Record that runs are over without a report of their end."""
         for run in runs:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_session_owner.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_session_owner.py
@@ -41,6 +41,10 @@
     def lost(self, session: WorkerSession, runs: Sequence[Run], reason: str) -> None:
         """Record that runs are definitely over without a report of their end."""
 
+    @abstractmethod
+    def worker_ended(self, session: WorkerSession, runs: Sequence[Run]) -> None:
+        """Record that the worker's incarnation ended while ``runs`` were on it."""
+
     @abstractmethod
     async def wait_until_durable(self) -> None:
         """Return once all applied changes are durable."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -107,6 +107,8 @@
         self.is_replaced = False
         #: Number of unanswered orders since the last report.
         self._unanswered = 0
+        #: Runs whose lease lapsed in the present silence, which a crash may explain.
+        self._lapsed: list[Run] = []
 
     def start(self) -> None:
         """Claim the worker and poll it from then on."""
@@ -152,10 +154,12 @@
             )
         except WorkerNotReachedError:
             self.worker.usable = False
+            self.worker.note_silent(to_millis(self._clock.now()))
             self.poll_soon()
             raise
         except WorkerError as exc:
             self._unanswered += 1
+            self.worker.note_silent(to_millis(self._clock.now()))
             if self._unanswered >= MAX_UNANSWERED_ORDERS:
                 self.worker.usable = False
             self._log.log_event(
@@ -370,6 +374,8 @@
             and report.incarnation_start_ms != self._incarnation_start_ms
         ):
             self._note_restart(report)
+        self.worker.silent_since_ms = 0
+        self._lapsed = []
         self._incarnation_start_ms = report.incarnation_start_ms
         self._worker_clock.update(report.clock_ms)
 
@@ -383,6 +389,7 @@
         )
         self._seen_end = self._durable_end = self._released_end = 0
         self._worker_clock.reset_lease()
+        self._note_ended()
         lost = []
         for run in list(self.worker.runs.values()):
             if run.confirmed_at_ms:
@@ -406,12 +413,20 @@
                 address=self.worker.entry.address,
                 runs=len(self.worker.runs),
             )
+            self._note_ended()
         runs = list(self.worker.runs.values())
         if runs:
             self._owner.lost(self, runs, "worker_replaced")
 
+    def _note_ended(self) -> None:
+        """Report the end of an incarnation, with the runs that it may have had."""
+        runs = [*self._lapsed, *self.worker.runs.values()]
+        self._lapsed = []
+        self._owner.worker_ended(self, runs)
+
     def _note_failure(self, exc: Exception) -> None:
         self._misses += 1
+        self.worker.note_silent(to_millis(self._clock.now()))
         if self._misses == 1:
             if isinstance(exc, WorkerTimeoutError) and self._worker_clock.is_known:
                 self._answers.note_lost()
@@ -425,4 +440,5 @@
         self.worker.usable = False
         if self.worker.runs and self._worker_clock.lease_is_over():
             runs = list(self.worker.runs.values())
+            self._lapsed += runs
             self._owner.lost(self, runs, "worker_lease_lapsed")
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
@@ -64,6 +64,9 @@
     def lost(self, session: WorkerSession, runs: Sequence[Run], reason: str) -> None:
         pass
 
+    def worker_ended(self, session: WorkerSession, runs: Sequence[Run]) -> None:
+        pass
+
     async def wait_until_durable(self) -> None:
         pass
 
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/cell_cases.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/cell_cases.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
+from typing import Any, NamedTuple
 
 from savorylead.jobs import JobState
 from savorylead.pools import Committed, Conflict, Put, StoreRefusedError
 from savorylead_daemon.pool._keys import LEAD_PREFIX, lead_key
 from savorylead_standins.pools import MemoryCellStore, PoolCell, StoreView
 
+
+class LoggedEvent(NamedTuple):
+    """A logged event and its details."""
+
+    event: str
+    details: dict[str, Any]
+
+
 #: Time until a cell has elected its leads and they have reports of their workers.
 READY_S = 4.0
 
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/conftest.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/conftest.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from typing import Any
 
 import pytest
 from twisted.logger import LogEvent, globalLogPublisher
 
+from savorylead_daemon.observability import EventLog
+
+from .cell_cases import LoggedEvent
+
 
 @pytest.fixture(autouse=True)
 def unexpected_errors(request: pytest.FixtureRequest) -> Iterator[list[str]]:
@@ -26,3 +31,16 @@
     globalLogPublisher.removeObserver(observe)
     if request.node.get_closest_marker("raises_unexpected_errors") is None:
         assert errors == []
+
+
+@pytest.fixture
+def events(monkeypatch: pytest.MonkeyPatch) -> list[LoggedEvent]:
+    """Return the events that all daemons log."""
+    logged: list[LoggedEvent] = []
+
+    def note(_log: EventLog, _level: object, event: str, **details: Any) -> bool:
+        logged.append(LoggedEvent(event, details))
+        return True
+
+    monkeypatch.setattr(EventLog, "log_event", note)
+    return logged
--- a/packages/savorylead/savorylead/pools/_pool_worker.py
+++ b/packages/savorylead/savorylead/pools/_pool_worker.py
@@ -49,6 +49,10 @@
         #: Whether operators have ordered its failure domain to be evacuated: its runs
         #: continue, but nothing starts on it.
         self.evacuated = False
+        #: Whether it has announced that it leaves, as before a planned stop.
+        self.is_leaving = not entry.accepting
+        #: Since when it does not answer, in Unix milliseconds; 0 while it does.
+        self.silent_since_ms = 0
         #: Until when its tasks are slow after a start or an evacuation.
         self.cold_until_ms = 0
         #: Runs that may be active on it, by task name and run number.
@@ -76,6 +80,10 @@
         """Return whether its tasks are slow after a start or an evacuation."""
         return now_ms < self.cold_until_ms
 
+    def note_silent(self, now_ms: int) -> None:
+        """Record that it did not answer a call."""
+        self.silent_since_ms = self.silent_since_ms or now_ms
+
     def may_start(self, now_ms: int) -> bool:
         """Return whether tasks may be started on the worker now."""
         return now_ms >= self.may_start_at_ms()
