--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_machine.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_machine.py
@@ -85,6 +85,23 @@
             self.entry._replace(incarnation_start_ms=incarnation_start_ms), self._owner
         )
 
+    def crash_and_return(self, down_for: timedelta, is_new_worker: bool) -> None:
+        """Crash, be unreachable for ``down_for``, and return without any run.
+
+        Then either another incarnation answers under the same id, or a worker with
+        another id at the same address.
+        """
+        self.crash()
+        self.is_cut = True
+        self._owner.crashed(self)
+        self._clock.call_later(down_for, self._return, is_new_worker)
+
+    def _return(self, is_new_worker: bool) -> None:
+        self.is_cut = False
+        if is_new_worker:
+            self.is_replaced = True
+            self._owner.returned(self)
+
     def expire(self) -> None:
         """End all runs if the lease has expired."""
         if self.active and self.clock_ms() >= self.deadline_ms:
@@ -126,6 +143,7 @@
         else:
             self.begin_work(key)
             self._owner.started(self, order, fence)
+        self._owner.crash_if_due(self, order)
         return RunStarted(clock_ms)
 
     def _rejection(self, order: RunOrder) -> StartRejection | None:
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
@@ -68,6 +68,16 @@
         self.reject_overload = False
         #: Returns whether the response to a hold is lost after it took effect.
         self.loses_hold: Callable[[], bool] = lambda: False
+        #: Returns the age at which a run crashes its worker; None for never.
+        self.crashes_after: Callable[[TaskName], timedelta | None] = lambda _: None
+        #: How long a crashed worker is unreachable, and whether it returns as a new
+        #: worker at its address rather than under its own id.
+        self.crash_duration = timedelta(seconds=3.2)
+        self.returns_as_new = True
+        #: Called with the entry of each worker that returns as a new one.
+        self.on_return: Callable[[WorkerEntry], None] = lambda _: None
+        #: Ids of the workers that crashed, in order.
+        self.crashed_workers: list[str] = []
         self.rejections: Counter[StartRejection] = Counter()
         self.records: list[RunRecord] = []
         self.ends: list[tuple[TaskName, int, RunEnd]] = []
@@ -107,6 +117,28 @@
         if not machine.held().fits(machine.entry.capacity):
             self.breaches.append(f"{machine.entry.id} holds too much")
 
+    def crash_if_due(self, machine: MemoryMachine, order: RunOrder) -> None:
+        """Schedule the crash of a worker that has started a run that crashes it."""
+        delay = self.crashes_after(order.task)
+        if delay is not None:
+            key = (str(order.task), order.number)
+            self.clock.call_later(delay, self._crash_if_active, machine, key)
+
+    def _crash_if_active(self, machine: MemoryMachine, key: tuple[str, int]) -> None:
+        if key in machine.active:
+            machine.crash_and_return(self.crash_duration, self.returns_as_new)
+
+    def crashed(self, machine: MemoryMachine) -> None:
+        """Record the crash of a worker."""
+        self.crashed_workers.append(machine.entry.id)
+
+    def returned(self, machine: MemoryMachine) -> None:
+        """Add the worker that follows a crashed one at its address."""
+        entry = machine.entry
+        follower = entry._replace(id=f"{entry.id}+")
+        self.add(follower)
+        self.on_return(follower)
+
     def gang_joined(self, machine: MemoryMachine, order: RunOrder) -> None:
         """Begin a gang's work once all its members have started."""
         members = self._gangs.setdefault(_gang_of(order.task, order.number), [])
