Tasks that crash their workers are given up, and their neighbours are not

Cause: a run that is lost with its worker counted for nothing. Only runs that end failed count as attempts, so such a task was started for ever, on any worker and beside any other tasks. The class of fault: a retry without a budget, where the failure takes down what would have reported it.

Change: every crash is noted for the tasks that ran on the worker, unless the worker left as planned. They are suspects; the youngest runs, and tasks with more than one crash, are prime suspects. These are placed first, apart from each other, where the fewest jobs run, and nothing else starts beside them for a moment, so that the next crash has one likely cause. A task is given up when it alone can have caused its second crash, at the latest after the fourth. Crashes that hit most of a rack or failure domain at once convict nobody.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_keys.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_keys.py
@@ -38,6 +38,14 @@
     return f"{_ROOT}workers/{pool}"
 
 
+def crashes_key(pool: str) -> str:
+    """Return the key of the tasks under which workers of the pool have crashed.
+
+    Daemons of earlier versions ignore it.
+    """
+    return f"{_ROOT}crashes/{pool}"
+
+
 def intake_prefix(pool: str) -> str:
     """Return the prefix of the records that the lead of a pool must process."""
     return f"{_ROOT}in/{pool}/"
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_lead_parts.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_lead_parts.py
@@ -11,7 +11,7 @@
 
 from ._advice_caller import CallAdviser
 from ._cell_lease import CellLease
-from ._crash_tracker import WorkerEndCounts
+from ._crash_tracker import CrashCounts
 
 
 class LeadParts(NamedTuple):
@@ -31,7 +31,7 @@
     on_cannot_lead: Callable[[str, str], None]
     #: Returns whether a pool has a lead according to this daemon's view of the cell.
     has_lead: Callable[[str], bool]
-    #: Counts the workers that ended; outlives the lead.
-    worker_end_counts: WorkerEndCounts
+    #: Counts crashes of workers; outlives the lead.
+    crash_counts: CrashCounts
     #: Notifies the other pools' leads that the teams' limit grants have changed.
     on_grants_written: Callable[[str], None]
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_metrics.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_metrics.py
@@ -12,6 +12,8 @@
 from savorylead.links import LinkCount
 from savorylead_daemon.observability import escape_label
 
+from ._crash_tracker import CrashCounts
+
 
 class PoolMetrics:
     """Copies counts into the collectors when the metrics are scraped."""
@@ -39,7 +41,13 @@
         )
         self._worker_ends = CounterSeries(
             "savorylead_pool_worker_ends_total",
-            "Workers that ended while their pool was led here: crashed or planned.",
+            "Workers that ended while their pool was led here: crashed, planned, or "
+            "presumed to have crashed.",
+            registry=self._registry,
+        )
+        self._given_up = CounterSeries(
+            "savorylead_pool_tasks_given_up_total",
+            "Tasks that were given up since they crash their workers.",
             registry=self._registry,
         )
         self._evacuated = Gauge(
@@ -62,7 +70,7 @@
         links: Mapping[str, Counter[LinkCount]],
         terms: Mapping[str, int],
         hand_overs: Mapping[tuple[str, str], int],
-        worker_ends: Mapping[tuple[str, str], int],
+        crashes: CrashCounts,
         evacuated_since: Mapping[str, datetime],
         ready: bool,
     ) -> tuple[bytes, str]:
@@ -78,8 +86,10 @@
             self._terms.set_value({"pool": pool}, term)
         for (pool, outcome), total in hand_overs.items():
             self._hand_overs.set_value({"pool": pool, "outcome": outcome}, total)
-        for (pool, how), total in worker_ends.items():
+        for (pool, how), total in crashes.worker_ends.items():
             self._worker_ends.set_value({"pool": pool, "how": how}, total)
+        for pool, total in crashes.given_up.items():
+            self._given_up.set_value({"pool": pool}, total)
         self._evacuated.values.store.clear()
         for domain, since in evacuated_since.items():
             labels = {"domain": escape_label(domain)}
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -107,7 +107,10 @@
         for entry in entries:
             self._unlisted_since.pop(entry.id, None)
             self._open_session(entry)
-            self._state.workers[entry.id].listed = True
+            worker = self._state.workers[entry.id]
+            if not worker.listed:
+                self._owner.worker_listed(worker)
+            worker.listed = True
         for worker_id in [w for w in self._state.workers if w not in listed]:
             self._note_unlisted(worker_id, now_ms)
         self.record_workers()
@@ -173,7 +176,9 @@
         if unlisted < UNLISTED_WAIT or worker.runs or not self.all_runs_located():
             return
         self._log.log_event(LogLevel.INFO, "worker_gone", worker=worker_id)
-        self._state.sessions.pop(worker_id).close()
+        session = self._state.sessions.pop(worker_id)
+        session.note_gone()
+        session.close()
         del self._state.workers[worker_id]
         del self._unlisted_since[worker_id]
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -14,6 +14,7 @@
     JobState,
     ProgressRecord,
     Run,
+    Task,
 )
 from savorylead.links import DeadlineExceededError, within
 from savorylead.pools import (
@@ -21,6 +22,7 @@
     Finding,
     Plan,
     PoolGrants,
+    PoolWorker,
     WorkerEntry,
     WorkerReport,
 )
@@ -30,6 +32,7 @@
 
 from ._admission import Admission
 from ._advice_caller import AdviceCaller
+from ._crash_records import CrashRecords
 from ._crash_tracker import CrashTracker
 from ._grant_updater import GrantUpdater
 from ._job_intake import JobIntake
@@ -98,6 +101,15 @@
         self._fleet = PoolFleet(
             self._state, self, parts.calls, self._records, clock, log, term
         )
+        self._crash_records = CrashRecords(term.pool, writes, clock, log, self._tasks)
+        self._crashes = CrashTracker(
+            term.pool,
+            self._state,
+            log,
+            parts.crash_counts,
+            self._crash_records,
+            self._give_up,
+        )
         self._starter = RunStarter(
             self._state,
             log,
@@ -105,6 +117,7 @@
             self._tasks,
             self.may_act,
             self._plan_soon,
+            self._crashes,
         )
         self._asker = AdviceCaller(self._state, log, parts.ask_adviser, self._plan_soon)
         self._intake = JobIntake(
@@ -113,7 +126,6 @@
         self._report_processor = ReportProcessor(
             self._state, self._starter, self._progress, log
         )
-        self._crashes = CrashTracker(term.pool, log, parts.worker_end_counts)
         self._grants = PoolGrants(term.pool)
         self._grant_updater = GrantUpdater(
             store,
@@ -147,6 +159,7 @@
         self._log_unwritten()
         self._fleet.close()
         self._progress.close()
+        self._crash_records.close()
         self._plan_timer.close()
 
     def _log_unwritten(self) -> None:
@@ -258,6 +271,8 @@
         self._intake.restore(loaded)
         self.loaded = True
         self._fleet.load(loaded.workers)
+        self._crash_records.revision = loaded.suspects_revision
+        self._crashes.restore(loaded.suspects)
         if self._listed_workers is not None:
             self._fleet.set_workers(self._listed_workers)
         self._log.log_event(
@@ -401,11 +416,24 @@
         self._report_processor.apply(session, findings)
         self._plan_soon()
 
-    def worker_ended(self, session: WorkerSession, runs: Sequence[Run]) -> None:
+    def worker_ended(
+        self, session: WorkerSession, runs: Sequence[Run], is_certain: bool
+    ) -> None:
         """Record that the worker's incarnation ended while ``runs`` were on it."""
-        worker = session.worker
-        at_ms = worker.silent_since_ms or self._state.now_ms()
-        self._crashes.note_worker_ended(worker, runs, at_ms)
+        self._crashes.note_worker_ended(session.worker, runs, is_certain)
+
+    def worker_listed(self, worker: PoolWorker) -> None:
+        """Handle that a worker has appeared in the platform's list."""
+        self._crashes.note_listed(worker)
+
+    def _give_up(self, task: Task) -> None:
+        """End the job of a task that crashes its workers, as failed."""
+        job = task.step.job
+        now_ms = self._state.now_ms()
+        job.finish(JobState.FAILED, now_ms)
+        self._state.jobs.finish_if_complete(job, now_ms)
+        self._progress.schedule_write(job, urgent=True)
+        self._starter.stop_unneeded(job)
 
     def lost(self, session: WorkerSession, runs: Sequence[Run], reason: str) -> None:
         """Record that runs are over without a report of their end."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
@@ -13,8 +13,10 @@
     JobRecord,
     ProgressRecord,
     RecordError,
+    SuspectTask,
     decode_job,
     decode_progress,
+    decode_suspects,
 )
 from savorylead.pools import (
     CellStore,
@@ -30,7 +32,7 @@
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
-from ._keys import intake_prefix, progress_prefix, workers_key
+from ._keys import crashes_key, intake_prefix, progress_prefix, workers_key
 from ._term import Term
 from ._term_writes import TermWrites
 
@@ -69,6 +71,10 @@
     unreadable: set[str]
     #: None if their record cannot be decoded.
     workers: list[RecordedWorker] | None
+    #: Tasks under which workers have crashed, and the revision of their record; 0 if
+    #: there is none.
+    suspects: Sequence[SuspectTask] = ()
+    suspects_revision: int = 0
 
 
 class PoolRecords:
@@ -118,14 +124,15 @@
         # Earlier leads can no longer write these records, so they can be read in any
         # order; reading them in sequence takes a second while the store is slow.
         pool = self._term.pool
-        jobs, progress, workers = await gather(
+        jobs, progress, workers, (suspects, suspects_revision) = await gather(
             [
                 self._read_all(intake_prefix(pool)),
                 self._read_all(progress_prefix(pool)),
                 self._read_workers(on_workers),
+                self._read_suspects(),
             ]
         )
-        loaded = LoadedPool([], set(), {}, set(), workers)
+        loaded = LoadedPool([], set(), {}, set(), workers, suspects, suspects_revision)
         for item in jobs.items:
             job = self._decode_intake(item.key, item.value, loaded.cancelled.add)
             if job is not None:
@@ -208,6 +215,18 @@
         on_workers(recorded)
         return recorded
 
+    async def _read_suspects(self) -> tuple[Sequence[SuspectTask], int]:
+        key = crashes_key(self._term.pool)
+        for item in (await self._read_all(key)).items:
+            if item.key != key:
+                continue
+            try:
+                return decode_suspects(key, item.value), item.revision
+            except RecordError as exc:
+                self._log_unreadable("suspects_record_unreadable", key, exc)
+                return (), item.revision
+        return (), 0
+
     def _log_unreadable(self, event: str, key: str, exc: Exception) -> None:
         self._log.log_event(LogLevel.ERROR, event, key=key, detail=str(exc))
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
@@ -19,6 +19,7 @@
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
+from ._crash_tracker import CrashTracker
 from ._pool_state import PoolState
 
 #: Run numbers reserved per term, so that the next lead can number its runs above all
@@ -39,6 +40,7 @@
         tasks: TaskSet,
         may_act: Callable[[], bool],
         plan_soon: Callable[[], None],
+        crashes: CrashTracker,
     ) -> None:
         self._state = state
         self._log = log
@@ -46,6 +48,7 @@
         self._tasks = tasks
         self._may_act = may_act
         self._plan_soon = plan_soon
+        self._crashes = crashes
 
     def execute(self, plan: Plan) -> None:
         """Start the placed tasks and stop the preempted runs."""
@@ -87,12 +90,19 @@
         task.run = run
         task.last_run = number
         self._state.hold(worker, run)
+        session = self._state.sessions.get(worker.id)
+        if task.is_suspect and session is not None:
+            self._crashes.isolate(run, worker, session.incarnation_start_ms)
         return run
 
     async def _start(self, run: Run, placement: Placement) -> None:
         task = run.task
+        if task.is_suspect:
+            # If the run crashes its worker, a later lead must know that it was there.
+            await self._crashes.wait_until_recorded()
         session = self._state.sessions.get(run.worker)
-        if session is None or not self._may_act():
+        is_needed = run.state is RunState.STARTING and task.run is run
+        if session is None or not is_needed or not self._may_act():
             self._state.free(run)
             self.stop_rest_of_gang(run, "gang_incomplete")
             return
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_session_owner.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_session_owner.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from savorylead.jobs import Run
-from savorylead.pools import Finding, WorkerReport
+from savorylead.pools import Finding, PoolWorker, WorkerReport
 
 if TYPE_CHECKING:
     from ._worker_session import WorkerSession
@@ -42,8 +42,17 @@
         """Record that runs are definitely over without a report of their end."""
 
     @abstractmethod
-    def worker_ended(self, session: WorkerSession, runs: Sequence[Run]) -> None:
-        """Record that the worker's incarnation ended while ``runs`` were on it."""
+    def worker_ended(
+        self, session: WorkerSession, runs: Sequence[Run], is_certain: bool
+    ) -> None:
+        """Record that the worker's incarnation ended while ``runs`` were on it.
+
+        ``is_certain`` is False if that is only presumed.
+        """
+
+    @abstractmethod
+    def worker_listed(self, worker: PoolWorker) -> None:
+        """Handle that a worker has appeared in the platform's list."""
 
     @abstractmethod
     async def wait_until_durable(self) -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -124,6 +124,16 @@
         self._poll_soon = True
         self._wakeup.wake()
 
+    @property
+    def incarnation_start_ms(self) -> int:
+        """Start of the worker's incarnation in Unix milliseconds; 0 if unknown."""
+        return self._incarnation_start_ms
+
+    def expect_incarnation(self, start_ms: int) -> None:
+        """Treat any other incarnation as a restart, since a former lead used this."""
+        self._incarnation_start_ms = start_ms
+        self.is_replaced = False
+
     @property
     def is_silent(self) -> bool:
         """Whether the worker did not answer the last poll."""
@@ -178,6 +188,7 @@
             elif result.reason is StartRejection.WRONG_INCARNATION:
                 self.worker.usable = False
         else:
+            self.worker.last_answer_ms = to_millis(self._clock.now())
             self._wakeup.wake()
         return result
 
@@ -331,6 +342,8 @@
         if is_older and self._incarnation_start_ms == report.incarnation_start_ms:
             return
         self._note_report(report)
+        if not self.claimed:
+            self._limit_former_orders(report)
         findings = reconcile(self.worker, report, self._seen_end, requested_at_ms)
         seen = max([self._seen_end, *(e.sequence for e in report.ended)])
         if not self.claimed:
@@ -347,6 +360,11 @@
                 self._release_when_durable(seen, self._incarnation_start_ms),
             )
 
+    def _limit_former_orders(self, report: WorkerReport) -> None:
+        """Determine until when a former lead's order may start a recorded run."""
+        for run in self.worker.runs.values():
+            run.void_clock_ms = report.clock_ms + ORDER_VALID_MS
+
     async def _release_when_durable(self, seen: int, incarnation_start_ms: int) -> None:
         """Release ends once all changes that they led to are durable."""
         await self._owner.wait_until_durable()
@@ -374,7 +392,7 @@
             and report.incarnation_start_ms != self._incarnation_start_ms
         ):
             self._note_restart(report)
-        self.worker.silent_since_ms = 0
+        self.worker.note_answer(to_millis(self._clock.now()))
         self._lapsed = []
         self._incarnation_start_ms = report.incarnation_start_ms
         self._worker_clock.update(report.clock_ms)
@@ -422,7 +440,13 @@
         """Report the end of an incarnation, with the runs that it may have had."""
         runs = [*self._lapsed, *self.worker.runs.values()]
         self._lapsed = []
-        self._owner.worker_ended(self, runs)
+        self._owner.worker_ended(self, runs, is_certain=True)
+
+    def note_gone(self) -> None:
+        """Report that a silent worker is no longer listed, so it may have crashed."""
+        lapsed, self._lapsed = self._lapsed, []
+        if lapsed:
+            self._owner.worker_ended(self, lapsed, is_certain=False)
 
     def _note_failure(self, exc: Exception) -> None:
         self._misses += 1
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -23,7 +23,7 @@
 from ._cell_lease import CellLease
 from ._cell_view import CellView, MemberRecord, decode_member, encode_record
 from ._config_feed import ConfigFeed
-from ._crash_tracker import WorkerEndCounts
+from ._crash_tracker import CrashCounts
 from ._elections import Elections
 from ._job_gateway import JobGateway
 from ._keys import machine_key, member_key
@@ -90,8 +90,8 @@
         self._log = log
         #: Leads on this daemon, by pool.
         self.leads: dict[str, PoolLead] = {}
-        #: Number of workers that ended while a lead of this daemon used them.
-        self.worker_end_counts = WorkerEndCounts()
+        #: Crashes of workers that the leads of this daemon have seen.
+        self.crash_counts = CrashCounts()
         store = adapter.store
         self._lease = CellLease(
             store,
@@ -303,7 +303,7 @@
             lease=self._lease,
             on_cannot_lead=self._cannot_lead,
             has_lead=lambda pool: pool in self.view.leads,
-            worker_end_counts=self.worker_end_counts,
+            crash_counts=self.crash_counts,
             on_grants_written=self._grants_written,
             status_for_ms=self._settings.status_for // timedelta(milliseconds=1),
         )
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
@@ -22,6 +22,7 @@
 from savorylead.resources import Resources
 from savorylead_daemon.concurrency import TaskSet
 from savorylead_daemon.observability import EventLog
+from savorylead_daemon.pool._crash_tracker import CrashCounts, CrashTracker
 from savorylead_daemon.pool._pace_orders import PaceOrders
 from savorylead_daemon.pool._pool_state import PoolState
 from savorylead_daemon.pool._run_starter import RunStarter
@@ -64,7 +65,12 @@
     def lost(self, session: WorkerSession, runs: Sequence[Run], reason: str) -> None:
         pass
 
-    def worker_ended(self, session: WorkerSession, runs: Sequence[Run]) -> None:
+    def worker_ended(
+        self, session: WorkerSession, runs: Sequence[Run], is_certain: bool
+    ) -> None:
+        pass
+
+    def worker_listed(self, worker: PoolWorker) -> None:
         pass
 
     async def wait_until_durable(self) -> None:
@@ -98,6 +104,10 @@
         self.worker = PoolWorker(ENTRY)
         self.tasks = TaskSet()
 
+    def crash_tracker(self, state: PoolState) -> CrashTracker:
+        """Return a tracker for tests without crashes."""
+        return CrashTracker("p", state, self.log, CrashCounts(), None, None)
+
 
 def step_run(count: int = 1, gang: bool = False) -> Any:
     spec = JobSpec("", (StepSpec(count, Resources(1_000), gang=gang),))
@@ -166,8 +176,9 @@
     state.workers["w"] = bench.worker
     session = state.sessions["w"] = Session()
     step = step_run(3, gang=True)
+    crashes = bench.crash_tracker(state)
     starter = RunStarter(
-        state, bench.log, 1, bench.tasks, bench.owner.may_act, lambda: None
+        state, bench.log, 1, bench.tasks, bench.owner.may_act, lambda: None, crashes
     )
     bench.owner.checks = checks
     placements = tuple(Placement(t, bench.worker, "") for t in step.tasks)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_still_runs.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_still_runs.py
@@ -54,7 +54,10 @@
     state = PoolState(bench.clock, 1_000)
     state.workers["w"] = bench.worker
     session = Session(bench.worker)
-    starter = RunStarter(state, bench.log, 1, bench.tasks, lambda: True, lambda: None)
+    crashes = bench.crash_tracker(state)
+    starter = RunStarter(
+        state, bench.log, 1, bench.tasks, lambda: True, lambda: None, crashes
+    )
     processor = ReportProcessor(state, starter, None, bench.log)
     run = Run(step_run().tasks[0], 1, "w", state.now_ms())
     run.task.run = run
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_machine.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_machine.py
@@ -91,9 +91,9 @@
         Then either another incarnation answers under the same id, or a worker with
         another id at the same address.
         """
+        self._owner.crashed(self)
         self.crash()
         self.is_cut = True
-        self._owner.crashed(self)
         self._clock.call_later(down_for, self._return, is_new_worker)
 
     def _return(self, is_new_worker: bool) -> None:
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
@@ -74,7 +74,8 @@
         #: worker at its address rather than under its own id.
         self.crash_duration = timedelta(seconds=3.2)
         self.returns_as_new = True
-        #: Called with the entry of each worker that returns as a new one.
+        #: Called with the entry of each worker that crashes or returns as a new one.
+        self.on_crash: Callable[[WorkerEntry], None] = lambda _: None
         self.on_return: Callable[[WorkerEntry], None] = lambda _: None
         #: Ids of the workers that crashed, in order.
         self.crashed_workers: list[str] = []
@@ -129,8 +130,16 @@
             machine.crash_and_return(self.crash_duration, self.returns_as_new)
 
     def crashed(self, machine: MemoryMachine) -> None:
-        """Record the crash of a worker."""
+        """Record that a worker is about to crash.
+
+        The gangs of its runs break, and ends that it still listed count for nothing.
+        """
         self.crashed_workers.append(machine.entry.id)
+        self.on_crash(machine.entry)
+        for name, number in list(machine.active):
+            self._gang_ended(TaskName.parse(name), number, RunEnd.BROKEN)
+        for ended in machine.ended:
+            self._done.pop(str(ended.task), None)
 
     def returned(self, machine: MemoryMachine) -> None:
         """Add the worker that follows a crashed one at its address."""
--- a/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
@@ -59,9 +59,8 @@
 PEER_DELAY = timedelta(milliseconds=1)
 #: Timeout of a call to a daemon.
 PEER_TIMEOUT = timedelta(milliseconds=500)
-#: Time from the return of a crashed worker until the entry of its former incarnation
-#: lapses: three heartbeats of 1.5 s, less the time for which it was down.
-CRASHED_ENTRY_LAPSES_AFTER = timedelta(seconds=1.3)
+#: Time from a worker's crash until its entry lapses: three heartbeats of 1.5 s.
+ENTRY_LAPSES_AFTER = timedelta(seconds=4.5)
 #: Response time over a saturated link. It is below the 400 ms after which daemons time
 #: out a store call or a connection attempt, so that the lease there is still renewed.
 SATURATED_RESPONSE_TIME = timedelta(milliseconds=300)
@@ -203,7 +202,8 @@
         self.rng = random.Random(seed)
         self.store = MemoryCellStore(self.clock)
         self.workers = MemoryWorkers(self.clock)
-        self.workers.on_return = self._list_follower
+        self.workers.on_crash = self._expire_entry
+        self.workers.on_return = self.list_worker
         self.tickets = TicketIssuer(self.clock, self._incarnation_start_ms)
         if advised:
             self.workers.ticket_accepted = self.tickets.accepts
@@ -287,13 +287,15 @@
         """Write a worker's registration to the store."""
         self.store.put(WORKERS_PREFIX + entry.id, msgspec.json.encode(entry))
 
-    def _list_follower(self, entry: WorkerEntry) -> None:
-        """Register the worker that follows a crashed one, whose entry then lapses."""
-        self.list_worker(entry)
-        former = entry.id.removesuffix("+")
-        self.clock.call_later(
-            CRASHED_ENTRY_LAPSES_AFTER, self.store.delete, WORKERS_PREFIX + former
-        )
+    def _expire_entry(self, entry: WorkerEntry) -> None:
+        """Delete a crashed worker's entry once it lapses, if it has not returned."""
+
+        def delete() -> None:
+            machine = self.workers.machines[entry.id]
+            if machine.is_cut or machine.is_replaced:
+                self.store.delete(WORKERS_PREFIX + entry.id)
+
+        self.clock.call_later(ENTRY_LAPSES_AFTER, delete)
 
     # -- callers --
 
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/crash_cases.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/crash_cases.py
@@ -59,6 +59,14 @@
     return job_spec(count=2, gang=True)
 
 
+def long_running(cell: PoolCell) -> JobSpec:
+    """Return a long-running job, whose tasks do not end by themselves."""
+    cell.workers.duration_of = lambda task: timedelta(
+        hours=1 if task.job == CRASHING_JOB else 0, seconds=1
+    )
+    return job_spec(count=2, long_running=True)
+
+
 def occurrences(cell: PoolCell) -> JobSpec:
     """Return a job with two occurrences, the first of which is due now."""
     now_ms = int(cell.clock.now().timestamp() * 1000)
@@ -77,7 +85,7 @@
     JobKind("plain", lambda cell: job_spec(count=3)),
     JobKind("single", lambda cell: job_spec()),
     JobKind("gang", gang_of_two),
-    JobKind("long-running", lambda cell: job_spec(count=2, long_running=True)),
+    JobKind("long-running", long_running),
     JobKind("filler", lambda cell: job_spec(count=2, fills=True)),
     JobKind("speculative", lambda cell: job_spec(count=2, speculative=True)),
     JobKind("occurrence", occurrences),
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_worker_ends.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_worker_ends.py
@@ -85,4 +85,4 @@
         assert sorted(line.details["task_runs"]) == RUNS
     node = cell.nodes[cell.lead_of()]
     how = {"worker_crashed": "crashed", "worker_left": "planned"}.get(event or "")
-    assert dict(node.worker_end_counts) == ({("pool", how): 1} if how else {})
+    assert dict(node.crash_counts.worker_ends) == ({("pool", how): 1} if how else {})
--- a/packages/savorylead/savorylead/jobs/__init__.py
+++ b/packages/savorylead/savorylead/jobs/__init__.py
@@ -1,5 +1,12 @@
 """Jobs as graphs of steps: their specification, state and durable records."""
 
+from ._crashes import (
+    IsolatedRun,
+    SuspectTask,
+    TaskCrash,
+    decode_suspects,
+    encode_suspects,
+)
 from ._job import Job, JobState, Run, RunState, StepRun, Task, saved_state
 from ._records import (
     JobRecord,
@@ -23,6 +30,7 @@
 __all__ = [
     "MAX_AMOUNT",
     "MAX_TIME_MS",
+    "IsolatedRun",
     "Job",
     "JobRecord",
     "JobSpec",
@@ -34,12 +42,16 @@
     "SpecError",
     "StepRun",
     "StepSpec",
+    "SuspectTask",
     "Task",
+    "TaskCrash",
     "TaskName",
     "check_spec",
     "decode_job",
     "decode_progress",
+    "decode_suspects",
     "encode_job",
     "encode_progress",
+    "encode_suspects",
     "saved_state",
 ]
--- a/packages/savorylead/savorylead/jobs/_job.py
+++ b/packages/savorylead/savorylead/jobs/_job.py
@@ -5,6 +5,7 @@
 import enum
 from collections.abc import Iterator
 
+from ._crashes import IsolatedRun, TaskCrash
 from ._records import JobRecord, ProgressRecord, RecordError, StepProgress
 from ._spec import StepSpec
 from ._task_name import TaskName
@@ -47,6 +48,7 @@
         "state",
         "stop_reason",
         "stopped_at_ms",
+        "suspect_until_ms",
         "task",
         "unreported_ms",
         "void_clock_ms",
@@ -83,6 +85,8 @@
         #: When the worker accepted a stop; 0 before.
         self.stopped_at_ms = 0
         self.stop_reason = ""
+        #: Until when it may be about to crash its worker; 0 if it is no suspect.
+        self.suspect_until_ms = 0
 
 
 class Task:
@@ -90,8 +94,10 @@
 
     __slots__ = (
         "checkpoint",
+        "crashes",
         "done",
         "index",
+        "isolated_run",
         "last_run",
         "run",
         "step",
@@ -107,9 +113,28 @@
         self.last_run = 0
         #: The last checkpoint that a worker reported; empty for none.
         self.checkpoint = ""
+        #: Recent crashes of workers under its runs, oldest first.
+        self.crashes: tuple[TaskCrash, ...] = ()
+        #: Its last run that was started while it was a suspect.
+        self.isolated_run: IsolatedRun | None = None
         #: When it last became ready without a run, in milliseconds.
         self.unplaced_at = 0
 
+    @property
+    def is_open(self) -> bool:
+        """Whether it may still have to run."""
+        return not self.done and self.step.job.final is None
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether a worker has crashed under it lately."""
+        return bool(self.crashes)
+
+    @property
+    def is_prime_suspect(self) -> bool:
+        """Whether it is likelier than others to have crashed a worker."""
+        return len(self.crashes) > 1 or any(c.is_youngest for c in self.crashes)
+
     @property
     def name(self) -> TaskName:
         """The task's name in calls to workers."""
@@ -124,6 +149,7 @@
         "advice",
         "done_count",
         "failed_runs",
+        "has_suspects",
         "index",
         "job",
         "occurrence",
@@ -142,6 +168,8 @@
         self.done_count = 0
         #: Numbers of the runs that failed, by task; a gang counts under -1.
         self.failed_runs: dict[int, set[int]] = {}
+        #: Whether a worker has crashed under one of its tasks.
+        self.has_suspects = False
         #: When the steps it depends on were done; None before.
         self.ready_at_ms: int | None = None
         #: The policy adviser's answers for this step; owned by the planner.
--- a/packages/savorylead/savorylead/pools/__init__.py
+++ b/packages/savorylead/savorylead/pools/__init__.py
@@ -38,6 +38,12 @@
     WorkerUnhealthyError,
     WrongIncarnationError,
 )
+from ._crash_blame import (
+    WorkerCrash,
+    has_common_cause,
+    isolate,
+    record_crash,
+)
 from ._durations import DurationEstimator
 from ._grants import GrantRecord, PoolGrants, decode_grants, encode_grants
 from ._pace import PaceController
@@ -120,6 +126,7 @@
     "Urgency",
     "Vanished",
     "WorkerCalls",
+    "WorkerCrash",
     "WorkerEntry",
     "WorkerListing",
     "WorkerNotReachedError",
@@ -130,6 +137,9 @@
     "could_ever_hold",
     "decode_grants",
     "encode_grants",
+    "has_common_cause",
+    "isolate",
+    "record_crash",
     "reservation_of",
     "note_reported",
     "read_pages",
--- /dev/null
+++ b/packages/savorylead/savorylead/pools/_crash_blame.py
@@ -0,0 +1,138 @@
+"""Finds the tasks that crash the workers on which they run.
+
+Load pattern: one task crashes each worker that starts it, and each crash takes along a
+dozen unrelated runs. The crash does not tell which run caused it, so a bound on crashes
+alone would give up the unrelated tasks as well, or start the guilty one too often.
+
+All tasks that were on a crashed worker are suspects; the youngest runs, and tasks under
+which more than one worker crashed, are prime suspects. These start apart from each
+other, and nothing else starts there for a while, so that a further crash has one likely
+cause. A suspect is cleared once a run of it has lasted longer than its earlier runs did
+before their workers crashed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from savorylead.jobs import Run, Task, TaskCrash
+
+from ._pool_worker import PoolWorker
+
+#: A task is given up after this many crashes, whatever else ran on the workers. The
+#: users allow two starts after the third crash; one of them may be unknown to a lead.
+MAX_CRASHES = 4
+#: Crashes longer ago than this do not count, in milliseconds. A service that runs for
+#: months loses several workers, and caused none of these crashes.
+CRASH_MEMORY_MS = 3_600_000
+#: Runs that began within this time of each other are equally young, in milliseconds: a
+#: planning pass sends a dozen orders at once, some to a worker that has just crashed.
+YOUNGEST_MS = 50
+#: Time after which a suspect is cleared beyond its age at earlier crashes, in
+#: milliseconds. A worker without a call under way is found silent after up to 0.5 s.
+AGE_MARGIN_MS = 1_000
+#: Nothing else starts beside a prime suspect for its age at earlier crashes and this
+#: time more, in milliseconds. What starts meanwhile would be as likely a cause.
+ISOLATION_MARGIN_MS = 250
+#: Longest time for which a run stays a suspect, in milliseconds.
+MAX_SUSPECT_MS = 30_000
+#: Workers of one rack or failure domain that fall silent within this time of each
+#: other, in milliseconds, have a common cause if they are more than half of it.
+COMMON_CAUSE_MS = 1_000
+
+
+class WorkerCrash(NamedTuple):
+    """The crash of a worker."""
+
+    worker: str
+    #: When it last answered a call, and when it first did not, in Unix milliseconds.
+    last_answer_ms: int
+    at_ms: int
+    #: The runs that were or may have been on it.
+    runs: Sequence[Run]
+    #: Whether a task may be the cause: False if the worker was only presumed to have
+    #: crashed, or if others failed with it for a common cause.
+    is_attributable: bool
+
+
+def isolate(run: Run, worker: PoolWorker, now_ms: int) -> None:
+    """Isolate a suspect's run that is about to start on the worker."""
+    task = run.task
+    longest_ms = max((crash.age_ms for crash in task.crashes), default=0)
+    run.suspect_until_ms = now_ms + min(MAX_SUSPECT_MS, longest_ms + AGE_MARGIN_MS)
+    if task.is_prime_suspect:
+        isolation_ms = min(MAX_SUSPECT_MS, longest_ms + ISOLATION_MARGIN_MS)
+        worker.isolate(run, now_ms + isolation_ms)
+
+
+def record_crash(crash: WorkerCrash) -> list[Task]:
+    """Add a crash to the tasks that ran there; return those that are to be given up."""
+    runs = {run.task: run for run in crash.runs if run.task.is_open}
+    culprits = {
+        task
+        for task, run in runs.items()
+        if crash.is_attributable and _is_culprit(run, crash)
+    }
+    youngest_ms = _youngest_ms(crash)
+    for task, run in runs.items():
+        oldest_ms = crash.at_ms - CRASH_MEMORY_MS
+        age_ms = max(0, crash.at_ms - run.sent_at_ms)
+        is_youngest = run.sent_at_ms >= youngest_ms
+        task.step.has_suspects = True
+        task.crashes = (
+            *(earlier for earlier in task.crashes if earlier.at_ms > oldest_ms),
+            TaskCrash(crash.worker, crash.at_ms, age_ms, is_youngest),
+        )
+    return [t for t in runs if t in culprits or len(t.crashes) >= MAX_CRASHES]
+
+
+def _is_culprit(run: Run, crash: WorkerCrash) -> bool:
+    """Return whether a suspect's run is the only likely cause of a further crash."""
+    if not _is_live_suspect(run, crash.at_ms):
+        return False
+    job = run.task.step.job
+    others = [other for other in crash.runs if other.task.step.job is not job]
+    return not any(_is_rival(other, run, crash) for other in others)
+
+
+def _is_live_suspect(run: Run, at_ms: int) -> bool:
+    return at_ms <= run.suspect_until_ms
+
+
+def _is_rival(other: Run, run: Run, crash: WorkerCrash) -> bool:
+    """Return whether another run is about as likely to have caused the crash."""
+    if other.sent_at_ms >= min(run.sent_at_ms, _youngest_ms(crash)):
+        return True
+    return other.task.is_prime_suspect and _is_live_suspect(other, crash.at_ms)
+
+
+def _youngest_ms(crash: WorkerCrash) -> int:
+    """Return from when on a run's start may have caused the crash.
+
+    Orders that were sent after the last answer may have found the worker crashed.
+    """
+    last_sent_ms = max((run.sent_at_ms for run in crash.runs), default=0)
+    return min(last_sent_ms, crash.last_answer_ms) - YOUNGEST_MS
+
+
+def has_common_cause(
+    worker: PoolWorker, at_ms: int, workers: Iterable[PoolWorker]
+) -> bool:
+    """Return whether a worker fell silent together with its rack or failure domain."""
+    everyone = list(workers)
+    rack = [w for w in everyone if w.entry.rack and w.entry.rack == worker.entry.rack]
+    zone = [w for w in everyone if w.entry.zone == worker.entry.zone]
+    return any(_fell_silent_together(group, worker, at_ms) for group in (rack, zone))
+
+
+def _fell_silent_together(
+    group: Sequence[PoolWorker], worker: PoolWorker, at_ms: int
+) -> bool:
+    silent = [
+        w
+        for w in group
+        if w is worker
+        or abs((w.silent_since_ms or w.crashed_at_ms) - at_ms) <= COMMON_CAUSE_MS
+    ]
+    return len(silent) > 1 and 2 * len(silent) > len(group)
--- a/packages/savorylead/savorylead/pools/_planning_pass.py
+++ b/packages/savorylead/savorylead/pools/_planning_pass.py
@@ -68,6 +68,10 @@
         self._ending: dict[str, Resources] = {}
         #: Tasks placed in this pass, by step name and worker.
         self.placed_counts: dict[tuple[str, str], int] = {}
+        #: Ids of the jobs with tasks placed in this pass, by worker.
+        self._jobs_placed: dict[str, set[str]] = {}
+        #: Workers on which a prime suspect was placed in this pass, and its job's id.
+        self._isolated: dict[str, str] = {}
         #: Free resources that pending advice requests already cover, by worker.
         self.requested: dict[str, Resources] = {}
         #: Reserved workers, and when each should be free for its reservation.
@@ -121,6 +125,18 @@
         self.free_cores -= held.cores_milli
         key = (step.name, worker.id)
         self.placed_counts[key] = self.placed_counts.get(key, 0) + 1
+        self._jobs_placed.setdefault(worker.id, set()).add(step.job.id)
+
+    def isolate(self, worker: PoolWorker, step: StepRun) -> None:
+        """Place no more tasks of other jobs where a prime suspect starts."""
+        self._isolated[worker.id] = step.job.id
+
+    def is_isolated_from(self, worker: PoolWorker, step: StepRun) -> bool:
+        """Return whether no new run or prime suspect of other jobs is there."""
+        placed = self._jobs_placed.get(worker.id, set())
+        return placed <= {step.job.id} and not worker.hosts_other_suspects(
+            step.job, self.now_ms
+        )
 
     def release(self, worker: PoolWorker, step: StepRun) -> None:
         """Undo ``allocate``."""
@@ -146,6 +162,8 @@
 
     def has_capacity(self, worker: PoolWorker, step: StepRun) -> bool:
         """Return whether one more task of the step fits on the worker now."""
+        if self._isolated.get(worker.id, step.job.id) != step.job.id:
+            return False
         if not reservation_of(step).fits(self.free[worker.id]):
             return False
         bound = step.spec.max_per_worker
@@ -235,15 +253,38 @@
     free = state.free[worker.id]
     remote = float(bool(spec.data_rack) and worker.entry.rack != spec.data_rack)
     cold = float(worker.is_cold(state.now_ms))
+    risky = float(worker.hosts_other_suspects(step.job, state.now_ms))
     if spec.fills:
         remaining = free.cores_milli - worker.filler_demand_milli()
-        return (remote, cold, float(worker.serves()), -remaining)
+        return (remote, cold, risky, float(worker.serves()), -remaining)
     if spec.long_running:
         of_same_step = worker.count_of(step) + state.placed_counts.get(
             (step.name, worker.id), 0
         )
         disturbed = float(worker.filler_demand_milli() > 0)
-        return (remote, cold, of_same_step, disturbed, -free.cores_milli)
+        return (remote, cold, risky, of_same_step, disturbed, -free.cores_milli)
     # Best fit: the least capacity remains, which leaves other workers for large tasks.
     remaining = free.minus(reservation_of(step))
-    return (remote, cold, remaining.dominant_share(worker.entry.capacity))
+    return (remote, cold, risky, remaining.dominant_share(worker.entry.capacity))
+
+
+def choose_worker(
+    state: PlanningPass, task: Task, usable: Sequence[PoolWorker], must_isolate: bool
+) -> PoolWorker | None:
+    """Return the best of the workers that have capacity for a task.
+
+    A prime suspect starts apart from those of other jobs, and where a crash would hit
+    the fewest jobs. If ``must_isolate``, it waits rather than start beside them.
+    """
+    step = task.step
+    if not task.is_prime_suspect:
+        return min(usable, key=lambda w: suitability(state, step, w), default=None)
+    if must_isolate:
+        usable = [w for w in usable if state.is_isolated_from(w, step)]
+
+    def rank(worker: PoolWorker) -> tuple[float, ...]:
+        shared = float(not state.is_isolated_from(worker, step))
+        exposed = len({run.task.step.job.id for run in worker.runs.values()})
+        return (shared, exposed, *suitability(state, step, worker))
+
+    return min(usable, key=rank, default=None)
--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -25,6 +25,7 @@
     Plan,
     PlannedGang,
     PlanningPass,
+    choose_worker,
     copies_that_fit,
     could_ever_hold,
     could_start,
@@ -118,11 +119,14 @@
         )
         state.plan.turns.extend(new_turns)
         ranked.sort(key=lambda row: steps[row[1]] not in with_turn)
+        handled = self._place_prime_suspects(
+            state, [steps[index] for _, index in ranked], limits_left, team_limit_left
+        )
         for urgency, index in ranked:
             step = steps[index]
             if not may_place(step):
                 continue
-            waiting = step.waiting()
+            waiting = [task for task in step.waiting() if task not in handled]
             queue = queues[step.job.record.queue]
             team = step.job.record.team
             if team not in limits_left:
@@ -181,6 +185,35 @@
                 )
         return state.plan
 
+    def _place_prime_suspects(
+        self,
+        state: PlanningPass,
+        steps: Sequence[StepRun],
+        limits_left: dict[str, Resources | None],
+        team_limit_left: Callable[[str], Resources | None],
+    ) -> set[Task]:
+        """Place prime suspects before all other tasks, outside gangs.
+
+        Later in the pass each worker with free capacity may have got other tasks, which
+        would be as likely a cause of a crash. Returns the suspects that were placed or
+        wait for a worker on which they are isolated.
+        """
+        handled = set()
+        for step in steps:
+            if not step.has_suspects or step.spec.gang:
+                continue
+            primes = [task for task in step.waiting() if task.is_prime_suspect]
+            if not primes:
+                continue
+            team = step.job.record.team
+            if team not in limits_left:
+                limits_left[team] = team_limit_left(team)
+            candidates = self._candidates(state, step, is_starved=False)
+            for task in primes:
+                if self._place_each(state, step, [task], candidates, limits_left, 0):
+                    handled.add(task)
+        return handled
+
     def _urgency(
         self, step: StepRun, queues: Mapping[str, Queue], now_ms: int
     ) -> Urgency:
@@ -294,11 +327,15 @@
         limits_left: dict[str, Resources | None],
         min_free_milli: int,
     ) -> int:
-        """Place tasks independently; return how many were placed."""
+        """Place tasks independently; return how many need no further capacity.
+
+        These are the placed ones, and prime suspects that wait for a worker on which
+        they are isolated.
+        """
         tickets = self._usable_tickets(state, step, candidates)
         team = step.job.record.team
         held = reservation_of(step)
-        placed = 0
+        placed = to_isolate = 0
         for task in waiting:
             if (
                 state.free_cores - held.cores_milli < min_free_milli
@@ -308,35 +345,37 @@
             limit_left = limits_left[team]
             if limit_left is not None and not step.spec.resources.fits(limit_left):
                 break
-            worker = self._best_worker(state, step, candidates, tickets)
-            if worker is None:
+            usable = self._with_capacity(state, step, candidates, tickets)
+            if not usable:
                 break
+            worker = choose_worker(state, task, usable, must_isolate=True)
+            if worker is None:
+                to_isolate += 1
+                continue
             state.allocate(worker, step)
+            if task.is_prime_suspect:
+                state.isolate(worker, step)
             if limit_left is not None:
                 limits_left[team] = limit_left.minus(step.spec.resources)
             ticket = tickets[worker.id] if tickets is not None else ""
             state.plan.placements.append(Placement(task, worker, ticket))
             placed += 1
-        return placed
+        return placed + to_isolate
 
-    def _best_worker(
+    def _with_capacity(
         self,
         state: PlanningPass,
         step: StepRun,
         candidates: Sequence[PoolWorker],
         tickets: Mapping[str, str] | None,
-    ) -> PoolWorker | None:
-        best = None
-        best_rank = None
-        for worker in candidates:
-            if tickets is not None and worker.id not in tickets:
-                continue
-            if not state.has_capacity(worker, step):
-                continue
-            rank = suitability(state, step, worker)
-            if best_rank is None or rank < best_rank:
-                best, best_rank = worker, rank
-        return best
+    ) -> list[PoolWorker]:
+        """Return the workers on which one more task of the step may start."""
+        return [
+            worker
+            for worker in candidates
+            if (tickets is None or worker.id in tickets)
+            and state.has_capacity(worker, step)
+        ]
 
     def _place_gang(
         self,
@@ -375,7 +414,9 @@
     ) -> list[Placement] | None:
         chosen: list[Placement] = []
         for task in waiting:
-            worker = self._best_worker(state, step, group, tickets)
+            usable = self._with_capacity(state, step, group, tickets)
+            # A gang needs many workers at once, so it is isolated only by preference.
+            worker = choose_worker(state, task, usable, must_isolate=False)
             if worker is None:
                 for placement in chosen:
                     state.release(placement.worker, step)
@@ -383,6 +424,9 @@
             state.allocate(worker, step)
             ticket = tickets[worker.id] if tickets is not None else ""
             chosen.append(Placement(task, worker, ticket))
+        for placement in chosen:
+            if placement.task.is_prime_suspect:
+                state.isolate(placement.worker, step)
         return chosen
 
     def _is_blocked_by_limit(
--- a/packages/savorylead/savorylead/pools/_pool_worker.py
+++ b/packages/savorylead/savorylead/pools/_pool_worker.py
@@ -4,7 +4,7 @@
 
 import math
 
-from savorylead.jobs import Run, StepRun
+from savorylead.jobs import Job, Run, StepRun
 from savorylead.resources import ZERO, Resources
 
 from ._contracts import WorkerEntry
@@ -53,6 +53,14 @@
         self.is_leaving = not entry.accepting
         #: Since when it does not answer, in Unix milliseconds; 0 while it does.
         self.silent_since_ms = 0
+        #: When it last answered a call, in Unix milliseconds; 0 for never.
+        self.last_answer_ms = 0
+        #: When its last crash that is known happened, in Unix milliseconds; 0 for none.
+        self.crashed_at_ms = 0
+        #: Until when nothing else starts beside a suspect that it runs.
+        self.isolated_until_ms = 0
+        #: Until when it may have a prime suspect's run that is not cleared yet.
+        self._suspect_until_ms = 0
         #: Until when its tasks are slow after a start or an evacuation.
         self.cold_until_ms = 0
         #: Runs that may be active on it, by task name and run number.
@@ -80,6 +88,11 @@
         """Return whether its tasks are slow after a start or an evacuation."""
         return now_ms < self.cold_until_ms
 
+    def note_answer(self, now_ms: int) -> None:
+        """Record that it answered a call."""
+        self.last_answer_ms = now_ms
+        self.silent_since_ms = 0
+
     def note_silent(self, now_ms: int) -> None:
         """Record that it did not answer a call."""
         self.silent_since_ms = self.silent_since_ms or now_ms
@@ -93,7 +106,21 @@
         is_ready = self.usable and self.listed and self.accepts_tasks
         if not is_ready or self.unknown_runs:
             return math.inf
-        return float(self.quarantined_until_ms)
+        return float(max(self.quarantined_until_ms, self.isolated_until_ms))
+
+    def isolate(self, run: Run, until_ms: int) -> None:
+        """Start nothing else beside a prime suspect's run until then."""
+        self.isolated_until_ms = max(self.isolated_until_ms, until_ms)
+        self._suspect_until_ms = max(self._suspect_until_ms, run.suspect_until_ms)
+
+    def hosts_other_suspects(self, job: Job, now_ms: int) -> bool:
+        """Return whether a prime suspect of another job may be about to crash it."""
+        return now_ms < self._suspect_until_ms and any(
+            now_ms < run.suspect_until_ms
+            and run.task.is_prime_suspect
+            and run.task.step.job is not job
+            for run in self.runs.values()
+        )
 
     def add(self, run: Run) -> None:
         """Reserve the capacity of a run; does nothing if it is reserved already."""
