A restarted worker is used only by the entry of its new incarnation

What callers would see: starts over a worker's capacity (LIMIT), or on a worker without the required label, for up to a heartbeat after it restarted under its id.

Cause: a lead took a restarted worker into use with its first report, by the entry that it had read of the former incarnation. A new incarnation may be of another kind, and its entry is rewritten only with its next heartbeat, 1.5 s later.

Change: nothing starts on a worker whose entry has another start of its incarnation than its reports. A lead polls a worker at once whose entry tells of a new incarnation.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -164,6 +164,9 @@
         # counts from when it was first read.
         if entry.cold_remaining_ms != worker.entry.cold_remaining_ms:
             worker.cold_until_ms = self._state.now_ms() + entry.cold_remaining_ms
+        if entry.incarnation_start_ms != worker.entry.incarnation_start_ms:
+            # An idle worker is polled rarely, and may have restarted meanwhile.
+            self._state.sessions[entry.id].poll_soon()
         worker.entry = entry
         worker.is_leaving = not entry.accepting
         worker.evacuated = entry.zone in self._evacuated
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -395,6 +395,7 @@
         self.worker.note_answer(to_millis(self._clock.now()))
         self._lapsed = []
         self._incarnation_start_ms = report.incarnation_start_ms
+        self.worker.answering_incarnation_ms = report.incarnation_start_ms
         self._worker_clock.update(report.clock_ms)
 
     def _note_restart(self, report: WorkerReport) -> None:
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_machine.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_machine.py
@@ -98,9 +98,8 @@
 
     def _return(self, is_new_worker: bool) -> None:
         self.is_cut = False
-        if is_new_worker:
-            self.is_replaced = True
-            self._owner.returned(self)
+        self.is_replaced = is_new_worker
+        self._owner.returned(self)
 
     def expire(self) -> None:
         """End all runs if the lease has expired."""
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
@@ -74,7 +74,7 @@
         #: worker at its address rather than under its own id.
         self.crash_duration = timedelta(seconds=3.2)
         self.returns_as_new = True
-        #: Called with the entry of each worker that crashes or returns as a new one.
+        #: Called with the entry of each worker that crashes, and of each that returns.
         self.on_crash: Callable[[WorkerEntry], None] = lambda _: None
         self.on_return: Callable[[WorkerEntry], None] = lambda _: None
         #: Ids of the workers that crashed, in order.
@@ -142,11 +142,12 @@
             self._done.pop(str(ended.task), None)
 
     def returned(self, machine: MemoryMachine) -> None:
-        """Add the worker that follows a crashed one at its address."""
+        """Register a crashed worker, or add the one that follows it at its address."""
         entry = machine.entry
-        follower = entry._replace(id=f"{entry.id}+")
-        self.add(follower)
-        self.on_return(follower)
+        if machine.is_replaced:
+            entry = entry._replace(id=f"{entry.id}+")
+            self.add(entry)
+        self.on_return(entry)
 
     def gang_joined(self, machine: MemoryMachine, order: RunOrder) -> None:
         """Begin a gang's work once all its members have started."""
--- a/packages/savorylead/savorylead/pools/_planning_pass.py
+++ b/packages/savorylead/savorylead/pools/_planning_pass.py
@@ -12,6 +12,10 @@
 from ._advice import AdviceRequest, AdviceSlots
 from ._pool_worker import PoolWorker, reservation_of
 
+#: Age up to which a run is as likely to crash its worker as one that starts now, in
+#: milliseconds.
+NEW_RUN_MS = 60
+
 
 class Placement(NamedTuple):
     """A task to start on a worker."""
@@ -133,9 +137,12 @@
 
     def is_isolated_from(self, worker: PoolWorker, step: StepRun) -> bool:
         """Return whether no new run or prime suspect of other jobs is there."""
-        placed = self._jobs_placed.get(worker.id, set())
-        return placed <= {step.job.id} and not worker.hosts_other_suspects(
-            step.job, self.now_ms
+        if self._jobs_placed.get(worker.id, set()) - {step.job.id}:
+            return False
+        began_after_ms = self.now_ms - NEW_RUN_MS
+        return not worker.hosts_other_suspects(step.job, self.now_ms) and not any(
+            run.sent_at_ms > began_after_ms and run.task.step.job is not step.job
+            for run in worker.runs.values()
         )
 
     def release(self, worker: PoolWorker, step: StepRun) -> None:
@@ -284,7 +291,10 @@
 
     def rank(worker: PoolWorker) -> tuple[float, ...]:
         shared = float(not state.is_isolated_from(worker, step))
-        exposed = len({run.task.step.job.id for run in worker.runs.values()})
-        return (shared, exposed, *suitability(state, step, worker))
+        runs = worker.runs.values()
+        # A service is missed by its own users from the crash on.
+        services = sum(run.task.step.spec.long_running for run in runs)
+        jobs = len({run.task.step.job.id for run in runs})
+        return (shared, services, jobs, *suitability(state, step, worker))
 
     return min(usable, key=rank, default=None)
--- a/packages/savorylead/savorylead/pools/_pool_worker.py
+++ b/packages/savorylead/savorylead/pools/_pool_worker.py
@@ -44,6 +44,8 @@
         #: Whether this lead has read it in the platform's list. An entry recorded by an
         #: earlier lead may predate the notice that the worker is leaving.
         self.listed = False
+        #: Start of the incarnation that answers, in Unix milliseconds; 0 if unknown.
+        self.answering_incarnation_ms = 0
         #: Whether it answers and its runs are known.
         self.usable = False
         #: Whether operators have ordered its failure domain to be evacuated: its runs
@@ -104,10 +106,20 @@
     def may_start_at_ms(self) -> float:
         """Return the time from which tasks may start on it; infinite if unknown."""
         is_ready = self.usable and self.listed and self.accepts_tasks
-        if not is_ready or self.unknown_runs:
+        if not is_ready or self.unknown_runs or not self._is_entry_current():
             return math.inf
         return float(max(self.quarantined_until_ms, self.isolated_until_ms))
 
+    def _is_entry_current(self) -> bool:
+        """Return whether its entry describes the incarnation that answers.
+
+        A worker that has restarted under its id may have another capacity or label, and
+        its entry is rewritten only with its next heartbeat.
+        """
+        listed_ms = self.entry.incarnation_start_ms
+        answering_ms = self.answering_incarnation_ms
+        return not listed_ms or not answering_ms or listed_ms == answering_ms
+
     def isolate(self, run: Run, until_ms: int) -> None:
         """Start nothing else beside a prime suspect's run until then."""
         self.isolated_until_ms = max(self.isolated_until_ms, until_ms)
