Suspects: recorded runs that nobody reports, shared causes, a bounded wait

- A new lead kept a recorded run for ever if its worker never answered it, so the task did not start again.
Such runs are over once the former lead's leases are.
- A prime suspect could wait without a bound for a worker without new runs, in a pool of one busy worker.
It waits until 6 s after the crash.
Workers that a suspect explains no longer count, unless the whole rack or domain failed.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -221,6 +221,9 @@
         sessions = [self._state.sessions.get(w) for w in self._to_locate]
         if not any(s is not None and self._may_have_unknown_runs(s) for s in sessions):
             self._located = True
+            for session in sessions:
+                if session is not None and not session.claimed:
+                    session.note_former_lease_over()
             self._log.log_event(
                 LogLevel.INFO,
                 "runs_located",
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
@@ -169,6 +169,10 @@
             # Its record may not be read yet; until then its resources are unknown.
             worker.unknown_runs += 1
             return
+        former = task.run
+        if former is not None and former.is_presumed and former.number < active.number:
+            # No lead starts a run before the previous one of the task is over.
+            self._state.free(former)
         run = Run(task, active.number, worker.id, self._state.now_ms())
         run.adopted = True
         run.confirmed_at_ms = self._state.now_ms()
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -443,6 +443,13 @@
         self._lapsed = []
         self._owner.worker_ended(self, runs, is_certain=True)
 
+    def note_former_lease_over(self) -> None:
+        """Record that runs of former leads are over on a worker that never answered."""
+        runs = list(self.worker.runs.values())
+        if runs:
+            self._lapsed += runs
+            self._owner.lost(self, runs, "worker_lease_lapsed")
+
     def note_gone(self) -> None:
         """Report that a silent worker is no longer listed, so it may have crashed."""
         lapsed, self._lapsed = self._lapsed, []
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_crashing_tasks.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_crashing_tasks.py
@@ -224,3 +224,33 @@
     assert given_up["crashes"] == len(cell.workers.crashed_workers)
     node = cell.nodes[cell.lead_of()]
     assert node.crash_counts.given_up == {"pool": 1}
+
+
+def test_a_new_lead_does_not_wait_for_ever_for_a_recorded_run() -> None:
+    # The record tells of a suspect's run on a worker that crashed and stays away.
+    cell = cell_with_crashes(workers=8)
+    cell.submit(CRASHING_JOB, job_spec())
+    run_until_starts(cell, 1)
+    cell.workers.crashes_after = lambda _: None
+    cell.workers.duration_of = lambda _: timedelta(seconds=2)
+    run_until_starts(cell, 2)
+    second = cell.workers.records[-1].worker
+    cell.workers.crash_duration = timedelta(seconds=60)
+    machine = cell.workers.machines[second]
+    machine.crash_and_return(timedelta(seconds=60), is_new_worker=True)
+    kill_lead(cell)
+    cell.run(20.0)
+    assert starts_of(cell) == 3
+    assert state_of(cell, CRASHING_JOB) is JobState.COMPLETED
+
+
+def test_suspects_start_in_a_pool_of_one_busy_worker() -> None:
+    cell = cell_with_crashes(workers=1, crashing=lambda _: False)
+    jobs = submit_innocent_jobs(cell, 4)
+    cell.run(0.2)
+    machine = cell.workers.machines["w0"]
+    machine.crash_and_return(timedelta(seconds=3), is_new_worker=False)
+    for number in range(100):
+        submit_innocent_jobs(cell, 1, job_spec(), f"more{number}-")
+        cell.run(0.1)
+    assert {state_of(cell, job) for job in jobs} == {JobState.COMPLETED}
--- a/packages/savorylead/savorylead/jobs/_job.py
+++ b/packages/savorylead/savorylead/jobs/_job.py
@@ -88,6 +88,11 @@
         #: Until when it may be about to crash its worker; 0 if it is no suspect.
         self.suspect_until_ms = 0
 
+    @property
+    def is_presumed(self) -> bool:
+        """Whether it is only known from the record of an earlier lead."""
+        return self.adopted and not self.confirmed_at_ms
+
 
 class Task:
     """One task of a step's occurrence."""
--- a/packages/savorylead/savorylead/pools/_crash_blame.py
+++ b/packages/savorylead/savorylead/pools/_crash_blame.py
@@ -38,7 +38,8 @@
 #: Longest time for which a run stays a suspect, in milliseconds.
 MAX_SUSPECT_MS = 30_000
 #: Workers of one rack or failure domain that fall silent within this time of each
-#: other, in milliseconds, have a common cause if they are more than half of it.
+#: other, in milliseconds, have a common cause if they are all of it, or if those that
+#: no suspect can have crashed are more than half of it.
 COMMON_CAUSE_MS = 1_000
 
 
@@ -132,7 +133,12 @@
     silent = [
         w
         for w in group
-        if w is worker
-        or abs((w.silent_since_ms or w.crashed_at_ms) - at_ms) <= COMMON_CAUSE_MS
+        if w is worker or abs(w.last_outage_ms - at_ms) <= COMMON_CAUSE_MS
     ]
-    return len(silent) > 1 and 2 * len(silent) > len(group)
+    if len(silent) < 2:
+        return False
+    # A worker with a suspect may have crashed by itself, unless all have failed.
+    unexplained = [
+        w for w in silent if w is worker or not w.may_host_suspect(w.last_outage_ms)
+    ]
+    return len(silent) == len(group) or 2 * len(unexplained) > len(group)
--- a/packages/savorylead/savorylead/pools/_planning_pass.py
+++ b/packages/savorylead/savorylead/pools/_planning_pass.py
@@ -15,6 +15,9 @@
 #: Age up to which a run is as likely to crash its worker as one that starts now, in
 #: milliseconds.
 NEW_RUN_MS = 60
+#: A prime suspect waits until it can be isolated for at most this long after the crash,
+#: in milliseconds. The crash itself is known only after three to four seconds.
+ISOLATION_WAIT_MS = 6_000
 
 
 class Placement(NamedTuple):
@@ -281,12 +284,12 @@
     """Return the best of the workers that have capacity for a task.
 
     A prime suspect starts apart from those of other jobs, and where a crash would hit
-    the fewest jobs. If ``must_isolate``, it waits rather than start beside them.
+    the fewest jobs. If ``must_isolate``, it rather waits a while.
     """
     step = task.step
     if not task.is_prime_suspect:
         return min(usable, key=lambda w: suitability(state, step, w), default=None)
-    if must_isolate:
+    if must_isolate and state.now_ms < task.crashes[-1].at_ms + ISOLATION_WAIT_MS:
         usable = [w for w in usable if state.is_isolated_from(w, step)]
 
     def rank(worker: PoolWorker) -> tuple[float, ...]:
--- a/packages/savorylead/savorylead/pools/_pool_worker.py
+++ b/packages/savorylead/savorylead/pools/_pool_worker.py
@@ -90,6 +90,11 @@
         """Return whether its tasks are slow after a start or an evacuation."""
         return now_ms < self.cold_until_ms
 
+    @property
+    def last_outage_ms(self) -> int:
+        """When it fell silent, or crashed the last time, in Unix milliseconds."""
+        return self.silent_since_ms or self.crashed_at_ms
+
     def note_answer(self, now_ms: int) -> None:
         """Record that it answered a call."""
         self.last_answer_ms = now_ms
@@ -125,9 +130,13 @@
         self.isolated_until_ms = max(self.isolated_until_ms, until_ms)
         self._suspect_until_ms = max(self._suspect_until_ms, run.suspect_until_ms)
 
+    def may_host_suspect(self, at_ms: int) -> bool:
+        """Return whether a prime suspect may have been about to crash it then."""
+        return at_ms < self._suspect_until_ms
+
     def hosts_other_suspects(self, job: Job, now_ms: int) -> bool:
         """Return whether a prime suspect of another job may be about to crash it."""
-        return now_ms < self._suspect_until_ms and any(
+        return self.may_host_suspect(now_ms) and any(
             now_ms < run.suspect_until_ms
             and run.task.is_prime_suspect
             and run.task.step.job is not job
--- a/packages/savorylead/savorylead/pools/tests/test_crash_blame.py
+++ b/packages/savorylead/savorylead/pools/tests/test_crash_blame.py
@@ -148,6 +148,9 @@
         (("a1", "a2"), ("a1", "a2", "a3", "a4", "b1", "b2", "b3"), False),
         (("a1",), ("a1", "b1", "b2"), False),
         (("a1", "b1", "b2"), ("a1", "a2", "b1", "b2", "b3"), True),
+        # Workers whose names end with "!" run a suspect that may have crashed them.
+        (("a1", "a2!", "a3!"), ("a1", "a2!", "a3!", "a4", "b1", "b2", "b3"), False),
+        (("a1", "a2!", "a3!"), ("a1", "a2!", "a3!", "b1", "b2", "b3", "b4"), True),
     ],
 )
 def test_a_rack_or_domain_that_falls_silent_has_a_common_cause(
@@ -156,5 +159,8 @@
     workers = {name: worker(name, rack=name[0]) for name in listed}
     for name in silent:
         workers[name].note_silent(CRASH_AT_MS)
+        if name.endswith("!"):
+            suspect = task_of("suspect", earlier_crashes=1)
+            isolate(Run(suspect, 2, name, 0), workers[name], CRASH_AT_MS - 10)
     first = workers[silent[0]]
     assert has_common_cause(first, CRASH_AT_MS, workers.values()) is is_common
