explain names the task that crashed the workers, to its job and to those beside it

What users saw: explain closed with "a worker could not be reached" for a job whose task had crashed twelve workers, and named neither the task nor the workers.

Change: where a task was given up that crashed a worker of the subject, explain names it, how many workers crashed under it, and which; otherwise worker_crashed counts as trouble. A task's explanation shows what befell its workers, as a job's does.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -91,8 +91,8 @@
     Switch(
         "health",
         f"{_PLANNING}/_pool_worker.py",
-        "        return float(self.quarantined_until_ms)",
-        "        return 0.0",
+        "        return float(max(self.quarantined_until_ms, self.isolated_until_ms))",
+        "        return float(self.isolated_until_ms)",
     ),
     Switch(
         "early-hand-over",
--- a/packages/savorylead-ctl/savorylead_ctl/explain/_explanation.py
+++ b/packages/savorylead-ctl/savorylead_ctl/explain/_explanation.py
@@ -38,6 +38,9 @@
     "worker_unreachable": "a worker could not be reached",
     "worker_reborn": "a worker had restarted and lost its tasks",
     "worker_gone": "a worker was removed",
+    "worker_crashed": "a worker crashed with the runs on it",
+    "worker_left": "a worker ended as it had announced, with the runs on it",
+    "suspects_unwritten": "crashes of workers could not be made durable in time",
     "worker_replaced": "another worker answered at a worker's address",
     "worker_leaving": "a worker was leaving",
     "worker_rested": "a worker failed consecutive tasks and was suspended",
@@ -94,7 +97,9 @@
         if id(line) in direct_ids
         or (start <= line.time <= end and _is_related(line, subject))
     ]
-    for line in related:
+    # The crashes before it are consequences of the task that was given up.
+    given_up = [line for line in related if line.event == "job_given_up"]
+    for line in (*given_up, *related):
         meaning = _describe_problem(line)
         if meaning:
             return Explanation(related, line, meaning)
@@ -112,7 +117,8 @@
 
 def _subject(direct: Sequence[LogLine], name: str) -> Subject:
     is_job = any(line.details.get("job") == name for line in direct)
-    fields = ("pool", "team", "worker") if is_job else ()
+    is_task = any(line.details.get("task_name") == name for line in direct)
+    fields = ("pool", "team", "worker") if is_job else ("worker",) if is_task else ()
     related = {
         str(line.details[field])
         for line in direct
@@ -124,6 +130,9 @@
 
 def _is_related(line: LogLine, subject: Subject) -> bool:
     """Return whether a line that does not mention the subject may be related to it."""
+    if line.event == "job_given_up":
+        # Its task crashed a worker that the subject's tasks ran on.
+        return not subject.related.isdisjoint(line.details.get("crashed_workers", []))
     if not subject.related or "job" in line.details:
         return False
     if line.event in CELL_EVENTS and "pool" not in line.details:
@@ -146,6 +155,12 @@
         return f"{details.get('task_name')} on {where}: {outcome or 'no outcome'}"
     if line.event == "advice" and details.get("allowed") == 0:
         return f"the policy allows {details.get('step')} on none of the given workers"
+    if line.event == "job_given_up":
+        workers = details.get("crashed_workers", [])
+        return (
+            f"{details.get('task_name')} was given up, and its job failed: "
+            f"{len(workers)} workers crashed under it ({', '.join(map(str, workers))})"
+        )
     if line.event == "job_ended" and details.get("state") == "failed":
         return "the job failed"
     return PROBLEM_EVENTS.get(line.event, "")
--- a/packages/savorylead-ctl/savorylead_ctl/tests/test_explain.py
+++ b/packages/savorylead-ctl/savorylead_ctl/tests/test_explain.py
@@ -110,6 +110,51 @@
     assert capsys.readouterr().out.rstrip().endswith(meaning)
 
 
+CRASHED = line(
+    5.0, "edge-1", "worker_crashed", worker="w1", pool="pool", task_runs=[f"{TASK}/1"]
+)
+
+
+def given_up(job: str) -> str:
+    return line(
+        9.0,
+        "edge-1",
+        "job_given_up",
+        job=job,
+        task_name=f"{job}.0.0.0",
+        crashed_workers=["w1", "w7"],
+    )
+
+
+@pytest.mark.parametrize(
+    ("subject", "guilty"),
+    [(JOB, JOB), (TASK, JOB), ("w1", JOB), (JOB, "another")],
+    ids=["the job", "its sibling", "the worker", "a job beside it"],
+)
+def test_a_task_that_crashes_its_workers_is_named_as_the_cause(
+    tmp_path, capsys, subject, guilty
+):
+    unreachable = line(4.9, "edge-1", "worker_unreachable", worker="w1")
+    last = line(
+        9.5, "edge-1", "task_end", job=JOB, task_name=TASK, worker="w1", outcome="done"
+    )
+    text = "\n".join(
+        [ACCEPTED, TAKEN, STARTED, unreachable, CRASHED, given_up(guilty), last]
+    )
+    explain(tmp_path, subject, text)
+    expected = (
+        f"{guilty}.0.0.0 was given up, and its job failed: "
+        "2 workers crashed under it (w1, w7)"
+    )
+    assert capsys.readouterr().out.rstrip().endswith(expected)
+
+
+def test_a_job_beside_a_crash_without_a_culprit_names_the_crash(tmp_path, capsys):
+    explain(tmp_path, JOB, "\n".join([ACCEPTED, TAKEN, STARTED, CRASHED, ENDED]))
+    out = capsys.readouterr().out.rstrip()
+    assert out.endswith("a worker crashed with the runs on it")
+
+
 @pytest.mark.parametrize(
     "unrelated",
     [
