A job does not fail for a start that may never have been

Cause: an order that got no answer counted as a crash under its task. It was sent in the moment in which another task crashed the worker, and never ran there (age 0 ms). With the task's own first crash this made two.

Change: a crash under a run whose start the worker never confirmed, whose lease had lapsed, or of a worker that is only presumed to have crashed, still makes the task a suspect and counts for the bound of four, but a task is given up at its second crash only if both are confirmed.

test_a_job_does_not_fail_for_a_start_that_may_not_have_been failed before.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_crash_tracker.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_crash_tracker.py
@@ -144,11 +144,9 @@
         if runs and not is_planned:
             if not is_certain:
                 self._presumed[worker.id] = worker.entry.incarnation_start_ms
-            is_attributable = is_certain and not is_shared
+            answered_ms = worker.last_answer_ms
             self._blame(
-                WorkerCrash(
-                    worker.id, worker.last_answer_ms, at_ms, runs, is_attributable
-                )
+                WorkerCrash(worker.id, answered_ms, at_ms, runs, is_certain, is_shared)
             )
 
     def note_listed(self, worker: PoolWorker) -> None:
--- a/packages/savorylead/savorylead/jobs/_crashes.py
+++ b/packages/savorylead/savorylead/jobs/_crashes.py
@@ -22,6 +22,9 @@
     #: Whether no run of the worker was clearly younger, which makes it the likeliest
     #: cause: most crashes come with the start.
     is_youngest: bool
+    #: Whether the worker certainly crashed, and had confirmed the run's start. An order
+    #: without an answer may have found the worker crashed.
+    is_confirmed: bool
 
 
 class IsolatedRun(NamedTuple):
@@ -49,6 +52,7 @@
     at_ms: int
     age_ms: int
     is_youngest: bool
+    is_confirmed: bool
 
 
 class _RunDocument(TypedDict):
--- a/packages/savorylead/savorylead/pools/_crash_blame.py
+++ b/packages/savorylead/savorylead/pools/_crash_blame.py
@@ -20,8 +20,9 @@
 
 from ._pool_worker import PoolWorker
 
-#: A task is given up after this many crashes, whatever else ran on the workers. The
-#: users allow two starts after the third crash; one of them may be unknown to a lead.
+#: A task is given up after this many crashes, whatever else ran on the workers and
+#: whether or not its runs were confirmed. Two starts after the third crash are allowed;
+#: one of them may be unknown to a lead.
 MAX_CRASHES = 4
 #: Crashes longer ago than this do not count, in milliseconds. A service that runs for
 #: months loses several workers, and caused none of these crashes.
@@ -52,9 +53,10 @@
     at_ms: int
     #: The runs that were or may have been on it.
     runs: Sequence[Run]
-    #: Whether a task may be the cause: False if the worker was only presumed to have
-    #: crashed, or if others failed with it for a common cause.
-    is_attributable: bool
+    #: Whether it is more than presumed.
+    is_certain: bool
+    #: Whether other workers failed with it, so that no task was the cause.
+    has_common_cause: bool
 
 
 def isolate(run: Run, worker: PoolWorker, now_ms: int) -> None:
@@ -73,7 +75,7 @@
     culprits = {
         task
         for task, run in runs.items()
-        if crash.is_attributable and _is_culprit(run, crash)
+        if not crash.has_common_cause and _is_culprit(run, crash)
     }
     youngest_ms = _youngest_ms(crash)
     for task, run in runs.items():
@@ -83,13 +85,22 @@
         task.step.has_suspects = True
         task.crashes = (
             *(earlier for earlier in task.crashes if earlier.at_ms > oldest_ms),
-            TaskCrash(crash.worker, crash.at_ms, age_ms, is_youngest),
+            TaskCrash(
+                crash.worker,
+                crash.at_ms,
+                age_ms,
+                is_youngest,
+                _is_confirmed(run, crash),
+            ),
         )
     return [t for t in runs if t in culprits or len(t.crashes) >= MAX_CRASHES]
 
 
 def _is_culprit(run: Run, crash: WorkerCrash) -> bool:
-    """Return whether a suspect's run is the only likely cause of a further crash."""
+    """Return whether a suspect's run is the only likely cause of a second crash."""
+    has_crashed = any(earlier.is_confirmed for earlier in run.task.crashes)
+    if not has_crashed or not _is_confirmed(run, crash):
+        return False
     if not _is_live_suspect(run, crash.at_ms):
         return False
     job = run.task.step.job
@@ -97,6 +108,13 @@
     return not any(_is_rival(other, run, crash) for other in others)
 
 
+def _is_confirmed(run: Run, crash: WorkerCrash) -> bool:
+    """Return whether the run was certainly on the worker when it crashed."""
+    # After its lease lapsed, a run is no longer its task's run.
+    is_current = run.task.run is run
+    return crash.is_certain and is_current and bool(run.confirmed_at_ms)
+
+
 def _is_live_suspect(run: Run, at_ms: int) -> bool:
     return at_ms <= run.suspect_until_ms
 
--- a/packages/savorylead/savorylead/pools/tests/test_crash_blame.py
+++ b/packages/savorylead/savorylead/pools/tests/test_crash_blame.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import pytest
@@ -34,7 +35,7 @@
     owner.open_due(0)
     task = owner.occurrences[0][0].tasks[0]
     task.crashes = tuple(
-        TaskCrash(f"earlier{number}", CRASH_AT_MS - 5_000, age_ms, True)
+        TaskCrash(f"earlier{number}", CRASH_AT_MS - 5_000, age_ms, True, True)
         for number in range(earlier_crashes)
     )
     return task
@@ -50,17 +51,18 @@
 def run_of(task: Task, age_ms: int) -> Run:
     """Return a run that is this old when its worker crashes."""
     sent_at_ms = CRASH_AT_MS - age_ms
-    run = Run(task, 1, "w", sent_at_ms)
+    run = task.run = Run(task, 1, "w", sent_at_ms)
+    run.confirmed_at_ms = sent_at_ms + 1
     if task.is_suspect:
         isolate(run, worker("w"), sent_at_ms)
     return run
 
 
-def crash(*runs: Run, is_attributable: bool = True, answered_ms: int = 0) -> list[str]:
+def crash(*runs: Run, answered_ms: int = 0, **changes: bool) -> list[str]:
     """Let the worker of the runs crash; return the jobs that are to be given up."""
     crashed = WorkerCrash(
-        "w", CRASH_AT_MS - answered_ms, CRASH_AT_MS, runs, is_attributable
-    )
+        "w", CRASH_AT_MS - answered_ms, CRASH_AT_MS, runs, True, False
+    )._replace(**changes)
     return [task.step.job.id for task in record_crash(crashed)]
 
 
@@ -69,7 +71,7 @@
 
     runs: tuple[tuple[str, int, int, int], ...]
     given_up: list[str]
-    is_attributable: bool = True
+    has_common_cause: bool = False
     #: How long before the crash the worker last answered, in milliseconds.
     answered_ms: int = 5
 
@@ -99,7 +101,7 @@
             Row((("a", 1, 3_000, 3_100),), ["a"]), id="at the same age, seconds old"
         ),
         pytest.param(
-            Row((("a", 1, 10, 12),), [], is_attributable=False), id="for a common cause"
+            Row((("a", 1, 10, 12),), [], has_common_cause=True), id="for a common cause"
         ),
         pytest.param(
             Row((("a", 1, 10, 110), ("b", 0, 0, 400)), [], answered_ms=390),
@@ -117,7 +119,7 @@
         for job, crashes, earlier_age_ms, age_ms in row.runs
     ]
     given_up = crash(
-        *runs, is_attributable=row.is_attributable, answered_ms=row.answered_ms
+        *runs, has_common_cause=row.has_common_cause, answered_ms=row.answered_ms
     )
     assert given_up == row.given_up
     for run, (_, earlier, _, age_ms) in zip(runs, row.runs, strict=True):
@@ -125,6 +127,39 @@
         assert run.task.crashes[-1].age_ms == age_ms
 
 
+def leave_unconfirmed(run: Run) -> None:
+    run.confirmed_at_ms = 0
+
+
+def let_lapse(run: Run) -> None:
+    run.task.run = None
+
+
+def forget_confirmation(run: Run) -> None:
+    [earlier] = run.task.crashes
+    run.task.crashes = (earlier._replace(is_confirmed=False),)
+
+
+@pytest.mark.parametrize(
+    ("change", "is_certain"),
+    [
+        (leave_unconfirmed, True),
+        (let_lapse, True),
+        (forget_confirmation, True),
+        (lambda run: None, False),
+    ],
+)
+def test_a_job_does_not_fail_for_a_start_that_may_not_have_been(
+    change: Callable[[Run], None], is_certain: bool
+) -> None:
+    # Regression: an order reached a worker that had just crashed. With one more crash
+    # the task was given up, although only one worker had crashed under it.
+    run = run_of(task_of("a", 1), 12)
+    change(run)
+    assert crash(run, is_certain=is_certain, answered_ms=5) == []
+    assert len(run.task.crashes) == 2
+
+
 def test_a_run_of_months_is_no_suspect_of_a_second_crash() -> None:
     month_ms = 30 * 24 * 3_600_000
     task = task_of("service", 1, age_ms=month_ms)
@@ -135,7 +170,8 @@
 def test_crashes_of_long_ago_are_forgotten() -> None:
     task = task_of("service")
     long_ago_ms = CRASH_AT_MS - CRASH_MEMORY_MS - 1
-    task.crashes = (TaskCrash("w", long_ago_ms, 10, True),) * (MAX_CRASHES - 1)
+    long_ago = TaskCrash("w", long_ago_ms, 10, True, True)
+    task.crashes = (long_ago,) * (MAX_CRASHES - 1)
     assert crash(run_of(task, 60_000)) == []
     assert len(task.crashes) == 1
 
