--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_crashing_tasks.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_crashing_tasks.py
@@ -10,6 +10,7 @@
 from savorylead.jobs import JobState
 from savorylead.resources import Resources
 from savorylead_standins.pools import PoolCell, job_spec
+from savorylead_standins.pools._pool_cell import WORKERS_PREFIX
 
 from .cell_cases import LoggedEvent
 from .crash_cases import (
@@ -112,7 +113,12 @@
 
 @pytest.mark.parametrize(
     ("happens", "times"),
-    [(crash_rack, 3), (cut_off, 5), (leave_as_announced, 5), (replace_evacuated, 5)],
+    [
+        (crash_rack, 3),
+        (cut_off, 5),
+        (leave_as_announced, 5),
+        (replace_evacuated, 5),
+    ],
     ids=lambda value: getattr(value, "__name__", str(value)),
 )
 def test_workers_that_end_for_other_causes_give_up_no_task(
@@ -127,6 +133,25 @@
     assert {state_of(cell, job) for job in jobs} == {JobState.COMPLETED}
 
 
+def test_a_task_whose_workers_are_cut_off_until_unlisted_is_not_given_up() -> None:
+    # Such a worker is presumed to have crashed, until it is listed as it was before.
+    cell = cell_with_crashes(crashing=lambda _: False)
+    cell.workers.duration_of = lambda _: timedelta(seconds=60)
+    cell.submit("one", job_spec())
+    for _ in range(5):
+        cell.run(1.0)
+        [machine] = [m for m in cell.workers.machines.values() if m.active]
+        machine.is_cut = True
+        cell.run(4.5)
+        cell.store.delete(WORKERS_PREFIX + machine.entry.id)
+        cell.run(5.0)
+        machine.is_cut = False
+        cell.list_worker(machine.entry)
+        cell.run(2.0)
+    assert state_of(cell, "one") is JobState.RUNNING
+    assert starts_of(cell, "one.0.0.0") == 6
+
+
 def kill_lead(cell: PoolCell) -> None:
     cell.kill(cell.lead_of())
 
