An unread end in a restarted worker is not acknowledged

Cause: the number up to which a poll acknowledges ends is that of the incarnation that the lead knows. A worker that restarts under its id counts from 1 again. The class is that of a sequence number used across an epoch.

Change: a poll beside another one, and each poll after a missed answer, acknowledges nothing. A restart breaks the connections, so the first poll after it is of one of these kinds, and its report tells of the new incarnation.

test_an_end_in_a_restarted_worker_is_not_released_unread failed before with two breaches and passes now.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -65,6 +65,9 @@
 MAY_ACT_CHECK_INTERVAL = timedelta(milliseconds=50)
 #: Longest interval between polls of an idle worker.
 IDLE_POLL_INTERVAL = timedelta(seconds=60)
+#: Releases no ends. A worker that has restarted numbers its ends from 1 again, so any
+#: other number may release ends of the new incarnation that were not read yet.
+_NOTHING_RELEASED = 0
 _NO_WAIT = timedelta(0)
 
 
@@ -234,7 +237,7 @@
             return
         requested_at_ms = to_millis(self._clock.now())
         try:
-            report = await self._hold(self._durable_end, None, _NO_WAIT)
+            report = await self._hold(_NOTHING_RELEASED, None, _NO_WAIT)
         except StaleFenceError:
             self._owner.superseded()
         except (WorkerError, WrongIncarnationError, WorkerUnhealthyError) as exc:
@@ -301,7 +304,7 @@
         deadline_ms = None
         if self._worker_clock.is_known and not self._misses:
             deadline_ms = self._worker_clock.extend_lease(WORKER_LEASE_MS)
-        report = await self._hold(0, deadline_ms, _NO_WAIT)
+        report = await self._hold(_NOTHING_RELEASED, deadline_ms, _NO_WAIT)
         self._is_renewed = deadline_ms is not None or not report.active
         self._note_report(report)
 
@@ -313,7 +316,7 @@
         if is_responsive and self.worker.runs:
             deadline_ms = self._worker_clock.extend_lease(WORKER_LEASE_MS)
         requested_at_ms = to_millis(self._clock.now())
-        released = self._durable_end
+        released = _NOTHING_RELEASED if self._misses else self._durable_end
         report = await self._hold(released, deadline_ms, self._wait())
         self._released_end = max(self._released_end, released)
         self._process(report, requested_at_ms)
