--- a/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
@@ -170,7 +170,8 @@
             worker.unknown_runs += 1
             return
         former = task.run
-        if former is not None and former.is_presumed and former.number < active.number:
+        is_earlier = former is not None and former.number < active.number
+        if former is not None and is_earlier and former.is_only_recorded:
             # No lead starts a run before the previous one of the task is over.
             self._state.free(former)
         run = Run(task, active.number, worker.id, self._state.now_ms())
--- a/packages/savorylead/savorylead/jobs/_job.py
+++ b/packages/savorylead/savorylead/jobs/_job.py
@@ -89,7 +89,7 @@
         self.suspect_until_ms = 0
 
     @property
-    def is_presumed(self) -> bool:
+    def is_only_recorded(self) -> bool:
         """Whether it is only known from the record of an earlier lead."""
         return self.adopted and not self.confirmed_at_ms
 
