--- a/review/lib/cell.py
+++ b/review/lib/cell.py
@@ -119,8 +119,11 @@
 
     # -- the operator --
 
-    def put_config(self, version, routes, services, tenants=()):
-        """Store a configuration; the answer of the store is its confirmation."""
+    def put_config(self, version, routes, services, cpu_limit=0):
+        """Store a configuration; the answer of the store is its confirmation.
+
+        ``cpu_limit`` is the tenant's ``upper_bound`` in thousandths of a core.
+        """
         document = {
             "version": version,
             "routes": [
@@ -148,14 +151,16 @@
                     "name": "tenant-a",
                     "api_keys": ["key-a"],
                     "weight": 50.0,
-                    "upper_bound": {"cpu": 0, "mem_mb": 0, "gpu": 0},
+                    "upper_bound": {"cpu": cpu_limit, "mem_mb": 0, "gpu": 0},
                 },
-                *tenants,
             ],
             "limits": {"max_body_bytes": 262_144},
         }
         self.platform.put_config(msgspec.json.encode(document))
-        self.note(f"operator: configuration {version} confirmed, routes {routes}")
+        self.note(
+            f"operator: configuration {version} confirmed, routes {routes}, "
+            f"upper_bound {cpu_limit}"
+        )
 
     # -- the machines --
 
