A run belongs to the incarnation whose report lists it, not to the known one

Cause: an idle worker is polled once a minute. If it restarts under its id meanwhile, the next start is answered by the new incarnation, and the answer names none. The session took it for an answer of the incarnation it knew, so the run counted as confirmed there and was blamed for the crash before its start. The same belief let the first poll after the start release the new incarnation's first ends unread (a task that was done ran again), took a run that the first report lacked for over (it ran twice), and discarded the deadlines that the new incarnation had accepted (cut off then, its run was started elsewhere at once).

Change: only reports tell in which incarnation a run is. A report of a new incarnation that was requested before a start was answered is dropped, and the next one decides. Ends are released once, and not while a start since the last report is unanswered or was answered by a clock that went back; in that case nothing more starts there before the next report. The lease of a new incarnation lasts at most hold_max_ms, a new setting (bounds.worker_lease_ms, 6,000 by default); an unanswered start counts as such a lease, so a worker that falls silent just then is waited for up to 1.5 s longer. worker_reborn names both incarnations and the runs that go on.

No store calls are added; a poll more for each unanswered start.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_crash_tracker.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_crash_tracker.py
@@ -144,7 +144,10 @@
         if runs and not is_planned:
             if not is_certain:
                 self._presumed[worker.id] = worker.entry.incarnation_start_ms
-            answered_ms = worker.last_answer_ms
+            # Any other start may have been answered by the next incarnation.
+            answered_ms = max(
+                worker.last_answer_ms, *(run.confirmed_at_ms for run in runs)
+            )
             self._blame(
                 WorkerCrash(worker.id, answered_ms, at_ms, runs, is_certain, is_shared)
             )
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_lead_parts.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_lead_parts.py
@@ -27,6 +27,8 @@
     lease: CellLease
     #: How long the states of ended jobs stay available, in milliseconds.
     status_for_ms: int
+    #: Workers shorten longer leases to this, in milliseconds.
+    max_worker_lease_ms: int
     #: Called with a pool that this daemon cannot lead, and the reason.
     on_cannot_lead: Callable[[str, str], None]
     #: Returns whether a pool has a lead according to this daemon's view of the cell.
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -47,7 +47,10 @@
         clock: Clock,
         log: EventLog,
         term: Term,
+        max_lease_ms: int,
     ) -> None:
+        """Workers shorten longer leases to ``max_lease_ms`` milliseconds."""
+        self._max_lease_ms = max_lease_ms
         self._state = state
         self._owner = owner
         self._calls = calls
@@ -154,7 +157,13 @@
         worker.evacuated = entry.zone in self._evacuated
         worker.cold_until_ms = self._state.now_ms() + entry.cold_remaining_ms
         session = WorkerSession(
-            worker, self._owner, self._calls, self._clock, self._log, self._answers
+            worker,
+            self._owner,
+            self._calls,
+            self._clock,
+            self._log,
+            self._answers,
+            self._max_lease_ms,
         )
         self._state.sessions[entry.id] = session
         session.start()
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -99,7 +99,14 @@
         )
         self._progress = ProgressLog(writes, clock, log, self._tasks, self._on_durable)
         self._fleet = PoolFleet(
-            self._state, self, parts.calls, self._records, clock, log, term
+            self._state,
+            self,
+            parts.calls,
+            self._records,
+            clock,
+            log,
+            term,
+            parts.max_worker_lease_ms,
         )
         self._crash_records = CrashRecords(term.pool, writes, clock, log, self._tasks)
         self._crashes = CrashTracker(
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
@@ -177,6 +177,7 @@
         run = Run(task, active.number, worker.id, self._state.now_ms())
         run.adopted = True
         run.confirmed_at_ms = self._state.now_ms()
+        run.last_reported_at_ms = run.confirmed_at_ms
         run.state = RunState.RUNNING
         run.percent = active.percent
         task.last_run = max(task.last_run, active.number)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_clock.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_clock.py
@@ -57,6 +57,6 @@
         """Return whether the lease is definitely over."""
         return self.is_known and self.now_ms() > self._lease_until_ms
 
-    def reset_lease(self) -> None:
-        """Discard all deadlines that were sent before."""
-        self._lease_until_ms = 0
+    def limit_lease(self, until_ms: int) -> None:
+        """Record that the worker cannot hold its lease beyond a time on its clock."""
+        self._lease_until_ms = min(self._lease_until_ms, until_ms)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from datetime import timedelta
+from typing import NamedTuple
 
 from twisted.internet.defer import CancelledError, Deferred
 
@@ -71,6 +73,13 @@
 _NO_WAIT = timedelta(0)
 
 
+class _Poll(NamedTuple):
+    """A request for a report; later ones have higher numbers."""
+
+    number: int
+    sent_at_ms: int
+
+
 class WorkerSession:
     """Renews a worker's lease, polls its reports and sends it orders."""
 
@@ -82,8 +91,12 @@
         clock: Clock,
         log: EventLog,
         answers: WorkerAnswers,
+        max_lease_ms: int,
     ) -> None:
-        """``answers`` is shared by the sessions of one lead."""
+        """``answers`` is shared by the sessions of one lead.
+
+        Workers shorten longer leases to ``max_lease_ms`` milliseconds.
+        """
         self.worker = worker
         #: Whether the worker's runs are known to this lead.
         self.claimed = False
@@ -92,6 +105,7 @@
         self._clock = clock
         self._log = log
         self._answers = answers
+        self._max_lease_ms = max_lease_ms
         self._wakeup = Wakeup(clock)
         self._poll_soon = False
         self._tasks = TaskSet()
@@ -112,6 +126,14 @@
         self._unanswered = 0
         #: Runs whose lease lapsed in the present silence, which a crash may explain.
         self._lapsed: list[Run] = []
+        #: Number of the last poll.
+        self._polls = 0
+        #: The last poll sent before another incarnation may have received a start; 0 if
+        #: a later report has told which one it is.
+        self._last_doubtful_poll = 0
+        #: Runs whose starts were answered since the last report, by task name and run
+        #: number, and the last poll sent before the answer.
+        self._answered_starts: dict[tuple[str, int], int] = {}
 
     def start(self) -> None:
         """Claim the worker and poll it from then on."""
@@ -161,6 +183,7 @@
         deadline_ms = self._worker_clock.extend_lease(ORDER_VALID_MS)
         run.void_clock_ms = deadline_ms + 1
         order = order._replace(deadline_ms=deadline_ms)
+        earliest_clock_ms = self._worker_clock.now_ms()
         try:
             result = await self._calls.start(
                 self.worker.entry, self._owner.fence, order
@@ -172,6 +195,9 @@
             raise
         except WorkerError as exc:
             self._unanswered += 1
+            self._note_doubtful()
+            # A restarted worker may have taken the deadline for a later one.
+            self._worker_clock.extend_lease(self._max_lease_ms)
             self.worker.note_silent(to_millis(self._clock.now()))
             if self._unanswered >= MAX_UNANSWERED_ORDERS:
                 self.worker.usable = False
@@ -191,10 +217,36 @@
             elif result.reason is StartRejection.WRONG_INCARNATION:
                 self.worker.usable = False
         else:
-            self.worker.last_answer_ms = to_millis(self._clock.now())
+            key = (str(run.task.name), run.number)
+            self._answered_starts[key] = self._polls
             self._wakeup.wake()
+        if result.clock_ms is not None and result.clock_ms < earliest_clock_ms:
+            self._note_clock_went_back(run, result.clock_ms, earliest_clock_ms)
         return result
 
+    def _note_doubtful(self) -> None:
+        self._last_doubtful_poll = self._polls
+
+    def _note_clock_went_back(
+        self, run: Run, clock_ms: int, earliest_clock_ms: int
+    ) -> None:
+        """Use the worker again after its next report: it has restarted."""
+        self._log.log_event(
+            LogLevel.INFO,
+            "worker_clock_went_back",
+            worker=self.worker.id,
+            task_run=f"{run.task.name}/{run.number}",
+            clock_ms=clock_ms,
+            earliest_clock_ms=earliest_clock_ms,
+        )
+        self._worker_clock.update(clock_ms)
+        self._worker_clock.limit_lease(clock_ms + self._max_lease_ms)
+        self._note_doubtful()
+        self.worker.usable = False
+        self.poll_soon()
+        # The pending poll may wait a second for a run to end.
+        self._tasks.spawn("report of a restarted worker", self._poll_in_parallel())
+
     def stop_run(self, run: Run, reason: str) -> None:
         """Stop a run, with retries; its resources are freed once its end is known."""
         if run.state is RunState.STOPPING:
@@ -235,7 +287,7 @@
         """Request a report at once, while another poll may wait for a run to end."""
         if not self._owner.may_act():
             return
-        requested_at_ms = to_millis(self._clock.now())
+        poll = self._new_poll()
         try:
             report = await self._hold(_NOTHING_RELEASED, None, _NO_WAIT)
         except StaleFenceError:
@@ -248,7 +300,7 @@
                 detail=f"{type(exc).__name__}: {exc}",
             )
         else:
-            self._process(report, requested_at_ms)
+            self._process(report, poll)
 
     async def _run(self) -> None:
         while True:
@@ -304,9 +356,10 @@
         deadline_ms = None
         if self._worker_clock.is_known and not self._misses:
             deadline_ms = self._worker_clock.extend_lease(WORKER_LEASE_MS)
+        poll = self._new_poll()
         report = await self._hold(_NOTHING_RELEASED, deadline_ms, _NO_WAIT)
         self._is_renewed = deadline_ms is not None or not report.active
-        self._note_report(report)
+        self._note_report(report, poll)
 
     async def _poll(self) -> None:
         deadline_ms = None
@@ -315,11 +368,26 @@
         is_responsive = self._worker_clock.is_known and not self._misses
         if is_responsive and self.worker.runs:
             deadline_ms = self._worker_clock.extend_lease(WORKER_LEASE_MS)
-        requested_at_ms = to_millis(self._clock.now())
-        released = _NOTHING_RELEASED if self._misses else self._durable_end
+        poll = self._new_poll()
+        released = self._releasable_end()
         report = await self._hold(released, deadline_ms, self._wait())
         self._released_end = max(self._released_end, released)
-        self._process(report, requested_at_ms)
+        self._process(report, poll)
+
+    def _new_poll(self) -> _Poll:
+        self._polls += 1
+        return _Poll(self._polls, to_millis(self._clock.now()))
+
+    def _releasable_end(self) -> int:
+        """Return up to which number the next poll releases ends.
+
+        The same number may belong to an unread end of a restarted worker, so nothing is
+        released twice, or while another incarnation may have started a task.
+        """
+        is_doubtful = self._misses > 0 or self._last_doubtful_poll > 0
+        if is_doubtful or self._durable_end == self._released_end:
+            return _NOTHING_RELEASED
+        return self._durable_end
 
     async def _hold(
         self, released: int, deadline_ms: int | None, wait: timedelta
@@ -339,15 +407,20 @@
         self._answers.note(self._clock.now() - began_at, wait)
         return report
 
-    def _process(self, report: WorkerReport, requested_at_ms: int) -> None:
+    def _process(self, report: WorkerReport, poll: _Poll) -> None:
         """Process a report, unless a later one was processed before."""
         is_older = self._worker_clock.is_older(report.clock_ms)
         if is_older and self._incarnation_start_ms == report.incarnation_start_ms:
             return
-        self._note_report(report)
+        if self._is_restart(report) and self._was_overtaken(poll):
+            # The next report tells in which incarnation those runs are.
+            self._note_doubtful()
+            self.worker.usable = False
+            return
+        self._note_report(report, poll)
         if not self.claimed:
             self._limit_former_orders(report)
-        findings = reconcile(self.worker, report, self._seen_end, requested_at_ms)
+        findings = reconcile(self.worker, report, self._seen_end, poll.sent_at_ms)
         seen = max([self._seen_end, *(e.sequence for e in report.ended)])
         if not self.claimed:
             # A former lead may have renewed the lease just before, even if no task
@@ -379,50 +452,80 @@
         is_stopping = any(
             r.state is RunState.STOPPING for r in self.worker.runs.values()
         )
-        if not self.claimed or is_stopping or not self.worker.runs or self._misses:
+        is_uncertain = self._misses > 0 or self._last_doubtful_poll > 0
+        if not self.claimed or is_stopping or not self.worker.runs or is_uncertain:
             return _NO_WAIT
         longest = RENEW_WAIT
         if self.worker.serves() and self.worker.filler_demand_milli():
             longest = SHARED_WORKER_WAIT
         return self._answers.wait(longest)
 
-    def _note_report(self, report: WorkerReport) -> None:
+    def _note_report(self, report: WorkerReport, poll: _Poll) -> None:
         self._misses = 0
         self._unanswered = 0
         self.is_replaced = False
-        if (
-            self._incarnation_start_ms
-            and report.incarnation_start_ms != self._incarnation_start_ms
-        ):
+        if self._is_restart(report):
             self._note_restart(report)
         self.worker.note_answer(to_millis(self._clock.now()))
         self._lapsed = []
         self._incarnation_start_ms = report.incarnation_start_ms
         self.worker.answering_incarnation_ms = report.incarnation_start_ms
         self._worker_clock.update(report.clock_ms)
+        if poll.number > self._last_doubtful_poll:
+            self._last_doubtful_poll = 0
+        self._answered_starts = {
+            key: number
+            for key, number in self._answered_starts.items()
+            if key in self.worker.runs and number >= poll.number
+        }
+
+    def _is_restart(self, report: WorkerReport) -> bool:
+        known_ms = self._incarnation_start_ms
+        return known_ms != 0 and report.incarnation_start_ms != known_ms
+
+    def _was_overtaken(self, poll: _Poll) -> bool:
+        """Return whether the start of a run was answered after a poll was sent."""
+        return any(
+            number >= poll.number and key in self.worker.runs
+            for key, number in self._answered_starts.items()
+        )
 
     def _note_restart(self, report: WorkerReport) -> None:
-        """Record that the runs of the worker's earlier incarnation are over."""
+        """Record that the worker's earlier incarnation is over, and its runs with it.
+
+        A run that no report has listed may have begun in either incarnation.
+        """
+        self._seen_end = self._durable_end = self._released_end = 0
+        # The new incarnation has accepted the deadlines of starts that it received.
+        self._worker_clock.limit_lease(report.clock_ms + self._max_lease_ms)
+        ended, unanswered, continued = [], [], []
+        for key, run in self.worker.runs.items():
+            if run.last_reported_at_ms:
+                ended.append(run)
+            elif report.names(key):
+                continued.append(run)
+            elif run.confirmed_at_ms:
+                ended.append(run)
+            else:
+                unanswered.append(run)
         self._log.log_event(
             LogLevel.INFO,
             "worker_reborn",
             worker=self.worker.id,
             born=report.incarnation_start_ms,
+            former_born=self._incarnation_start_ms,
+            ended=len(ended),
+            unanswered=len(unanswered),
+            continued=[f"{r.task.name}/{r.number}" for r in continued],
         )
-        self._seen_end = self._durable_end = self._released_end = 0
-        self._worker_clock.reset_lease()
-        self._note_ended()
-        lost = []
-        for run in list(self.worker.runs.values()):
-            if run.confirmed_at_ms:
-                lost.append(run)
-            else:
-                # The order may still be in flight and start in the new incarnation.
-                run.void_clock_ms = 0
-                run.stopped_at_ms = 0
-                self.stop_run(run, "worker_reborn")
-        if lost:
-            self._owner.lost(self, lost, "worker_reborn")
+        self._note_ended([*ended, *unanswered])
+        for run in unanswered:
+            # The order may still be in flight and start in the new incarnation.
+            run.void_clock_ms = 0
+            run.stopped_at_ms = 0
+            self.stop_run(run, "worker_reborn")
+        if ended:
+            self._owner.lost(self, ended, "worker_reborn")
 
     def _note_replaced(self) -> None:
         """Record that the worker has ended: its address belongs to another one."""
@@ -435,16 +538,15 @@
                 address=self.worker.entry.address,
                 runs=len(self.worker.runs),
             )
-            self._note_ended()
+            self._note_ended(list(self.worker.runs.values()))
         runs = list(self.worker.runs.values())
         if runs:
             self._owner.lost(self, runs, "worker_replaced")
 
-    def _note_ended(self) -> None:
+    def _note_ended(self, runs: Sequence[Run]) -> None:
         """Report the end of an incarnation, with the runs that it may have had."""
-        runs = [*self._lapsed, *self.worker.runs.values()]
-        self._lapsed = []
-        self._owner.worker_ended(self, runs, is_certain=True)
+        lapsed, self._lapsed = self._lapsed, []
+        self._owner.worker_ended(self, [*lapsed, *runs], is_certain=True)
 
     def note_former_lease_over(self) -> None:
         """Record that runs of former leads are over on a worker that never answered."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -68,6 +68,8 @@
     status_for: timedelta
     #: The machine's capacity, which elections take into account.
     machine: Machine = Machine()
+    #: Workers shorten longer leases to this.
+    max_worker_lease: timedelta = timedelta(milliseconds=6_000)
 
 
 class PoolNode:
@@ -306,6 +308,8 @@
             crash_counts=self.crash_counts,
             on_grants_written=self._grants_written,
             status_for_ms=self._settings.status_for // timedelta(milliseconds=1),
+            max_worker_lease_ms=self._settings.max_worker_lease
+            // timedelta(milliseconds=1),
         )
         evacuated = self.config.evacuations.domains()
         lead = PoolLead(parts, term, document, evacuated, self._superseded)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/settings.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/settings.py
@@ -68,6 +68,8 @@
     stop_s: _Seconds = 6.0
     #: States of ended jobs can be queried for this time.
     status_for_s: _Seconds = 120.0
+    #: Workers shorten longer leases to this.
+    worker_lease_ms: _Millis = 6_000
 
 
 class LogSettings(_Section):
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_former_lease.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_former_lease.py
@@ -61,7 +61,9 @@
     owner = LossRecordingOwner(bench)
     calls = SilentAfterFirstPoll(bench)
     answers = WorkerAnswers(bench.clock, lambda: 1)
-    session = WorkerSession(bench.worker, owner, calls, bench.clock, bench.log, answers)
+    session = WorkerSession(
+        bench.worker, owner, calls, bench.clock, bench.log, answers, 6_000
+    )
     session.start()
     assert session.claimed
     session.poll_soon()
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
@@ -138,7 +138,13 @@
     for _ in range(CLAIMS_AT_ONCE):
         answers._claims.acquire()
     session = WorkerSession(
-        bench.worker, bench.owner, bench.calls, bench.clock, bench.log, answers
+        bench.worker,
+        bench.owner,
+        bench.calls,
+        bench.clock,
+        bench.log,
+        answers,
+        6_000,
     )
     bench.owner.is_loaded = is_loaded
     session.start()
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_replaced_worker.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_replaced_worker.py
@@ -56,7 +56,13 @@
         bench = self.bench
         answers = WorkerAnswers(bench.clock, lambda: 1)
         self.session = WorkerSession(
-            bench.worker, self.owner, self.calls, bench.clock, bench.log, answers
+            bench.worker,
+            self.owner,
+            self.calls,
+            bench.clock,
+            bench.log,
+            answers,
+            6_000,
         )
         self.session.start()
         self.session.poll_soon()
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_deploy_files.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_deploy_files.py
@@ -2,42 +2,45 @@
 
 from __future__ import annotations
 
-import re
 import tomllib
 from pathlib import Path
+from typing import Any
+
+import pytest
 
 from savorylead_daemon.pool import parse_pool_settings
 from savorylead_daemon.pool.settings import MachineSettings
+from savorylead_platform_standin._settings_template import render
 
 DEPLOY = Path(__file__).resolve().parents[5] / "deploy"
-VALUES = {
-    "node_name|json": '"edge-1"',
-    "region|json": '"r"',
-    "zone|json": '"z"',
-    "listen.front|json": '"10.1.0.5:8686"',
-    "listen.readiness|json": '"10.1.0.5:8689"',
+FIELDS: dict[str, Any] = {
+    "node_name": "edge-1",
+    "region": "r",
+    "zone": "z",
+    "listen": {"front": "10.1.0.5:8686", "readiness": "10.1.0.5:8689"},
     "ip": "10.1.0.5",
-    "port_range.0": "7180",
-    "port_range.1": "7195",
-    "platform.address|json": '"10.200.1.7:8683"',
+    "port_range": [7180, 7195],
+    "platform": {"address": "10.200.1.7:8683"},
     "advice": "10.200.1.9:8683",
-    "cloud_api.address": "10.200.0.50:8683",
-    "limits.cpu_share|json": "0.5",
-    "limits.cores|json": "3",
-    "limits.link_mbps|json": "100.0",
-    "limits.memory_mb|json": "300",
-    "bounds.revoke_ms": "5000",
-    "bounds.grace_s": "6",
-    "bounds.status_s": "120",
+    "cloud_api": {"address": "10.200.0.50:8683"},
+    "limits": {"cpu_share": 0.5, "cores": 3, "link_mbps": 100.0, "memory_mb": 300},
 }
+BOUNDS = {"revoke_ms": 5_000, "grace_s": 6, "status_s": 120}
 
 
-def test_the_template_gives_settings_that_pass_the_check() -> None:
+@pytest.mark.parametrize(
+    ("bounds", "worker_lease_ms"),
+    [({}, 6_000), ({"hold_max_ms": 4_000}, 4_000)],
+)
+def test_the_template_gives_settings_that_pass_the_check(
+    bounds: dict[str, int], worker_lease_ms: int
+) -> None:
     template = (DEPLOY / "settings.json.tmpl").read_text()
-    text = re.sub(r"\{\{([^}]*)\}\}", lambda found: VALUES[found[1]], template)
+    text = render(template, {**FIELDS, "bounds": {**BOUNDS, **bounds}})
     settings = parse_pool_settings(text.encode())
     assert settings.listen.peers == "10.1.0.5:7180"
     assert settings.bounds.status_for_s == 120
+    assert settings.bounds.worker_lease_ms == worker_lease_ms
     assert settings.machine == MachineSettings(0.5, 3.0, 100.0, 300)
 
 
--- a/packages/savorylead/savorylead/pools/_contracts.py
+++ b/packages/savorylead/savorylead/pools/_contracts.py
@@ -156,6 +156,12 @@
     #: Whether ``ended`` may be truncated at the worker's page size.
     truncated: bool
 
+    def names(self, key: tuple[str, int]) -> bool:
+        """Return whether it lists a run, by its task name and run number."""
+        return any(
+            (str(run.task), run.number) == key for run in (*self.active, *self.ended)
+        )
+
 
 class RunOrder(NamedTuple):
     """An order to a worker to start a task."""
