A peer's refusal holds for the whole request, not for a copy of it

Cause: a daemon that the store turns away asks a peer to store the job. The link repeated that request after 200 ms without an answer. The peer's first write had been executed and its answer lost; the second copy was refused by a store that was down by then. "Nothing was written" was true of that copy only, and was taken for the request.

Change: the two requests whose refusal means "nothing was done" are sent once. Without an answer their outcome is unknown, so the caller gets 504 unless another attempt succeeds. While an answer is overdue, the next peer is asked, also beside a request to a peer. A daemon that gets copies from one of an earlier version refuses a copy only if no other one was executed, is in progress or has an unknown outcome. The same was possible for the end of a lease through a peer: its sender would have gone on leading.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_writer.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_writer.py
@@ -126,14 +126,16 @@
         while True:
             outcome = StoreOutcome.NOT_DONE
             if self._config.store_answers():
-                outcome = await self._write_with_peers(peers, record, deadline)
+                writing = self._write(record, deadline)
+                outcome = await self._try_with_peers(writing, peers, record, deadline)
             if (
                 outcome is not StoreOutcome.DONE
                 and peers
                 and self._clock.now() < deadline
             ):
                 unclear = unclear or outcome is StoreOutcome.UNCLEAR
-                outcome = await self._write_through_peer(peers.pop(), record, deadline)
+                asking = self._write_through_peer(peers.pop(), record, deadline)
+                outcome = await self._try_with_peers(asking, peers, record, deadline)
             if outcome is StoreOutcome.DONE:
                 return outcome
             unclear = unclear or outcome is StoreOutcome.UNCLEAR
@@ -158,16 +160,24 @@
             return False
         try:
             await self._commit(record)
-        except StoreRefusedError:
+        except StoreRefusedError as exc:
+            self._log_failure(record, StoreOutcome.NOT_DONE, exc)
             return False
+        except StoreError as exc:
+            self._log_failure(record, StoreOutcome.UNCLEAR, exc)
+            raise
         return True
 
-    async def _write_with_peers(
-        self, peers: list[MemberRecord], record: JobRecord, deadline: datetime
+    async def _try_with_peers(
+        self,
+        attempt: Coroutine[Any, Any, StoreOutcome],
+        peers: list[MemberRecord],
+        record: JobRecord,
+        deadline: datetime,
     ) -> StoreOutcome:
-        """Write to the store, and through a peer as well if the answer is overdue."""
+        """Make an attempt, and others through peers while answers are overdue."""
         attempts = _Attempts()
-        attempts.add(self._write(record, deadline))
+        attempts.add(attempt)
         request = spawn(
             "store a job through peers",
             self._ask_peers_when_overdue(attempts, peers, record, deadline),
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peers.py
@@ -45,6 +45,10 @@
 #: Requests that a daemon serves for one that can't reach the store or a lead.
 PeerRequest = JobStoreRequest | LeaseEndRequest | ReachabilityQuery
 
+#: Requests whose refusal says that nothing was done. A link must not repeat them: the
+#: refusal of a copy would say nothing about an earlier copy that was executed.
+_NOT_REPEATED = (JobStoreRequest, LeaseEndRequest)
+
 #: Longest wait for a lead's answer; after it, callers are answered from the store.
 PEER_TIMEOUT = timedelta(milliseconds=500)
 #: Longest wait for advice through another daemon, including the time in its queue.
@@ -87,7 +91,8 @@
     async def send_request(self, address: str, request: PeerRequest) -> bool:
         """Send a request to a peer and return its answer; raises PeerError.
 
-        After a PeerError the peer may have executed the request or may do so later.
+        After a PeerError of a request that was sent, the peer may have executed it or
+        may do so later.
         """
 
     @abstractmethod
@@ -310,7 +315,12 @@
 async def _call(
     link: Link, path: str, message: Any, timeout: timedelta, kind: type[T]
 ) -> T:
-    request = LinkRequest("POST", path, msgspec.json.encode(message), idempotent=True)
+    request = LinkRequest(
+        "POST",
+        path,
+        msgspec.json.encode(message),
+        idempotent=not isinstance(message, _NOT_REPEATED),
+    )
     try:
         reply = await link.call(request, timeout)
     except LinkError as exc:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -37,6 +37,7 @@
     PeerAdviceRequest,
     ReachabilityQuery,
 )
+from ._peer_requests import PeerRequests
 from ._peers import (
     Message,
     PeerCalls,
@@ -135,6 +136,7 @@
         if adapter.adviser is not None:
             self._advice = AdviceQueue(adapter.adviser, clock)
         self._router = AdviceRouter(self._advise_through, clock)
+        self._peer_requests = PeerRequests(clock)
         #: Answers messages of other daemons.
         self.peer_server = PeerServer(
             self.leads.get, self._advice, self._serve_peer, self.view
@@ -273,7 +275,14 @@
         if isinstance(request, ReachabilityQuery):
             return await self._lead_watch.reaches(request)
         if isinstance(request, JobStoreRequest):
-            return await self.gateway.store_for_peer(request.record)
+            return await self._peer_requests.execute(
+                f"job {request.record.id}", self.gateway.store_for_peer(request.record)
+            )
+        return await self._peer_requests.execute(
+            f"lease {request.lease_id}", self._end_lease_of_peer(request.lease_id)
+        )
+
+    async def _end_lease_of_peer(self, lease_id: str) -> bool:
         # A store that does not answer reads would not end the lease either.
         reading = Deferred.fromCoroutine(self.config.read_now())
         try:
@@ -281,7 +290,7 @@
                 return False
         except DeadlineExceededError:
             return False
-        await self._adapter.store.end_lease(request.lease_id)
+        await self._adapter.store.end_lease(lease_id)
         return True
 
     def set_key_withdrawn(self, key_withdrawn: timedelta) -> None:
