An id is one job whatever pool its route names

Cause: the record that makes a job unique is stored under the pool and the id, and a commit expected only the key in the pool that the route names at that daemon to be absent. During a change, a request and its repeat at two daemons were two jobs; so was a write that was executed late.

A repeat finds the stored job and is answered 2xx. A refusal for backlog reads the claim first. The lead deletes the claim with the record; 7 in place of 10 jobs fit into such a transaction.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_config_feed.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_config_feed.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from datetime import datetime, timedelta
 
 from twisted.internet.defer import Deferred
@@ -72,6 +72,10 @@
         self._on_change: list[Callable[[CellDocument], None]] = []
         self._running: Deferred[None] | None = None
         self._teams_by_key: dict[str, str] = {}
+        #: The last configuration of each queue, also of those that were removed.
+        self._queues: dict[str, Queue] = {}
+        #: Pools of all configurations that were in force here, the newest ones first.
+        self._pools: dict[str, None] = {}
         self._was_fresh = False
         self._unreadable_revision = 0
         #: Store revision of the last decoded value; 0 if it could not be decoded.
@@ -141,6 +145,14 @@
         """Return the team that owns the key."""
         return self._teams_by_key.get(key)
 
+    def queue(self, name: str) -> Queue | None:
+        """Return the last configuration of a queue, also of one that was removed."""
+        return self._queues.get(name)
+
+    def pools(self) -> Sequence[str]:
+        """Return the pools of all configurations so far, the newest ones first."""
+        return tuple(self._pools)
+
     def match(self, host: str, path: str) -> Queue | None:
         """Return the host's queue with the longest prefix that matches the path."""
         best: Queue | None = None
@@ -255,6 +267,9 @@
     def _activate(self, document: CellDocument) -> None:
         self.document = document
         self._teams_by_key = {k: t.name for t in document.teams for k in t.keys}
+        self._queues.update((q.name, q) for q in document.queues)
+        pools = dict.fromkeys(p.name for p in document.pools)
+        self._pools = {**pools, **self._pools}
         self._log.log_event(
             LogLevel.INFO, "config_in_force", revision_in_force=document.version
         )
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
@@ -37,6 +37,7 @@
 from ._admission_check import AdmissionCheck
 from ._cell_view import CellView
 from ._config_feed import ConfigFeed
+from ._job_locator import JobLocator
 from ._job_writer import WRITE_RETRY_DELAY, JobWriter, StoreOutcome
 from ._keys import cancel_key, job_key, progress_key
 from ._lead_finder import LeadFinder
@@ -101,8 +102,18 @@
             on_unreached,
         )
         self._admission = AdmissionCheck(clock, rng, log, self._finder)
+        self._locator = JobLocator(store, config, view)
         self._job_writer = JobWriter(
-            name, store, clock, rng, log, config, view, peers, self._on_stored
+            name,
+            store,
+            clock,
+            rng,
+            log,
+            config,
+            view,
+            peers,
+            self._locator,
+            self._on_stored,
         )
         #: Answers by call kind, answer kind and error code, for the metrics.
         self.counts: Counter[tuple[str, str, str]] = Counter()
@@ -210,7 +221,7 @@
             spec=spec,
         )
         retry_after_s = await self._admission.retry_after_s(record)
-        if retry_after_s:
+        if retry_after_s and await self._is_unknown(job_id):
             return self._refusal(Kind.NOT_NOW, "backlog", retry_after_s)
         outcome = await self._job_writer.store(
             record, _store_deadline(call, arrived_at)
@@ -221,6 +232,19 @@
             return self._not_now("store_unavailable")
         return CallerAnswer(Kind.DONE)
 
+    async def _is_unknown(self, job_id: str) -> bool:
+        """Return whether it is certain that no job was accepted under an id.
+
+        The lead that refuses a job knows only those of its own pool.
+        """
+        try:
+            return await self._locator.claim(job_id) is None
+        except (StoreError, RecordError) as exc:
+            self._log.log_event(
+                LogLevel.INFO, "claim_unread", job=job_id, detail=str(exc)
+            )
+            return False
+
     async def store_for_peer(self, record: JobRecord) -> bool:
         """Store a job for a daemon that cannot reach the store.
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_writer.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_writer.py
@@ -15,7 +15,7 @@
 from savorylead.clock import Clock
 from savorylead.jobs import JobRecord, RecordError, decode_job, encode_job
 from savorylead.links import AnswerTimes, DeadlineExceededError, within
-from savorylead.pools import CellStore, Committed, Put, StoreRefusedError
+from savorylead.pools import CellStore, Conflict, Put, StoreRefusedError
 from savorylead.store import KeyValue, StoreError
 from savorylead_daemon.concurrency import spawn
 from savorylead_daemon.observability import EventLog
@@ -23,7 +23,9 @@
 
 from ._cell_view import CellView, MemberRecord
 from ._config_feed import ConfigFeed
-from ._keys import job_key
+from ._job_claims import JobClaim, encode_claim
+from ._job_locator import JobLocator
+from ._keys import claim_key, job_key
 from ._peer_messages import JobStoreRequest
 from ._peers import PeerCalls, PeerError
 
@@ -86,7 +88,8 @@
 class JobWriter:
     """Writes each job's record exactly once, whatever answers are lost.
 
-    Each write expects the record to be absent, so concurrent attempts are safe: the
+    Each write claims the job's id and expects it to be unclaimed, so concurrent
+    attempts are safe, also by daemons for which the route names another pool: the
     second one finds the job stored.
     """
 
@@ -100,6 +103,7 @@
         config: ConfigFeed,
         view: CellView,
         peers: PeerCalls,
+        locator: JobLocator,
         on_stored: Callable[[JobRecord, int], None],
     ) -> None:
         """``on_stored`` is called with each durable job's record and revision."""
@@ -111,6 +115,7 @@
         self._config = config
         self._view = view
         self._peers = peers
+        self._locator = locator
         self._on_stored = on_stored
         self._answer_times = AnswerTimes()
 
@@ -215,26 +220,72 @@
         return StoreOutcome.DONE
 
     async def _commit(self, record: JobRecord) -> None:
-        key = job_key(record.pool, record.id)
+        """Store a job, or find that it is stored already.
+
+        Raises StoreRefusedError only if nothing was written and no job of this id was
+        found, and StoreError if that is unknown.
+        """
+        claim = claim_key(record.id)
+        expected = dict.fromkeys(
+            [claim, *self._locator.record_keys(record.id, record.pool)], 0
+        )
+        queue = self._config.queue(record.queue)
+        puts = [
+            Put(job_key(record.pool, record.id), encode_job(record)),
+            Put(claim, encode_claim(JobClaim.of(record.pool, queue))),
+        ]
         began_at = self._clock.now()
-        result = await self._store.commit({key: 0}, [Put(key, encode_job(record))])
+        result = await self._store.commit(expected, puts)
         self._answer_times.add_sample(self._clock.now() - began_at)
-        if isinstance(result, Committed):
-            self._on_stored(record, result.revision)
-        else:
-            self._report_already_stored(result.current.get(key))
+        if isinstance(result, Conflict):
+            item = await self._find_stored(record, result)
+            if item is not None:
+                self._report_already_stored(record, item)
+                return
+            # A daemon of an earlier version has deleted the record of an ended job, but
+            # not its claim.
+            former = result.current[claim]
+            assert former is not None
+            result = await self._store.commit(
+                {**expected, claim: former.revision}, puts
+            )
+        if isinstance(result, Conflict):
+            raise StoreError(f"another job is stored under the id {record.id}")
+        self._on_stored(record, result.revision)
 
-    def _report_already_stored(self, item: KeyValue | None) -> None:
-        if item is None:
-            return
+    async def _find_stored(
+        self, record: JobRecord, conflict: Conflict
+    ) -> KeyValue | None:
+        """Return the stored record of a job whose id is claimed, None if there is none.
+
+        Raises StoreError other than StoreRefusedError, as the job may be stored.
+        """
+        claim = claim_key(record.id)
+        for key, item in conflict.current.items():
+            if item is not None and key != claim:
+                return item
         try:
-            record = decode_job(item.key, item.value)
+            return await self._locator.find(record.id, record.pool)
+        except (StoreError, RecordError) as exc:
+            raise StoreError(f"the id {record.id} is claimed: {exc}") from exc
+
+    def _report_already_stored(self, record: JobRecord, item: KeyValue) -> None:
+        try:
+            stored = decode_job(item.key, item.value)
         except RecordError as exc:
             self._log.log_event(
                 LogLevel.ERROR, "job_record_unreadable", detail=str(exc)
             )
-        else:
-            self._on_stored(record, item.revision)
+            return
+        self._log.log_event(
+            LogLevel.INFO,
+            "job_known",
+            job=record.id,
+            pool=stored.pool,
+            route_pool=record.pool,
+            revision_stored=item.revision,
+        )
+        self._on_stored(stored, item.revision)
 
     async def _write_through_peer(
         self, peer: MemberRecord, record: JobRecord, deadline: datetime
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_keys.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_keys.py
@@ -56,6 +56,14 @@
     return f"{intake_prefix(pool)}job/{job_id}"
 
 
+def claim_key(job_id: str) -> str:
+    """Return the key that claims the id of an accepted job for one pool.
+
+    Daemons of earlier versions ignore it.
+    """
+    return f"{_ROOT}job/{job_id}"
+
+
 def cancel_key(pool: str, job_id: str) -> str:
     """Return the key that marks a job as cancelled."""
     return f"{intake_prefix(pool)}cancel/{job_id}"
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_progress_log.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_progress_log.py
@@ -16,13 +16,13 @@
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
-from ._keys import cancel_key, job_key, progress_key
+from ._keys import cancel_key, claim_key, job_key, progress_key
 from ._term_writes import TermWrites
 
 #: Jobs per transaction. Each takes two of its 32 entries, an expectation and a write.
 JOBS_PER_WRITE = 15
-#: Jobs deleted per transaction, with up to three keys each.
-JOBS_PER_DELETE = 10
+#: Jobs deleted per transaction, with up to four keys each.
+JOBS_PER_DELETE = 7
 #: Batching delay for ends that no caller waits for. It delays no start, and 40 ms
 #: instead of 10 ms saves a seventh of all calls to the store.
 BATCH_DELAY = timedelta(milliseconds=40)
@@ -112,7 +112,11 @@
         deletes = []
         for job in chosen:
             pool = job.record.pool
-            deletes += [job_key(pool, job.id), progress_key(pool, job.id)]
+            deletes += [
+                job_key(pool, job.id),
+                progress_key(pool, job.id),
+                claim_key(job.id),
+            ]
             if job.cancelled:
                 deletes.append(cancel_key(pool, job.id))
         result = await self._writes.commit({}, deletes=deletes)
