A job is unknown only if its id is unclaimed, whatever the configuration says

Cause: records were looked for under the pools of the newest configuration only. Where the former service stayed, the record was found, but its state was read from the store, which lags behind the lead: a job at work was shown as queued.

Change: the claim of the id leads to the record, and its absence proves that there is no such job; the lead of the record's pool is asked for the state.

Cost: two reads more for a job in another pool than its route's, one for an unknown id, none otherwise.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
@@ -27,7 +27,7 @@
     Put,
     Queue,
 )
-from savorylead.store import KeyValue, StoreError
+from savorylead.store import StoreError
 from savorylead_daemon.concurrency import spawn
 from savorylead_daemon.http import JsonRequest, JsonResponse
 from savorylead_daemon.observability import EventLog
@@ -39,7 +39,7 @@
 from ._config_feed import ConfigFeed
 from ._job_locator import JobLocator
 from ._job_writer import WRITE_RETRY_DELAY, JobWriter, StoreOutcome
-from ._keys import cancel_key, job_key, progress_key
+from ._keys import cancel_key, progress_key
 from ._lead_finder import LeadFinder
 from ._peer_messages import (
     JobAccepted,
@@ -293,7 +293,7 @@
 
     async def _store_cancel(self, queue: Queue, job_id: str) -> CallerAnswer:
         while True:
-            item = await self._find(queue, job_id)
+            item = await self._locator.find(job_id, queue.pool)
             if item is None:
                 return self._refusal(Kind.NO_JOB, "no_job")
             record = decode_job(item.key, item.value)
@@ -312,30 +312,29 @@
             )
             return CallerAnswer(Kind.DONE)
 
-    async def _find(self, queue: Queue, job_id: str) -> KeyValue | None:
-        """Return a job's record, also if its queue has moved to another pool since."""
-        pools = [queue.pool]
-        if self._config.document is not None:
-            pools += [
-                p.name for p in self._config.document.pools if p.name not in pools
-            ]
-        for pool in pools:
-            item = await self._store.get(job_key(pool, job_id))
-            if item is not None:
-                return item
-        return None
-
     async def _state(self, queue: Queue, job_id: str) -> CallerAnswer:
-        reply = await self._finder.send(queue.pool, StateQuery(queue.pool, job_id))
-        if reply is not None and reply.known:
-            return CallerAnswer(Kind.DONE, state=JobState(reply.state))
+        state = await self._state_from_lead(queue.pool, job_id)
+        if state is not None:
+            return CallerAnswer(Kind.DONE, state=state)
         if not self._config.store_answers():
             return self._not_now("store_unavailable")
         try:
-            item = await self._find(queue, job_id)
+            item = await self._locator.find(job_id, queue.pool)
             if item is None:
                 return self._refusal(Kind.NO_JOB, "no_job")
-            state = await self._stored_state(item)
+            record = decode_job(item.key, item.value)
+            if record.pool != queue.pool:
+                self._log.log_event(
+                    LogLevel.INFO,
+                    "job_in_other_pool",
+                    job=job_id,
+                    pool=record.pool,
+                    route_pool=queue.pool,
+                    config_version=self._version(),
+                )
+                state = await self._state_from_lead(record.pool, job_id)
+            if state is None:
+                state = await self._stored_state(record)
         except (StoreError, RecordError) as exc:
             self._log.log_event(
                 LogLevel.INFO, "state_unread", job=job_id, detail=str(exc)
@@ -343,9 +342,13 @@
             return self._not_now("store_unavailable")
         return CallerAnswer(Kind.DONE, state=state)
 
-    async def _stored_state(self, item: KeyValue) -> JobState:
+    async def _state_from_lead(self, pool: str, job_id: str) -> JobState | None:
+        """Return a job's state, None if the pool's lead does not know it or answer."""
+        reply = await self._finder.send(pool, StateQuery(pool, job_id))
+        return JobState(reply.state) if reply is not None and reply.known else None
+
+    async def _stored_state(self, record: JobRecord) -> JobState:
         """Return the job's state according to the records in the store."""
-        record = decode_job(item.key, item.value)
         saved = await self._store.get(progress_key(record.pool, record.id))
         if saved is None:
             return JobState.QUEUED
