Waiting jobs are counted in every pool that may hold some

Cause: as for the states of jobs, only the lead of the pool that the route names now was asked.

Change: the leads of all pools that are configured or have a lead are asked at once. While one does not answer there is no number, but 503.

Cost: no store call; a message to each further pool's lead for each such call.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
@@ -28,7 +28,7 @@
     Queue,
 )
 from savorylead.store import StoreError
-from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.concurrency import gather, spawn
 from savorylead_daemon.http import JsonRequest, JsonResponse
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
@@ -359,12 +359,20 @@
         return JobState.RUNNING if progress.started else JobState.QUEUED
 
     async def _pending(self, queue: Queue) -> CallerAnswer:
-        reply = await self._finder.send(
-            queue.pool, PendingQuery(queue.pool, queue.name)
+        """Count the waiting jobs of a queue, also those in a pool that it has left."""
+        pools = self._locator.served_pools(queue.pool)
+        replies = await gather(
+            [self._finder.send(p, PendingQuery(p, queue.name)) for p in pools]
         )
-        if reply is None:
+        unanswered = [
+            p for p, reply in zip(pools, replies, strict=True) if reply is None
+        ]
+        if unanswered:
+            self._log.log_event(
+                LogLevel.INFO, "pending_unknown", queue=queue.name, pools=unanswered
+            )
             return self._not_now("no_lead")
-        return CallerAnswer(Kind.DONE, pending=reply.pending)
+        return CallerAnswer(Kind.DONE, pending=sum(r.pending for r in replies))
 
     def _not_now(self, error: str) -> CallerAnswer:
         return self._refusal(
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_locator.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_locator.py
@@ -31,6 +31,12 @@
         """
         return list(dict.fromkeys([first, *self._config.pools(), *self._view.leads]))
 
+    def served_pools(self, first: str) -> list[str]:
+        """Return the pools that have or need a lead, ``first`` first."""
+        document = self._config.document
+        named = [] if document is None else [p.name for p in document.pools]
+        return list(dict.fromkeys([first, *named, *self._view.leads]))
+
     def record_keys(self, job_id: str, pool: str) -> list[str]:
         """Return the keys of a job's record in the pools, that of ``pool`` first."""
         pools = self.pools(pool)[:MAX_EXPECTED_POOLS]
