Accepted jobs keep their queue and their pool's lead after both are removed

Cause: as for the states of jobs, what was accepted under an earlier configuration was looked up in the newest one: a new lead knew its queues only, and daemons stood for election for its pools only.

Change: the claim of a job keeps its queue as of its acceptance, and a lead reads it for open jobs of an unknown queue. An election marks its pool as one that may hold jobs, and daemons elect leads for marked pools. The lead of a pool that has left the configuration for 60 s and holds no jobs removes the mark and its own key in one transaction; a job that is stored in a pool which the configuration lacks sets the mark again.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_cell_view.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_cell_view.py
@@ -17,7 +17,13 @@
 from savorylead_daemon.settings import LogLevel
 
 from ._candidates import Machine
-from ._keys import CELL_PREFIX, LEAD_PREFIX, MACHINE_PREFIX, MEMBER_PREFIX
+from ._keys import (
+    CELL_PREFIX,
+    LEAD_PREFIX,
+    MACHINE_PREFIX,
+    MEMBER_PREFIX,
+    POOL_PREFIX,
+)
 
 #: Longest wait of one watch, after which a silent connection is detected.
 WATCH_TIMEOUT = timedelta(milliseconds=2_000)
@@ -80,6 +86,8 @@
         #: By the daemon's name; daemons of earlier versions have no entry.
         self.machines: dict[str, Machine] = {}
         self.leads: dict[str, LeadEntry] = {}
+        #: Pools that may hold jobs, whether or not the configuration names them.
+        self.pools: set[str] = set()
         #: Store revision up to which the view is complete; 0 before the first read.
         self.revision = 0
 
@@ -102,6 +110,10 @@
         entry = self.leads.get(pool)
         return None if entry is None else entry.record
 
+    def all_pools(self) -> set[str]:
+        """Return the pools that have a lead or may hold jobs."""
+        return {*self.leads, *self.pools}
+
     def others(self, *names: str) -> list[MemberRecord]:
         """Return the live daemons except for the named ones."""
         return [m for name, m in self.members.items() if name not in names]
@@ -119,12 +131,12 @@
 
     async def _read(self) -> None:
         snapshot = await self._store.list(CELL_PREFIX)
-        before = (self.members, self.machines, self.leads)
-        self.members, self.machines, self.leads = {}, {}, {}
+        before = (self.members, self.machines, self.leads, self.pools)
+        self.members, self.machines, self.leads, self.pools = {}, {}, {}, set()
         for item in snapshot.items:
             self._apply_put(item.key, item.value, item.revision)
         self.revision = max(self.revision, snapshot.revision)
-        if (self.members, self.machines, self.leads) != before:
+        if (self.members, self.machines, self.leads, self.pools) != before:
             self._notify()
 
     async def _watch(self, until: datetime) -> None:
@@ -153,6 +165,8 @@
                 pool = key.removeprefix(LEAD_PREFIX)
                 record = msgspec.json.decode(value, type=LeadRecord)
                 self.leads[pool] = LeadEntry(record, revision)
+            elif key.startswith(POOL_PREFIX):
+                self.pools.add(key.removeprefix(POOL_PREFIX))
         except msgspec.DecodeError as exc:
             self._log.log_event(
                 LogLevel.WARNING, "cell_record_unreadable", key=key, detail=str(exc)
@@ -165,6 +179,8 @@
             self.machines.pop(key.removeprefix(MACHINE_PREFIX), None)
         elif key.startswith(LEAD_PREFIX):
             self.leads.pop(key.removeprefix(LEAD_PREFIX), None)
+        elif key.startswith(POOL_PREFIX):
+            self.pools.discard(key.removeprefix(POOL_PREFIX))
 
     def _notify(self) -> None:
         for on_change in self._on_change:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
@@ -19,7 +19,7 @@
 from ._cell_lease import CellLease
 from ._cell_view import CellView, LeadRecord, MemberRecord, encode_record
 from ._hand_over import HandOver
-from ._keys import lead_key, term_key
+from ._keys import lead_key, pool_key, term_key
 from ._member_history import MemberHistory
 from ._term import Term
 
@@ -80,7 +80,7 @@
         )
 
     def set_pools(self, pools: frozenset[str]) -> None:
-        """Set which pools need a lead."""
+        """Set which pools the configuration names; each needs a lead."""
         self._pools = pools
         self.review()
 
@@ -90,9 +90,13 @@
             return
         self._member_history.note(self._view)
         self.hand_over.note_leads()
-        for pool in self._pools | set(self.terms):
+        for pool in self._pools | self._view.pools | set(self.terms):
             self._review_pool(pool)
 
+    def _needs_lead(self, pool: str) -> bool:
+        """Return whether the configuration names a pool, or it may hold jobs."""
+        return pool in self._pools or pool in self._view.pools
+
     def on_registered(self, lease_id: str) -> None:
         """Schedule all attempts again: those without a lease had no rank."""
         self._registered_under = lease_id
@@ -149,7 +153,7 @@
             if is_ours and not self.hand_over.was_released(pool, entry.revision):
                 self._begin_term(pool, entry.record.term, entry.revision)
             return
-        if pool in self._pools and pool not in self._timers:
+        if self._needs_lead(pool) and pool not in self._timers:
             wait = self._election_delay(pool)
             self._timers[pool] = self._clock.call_later(wait, self._try_election, pool)
 
@@ -197,7 +201,7 @@
 
     def _try_election(self, pool: str) -> None:
         del self._timers[pool]
-        if self._closed or pool in self._view.leads or pool not in self._pools:
+        if self._closed or pool in self._view.leads or not self._needs_lead(pool):
             return
         is_registered = self._registered_under == self._lease.id
         must_abstain = self.hand_over.must_abstain(pool)
@@ -230,6 +234,7 @@
                 [
                     Put(lead_key(pool), encode_record(record), lease_id),
                     Put(term_key(pool), str(number).encode()),
+                    Put(pool_key(pool), b"1"),
                 ],
             )
         except StoreError as exc:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_locator.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_locator.py
@@ -11,7 +11,7 @@
 from ._keys import claim_key, job_key
 
 #: Maximum number of pools whose records a transaction expects to be absent. It has at
-#: most 32 entries; three are the claim and the record.
+#: most 32 entries; four are the claim's expectation and the keys that are written.
 MAX_EXPECTED_POOLS = 28
 
 
@@ -29,13 +29,23 @@
         These are the pools of the configurations that were in force here, and those
         that have a lead.
         """
-        return list(dict.fromkeys([first, *self._config.pools(), *self._view.leads]))
+        return list(
+            dict.fromkeys([first, *self._config.pools(), *self._view.all_pools()])
+        )
+
+    def is_named(self, pool: str) -> bool:
+        """Return whether the configuration names a pool."""
+        return pool in self._named_pools()
+
+    def _named_pools(self) -> list[str]:
+        document = self._config.document
+        return [] if document is None else [p.name for p in document.pools]
 
     def served_pools(self, first: str) -> list[str]:
         """Return the pools that have or need a lead, ``first`` first."""
-        document = self._config.document
-        named = [] if document is None else [p.name for p in document.pools]
-        return list(dict.fromkeys([first, *named, *self._view.leads]))
+        return list(
+            dict.fromkeys([first, *self._named_pools(), *self._view.all_pools()])
+        )
 
     def record_keys(self, job_id: str, pool: str) -> list[str]:
         """Return the keys of a job's record in the pools, that of ``pool`` first."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_writer.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_writer.py
@@ -25,7 +25,7 @@
 from ._config_feed import ConfigFeed
 from ._job_claims import JobClaim, encode_claim
 from ._job_locator import JobLocator
-from ._keys import claim_key, job_key
+from ._keys import claim_key, job_key, pool_key
 from ._peer_messages import JobStoreRequest
 from ._peers import PeerCalls, PeerError
 
@@ -234,6 +234,9 @@
             Put(job_key(record.pool, record.id), encode_job(record)),
             Put(claim, encode_claim(JobClaim.of(record.pool, queue))),
         ]
+        if not self._locator.is_named(record.pool):
+            # The daemon that took the job, or this one, has an outdated configuration.
+            puts.append(Put(pool_key(record.pool), b"1"))
         began_at = self._clock.now()
         result = await self._store.commit(expected, puts)
         self._answer_times.add_sample(self._clock.now() - began_at)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_keys.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_keys.py
@@ -9,6 +9,9 @@
 LEAD_PREFIX = f"{CELL_PREFIX}lead/"
 #: Resources of the members' machines; daemons of earlier versions ignore these keys.
 MACHINE_PREFIX = f"{CELL_PREFIX}machine/"
+#: Pools that need a lead although the configuration may lack them. Daemons of earlier
+#: versions ignore these keys.
+POOL_PREFIX = f"{CELL_PREFIX}pool/"
 #: How the limits of teams are divided among the pools.
 GRANTS_KEY = f"{_ROOT}grants"
 
@@ -23,6 +26,11 @@
     return f"{MACHINE_PREFIX}{name}"
 
 
+def pool_key(pool: str) -> str:
+    """Return the key of a pool that may hold jobs, which outlives its lead."""
+    return f"{POOL_PREFIX}{pool}"
+
+
 def lead_key(pool: str) -> str:
     """Return the key of the lead of a pool."""
     return f"{LEAD_PREFIX}{pool}"
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -34,8 +34,10 @@
 from ._advice_caller import AdviceCaller
 from ._crash_records import CrashRecords
 from ._crash_tracker import CrashTracker
+from ._former_queues import FormerQueues
 from ._grant_updater import GrantUpdater
 from ._job_intake import JobIntake
+from ._keys import pool_key
 from ._lead_parts import LeadParts
 from ._leadless_pools import LeadlessPools
 from ._plan_timer import PlanTimer
@@ -57,6 +59,9 @@
 LIMIT_LOG_INTERVAL = timedelta(seconds=1)
 #: Longest delay of a state request until a final state is durable.
 FINAL_STATE_WAIT = timedelta(milliseconds=200)
+#: Time for which a pool that has left the configuration keeps its lead, at least.
+#: Daemons with an earlier version store jobs in it for a few seconds more.
+MIN_RETIREMENT_AGE = timedelta(seconds=60)
 #: Interval between deletions of ended jobs' records.
 PURGE_INTERVAL = timedelta(seconds=10)
 
@@ -87,13 +92,15 @@
         self.loaded = False
         #: The platform's newest list, which may arrive before the jobs are loaded.
         self._listed_workers: Sequence[WorkerEntry] | None = None
+        #: Since when the configuration lacks this pool; None if it names it.
+        self._unnamed_since: datetime | None = None
         self._state = PoolState(parts.clock, parts.status_for_ms)
         self.admission = Admission(self._state, parts.log)
         self._plan_timer = PlanTimer(parts.clock, self._plan_now)
         self._waiting_demand: dict[str, Resources] = {}
         self._short_logged_until: dict[str, datetime] = {}
         store, clock, log = parts.store, parts.clock, parts.log
-        writes = TermWrites(store, term, self.superseded)
+        writes = self._writes = TermWrites(store, term, self.superseded)
         self._records = PoolRecords(
             store, clock, log, term, self._tasks, writes, self._on_unloadable
         )
@@ -133,6 +140,15 @@
         self._report_processor = ReportProcessor(
             self._state, self._starter, self._progress, log
         )
+        self._former_queues = FormerQueues(
+            store,
+            clock,
+            log,
+            term.pool,
+            self._tasks,
+            self._state.queues,
+            self._on_queue_found,
+        )
         self._grants = PoolGrants(term.pool)
         self._grant_updater = GrantUpdater(
             store,
@@ -218,6 +234,10 @@
 
     def set_document(self, document: CellDocument) -> None:
         """Apply a configuration."""
+        if any(p.name == self.term.pool for p in document.pools):
+            self._unnamed_since = None
+        elif self._unnamed_since is None:
+            self._unnamed_since = self._clock.now()
         # Jobs of a removed queue still run, under its last configuration.
         self._state.queues.update((q.name, q) for q in document.queues)
         self._state.weights = {t.name: t.weight for t in document.teams}
@@ -228,6 +248,11 @@
         self._grant_updater.update_soon()
         self._plan_soon()
 
+    def _on_queue_found(self) -> None:
+        """Plan the jobs of a queue that was removed before this term."""
+        self._state.planner.set_queues(self._state.queues.values())
+        self._plan_soon()
+
     def set_evacuated(self, domains: frozenset[str]) -> None:
         """Start nothing in these failure domains; what runs there continues."""
         self._fleet.set_evacuated(domains)
@@ -236,6 +261,8 @@
     def accept(self, record: JobRecord, revision: int) -> None:
         """Add a durable job."""
         self._intake.add(record, revision)
+        if record.id in self._state.jobs.open:
+            self._former_queues.note(record)
 
     def cancel(self, job_id: str) -> bool:
         """Cancel a job whose cancellation is durable; False if the job is unknown."""
@@ -277,6 +304,8 @@
         loaded = await self._records.load(self._renew_meanwhile)
         self._intake.restore(loaded)
         self.loaded = True
+        for job in self._state.jobs.open.values():
+            self._former_queues.note(job.record)
         self._fleet.load(loaded.workers)
         self._crash_records.revision = loaded.suspects_revision
         self._crashes.restore(loaded.suspects)
@@ -295,7 +324,7 @@
         self._plan_soon()
 
     async def _follow(self) -> None:
-        await self._records.follow(self._intake.add, self._intake.cancel)
+        await self._records.follow(self.accept, self._intake.cancel)
 
     def _renew_meanwhile(self, workers: Sequence[RecordedWorker]) -> None:
         async def renew() -> None:
@@ -329,13 +358,31 @@
     async def _purge_ended(self) -> None:
         while True:
             await self._clock.sleep(PURGE_INTERVAL)
+            if not self.may_act():
+                continue
+            if self._has_served_out():
+                await self._records.log_store_errors(self._retire())
             old = self._state.jobs.expired(self._state.now_ms())
-            if not old or not self.may_act():
+            if not old:
                 continue
             deleted = await self._records.log_store_errors(self._progress.delete(old))
             for job in old[: deleted or 0]:
                 self._state.jobs.remove(job)
 
+    def _has_served_out(self) -> bool:
+        """Return whether the pool has left the configuration and holds no jobs."""
+        since = self._unnamed_since
+        if since is None or not self.loaded or self._state.jobs.jobs:
+            return False
+        return self._clock.now() - since >= MIN_RETIREMENT_AGE
+
+    async def _retire(self) -> None:
+        """End the term, so that the pool has no lead from then on."""
+        self._log.log_event(
+            LogLevel.INFO, "pool_retired", pool=self.term.pool, term=self.fence
+        )
+        await self._writes.commit({}, deletes=[pool_key(self.term.pool), self.term.key])
+
     def _plan_soon(self) -> None:
         if self.loaded and not self._tasks.is_closed:
             self._plan_timer.request_pass()
