--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_machine.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_machine.py
@@ -78,6 +78,7 @@
 
     def crash(self) -> None:
         """Restart under the same id with a new incarnation; all state is lost."""
+        self._owner.note_lost_ends(self)
         for run in self.active.values():
             run.timer.cancel()
         incarnation_start_ms = self.entry.incarnation_start_ms + 1
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
@@ -132,15 +132,17 @@
             machine.crash_and_return(self.crash_duration, self.returns_as_new)
 
     def crashed(self, machine: MemoryMachine) -> None:
-        """Record that a worker is about to crash.
-
-        The gangs of its runs break. Whether a lead has read the ends that it listed
-        is unknown, so their tasks may run again.
-        """
+        """Record that a worker is about to crash; the gangs of its runs break."""
         self.crashed_workers.append(machine.entry.id)
         self.on_crash(machine.entry)
         for name, number in list(machine.active):
             self._gang_ended(TaskName.parse(name), number, RunEnd.BROKEN)
+
+    def note_lost_ends(self, machine: MemoryMachine) -> None:
+        """Record that a worker is about to forget the ends that it lists.
+
+        Whether a lead has read them is unknown, so their tasks may run again.
+        """
         self._lost_ends.update(str(ended.task) for ended in machine.ended)
 
     def returned(self, machine: MemoryMachine) -> None:
