--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_claims.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_claims.py
@@ -71,4 +71,4 @@
     try:
         return msgspec.json.decode(value, type=JobClaim)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
-        raise RecordError(f"claim {key}: {exc}") from exc
+        raise RecordError(key, str(exc)) from exc
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_earlier_build.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_earlier_build.py
@@ -1,4 +1,4 @@
-"""Records of the build of dfb5967 are read here, and those written here there."""
+"""Records and messages of earlier builds, dfb5967 and de0a453, have the same bytes."""
 
 from __future__ import annotations
 
@@ -20,12 +20,29 @@
     encode_progress,
     encode_suspects,
 )
+from savorylead.pools import AdviceCost, Queue
 from savorylead_daemon.pool import _keys
+from savorylead_daemon.pool._cell_view import LeadRecord, MemberRecord, encode_record
+from savorylead_daemon.pool._job_claims import JobClaim, decode_claim, encode_claim
+from savorylead_daemon.pool._peer_messages import (
+    AdmissionQuery,
+    Done,
+    GrantsWritten,
+    JobAccepted,
+    JobCancelled,
+    JobStoreRequest,
+    LeadReply,
+    LeaseEndRequest,
+    PeerAdviceRequest,
+    PendingQuery,
+    ReachabilityQuery,
+    StateQuery,
+)
 from savorylead_daemon.pool._pool_records import RecordedWorker
 
 
 class Record(NamedTuple):
-    """A record as the build of dfb5967 wrote it."""
+    """A record as an earlier build wrote it."""
 
     value: bytes
     decode: Callable[[bytes], Any]
@@ -57,15 +74,66 @@
         lambda value: msgspec.json.decode(value, type=list[RecordedWorker]),
         msgspec.json.encode,
     ),
+    # The records below are those of de0a453.
+    "suspects": Record(
+        b'[{"task":"0a1b2c3d4e5f6071.0.0.2","crashes":[{"worker":"i-1",'
+        b'"at_ms":1764950400000,"age_ms":12,"is_youngest":true,"is_confirmed":true}],'
+        b'"isolated_run":{"worker":"i-2","incarnation_start_ms":1764950000000,'
+        b'"number":66}}]',
+        lambda value: decode_suspects("key", value),
+        encode_suspects,
+    ),
+    "member": Record(
+        b'["edge-1","0a","10.0.0.1:71","9"]',
+        lambda value: msgspec.json.decode(value, type=MemberRecord),
+        encode_record,
+    ),
+    "lead": Record(
+        b'[["edge-1","0a","10.0.0.1:71","9"],7]',
+        lambda value: msgspec.json.decode(value, type=LeadRecord),
+        encode_record,
+    ),
+}
+
+_JOB = (
+    b'["0a1b2c3d4e5f6071","pool","queue","team",1764950400000,["payload",'
+    b'[[1,[1000,100,0,0,0],1000,[],false,false,false,"","",0,false,false,"",0,false,'
+    b"0]],0,0,0]]"
+)
+#: Messages as the build of de0a453 sent them.
+MESSAGES: dict[type, bytes] = {
+    JobAccepted: b"[" + _JOB + b",7]",
+    AdmissionQuery: b'["pool","0a1b2c3d4e5f6071","queue","team",[[1,[1000,100,0,0,0],'
+    b'1000,[],false,false,false,"","",0,false,false,"",0,false,0]]]',
+    JobCancelled: b'["pool","0a1b2c3d4e5f6071"]',
+    StateQuery: b'["pool","0a1b2c3d4e5f6071"]',
+    PendingQuery: b'["pool","queue"]',
+    GrantsWritten: b'["pool"]',
+    JobStoreRequest: b"[" + _JOB + b"]",
+    LeaseEndRequest: b'["9"]',
+    ReachabilityQuery: b'["pool","10.0.0.1:71"]',
+    Done: b"[true]",
+    PeerAdviceRequest: b'["s",["w"],1.5]',
+    LeadReply: b'[true,true,"running",3,false,0,"","",0]',
 }
 
 
+@pytest.mark.parametrize(
+    ("kind", "body"), MESSAGES.items(), ids=[kind.__name__ for kind in MESSAGES]
+)
+def test_messages_have_the_bytes_of_the_earlier_build(kind: type, body: bytes) -> None:
+    assert msgspec.json.encode(msgspec.json.decode(body, type=kind)) == body
+
+
 @pytest.mark.parametrize("record", RECORDS.values(), ids=RECORDS)
 def test_records_have_the_bytes_of_the_earlier_build(record: Record) -> None:
     assert record.encode(record.decode(record.value)) == record.value
 
 
-def test_the_suspects_key_is_under_no_prefix_that_the_earlier_build_reads() -> None:
+@pytest.mark.parametrize(
+    "key", [_keys.crashes_key("pool"), _keys.claim_key("0a1b2c3d4e5f6071")]
+)
+def test_added_keys_are_under_no_prefix_that_the_earlier_build_reads(key: str) -> None:
     read = [
         _keys.CELL_PREFIX,
         _keys.GRANTS_KEY,
@@ -74,7 +142,40 @@
         _keys.intake_prefix("pool"),
         _keys.progress_prefix("pool"),
     ]
-    assert not any(_keys.crashes_key("pool").startswith(prefix) for prefix in read)
+    assert not any(key.startswith(prefix) for prefix in read)
+
+
+def test_the_earlier_build_takes_a_pools_key_for_no_other_record() -> None:
+    # It reads all keys of the cell, and ignores those of kinds that it does not know.
+    known = (_keys.MEMBER_PREFIX, _keys.MACHINE_PREFIX, _keys.LEAD_PREFIX)
+    assert not _keys.pool_key("pool").startswith(known)
+
+
+QUEUE = Queue("q", "host", "/q/", "pool", 1, 3, 2.0, 3_000, False, None)
+
+
+@pytest.mark.parametrize(
+    "queue",
+    [None, QUEUE, QUEUE._replace(advice=AdviceCost(20.0, 0.5, 2_000))],
+    ids=["unknown", "plain", "advised"],
+)
+def test_a_claim_keeps_the_queue_and_ignores_fields_of_a_later_build(
+    queue: Queue | None,
+) -> None:
+    document = msgspec.json.decode(encode_claim(JobClaim.of("pool", queue)))
+    document["added"] = [1]
+    if queue is not None:
+        document["queue"]["added"] = {"a": 1}
+    claim = decode_claim("key", msgspec.json.encode(document))
+    assert (claim.pool, claim.accepted_queue()) == ("pool", queue)
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"{", b"[]", b'{"queue":1}', b"\xff", b"[" * 100_000]
+)
+def test_a_malformed_claim_raises_an_error(value: bytes) -> None:
+    with pytest.raises(RecordError):
+        decode_claim("key", value)
 
 
 SUSPECT = SuspectTask(
