A pool retires only if no job is stored in it meanwhile

A daemon without the store may have a peer store a job under a configuration that it read long ago. A job that was stored just as its removed pool retired would have had no lead. The transaction that retires a pool now expects the mark's revision, which storing such a job changes, and the lead first reads that the pool has no records.

Cost: two reads when a pool retires.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -19,6 +19,7 @@
 from savorylead.links import DeadlineExceededError, within
 from savorylead.pools import (
     CellDocument,
+    Committed,
     Finding,
     Plan,
     PoolGrants,
@@ -37,7 +38,7 @@
 from ._former_queues import FormerQueues
 from ._grant_updater import GrantUpdater
 from ._job_intake import JobIntake
-from ._keys import pool_key
+from ._keys import intake_prefix, pool_key
 from ._lead_parts import LeadParts
 from ._leadless_pools import LeadlessPools
 from ._plan_timer import PlanTimer
@@ -378,10 +379,23 @@
 
     async def _retire(self) -> None:
         """End the term, so that the pool has no lead from then on."""
+        pool = self.term.pool
+        # A job that is stored meanwhile changes the key's revision.
+        item = await self._parts.store.get(pool_key(pool))
+        page = await self._parts.store.page(intake_prefix(pool))
+        if page.items:
+            return
+        revision = 0 if item is None else item.revision
+        result = await self._writes.commit(
+            {pool_key(pool): revision}, deletes=[pool_key(pool), self.term.key]
+        )
         self._log.log_event(
-            LogLevel.INFO, "pool_retired", pool=self.term.pool, term=self.fence
+            LogLevel.INFO,
+            "pool_retired",
+            pool=pool,
+            term=self.fence,
+            done=isinstance(result, Committed),
         )
-        await self._writes.commit({}, deletes=[pool_key(self.term.pool), self.term.key])
 
     def _plan_soon(self) -> None:
         if self.loaded and not self._tasks.is_closed:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_elections.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_elections.py
@@ -26,7 +26,9 @@
         log=EventLog(clock, 1),
         member=MEMBER,
         lease=SimpleNamespace(id=lease_id, holds=lambda: True),
-        view=SimpleNamespace(revision=9, members={}, leads={"pool": entry}),
+        view=SimpleNamespace(
+            revision=9, members={}, leads={"pool": entry}, pools=set()
+        ),
         on_elected=elected.append,
         on_deposed=lambda pool: None,
         reaches_all_runs=lambda pool: True,
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_removed_queues.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_removed_queues.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Callable
 from datetime import timedelta
 
 import pytest
 from twisted.internet.defer import Deferred
 
-from savorylead.jobs import JobState
+from savorylead.clock import to_millis
+from savorylead.jobs import JobRecord, JobState
 from savorylead.pools import Pool, RunEnd
+from savorylead_daemon.pool._keys import lead_key
 from savorylead_standins.pools import PoolCell, in_turn, job_spec
 
 from .route_cases import APPLIED_WITHIN_S, FORMER, LATTER, starts, two_pools
@@ -114,3 +117,37 @@
     cell.submit(STEPS, job_spec())
     cell.run(3.0)
     assert cell.state(STEPS) is JobState.COMPLETED
+
+
+def cell_about_to_retire_a_pool() -> PoolCell:
+    cell = two_pools()
+    remove_service(cell)
+    cell.run(60.0)
+    return cell
+
+
+@functools.cache
+def retires_after_ms() -> int:
+    """Return when the pool of such a cell is retired; each cell takes equally long."""
+    cell = cell_about_to_retire_a_pool()
+    for elapsed_ms in range(20_000):
+        if lead_key(FORMER) not in cell.store.items:
+            return elapsed_ms
+        cell.run(0.001)
+    raise AssertionError("the pool was not retired")
+
+
+@pytest.mark.parametrize("earlier_ms", range(-4, 12))
+def test_a_job_that_is_stored_while_its_pool_retires_is_run(earlier_ms: int) -> None:
+    # Guards against a pool without a lead that holds a job: a daemon without the store
+    # has a peer store a job under the configuration that it read long ago.
+    cell = cell_about_to_retire_a_pool()
+    via = next(name for name, node in cell.nodes.items() if not node.leads)
+    cell.run((retires_after_ms() - earlier_ms) / 1000)
+    spec = in_turn(2, 1)
+    record = JobRecord(
+        STEPS, FORMER, f"q-{FORMER}", "team", to_millis(cell.clock.now()), spec
+    )
+    Deferred.fromCoroutine(cell.nodes[via].gateway.store_for_peer(record))
+    cell.run(20.0)
+    assert starts(cell, STEPS) == 2
