Answers to starts are compared with polls in a module of their own

The session had grown by the numbers of polls and the answers since. No change of behaviour; the tests of restarted workers and of the session pass as before.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Sequence
 from datetime import timedelta
-from typing import NamedTuple
 
 from twisted.internet.defer import CancelledError, Deferred
 
@@ -32,6 +31,7 @@
 
 from ._pace_orders import PaceOrders
 from ._session_owner import SessionOwner
+from ._start_answers import Poll, StartAnswers
 from ._worker_answers import WorkerAnswers
 from ._worker_clock import WorkerClock
 
@@ -73,13 +73,6 @@
 _NO_WAIT = timedelta(0)
 
 
-class _Poll(NamedTuple):
-    """A request for a report; later ones have higher numbers."""
-
-    number: int
-    sent_at_ms: int
-
-
 class WorkerSession:
     """Renews a worker's lease, polls its reports and sends it orders."""
 
@@ -126,14 +119,7 @@
         self._unanswered = 0
         #: Runs whose lease lapsed in the present silence, which a crash may explain.
         self._lapsed: list[Run] = []
-        #: Number of the last poll.
-        self._polls = 0
-        #: The last poll sent before another incarnation may have received a start; 0 if
-        #: a later report has told which one it is.
-        self._last_doubtful_poll = 0
-        #: Runs whose starts were answered since the last report, by task name and run
-        #: number, and the last poll sent before the answer.
-        self._answered_starts: dict[tuple[str, int], int] = {}
+        self._start_answers = StartAnswers()
 
     def start(self) -> None:
         """Claim the worker and poll it from then on."""
@@ -195,7 +181,7 @@
             raise
         except WorkerError as exc:
             self._unanswered += 1
-            self._note_doubtful()
+            self._start_answers.note_doubtful()
             # A restarted worker may have taken the deadline for a later one.
             self._worker_clock.extend_lease(self._max_lease_ms)
             self.worker.note_silent(to_millis(self._clock.now()))
@@ -217,16 +203,12 @@
             elif result.reason is StartRejection.WRONG_INCARNATION:
                 self.worker.usable = False
         else:
-            key = (str(run.task.name), run.number)
-            self._answered_starts[key] = self._polls
+            self._start_answers.note_answered((str(run.task.name), run.number))
             self._wakeup.wake()
         if result.clock_ms is not None and result.clock_ms < earliest_clock_ms:
             self._note_clock_went_back(run, result.clock_ms, earliest_clock_ms)
         return result
 
-    def _note_doubtful(self) -> None:
-        self._last_doubtful_poll = self._polls
-
     def _note_clock_went_back(
         self, run: Run, clock_ms: int, earliest_clock_ms: int
     ) -> None:
@@ -241,7 +223,7 @@
         )
         self._worker_clock.update(clock_ms)
         self._worker_clock.limit_lease(clock_ms + self._max_lease_ms)
-        self._note_doubtful()
+        self._start_answers.note_doubtful()
         self.worker.usable = False
         self.poll_soon()
         # The pending poll may wait a second for a run to end.
@@ -374,9 +356,12 @@
         self._released_end = max(self._released_end, released)
         self._process(report, poll)
 
-    def _new_poll(self) -> _Poll:
-        self._polls += 1
-        return _Poll(self._polls, to_millis(self._clock.now()))
+    def _new_poll(self) -> Poll:
+        return self._start_answers.new_poll(to_millis(self._clock.now()))
+
+    def _is_uncertain(self) -> bool:
+        """Return whether another incarnation than the known one may answer."""
+        return self._misses > 0 or self._start_answers.is_doubtful
 
     def _releasable_end(self) -> int:
         """Return up to which number the next poll releases ends.
@@ -384,8 +369,7 @@
         The same number may belong to an unread end of a restarted worker, so nothing is
         released twice, or while another incarnation may have started a task.
         """
-        is_doubtful = self._misses > 0 or self._last_doubtful_poll > 0
-        if is_doubtful or self._durable_end == self._released_end:
+        if self._is_uncertain() or self._durable_end == self._released_end:
             return _NOTHING_RELEASED
         return self._durable_end
 
@@ -407,14 +391,15 @@
         self._answers.note(self._clock.now() - began_at, wait)
         return report
 
-    def _process(self, report: WorkerReport, poll: _Poll) -> None:
+    def _process(self, report: WorkerReport, poll: Poll) -> None:
         """Process a report, unless a later one was processed before."""
         is_older = self._worker_clock.is_older(report.clock_ms)
         if is_older and self._incarnation_start_ms == report.incarnation_start_ms:
             return
-        if self._is_restart(report) and self._was_overtaken(poll):
+        overtaken = self._start_answers.have_overtaken(poll, self.worker.runs)
+        if overtaken and self._is_restart(report):
             # The next report tells in which incarnation those runs are.
-            self._note_doubtful()
+            self._start_answers.note_doubtful()
             self.worker.usable = False
             return
         self._note_report(report, poll)
@@ -452,15 +437,15 @@
         is_stopping = any(
             r.state is RunState.STOPPING for r in self.worker.runs.values()
         )
-        is_uncertain = self._misses > 0 or self._last_doubtful_poll > 0
-        if not self.claimed or is_stopping or not self.worker.runs or is_uncertain:
+        has_runs = bool(self.worker.runs)
+        if not self.claimed or is_stopping or not has_runs or self._is_uncertain():
             return _NO_WAIT
         longest = RENEW_WAIT
         if self.worker.serves() and self.worker.filler_demand_milli():
             longest = SHARED_WORKER_WAIT
         return self._answers.wait(longest)
 
-    def _note_report(self, report: WorkerReport, poll: _Poll) -> None:
+    def _note_report(self, report: WorkerReport, poll: Poll) -> None:
         self._misses = 0
         self._unanswered = 0
         self.is_replaced = False
@@ -471,25 +456,12 @@
         self._incarnation_start_ms = report.incarnation_start_ms
         self.worker.answering_incarnation_ms = report.incarnation_start_ms
         self._worker_clock.update(report.clock_ms)
-        if poll.number > self._last_doubtful_poll:
-            self._last_doubtful_poll = 0
-        self._answered_starts = {
-            key: number
-            for key, number in self._answered_starts.items()
-            if key in self.worker.runs and number >= poll.number
-        }
+        self._start_answers.note_report(poll, self.worker.runs)
 
     def _is_restart(self, report: WorkerReport) -> bool:
         known_ms = self._incarnation_start_ms
         return known_ms != 0 and report.incarnation_start_ms != known_ms
 
-    def _was_overtaken(self, poll: _Poll) -> bool:
-        """Return whether the start of a run was answered after a poll was sent."""
-        return any(
-            number >= poll.number and key in self.worker.runs
-            for key, number in self._answered_starts.items()
-        )
-
     def _note_restart(self, report: WorkerReport) -> None:
         """Record that the worker's earlier incarnation is over, and its runs with it.
 
