Test: the key of a job's record by its function

Two keys of a job end with its id since ids are claimed, so the search of test_a_cancel_of_a_job_that_is_being_forgotten_finds_no_job for one by its text failed. It now takes the record's key and expects it to exist.

--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_cell_callers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_cell_callers.py
@@ -12,6 +12,7 @@
 from savorylead.pools import StorePage
 from savorylead_daemon.http import JsonRequest
 from savorylead_daemon.pool import CallerAnswer, CallerCall
+from savorylead_daemon.pool._keys import job_key
 from savorylead_standins.pools import PoolCell, StoreView, job_spec
 from savorylead_standins.pools._pool_cell import KEY, OPERATORS_PREFIX
 
@@ -145,7 +146,8 @@
     cell = ready_cell()
     cell.submit("one", job_spec())
     cell.run(3.0)
-    [key] = [k for k in cell.store.items if k.endswith("/one") and "job" in k]
+    key = job_key("pool", "one")
+    assert key in cell.store.items
     view = cell.views["node-0"]
     commit = view.commit
 
