A worker that was not polled for a while reports before a start

An idle worker is polled once a minute, so its lead starts tasks by the entry and the clock of an incarnation that is over.

Change: a worker whose last report is older than 1.5 s is polled first; all starts that wait share the poll. A start is dropped, and the task planned again, if the worker does not answer or its entry is of another incarnation.

Cost: one call to a worker more for the first start after it was idle, and its round trip.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
@@ -101,11 +101,16 @@
             # If the run crashes its worker, a later lead must know that it was there.
             await self._crashes.wait_until_recorded()
         session = self._state.sessions.get(run.worker)
+        may_start = session is not None and await session.confirm_incarnation()
         is_needed = run.state is RunState.STARTING and task.run is run
         if session is None or not is_needed or not self._may_act():
             self._state.free(run)
             self.stop_rest_of_gang(run, "gang_incomplete")
             return
+        if not may_start:
+            self.log_start(run, "worker_unconfirmed")
+            self._failed_to_start(run)
+            return
         order = RunOrder(
             task=task.name,
             number=run.number,
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 from twisted.internet.defer import CancelledError, Deferred
 
@@ -55,6 +55,9 @@
 #: Delay of a poll after a stop was accepted. A report proves that the run is gone only
 #: if it was requested after the stop, on a clock with a resolution of 1 ms.
 POLL_DELAY_AFTER_STOP = timedelta(milliseconds=2)
+#: A report that is older does not prove that the worker has not restarted. Workers
+#: with runs report every RENEW_WAIT.
+REPORT_VALID_FOR = timedelta(milliseconds=1_500)
 #: Unanswered orders, without a report in between, after which a worker is not used.
 #: The answer to a single one may have been lost by the network.
 MAX_UNANSWERED_ORDERS = 2
@@ -120,6 +123,9 @@
         #: Runs whose lease lapsed in the present silence, which a crash may explain.
         self._lapsed: list[Run] = []
         self._start_answers = StartAnswers()
+        self._reported_at: datetime | None = None
+        #: Starts that wait for the report of a worker that was not polled for a while.
+        self._waiting_starts: list[Deferred[None]] = []
 
     def start(self) -> None:
         """Claim the worker and poll it from then on."""
@@ -159,6 +165,36 @@
         """Return whether all deadlines that this lead sent the worker are over."""
         return self._worker_clock.lease_is_over()
 
+    async def confirm_incarnation(self) -> bool:
+        """Return whether a task may start on the worker as its entry describes it.
+
+        An idle worker, which is polled rarely, is polled first: it may have restarted
+        as another kind of worker.
+        """
+        if not self._has_recent_report():
+            waiting: Deferred[None] = Deferred()
+            self._waiting_starts.append(waiting)
+            if len(self._waiting_starts) == 1:
+                self._tasks.spawn("report before a start", self._report_for_starts())
+            await waiting
+        if not self._has_recent_report():
+            self.worker.usable = False
+            self.poll_soon()
+        return self.worker.usable and self.worker.is_entry_current
+
+    def _has_recent_report(self) -> bool:
+        at = self._reported_at
+        return at is not None and self._clock.now() - at < REPORT_VALID_FOR
+
+    async def _report_for_starts(self) -> None:
+        try:
+            await self._poll_in_parallel()
+        finally:
+            waiting, self._waiting_starts = self._waiting_starts, []
+            for each in waiting:
+                if not each.called:
+                    each.callback(None)
+
     async def start_run(
         self, run: Run, order: RunOrder
     ) -> RunStarted | RunRejected | None:
@@ -457,6 +493,7 @@
         self.worker.answering_incarnation_ms = report.incarnation_start_ms
         self._worker_clock.update(report.clock_ms)
         self._start_answers.note_report(poll, self.worker.runs)
+        self._reported_at = self._clock.now()
 
     def _is_restart(self, report: WorkerReport) -> bool:
         known_ms = self._incarnation_start_ms
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
@@ -164,6 +164,9 @@
         self.started: list[Run] = []
         self.stopped: list[Run] = []
 
+    async def confirm_incarnation(self) -> bool:
+        return True
+
     async def start_run(self, run: Run, order: Any) -> None:
         self.started.append(run)
         await Deferred()
--- a/packages/savorylead/savorylead/pools/_pool_worker.py
+++ b/packages/savorylead/savorylead/pools/_pool_worker.py
@@ -111,12 +111,13 @@
     def may_start_at_ms(self) -> float:
         """Return the time from which tasks may start on it; infinite if unknown."""
         is_ready = self.usable and self.listed and self.accepts_tasks
-        if not is_ready or self.unknown_runs or not self._is_entry_current():
+        if not is_ready or self.unknown_runs or not self.is_entry_current:
             return math.inf
         return float(max(self.quarantined_until_ms, self.isolated_until_ms))
 
-    def _is_entry_current(self) -> bool:
-        """Return whether its entry describes the incarnation that answers.
+    @property
+    def is_entry_current(self) -> bool:
+        """Whether its entry describes the incarnation that answers.
 
         A worker that has restarted under its id may have another capacity or label, and
         its entry is rewritten only with its next heartbeat.
