A refusal for backlog waits 200 ms at most for the read of the claim

Since the claim is read before a job is refused for backlog, a store that had just fallen silent held such callers until their deadline. The read has a timeout now; without its answer the job is not refused for backlog, and the store's state decides.

Evidence: test_a_refusal_for_backlog_does_not_wait_for_a_silent_store fails without the timeout (no answer in 0.5 s) and passes with it.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
@@ -58,6 +58,9 @@
 #: Timeout of that read. The platform requires that, of two calls to one daemon sent
 #: 250 ms apart, the second is not answered from an older configuration version.
 CONFIG_CONFIRM_TIMEOUT = timedelta(milliseconds=200)
+#: Timeout of the read that proves that a refused job is unknown. The store answers
+#: in 4 ms; while it does not, the job is not refused for backlog.
+CLAIM_TIMEOUT = timedelta(milliseconds=200)
 #: Range of the retry delay sent with a refusal, in seconds.
 RETRY_AFTER_RANGE_S = (1, 3)
 
@@ -237,11 +240,15 @@
 
         The lead that refuses a job knows only those of its own pool.
         """
+        reading = Deferred.fromCoroutine(self._locator.claim(job_id))
         try:
-            return await self._locator.claim(job_id) is None
-        except (StoreError, RecordError) as exc:
+            return await within(self._clock, CLAIM_TIMEOUT, reading) is None
+        except (StoreError, RecordError, DeadlineExceededError) as exc:
             self._log.log_event(
-                LogLevel.INFO, "claim_unread", job=job_id, detail=str(exc)
+                LogLevel.INFO,
+                "claim_unread",
+                job=job_id,
+                detail=f"{type(exc).__name__}: {exc}",
             )
             return False
 
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_moved_routes.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_moved_routes.py
@@ -157,3 +157,22 @@
     assert refused is not None and refused.error == "backlog"
     assert repeat(cell) is DONE
     assert starts(cell) == 1
+
+
+def test_a_refusal_for_backlog_does_not_wait_for_a_silent_store(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against holding a caller until its deadline since the claim can't be read.
+    cell = two_pools()
+    monkeypatch.setattr(_admission, "MAX_OPEN_JOBS", 2)
+    cell.workers.duration_of = lambda _: timedelta(seconds=60)
+    for number in range(4):
+        cell.submit(f"full{number}", job_spec(), "node-1")
+        cell.run(0.2)
+    cell.store.leases_lapse = False
+    cell.store.silent = True
+    cell.run(1.4)
+    cell.submit(JOB, job_spec(), "node-1")
+    cell.run(0.5)
+    answer = cell.answer(JOB)
+    assert answer is not None and answer.kind is CallerAnswer.Kind.NOT_NOW
