No daemon is elected before it has read the configuration

Cause: since pools that may hold jobs are marked in the store, a daemon stood for election as soon as it had read the marks. It held the pool's key, but a lead begins only with a configuration, so nobody led.

Change: elections begin with the first configuration, as before the marks.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
@@ -59,7 +59,8 @@
         self._view = view
         self._on_elected = on_elected
         self._on_deposed = on_deposed
-        self._pools: frozenset[str] = frozenset()
+        #: Pools that the configuration names; None before one was read.
+        self._pools: frozenset[str] | None = None
         self._timers: dict[str, Timer] = {}
         self._closed = False
         #: The lease under which this daemon is registered; empty before registration.
@@ -90,12 +91,15 @@
             return
         self._member_history.note(self._view)
         self.hand_over.note_leads()
+        if self._pools is None:
+            # A lead can't begin without a configuration.
+            return
         for pool in self._pools | self._view.pools | set(self.terms):
             self._review_pool(pool)
 
     def _needs_lead(self, pool: str) -> bool:
         """Return whether the configuration names a pool, or it may hold jobs."""
-        return pool in self._pools or pool in self._view.pools
+        return pool in self._view.pools or pool in (self._pools or ())
 
     def on_registered(self, lease_id: str) -> None:
         """Schedule all attempts again: those without a lease had no rank."""
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_removed_queues.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_removed_queues.py
@@ -11,9 +11,16 @@
 
 from savorylead.clock import to_millis
 from savorylead.jobs import JobRecord, JobState
-from savorylead.pools import Pool, RunEnd
+from savorylead.pools import Pool, RunEnd, StorePage, StoreRefusedError
 from savorylead_daemon.pool._keys import lead_key
-from savorylead_standins.pools import PoolCell, in_turn, job_spec
+from savorylead_standins.pools import (
+    MemoryCellStore,
+    PoolCell,
+    StoreView,
+    in_turn,
+    job_spec,
+)
+from savorylead_standins.pools._pool_cell import OPERATORS_PREFIX
 
 from .route_cases import APPLIED_WITHIN_S, FORMER, LATTER, starts, two_pools
 
@@ -151,3 +158,39 @@
     Deferred.fromCoroutine(cell.nodes[via].gateway.store_for_peer(record))
     cell.run(20.0)
     assert starts(cell, STEPS) == 2
+
+
+class ConfigReadLate(StoreView):
+    """A store connection that refuses reads of what operators write at first."""
+
+    def __init__(self, store: MemoryCellStore) -> None:
+        super().__init__(store)
+        self.refuses_config = True
+
+    async def page(self, prefix: str, after: str = "") -> StorePage:
+        """Refuse to read the configuration."""
+        if self.refuses_config and prefix.startswith(OPERATORS_PREFIX):
+            raise StoreRefusedError("refused")
+        return await super().page(prefix, after)
+
+
+@pytest.mark.parametrize("late_s", [0.5, 4.0])
+def test_no_daemon_is_elected_before_it_has_read_the_configuration(
+    late_s: float,
+) -> None:
+    # Regression: after a restart of all daemons, one was elected for a pool that may
+    # hold jobs before it had read the configuration. It held the pool's key, and did
+    # not lead.
+    cell = two_pools()
+    cell.submit(STEPS, in_turn(3, 1))
+    cell.run(0.5)
+    for name in list(cell.nodes):
+        cell.kill(name)
+        cell.views[name] = ConfigReadLate(cell.store)
+        cell.start_node(name)
+    cell.run(late_s)
+    for view in cell.views.values():
+        view.refuses_config = False
+    cell.run(12.0)
+    assert starts(cell, STEPS) == 3
+    assert cell.state(STEPS) is JobState.COMPLETED
