Reading the change again: one table of services in the tests, plainer words

The three tests of moved routes share the rows on the former service. Docstrings of PeerRequests and JobLocator say what happens in the field's words; _may_retire was _has_served_out. No change of behaviour.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_locator.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_locator.py
@@ -64,9 +64,9 @@
     async def find(self, job_id: str, pool: str) -> KeyValue | None:
         """Return a job's record, None if no such job exists.
 
-        ``pool`` is where it most likely is. The claim proves that there is no job, but
-        for jobs stored by daemons of earlier versions, which claimed no ids: these are
-        found in all known pools. Raises StoreError and RecordError.
+        ``pool`` is where it most likely is. An id without a claim has no job, unless a
+        daemon of an earlier version stored one, which claimed no ids; so all known
+        pools are read then. Raises StoreError and RecordError.
         """
         item = await self._store.get(job_key(pool, job_id))
         if item is not None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_peer_requests.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_peer_requests.py
@@ -1,4 +1,4 @@
-"""Refusals of peers' requests that are true of all copies of a request."""
+"""Execution of peers' requests, of which several copies may arrive."""
 
 from __future__ import annotations
 
@@ -14,15 +14,15 @@
 
 
 class PeerRequests:
-    """Executes requests, of which a sender may repeat each without an answer.
+    """Refuses a copy of a request only if no other copy may take effect.
 
-    A refusal tells the sender that nothing was done. Of a copy it is told only if no
-    other copy was executed, is in progress or has an unknown outcome.
+    A refusal tells the sender that nothing was done. A sender that got no answer may
+    have sent a copy, and takes its refusal for that of the whole request.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        #: Copies that were not refused, and when the last one came, by request.
+        #: How many copies were not refused, and when the last one arrived, by request.
         self._unrefused: dict[str, tuple[int, datetime]] = {}
 
     async def execute(self, key: str, work: Coroutine[Any, Any, bool]) -> bool:
@@ -36,9 +36,9 @@
         self._unrefused[key] = (copies + 1, self._clock.now())
         if await work:
             return True
-        copies, came_at = self._unrefused.get(key, (1, self._clock.now()))
+        copies, arrived_at = self._unrefused.get(key, (1, self._clock.now()))
         if copies > 1:
-            self._unrefused[key] = (copies - 1, came_at)
+            self._unrefused[key] = (copies - 1, arrived_at)
             raise StoreError(f"another copy of the request for {key} may take effect")
         self._unrefused.pop(key, None)
         return False
@@ -47,7 +47,7 @@
         """Remove the requests that no sender repeats any more, oldest first."""
         oldest = self._clock.now() - MEMORY
         while self._unrefused:
-            key, (_, came_at) = next(iter(self._unrefused.items()))
-            if came_at >= oldest:
+            key, (_, arrived_at) = next(iter(self._unrefused.items()))
+            if arrived_at >= oldest:
                 break
             del self._unrefused[key]
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -361,7 +361,7 @@
             await self._clock.sleep(PURGE_INTERVAL)
             if not self.may_act():
                 continue
-            if self._has_served_out():
+            if self._may_retire():
                 await self._records.log_store_errors(self._retire())
             old = self._state.jobs.expired(self._state.now_ms())
             if not old:
@@ -370,7 +370,7 @@
             for job in old[: deleted or 0]:
                 self._state.jobs.remove(job)
 
-    def _has_served_out(self) -> bool:
+    def _may_retire(self) -> bool:
         """Return whether the pool has left the configuration and holds no jobs."""
         since = self._unnamed_since
         if since is None or not self.loaded or self._state.jobs.jobs:
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/route_cases.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/route_cases.py
@@ -6,6 +6,8 @@
 from datetime import timedelta
 from typing import Any, NamedTuple
 
+import pytest
+
 from savorylead.jobs import JobState
 from savorylead.pools import Pool, Queue
 from savorylead_daemon.pool._keys import claim_key
@@ -14,6 +16,10 @@
 from .cell_cases import ready_cell
 
 FORMER, LATTER = "pool", "other"
+#: Whether the service that the route has left stays in the configuration.
+FORMER_SERVICE = pytest.mark.parametrize(
+    "pools", [(FORMER, LATTER), (LATTER,)], ids=["former stays", "former leaves"]
+)
 JOB = "one"
 #: Time in which a change of the configuration is in force at all daemons.
 APPLIED_WITHIN_S = 2.0
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_jobs_of_moved_routes.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_jobs_of_moved_routes.py
@@ -11,6 +11,7 @@
 from .route_cases import (
     APPLIED_WITHIN_S,
     FORMER,
+    FORMER_SERVICE,
     JOB,
     JOBS_BEFORE,
     LATTER,
@@ -37,9 +38,7 @@
 
 
 @pytest.mark.parametrize("is_restarted", [False, True], ids=["", "restarted"])
-@pytest.mark.parametrize(
-    "pools", [(FORMER, LATTER), (LATTER,)], ids=["former stays", "former leaves"]
-)
+@FORMER_SERVICE
 @pytest.mark.parametrize("before", JOBS_BEFORE, ids=lambda before: before.name)
 def test_a_job_is_known_after_its_route_moved(
     before: Before, pools: tuple[str, ...], is_restarted: bool
@@ -58,9 +57,7 @@
 
 
 @pytest.mark.parametrize("is_restarted", [False, True], ids=["", "restarted"])
-@pytest.mark.parametrize(
-    "pools", [(FORMER, LATTER), (LATTER,)], ids=["former stays", "former leaves"]
-)
+@FORMER_SERVICE
 @pytest.mark.parametrize(
     "before", [JOBS_BEFORE[1], JOBS_BEFORE[3]], ids=lambda before: before.name
 )
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_moved_routes.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_moved_routes.py
@@ -15,6 +15,7 @@
 from .route_cases import (
     APPLIED_WITHIN_S,
     FORMER,
+    FORMER_SERVICE,
     JOB,
     JOBS_BEFORE,
     LATTER,
@@ -38,9 +39,7 @@
 
 
 @pytest.mark.parametrize("is_claimed", [True, False], ids=["claimed", "earlier build"])
-@pytest.mark.parametrize(
-    "pools", [(FORMER, LATTER), (LATTER,)], ids=["former stays", "former leaves"]
-)
+@FORMER_SERVICE
 @pytest.mark.parametrize("before", JOBS_BEFORE, ids=lambda before: before.name)
 def test_a_repeated_request_after_its_route_moved_starts_nothing(
     before: Before, pools: tuple[str, ...], is_claimed: bool
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_pending_of_moved_routes.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_pending_of_moved_routes.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-import pytest
-
 from savorylead_daemon.pool import CallerAnswer
 from savorylead_standins.pools import PoolCell, job_spec
 
 from .route_cases import (
     APPLIED_WITHIN_S,
     FORMER,
-    LATTER,
+    FORMER_SERVICE,
     fill_former_pool,
     move_route,
     two_pools,
@@ -36,9 +34,7 @@
     cell.run(0.5)
 
 
-@pytest.mark.parametrize(
-    "pools", [(FORMER, LATTER), (LATTER,)], ids=["former stays", "former leaves"]
-)
+@FORMER_SERVICE
 def test_jobs_that_wait_in_the_former_service_are_counted(
     pools: tuple[str, ...],
 ) -> None:
