--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_locator.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_locator.py
@@ -26,8 +26,8 @@
     def pools(self, first: str) -> list[str]:
         """Return the pools that may hold a job, ``first`` first.
 
-        These are the pools of the configurations that were in force here, and those
-        that have a lead.
+        These are the pools of the configurations that were in force here, those that
+        have a lead, and those marked in the store as possibly holding jobs.
         """
         return list(
             dict.fromkeys([first, *self._config.pools(), *self._view.all_pools()])
