Lines and counts of how a term ends and how long the next lead waits

Of two runs of one task at once, the logs told neither how old the former lead's last renewal was, nor how long its leases on workers could hold, nor for how long and for which worker the next lead waited.

- CellLease notes when its last successful renewal or grant was sent; lease_lost, lease_unproved and lease_given_up tell its age.
- lead_leases_left: how many workers' leases may hold as a lead ends, and the longest.
Leases of earlier leads count until they are over.
- runs_located tells waited_ms; former_lease_over names up to 20 workers whose runs count as over although they did not answer.
- Metrics count ended terms by reason and leases ended for other daemons.

No decision changes.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_cell_lease.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_cell_lease.py
@@ -57,6 +57,7 @@
         self._on_lost = on_lost
         self._end_through_peer = end_through_peer
         self._valid_until: datetime | None = None
+        self._proved_at: datetime | None = None
         self._failing_since: datetime | None = None
         self._peers_asked_to_end = False
         self._running: Deferred[None] | None = None
@@ -73,6 +74,17 @@
         """Return whether the lease is certain to be valid now."""
         return self._valid_until is not None and self._clock.now() < self._valid_until
 
+    @property
+    def proved_at(self) -> datetime | None:
+        """When the last successful renewal or grant was sent; None without a lease."""
+        return self._proved_at
+
+    def renewed_ms_ago(self) -> int | None:
+        """Return the milliseconds since ``proved_at``, None without a lease."""
+        if self._proved_at is None:
+            return None
+        return (self._clock.now() - self._proved_at) // timedelta(milliseconds=1)
+
     def stop(self) -> None:
         """Stop renewing the lease, so that it lapses."""
         self._valid_until = None
@@ -83,6 +95,7 @@
         """End the lease, and with it every key attached to it."""
         self.stop()
         lease_id, self.id = self.id, ""
+        self._proved_at = None
         if not lease_id:
             return
         try:
@@ -116,6 +129,7 @@
         grant = await self._store.grant_lease(LEASE_TTL)
         self.id = grant.id
         self._valid_until = sent_at + grant.ttl - SAFETY_MARGIN
+        self._proved_at = sent_at
         self._was_valid = True
         self._log.log_event(LogLevel.INFO, "lease_granted", lease=grant.id)
         self._on_granted(grant.id)
@@ -124,6 +138,7 @@
         sent_at = self._clock.now()
         await self._store.renew_lease(self.id)
         self._valid_until = sent_at + LEASE_TTL - SAFETY_MARGIN
+        self._proved_at = sent_at
         if not self._was_valid:
             self._was_valid = True
             self._log.log_event(LogLevel.INFO, "lease_regained", lease=self.id)
@@ -146,7 +161,11 @@
         valid_until, self._valid_until = self._valid_until, None
         ended = await self._end_through_peer(self.id)
         self._log.log_event(
-            LogLevel.WARNING, "lease_given_up", lease=self.id, ended=ended
+            LogLevel.WARNING,
+            "lease_given_up",
+            lease=self.id,
+            ended=ended,
+            renewed_ms_ago=self.renewed_ms_ago(),
         )
         if ended:
             self._handle_loss()
@@ -154,15 +173,26 @@
             self._valid_until = valid_until
 
     def _handle_loss(self) -> None:
-        self._log.log_event(LogLevel.WARNING, "lease_lost", lease=self.id)
+        self._log.log_event(
+            LogLevel.WARNING,
+            "lease_lost",
+            lease=self.id,
+            renewed_ms_ago=self.renewed_ms_ago(),
+        )
         self.id = ""
         self._valid_until = None
         self._was_valid = False
         self._on_lost()
+        # Only now, since each lead that ends logs the age of the last renewal.
+        self._proved_at = None
 
     def _note_failure(self, exc: StoreError) -> None:
         if self._was_valid and not self.holds():
             self._was_valid = False
             self._log.log_event(
-                LogLevel.WARNING, "lease_unproved", lease=self.id, detail=str(exc)
+                LogLevel.WARNING,
+                "lease_unproved",
+                lease=self.id,
+                renewed_ms_ago=self.renewed_ms_ago(),
+                detail=str(exc),
             )
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
@@ -67,6 +67,8 @@
         self._registered_under = ""
         self._member_history = MemberHistory(clock)
         self.terms: dict[str, Term] = {}
+        #: Number of ended terms, by pool and reason.
+        self.ended_terms: Counter[tuple[str, str]] = Counter()
         self.hand_over = HandOver(
             store,
             clock,
@@ -124,6 +126,7 @@
         term = self.terms.pop(pool, None)
         if term is None:
             return
+        self.ended_terms[pool, reason] += 1
         self._log.log_event(
             LogLevel.INFO, "lead_ended", pool=pool, term=term.number, reason=reason
         )
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_lead_watch.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_lead_watch.py
@@ -87,6 +87,8 @@
         #: Time of the last failure to connect, by address.
         self._failed_at: dict[str, datetime] = {}
         self._not_before: dict[str, datetime] = {}
+        #: Number of leases that the store ended after a vote.
+        self.ended_leases = 0
 
     def note_connect_failure(self, pool: str, address: str) -> None:
         """Record that this daemon could not connect to the lead of a pool."""
@@ -155,6 +157,8 @@
             await self._store.end_lease(lead.lease_id)
         except StoreError as exc:
             detail = str(exc)
+        else:
+            self.ended_leases += 1
         self._log.log_event(
             LogLevel.WARNING,
             "lead_lease_ended",
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_metrics.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_metrics.py
@@ -39,6 +39,17 @@
             "Pools given up to a stronger machine, by what became of the key.",
             registry=self._registry,
         )
+        self._ended_terms = CounterSeries(
+            "savorylead_pool_terms_ended_total",
+            "Terms of this daemon that ended, by the reason.",
+            registry=self._registry,
+        )
+        self._ended_leases = CounterSeries(
+            "savorylead_leases_ended_for_others_total",
+            "Leases of other daemons that this one ended: after a vote that could not "
+            "connect to the lead, or at the holder's request.",
+            registry=self._registry,
+        )
         self._worker_ends = CounterSeries(
             "savorylead_pool_worker_ends_total",
             "Workers that ended while their pool was led here: crashed, planned, or "
@@ -70,6 +81,8 @@
         links: Mapping[str, Counter[LinkCount]],
         terms: Mapping[str, int],
         hand_overs: Mapping[tuple[str, str], int],
+        ended_terms: Mapping[tuple[str, str], int],
+        ended_leases: Mapping[str, int],
         crashes: CrashCounts,
         evacuated_since: Mapping[str, datetime],
         ready: bool,
@@ -86,6 +99,10 @@
             self._terms.set_value({"pool": pool}, term)
         for (pool, outcome), total in hand_overs.items():
             self._hand_overs.set_value({"pool": pool, "outcome": outcome}, total)
+        for (pool, reason), total in ended_terms.items():
+            self._ended_terms.set_value({"pool": pool, "reason": reason}, total)
+        for cause, total in ended_leases.items():
+            self._ended_leases.set_value({"cause": cause}, total)
         for (pool, how), total in crashes.worker_ends.items():
             self._worker_ends.set_value({"pool": pool, "how": how}, total)
         for pool, total in crashes.given_up.items():
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from datetime import datetime, timedelta
 
-from savorylead.clock import Clock
+from savorylead.clock import Clock, to_millis
 from savorylead.jobs import Run
 from savorylead.pools import PoolWorker, WorkerCalls, WorkerEntry
 from savorylead.resources import ZERO, Resources
@@ -30,6 +30,8 @@
 NO_ANSWER_TIMEOUT = timedelta(seconds=3)
 #: With fewer silent workers, the fault may be theirs rather than the lead's.
 MIN_SILENT_WORKERS = 2
+#: Most workers that a new lead logs as waited for in vain.
+MAX_LOGGED_FORMER_LEASES = 20
 #: A task is moved off a leaving worker unless it is expected to end this long before
 #: the worker does.
 LEAVING_MARGIN_MS = 500
@@ -97,6 +99,14 @@
             session.close()
         self._state.sessions.clear()
 
+    def leases_left_ms(self) -> list[int]:
+        """Return how long each lease that may still hold does, on its worker's clock.
+
+        Until this lead knows that they are over, leases of earlier leads count too.
+        """
+        left_ms = [s.lease_left_ms() for s in self._state.sessions.values()]
+        return [each for each in left_ms if each > 0]
+
     def usable(self) -> list[PoolWorker]:
         """Return the workers that are recorded for the next lead."""
         return [
@@ -230,6 +240,8 @@
         sessions = [self._state.sessions.get(w) for w in self._to_locate]
         if not any(s is not None and self._may_have_unknown_runs(s) for s in sessions):
             self._located = True
+            waited_ms = to_millis(self._clock.now()) - to_millis(self._began_at)
+            self._log_former_leases_over(waited_ms)
             for session in sessions:
                 if session is not None and not session.claimed:
                     session.note_former_lease_over()
@@ -238,6 +250,7 @@
                 "runs_located",
                 pool=self._term.pool,
                 term=self._term.number,
+                waited_ms=waited_ms,
                 unreached=[
                     w
                     for w in self._to_locate
@@ -246,6 +259,26 @@
             )
         return self._located
 
+    def _log_former_leases_over(self, waited_ms: int) -> None:
+        """Log the workers whose runs count as over although they did not answer."""
+        sessions = self._state.sessions
+        silent = [
+            worker_id
+            for worker_id in sorted(self._to_locate & sessions.keys())
+            if not sessions[worker_id].claimed and not sessions[worker_id].is_replaced
+        ]
+        for worker_id in silent[:MAX_LOGGED_FORMER_LEASES]:
+            is_listed = self._state.workers[worker_id].listed
+            self._log.log_event(
+                LogLevel.INFO,
+                "former_lease_over",
+                worker=worker_id,
+                pool=self._term.pool,
+                term=self._term.number,
+                waited_ms=waited_ms,
+                listed=is_listed and worker_id not in self._unlisted_since,
+            )
+
     def reaches_all_runs(self) -> bool:
         """Return whether every run is known, and every worker with runs answers."""
         return self.all_runs_located() and not any(
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -181,6 +181,7 @@
         """Stop all orders and writes; workers continue until their leases expire."""
         self._tasks.close()
         self._log_unwritten()
+        self._log_leases_left()
         self._fleet.close()
         self._progress.close()
         self._crash_records.close()
@@ -202,6 +203,19 @@
                 grants=grants,
             )
 
+    def _log_leases_left(self) -> None:
+        """Log for how long workers may continue runs of this term."""
+        left_ms = self._fleet.leases_left_ms()
+        self._log.log_event(
+            LogLevel.INFO,
+            "lead_leases_left",
+            pool=self.term.pool,
+            term=self.fence,
+            renewed_ms_ago=self._parts.lease.renewed_ms_ago(),
+            leased_workers=len(left_ms),
+            longest_lease_ms=max(left_ms, default=0),
+        )
+
     def reaches_all_runs(self) -> bool:
         """Return whether the next lead would locate all runs at once."""
         return self._fleet.reaches_all_runs()
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_clock.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_clock.py
@@ -57,6 +57,10 @@
         """Return whether the lease is definitely over."""
         return self.is_known and self.now_ms() > self._lease_until_ms
 
+    def lease_left_ms(self) -> int:
+        """Return how long the lease may still hold on the worker's clock."""
+        return max(0, self._lease_until_ms - self.now_ms())
+
     def limit_lease(self, until_ms: int) -> None:
         """Record that the worker cannot hold its lease beyond a time on its clock."""
         self._lease_until_ms = min(self._lease_until_ms, until_ms)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -165,6 +165,10 @@
         """Return whether all deadlines that this lead sent the worker are over."""
         return self._worker_clock.lease_is_over()
 
+    def lease_left_ms(self) -> int:
+        """Return how long the worker's lease may still hold on its clock."""
+        return self._worker_clock.lease_left_ms()
+
     async def confirm_incarnation(self) -> bool:
         """Return whether a task may start on the worker as its entry describes it.
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
@@ -229,6 +229,8 @@
             {kind: links.counts for kind, links in self._links.items()},
             self._node.terms(),
             self._node.hand_overs(),
+            self._node.ended_terms(),
+            self._node.ended_leases(),
             self._node.crash_counts,
             self._node.evacuated_since(),
             self._readiness.is_ready(),
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -95,6 +95,7 @@
         self.leads: dict[str, PoolLead] = {}
         #: Crashes of workers that the leads of this daemon have seen.
         self.crash_counts = CrashCounts()
+        self._leases_ended_for_peers = 0
         store = adapter.store
         self._lease = CellLease(
             store,
@@ -203,6 +204,17 @@
         """
         return self._elections.hand_over.counts
 
+    def ended_terms(self) -> Mapping[tuple[str, str], int]:
+        """Return how many terms of this daemon ended, by pool and reason."""
+        return self._elections.ended_terms
+
+    def ended_leases(self) -> Mapping[str, int]:
+        """Return how many leases of other daemons this one ended, by the cause."""
+        return {
+            "vote": self._lead_watch.ended_leases,
+            "request": self._leases_ended_for_peers,
+        }
+
     def _document_in_force(self, document: CellDocument) -> None:
         self._elections.set_pools(frozenset(p.name for p in document.pools))
         for lead in self.leads.values():
@@ -291,6 +303,7 @@
         except DeadlineExceededError:
             return False
         await self._adapter.store.end_lease(lease_id)
+        self._leases_ended_for_peers += 1
         return True
 
     def set_key_withdrawn(self, key_withdrawn: timedelta) -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_heard_leads.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_heard_leads.py
@@ -87,6 +87,7 @@
         scenario.answer_from_lead()
     scenario.time.advance(ANSWER_S)
     assert scenario.store.ended == ([] if has_answered else [LEAD.lease_id])
+    assert scenario.watch.ended_leases == len(scenario.store.ended)
 
 
 @pytest.mark.parametrize("has_answered", [False, True])
