savoryctl explain: two runs of one task come first, with the change of leads

A task that ran on two workers at once was explained by the first line of trouble, often a worker out of reach. explain now compares the runs that different daemons started or adopted on different workers: if no line between tells the end of the former one, that is the first trouble. Without any end of the former run it says "perhaps".

The lines on a pool's change of leads are shown beside a task too, and for 30 s after an overlap, since a lead cut from the store learns late that its lease has ended. lead_lease_ended tells who ended whose lease; it and lease_unproved count as trouble.

--- a/packages/savorylead-ctl/savorylead_ctl/explain/_explanation.py
+++ b/packages/savorylead-ctl/savorylead_ctl/explain/_explanation.py
@@ -8,9 +8,13 @@
 from typing import Any, NamedTuple
 
 from ._log_lines import LogLine
+from ._overlaps import first_overlap
 
 #: Lines on what a job depends on are included from this long before its first line.
 CONTEXT_BEFORE = timedelta(seconds=1)
+#: Lines on the leads are included until this long after the second of two overlapping
+#: runs began: a lead cut from the store learns only later that its lease has ended.
+CONTEXT_AFTER_OVERLAP = timedelta(seconds=30)
 
 #: Descriptions of the events that count as problems.
 PROBLEM_EVENTS = {
@@ -31,6 +35,8 @@
     "lead_writes_dropped": "a lead ended before its writes were durable",
     "load_repeated": "the next lead could not read the pool's records yet",
     "peer_not_reached": "another daemon could not be reached",
+    "lead_lease_ended": "a daemon ended the lease of a lead",
+    "lease_unproved": "a daemon could not renew its lease at the store in time",
     "lease_lost": "a daemon lost its lease at the store",
     "lease_given_up": "a daemon abandoned its lease",
     "store_failed": "the store failed",
@@ -57,12 +63,27 @@
         "lead_began",
         "lead_ended",
         "lease_lost",
+        "lease_unproved",
         "lease_given_up",
         "store_failed",
         "evacuation_in_force",
         "evacuation_ended",
     }
 )
+#: Events of a change of a pool's lead. Those that are not problems are related too.
+LEAD_CHANGE_EVENTS = frozenset(
+    {
+        "lead_began",
+        "lead_ended",
+        "lead_lease_ended",
+        "lead_leases_left",
+        "former_lease_over",
+        "runs_located",
+        "lease_lost",
+        "lease_unproved",
+        "lease_given_up",
+    }
+)
 
 
 class Subject(NamedTuple):
@@ -88,15 +109,25 @@
     direct = [line for line in lines if _mentions(line.details.values(), pattern)]
     if not direct:
         return Explanation((), None, "")
-    subject = _subject(direct, name)
+    subject = _subject(lines, direct, name)
     start, end = direct[0].time - CONTEXT_BEFORE, direct[-1].time
     direct_ids = {id(line) for line in direct}
+    candidates = [
+        line for line in lines if id(line) in direct_ids or _is_related(line, subject)
+    ]
+    overlap = first_overlap(candidates)
+    leads_until = end
+    if overlap is not None:
+        leads_until = max(end, overlap.second.time + CONTEXT_AFTER_OVERLAP)
     related = [
         line
-        for line in lines
+        for line in candidates
         if id(line) in direct_ids
-        or (start <= line.time <= end and _is_related(line, subject))
+        or start <= line.time <= end
+        or (line.event in LEAD_CHANGE_EVENTS and end < line.time <= leads_until)
     ]
+    if overlap is not None:
+        return Explanation(related, overlap.second, overlap.describe())
     # The crashes before it are consequences of the task that was given up.
     given_up = [line for line in related if line.event == "job_given_up"]
     for line in (*given_up, *related):
@@ -115,7 +146,7 @@
     return False
 
 
-def _subject(direct: Sequence[LogLine], name: str) -> Subject:
+def _subject(lines: Sequence[LogLine], direct: Sequence[LogLine], name: str) -> Subject:
     is_job = any(line.details.get("job") == name for line in direct)
     is_task = any(line.details.get("task_name") == name for line in direct)
     fields = ("pool", "team", "worker") if is_job else ("worker",) if is_task else ()
@@ -125,6 +156,14 @@
         for field in fields
         if field in line.details
     }
+    if is_task:
+        # Lines on a task don't name its pool, others of its job do.
+        jobs = {str(line.details.get("job", "")) for line in direct} - {""}
+        related |= {
+            str(line.details["pool"])
+            for line in lines
+            if "pool" in line.details and str(line.details.get("job", "")) in jobs
+        }
     return Subject(name, frozenset(related))
 
 
@@ -137,7 +176,7 @@
         return False
     if line.event in CELL_EVENTS and "pool" not in line.details:
         return True
-    if line.event not in PROBLEM_EVENTS:
+    if line.event not in PROBLEM_EVENTS and line.event not in LEAD_CHANGE_EVENTS:
         return False
     return any(line.details.get(f) in subject.related for f in ("pool", "worker")) and (
         line.details.get("team", "") in {"", *subject.related}
@@ -153,6 +192,8 @@
             return ""
         where = details.get("worker", "")
         return f"{details.get('task_name')} on {where}: {outcome or 'no outcome'}"
+    if line.event == "lead_lease_ended":
+        return _describe_ended_lease(line)
     if line.event == "advice" and details.get("allowed") == 0:
         return f"the policy allows {details.get('step')} on none of the given workers"
     if line.event == "job_given_up":
@@ -164,3 +205,13 @@
     if line.event == "job_ended" and details.get("state") == "failed":
         return "the job failed"
     return PROBLEM_EVENTS.get(line.event, "")
+
+
+def _describe_ended_lease(line: LogLine) -> str:
+    lead, unable = line.details.get("lead"), line.details.get("cannot_connect")
+    if line.details.get("detail"):
+        return f"{line.daemon} tried to end the lease of the lead {lead}"
+    return (
+        f"{line.daemon} ended the lease of the lead {lead}, "
+        f"to which {unable} daemons could not connect"
+    )
--- a/packages/savorylead-ctl/savorylead_ctl/tests/test_explain.py
+++ b/packages/savorylead-ctl/savorylead_ctl/tests/test_explain.py
@@ -98,6 +98,35 @@
             line(5.0, "edge-1", "worker_unreachable", worker="w1"),
             "a worker could not be reached",
         ),
+        (
+            line(5.0, "edge-1", "lease_unproved", renewed_ms_ago=1_803),
+            "a daemon could not renew its lease at the store in time",
+        ),
+        (
+            line(
+                5.0,
+                "edge-3",
+                "lead_lease_ended",
+                pool="pool",
+                lead="edge-1",
+                cannot_connect=5,
+                detail="",
+            ),
+            "edge-3 ended the lease of the lead edge-1, "
+            "to which 5 daemons could not connect",
+        ),
+        (
+            line(
+                5.0,
+                "edge-3",
+                "lead_lease_ended",
+                pool="pool",
+                lead="edge-1",
+                cannot_connect=5,
+                detail="timed out",
+            ),
+            "edge-3 tried to end the lease of the lead edge-1",
+        ),
         (line(5.0, "edge-1", "lease_lost"), "a daemon lost its lease at the store"),
         (
             line(4.0, "edge-2", "call_refused", path=f"/q/{JOB}", reason="store"),
@@ -155,11 +184,154 @@
     assert out.endswith("a worker crashed with the runs on it")
 
 
+def run_line(at_s: float, daemon: str, event: str, **details: Any) -> str:
+    """Return a line on a run of the task."""
+    return line(at_s, daemon, event, job=JOB, task_name=TASK, **details)
+
+
+def started(at_s: float, daemon: str, run: int, worker: str) -> str:
+    return run_line(
+        at_s, daemon, "task_start", run=run, worker=worker, outcome="started"
+    )
+
+
+def ended(at_s: float, daemon: str, run: int, worker: str, outcome: str) -> str:
+    return run_line(at_s, daemon, "task_end", run=run, worker=worker, outcome=outcome)
+
+
+FIRST = started(10.0, "edge-1", 1, "w1")
+SECOND = started(16.0, "edge-2", 65, "w2")
+SECOND_DONE = ended(18.0, "edge-2", 65, "w2", "done")
+LEASE_ENDED = line(
+    10.9,
+    "edge-3",
+    "lead_lease_ended",
+    pool="pool",
+    lead="edge-1",
+    cannot_connect=5,
+    detail="",
+)
+#: Lines of the pool's change of leads, some of them after the last line of the job.
+LEAD_CHANGE = (
+    LEASE_ENDED,
+    line(11.0, "edge-2", "lead_began", pool="pool", term=2),
+    line(15.9, "edge-2", "former_lease_over", pool="pool", worker="w1", listed=True),
+    line(15.9, "edge-2", "runs_located", pool="pool", waited_ms=4_900),
+    line(21.0, "edge-1", "lease_lost", lease="7", renewed_ms_ago=10_400),
+    line(21.0, "edge-1", "lead_ended", pool="pool", term=1, reason="lease_lost"),
+    line(21.0, "edge-1", "lead_leases_left", pool="pool", term=1, leased_workers=0),
+)
+ON_TWO_WORKERS = (
+    f"{TASK} ran on w1 (run 1, daemon edge-1) and on w2 (run 65, daemon edge-2)"
+)
+
+
+@pytest.mark.parametrize("subject", [JOB, TASK])
+@pytest.mark.parametrize(
+    ("runs", "meaning"),
+    [
+        (
+            (FIRST, SECOND, ended(17.0, "edge-1", 1, "w1", "done"), SECOND_DONE),
+            f"{ON_TWO_WORKERS} at once",
+        ),
+        (
+            (FIRST, SECOND, SECOND_DONE),
+            f"{ON_TWO_WORKERS}, perhaps at once: no end of run 1 is logged",
+        ),
+        (
+            (
+                FIRST,
+                run_line(16.0, "edge-2", "run_adopted", run=65, worker="w2"),
+                ended(17.0, "edge-2", 1, "w1", "stopped"),
+            ),
+            f"{ON_TWO_WORKERS} at once",
+        ),
+    ],
+    ids=["an end after the start", "no end", "an adopted run"],
+)
+def test_two_runs_of_a_task_at_once_go_before_all_other_trouble(
+    tmp_path, capsys, subject, runs, meaning
+):
+    former, *later = runs
+    logs = [[ACCEPTED, TAKEN, former], LEAD_CHANGE, later]
+    explain(tmp_path, subject, *("\n".join(log) for log in logs))
+    out = capsys.readouterr().out.rstrip()
+    assert out.endswith(meaning)
+    # The leads' lines are shown too, those after the task's last line included.
+    for event in map(json.loads, LEAD_CHANGE):
+        assert f" {event['daemon']} {event['event']} " in out
+
+
+@pytest.mark.parametrize(
+    "runs",
+    [
+        (FIRST, ended(14.0, "edge-2", 1, "w1", "done"), SECOND),
+        (FIRST, ended(14.0, "edge-2", 1, "w1", "worker_lease_lapsed"), SECOND),
+        (FIRST, line(14.0, "edge-2", "worker_reborn", worker="w1"), SECOND),
+        (FIRST, line(14.0, "edge-2", "worker_replaced", worker="w1"), SECOND),
+        (
+            FIRST,
+            line(14.0, "edge-2", "worker_crashed", worker="w1", certain=True),
+            SECOND,
+        ),
+        # The same run, told again by the next lead.
+        (FIRST, run_line(12.0, "edge-2", "run_adopted", run=1, worker="w1")),
+        # A worker has one run of a task at a time.
+        (FIRST, started(16.0, "edge-2", 65, "w1")),
+        # Some lines of a busy daemon are left out.
+        (FIRST, started(16.0, "edge-1", 2, "w2")),
+        (
+            FIRST,
+            run_line(
+                16.0,
+                "edge-2",
+                "task_start",
+                run=65,
+                worker="w2",
+                outcome="not_reached",
+            ),
+        ),
+    ],
+    ids=[
+        "end",
+        "lapse",
+        "restart",
+        "replaced worker",
+        "crash",
+        "adopted run",
+        "same worker",
+        "same daemon",
+        "no start",
+    ],
+)
+def test_runs_one_after_the_other_are_no_overlap(tmp_path, capsys, runs):
+    explain(tmp_path, TASK, "\n".join([ACCEPTED, TAKEN, *runs]))
+    assert " ran on " not in capsys.readouterr().out
+
+
+def test_a_presumed_crash_ends_no_run(tmp_path, capsys):
+    presumed = line(14.0, "edge-2", "worker_crashed", worker="w1", certain=False)
+    explain(tmp_path, TASK, "\n".join([ACCEPTED, FIRST, presumed, SECOND]))
+    assert f"{ON_TWO_WORKERS}, perhaps" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize("event", ["lead_leases_left", "runs_located"])
+def test_a_change_of_the_lead_without_trouble_is_shown_beside_a_task(
+    tmp_path, capsys, event
+):
+    text = "\n".join([*GOOD, line(5.0, "edge-3", event, pool="pool")])
+    explain(tmp_path, TASK, text)
+    out = capsys.readouterr().out
+    assert event in out
+    assert out.endswith("nothing went wrong in these lines\n")
+
+
 @pytest.mark.parametrize(
     "unrelated",
     [
         line(4.0, "edge-1", "team_short_of_limit", team="another", pool="pool"),
         line(4.0, "edge-3", "lead_began", pool="another", term=4),
+        line(4.0, "edge-3", "lead_lease_ended", pool="another", lead="edge-1"),
         line(5.0, "edge-1", "worker_unreachable", worker="w2"),
         line(59.0, "edge-1", "worker_unreachable", worker="w1"),
     ],
