--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_earlier_build.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_earlier_build.py
@@ -1,4 +1,4 @@
-"""Records and messages of earlier builds, dfb5967 and de0a453, have the same bytes."""
+"""Records and messages of dfb5967, de0a453 and a2328f7 have the same bytes."""
 
 from __future__ import annotations
 
@@ -20,12 +20,14 @@
     encode_progress,
     encode_suspects,
 )
-from savorylead.pools import AdviceCost, Queue
+from savorylead.pools import AdviceCost, Queue, decode_grants, encode_grants
 from savorylead_daemon.pool import _keys
+from savorylead_daemon.pool._candidates import Machine
 from savorylead_daemon.pool._cell_view import LeadRecord, MemberRecord, encode_record
 from savorylead_daemon.pool._job_claims import JobClaim, decode_claim, encode_claim
 from savorylead_daemon.pool._peer_messages import (
     AdmissionQuery,
+    AdviceReply,
     Done,
     GrantsWritten,
     JobAccepted,
@@ -93,6 +95,43 @@
         lambda value: msgspec.json.decode(value, type=LeadRecord),
         encode_record,
     ),
+    # The records below are those of a2328f7.
+    "workers, one leaving": Record(
+        b'[[["i-1","pool","10.0.0.1:80","zone",[8000,64000,0,0,0],["kind","r1"],'
+        b'"r1",false,1764950000000,30000,1500]]]',
+        lambda value: msgspec.json.decode(value, type=list[RecordedWorker]),
+        msgspec.json.encode,
+    ),
+    "machine": Record(
+        b"[2.0,100.0,512]",
+        lambda value: msgspec.json.decode(value, type=Machine),
+        encode_record,
+    ),
+    "grants": Record(
+        b'[{"team":{"pool":[[1000,256,0,0,0],[4000,512,1,0,0]]}}]',
+        decode_grants,
+        encode_grants,
+    ),
+    "claim without a queue": Record(
+        b'{"pool":"pool"}',
+        lambda value: decode_claim("key", value),
+        encode_claim,
+    ),
+    "claim": Record(
+        b'{"pool":"pool","queue":{"name":"q","host":"host","prefix":"/q/",'
+        b'"pool":"pool","priority":1,"max_attempts":3,"stretch":2.0,'
+        b'"objective_ms":3000}}',
+        lambda value: decode_claim("key", value),
+        encode_claim,
+    ),
+    "claim of an advised queue": Record(
+        b'{"pool":"pool","queue":{"name":"q","host":"host","prefix":"/q/",'
+        b'"pool":"pool","priority":1,"max_attempts":3,"stretch":2.0,'
+        b'"objective_ms":3000,"anonymous":true,"advice":{"decide_ms":20.0,'
+        b'"per_worker_ms":0.5,"valid_ms":2000}}}',
+        lambda value: decode_claim("key", value),
+        encode_claim,
+    ),
 }
 
 _JOB = (
@@ -100,7 +139,7 @@
     b'[[1,[1000,100,0,0,0],1000,[],false,false,false,"","",0,false,false,"",0,false,'
     b"0]],0,0,0]]"
 )
-#: Messages as the build of de0a453 sent them.
+#: Messages as the builds of de0a453 and a2328f7 sent them.
 MESSAGES: dict[type, bytes] = {
     JobAccepted: b"[" + _JOB + b",7]",
     AdmissionQuery: b'["pool","0a1b2c3d4e5f6071","queue","team",[[1,[1000,100,0,0,0],'
@@ -115,11 +154,20 @@
     Done: b"[true]",
     PeerAdviceRequest: b'["s",["w"],1.5]',
     LeadReply: b'[true,true,"running",3,false,0,"","",0]',
+    AdviceReply: b'[{"w":"ticket"},2000,"",false]',
 }
+#: Further answers of the build of a2328f7.
+ANSWERS: list[tuple[type, bytes]] = [
+    (LeadReply, b'[false,false,"",0,false,0,"edge-1","10.0.0.1:71",7]'),
+    (LeadReply, b'[true,true,"",0,true,1500,"","",0]'),
+    (AdviceReply, b'[{},0,"AdviserBusyError",true]'),
+]
 
 
 @pytest.mark.parametrize(
-    ("kind", "body"), MESSAGES.items(), ids=[kind.__name__ for kind in MESSAGES]
+    ("kind", "body"),
+    [*MESSAGES.items(), *ANSWERS],
+    ids=[kind.__name__ for kind in (*MESSAGES, *(kind for kind, _ in ANSWERS))],
 )
 def test_messages_have_the_bytes_of_the_earlier_build(kind: type, body: bytes) -> None:
     assert msgspec.json.encode(msgspec.json.decode(body, type=kind)) == body
