--- a/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
@@ -49,6 +49,7 @@
 from ._memory_adviser import MemoryAdviser, TicketIssuer
 from ._memory_cell_store import MemoryCellStore, StoreView
 from ._memory_workers import MemoryWorkers
+from ._workers_view import WorkersView
 
 OPERATORS_PREFIX = "operators/"
 CONFIG_KEY = OPERATORS_PREFIX + "config"
@@ -211,6 +212,9 @@
         self.nodes: dict[str, PoolNode] = {}
         #: Nodes that can't connect to each other.
         self.cut_pairs: set[frozenset[str]] = set()
+        #: Node names and worker addresses that can't reach each other: calls and their
+        #: responses are lost.
+        self.cut_from_workers: set[tuple[str, str]] = set()
         #: Nodes that accept connections but do not respond.
         self.mute: set[str] = set()
         #: Nodes behind a saturated link: they respond late on the one connection that
@@ -236,7 +240,11 @@
         log = EventLog(self.clock, 1)
         adapter = AdapterParts(
             store=view,
-            workers=self.workers,
+            workers=WorkersView(
+                self.workers,
+                self.clock,
+                lambda address: (name, address) in self.cut_from_workers,
+            ),
             adviser=self._adviser(),
             config=_Config(),
             listing=_Listing(),
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_pool_cell.py
@@ -293,3 +293,42 @@
     (again,) = [r for r in cell.workers.records if r.task.job == "one"]
     assert again.began_at - lost[0] < timedelta(milliseconds=400)
     assert cell.workers.breaches == []
+
+
+def test_a_node_that_is_cut_from_a_worker_starts_nothing_there() -> None:
+    cell = ready_cell(workers=2)
+    lead = cell.lead_of()
+    cell.cut_from_workers = {(lead, "w0")}
+    cell.run(2.0)
+    cell.submit("cut", job_spec(count=4), lead)
+    cell.run(2.0)
+    assert {record.worker for record in cell.workers.records} == {"w1"}
+    cell.kill(lead)
+    cell.run(8.0)
+    cell.submit("reached", job_spec(count=12), cell.lead_of())
+    cell.run(2.0)
+    assert {record.worker for record in cell.workers.records} == {"w0", "w1"}
+    assert cell.workers.breaches == []
+
+
+def test_the_answers_of_a_worker_are_lost_to_a_node_that_is_cut_from_it() -> None:
+    cell = ready_cell(workers=1)
+    lead = cell.lead_of()
+    cell.workers.duration_of = lambda _: timedelta(seconds=8)
+    start = cell.workers.start
+
+    async def cut_after_arrival(*order: Any) -> RunStarted | RunRejected:
+        result = await start(*order)
+        cell.cut_from_workers = {(lead, "w0")}
+        return result
+
+    cell.workers.start = cut_after_arrival
+    cell.submit("one", job_spec(), lead)
+    cell.run(0.2)
+    assert len(cell.workers.records) == 1
+    assert cell.state("one", lead) is JobState.QUEUED
+    cell.workers.start = start
+    cell.cut_from_workers = set()
+    cell.run(3.0)
+    assert cell.state("one", lead) is JobState.RUNNING
+    assert cell.workers.breaches == []
