--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_machine.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_machine.py
@@ -108,6 +108,10 @@
             for key in list(self.active):
                 self._end(key, RunEnd.LAPSED)
 
+    def expired_for(self) -> timedelta:
+        """Return how long ago the lease expired; negative while it is valid."""
+        return (self.clock_ms() - self.deadline_ms) * _MS / (1 - CLOCK_DRIFT)
+
     def check_fence(self, fence: int) -> None:
         """Raise StaleFenceError if a higher fencing token was seen before."""
         if fence < self.fence:
