--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_gateway.py
@@ -37,12 +37,12 @@
 from ._admission_check import AdmissionCheck
 from ._cell_view import CellView
 from ._config_feed import ConfigFeed
+from ._job_announcer import JobAnnouncer, LeadProof
 from ._job_locator import JobLocator
 from ._job_writer import WRITE_RETRY_DELAY, JobWriter, StoreOutcome
 from ._keys import cancel_key, progress_key
 from ._lead_finder import LeadFinder
 from ._peer_messages import (
-    JobAccepted,
     JobCancelled,
     LeadReply,
     PendingQuery,
@@ -118,6 +118,7 @@
             self._locator,
             self._on_stored,
         )
+        self._announcer = JobAnnouncer(store, clock, log, view, self._finder)
         #: Answers by call kind, answer kind and error code, for the metrics.
         self.counts: Counter[tuple[str, str, str]] = Counter()
 
@@ -260,7 +261,9 @@
         """
         return await self._job_writer.store_for_peer(record)
 
-    def _on_stored(self, record: JobRecord, revision: int) -> None:
+    def _on_stored(
+        self, record: JobRecord, revision: int, proof: LeadProof | None
+    ) -> None:
         self._log.log_event(
             LogLevel.INFO,
             "job_accepted",
@@ -270,13 +273,13 @@
             revision_stored=revision,
             config_version=self._version(),
         )
-        spawn("message of a job", self._announce_accepted(record, revision))
+        spawn("message of a job", self._announce_accepted(record, revision, proof))
 
-    async def _announce_accepted(self, record: JobRecord, revision: int) -> None:
-        message = JobAccepted(record, revision)
-        self._admission.record_reply(
-            record, await self._finder.send_with_retries(record.pool, message)
-        )
+    async def _announce_accepted(
+        self, record: JobRecord, revision: int, proof: LeadProof | None
+    ) -> None:
+        reply = await self._announcer.announce(record, revision, proof)
+        self._admission.record_reply(record, reply)
 
     async def _cancel(
         self, call: CallerCall, queue: Queue, job_id: str, arrived_at: datetime
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_locator.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_locator.py
@@ -11,8 +11,9 @@
 from ._keys import claim_key, job_key
 
 #: Maximum number of pools whose records a transaction expects to be absent. It has at
-#: most 32 entries; four are the claim's expectation and the keys that are written.
-MAX_EXPECTED_POOLS = 28
+#: most 32 entries; five are the expectations of the claim and of the lead's key, and
+#: the keys that are written.
+MAX_EXPECTED_POOLS = 27
 
 
 class JobLocator:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_writer.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_writer.py
@@ -15,7 +15,7 @@
 from savorylead.clock import Clock
 from savorylead.jobs import JobRecord, RecordError, decode_job, encode_job
 from savorylead.links import AnswerTimes, DeadlineExceededError, within
-from savorylead.pools import CellStore, Conflict, Put, StoreRefusedError
+from savorylead.pools import CellStore, Committed, Conflict, Put, StoreRefusedError
 from savorylead.store import KeyValue, StoreError
 from savorylead_daemon.concurrency import spawn
 from savorylead_daemon.observability import EventLog
@@ -23,9 +23,10 @@
 
 from ._cell_view import CellView, MemberRecord
 from ._config_feed import ConfigFeed
+from ._job_announcer import LeadProof
 from ._job_claims import JobClaim, encode_claim
 from ._job_locator import JobLocator
-from ._keys import claim_key, job_key, pool_key
+from ._keys import claim_key, job_key, lead_key, pool_key
 from ._peer_messages import JobStoreRequest
 from ._peers import PeerCalls, PeerError
 
@@ -39,6 +40,9 @@
 #: Maximum number of peers that are asked to store one job. During an outage more peers
 #: would only fail in the same way.
 MAX_STORE_PEERS = 3
+#: Maximum number of transactions of one write: further ones are needed if the view of
+#: the lead is outdated, and if the claim of a deleted job is left.
+MAX_COMMITS = 4
 
 
 class StoreOutcome(enum.Enum):
@@ -104,9 +108,12 @@
         view: CellView,
         peers: PeerCalls,
         locator: JobLocator,
-        on_stored: Callable[[JobRecord, int], None],
+        on_stored: Callable[[JobRecord, int, LeadProof | None], None],
     ) -> None:
-        """``on_stored`` is called with each durable job's record and revision."""
+        """``on_stored`` is called with each durable job's record and revision.
+
+        Its third argument is None if the lead of the job's pool was not read.
+        """
         self._name = name
         self._store = store
         self._clock = clock
@@ -225,7 +232,7 @@
         Raises StoreRefusedError only if nothing was written and no job of this id was
         found, and StoreError if that is unknown.
         """
-        claim = claim_key(record.id)
+        claim, lead = claim_key(record.id), lead_key(record.pool)
         expected = dict.fromkeys(
             [claim, *self._locator.record_keys(record.id, record.pool)], 0
         )
@@ -237,24 +244,30 @@
         if not self._locator.is_named(record.pool):
             # The daemon that took the job, or this one, has an outdated configuration.
             puts.append(Put(pool_key(record.pool), b"1"))
-        began_at = self._clock.now()
-        result = await self._store.commit(expected, puts)
-        self._answer_times.add_sample(self._clock.now() - began_at)
-        if isinstance(result, Conflict):
+        # Expecting the lead's key proves that its term is not over when the job is
+        # stored.
+        proof = LeadProof.of_view(self._view.leads.get(record.pool))
+        for _ in range(MAX_COMMITS):
+            began_at = self._clock.now()
+            result = await self._store.commit({**expected, lead: proof.revision}, puts)
+            self._answer_times.add_sample(self._clock.now() - began_at)
+            if isinstance(result, Committed):
+                self._on_stored(record, result.revision, proof)
+                return
+            proof = LeadProof.of_key(result.current[lead])
+            current = {key: _revision(result.current[key]) for key in expected}
+            if current == expected:
+                continue
             item = await self._find_stored(record, result)
             if item is not None:
-                self._report_already_stored(record, item)
+                # A record that was found by a later read may be newer than the proof.
+                is_proved = result.current.get(item.key) == item
+                self._report_already_stored(record, item, proof if is_proved else None)
                 return
             # A daemon of an earlier version has deleted the record of an ended job, but
             # not its claim.
-            former = result.current[claim]
-            assert former is not None
-            result = await self._store.commit(
-                {**expected, claim: former.revision}, puts
-            )
-        if isinstance(result, Conflict):
-            raise StoreError(f"another job is stored under the id {record.id}")
-        self._on_stored(record, result.revision)
+            expected[claim] = current[claim]
+        raise StoreRefusedError(f"the records beside job {record.id} keep changing")
 
     async def _find_stored(
         self, record: JobRecord, conflict: Conflict
@@ -263,16 +276,18 @@
 
         Raises StoreError other than StoreRefusedError, as the job may be stored.
         """
-        claim = claim_key(record.id)
+        others = (claim_key(record.id), lead_key(record.pool))
         for key, item in conflict.current.items():
-            if item is not None and key != claim:
+            if item is not None and key not in others:
                 return item
         try:
             return await self._locator.find(record.id, record.pool)
         except (StoreError, RecordError) as exc:
             raise StoreError(f"the id {record.id} is claimed: {exc}") from exc
 
-    def _report_already_stored(self, record: JobRecord, item: KeyValue) -> None:
+    def _report_already_stored(
+        self, record: JobRecord, item: KeyValue, proof: LeadProof | None
+    ) -> None:
         try:
             stored = decode_job(item.key, item.value)
         except RecordError as exc:
@@ -288,7 +303,9 @@
             route_pool=record.pool,
             revision_stored=item.revision,
         )
-        self._on_stored(stored, item.revision)
+        # The proof concerns the pool that the route names.
+        is_same_pool = stored.pool == record.pool
+        self._on_stored(stored, item.revision, proof if is_same_pool else None)
 
     async def _write_through_peer(
         self, peer: MemberRecord, record: JobRecord, deadline: datetime
@@ -337,3 +354,7 @@
             config_age_ms=None if age is None else age // timedelta(milliseconds=1),
         )
         return outcome
+
+
+def _revision(item: KeyValue | None) -> int:
+    return 0 if item is None else item.revision
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_lead_finder.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_lead_finder.py
@@ -11,7 +11,7 @@
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
-from ._cell_view import CellView, MemberRecord
+from ._cell_view import CellView, LeadRecord, MemberRecord
 from ._peer_messages import LeadReply
 from ._peers import Message, PeerCalls, PeerError
 
@@ -31,6 +31,11 @@
     address: str
     term: int
 
+    @classmethod
+    def of(cls, record: LeadRecord) -> _KnownLead:
+        """Return the lead of a record."""
+        return cls(record.member.name, record.member.address, record.term)
+
 
 class LeadFinder:
     """Finds leads in the cell view, or through peers if the store is unreachable.
@@ -98,6 +103,12 @@
                 return reply
         return None
 
+    async def send_to(
+        self, pool: str, record: LeadRecord, message: Message
+    ) -> LeadReply | None:
+        """Send a message once to one lead; return its answer, None without one."""
+        return await self._send_to_lead(pool, _KnownLead.of(record), message)
+
     async def _send_through_peer(
         self, pool: str, peer: MemberRecord, term: int, message: Message
     ) -> LeadReply | None:
@@ -133,7 +144,7 @@
         if record is None or (named is not None and named.term > record.term):
             return named
         self._named_leads.pop(pool, None)
-        return _KnownLead(record.member.name, record.member.address, record.term)
+        return _KnownLead.of(record)
 
     async def _send_to_lead(
         self, pool: str, lead: _KnownLead, message: Message
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -339,7 +339,11 @@
         self._plan_soon()
 
     async def _follow(self) -> None:
-        await self._records.follow(self.accept, self._intake.cancel)
+        await self._records.follow(
+            lambda job_id: job_id in self._state.jobs.jobs,
+            self.accept,
+            self._intake.cancel,
+        )
 
     def _renew_meanwhile(self, workers: Sequence[RecordedWorker]) -> None:
         async def renew() -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from datetime import timedelta
+from functools import partial
 from typing import Any, NamedTuple
 
 import msgspec
@@ -27,12 +28,18 @@
     WorkerEntry,
     read_pages,
 )
-from savorylead.store import Snapshot, StoreError
+from savorylead.store import KeyValue, Snapshot, StoreError
 from savorylead_daemon.concurrency import TaskSet, gather, supervised
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
-from ._keys import crashes_key, intake_prefix, progress_prefix, workers_key
+from ._keys import (
+    cancel_key,
+    crashes_key,
+    intake_prefix,
+    progress_prefix,
+    workers_key,
+)
 from ._term import Term
 from ._term_writes import TermWrites
 
@@ -47,6 +54,8 @@
 RETRY_AFTER = timedelta(milliseconds=100)
 _MS = timedelta(milliseconds=1)
 
+_TakeIn = Callable[[Sequence[KeyValue]], Awaitable[None]]
+
 
 class RecordedWorker(NamedTuple):
     """A worker on which a lead may have started tasks."""
@@ -120,6 +129,9 @@
 
         ``on_workers(workers)`` is called as soon as the recorded workers are read,
         which is before the jobs are read if there are many.
+
+        The term may end meanwhile. Nothing starts before the workers' record is written
+        after this read, which proves the term.
         """
         # Earlier leads can no longer write these records, so they can be read in any
         # order; reading them in sequence takes a second while the store is slow.
@@ -163,10 +175,16 @@
 
     async def follow(
         self,
+        is_known: Callable[[str], bool],
         on_job: Callable[[JobRecord, int], None],
         on_cancel: Callable[[str], None],
     ) -> None:
-        """Report new jobs and cancellations in the store until cancelled."""
+        """Report new jobs and cancellations in the store until cancelled.
+
+        The term is proved after a read of jobs that are not known: the next lead starts
+        those stored after its election at once, so only one of the two may get them.
+        """
+        take_in = partial(self._take_in, is_known, on_job, on_cancel)
         polls = 0
         while True:
             await self._clock.sleep(INTAKE_INTERVAL)
@@ -175,11 +193,11 @@
             polls += 1
             try:
                 if polls % POLLS_PER_REREAD == 0:
-                    await self._reread(on_job, on_cancel)
+                    await self._reread(take_in)
                 else:
-                    await self._read_changes(on_job, on_cancel)
+                    await self._read_changes(take_in)
             except HistoryLostError:
-                await self.log_store_errors(self._reread(on_job, on_cancel))
+                await self.log_store_errors(self._reread(take_in))
             except StoreError as exc:
                 self._log.log_event(
                     LogLevel.INFO,
@@ -257,36 +275,51 @@
                 self._unread_since = self._clock.now()
                 return page
 
-    async def _read_changes(
-        self,
-        on_job: Callable[[JobRecord, int], None],
-        on_cancel: Callable[[str], None],
-    ) -> None:
+    async def _read_changes(self, take_in: _TakeIn) -> None:
         changes = await self._store.changes(
             intake_prefix(self._term.pool), self._revision, timedelta(0)
         )
-        for change in changes.events:
-            if change.value is None:
-                continue
-            job = self._decode_intake(change.key, change.value, on_cancel)
-            if job is not None:
-                on_job(job, change.revision)
+        await take_in(
+            [
+                KeyValue(change.key, change.value, change.revision)
+                for change in changes.events
+                if change.value is not None
+            ]
+        )
         self._revision = changes.revision
 
-    async def _reread(
+    async def _reread(self, take_in: _TakeIn) -> None:
+        snapshot = await self._store.list(intake_prefix(self._term.pool))
+        # A cancellation must follow its job, whose key sorts after it.
+        cancels = cancel_key(self._term.pool, "")
+        await take_in(
+            sorted(snapshot.items, key=lambda item: item.key.startswith(cancels))
+        )
+        self._revision = snapshot.revision
+
+    async def _take_in(
         self,
+        is_known: Callable[[str], bool],
         on_job: Callable[[JobRecord, int], None],
         on_cancel: Callable[[str], None],
+        items: Sequence[KeyValue],
     ) -> None:
-        snapshot = await self._store.list(intake_prefix(self._term.pool))
-        cancelled: list[str] = []
-        for item in snapshot.items:
-            job = self._decode_intake(item.key, item.value, cancelled.append)
+        """Report jobs and cancellations in order."""
+        found: list[Callable[[], None]] = []
+        has_unknown = False
+
+        def note_cancel(job_id: str) -> None:
+            found.append(partial(on_cancel, job_id))
+
+        for item in items:
+            job = self._decode_intake(item.key, item.value, note_cancel)
             if job is not None:
-                on_job(job, item.revision)
-        for job_id in cancelled:
-            on_cancel(job_id)
-        self._revision = snapshot.revision
+                has_unknown = has_unknown or not is_known(job.id)
+                found.append(partial(on_job, job, item.revision))
+        if has_unknown:
+            await self._writes.prove()
+        for report in found:
+            report()
 
     def _decode_intake(
         self, key: str, value: bytes, on_cancel: Callable[[str], None]
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_term_writes.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_term_writes.py
@@ -1,4 +1,4 @@
-"""Transactions that are conditional on the lead's term."""
+"""Transactions that are conditional on the lead's term, and proofs of it."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from twisted.internet.defer import CancelledError
 
 from savorylead.pools import CellStore, Committed, Conflict, Put
+from savorylead.store import KeyValue
 
 from ._term import Term
 
@@ -21,6 +22,13 @@
         self._term = term
         self._on_superseded = on_superseded
 
+    async def prove(self) -> None:
+        """Return if the term is not over at some moment during the call.
+
+        If it is, notifies the lead and raises CancelledError. Raises StoreError.
+        """
+        self._check(await self._store.get(self._term.key))
+
     async def commit(
         self,
         expected: Mapping[str, int],
@@ -38,8 +46,10 @@
             {term.key: term.revision, **expected}, puts, deletes
         )
         if isinstance(result, Conflict):
-            own = result.current.get(term.key)
-            if own is None or own.revision != term.revision:
-                self._on_superseded()
-                raise CancelledError
+            self._check(result.current.get(term.key))
         return result
+
+    def _check(self, own: KeyValue | None) -> None:
+        if own is None or own.revision != self._term.revision:
+            self._on_superseded()
+            raise CancelledError
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_jobs_after_a_vote.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_jobs_after_a_vote.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
 from typing import Any
 
@@ -11,10 +11,18 @@
 
 from savorylead.clock import to_millis
 from savorylead.jobs import JobRecord, JobState
-from savorylead.pools import Changes, StorePage, WorkerCalls, WorkerEntry
-from savorylead.store import StoreTimeoutError
+from savorylead.pools import (
+    Changes,
+    Committed,
+    Conflict,
+    Put,
+    StorePage,
+    WorkerCalls,
+    WorkerEntry,
+)
+from savorylead.store import KeyValue, StoreTimeoutError
 from savorylead.workers import WorkerTimeoutError
-from savorylead_daemon.pool._keys import CELL_PREFIX, job_key, lead_key
+from savorylead_daemon.pool._keys import CELL_PREFIX, GRANTS_KEY, job_key, lead_key
 from savorylead_standins.pools import MemoryCellStore, PoolCell, StoreView, job_spec
 from savorylead_standins.pools._pool_cell import WORKERS_PREFIX
 
@@ -223,3 +231,92 @@
     find(divided, outdated)
     divided.run_until(divided.is_stored)
     divided.assert_job_runs_once()
+
+
+def test_the_present_lead_is_told_at_once_by_a_daemon_with_an_outdated_view() -> None:
+    # Guards against a job that waits for the lead's next poll.
+    divided = DividedCell()
+    outdated = divided.others()[0]
+    divided.end_lease(outdated)
+    divided.cell.run(1.0)
+    for number in range(5):
+        divided.cell.submit(f"job{number}", job_spec(), outdated)
+        divided.cell.run(0.05)
+        assert len(divided.cell.workers.records) == number + 1
+    assert [r.worker for r in divided.cell.workers.records] == ["w1"] * 5
+
+
+def test_a_job_is_stored_while_there_is_no_lead_and_runs_once_there_is() -> None:
+    # Guards against a write that expects a lead for ever.
+    divided = DividedCell()
+    cell, outdated = divided.cell, divided.others()[0]
+    for name in divided.others():
+        divided.views[name].hung_prefixes = (CELL_PREFIX,)
+    cell.kill(divided.former)
+    divided.run_until(lambda: lead_key("pool") not in cell.store.items)
+    cell.submit(JOB, job_spec(), outdated)
+    cell.run(0.1)
+    assert divided.is_stored()
+    assert lead_key("pool") not in cell.store.items
+    for name in divided.others():
+        divided.views[name].hung_prefixes = ()
+    cell.run(20.0)
+    assert cell.state(JOB, outdated) is JobState.COMPLETED
+    assert cell.workers.breaches == []
+    assert len(cell.workers.records) == 1
+
+
+def test_a_job_of_an_unnamed_pool_fits_a_transaction_beside_many_pools() -> None:
+    # Guards against more than 32 entries in a transaction, which the store refuses.
+    cell = PoolCell(nodes=1, pools=tuple(f"pool{number}" for number in range(40)))
+    cell.run(4.0)
+    now_ms = to_millis(cell.clock.now())
+    record = JobRecord(JOB, "unnamed", "q", "team", now_ms, job_spec())
+    Deferred.fromCoroutine(cell.nodes["node-0"].gateway.store_for_peer(record))
+    cell.run(0.1)
+    assert job_key("unnamed", JOB) in cell.store.items
+
+
+class CountingStore(StoreView):
+    """A store connection that notes its calls other than those of leases and views."""
+
+    def __init__(self, store: MemoryCellStore) -> None:
+        super().__init__(store)
+        self.commits: list[list[str]] = []
+        self.gets: list[str] = []
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Note the read."""
+        self.gets.append(key)
+        return await super().get(key)
+
+    async def commit(
+        self,
+        expected: Mapping[str, int],
+        puts: Sequence[Put] = (),
+        deletes: Sequence[str] = (),
+    ) -> Committed | Conflict:
+        """Note the transaction."""
+        self.commits.append([put.key for put in puts])
+        return await super().commit(expected, puts, deletes)
+
+
+def test_a_job_usually_costs_one_call_to_the_store_until_it_starts() -> None:
+    # Guards against a further call for each job.
+    cell = PoolCell(nodes=0)
+    for name in ("node-0", "node-1", "node-2"):
+        cell.views[name] = CountingStore(cell.store)
+        cell.start_node(name)
+    cell.run(4.0)
+    for view in cell.views.values():
+        view.commits.clear()
+        view.gets.clear()
+    via = next(name for name in cell.nodes if name != cell.lead_of())
+    for number in range(20):
+        cell.submit(f"job{number}", job_spec(), via)
+        cell.run(0.05)
+    assert len(cell.workers.records) == 20
+    assert len(cell.views[via].commits) == 20
+    # The lead reads the teams' grants from time to time.
+    read = [key for view in cell.views.values() for key in view.gets]
+    assert set(read) <= {GRANTS_KEY}
