--- a/packages/savorylead-daemon/savorylead_daemon/pool/_cell_lease.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_cell_lease.py
@@ -28,6 +28,8 @@
 #: The lease counts as over this much earlier, to allow for orders in flight and for
 #: clock drift.
 SAFETY_MARGIN = timedelta(milliseconds=200)
+#: Longest time for which a daemon acts after it sent its last successful renewal.
+VALID_FOR = LEASE_TTL - SAFETY_MARGIN
 
 
 class CellLease:
@@ -128,7 +130,7 @@
         sent_at = self._clock.now()
         grant = await self._store.grant_lease(LEASE_TTL)
         self.id = grant.id
-        self._valid_until = sent_at + grant.ttl - SAFETY_MARGIN
+        self._valid_until = sent_at + VALID_FOR
         self._proved_at = sent_at
         self._was_valid = True
         self._log.log_event(LogLevel.INFO, "lease_granted", lease=grant.id)
@@ -137,7 +139,7 @@
     async def _renew(self) -> None:
         sent_at = self._clock.now()
         await self._store.renew_lease(self.id)
-        self._valid_until = sent_at + LEASE_TTL - SAFETY_MARGIN
+        self._valid_until = sent_at + VALID_FOR
         self._proved_at = sent_at
         if not self._was_valid:
             self._was_valid = True
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_cell_view.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_cell_view.py
@@ -21,6 +21,7 @@
     CELL_PREFIX,
     LEAD_PREFIX,
     MACHINE_PREFIX,
+    MARKER_PREFIX,
     MEMBER_PREFIX,
     POOL_PREFIX,
 )
@@ -85,6 +86,8 @@
         self.members: dict[str, MemberRecord] = {}
         #: By the daemon's name; daemons of earlier versions have no entry.
         self.machines: dict[str, Machine] = {}
+        #: Names of the members that mark leases before they end them for others.
+        self.markers: set[str] = set()
         self.leads: dict[str, LeadEntry] = {}
         #: Pools that may hold jobs, whether or not the configuration names them.
         self.pools: set[str] = set()
@@ -118,6 +121,13 @@
         """Return the live daemons except for the named ones."""
         return [m for name, m in self.members.items() if name not in names]
 
+    def all_mark_ended_leases(self) -> bool:
+        """Return whether every live daemon marks a lease that it ends for its holder.
+
+        Daemons of earlier versions don't.
+        """
+        return self.members.keys() <= self.markers
+
     async def _run(self) -> None:
         while True:
             try:
@@ -131,14 +141,18 @@
 
     async def _read(self) -> None:
         snapshot = await self._store.list(CELL_PREFIX)
-        before = (self.members, self.machines, self.leads, self.pools)
-        self.members, self.machines, self.leads, self.pools = {}, {}, {}, set()
+        before = self._contents()
+        self.members, self.machines, self.leads = {}, {}, {}
+        self.markers, self.pools = set(), set()
         for item in snapshot.items:
             self._apply_put(item.key, item.value, item.revision)
         self.revision = max(self.revision, snapshot.revision)
-        if (self.members, self.machines, self.leads, self.pools) != before:
+        if self._contents() != before:
             self._notify()
 
+    def _contents(self) -> tuple[object, ...]:
+        return self.members, self.machines, self.markers, self.leads, self.pools
+
     async def _watch(self, until: datetime) -> None:
         while self._clock.now() < until:
             changes = await self._store.changes(
@@ -161,6 +175,8 @@
             elif key.startswith(MACHINE_PREFIX):
                 name = key.removeprefix(MACHINE_PREFIX)
                 self.machines[name] = msgspec.json.decode(value, type=Machine)
+            elif key.startswith(MARKER_PREFIX):
+                self.markers.add(key.removeprefix(MARKER_PREFIX))
             elif key.startswith(LEAD_PREFIX):
                 pool = key.removeprefix(LEAD_PREFIX)
                 record = msgspec.json.decode(value, type=LeadRecord)
@@ -177,6 +193,8 @@
             self.members.pop(key.removeprefix(MEMBER_PREFIX), None)
         elif key.startswith(MACHINE_PREFIX):
             self.machines.pop(key.removeprefix(MACHINE_PREFIX), None)
+        elif key.startswith(MARKER_PREFIX):
+            self.markers.discard(key.removeprefix(MARKER_PREFIX))
         elif key.startswith(LEAD_PREFIX):
             self.leads.pop(key.removeprefix(LEAD_PREFIX), None)
         elif key.startswith(POOL_PREFIX):
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
@@ -11,15 +11,23 @@
 from savorylead.clock import Clock, Timer
 from savorylead.pools import CellStore, Committed, Put
 from savorylead.store import StoreError
-from savorylead_daemon.concurrency import spawn
+from savorylead_daemon.concurrency import gather, spawn
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
 from ._candidates import Candidate, Machine, rank_candidates, should_wait_for_absent
 from ._cell_lease import CellLease
 from ._cell_view import CellView, LeadRecord, MemberRecord, encode_record
+from ._early_ends import (
+    MAX_FORMER_LEASES,
+    TermLeases,
+    decode_term_leases,
+    encode_term_leases,
+    leases_of_unrecorded_term,
+    mark_ended,
+)
 from ._hand_over import HandOver
-from ._keys import lead_key, pool_key, term_key
+from ._keys import lead_key, pool_key, term_key, term_leases_key
 from ._member_history import MemberHistory
 from ._term import Term
 
@@ -225,13 +233,23 @@
 
     async def _campaign(self, pool: str) -> None:
         try:
-            item = await self._store.get(term_key(pool))
+            item, recorded = await gather(
+                [
+                    self._store.get(term_key(pool)),
+                    self._store.get(term_leases_key(pool)),
+                ]
+            )
+            last = int(item.value) if item is not None else 0
+            former_leases = await self._former_leases(
+                pool, last, decode_term_leases(recorded)
+            )
             lease_id = self._lease.id
             if self._closed or not lease_id:
                 # A key without a lease would never expire.
                 self._retry_later(pool)
                 return
-            number = 1 + (int(item.value) if item is not None else 0)
+            number = last + 1
+            leases = TermLeases(number, (lease_id, *former_leases))
             record = LeadRecord(self._member._replace(lease_id=lease_id), number)
             result = await self._store.commit(
                 {
@@ -241,6 +259,7 @@
                 [
                     Put(lead_key(pool), encode_record(record), lease_id),
                     Put(term_key(pool), str(number).encode()),
+                    Put(term_leases_key(pool), encode_term_leases(leases)),
                     Put(pool_key(pool), b"1"),
                 ],
             )
@@ -261,3 +280,17 @@
             self._begin_term(pool, number, result.revision)
         else:
             self._retry_later(pool)
+
+    async def _former_leases(
+        self, pool: str, last_term: int, recorded: TermLeases | None
+    ) -> tuple[str, ...]:
+        """Return the leases of earlier terms; raises StoreError."""
+        if not last_term:
+            return ()
+        if recorded is not None and recorded.term == last_term:
+            return recorded.leases[:MAX_FORMER_LEASES]
+        # The last lead was of an earlier version, so its lease may have been ended
+        # without a mark.
+        unrecorded = leases_of_unrecorded_term(pool, last_term)
+        await mark_ended(self._store, unrecorded)
+        return (unrecorded,)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_keys.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_keys.py
@@ -12,6 +12,11 @@
 #: Pools that need a lead although the configuration may lack them. Daemons of earlier
 #: versions ignore these keys.
 POOL_PREFIX = f"{CELL_PREFIX}pool/"
+#: Members that mark a lease before they end it for its holder. Daemons of earlier
+#: versions ignore these keys, and have none.
+MARKER_PREFIX = f"{CELL_PREFIX}marker/"
+#: Marks of leases that were ended for their holders.
+ENDED_LEASE_PREFIX = f"{_ROOT}ended-lease/"
 #: How the limits of teams are divided among the pools.
 GRANTS_KEY = f"{_ROOT}grants"
 
@@ -26,6 +31,16 @@
     return f"{MACHINE_PREFIX}{name}"
 
 
+def marker_key(name: str) -> str:
+    """Return the key of a member that marks leases; it ends with its lease."""
+    return f"{MARKER_PREFIX}{name}"
+
+
+def ended_lease_key(lease_id: str) -> str:
+    """Return the key that marks a lease as ended for its holder."""
+    return f"{ENDED_LEASE_PREFIX}{lease_id}"
+
+
 def pool_key(pool: str) -> str:
     """Return the key of a pool that may hold jobs, which outlives its lead."""
     return f"{POOL_PREFIX}{pool}"
@@ -41,6 +56,14 @@
     return f"{_ROOT}term/{pool}"
 
 
+def term_leases_key(pool: str) -> str:
+    """Return the key of the leases of a pool's last terms.
+
+    Daemons of earlier versions ignore it.
+    """
+    return f"{_ROOT}term-leases/{pool}"
+
+
 def workers_key(pool: str) -> str:
     """Return the key of the workers on which the lead may have started tasks."""
     return f"{_ROOT}workers/{pool}"
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_lead_parts.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_lead_parts.py
@@ -33,6 +33,8 @@
     on_cannot_lead: Callable[[str, str], None]
     #: Returns whether a pool has a lead according to this daemon's view of the cell.
     has_lead: Callable[[str], bool]
+    #: Returns whether every daemon marks a lease that it ends for its holder.
+    all_mark_ended_leases: Callable[[], bool]
     #: Counts crashes of workers; outlives the lead.
     crash_counts: CrashCounts
     #: Notifies the other pools' leads that the teams' limit grants have changed.
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_lead_watch.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_lead_watch.py
@@ -16,6 +16,7 @@
 from savorylead_daemon.settings import LogLevel
 
 from ._cell_view import CellView, MemberRecord
+from ._early_ends import mark_ended
 from ._peer_messages import PendingQuery, ReachabilityQuery
 from ._peers import PeerError
 from ._tracked_peer_calls import TrackedPeerCalls
@@ -154,6 +155,9 @@
     async def _end_lease(self, pool: str, lead: MemberRecord, unable: int) -> None:
         detail = ""
         try:
+            # The lead may be alive, and act until it learns of the end or would have
+            # had to renew the lease. Its successor must find the mark.
+            await mark_ended(self._store, lead.lease_id)
             await self._store.end_lease(lead.lease_id)
         except StoreError as exc:
             detail = str(exc)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_leadless_pools.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_leadless_pools.py
@@ -11,12 +11,13 @@
 
 from ._cell_lease import LEASE_TTL
 from ._keys import lead_key, term_key
-from ._pool_fleet import FORMER_LEASE_TIMEOUT
+from ._pool_fleet import former_lease_timeout
+from ._worker_session import WORKER_LEASE_MS
 
 #: Time without a lead after which the runs that the last lead started are over. Its key
 #: may end while it still acts under its lease, and the worker leases that it renewed
 #: last are valid for as long as a new lead waits.
-LEADLESS_FOR = LEASE_TTL + FORMER_LEASE_TIMEOUT
+LEADLESS_FOR = LEASE_TTL + former_lease_timeout(WORKER_LEASE_MS)
 #: Maximum number of pools returned by one call: a transaction of the store takes 32
 #: entries.
 MAX_POOLS = 5
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -12,16 +12,17 @@
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
+from ._cell_lease import VALID_FOR
 from ._pool_records import PoolRecords, RecordedWorker
 from ._pool_state import PoolState
 from ._session_owner import SessionOwner
 from ._term import Term
 from ._worker_answers import WorkerAnswers
-from ._worker_session import WorkerSession
+from ._worker_clock import CLOCK_DRIFT
+from ._worker_session import WORKER_LEASE_MS, WorkerSession
 
-#: Longest time for which an unreachable worker may continue runs of the former lead:
-#: its longest lease of 4.5 s, plus clock drift and calls in flight.
-FORMER_LEASE_TIMEOUT = timedelta(milliseconds=4_900)
+#: Added to the time that a worker's lease may last.
+FORMER_LEASE_MARGIN = timedelta(milliseconds=300)
 #: A worker without runs is removed once it has been unlisted for this long. Entries
 #: that lapsed in a store outage reappear two seconds after the store.
 UNLISTED_WAIT = timedelta(milliseconds=2_500)
@@ -37,6 +38,14 @@
 LEAVING_MARGIN_MS = 500
 
 
+def former_lease_timeout(lease_ms: int) -> timedelta:
+    """Return the time after which a worker's lease is over on the worker's own clock.
+
+    It counts from the last act of the lead that gave the lease.
+    """
+    return timedelta(milliseconds=lease_ms) / (1 - CLOCK_DRIFT) + FORMER_LEASE_MARGIN
+
+
 class PoolFleet:
     """Opens and closes sessions, and locates the runs of earlier leads."""
 
@@ -66,6 +75,8 @@
         self._located = False
         #: Workers that earlier leads may have used.
         self._to_locate: frozenset[str] = frozenset()
+        #: Whether the lead of an earlier term may have acted after its end.
+        self._ended_early = False
         self._to_locate_is_known = True
         self._unlisted_since: dict[str, int] = {}
         #: Failure domains in which nothing may start.
@@ -73,12 +84,19 @@
         #: Start of the period in which no worker has answered its last poll.
         self._silent_since: datetime | None = None
 
-    def load(self, recorded: Sequence[RecordedWorker] | None) -> None:
-        """Claim the workers that earlier leads may have used; None if unknown."""
+    def load(
+        self, recorded: Sequence[RecordedWorker] | None, ended_early: bool
+    ) -> None:
+        """Claim the workers that earlier leads may have used; None if unknown.
+
+        ``ended_early`` is whether the lead of an earlier term may have acted after its
+        end.
+        """
         self._to_locate_is_known = recorded is not None
+        self._ended_early = ended_early
+        self._loaded = True
         recorded = recorded or ()
         self._to_locate = frozenset(r.entry.id for r in recorded)
-        self._loaded = True
         for each in recorded:
             self._open_session(each.entry)
         for session in self._state.sessions.values():
@@ -147,14 +165,13 @@
             for w in self._state.workers.values()
             if w.runs or w.unknown_runs or (w.usable and w.entry.accepting)
         ]
-        unlocated = self._to_locate if not self._located else frozenset()
-        recorded = [RecordedWorker(w.entry) for w in used]
-        recorded += [
-            RecordedWorker(self._state.workers[w].entry)
+        unlocated = self._to_locate if not self._located else ()
+        used += [
+            self._state.workers[w]
             for w in unlocated
             if w in self._state.workers and not self._state.workers[w].usable
         ]
-        self._records.save_workers(recorded)
+        self._records.save_workers([RecordedWorker(w.entry) for w in used])
 
     def _open_session(self, entry: WorkerEntry) -> None:
         worker = self._state.workers.get(entry.id)
@@ -290,13 +307,16 @@
         """Return whether unknown runs of earlier leads may continue on the worker."""
         if session.claimed or session.is_replaced:
             return False
-        if session.was_renewed:
-            return not session.lease_is_over()
+        if session.was_renewed and not session.lease_is_over():
+            return True
         return not self._former_leases_expired()
 
     def _former_leases_expired(self) -> bool:
-        """Return whether all leases renewed by former leads have expired."""
-        return self._clock.now() - self._began_at >= FORMER_LEASE_TIMEOUT
+        """Return whether all leases given by former leads have expired."""
+        timeout = former_lease_timeout(WORKER_LEASE_MS)
+        if self._ended_early:
+            timeout += VALID_FOR
+        return self._clock.now() - self._began_at >= timeout
 
     def _drain_leaving_workers(self) -> None:
         """Stop the runs that leaving workers would cut short, to restart elsewhere."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -51,7 +51,7 @@
 from ._session_owner import SessionOwner
 from ._term import Term
 from ._term_writes import TermWrites
-from ._worker_session import WorkerSession
+from ._worker_session import WORKER_LEASE_MS, WorkerSession
 
 #: If loading the jobs takes longer than this, workers are renewed in the meantime. A
 #: fast machine loads in less than 0.3 s and so polls each worker only once.
@@ -65,6 +65,7 @@
 MIN_RETIREMENT_AGE = timedelta(seconds=60)
 #: Interval between deletions of ended jobs' records.
 PURGE_INTERVAL = timedelta(seconds=10)
+_MS = timedelta(milliseconds=1)
 
 
 class PoolLead(SessionOwner):
@@ -91,6 +92,8 @@
         self._is_superseded = False
         #: Whether the jobs are loaded; callers are not answered before that.
         self.loaded = False
+        #: Whether the lead of an earlier term may have acted after its end.
+        self._ended_early = True
         #: The platform's newest list, which may arrive before the jobs are loaded.
         self._listed_workers: Sequence[WorkerEntry] | None = None
         #: Since when the configuration lacks this pool; None if it names it.
@@ -225,6 +228,20 @@
         is_over = self._tasks.is_closed or self._is_superseded
         return not is_over and self._parts.lease.holds()
 
+    def worker_lease_ms(self) -> int:
+        """Return for how long a worker may be leased now, in milliseconds.
+
+        Beside daemons that may end this daemon's lease without a mark, worker leases
+        count from the last proof of the lease, so that they are over whenever leads of
+        the earlier version take them for over.
+        """
+        if self._parts.all_mark_ended_leases():
+            return WORKER_LEASE_MS
+        proved_at = self._parts.lease.proved_at
+        if proved_at is None:
+            return 0
+        return max(0, WORKER_LEASE_MS - (self._clock.now() - proved_at) // _MS)
+
     def superseded(self) -> None:
         """Resign, since a later lead has written records or used a worker.
 
@@ -321,7 +338,8 @@
         self.loaded = True
         for job in self._state.jobs.open.values():
             self._former_queues.note(job.record)
-        self._fleet.load(loaded.workers)
+        self._ended_early = loaded.ended_early
+        self._fleet.load(loaded.workers, loaded.ended_early)
         self._crash_records.revision = loaded.suspects_revision
         self._crashes.restore(loaded.suspects)
         if self._listed_workers is not None:
@@ -448,8 +466,12 @@
     def _may_start(self, job: Job) -> bool:
         # A step does not wait until the ends of its predecessors are durable: workers
         # list them until then, so the next lead gets them as well.
-        # A job accepted since this term began cannot have runs of earlier leads.
-        return self._fleet.all_runs_located() or job.revision > self.term.revision
+        if self._fleet.all_runs_located():
+            return True
+        # A job accepted since this term began is announced to no earlier lead, except
+        # that daemons of earlier versions may do so until they learn of this term.
+        may_be_elsewhere = self._ended_early and not self._parts.all_mark_ended_leases()
+        return job.revision > self.term.revision and not may_be_elsewhere
 
     def _team_headroom(self, team: str) -> Resources | None:
         # Runs of earlier leads on workers that have not answered yet may belong to any
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
@@ -33,11 +33,14 @@
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
+from ._early_ends import decode_term_leases, ended_early
 from ._keys import (
+    ENDED_LEASE_PREFIX,
     cancel_key,
     crashes_key,
     intake_prefix,
     progress_prefix,
+    term_leases_key,
     workers_key,
 )
 from ._term import Term
@@ -84,6 +87,8 @@
     #: there is none.
     suspects: Sequence[SuspectTask] = ()
     suspects_revision: int = 0
+    #: Whether the lead of an earlier term may have acted after its end.
+    ended_early: bool = False
 
 
 class PoolRecords:
@@ -136,15 +141,18 @@
         # Earlier leads can no longer write these records, so they can be read in any
         # order; reading them in sequence takes a second while the store is slow.
         pool = self._term.pool
-        jobs, progress, workers, (suspects, suspects_revision) = await gather(
+        jobs, progress, workers, (suspects, suspects_revision), early = await gather(
             [
                 self._read_all(intake_prefix(pool)),
                 self._read_all(progress_prefix(pool)),
                 self._read_workers(on_workers),
                 self._read_suspects(),
+                self._read_early_ends(),
             ]
         )
-        loaded = LoadedPool([], set(), {}, set(), workers, suspects, suspects_revision)
+        loaded = LoadedPool(
+            [], set(), {}, set(), workers, suspects, suspects_revision, early
+        )
         for item in jobs.items:
             job = self._decode_intake(item.key, item.value, loaded.cancelled.add)
             if job is not None:
@@ -245,6 +253,15 @@
                 return (), item.revision
         return (), 0
 
+    async def _read_early_ends(self) -> bool:
+        """Return whether the lead of an earlier term may have acted after its end."""
+        key = term_leases_key(self._term.pool)
+        items, marks = await gather(
+            [self._read_all(key), self._read_all(ENDED_LEASE_PREFIX)]
+        )
+        item = next((item for item in items.items if item.key == key), None)
+        return ended_early(decode_term_leases(item), marks)
+
     def _log_unreadable(self, event: str, key: str, exc: Exception) -> None:
         self._log.log_event(LogLevel.ERROR, event, key=key, detail=str(exc))
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_session_owner.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_session_owner.py
@@ -23,6 +23,10 @@
     def may_act(self) -> bool:
         """Return whether this daemon is guaranteed to still be the lead."""
 
+    @abstractmethod
+    def worker_lease_ms(self) -> int:
+        """Return for how long a worker may be leased now, in milliseconds."""
+
     @abstractmethod
     def can_apply_reports(self) -> bool:
         """Return whether reports can be applied; before, workers are only renewed."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -206,7 +206,8 @@
 
         Raises WorkerNotReachedError if it definitely did not.
         """
-        deadline_ms = self._worker_clock.extend_lease(ORDER_VALID_MS)
+        valid_ms = min(ORDER_VALID_MS, self._owner.worker_lease_ms())
+        deadline_ms = self._worker_clock.extend_lease(valid_ms)
         run.void_clock_ms = deadline_ms + 1
         order = order._replace(deadline_ms=deadline_ms)
         earliest_clock_ms = self._worker_clock.now_ms()
@@ -377,7 +378,7 @@
         """Renew the worker's lease, without applying its report."""
         deadline_ms = None
         if self._worker_clock.is_known and not self._misses:
-            deadline_ms = self._worker_clock.extend_lease(WORKER_LEASE_MS)
+            deadline_ms = self._worker_clock.extend_lease(self._owner.worker_lease_ms())
         poll = self._new_poll()
         report = await self._hold(_NOTHING_RELEASED, deadline_ms, _NO_WAIT)
         self._is_renewed = deadline_ms is not None or not report.active
@@ -389,7 +390,7 @@
         # lease, its runs could never be considered over.
         is_responsive = self._worker_clock.is_known and not self._misses
         if is_responsive and self.worker.runs:
-            deadline_ms = self._worker_clock.extend_lease(WORKER_LEASE_MS)
+            deadline_ms = self._worker_clock.extend_lease(self._owner.worker_lease_ms())
         poll = self._new_poll()
         released = self._releasable_end()
         report = await self._hold(released, deadline_ms, self._wait())
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -24,9 +24,10 @@
 from ._cell_view import CellView, MemberRecord, decode_member, encode_record
 from ._config_feed import ConfigFeed
 from ._crash_tracker import CrashCounts
+from ._early_ends import mark_ended
 from ._elections import Elections
 from ._job_gateway import JobGateway
-from ._keys import machine_key, member_key
+from ._keys import machine_key, marker_key, member_key
 from ._lead_parts import LeadParts
 from ._lead_watch import LeadWatch
 from ._peer_messages import (
@@ -237,6 +238,7 @@
         puts = [
             Put(key, record, lease_id),
             Put(machine_key(self._member.name), machine, lease_id),
+            Put(marker_key(self._member.name), b"1", lease_id),
         ]
         while self._lease.id == lease_id:
             try:
@@ -302,6 +304,12 @@
                 return False
         except DeadlineExceededError:
             return False
+        # The peer may not get the answer, renew the lease, and go on before a late call
+        # ends it.
+        try:
+            await mark_ended(self._adapter.store, lease_id)
+        except StoreError:
+            return False
         await self._adapter.store.end_lease(lease_id)
         self._leases_ended_for_peers += 1
         return True
@@ -327,6 +335,7 @@
             lease=self._lease,
             on_cannot_lead=self._cannot_lead,
             has_lead=lambda pool: pool in self.view.leads,
+            all_mark_ended_leases=self.view.all_mark_ended_leases,
             crash_counts=self.crash_counts,
             on_grants_written=self._grants_written,
             status_for_ms=self._settings.status_for // timedelta(milliseconds=1),
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_heard_leads.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_heard_leads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping, Sequence
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
@@ -9,8 +10,10 @@
 from twisted.internet.defer import Deferred
 
 from savorylead.clock import TwistedClock
+from savorylead.pools import Committed, LeaseGrant, Put, StoreRefusedError
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.pool._cell_view import LeadRecord, MemberRecord
+from savorylead_daemon.pool._keys import ended_lease_key
 from savorylead_daemon.pool._lead_watch import LeadWatch
 from savorylead_daemon.pool._peer_messages import (
     LeadReply,
@@ -38,10 +41,23 @@
 
 
 class Store:
-    """Records which leases were ended."""
+    """Records which leases were ended, and the keys of marks written before."""
 
     def __init__(self) -> None:
         self.ended: list[str] = []
+        self.marks: list[str] = []
+        self.refuses_marks = False
+
+    async def grant_lease(self, ttl: timedelta) -> LeaseGrant:
+        return LeaseGrant("mark", ttl)
+
+    async def commit(
+        self, expected: Mapping[str, int], puts: Sequence[Put]
+    ) -> Committed:
+        if self.refuses_marks:
+            raise StoreRefusedError("refused")
+        self.marks += [put.key for put in puts]
+        return Committed(1)
 
     async def end_lease(self, lease_id: str) -> None:
         self.ended.append(lease_id)
@@ -90,6 +106,18 @@
     assert scenario.watch.ended_leases == len(scenario.store.ended)
 
 
+@pytest.mark.parametrize("is_marked", [False, True])
+def test_no_lease_is_ended_for_its_holder_without_a_mark(is_marked: bool) -> None:
+    # The next lead would not allow for acts of the former one after the end.
+    scenario = Scenario()
+    scenario.store.refuses_marks = not is_marked
+    scenario.watch.note_connect_failure(POOL, LEAD.address)
+    scenario.time.advance(2 * ANSWER_S)
+    leases = [LEAD.lease_id] if is_marked else []
+    assert scenario.store.marks == [ended_lease_key(each) for each in leases]
+    assert scenario.store.ended == leases
+
+
 @pytest.mark.parametrize("has_answered", [False, True])
 def test_a_failure_before_the_lead_was_heard_does_not_count(has_answered: bool) -> None:
     scenario = Scenario()
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
@@ -28,7 +28,7 @@
 from savorylead_daemon.pool._run_starter import RunStarter
 from savorylead_daemon.pool._session_owner import SessionOwner
 from savorylead_daemon.pool._worker_answers import CLAIMS_AT_ONCE, WorkerAnswers
-from savorylead_daemon.pool._worker_session import WorkerSession
+from savorylead_daemon.pool._worker_session import WORKER_LEASE_MS, WorkerSession
 from savorylead_standins.time import SteppedTime
 
 ENTRY = WorkerEntry("w", "p", "w", "z", Resources(8_000, 8_000), (), "r", True, 1)
@@ -51,6 +51,9 @@
             return self.checks >= 0
         return self.is_permitted
 
+    def worker_lease_ms(self) -> int:
+        return WORKER_LEASE_MS
+
     def can_apply_reports(self) -> bool:
         return self.is_loaded
 
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_lead_changes_logged.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_lead_changes_logged.py
@@ -18,8 +18,8 @@
 )
 from savorylead_daemon.pool._keys import lead_key
 from savorylead_daemon.pool._pool_fleet import (
-    FORMER_LEASE_TIMEOUT,
     MAX_LOGGED_FORMER_LEASES,
+    former_lease_timeout,
 )
 from savorylead_daemon.pool._worker_session import RENEW_WAIT, WORKER_LEASE_MS
 from savorylead_standins.pools import PoolCell, job_spec
@@ -162,7 +162,7 @@
     end_lease(cell)
     cell.run(7.0)
     (located,) = details_of(events, "runs_located")
-    timeout_ms = FORMER_LEASE_TIMEOUT // MS
+    timeout_ms = former_lease_timeout(WORKER_LEASE_MS) // MS
     assert located["unreached"] == ["w0"]
     assert timeout_ms <= located["waited_ms"] <= timeout_ms + RENEW_WAIT // MS
     waited = {"pool": "pool", "term": 2, "waited_ms": located["waited_ms"]}
