--- a/packages/savorylead-daemon/savorylead_daemon/pool/_leadless_pools.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_leadless_pools.py
@@ -9,15 +9,10 @@
 from savorylead.clock import Clock
 from savorylead.pools import CellStore
 
-from ._cell_lease import LEASE_TTL
+from ._cell_lease import VALID_FOR
 from ._keys import lead_key, term_key
 from ._pool_fleet import former_lease_timeout
-from ._worker_session import WORKER_LEASE_MS
 
-#: Time without a lead after which the runs that the last lead started are over. Its key
-#: may end while it still acts under its lease, and the worker leases that it renewed
-#: last are valid for as long as a new lead waits.
-LEADLESS_FOR = LEASE_TTL + former_lease_timeout(WORKER_LEASE_MS)
 #: Maximum number of pools returned by one call: a transaction of the store takes 32
 #: entries.
 MAX_POOLS = 5
@@ -35,12 +30,23 @@
     """Tracks since when pools have had no lead."""
 
     def __init__(
-        self, store: CellStore, clock: Clock, has_lead: Callable[[str], bool]
+        self,
+        store: CellStore,
+        clock: Clock,
+        has_lead: Callable[[str], bool],
+        max_lease_ms: int,
     ) -> None:
-        """``has_lead(pool)`` is taken from the view of the cell, maybe outdated."""
+        """``has_lead(pool)`` is taken from the view of the cell, maybe outdated.
+
+        Workers shorten longer leases to ``max_lease_ms`` milliseconds.
+        """
         self._store = store
         self._clock = clock
         self._has_lead = has_lead
+        #: Time without a lead after which the runs that the last lead started are over.
+        #: It may act for a while after the end of its key, and may have leased a worker
+        #: that had restarted for the longest time that the worker allows.
+        self._leadless_for = VALID_FOR + former_lease_timeout(max_lease_ms)
         self._leadless: dict[str, _Leadless] = {}
 
     async def idle(self, pools: Iterable[str]) -> dict[str, Mapping[str, int]]:
@@ -57,7 +63,10 @@
             if pool not in self._leadless:
                 await self._check(pool)
             leadless = self._leadless.get(pool)
-            if leadless is None or self._clock.now() - leadless.since < LEADLESS_FOR:
+            if (
+                leadless is None
+                or self._clock.now() - leadless.since < self._leadless_for
+            ):
                 continue
             idle_pools[pool] = {
                 lead_key(pool): 0,
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from datetime import datetime, timedelta
 
 from savorylead.clock import Clock, to_millis
@@ -73,10 +73,13 @@
         self._began_at = clock.now()
         self._loaded = False
         self._located = False
-        #: Workers that earlier leads may have used.
-        self._to_locate: frozenset[str] = frozenset()
+        #: Workers that earlier leads may have used, with the incarnation in which they
+        #: gave each only leases of usual length; 0 if they may have given a longer one.
+        self._to_locate: Mapping[str, int] = {}
         #: Whether the lead of an earlier term may have acted after its end.
         self._ended_early = False
+        #: Whether the platform's list has been read in this term.
+        self._is_listing_known = False
         self._to_locate_is_known = True
         self._unlisted_since: dict[str, int] = {}
         #: Failure domains in which nothing may start.
@@ -95,10 +98,7 @@
         self._to_locate_is_known = recorded is not None
         self._ended_early = ended_early
         self._loaded = True
-        recorded = recorded or ()
-        self._to_locate = frozenset(r.entry.id for r in recorded)
-        for each in recorded:
-            self._open_session(each.entry)
+        self._open_recorded(recorded or ())
         for session in self._state.sessions.values():
             session.poll_soon()
 
@@ -108,8 +108,14 @@
         Load pattern: on a low-bandwidth link a new lead takes longer to read its
         records than the leases last that the former lead renewed.
         """
+        self._open_recorded(recorded)
+
+    def _open_recorded(self, recorded: Sequence[RecordedWorker]) -> None:
+        self._to_locate = {r.entry.id: r.entry.incarnation_start_ms for r in recorded}
         for each in recorded:
             self._open_session(each.entry)
+            session = self._state.sessions[each.entry.id]
+            session.former_incarnation_ms = each.entry.incarnation_start_ms
 
     def close(self) -> None:
         """Close all sessions."""
@@ -134,6 +140,7 @@
     def set_workers(self, entries: Sequence[WorkerEntry]) -> None:
         """Apply the platform's current list of this pool's workers."""
         now_ms = self._state.now_ms()
+        self._is_listing_known = True
         listed = {entry.id for entry in entries}
         for entry in entries:
             self._unlisted_since.pop(entry.id, None)
@@ -171,7 +178,11 @@
             for w in unlocated
             if w in self._state.workers and not self._state.workers[w].usable
         ]
-        self._records.save_workers([RecordedWorker(w.entry) for w in used])
+        self._records.save_workers([self._record_of(w) for w in used])
+
+    def _record_of(self, worker: PoolWorker) -> RecordedWorker:
+        settled_ms = self._state.sessions[worker.id].settled_incarnation_ms
+        return RecordedWorker(worker.entry._replace(incarnation_start_ms=settled_ms))
 
     def _open_session(self, entry: WorkerEntry) -> None:
         worker = self._state.workers.get(entry.id)
@@ -252,7 +263,7 @@
             return True
         if not self._loaded:
             return False
-        if not self._to_locate_is_known and not self._former_leases_expired():
+        if not self._to_locate_is_known and not self._have_expired(self._max_lease_ms):
             return False
         sessions = [self._state.sessions.get(w) for w in self._to_locate]
         if not any(s is not None and self._may_have_unknown_runs(s) for s in sessions):
@@ -281,7 +292,7 @@
         sessions = self._state.sessions
         silent = [
             worker_id
-            for worker_id in sorted(self._to_locate & sessions.keys())
+            for worker_id in sorted(self._to_locate.keys() & sessions.keys())
             if not sessions[worker_id].claimed and not sessions[worker_id].is_replaced
         ]
         for worker_id in silent[:MAX_LOGGED_FORMER_LEASES]:
@@ -309,11 +320,25 @@
             return False
         if session.was_renewed and not session.lease_is_over():
             return True
-        return not self._former_leases_expired()
+        return not self._have_expired(self._longest_former_lease_ms(session))
+
+    def _longest_former_lease_ms(self, session: WorkerSession) -> int:
+        """Return the longest lease that a former lead may have given an absent worker.
 
-    def _former_leases_expired(self) -> bool:
-        """Return whether all leases given by former leads have expired."""
-        timeout = former_lease_timeout(WORKER_LEASE_MS)
+        The worker may have restarted before the former lead's last order. It registers
+        when it starts, so its entry shows the incarnation.
+        """
+        worker = session.worker
+        recorded_ms = session.former_incarnation_ms
+        listed_ms = worker.entry.incarnation_start_ms
+        has_restarted = worker.listed and listed_ms != recorded_ms
+        if not recorded_ms or has_restarted or not self._is_listing_known:
+            return self._max_lease_ms
+        return WORKER_LEASE_MS
+
+    def _have_expired(self, lease_ms: int) -> bool:
+        """Return whether leases of this length by former leads have expired."""
+        timeout = former_lease_timeout(lease_ms)
         if self._ended_early:
             timeout += VALID_FOR
         return self._clock.now() - self._began_at >= timeout
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -162,7 +162,7 @@
             self._tasks,
             writes,
             self._grants,
-            LeadlessPools(store, clock, parts.has_lead),
+            LeadlessPools(store, clock, parts.has_lead, parts.max_worker_lease_ms),
             self._demand,
             self._plan_soon,
             parts.on_grants_written,
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Coroutine, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
 from datetime import timedelta
 from functools import partial
 from typing import Any, NamedTuple
@@ -63,6 +63,7 @@
 class RecordedWorker(NamedTuple):
     """A worker on which a lead may have started tasks."""
 
+    #: Its incarnation is 0 while a lease may hold that is longer than usual.
     entry: WorkerEntry
 
 
@@ -116,9 +117,10 @@
         self._unread_since = clock.now()
         self._revision = 0
         self._workers_revision = 0
-        self._recorded: frozenset[str] = frozenset()
+        #: Incarnations of the recorded workers, by their id.
+        self._recorded: Mapping[str, int] = {}
         #: Lists whose writes are in flight or have an unknown outcome.
-        self._unclear: list[frozenset[str]] = []
+        self._unclear: list[Mapping[str, int]] = []
         self._wanted_workers: Sequence[RecordedWorker] = ()
         self._writing = False
 
@@ -179,7 +181,7 @@
 
     def is_written(self) -> bool:
         """Return whether the store has the list last passed to ``save_workers``."""
-        return {w.entry.id for w in self._wanted_workers} == self._recorded
+        return _incarnations(self._wanted_workers) == self._recorded
 
     async def follow(
         self,
@@ -365,17 +367,21 @@
 
     async def _write_workers_once(self, workers: Sequence[RecordedWorker]) -> bool:
         key = workers_key(self._term.pool)
-        ids = frozenset(w.entry.id for w in workers)
-        self._unclear.append(ids)
+        incarnations = _incarnations(workers)
+        self._unclear.append(incarnations)
         result = await self._writes.commit(
             {key: self._workers_revision},
             [Put(key, msgspec.json.encode(list(workers)))],
         )
         if isinstance(result, Committed):
             self._workers_revision = result.revision
-            self._recorded = ids
+            self._recorded = incarnations
             self._unclear = []
             return True
         item = result.current.get(key)
         self._workers_revision = 0 if item is None else item.revision
         return False
+
+
+def _incarnations(workers: Sequence[RecordedWorker]) -> Mapping[str, int]:
+    return {w.entry.id: w.entry.incarnation_start_ms for w in workers}
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -120,6 +120,11 @@
         self.is_replaced = False
         #: Number of unanswered orders since the last report.
         self._unanswered = 0
+        #: The incarnation in which a former lead leased the worker for no longer than
+        #: usual; 0 if it may have in any other, None if no former lead used the worker.
+        self.former_incarnation_ms: int | None = None
+        #: Until when a lease of unusual length may hold, on the worker's clock.
+        self._long_lease_until_ms = 0
         #: Runs whose lease lapsed in the present silence, which a crash may explain.
         self._lapsed: list[Run] = []
         self._start_answers = StartAnswers()
@@ -146,6 +151,19 @@
         """Start of the worker's incarnation in Unix milliseconds; 0 if unknown."""
         return self._incarnation_start_ms
 
+    @property
+    def settled_incarnation_ms(self) -> int:
+        """The incarnation in which all leases given are of usual length; 0 if none.
+
+        A worker that has restarted reads a deadline on its former clock as a much later
+        time, and shortens the lease only to the longest one that it allows.
+        """
+        if not self.claimed:
+            return self.former_incarnation_ms or 0
+        if self._worker_clock.now_ms() <= self._long_lease_until_ms:
+            return 0
+        return self._incarnation_start_ms
+
     def expect_incarnation(self, start_ms: int) -> None:
         """Treat any other incarnation as a restart, since a former lead used this."""
         self._incarnation_start_ms = start_ms
@@ -449,9 +467,7 @@
         findings = reconcile(self.worker, report, self._seen_end, poll.sent_at_ms)
         seen = max([self._seen_end, *(e.sequence for e in report.ended)])
         if not self.claimed:
-            # A former lead may have renewed the lease just before, even if no task
-            # runs now.
-            self._worker_clock.extend_lease(WORKER_LEASE_MS)
+            self._assume_former_lease(report)
         self.claimed = True
         self.worker.usable = True
         self._owner.apply(self, findings, report)
@@ -462,6 +478,17 @@
                 self._release_when_durable(seen, self._incarnation_start_ms),
             )
 
+    def _assume_former_lease(self, report: WorkerReport) -> None:
+        """Assume that a former lead renewed the lease just before the report.
+
+        It may have done so even if no task runs now.
+        """
+        if self.former_incarnation_ms in (None, report.incarnation_start_ms):
+            self._worker_clock.extend_lease(WORKER_LEASE_MS)
+        else:
+            self._worker_clock.extend_lease(self._max_lease_ms)
+            self._long_lease_until_ms = report.clock_ms + self._max_lease_ms
+
     def _limit_former_orders(self, report: WorkerReport) -> None:
         """Determine until when a former lead's order may start a recorded run."""
         for run in self.worker.runs.values():
@@ -511,7 +538,8 @@
         """
         self._seen_end = self._durable_end = self._released_end = 0
         # The new incarnation has accepted the deadlines of starts that it received.
-        self._worker_clock.limit_lease(report.clock_ms + self._max_lease_ms)
+        self._long_lease_until_ms = report.clock_ms + self._max_lease_ms
+        self._worker_clock.limit_lease(self._long_lease_until_ms)
         ended, unanswered, continued = [], [], []
         for key, run in self.worker.runs.items():
             if run.last_reported_at_ms:
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_restarted_workers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_restarted_workers.py
@@ -234,7 +234,9 @@
     assert cell.workers.records == []
 
 
-def hand_over_cut_from_a_restarted_worker(cell: PoolCell, down_s: float) -> None:
+def hand_over_cut_from_a_restarted_worker(
+    cell: PoolCell, down_s: float, cut_after_s: float = 0.0
+) -> None:
     """Change the lead after a start on a restarted worker that is then cut off."""
     cell.workers.duration_of = lambda _: timedelta(seconds=8)
     machine = restart_idle_worker(cell, down_s)
@@ -247,6 +249,7 @@
     cell.run(0.9)
     assert len(cell.workers.records) == 1
     Deferred.fromCoroutine(cell.nodes[cell.lead_of()].resign())
+    cell.run(cut_after_s)
     machine.is_cut = True
     cell.run(12.0)
     machine.is_cut = False
@@ -268,3 +271,15 @@
     hand_over_cut_from_a_restarted_worker(cell, BRIEFLY_S)
     assert cell.workers.breaches == []
     assert cell.state(JOB) is JobState.COMPLETED
+
+
+@pytest.mark.parametrize("cut_after_s", [0.08, 0.1, 0.15, 0.2])
+@pytest.mark.parametrize("down_s", [BRIEFLY_S, LONG_S])
+def test_a_new_lead_that_reached_a_restarted_worker_waits_for_its_run(
+    down_s: float, cut_after_s: float
+) -> None:
+    # The same with a new lead that claims the worker just before the worker is cut off.
+    cell = cell_with_idle_worker()
+    hand_over_cut_from_a_restarted_worker(cell, down_s, cut_after_s)
+    assert cell.workers.breaches == []
+    assert cell.state(JOB) is JobState.COMPLETED
