--- a/packages/savorylead-daemon/savorylead_daemon/pool/_lead_watch.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_lead_watch.py
@@ -66,6 +66,9 @@
     key deleted, and its fencing token is outdated from then on. A minority ends no
     lease; otherwise both sides of a partition would take the lead from each other in
     turn for as long as it lasts.
+
+    Daemons of the earlier version would end the lease without a mark, so beside one of
+    them no daemon supports a vote, and a lead that dies is followed after a lapse.
     """
 
     def __init__(
@@ -101,13 +104,15 @@
         lead = self._view.lead(pool)
         if lead is None or lead.member.address != address or not self._store_answers():
             return
-        if now < self._not_before.get(pool, now):
+        if now < self._not_before.get(pool, now) or not self._supports_votes():
             return
         self._not_before[pool] = now + VOTE_INTERVAL
         spawn("vote on a lead", self._hold_vote(pool, lead.member))
 
     async def reaches(self, query: ReachabilityQuery) -> bool:
-        """Return whether this daemon can connect to a lead."""
+        """Return whether this daemon can connect to a lead, or supports no vote."""
+        if not self._supports_votes():
+            return True
         failed_at = self._failed_at.get(query.address)
         if failed_at is not None and self._clock.now() - failed_at < FAILURE_VALID_FOR:
             return self._peers.answered_since(query.address, failed_at)
@@ -120,6 +125,9 @@
             return exc.connected
         return True
 
+    def _supports_votes(self) -> bool:
+        return self._view.all_mark_ended_leases()
+
     async def _hold_vote(self, pool: str, lead: MemberRecord) -> None:
         began_at = self._clock.now()
         others = self._view.others(self._name, lead.name)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_earlier_build.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_earlier_build.py
@@ -179,7 +179,13 @@
 
 
 @pytest.mark.parametrize(
-    "key", [_keys.crashes_key("pool"), _keys.claim_key("0a1b2c3d4e5f6071")]
+    "key",
+    [
+        _keys.crashes_key("pool"),
+        _keys.claim_key("0a1b2c3d4e5f6071"),
+        _keys.term_leases_key("pool"),
+        _keys.ended_lease_key("7"),
+    ],
 )
 def test_added_keys_are_under_no_prefix_that_the_earlier_build_reads(key: str) -> None:
     read = [
@@ -193,10 +199,11 @@
     assert not any(key.startswith(prefix) for prefix in read)
 
 
-def test_the_earlier_build_takes_a_pools_key_for_no_other_record() -> None:
+@pytest.mark.parametrize("key", [_keys.pool_key("pool"), _keys.marker_key("edge-1")])
+def test_the_earlier_build_takes_added_keys_for_no_other_record(key: str) -> None:
     # It reads all keys of the cell, and ignores those of kinds that it does not know.
     known = (_keys.MEMBER_PREFIX, _keys.MACHINE_PREFIX, _keys.LEAD_PREFIX)
-    assert not _keys.pool_key("pool").startswith(known)
+    assert not key.startswith(known)
 
 
 QUEUE = Queue("q", "host", "/q/", "pool", 1, 3, 2.0, 3_000, False, None)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_heard_leads.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_heard_leads.py
@@ -33,6 +33,9 @@
 class View:
     """A view of four daemons, one of them the lead."""
 
+    def all_mark_ended_leases(self) -> bool:
+        return True
+
     def lead(self, pool: str) -> LeadRecord:
         return LeadRecord(LEAD, 1)
 
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_former_leases.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_former_leases.py
@@ -18,7 +18,7 @@
 from savorylead_daemon.pool._keys import marker_key, term_leases_key
 from savorylead_standins.pools import PoolCell, job_spec
 
-from .cell_cases import ready_cell
+from .cell_cases import LoggedEvent, ready_cell
 from .cut_cases import Cut, Cuts, from_peers, from_workers
 
 CUT_S = 10.0
@@ -125,11 +125,26 @@
     # leases of any former lead.
     cell = cell_with_long_tasks(seed)
     monkeypatch.setattr(_lead_watch, "mark_ended", end_without_mark)
+    monkeypatch.setattr(_lead_watch.LeadWatch, "_supports_votes", lambda _: True)
     beside(cell)
     cut_off_lead(cell, change_nothing)
     assert cell.workers.breaches == []
 
 
+@pytest.mark.parametrize("is_beside", [False, True])
+def test_no_lease_is_ended_beside_a_daemon_that_marks_none(
+    is_beside: bool, events: list[LoggedEvent]
+) -> None:
+    # Such a daemon could end the lease with the votes of those that mark.
+    cell = cell_with_long_tasks(2)
+    if is_beside:
+        add_unmarking_member(cell)
+    cut_off_lead(cell, change_nothing)
+    ended = [each for each in events if each.event == "lead_lease_ended"]
+    assert bool(ended) != is_beside
+    assert cell.workers.breaches == []
+
+
 @pytest.mark.parametrize("value", [b"", b"{}", b"[1]", b"\xff", None])
 def test_an_unreadable_record_of_leases_proves_nothing(value: bytes | None) -> None:
     item = None if value is None else KeyValue("key", value, 5)
