Marks after review: the vote is checked again, each lease counts once

A lead that answers while its mark is being written keeps its lease. Terms of one daemon under one lease are recorded once, so hand-overs between two daemons don't push a marked lease out of the record.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_cell_view.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_cell_view.py
@@ -87,7 +87,7 @@
         #: By the daemon's name; daemons of earlier versions have no entry.
         self.machines: dict[str, Machine] = {}
         #: Names of the members that mark leases before they end them for others.
-        self.markers: set[str] = set()
+        self.marking_members: set[str] = set()
         self.leads: dict[str, LeadEntry] = {}
         #: Pools that may hold jobs, whether or not the configuration names them.
         self.pools: set[str] = set()
@@ -126,7 +126,7 @@
 
         Daemons of earlier versions don't.
         """
-        return self.members.keys() <= self.markers
+        return self.members.keys() <= self.marking_members
 
     async def _run(self) -> None:
         while True:
@@ -143,7 +143,7 @@
         snapshot = await self._store.list(CELL_PREFIX)
         before = self._contents()
         self.members, self.machines, self.leads = {}, {}, {}
-        self.markers, self.pools = set(), set()
+        self.marking_members, self.pools = set(), set()
         for item in snapshot.items:
             self._apply_put(item.key, item.value, item.revision)
         self.revision = max(self.revision, snapshot.revision)
@@ -151,7 +151,7 @@
             self._notify()
 
     def _contents(self) -> tuple[object, ...]:
-        return self.members, self.machines, self.markers, self.leads, self.pools
+        return self.members, self.machines, self.marking_members, self.leads, self.pools
 
     async def _watch(self, until: datetime) -> None:
         while self._clock.now() < until:
@@ -176,7 +176,7 @@
                 name = key.removeprefix(MACHINE_PREFIX)
                 self.machines[name] = msgspec.json.decode(value, type=Machine)
             elif key.startswith(MARKER_PREFIX):
-                self.markers.add(key.removeprefix(MARKER_PREFIX))
+                self.marking_members.add(key.removeprefix(MARKER_PREFIX))
             elif key.startswith(LEAD_PREFIX):
                 pool = key.removeprefix(LEAD_PREFIX)
                 record = msgspec.json.decode(value, type=LeadRecord)
@@ -194,7 +194,7 @@
         elif key.startswith(MACHINE_PREFIX):
             self.machines.pop(key.removeprefix(MACHINE_PREFIX), None)
         elif key.startswith(MARKER_PREFIX):
-            self.markers.discard(key.removeprefix(MARKER_PREFIX))
+            self.marking_members.discard(key.removeprefix(MARKER_PREFIX))
         elif key.startswith(LEAD_PREFIX):
             self.leads.pop(key.removeprefix(LEAD_PREFIX), None)
         elif key.startswith(POOL_PREFIX):
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_early_ends.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_early_ends.py
@@ -1,9 +1,9 @@
-"""Marks of leases that were ended while their holders may still rely on them.
+"""Marks of store leases that were ended while their holders may still rely on them.
 
-A daemon acts under its lease until a fixed time after its last renewal. Other daemons
-may end the lease earlier, so a lead that begins after that must allow for acts of the
-former one. The mark is written before the lease ends, and each term records the leases
-of the terms before it, so any later lead finds the mark.
+A daemon acts under its store lease until a fixed time after its last renewal. Other
+daemons may end the lease earlier, so a lead that begins after that must allow for acts
+of the former one. The mark is written before the lease ends, and each term records the
+leases of the terms before it, so any later lead finds the mark.
 """
 
 from __future__ import annotations
@@ -20,10 +20,10 @@
 from ._keys import ENDED_LEASE_PREFIX, ended_lease_key
 
 #: How long a mark lasts. Calls to the store may be executed some 12 s late, and leases
-#: that a lead gave its workers last up to 10 s.
+#: of workers last up to 10 s.
 MARK_TTL = timedelta(seconds=60)
-#: Number of leases of earlier terms that a term records, far more than terms can end
-#: before the worker leases of the first one are over.
+#: Number of store leases of earlier terms that a term records, more than are used
+#: before the worker leases of the first of these terms are over.
 MAX_FORMER_LEASES = 8
 
 
@@ -32,9 +32,16 @@
 
     #: Number of the term that wrote the record.
     term: int
-    #: Lease of this term, then those of the terms before it, the latest first.
+    #: Lease of this term, then those of the terms before it, the latest first. Terms
+    #: of one daemon may have the same lease, which is named once.
     leases: tuple[str, ...]
 
+    @classmethod
+    def after(cls, former: Iterable[str], term: int, lease_id: str) -> TermLeases:
+        """Return the record of a term that follows those with ``former`` leases."""
+        others = [each for each in dict.fromkeys(former) if each != lease_id]
+        return cls(term, (lease_id, *others[:MAX_FORMER_LEASES]))
+
 
 def encode_term_leases(record: TermLeases) -> bytes:
     """Return a record as JSON."""
@@ -51,7 +58,7 @@
         return None
 
 
-def leases_of_unrecorded_term(pool: str, term: int) -> str:
+def stand_in_lease(pool: str, term: int) -> str:
     """Return the name that stands for the lease of a term without a record.
 
     Its lead was of an earlier version, which records and marks no leases.
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
@@ -19,12 +19,11 @@
 from ._cell_lease import CellLease
 from ._cell_view import CellView, LeadRecord, MemberRecord, encode_record
 from ._early_ends import (
-    MAX_FORMER_LEASES,
     TermLeases,
     decode_term_leases,
     encode_term_leases,
-    leases_of_unrecorded_term,
     mark_ended,
+    stand_in_lease,
 )
 from ._hand_over import HandOver
 from ._keys import lead_key, pool_key, term_key, term_leases_key
@@ -249,7 +248,7 @@
                 self._retry_later(pool)
                 return
             number = last + 1
-            leases = TermLeases(number, (lease_id, *former_leases))
+            leases = TermLeases.after(former_leases, number, lease_id)
             record = LeadRecord(self._member._replace(lease_id=lease_id), number)
             result = await self._store.commit(
                 {
@@ -288,9 +287,9 @@
         if not last_term:
             return ()
         if recorded is not None and recorded.term == last_term:
-            return recorded.leases[:MAX_FORMER_LEASES]
+            return recorded.leases
         # The last lead was of an earlier version, so its lease may have been ended
         # without a mark.
-        unrecorded = leases_of_unrecorded_term(pool, last_term)
+        unrecorded = stand_in_lease(pool, last_term)
         await mark_ended(self._store, unrecorded)
         return (unrecorded,)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_lead_watch.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_lead_watch.py
@@ -141,7 +141,7 @@
         if self._peers.answered_since(lead.address, began_at):
             return
         if agreed and record is not None and record.member == lead:
-            await self._end_lease(pool, lead, vote.unable)
+            await self._end_lease(pool, lead, vote.unable, began_at)
 
     async def _request_vote(
         self, peer: MemberRecord, pool: str, lead: MemberRecord, vote: _Vote
@@ -160,12 +160,16 @@
             reaches = None
         vote.add(reaches)
 
-    async def _end_lease(self, pool: str, lead: MemberRecord, unable: int) -> None:
+    async def _end_lease(
+        self, pool: str, lead: MemberRecord, unable: int, vote_began_at: datetime
+    ) -> None:
         detail = ""
         try:
             # The lead may be alive, and act until it learns of the end or would have
             # had to renew the lease. Its successor must find the mark.
             await mark_ended(self._store, lead.lease_id)
+            if self._peers.answered_since(lead.address, vote_began_at):
+                return
             await self._store.end_lease(lead.lease_id)
         except StoreError as exc:
             detail = str(exc)
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_former_leases.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_former_leases.py
@@ -15,7 +15,11 @@
 from savorylead.resources import Resources
 from savorylead.store import KeyValue, Snapshot
 from savorylead_daemon.pool import _early_ends, _lead_watch
-from savorylead_daemon.pool._keys import marker_key, term_leases_key
+from savorylead_daemon.pool._keys import (
+    ended_lease_key,
+    marker_key,
+    term_leases_key,
+)
 from savorylead_standins.pools import PoolCell, job_spec
 
 from .cell_cases import LoggedEvent, ready_cell
@@ -150,3 +154,15 @@
     item = None if value is None else KeyValue("key", value, 5)
     record = _early_ends.decode_term_leases(item)
     assert _early_ends.ended_early(record, Snapshot((), 5))
+
+
+def test_a_lease_ended_at_its_holders_request_is_marked() -> None:
+    # The holder may not get the answer, renew the lease, and go on before a late call
+    # ends it.
+    cell = ready_cell(nodes=6)
+    lead = cell.lead_of()
+    lease_id = cell.nodes[lead].view.lead("pool").member.lease_id
+    cell.views[lead].is_refused = True
+    cell.run(3.0)
+    assert lease_id not in cell.store.leases
+    assert ended_lease_key(lease_id) in cell.store.items
