--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -115,7 +115,7 @@
         for each in recorded:
             self._open_session(each.entry)
             session = self._state.sessions[each.entry.id]
-            session.former_incarnation_ms = each.entry.incarnation_start_ms
+            session.recorded_incarnation_ms = each.entry.incarnation_start_ms
 
     def close(self) -> None:
         """Close all sessions."""
@@ -329,7 +329,7 @@
         when it starts, so its entry shows the incarnation.
         """
         worker = session.worker
-        recorded_ms = session.former_incarnation_ms
+        recorded_ms = session.recorded_incarnation_ms
         listed_ms = worker.entry.incarnation_start_ms
         has_restarted = worker.listed and listed_ms != recorded_ms
         if not recorded_ms or has_restarted or not self._is_listing_known:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -92,8 +92,8 @@
         self._is_superseded = False
         #: Whether the jobs are loaded; callers are not answered before that.
         self.loaded = False
-        #: Whether the lead of an earlier term may have acted after its end.
-        self._ended_early = True
+        #: Whether a member was of the earlier version at any time in this term.
+        self._has_unmarking_members = not parts.all_mark_ended_leases()
         #: The platform's newest list, which may arrive before the jobs are loaded.
         self._listed_workers: Sequence[WorkerEntry] | None = None
         #: Since when the configuration lacks this pool; None if it names it.
@@ -338,7 +338,6 @@
         self.loaded = True
         for job in self._state.jobs.open.values():
             self._former_queues.note(job.record)
-        self._ended_early = loaded.ended_early
         self._fleet.load(loaded.workers, loaded.ended_early)
         self._crash_records.revision = loaded.suspects_revision
         self._crashes.restore(loaded.suspects)
@@ -469,9 +468,9 @@
         if self._fleet.all_runs_located():
             return True
         # A job accepted since this term began is announced to no earlier lead, except
-        # that daemons of earlier versions may do so until they learn of this term.
-        may_be_elsewhere = self._ended_early and not self._parts.all_mark_ended_leases()
-        return job.revision > self.term.revision and not may_be_elsewhere
+        # by daemons of the earlier version.
+        self._has_unmarking_members |= not self._parts.all_mark_ended_leases()
+        return job.revision > self.term.revision and not self._has_unmarking_members
 
     def _team_headroom(self, team: str) -> Resources | None:
         # Runs of earlier leads on workers that have not answered yet may belong to any
@@ -519,7 +518,8 @@
         self, session: WorkerSession, findings: Sequence[Finding], report: WorkerReport
     ) -> None:
         """Apply the findings of a report."""
-        if not self._records.is_recorded(session.worker.id):
+        incarnation_ms = session.settled_incarnation_ms
+        if not self._records.is_recorded(session.worker.id, incarnation_ms):
             self._fleet.record_workers()
         self._report_processor.apply(session, findings)
         self._plan_soon()
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_records.py
@@ -124,10 +124,15 @@
         self._wanted_workers: Sequence[RecordedWorker] = ()
         self._writing = False
 
-    def is_recorded(self, worker_id: str) -> bool:
-        """Return whether the next lead will read the worker in any case."""
+    def is_recorded(self, worker_id: str, incarnation_ms: int | None = None) -> bool:
+        """Return whether the next lead will read the worker in any case.
+
+        If ``incarnation_ms`` is given, the worker must be recorded with it.
+        """
         lists = [self._recorded, *self._unclear]
-        return all(worker_id in workers for workers in lists)
+        if incarnation_ms is None:
+            return all(worker_id in workers for workers in lists)
+        return all(workers.get(worker_id) == incarnation_ms for workers in lists)
 
     async def load(
         self, on_workers: Callable[[Sequence[RecordedWorker]], None]
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -120,9 +120,9 @@
         self.is_replaced = False
         #: Number of unanswered orders since the last report.
         self._unanswered = 0
-        #: The incarnation in which a former lead leased the worker for no longer than
-        #: usual; 0 if it may have in any other, None if no former lead used the worker.
-        self.former_incarnation_ms: int | None = None
+        #: The incarnation in which former leads gave the worker only leases of usual
+        #: length, as they recorded it; 0 if there is none. None if they never used it.
+        self.recorded_incarnation_ms: int | None = None
         #: Until when a lease of unusual length may hold, on the worker's clock.
         self._long_lease_until_ms = 0
         #: Runs whose lease lapsed in the present silence, which a crash may explain.
@@ -153,13 +153,13 @@
 
     @property
     def settled_incarnation_ms(self) -> int:
-        """The incarnation in which all leases given are of usual length; 0 if none.
+        """The incarnation in which leads gave only leases of usual length; 0 if none.
 
         A worker that has restarted reads a deadline on its former clock as a much later
         time, and shortens the lease only to the longest one that it allows.
         """
         if not self.claimed:
-            return self.former_incarnation_ms or 0
+            return self.recorded_incarnation_ms or 0
         if self._worker_clock.now_ms() <= self._long_lease_until_ms:
             return 0
         return self._incarnation_start_ms
@@ -224,8 +224,7 @@
 
         Raises WorkerNotReachedError if it definitely did not.
         """
-        valid_ms = min(ORDER_VALID_MS, self._owner.worker_lease_ms())
-        deadline_ms = self._worker_clock.extend_lease(valid_ms)
+        deadline_ms = self._worker_clock.extend_lease(ORDER_VALID_MS)
         run.void_clock_ms = deadline_ms + 1
         order = order._replace(deadline_ms=deadline_ms)
         earliest_clock_ms = self._worker_clock.now_ms()
@@ -483,7 +482,7 @@
 
         It may have done so even if no task runs now.
         """
-        if self.former_incarnation_ms in (None, report.incarnation_start_ms):
+        if self.recorded_incarnation_ms in (None, report.incarnation_start_ms):
             self._worker_clock.extend_lease(WORKER_LEASE_MS)
         else:
             self._worker_clock.extend_lease(self._max_lease_ms)
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_jobs_after_a_vote.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_jobs_after_a_vote.py
@@ -22,7 +22,15 @@
 )
 from savorylead.store import KeyValue, StoreTimeoutError
 from savorylead.workers import WorkerTimeoutError
-from savorylead_daemon.pool._keys import CELL_PREFIX, GRANTS_KEY, job_key, lead_key
+from savorylead_daemon.pool._keys import (
+    CELL_PREFIX,
+    GRANTS_KEY,
+    ended_lease_key,
+    job_key,
+    lead_key,
+    marker_key,
+)
+from savorylead_daemon.pool._peer_messages import JobAccepted
 from savorylead_standins.pools import MemoryCellStore, PoolCell, StoreView, job_spec
 from savorylead_standins.pools._pool_cell import WORKERS_PREFIX
 
@@ -320,3 +328,39 @@
     # The lead reads the teams' grants from time to time.
     read = [key for view in cell.views.values() for key in view.gets]
     assert set(read) <= {GRANTS_KEY}
+
+
+@pytest.mark.parametrize("leaves", [False, True])
+@pytest.mark.parametrize("is_marked", [False, True])
+def test_a_job_that_an_earlier_version_announces_is_not_started_by_both_leads(
+    is_marked: bool, leaves: bool
+) -> None:
+    # Daemons of the earlier version announce a job to any lead, and may end its lease
+    # without a mark. One may be gone when the next lead plans.
+    divided = DividedCell()
+    cell = divided.cell
+    earlier = divided.others()[0]
+    cell.store.delete(marker_key(earlier))
+    cell.store.wake()
+    cell.run(0.5)
+    gateway = cell.nodes[earlier].gateway
+
+    async def announce(record: JobRecord, revision: int, _proof: object) -> Any:
+        message = JobAccepted(record, revision)
+        return await gateway._finder.send_with_retries(record.pool, message)
+
+    gateway._announcer.announce = announce
+    if is_marked:
+        lead = cell.nodes[divided.former].view.lead("pool")
+        cell.store.put(ended_lease_key(lead.member.lease_id), b"1")
+    divided.end_lease(earlier)
+    divided.next_lead()
+    divided.cut_former_from_store()
+    cell.submit(JOB, job_spec(), earlier)
+    divided.run_until(divided.is_stored)
+    cell.run(0.3)
+    if leaves:
+        Deferred.fromCoroutine(cell.nodes[earlier].resign())
+    cell.run(12.0)
+    assert cell.workers.breaches == []
+    assert len(cell.workers.records) >= 1
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_restarted_workers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_restarted_workers.py
@@ -9,12 +9,15 @@
 from datetime import timedelta
 from typing import Any, NamedTuple
 
+import msgspec
 import pytest
 from twisted.internet.defer import Deferred
 
 from savorylead.jobs import JobSpec, JobState
 from savorylead.pools import RunEnd, WorkerReport
 from savorylead.resources import Resources
+from savorylead_daemon.pool._keys import workers_key
+from savorylead_daemon.pool._pool_records import RecordedWorker
 from savorylead_standins.pools import MemoryMachine, PoolCell, job_spec
 
 from .cell_cases import LoggedEvent, ready_cell
@@ -283,3 +286,67 @@
     hand_over_cut_from_a_restarted_worker(cell, down_s, cut_after_s)
     assert cell.workers.breaches == []
     assert cell.state(JOB) is JobState.COMPLETED
+
+
+def recorded_incarnation(cell: PoolCell) -> int:
+    """Return the incarnation with which the lead has recorded the worker."""
+    item = cell.store.items[workers_key("pool")]
+    recorded = msgspec.json.decode(item.value, type=list[RecordedWorker])
+    return next(r.entry.incarnation_start_ms for r in recorded if r.entry.id == "w0")
+
+
+def test_a_restart_is_recorded_while_a_long_lease_may_hold() -> None:
+    cell = cell_with_idle_worker()
+    cell.workers.duration_of = lambda _: timedelta(seconds=30)
+    before = recorded_incarnation(cell)
+    machine = restart_idle_worker(cell, BRIEFLY_S)
+    cell.submit(JOB, job_spec())
+    cell.run(0.1)
+    # The platform's list shows the restart only later.
+    assert recorded_incarnation(cell) == 0
+    cell.list_worker(machine.entry)
+    cell.run(10.0)
+    assert recorded_incarnation(cell) == machine.entry.incarnation_start_ms > before
+
+
+def test_a_lead_that_never_reached_a_worker_records_what_the_former_lead_knew() -> None:
+    cell = cell_with_idle_worker()
+    cell.workers.duration_of = lambda _: timedelta(seconds=30)
+    machine = restart_idle_worker(cell, BRIEFLY_S)
+    cell.submit(JOB, job_spec())
+    cell.run(0.1)
+    machine.is_cut = True
+    cell.list_worker(machine.entry)
+    Deferred.fromCoroutine(cell.nodes[cell.lead_of()].resign())
+    cell.run(1.0)
+    another = machine.entry._replace(id="w1", address="w1")
+    cell.workers.add(another)
+    cell.list_worker(another)
+    # The other worker makes the new lead write the record.
+    cell.run(1.5)
+    assert recorded_incarnation(cell) == 0
+
+
+@pytest.mark.parametrize("listed_after_s", [0.02, 3.0, 30.0])
+@pytest.mark.parametrize("lead_on_s", [0.02, 0.3, 0.9, 2.0])
+def test_a_restart_that_the_list_shows_late_is_known_to_the_next_lead(
+    lead_on_s: float, listed_after_s: float
+) -> None:
+    # The lead starts a task on a worker that has restarted, and resigns soon after. The
+    # worker is cut off then.
+    cell = cell_with_idle_worker()
+    cell.workers.duration_of = lambda _: timedelta(seconds=12)
+    machine = restart_idle_worker(cell, BRIEFLY_S)
+    another = machine.entry._replace(id="w1", address="w1")
+    cell.workers.add(another)
+    cell.submit(JOB, job_spec())
+    listed_after = timedelta(seconds=listed_after_s)
+    cell.clock.call_later(listed_after, cell.list_worker, machine.entry)
+    cell.run(0.02)
+    cell.list_worker(another)
+    cell.run(lead_on_s)
+    assert [record.worker for record in cell.workers.records] == ["w0"]
+    machine.is_cut = True
+    Deferred.fromCoroutine(cell.nodes[cell.lead_of()].resign())
+    cell.run(14.0)
+    assert cell.workers.breaches == []
