Lines on a lease that a vote kept, and on a term that others ended

A lead that answers while its lease is being marked keeps it, which no line told; nor did one say why a new lead waits longer for workers that don't answer.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_lead_watch.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_lead_watch.py
@@ -169,6 +169,13 @@
             # had to renew the lease. Its successor must find the mark.
             await mark_ended(self._store, lead.lease_id)
             if self._peers.answered_since(lead.address, vote_began_at):
+                self._log.log_event(
+                    LogLevel.INFO,
+                    "lead_lease_kept",
+                    pool=pool,
+                    lead=lead.name,
+                    lease=lead.lease_id,
+                )
                 return
             await self._store.end_lease(lead.lease_id)
         except StoreError as exc:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -350,6 +350,7 @@
             term=self.fence,
             jobs=len(self._state.jobs.jobs),
             open_jobs=len(self._state.jobs.open),
+            former_ended_early=loaded.ended_early,
             workers=len(self._state.sessions),
             took_ms=to_millis(self._clock.now()) - to_millis(began_at),
         )
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_heard_leads.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_heard_leads.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
@@ -50,6 +50,7 @@
         self.ended: list[str] = []
         self.marks: list[str] = []
         self.refuses_marks = False
+        self.on_mark: Callable[[], None] = lambda: None
 
     async def grant_lease(self, ttl: timedelta) -> LeaseGrant:
         return LeaseGrant("mark", ttl)
@@ -60,6 +61,7 @@
         if self.refuses_marks:
             raise StoreRefusedError("refused")
         self.marks += [put.key for put in puts]
+        self.on_mark()
         return Committed(1)
 
     async def end_lease(self, lease_id: str) -> None:
@@ -121,6 +123,15 @@
     assert scenario.store.ended == leases
 
 
+def test_the_lease_of_a_lead_heard_while_it_is_marked_is_kept() -> None:
+    scenario = Scenario()
+    scenario.store.on_mark = scenario.answer_from_lead
+    scenario.watch.note_connect_failure(POOL, LEAD.address)
+    scenario.time.advance(2 * ANSWER_S)
+    assert scenario.store.marks == [ended_lease_key(LEAD.lease_id)]
+    assert scenario.store.ended == []
+
+
 @pytest.mark.parametrize("has_answered", [False, True])
 def test_a_failure_before_the_lead_was_heard_does_not_count(has_answered: bool) -> None:
     scenario = Scenario()
