--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -21,7 +21,8 @@
 from ._worker_clock import CLOCK_DRIFT
 from ._worker_session import WORKER_LEASE_MS, WorkerSession
 
-#: Added to the time that a worker's lease may last.
+#: Added to the longest time that a worker's lease may last, for calls in flight and
+#: for differences between the clocks of daemons.
 FORMER_LEASE_MARGIN = timedelta(milliseconds=300)
 #: A worker without runs is removed once it has been unlisted for this long. Entries
 #: that lapsed in a store outage reappear two seconds after the store.
@@ -31,7 +32,7 @@
 NO_ANSWER_TIMEOUT = timedelta(seconds=3)
 #: With fewer silent workers, the fault may be theirs rather than the lead's.
 MIN_SILENT_WORKERS = 2
-#: Most workers that a new lead logs as waited for in vain.
+#: Maximum number of workers without an answer that a new lead logs one by one.
 MAX_LOGGED_FORMER_LEASES = 20
 #: A task is moved off a leaving worker unless it is expected to end this long before
 #: the worker does.
@@ -323,10 +324,10 @@
         return not self._have_expired(self._longest_former_lease_ms(session))
 
     def _longest_former_lease_ms(self, session: WorkerSession) -> int:
-        """Return the longest lease that a former lead may have given an absent worker.
+        """Return the longest lease that a former lead may have given a silent worker.
 
-        The worker may have restarted before the former lead's last order. It registers
-        when it starts, so its entry shows the incarnation.
+        The worker may have restarted before the former lead's last order. Its entry
+        shows the incarnation that registered last.
         """
         worker = session.worker
         recorded_ms = session.recorded_incarnation_ms
