A lowered limit is divided anew, and kept beside runs that exceed it

Cause: the recorded grants exceeded the new limit. A lead started by a scaled grant, but looked for shortages by the recorded one, so neither lead saw a shortage and nobody wrote the record again.

Fix: a lead starts what the limit leaves beside the other pools' grants, and lowers its recorded grant to that, but not below what its runs hold. The amount that it uses is the one that it reports, so the other leads see the shortage; and as a grant covers the runs of its pool, no start exceeds the limit.

--- a/packages/savorylead/savorylead/pools/_grants.py
+++ b/packages/savorylead/savorylead/pools/_grants.py
@@ -4,6 +4,10 @@
 pool. A lead changes only its own part, apart from removing those of idle pools, and
 writes the record by compare-and-swap on its revision, so concurrent writes never grant
 more than the limit.
+
+A lead reports, uses and holds one amount: its grant is at least what its runs hold, and
+it starts only what the limit leaves beside the other pools' grants. So the limit is
+kept while the grants still exceed a limit that has been lowered.
 """
 
 from __future__ import annotations
@@ -176,18 +180,13 @@
         own = pools.get(self.pool)
         if own is None:
             return ZERO
-        total = ZERO
-        for part in pools.values():
-            total = total.plus(_as_resources(part.granted))
-        # If a lowered limit is exceeded, every pool's grant is scaled down alike.
-        return Resources(
-            *(
-                own_amount if whole <= bound else own_amount * bound // whole
-                for own_amount, whole, bound in zip(
-                    _as_resources(own.granted), total, limit, strict=True
-                )
-            )
-        )
+        # The other pools' runs may hold all that is granted to them, so a lowered limit
+        # that the grants exceed is free only for what it leaves beside them.
+        left = limit
+        for pool, part in pools.items():
+            if pool != self.pool:
+                left = left.minus(_as_resources(part.granted))
+        return _elementwise_min(_as_resources(own.granted), left)
 
     def _usage_ceiling(self, team: str, limit: Resources) -> Resources:
         """Return this pool's usage ceiling while other pools have unmet demand.
@@ -274,6 +273,11 @@
     if bound <= 0:
         return 0
     free = max(0, bound - granted_to_others)
+    if own > free:
+        # The limit was lowered. The rest of the grant can't be used, and while it is
+        # recorded, the other pools can't use it either.
+        own = free
+    own = max(own, held)
     if not granted_to_others and not any(wanted_by_others):
         # No other pool uses this kind of resource.
         surplus_share = max(surplus_share, EVEN_SURPLUS_SHARE)
