Pools claim what their next task or gang needs of a team's limit

Cause: a limit was divided dimension by dimension, without regard to the tasks and gangs of which the demands consist. Every lead agreed on parts that served none of them, and nothing told which pool goes first.

Fix: a pool whose next piece exceeds its fair part, and that has started nothing of the team for 1 s, records what it needs in every dimension. Claims are honoured by ticket number before the rest is divided, each for a bounded turn, so that small tasks elsewhere go on; what pools hold and still demand counts as kept, so the parts add up beside runs that last.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_grant_updater.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_grant_updater.py
@@ -7,18 +7,20 @@
 
 import msgspec
 
-from savorylead.clock import Clock, Wakeup
+from savorylead.clock import Clock, Wakeup, to_millis
 from savorylead.pools import (
     CellStore,
     Committed,
     Conflict,
     GrantRecord,
+    LimitClaim,
+    PoolDemand,
     PoolGrants,
     Put,
     decode_grants,
     encode_grants,
 )
-from savorylead.resources import Resources
+from savorylead.resources import ZERO, Resources
 from savorylead.store import KeyValue, StoreError
 from savorylead_daemon.concurrency import TaskSet, supervised
 from savorylead_daemon.observability import EventLog
@@ -56,16 +58,11 @@
         writes: TermWrites,
         grants: PoolGrants,
         leadless: LeadlessPools,
-        demand: Callable[
-            [], tuple[Mapping[str, Resources], Mapping[str, Resources]] | None
-        ],
+        demand: Callable[[], PoolDemand | None],
         on_change: Callable[[], None],
         on_written: Callable[[str], None],
     ) -> None:
-        """``demand()`` returns the resources that teams hold and wait for in this pool.
-
-        It returns None while they are unknown.
-        """
+        """``demand()`` returns what teams demand in this pool, None while unknown."""
         self._store = store
         self._clock = clock
         self._log = log
@@ -142,8 +139,7 @@
         if demand is None:
             # Grants must not be returned while the runs that use them may be unknown.
             return
-        held, waiting = demand
-        wanted = self._grants.next_record(held, waiting, idle)
+        wanted = self._grants.next_record(demand, to_millis(now), idle)
         if wanted is None:
             if not self._unclear:
                 return
@@ -160,7 +156,9 @@
         )
         if isinstance(result, Committed):
             self._unclear = False
+            claims = self._grants.own_claims()
             self._set_record(wanted, result.revision)
+            self._log_claims(claims, demand)
             self._on_written(self._term.pool)
         elif isinstance(result, Conflict):
             for pool in idle:
@@ -177,6 +175,26 @@
         self._unclear = False
         self._set_record(decode_grants(item.value), item.revision)
 
+    def _log_claims(self, before: Mapping[str, LimitClaim], demand: PoolDemand) -> None:
+        """Log the claims that this pool has made, changed or ended."""
+        after = self._grants.own_claims()
+        now_ms = to_millis(self._clock.now())
+        for team in sorted(before.keys() | after.keys()):
+            claim = after.get(team)
+            if claim == before.get(team):
+                continue
+            blocked = demand.blocked.get(team)
+            self._log.log_event(
+                LogLevel.INFO,
+                "limit_claim_ended" if claim is None else "limit_claimed",
+                team=team,
+                pool=self._term.pool,
+                claim=claim or before[team],
+                held=demand.held.get(team, ZERO)[:3],
+                blocked_ms=now_ms - blocked.since_ms if blocked is not None else 0,
+                **self._grants.explain(team),
+            )
+
     def _set_record(self, record: GrantRecord, revision: int) -> None:
         self._revision = revision
         if record != self._grants.record:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -18,10 +18,12 @@
 )
 from savorylead.links import DeadlineExceededError, within
 from savorylead.pools import (
+    BlockedTeam,
     CellDocument,
     Committed,
     Finding,
     Plan,
+    PoolDemand,
     PoolGrants,
     PoolWorker,
     WorkerEntry,
@@ -102,6 +104,7 @@
         self.admission = Admission(self._state, parts.log)
         self._plan_timer = PlanTimer(parts.clock, self._plan_now)
         self._waiting_demand: dict[str, Resources] = {}
+        self._blocked: dict[str, BlockedTeam] = {}
         self._short_logged_until: dict[str, datetime] = {}
         store, clock, log = parts.store, parts.clock, parts.log
         writes = self._writes = TermWrites(store, term, self.superseded)
@@ -481,6 +484,7 @@
 
     def _note_demand(self, plan: Plan) -> None:
         self._waiting_demand = plan.blocked_by_limit
+        self._blocked = self._blocked_teams(plan)
         for team, lacking in plan.blocked_by_limit.items():
             if any(lacking):
                 self._grant_updater.note_shortage(lacking)
@@ -498,11 +502,24 @@
                 **self._grants.explain(team),
             )
 
-    def _demand(self) -> tuple[dict[str, Resources], dict[str, Resources]] | None:
+    def _blocked_teams(self, plan: Plan) -> dict[str, BlockedTeam]:
+        """Return the teams that a limit blocks, each since its last start if later."""
+        blocked = {}
+        for team, pieces in plan.blocked_pieces.items():
+            before = self._blocked.get(team)
+            since_ms = self._state.now_ms() if before is None else before.since_ms
+            started_ms = self._state.last_start_ms.get(team, 0)
+            blocked[team] = BlockedTeam(pieces, max(since_ms, started_ms))
+        return blocked
+
+    def _demand(self) -> PoolDemand | None:
         """Return what teams hold and wait for, None until all runs are located."""
         if not self._fleet.all_runs_located():
             return None
-        return self._state.held, self._waiting_demand
+        state = self._state
+        return PoolDemand(
+            state.held, self._waiting_demand, self._blocked, state.lasting
+        )
 
     async def wait_until_durable(self) -> None:
         """Return once all applied changes are durable."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_state.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_state.py
@@ -25,6 +25,10 @@
         self.weights: dict[str, float] = {}
         #: Resources held by each team's runs, including runs that are being started.
         self.held: dict[str, Resources] = {}
+        #: The part of it that runs hold which do not end by themselves.
+        self.lasting: dict[str, Resources] = {}
+        #: When a run of each team was last added, in Unix milliseconds.
+        self.last_start_ms: dict[str, int] = {}
         self.planner = PoolPlanner()
 
     def now_ms(self) -> int:
@@ -34,9 +38,12 @@
     def hold(self, worker: PoolWorker, run: Run) -> None:
         """Charge a run's resources to its worker and to its team."""
         worker.add(run)
+        spec = run.task.step.spec
         team = run.task.step.job.record.team
-        held = self.held.get(team, ZERO)
-        self.held[team] = held.plus(run.task.step.spec.resources)
+        self.held[team] = self.held.get(team, ZERO).plus(spec.resources)
+        if spec.long_running:
+            self.lasting[team] = self.lasting.get(team, ZERO).plus(spec.resources)
+        self.last_start_ms[team] = self.now_ms()
 
     def free(self, run: Run) -> None:
         """Release all resources of a run, which must be over."""
@@ -44,7 +51,10 @@
         if worker is None or (str(run.task.name), run.number) not in worker.runs:
             return
         worker.remove(run)
+        spec = run.task.step.spec
         team = run.task.step.job.record.team
-        self.held[team] = self.held[team].minus(run.task.step.spec.resources)
+        self.held[team] = self.held[team].minus(spec.resources)
+        if spec.long_running:
+            self.lasting[team] = self.lasting[team].minus(spec.resources)
         if run.task.run is run:
             run.task.run = None
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_earlier_build.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_earlier_build.py
@@ -112,6 +112,13 @@
         decode_grants,
         encode_grants,
     ),
+    # Earlier builds read a claim as a part of a team that they do not know.
+    "grants with a claim": Record(
+        b'[{"team":{"pool":[[1000,256,0,0,0],[4000,512,1,0,0]]},'
+        b'"\\u0000claims/team":{"pool":[[6000,512,0,0,0],[3,2000]]}}]',
+        decode_grants,
+        encode_grants,
+    ),
     "claim without a queue": Record(
         b'{"pool":"pool"}',
         lambda value: decode_claim("key", value),
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
@@ -194,7 +194,7 @@
     )
     bench.owner.checks = checks
     placements = tuple(Placement(t, bench.worker, "") for t in step.tasks)
-    starter.execute(Plan([], [PlannedGang(step, placements)], [], {}, [], []))
+    starter.execute(Plan([], [PlannedGang(step, placements)], [], {}, {}, [], []))
     assert len(session.started) == checks
     is_whole = checks == step.spec.count
     stopped = [run for run in session.started if run in session.stopped]
--- a/packages/savorylead/savorylead/pools/__init__.py
+++ b/packages/savorylead/savorylead/pools/__init__.py
@@ -45,7 +45,14 @@
     record_crash,
 )
 from ._durations import DurationEstimator
-from ._grants import GrantRecord, PoolGrants, decode_grants, encode_grants
+from ._grants import (
+    GrantRecord,
+    PoolDemand,
+    PoolGrants,
+    decode_grants,
+    encode_grants,
+)
+from ._limit_claims import BlockedTeam, LimitClaim
 from ._pace import PaceController
 from ._planning_pass import (
     Placement,
@@ -85,10 +92,12 @@
     "AdviserBusyError",
     "AdviserError",
     "AdviserRefusedError",
+    "BlockedTeam",
     "CellDocument",
     "CellStore",
     "Change",
     "Changes",
+    "LimitClaim",
     "Committed",
     "ConfigDecodeError",
     "ConfigSource",
@@ -107,6 +116,7 @@
     "PlannedGang",
     "PolicyAdviser",
     "Pool",
+    "PoolDemand",
     "PoolGrants",
     "PoolPlanner",
     "PoolWorker",
--- /dev/null
+++ b/packages/savorylead/savorylead/pools/_fair_parts.py
@@ -0,0 +1,54 @@
+"""Max-min fair division of one amount among pools."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+
+class Demand(NamedTuple):
+    """What one pool demands of an amount."""
+
+    wanted: int
+    #: What it is to get before the rest is divided; 0 for none.
+    floor: int = 0
+
+    @property
+    def amount(self) -> int:
+        """The amount that satisfies the pool."""
+        return max(self.wanted, self.floor)
+
+
+def fair_part(
+    bound: int, own: Demand, others: Sequence[Demand], surplus_share: float
+) -> int:
+    """Return a pool's max-min fair part of ``bound``.
+
+    If all demands can be met, the pool gets ``surplus_share`` of the rest as well.
+    Otherwise each pool gets its demand up to a common level, and no less than its
+    floor; with proportional parts, a job that can't start with less than its full
+    demand would starve. The parts add up to ``bound`` at most if the floors do, and if
+    all pools compute them from the same demands.
+    """
+    demands = [own, *others]
+    left = bound - sum(demand.amount for demand in demands)
+    if left >= 0:
+        return own.amount + int(left * surplus_share)
+    return _part_at(_common_level(bound, demands), own)
+
+
+def _part_at(level: int, demand: Demand) -> int:
+    return max(demand.floor, min(demand.wanted, level))
+
+
+def _common_level(bound: int, demands: Sequence[Demand]) -> int:
+    """Return the highest level at which the parts do not exceed ``bound``."""
+    reached = 0
+    # Between two of these values the sum of the parts grows linearly.
+    for level in sorted({value for demand in demands for value in demand}):
+        if sum(_part_at(level, demand) for demand in demands) > bound:
+            break
+        reached = level
+    total = sum(_part_at(reached, demand) for demand in demands)
+    growing = sum(1 for d in demands if d.floor <= reached < d.wanted)
+    return reached + max(0, bound - total) // max(1, growing)
--- a/packages/savorylead/savorylead/pools/_grants.py
+++ b/packages/savorylead/savorylead/pools/_grants.py
@@ -12,14 +12,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Mapping, Sequence
-from typing import NamedTuple
+from collections.abc import Collection, Iterable, Mapping
+from typing import NamedTuple, TypeVar
 
 import msgspec
 
-from savorylead.resources import ZERO, Resources
+from savorylead.resources import ZERO, Resources, total
 
 from ._contracts import Queue
+from ._fair_parts import Demand, fair_part
+from ._limit_claims import BlockedTeam, LimitClaim, LimitClaims
 
 #: Share of a limit's unused part that a pool takes of a kind of resource that no other
 #: pool uses, and before the pools are known.
@@ -31,6 +33,13 @@
 URGENT_SURPLUS_SHARE = 0.9
 #: The same for an unmet demand.
 UNMET_DEMAND_CHANGE_SHARE = 0.08
+#: Earlier versions keep the parts of teams that they do not know, but reject records
+#: with further fields. Claims are therefore stored as parts of a team with this prefix,
+#: which no team's name begins with.
+CLAIMS_PREFIX = "\0claims/"
+
+
+_Value = TypeVar("_Value")
 
 
 class _Part(NamedTuple):
@@ -44,20 +53,59 @@
 _NO_PART = _Part(tuple(ZERO), tuple(ZERO))
 
 
+class PoolDemand(NamedTuple):
+    """What teams demand of their limits in one pool."""
+
+    #: Resources of their runs, by team.
+    held: Mapping[str, Resources] = {}
+    #: Resources of their tasks that could start otherwise, by team.
+    waiting: Mapping[str, Resources] = {}
+    #: The teams whose tasks wait for a part of their limit.
+    blocked: Mapping[str, BlockedTeam] = {}
+    #: Resources of runs that do not end by themselves, by team.
+    lasting: Mapping[str, Resources] = {}
+
+
 class GrantRecord(NamedTuple):
-    """The stored record of grants, by team, then by pool."""
+    """The stored record of grants and claims, by team, then by pool."""
+
+    parts: Mapping[str, Mapping[str, _Part]] = {}
+    claims: Mapping[str, Mapping[str, LimitClaim]] = {}
+
+
+class _StoredGrants(NamedTuple):
+    """The record as it is stored."""
 
     parts: Mapping[str, Mapping[str, _Part]] = {}
 
 
 def encode_grants(record: GrantRecord) -> bytes:
     """Return the record as JSON."""
-    return msgspec.json.encode(record)
+    claims = {
+        CLAIMS_PREFIX + team: {
+            pool: _Part(tuple(claim.needed), (claim.ticket, claim.turn_ms))
+            for pool, claim in by_pool.items()
+        }
+        for team, by_pool in record.claims.items()
+        if by_pool
+    }
+    return msgspec.json.encode(_StoredGrants({**record.parts, **claims}))
 
 
 def decode_grants(value: bytes) -> GrantRecord:
     """Return the record; raises msgspec.DecodeError."""
-    return msgspec.json.decode(value, type=GrantRecord)
+    stored = msgspec.json.decode(value, type=_StoredGrants)
+    parts: dict[str, Mapping[str, _Part]] = {}
+    claims: dict[str, Mapping[str, LimitClaim]] = {}
+    for team, pools in stored.parts.items():
+        if team.startswith(CLAIMS_PREFIX):
+            claims[team.removeprefix(CLAIMS_PREFIX)] = {
+                pool: LimitClaim(_as_resources(part.granted), *part.wanted)
+                for pool, part in pools.items()
+            }
+        else:
+            parts[team] = pools
+    return GrantRecord(parts, claims)
 
 
 def _as_resources(amounts: tuple[int, ...]) -> Resources:
@@ -68,6 +116,10 @@
     return Resources(*(min(a, b) for a, b in zip(one, other, strict=True)))
 
 
+def _elementwise_max(one: Resources, other: Resources) -> Resources:
+    return Resources(*(max(a, b) for a, b in zip(one, other, strict=True)))
+
+
 class PoolGrants:
     """Computes the grants of one pool. Pure."""
 
@@ -76,6 +128,10 @@
         self.record = GrantRecord()
         self._limits: dict[str, Resources] = {}
         self._pools: frozenset[str] = frozenset()
+        self._claims = LimitClaims(pool)
+        #: The arguments of the last call of ``next_record``.
+        self._now_ms = 0
+        self._demand = PoolDemand()
         #: Share of a limit's unused part that this pool takes.
         self._surplus_share = DEFAULT_SURPLUS_SHARE
 
@@ -131,7 +187,7 @@
             cap = other.parts.get(team, {}).get(self.pool, _NO_PART)
             granted = tuple(map(min, own.granted, cap.granted))
             pools[self.pool] = own._replace(granted=granted)
-        return GrantRecord(parts)
+        return GrantRecord(parts, one.claims)
 
     def explain(self, team: str) -> dict[str, object]:
         """Return the amounts that determine ``room``, as fields of a log event."""
@@ -140,6 +196,10 @@
             "limit": self._limits.get(team, ZERO)[:3],
             "granted": {pool: part.granted[:3] for pool, part in pools.items()},
             "wanted": {pool: part.wanted[:3] for pool, part in pools.items()},
+            "claimed": {
+                pool: claim.needed[:3]
+                for pool, claim in self.record.claims.get(team, {}).items()
+            },
         }
 
     def other_pools(self) -> list[str]:
@@ -147,39 +207,77 @@
         pools = {pool for parts in self.record.parts.values() for pool in parts}
         return sorted(pools - {self.pool})
 
+    def own_claims(self) -> dict[str, LimitClaim]:
+        """Return the recorded claims of this pool, by team."""
+        return {
+            team: claims[self.pool]
+            for team, claims in self.record.claims.items()
+            if self.pool in claims
+        }
+
     def next_record(
         self,
-        held: Mapping[str, Resources],
-        waiting: Mapping[str, Resources],
+        demand: PoolDemand,
+        now_ms: int,
         idle: Collection[str] = (),
     ) -> GrantRecord | None:
         """Return the record with this pool's new parts, or None if nothing changes.
 
         ``idle`` pools are known to run nothing and have no lead to return their parts,
         so their parts are removed; a later lead of such a pool requests a new part.
+        ``now_ms`` is the time in Unix milliseconds.
 
         A cell's only pool is granted each limit in full, whatever its demand. If its
         grant had to grow with demand, tasks would wait for the store's write, and
         throughout an outage of the store.
         """
-        parts = {
-            team: {pool: part for pool, part in pools.items() if pool not in idle}
-            for team, pools in self.record.parts.items()
-        }
-        changed = parts != self.record.parts
+        self._now_ms = now_ms
+        self._demand = demand
+        parts = _without(self.record.parts, idle)
+        claims = _without(self.record.claims, idle)
+        self._claims.forget_ended(claims)
         for team, limit in self._limits.items():
-            now_held = held.get(team, ZERO)
-            wanted = _elementwise_min(limit, now_held.plus(waiting.get(team, ZERO)))
+            held = demand.held.get(team, ZERO)
+            waiting = demand.waiting.get(team, ZERO)
+            wanted = _elementwise_min(limit, held.plus(waiting))
             pools = parts.setdefault(team, {})
             old = pools.get(self.pool, _NO_PART)
+            team_claims = claims.setdefault(team, {})
             if self._pools == {self.pool} and pools.keys() <= {self.pool}:
+                team_claims.pop(self.pool, None)
                 new = old._replace(granted=tuple(limit))
             else:
-                new = self._next_part(limit, old, pools, now_held, wanted)
+                self._set_claim(
+                    team,
+                    limit,
+                    team_claims,
+                    held,
+                    self._fair_part(limit, wanted, pools, {}),
+                    demand.blocked.get(team),
+                )
+                floors = self._floors(team, limit, team_claims)
+                new = self._next_part(limit, old, pools, held, wanted, floors)
             if new != old:
                 pools[self.pool] = new
-                changed = True
-        return GrantRecord(parts) if changed else None
+        record = GrantRecord(parts, {team: c for team, c in claims.items() if c})
+        return None if _is_equal(record, self.record) else record
+
+    def _set_claim(
+        self,
+        team: str,
+        limit: Resources,
+        claims: dict[str, LimitClaim],
+        held: Resources,
+        part: Resources,
+        blocked: BlockedTeam | None,
+    ) -> None:
+        claim = self._claims.next_claim(
+            team, limit, claims, held, part, blocked, self._now_ms
+        )
+        if claim is not None:
+            claims[self.pool] = claim
+        else:
+            claims.pop(self.pool, None)
 
     def _usable(self, team: str, limit: Resources) -> Resources:
         pools = self.record.parts.get(team, {})
@@ -198,26 +296,60 @@
         """Return this pool's usage ceiling while other pools have unmet demand.
 
         Above it, ended tasks are not replaced; otherwise nothing would become free for
-        the other pools. The ceiling is at least an even part of the limit, since this
-        pool's published demand may lag behind its actual demand.
+        the other pools. It is this pool's part if it demanded the whole limit, since
+        its published demand may lag behind its actual demand.
         """
         pools = self.record.parts.get(team, {})
         own = pools.get(self.pool)
         if own is None:
             return limit
-        others = [part for pool, part in pools.items() if pool != self.pool]
-        ceilings = []
+        claims = self.record.claims.get(team, {})
+        floors = self._floors(team, limit, claims)
+        largest_part = self._fair_part(limit, limit, pools, floors)
+        others = self._others(pools, floors)
+        return Resources(
+            *(
+                largest if _is_any_short(others, index) else max(bound, granted)
+                for index, (bound, largest, granted) in enumerate(
+                    zip(limit, largest_part, own.granted, strict=True)
+                )
+            )
+        )
+
+    def _floors(
+        self, team: str, limit: Resources, claims: Mapping[str, LimitClaim]
+    ) -> dict[str, Resources]:
+        lasting = self._demand.lasting.get(team, ZERO)
+        return self._claims.floors(team, limit, claims, lasting, self._now_ms)
+
+    def _others(
+        self, pools: Mapping[str, _Part], floors: Mapping[str, Resources]
+    ) -> list[_OtherPool]:
+        return [
+            _OtherPool(_as_resources(part.granted), part.wanted, floors.get(pool, ZERO))
+            for pool, part in pools.items()
+            if pool != self.pool
+        ]
+
+    def _fair_part(
+        self,
+        limit: Resources,
+        wanted: Resources,
+        pools: Mapping[str, _Part],
+        floors: Mapping[str, Resources],
+    ) -> Resources:
+        """Return this pool's fair part of a limit; ``floors`` are granted first."""
+        others = self._others(pools, floors)
+        own_floor = floors.get(self.pool, ZERO)
+        amounts = []
         for index, bound in enumerate(limit):
-            wants = [part.wanted[index] for part in others]
-            others_are_short = _is_any_short(others, index)
+            demands = [other.demand(index) for other in others]
             share = self._surplus_share
-            fair_part = _fair_part(bound, own.wanted[index], wants, share)
-            even_part = bound // len(pools)
-            without_ceiling = max(bound, own.granted[index])
-            ceilings.append(
-                max(fair_part, even_part) if others_are_short else without_ceiling
-            )
-        return Resources(*ceilings)
+            if not any(other.uses(index) for other in others):
+                share = max(share, DEFAULT_SURPLUS_SHARE)
+            own = Demand(wanted[index], own_floor[index])
+            amounts.append(fair_part(bound, own, demands, share) if bound > 0 else 0)
+        return Resources(*amounts)
 
     def _next_part(
         self,
@@ -226,34 +358,87 @@
         pools: Mapping[str, _Part],
         held: Resources,
         wanted: Resources,
+        floors: Mapping[str, Resources],
     ) -> _Part:
-        granted = []
-        others = [part for pool, part in pools.items() if pool != self.pool]
-        for index, bound in enumerate(limit):
-            granted.append(
+        others = self._others(pools, floors)
+        target = self._fair_part(limit, wanted, pools, floors)
+        to_others = total([other.granted for other in others])
+        floor = floors.get(self.pool, ZERO)
+        if not floor.fits(_elementwise_max(limit.minus(to_others), ZERO)):
+            # Less than the whole claim serves no task, but would be missed elsewhere.
+            floor = ZERO
+            floors = {pool: each for pool, each in floors.items() if pool != self.pool}
+            target = self._fair_part(limit, wanted, pools, floors)
+        granted = Resources(
+            *(
                 _next_amount(
                     bound=bound,
                     own=old.granted[index],
                     held=held[index],
-                    wanted=wanted[index],
-                    granted_to_others=sum(p.granted[index] for p in others),
-                    wanted_by_others=[p.wanted[index] for p in others],
+                    wanted=max(wanted[index], floor[index]),
+                    target=target[index],
+                    granted_to_others=to_others[index],
                     others_are_short=_is_any_short(others, index),
-                    surplus_share=self._surplus_share,
                 )
+                for index, bound in enumerate(limit)
             )
+        )
         published = old.wanted
-        if _should_publish(limit, old, Resources(*granted), wanted):
+        if _should_publish(limit, old, granted, wanted):
             published = tuple(wanted)
         return _Part(tuple(granted), published)
 
 
-def _is_any_short(parts: Iterable[_Part], index: int) -> bool:
+class _OtherPool(NamedTuple):
+    """What another pool holds and demands of a limit."""
+
+    granted: Resources
+    wanted: tuple[int, ...]
+    #: What it is granted first, since it has claimed it.
+    floor: Resources
+
+    def demand(self, index: int) -> Demand:
+        """Return its demand in one dimension.
+
+        What it is granted and still demands may be held by runs that go on for long.
+        """
+        kept = min(self.granted[index], self.wanted[index])
+        return Demand(self.wanted[index], max(self.floor[index], kept))
+
+    def uses(self, index: int) -> bool:
+        """Return whether it is granted or demands anything in one dimension."""
+        return bool(self.granted[index] or self.demand(index).amount)
+
+    def is_short(self, index: int) -> bool:
+        """Return whether it demands more than its grant in one dimension."""
+        return self.demand(index).amount > self.granted[index]
+
+
+def _without(
+    by_team: Mapping[str, Mapping[str, _Value]], pools: Collection[str]
+) -> dict[str, dict[str, _Value]]:
+    """Return a copy without the entries of some pools."""
+    return {
+        team: {pool: value for pool, value in values.items() if pool not in pools}
+        for team, values in by_team.items()
+    }
+
+
+def _is_equal(one: GrantRecord, other: GrantRecord) -> bool:
+    """Return whether two records have the same entries."""
+    return all(
+        {team: pools for team, pools in a.items() if pools}
+        == {team: pools for team, pools in b.items() if pools}
+        for a, b in zip(one, other, strict=True)
+    )
+
+
+def _is_any_short(others: Iterable[_OtherPool], index: int) -> bool:
     """Return whether a pool demands more than its grant in one dimension.
 
     What one pool does not use is no help to another one until it is given back.
     """
-    return any(part.wanted[index] > part.granted[index] for part in parts)
+    return any(other.is_short(index) for other in others)
 
 
 def _should_publish(
@@ -280,10 +465,9 @@
     own: int,
     held: int,
     wanted: int,
+    target: int,
     granted_to_others: int,
-    wanted_by_others: Sequence[int],
     others_are_short: bool,
-    surplus_share: float,
 ) -> int:
     """Return this pool's new grant in one dimension."""
     if bound <= 0:
@@ -294,34 +478,8 @@
         # recorded, the other pools can't use it either.
         own = free
     own = max(own, held)
-    if not granted_to_others and not any(wanted_by_others):
-        # No other pool uses this kind of resource.
-        surplus_share = max(surplus_share, DEFAULT_SURPLUS_SHARE)
-    target = _fair_part(bound, wanted, wanted_by_others, surplus_share)
     if wanted > own and target > own:
         return max(own, min(target, free))
     if own > target and others_are_short:
         return max(held, target)
     return own
-
-
-def _fair_part(
-    bound: int, wanted: int, wanted_by_others: Sequence[int], surplus_share: float
-) -> int:
-    """Return the max-min fair part of a limit for one of several pools.
-
-    If all demands can be met, a share of the surplus is added. Otherwise small demands
-    are met in full and the large ones divide the rest evenly; with proportional parts,
-    a job that can't start with less than its full demand would starve.
-    """
-    left = bound - wanted - sum(wanted_by_others)
-    if left >= 0:
-        return wanted + int(left * surplus_share)
-    remaining = bound
-    demands = sorted([*wanted_by_others, wanted])
-    for index, demand in enumerate(demands):
-        even_part = remaining // (len(demands) - index)
-        if demand > even_part:
-            return min(wanted, even_part)
-        remaining -= demand
-    return wanted
--- a/packages/savorylead/savorylead/pools/_planning_pass.py
+++ b/packages/savorylead/savorylead/pools/_planning_pass.py
@@ -44,6 +44,9 @@
     requests: list[AdviceRequest]
     #: Waiting tasks that workers could hold but a team's limit blocks, by team.
     blocked_by_limit: dict[str, Resources]
+    #: The next task or whole gang of each step that a team's limit blocks, by team, the
+    #: most urgent first.
+    blocked_pieces: dict[str, list[Resources]]
     #: Runs to stop in favour of more urgent tasks.
     preempted: list[Run]
     #: Steps whose turn begins in this pass, and how long their jobs have waited, in
@@ -88,7 +91,7 @@
         #: When a worker should have capacity for a task, by the task's resources; valid
         #: for the free resources stored with it.
         self.free_at: dict[tuple[str, Resources], tuple[Resources, float]] = {}
-        self.plan = Plan([], [], [], {}, [], [])
+        self.plan = Plan([], [], [], {}, {}, [], [])
 
     @cached_property
     def releasing(self) -> dict[str, Resources]:
--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -456,4 +456,6 @@
         shortfall = state.plan.blocked_by_limit
         blocked = step.spec.resources.times(min(remaining, fitting))
         shortfall[team] = shortfall.get(team, ZERO).plus(blocked)
+        if fitting:
+            state.plan.blocked_pieces.setdefault(team, []).append(needed)
         return True
--- a/packages/savorylead/savorylead/pools/tests/grant_cases.py
+++ b/packages/savorylead/savorylead/pools/tests/grant_cases.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
 from typing import NamedTuple
 
-from savorylead.pools import GrantRecord, PoolGrants, decode_grants, encode_grants
-from savorylead.resources import ZERO, Resources
+from savorylead.pools import (
+    BlockedTeam,
+    GrantRecord,
+    PoolDemand,
+    PoolGrants,
+    decode_grants,
+    encode_grants,
+)
+from savorylead.resources import ZERO, Resources, total
 
 from .pool_cases import queue
 
@@ -38,14 +44,6 @@
         return run_ms is not None and now_ms >= self.began_ms + run_ms
 
 
-def total(amounts: Sequence[Resources]) -> Resources:
-    """Return the sum in every dimension."""
-    result = ZERO
-    for each in amounts:
-        result = result.plus(each)
-    return result
-
-
 class PoolLeadCase:
     """One pool's lead: what waits and runs, and the record as it last read it."""
 
@@ -55,6 +53,7 @@
         self.running: list[RunningPiece] = []
         self.seen_revision = 0
         self.read_at_ms = 0
+        self._blocked_since_ms: int | None = None
         self._draw = draw
 
     @property
@@ -65,6 +64,20 @@
         """Return what the team's runs hold in this pool."""
         return total([run.piece.amounts for run in self.running])
 
+    def lasting(self) -> Resources:
+        """Return what runs hold that do not end by themselves."""
+        return total([r.piece.amounts for r in self.running if r.piece.run_ms is None])
+
+    def blocked(self, now_ms: int) -> dict[str, BlockedTeam]:
+        """Return the team, if its limit blocks all that waits here."""
+        if not self.waiting:
+            self._blocked_since_ms = None
+            return {}
+        if self._blocked_since_ms is None:
+            self._blocked_since_ms = now_ms
+        pieces = [piece.amounts for piece in self.waiting]
+        return {TEAM: BlockedTeam(pieces, self._blocked_since_ms)}
+
     def schedule_read(self, now_ms: int) -> None:
         """Read what another lead has written, after a drawn delay."""
         steps = self._draw.randrange(MAX_READ_DELAY_MS // STEP_MS)
@@ -79,6 +92,8 @@
                 self.waiting.remove(piece)
                 self.running.append(RunningPiece(piece, now_ms))
                 started.append(piece)
+        if started:
+            self._blocked_since_ms = now_ms
         return started
 
 
@@ -149,7 +164,13 @@
 
     def _update(self, lead: PoolLeadCase) -> None:
         waiting = total([piece.amounts for piece in lead.waiting])
-        record = lead.grants.next_record({TEAM: lead.held()}, {TEAM: waiting})
+        demand = PoolDemand(
+            {TEAM: lead.held()},
+            {TEAM: waiting},
+            lead.blocked(self.now_ms),
+            {TEAM: lead.lasting()},
+        )
+        record = lead.grants.next_record(demand, self.now_ms)
         if record is None:
             return
         if lead.seen_revision != self.revision:
--- a/packages/savorylead/savorylead/pools/tests/test_grants.py
+++ b/packages/savorylead/savorylead/pools/tests/test_grants.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from savorylead.pools import GrantRecord, PoolGrants, decode_grants, encode_grants
+from savorylead.pools import (
+    GrantRecord,
+    PoolDemand,
+    PoolGrants,
+    decode_grants,
+    encode_grants,
+)
 from savorylead.resources import ZERO, Resources
 
 from .grant_cases import GrantCell, Piece
@@ -12,6 +18,7 @@
 
 LIMIT = Resources(100_000, 600_000, 20)
 TEAM = "team"
+NOW_MS = 1_000_000
 
 
 class TwoPools:
@@ -29,7 +36,9 @@
     def turn(self, name: str) -> None:
         pool = self.pools[name]
         pool.record = self.record
-        record = pool.next_record({TEAM: self.held[name]}, {TEAM: self.waiting[name]})
+        record = pool.next_record(
+            PoolDemand({TEAM: self.held[name]}, {TEAM: self.waiting[name]}), NOW_MS
+        )
         if record is not None:
             self.record = decode_grants(encode_grants(record))
             self.writes += 1
@@ -124,7 +133,9 @@
     cell.settle()
     cell.waiting["two"] = Resources(150, 1_000, 0)
     pool = cell.pools["two"]
-    record = pool.next_record({TEAM: ZERO}, {TEAM: cell.waiting["two"]})
+    record = pool.next_record(
+        PoolDemand({TEAM: ZERO}, {TEAM: cell.waiting["two"]}), NOW_MS
+    )
     assert record is not None
     # The other pool has not read the record yet, so this one still has half.
     part = record.parts[TEAM]["two"]._replace(granted=(50_000, 300_000, 10, 0, 0))
@@ -171,11 +182,11 @@
     pool = PoolGrants("one")
     pool.set_limits({TEAM: LIMIT})
     pool.set_pools(["one"])
-    record = pool.next_record({}, {})
+    record = pool.next_record(PoolDemand(), NOW_MS)
     assert record is not None
     pool.record = record
     assert pool.headroom(TEAM, ZERO)[:3] == LIMIT[:3]
-    assert pool.next_record({TEAM: LIMIT}, {TEAM: LIMIT}) is None
+    assert pool.next_record(PoolDemand({TEAM: LIMIT}, {TEAM: LIMIT}), NOW_MS) is None
 
 
 def test_the_only_pool_gives_back_what_another_one_needs() -> None:
--- a/packages/savorylead/savorylead/resources/_resources.py
+++ b/packages/savorylead/savorylead/resources/_resources.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 
@@ -62,3 +63,11 @@
 
 #: Zero in every dimension.
 ZERO = Resources()
+
+
+def total(amounts: Iterable[Resources]) -> Resources:
+    """Return the sum in every dimension."""
+    result = ZERO
+    for each in amounts:
+        result = result.plus(each)
+    return result
