Failures tell hopeless steps from failing workers, and at most half are avoided

Cause: every failure counted against its worker alone, whatever the same step did elsewhere. Failures of runs that had begun before a quarantine doubled it, from 2 s to 30 s in one report, and nothing bounded how many workers were left out.

Fix: a step that fails on two proved workers and was done on none is at fault, and quarantines that rest on it end. Runs that began before a quarantine do not lengthen it. At most half of the workers that a step may use are avoided, also those that are slow. `failure_weighed` logs what each failure was weighed by.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 
-from savorylead.jobs import Run, RunState
+from savorylead.jobs import Run, RunState, Task
 from savorylead.pools import (
     Ended,
     EndedRun,
@@ -15,6 +15,7 @@
     RunEnd,
     UnknownRun,
     Vanished,
+    failures_of,
     note_reported,
     stalled_runs,
 )
@@ -110,17 +111,31 @@
             outcome=ended.outcome.value,
         )
         if ended.outcome is RunEnd.DONE:
-            worker.note_success()
+            worker.note_done(task.step, self._state.now_ms())
             self._record_duration(finding.run)
-        elif ended.outcome is RunEnd.FAILED and worker.note_failure(
-            self._state.now_ms()
-        ):
-            self._log.log_event(LogLevel.INFO, "worker_rested", worker=worker.id)
+        elif ended.outcome is RunEnd.FAILED:
+            self._record_failed(worker, task, finding.run)
         if ended.outcome is not RunEnd.DONE and finding.run is not None:
             self._starter.stop_rest_of_gang(finding.run, "gang_broken")
         self._progress.schedule_write(job, urgent=job.final is not None)
         self._starter.stop_unneeded(job)
 
+    def _record_failed(self, worker: PoolWorker, task: Task, run: Run | None) -> None:
+        now_ms = self._state.now_ms()
+        is_quarantined = worker.note_failed(task.step, run, now_ms)
+        failures = failures_of(task.step)
+        self._log.log_event(
+            LogLevel.INFO,
+            "worker_rested" if is_quarantined else "failure_weighed",
+            worker=worker.id,
+            step=task.step.name,
+            began_ms_ago=now_ms - run.sent_at_ms if run is not None else None,
+            failed_on=len(failures.failed_on),
+            step_was_done=failures.was_done,
+            failed_in_row=worker.failures.failed_runs(),
+            for_ms=max(0, worker.failures.quarantined_until_ms - now_ms),
+        )
+
     def _record_stop(self, run: Run, ended: EndedRun) -> None:
         if ended.outcome is RunEnd.STOPPED and run.stopped_at_ms:
             took_ms = self._state.now_ms() - run.stopped_at_ms
@@ -204,5 +219,5 @@
         durations = self._state.planner.durations
         for run in stalled_runs(session.worker, durations, now_ms):
             self._starter.log_start(run, "stalled", percent=run.percent)
-            session.worker.note_stall(now_ms)
+            session.worker.note_stalled(run, now_ms)
             session.stop_run(run, "stalled")
--- a/packages/savorylead/savorylead/jobs/_job.py
+++ b/packages/savorylead/savorylead/jobs/_job.py
@@ -154,6 +154,7 @@
         "advice",
         "done_count",
         "failed_runs",
+        "failures",
         "has_suspects",
         "index",
         "job",
@@ -179,6 +180,8 @@
         self.ready_at_ms: int | None = None
         #: The policy adviser's answers for this step; owned by the planner.
         self.advice: object | None = None
+        #: The workers on which runs of this step fail; owned by the planner.
+        self.failures: object | None = None
         #: Cached due time and expected duration; owned by the planner.
         self.time: object | None = None
 
--- a/packages/savorylead/savorylead/pools/__init__.py
+++ b/packages/savorylead/savorylead/pools/__init__.py
@@ -45,6 +45,7 @@
     record_crash,
 )
 from ._durations import DurationEstimator
+from ._failures import FailureRecord, StepFailures, failures_of
 from ._grants import (
     GrantRecord,
     PoolDemand,
@@ -106,6 +107,7 @@
     "Ended",
     "EndedRun",
     "Finding",
+    "FailureRecord",
     "GrantRecord",
     "HistoryLostError",
     "LeaseGrant",
@@ -129,6 +131,7 @@
     "StaleFenceError",
     "StartRejection",
     "StepAdvice",
+    "StepFailures",
     "StorePage",
     "StoreRefusedError",
     "Team",
@@ -147,6 +150,7 @@
     "could_ever_hold",
     "decode_grants",
     "encode_grants",
+    "failures_of",
     "has_common_cause",
     "isolate",
     "record_crash",
--- a/packages/savorylead/savorylead/pools/_advice_calls.py
+++ b/packages/savorylead/savorylead/pools/_advice_calls.py
@@ -59,7 +59,7 @@
             preemptable = [
                 w
                 for w in preemption.preemptable_workers(
-                    step, priority, state.startable, state.free
+                    step, priority, state.startable_for(step), state.free
                 )
                 if w.id not in state.reserved and w.id not in state.requested
             ]
--- a/packages/savorylead/savorylead/pools/_planning_pass.py
+++ b/packages/savorylead/savorylead/pools/_planning_pass.py
@@ -10,6 +10,7 @@
 from savorylead.resources import ZERO, Resources
 
 from ._advice import AdviceRequest, AdviceSlots
+from ._failures import has_failed_on
 from ._pool_worker import PoolWorker, reservation_of
 
 #: Age up to which a run is as likely to crash its worker as one that starts now, in
@@ -63,11 +64,25 @@
         now_ms: int,
         advice_slots: AdviceSlots,
         is_ending: Callable[[Run, int], bool],
+        may_be_allowed: Callable[[StepRun, PoolWorker], bool],
     ) -> None:
+        """``may_be_allowed()`` is False if a policy is known to forbid a worker."""
         self.now_ms = now_ms
         self.advice_slots = advice_slots
         self.workers = list(workers)
-        self.startable = [w for w in self.workers if w.may_start(now_ms)]
+        #: Ids of the workers to which others are preferred.
+        self._avoided = {w.id for w in self.workers if now_ms < w.avoided_until_ms()}
+        #: Ids of the workers that should get one task at a time.
+        self._probed = {
+            w.id
+            for w in self.workers
+            if w.failures.is_probed() and w.id not in self._avoided
+        }
+        #: Workers that would start tasks now.
+        self.able = [w for w in self.workers if w.can_start(now_ms)]
+        #: Those of them on which tasks should start.
+        self.startable = self._preferred(self.able)
+        self._may_be_allowed = may_be_allowed
         self.free = {w.id: w.free() for w in self.workers}
         self.free_cores = sum(
             max(0, self.free[w.id].cores_milli) for w in self.startable
@@ -96,7 +111,47 @@
     @cached_property
     def releasing(self) -> dict[str, Resources]:
         """Resources held by runs that are being stopped, by worker."""
-        return {w.id: releasing_resources(w) for w in self.startable}
+        return {w.id: releasing_resources(w) for w in self.able}
+
+    def _preferred(self, workers: Sequence[PoolWorker]) -> list[PoolWorker]:
+        """Return the workers that are not avoided, and at least half of all.
+
+        If more than half are avoided, the others would have to do work that these can
+        do as well: what they have in common is then rather the work.
+        """
+        trusted = [w for w in workers if not self.is_avoided(w)]
+        missing = len(workers) - len(workers) // 2 - len(trusted)
+        if missing <= 0:
+            return trusted
+        avoided = [w for w in workers if self.is_avoided(w)]
+        avoided.sort(key=lambda worker: worker.avoided_until_ms())
+        return trusted + avoided[:missing]
+
+    def startable_for(self, step: StepRun) -> list[PoolWorker]:
+        """Return the workers on which tasks of a step should start.
+
+        Of the workers that the step may use, at most half are left out, and none if a
+        gang could not start without them.
+        """
+        if len(self.startable) == len(self.able):
+            return self.startable
+        usable = [
+            w
+            for w in self.able
+            if could_ever_hold(w, step) and self._may_be_allowed(step, w)
+        ]
+        preferred = self._preferred(usable)
+        if step.spec.gang and not could_start(step, preferred, None):
+            return usable
+        return preferred
+
+    def is_avoided(self, worker: PoolWorker) -> bool:
+        """Return whether other workers are preferred to it now."""
+        return worker.id in self._avoided
+
+    def doubt(self, worker: PoolWorker) -> float:
+        """Return the rank of a worker by what is known against it; 0 for nothing."""
+        return float(self.is_avoided(worker)) or 0.5 * (worker.id in self._probed)
 
     def _ending_on(self, worker: PoolWorker) -> Resources:
         ending = self._ending.get(worker.id)
@@ -179,6 +234,8 @@
             return False
         if not reservation_of(step).fits(self.free[worker.id]):
             return False
+        if worker.id in self._probed and worker.id in self._jobs_placed:
+            return False
         bound = step.spec.max_per_worker
         if not bound:
             return True
@@ -264,21 +321,32 @@
     """Return the rank of a worker for a task of the step; lower is better."""
     spec = step.spec
     free = state.free[worker.id]
+    # An attempt is worth more than a local copy of the data.
+    failing = state.doubt(worker) + float(has_failed_on(step, worker.id))
     remote = float(bool(spec.data_rack) and worker.entry.rack != spec.data_rack)
     cold = float(worker.is_cold(state.now_ms))
     risky = float(worker.hosts_other_suspects(step.job, state.now_ms))
     if spec.fills:
         remaining = free.cores_milli - worker.filler_demand_milli()
-        return (remote, cold, risky, float(worker.serves()), -remaining)
+        return (failing, remote, cold, risky, float(worker.serves()), -remaining)
     if spec.long_running:
         of_same_step = worker.count_of(step) + state.placed_counts.get(
             (step.name, worker.id), 0
         )
         disturbed = float(worker.filler_demand_milli() > 0)
-        return (remote, cold, risky, of_same_step, disturbed, -free.cores_milli)
+        return (
+            failing,
+            remote,
+            cold,
+            risky,
+            of_same_step,
+            disturbed,
+            -free.cores_milli,
+        )
     # Best fit: the least capacity remains, which leaves other workers for large tasks.
     remaining = free.minus(reservation_of(step))
-    return (remote, cold, risky, remaining.dominant_share(worker.entry.capacity))
+    left = remaining.dominant_share(worker.entry.capacity)
+    return (failing, remote, cold, risky, left)
 
 
 def choose_worker(
--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -87,7 +87,8 @@
         made now; the most urgent steps get them.
         """
         is_ending = self.run_ends.is_ending
-        state = PlanningPass(workers, now_ms, advice_slots, is_ending)
+        may_be_allowed = self.book.may_be_allowed
+        state = PlanningPass(workers, now_ms, advice_slots, is_ending, may_be_allowed)
         preemption = Preemption(self.times, queues, now_ms, is_ending)
         self._idle.update(steps, now_ms)
         ranked = sorted(
@@ -106,13 +107,12 @@
         )
         in_time = [steps[index] for urgency, index in ranked if not urgency.lateness]
         headroom = self._headroom.cores_milli(state.workers, in_time, queues, now_ms)
-        may_be_allowed = self.book.may_be_allowed
         with_turn, new_turns = self._turns.choose(
             [s for _, index in ranked if may_take_turn(s := steps[index])],
             self._idle.since_ms,
             lambda step: could_start(
                 step,
-                [w for w in state.startable if may_be_allowed(step, w)],
+                [w for w in state.startable_for(step) if may_be_allowed(step, w)],
                 team_limit_left(step.job.record.team),
             ),
             now_ms,
@@ -231,7 +231,7 @@
         """Stop less urgent runs for tasks that fit on no worker."""
         workers = [
             w
-            for w in state.startable
+            for w in state.startable_for(step)
             if w.id not in state.reserved and could_ever_hold(w, step)
         ]
         tickets = self._usable_tickets(state, step, workers)
@@ -280,7 +280,7 @@
         is_long_running = step.spec.long_running
         found = [
             worker
-            for worker in state.startable
+            for worker in state.startable_for(step)
             if state.has_capacity(worker, step)
             and could_ever_hold(worker, step)
             and (
@@ -337,10 +337,8 @@
         held = reservation_of(step)
         placed = to_isolate = 0
         for task in waiting:
-            if (
-                state.free_cores - held.cores_milli < min_free_milli
-                and held.cores_milli
-            ):
+            leaves_too_little = state.free_cores - held.cores_milli < min_free_milli
+            if min_free_milli and leaves_too_little and held.cores_milli:
                 break
             limit_left = limits_left[team]
             if limit_left is not None and not step.spec.resources.fits(limit_left):
--- a/packages/savorylead/savorylead/pools/_pool_worker.py
+++ b/packages/savorylead/savorylead/pools/_pool_worker.py
@@ -8,16 +8,13 @@
 from savorylead.resources import ZERO, Resources
 
 from ._contracts import WorkerEntry
+from ._failures import FAILURES_TO_QUARANTINE, FailureRecord, failures_of
 
-#: Consecutive failed runs after which a worker is quarantined.
-FAILURES_TO_QUARANTINE = 3
-#: Duration of the first quarantine, in milliseconds; it doubles each time.
-INITIAL_QUARANTINE_MS = 2_000
-#: Longest quarantine, in milliseconds.
-MAX_QUARANTINE_MS = 30_000
-#: A worker counts as slow and is quarantined when the moving geometric mean of the
+#: A worker counts as slow when the moving geometric mean of the
 #: ratio of actual to expected task duration reaches this value.
 SLOW_FACTOR = 3.0
+#: Time for which a slow worker is avoided, in milliseconds.
+SLOW_QUARANTINE_MS = 2_000
 #: Tasks to observe before a worker may count as slow.
 MIN_TIMED_TASKS = 4
 #: Weight of the newest task in the moving mean.
@@ -71,9 +68,10 @@
         #: Number of its active runs that the lead does not know; while there are any,
         #: nothing is started on it.
         self.unknown_runs = 0
-        self.quarantined_until_ms = 0
-        self._failures_in_row = 0
-        self._quarantines = 0
+        #: Until when it can't start tasks, since it has refused or not answered one.
+        self.unhealthy_until_ms = 0
+        self.failures = FailureRecord(entry.id)
+        self._slow_until_ms = 0
         self._mean_log_ratio = 0.0
         self._timed_tasks = 0
 
@@ -104,8 +102,15 @@
         """Record that it did not answer a call."""
         self.silent_since_ms = self.silent_since_ms or now_ms
 
+    def can_start(self, now_ms: int) -> bool:
+        """Return whether it would start tasks now, though it may better be avoided."""
+        is_ready = self.usable and self.listed and self.accepts_tasks
+        if not is_ready or self.unknown_runs or not self.is_entry_current:
+            return False
+        return now_ms >= max(self.unhealthy_until_ms, self.isolated_until_ms)
+
     def may_start(self, now_ms: int) -> bool:
-        """Return whether tasks may be started on the worker now."""
+        """Return whether tasks may start on the worker now, and it is not avoided."""
         return now_ms >= self.may_start_at_ms()
 
     def may_start_at_ms(self) -> float:
@@ -113,7 +118,17 @@
         is_ready = self.usable and self.listed and self.accepts_tasks
         if not is_ready or self.unknown_runs or not self.is_entry_current:
             return math.inf
-        return float(max(self.quarantined_until_ms, self.isolated_until_ms))
+        return float(
+            max(
+                self.unhealthy_until_ms,
+                self.isolated_until_ms,
+                self.avoided_until_ms(),
+            )
+        )
+
+    def avoided_until_ms(self) -> int:
+        """Return until when other workers are preferred, in Unix milliseconds."""
+        return max(self.failures.avoided_until_ms(), self._slow_until_ms)
 
     @property
     def is_entry_current(self) -> bool:
@@ -149,6 +164,7 @@
         key = (str(run.task.name), run.number)
         if key not in self.runs:
             self.runs[key] = run
+            self.failures.note_start(run.sent_at_ms)
             self.held = self.held.plus(reservation_of(run.task.step))
 
     def remove(self, run: Run) -> None:
@@ -172,20 +188,17 @@
         """Return whether a task with a response time target runs on it."""
         return any(run.task.step.spec.target_ms for run in self.runs.values())
 
-    def note_success(self) -> None:
-        """Record a successful run."""
-        self._failures_in_row = 0
-        self._quarantines = 0
+    def note_done(self, step: StepRun, now_ms: int) -> None:
+        """Record a run that was done."""
+        self.failures.note_done(failures_of(step), now_ms)
 
-    def note_failure(self, now_ms: int) -> bool:
-        """Record a failed run; return whether it quarantines the worker."""
-        self._failures_in_row += 1
-        if self._failures_in_row < FAILURES_TO_QUARANTINE:
-            return False
-        # After the quarantine a single further failure starts the next one.
-        self._failures_in_row = FAILURES_TO_QUARANTINE - 1
-        self._extend_quarantine(now_ms)
-        return True
+    def note_failed(self, step: StepRun, run: Run | None, now_ms: int) -> bool:
+        """Record a failed run; return whether it quarantines the worker.
+
+        ``run`` is None if the lead does not know when the run began.
+        """
+        sent_at_ms = now_ms if run is None else run.sent_at_ms
+        return self.failures.note_failed(failures_of(step), sent_at_ms, now_ms)
 
     def note_duration(self, ratio: float, now_ms: int) -> bool:
         """Record a task that took ``ratio`` times as long as expected.
@@ -201,18 +214,15 @@
             return False
         # After the quarantine a single further task decides again.
         self._timed_tasks = MIN_TIMED_TASKS - 1
-        self._extend_quarantine(now_ms)
+        self._slow_until_ms = max(self._slow_until_ms, now_ms + SLOW_QUARANTINE_MS)
         return True
 
-    def note_stall(self, now_ms: int) -> None:
-        """Record a stalled task, which quarantines the worker."""
-        self._extend_quarantine(now_ms)
-
-    def _extend_quarantine(self, now_ms: int) -> None:
-        duration_ms = min(MAX_QUARANTINE_MS, INITIAL_QUARANTINE_MS << self._quarantines)
-        self._quarantines = min(self._quarantines + 1, 8)
-        self.quarantine(now_ms, duration_ms)
+    def note_stalled(self, run: Run, now_ms: int) -> None:
+        """Record a stalled run, which alone quarantines the worker."""
+        self.failures.note_failed(
+            failures_of(run.task.step), run.sent_at_ms, now_ms, FAILURES_TO_QUARANTINE
+        )
 
     def quarantine(self, now_ms: int, for_ms: int = UNHEALTHY_QUARANTINE_MS) -> None:
         """Start no tasks on the worker for ``for_ms`` milliseconds."""
-        self.quarantined_until_ms = max(self.quarantined_until_ms, now_ms + for_ms)
+        self.unhealthy_until_ms = max(self.unhealthy_until_ms, now_ms + for_ms)
--- a/packages/savorylead/savorylead/pools/_reservation.py
+++ b/packages/savorylead/savorylead/pools/_reservation.py
@@ -57,7 +57,7 @@
                 w.id,
                 w,
             )
-            for w in state.startable
+            for w in state.startable_for(step)
             if w.id not in state.reserved
             and could_ever_hold(w, step)
             and self._book.may_be_allowed(step, w)
