A team's first limit also covers runs that began without one

A team whose limit is set for the first time, or set again, could exceed it (QUOTA).

Cause: what a pool holds is recorded only while its team has a limit, so until its lead had written a part, the other pools took it for holding nothing.

Fix: each pool records a part of each limit, if only an empty one, and removes it when the limit is removed. While a configured pool has no part, the others start nothing of the team, for 3 s at most, as earlier versions record none before a demand.

--- a/packages/savorylead/savorylead/pools/_grants.py
+++ b/packages/savorylead/savorylead/pools/_grants.py
@@ -33,6 +33,11 @@
 URGENT_SURPLUS_SHARE = 0.9
 #: The same for an unmet demand.
 UNMET_DEMAND_CHANGE_SHARE = 0.08
+#: Time for which a pool without a recorded part may hold runs that began before its
+#: team had a limit, in milliseconds: a configuration is in force everywhere within 2 s,
+#: and leads update the record every 0.8 s. An earlier version records no part while its
+#: pool has no demand.
+PART_WAIT_MS = 3_000
 #: Earlier versions keep the parts of teams that they do not know, but reject records
 #: with further fields. Claims are therefore stored as parts of a team with this prefix,
 #: which no team's name begins with.
@@ -129,6 +134,9 @@
         self._limits: dict[str, Resources] = {}
         self._pools: frozenset[str] = frozenset()
         self._claims = LimitClaims(pool)
+        #: When the part of another pool was first found to be missing, in Unix
+        #: milliseconds, by team and pool.
+        self._missing_since_ms: dict[tuple[str, str], int] = {}
         #: The arguments of the last call of ``next_record``.
         self._now_ms = 0
         self._demand = PoolDemand()
@@ -171,6 +179,8 @@
         usable = _elementwise_min(
             self._usable(team, limit), self._usage_ceiling(team, limit)
         )
+        if self._may_lack_parts(team):
+            usable = _elementwise_min(usable, held)
         room = usable.minus(held)
         # A dimension without a limit never constrains.
         return Resources(
@@ -225,6 +235,8 @@
 
         ``idle`` pools are known to run nothing and have no lead to return their parts,
         so their parts are removed; a later lead of such a pool requests a new part.
+        Each pool has a part of each limit, if only an empty one: without it, the other
+        pools can't tell whether runs of the pool began before the team had a limit.
         ``now_ms`` is the time in Unix milliseconds.
 
         A cell's only pool is granted each limit in full, whatever its demand. If its
@@ -236,6 +248,12 @@
         parts = _without(self.record.parts, idle)
         claims = _without(self.record.claims, idle)
         self._claims.forget_ended(claims)
+        self._note_missing(parts, idle)
+        for team in parts.keys() - self._limits.keys():
+            # What the pool holds is not recorded while the team has no limit.
+            parts[team].pop(self.pool, None)
+        for team in claims.keys() - self._limits.keys():
+            claims[team].pop(self.pool, None)
         for team, limit in self._limits.items():
             held = demand.held.get(team, ZERO)
             waiting = demand.waiting.get(team, ZERO)
@@ -257,11 +275,34 @@
                 )
                 floors = self._floors(team, limit, team_claims)
                 new = self._next_part(limit, old, pools, held, wanted, floors)
-            if new != old:
-                pools[self.pool] = new
+                if self._may_lack_parts(team):
+                    most = _elementwise_max(_as_resources(old.granted), held)
+                    granted = _elementwise_min(_as_resources(new.granted), most)
+                    new = new._replace(granted=tuple(granted))
+            pools[self.pool] = new
         record = GrantRecord(parts, {team: c for team, c in claims.items() if c})
         return None if _is_equal(record, self.record) else record
 
+    def _note_missing(
+        self, parts: Mapping[str, Mapping[str, _Part]], idle: Collection[str]
+    ) -> None:
+        """Record since when parts of other pools have been missing."""
+        missing_since_ms = {}
+        for team in self._limits:
+            for pool in self._pools - parts.get(team, {}).keys() - {self.pool}:
+                known_ms = self._missing_since_ms.get((team, pool), self._now_ms)
+                missing_since_ms[team, pool] = 0 if pool in idle else known_ms
+        self._missing_since_ms = missing_since_ms
+
+    def _may_lack_parts(self, team: str) -> bool:
+        """Return whether another pool may hold runs that no part covers yet."""
+        recorded = self.record.parts.get(team, {})
+        return any(
+            self._now_ms - self._missing_since_ms.get((team, pool), self._now_ms)
+            < PART_WAIT_MS
+            for pool in self._pools - recorded.keys() - {self.pool}
+        )
+
     def _set_claim(
         self,
         team: str,
--- a/packages/savorylead/savorylead/pools/tests/test_changed_limits.py
+++ b/packages/savorylead/savorylead/pools/tests/test_changed_limits.py
@@ -87,3 +87,37 @@
     # All tasks end within a second; then each lead writes its part.
     cell.run(4_000)
     assert cell.is_within(cell.granted())
+
+
+@pytest.mark.parametrize("pools", [2, 3, 5])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("had_limit", [False, True])
+def test_nothing_starts_beside_runs_that_began_without_a_limit(
+    pools: int, seed: int, had_limit: bool
+) -> None:
+    # Guards against QUOTA: runs that had begun while their team had no limit were in no
+    # record, so other pools started tasks beside them when it got one.
+    cell = GrantCell(pools, LIMIT, seed)
+    small = Piece(Resources(2_000, 8_000, 0), 6_000)
+    if not had_limit:
+        cell.set_limit(None)
+    cell.send(1, small)
+    cell.run(8_000)
+    cell.set_limit(None)
+    cell.send(0, *[small] * 40)
+    cell.run(2_000)
+    cell.set_limit(LOWERED)
+    for pool in range(pools):
+        cell.send(pool, *[small] * 10)
+    cell.run(60_000)
+    assert not any(lead.waiting for lead in cell.leads)
+
+
+@pytest.mark.parametrize("pools", [2, 4])
+def test_a_pool_without_part_holds_nothing_back_for_long(pools: int) -> None:
+    # A lead of an earlier version records no part before its pool has a demand.
+    cell = GrantCell(pools, LIMIT)
+    del cell.leads[1:]
+    cell.send(0, Piece(Resources(2_000, 8_000, 0), 1_000))
+    cell.run(START_MS + 1_000)
+    assert not cell.leads[0].waiting
