Parts are computed only for teams whose record or demand has changed

Change: an update skips a team while its record, demand and limit are those for which its part was last found right, and the headroom looks at fair parts only while another pool is short.

--- a/packages/savorylead/savorylead/pools/_failures.py
+++ b/packages/savorylead/savorylead/pools/_failures.py
@@ -83,14 +83,14 @@
 
     def avoided_until_ms(self) -> int:
         """Return until when nothing should start on it, in Unix milliseconds."""
-        if self.failed_runs() < FAILURES_TO_QUARANTINE:
+        if not self.is_probed():
             return self.quarantined_until_ms
         probe_ms = self._last_start_ms + PROBE_INTERVAL_MS
         return max(self.quarantined_until_ms, probe_ms)
 
     def is_probed(self) -> bool:
         """Return whether only single tasks should start on it, one at a time."""
-        return self.failed_runs() >= FAILURES_TO_QUARANTINE
+        return bool(self._failed) and self.failed_runs() >= FAILURES_TO_QUARANTINE
 
     def note_start(self, at_ms: int) -> None:
         """Record the start of a run."""
--- a/packages/savorylead/savorylead/pools/_grants.py
+++ b/packages/savorylead/savorylead/pools/_grants.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple, TypeVar
 
 import msgspec
@@ -28,11 +28,11 @@
 DEFAULT_SURPLUS_SHARE = 0.5
 #: Change of a met demand, as a fraction of the limit, above which it is written again.
 MET_DEMAND_CHANGE_SHARE = 0.1
+#: The same for an unmet demand.
+UNMET_DEMAND_CHANGE_SHARE = 0.08
 #: Share of the unused limit that goes to the pools with the most urgent queues, where
 #: some pools have none: their demand rises within less than an update takes.
 URGENT_SURPLUS_SHARE = 0.9
-#: The same for an unmet demand.
-UNMET_DEMAND_CHANGE_SHARE = 0.08
 #: Time for which a pool without a recorded part may hold runs that began before its
 #: team had a limit, in milliseconds: a configuration is in force everywhere within 2 s,
 #: and leads update the record every 0.8 s. An earlier version records no part while its
@@ -43,7 +43,6 @@
 #: which no team's name begins with.
 CLAIMS_PREFIX = "\0claims/"
 
-
 _Value = TypeVar("_Value")
 
 
@@ -140,6 +139,8 @@
         #: The arguments of the last call of ``next_record``.
         self._now_ms = 0
         self._demand = PoolDemand()
+        #: The inputs for which a team's recorded part is the one that it should have.
+        self._settled: dict[str, _Inputs] = {}
         #: Share of a limit's unused part that this pool takes.
         self._surplus_share = DEFAULT_SURPLUS_SHARE
 
@@ -255,32 +256,15 @@
         for team in claims.keys() - self._limits.keys():
             claims[team].pop(self.pool, None)
         for team, limit in self._limits.items():
-            held = demand.held.get(team, ZERO)
-            waiting = demand.waiting.get(team, ZERO)
-            wanted = _elementwise_min(limit, held.plus(waiting))
             pools = parts.setdefault(team, {})
-            old = pools.get(self.pool, _NO_PART)
             team_claims = claims.setdefault(team, {})
             if self._pools == {self.pool} and pools.keys() <= {self.pool}:
                 team_claims.pop(self.pool, None)
-                new = old._replace(granted=tuple(limit))
+                old = pools.get(self.pool, _NO_PART)
+                pools[self.pool] = old._replace(granted=tuple(limit))
             else:
-                self._set_claim(
-                    team,
-                    limit,
-                    team_claims,
-                    held,
-                    self._fair_part(limit, wanted, pools, {}),
-                    demand.blocked.get(team),
-                )
-                floors = self._floors(team, limit, team_claims)
-                new = self._next_part(limit, old, pools, held, wanted, floors)
-                if self._may_lack_parts(team):
-                    most = _elementwise_max(_as_resources(old.granted), held)
-                    granted = _elementwise_min(_as_resources(new.granted), most)
-                    new = new._replace(granted=tuple(granted))
-            pools[self.pool] = new
-        record = GrantRecord(parts, {team: c for team, c in claims.items() if c})
+                self._update_team(team, limit, pools, team_claims)
+        record = GrantRecord(parts, claims)
         return None if _is_equal(record, self.record) else record
 
     def _note_missing(
@@ -303,22 +287,43 @@
             for pool in self._pools - recorded.keys() - {self.pool}
         )
 
-    def _set_claim(
+    def _update_team(
         self,
         team: str,
         limit: Resources,
+        pools: dict[str, _Part],
         claims: dict[str, LimitClaim],
-        held: Resources,
-        part: Resources,
-        blocked: BlockedTeam | None,
     ) -> None:
-        claim = self._claims.next_claim(
-            team, limit, claims, held, part, blocked, self._now_ms
-        )
-        if claim is not None:
-            claims[self.pool] = claim
+        """Set this pool's part of a team's limit, and its claim."""
+        held = self._demand.held.get(team, ZERO)
+        wanted = held.plus(self._demand.waiting.get(team, ZERO))
+        wanted = _elementwise_min(limit, wanted)
+        old = pools.get(self.pool, _NO_PART)
+        blocked = self._demand.blocked.get(team)
+        inputs = _Inputs(limit, dict(pools), held, wanted, self._surplus_share)
+        is_simple = not claims and blocked is None and not self._may_lack_parts(team)
+        if is_simple and self.pool in pools and self._settled.get(team) == inputs:
+            return
+        if blocked is not None or self.pool in claims:
+            part = self._fair_part(limit, wanted, self._others(pools, {}), ZERO)
+            claim = self._claims.next_claim(
+                team, limit, claims, held, part, blocked, self._now_ms
+            )
+            if claim is not None:
+                claims[self.pool] = claim
+            else:
+                claims.pop(self.pool, None)
+        floors = self._floors(team, limit, claims)
+        new = self._next_part(limit, old, pools, held, wanted, floors)
+        if self._may_lack_parts(team):
+            most = _elementwise_max(_as_resources(old.granted), held)
+            granted = _elementwise_min(_as_resources(new.granted), most)
+            new = new._replace(granted=tuple(granted))
+        pools[self.pool] = new
+        if is_simple and new == old:
+            self._settled[team] = inputs
         else:
-            claims.pop(self.pool, None)
+            self._settled.pop(team, None)
 
     def _usable(self, team: str, limit: Resources) -> Resources:
         pools = self.record.parts.get(team, {})
@@ -344,15 +349,19 @@
         own = pools.get(self.pool)
         if own is None:
             return limit
-        claims = self.record.claims.get(team, {})
-        floors = self._floors(team, limit, claims)
-        largest_part = self._fair_part(limit, limit, pools, floors)
+        floors = self._floors(team, limit, self.record.claims.get(team, {}))
         others = self._others(pools, floors)
+        without_ceiling = Resources(*map(max, limit, own.granted))
+        is_short = [_is_any_short(others, index) for index in range(len(limit))]
+        if not any(is_short):
+            return without_ceiling
+        own_floor = floors.get(self.pool, ZERO)
+        largest_part = self._fair_part(limit, limit, others, own_floor)
         return Resources(
             *(
-                largest if _is_any_short(others, index) else max(bound, granted)
-                for index, (bound, largest, granted) in enumerate(
-                    zip(limit, largest_part, own.granted, strict=True)
+                part if short else most
+                for part, short, most in zip(
+                    largest_part, is_short, without_ceiling, strict=True
                 )
             )
         )
@@ -360,6 +369,8 @@
     def _floors(
         self, team: str, limit: Resources, claims: Mapping[str, LimitClaim]
     ) -> dict[str, Resources]:
+        if not claims:
+            return {}
         lasting = self._demand.lasting.get(team, ZERO)
         return self._claims.floors(team, limit, claims, lasting, self._now_ms)
 
@@ -367,7 +378,7 @@
         self, pools: Mapping[str, _Part], floors: Mapping[str, Resources]
     ) -> list[_OtherPool]:
         return [
-            _OtherPool(_as_resources(part.granted), part.wanted, floors.get(pool, ZERO))
+            _OtherPool(part.granted, part.wanted, floors.get(pool, ZERO))
             for pool, part in pools.items()
             if pool != self.pool
         ]
@@ -376,20 +387,21 @@
         self,
         limit: Resources,
         wanted: Resources,
-        pools: Mapping[str, _Part],
-        floors: Mapping[str, Resources],
+        others: Sequence[_OtherPool],
+        floor: Resources,
     ) -> Resources:
-        """Return this pool's fair part of a limit; ``floors`` are granted first."""
-        others = self._others(pools, floors)
-        own_floor = floors.get(self.pool, ZERO)
+        """Return this pool's fair part of a limit; ``floor`` is what it has claimed."""
         amounts = []
         for index, bound in enumerate(limit):
+            if bound <= 0:
+                amounts.append(0)
+                continue
             demands = [other.demand(index) for other in others]
             share = self._surplus_share
             if not any(other.uses(index) for other in others):
                 share = max(share, DEFAULT_SURPLUS_SHARE)
-            own = Demand(wanted[index], own_floor[index])
-            amounts.append(fair_part(bound, own, demands, share) if bound > 0 else 0)
+            own = Demand(wanted[index], floor[index])
+            amounts.append(fair_part(bound, own, demands, share))
         return Resources(*amounts)
 
     def _next_part(
@@ -402,14 +414,12 @@
         floors: Mapping[str, Resources],
     ) -> _Part:
         others = self._others(pools, floors)
-        target = self._fair_part(limit, wanted, pools, floors)
-        to_others = total([other.granted for other in others])
+        to_others = total(Resources(*other.granted) for other in others)
         floor = floors.get(self.pool, ZERO)
         if not floor.fits(_elementwise_max(limit.minus(to_others), ZERO)):
             # Less than the whole claim serves no task, but would be missed elsewhere.
             floor = ZERO
-            floors = {pool: each for pool, each in floors.items() if pool != self.pool}
-            target = self._fair_part(limit, wanted, pools, floors)
+        target = self._fair_part(limit, wanted, others, floor)
         granted = Resources(
             *(
                 _next_amount(
@@ -430,10 +440,20 @@
         return _Part(tuple(granted), published)
 
 
+class _Inputs(NamedTuple):
+    """What determines a pool's part of a limit where nobody claims anything."""
+
+    limit: Resources
+    pools: Mapping[str, _Part]
+    held: Resources
+    wanted: Resources
+    surplus_share: float
+
+
 class _OtherPool(NamedTuple):
     """What another pool holds and demands of a limit."""
 
-    granted: Resources
+    granted: tuple[int, ...]
     wanted: tuple[int, ...]
     #: What it is granted first, since it has claimed it.
     floor: Resources
@@ -448,11 +468,11 @@
 
     def uses(self, index: int) -> bool:
         """Return whether it is granted or demands anything in one dimension."""
-        return bool(self.granted[index] or self.demand(index).amount)
+        return bool(self.granted[index] or self.wanted[index] or self.floor[index])
 
     def is_short(self, index: int) -> bool:
         """Return whether it demands more than its grant in one dimension."""
-        return self.demand(index).amount > self.granted[index]
+        return max(self.wanted[index], self.floor[index]) > self.granted[index]
 
 
 def _without(
@@ -468,9 +488,9 @@
 def _is_equal(one: GrantRecord, other: GrantRecord) -> bool:
     """Return whether two records have the same entries."""
     return all(
-        {team: pools for team, pools in a.items() if pools}
-        == {team: pools for team, pools in b.items() if pools}
+        a.get(team, {}) == b.get(team, {})
         for a, b in zip(one, other, strict=True)
+        for team in a.keys() | b.keys()
     )
 
 
--- a/packages/savorylead/savorylead/pools/_planning_pass.py
+++ b/packages/savorylead/savorylead/pools/_planning_pass.py
@@ -76,7 +76,7 @@
         self._probed = {
             w.id
             for w in self.workers
-            if w.failures.is_probed() and w.id not in self._avoided
+            if w.id not in self._avoided and w.failures.is_probed()
         }
         #: Workers that would start tasks now.
         self.able = [w for w in self.workers if w.can_start(now_ms)]
