--- a/packages/savorylead-ctl/savorylead_ctl/explain/_explanation.py
+++ b/packages/savorylead-ctl/savorylead_ctl/explain/_explanation.py
@@ -28,6 +28,8 @@
     "start_unanswered": "a worker did not answer a start",
     "step_goes_first": "a step was prioritized after a long wait behind others",
     "team_short_of_limit": "the team's limit kept tasks waiting",
+    "limit_claimed": "a pool claimed a larger part of the team's limit",
+    "limit_claim_ended": "a pool's claim to the team's limit ended",
     "lead_not_reached": "the lead of the pool could not be reached",
     "lead_ended": "the lead of the pool ceased to lead it",
     "lead_began": "another daemon became the lead of the pool",
