The record of grants has a module of its own; one test of a worker's readiness

Moves and renames only: the stored record and its codec from _grants.py to _grant_record.py, what other pools hold and demand to _fair_parts.py.

--- a/packages/savorylead/savorylead/pools/__init__.py
+++ b/packages/savorylead/savorylead/pools/__init__.py
@@ -46,13 +46,8 @@
 )
 from ._durations import DurationEstimator
 from ._failures import FailureRecord, StepFailures, failures_of
-from ._grants import (
-    GrantRecord,
-    PoolDemand,
-    PoolGrants,
-    decode_grants,
-    encode_grants,
-)
+from ._grant_record import GrantRecord, decode_grants, encode_grants
+from ._grants import PoolDemand, PoolGrants
 from ._limit_claims import BlockedTeam, LimitClaim
 from ._pace import PaceController
 from ._planning_pass import (
--- a/packages/savorylead/savorylead/pools/_fair_parts.py
+++ b/packages/savorylead/savorylead/pools/_fair_parts.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
+from savorylead.resources import Resources
+
 
 class Demand(NamedTuple):
     """What one pool demands of an amount."""
@@ -19,6 +21,31 @@
         return max(self.wanted, self.floor)
 
 
+class OtherPool(NamedTuple):
+    """What another pool holds and demands of a limit."""
+
+    granted: tuple[int, ...]
+    wanted: tuple[int, ...]
+    #: What it is granted first, since it has claimed it.
+    floor: Resources
+
+    def demand(self, index: int) -> Demand:
+        """Return its demand in one dimension.
+
+        What it is granted and still demands may be held by runs that go on for long.
+        """
+        kept = min(self.granted[index], self.wanted[index])
+        return Demand(self.wanted[index], max(self.floor[index], kept))
+
+    def uses(self, index: int) -> bool:
+        """Return whether it is granted or demands anything in one dimension."""
+        return bool(self.granted[index] or self.wanted[index] or self.floor[index])
+
+    def is_short(self, index: int) -> bool:
+        """Return whether it demands more than its grant in one dimension."""
+        return max(self.wanted[index], self.floor[index]) > self.granted[index]
+
+
 def fair_part(
     bound: int, own: Demand, others: Sequence[Demand], surplus_share: float
 ) -> int:
@@ -52,3 +79,11 @@
     total = sum(_part_at(reached, demand) for demand in demands)
     growing = sum(1 for d in demands if d.floor <= reached < d.wanted)
     return reached + max(0, bound - total) // max(1, growing)
+
+
+def is_any_short(others: Iterable[OtherPool], index: int) -> bool:
+    """Return whether a pool demands more than its grant in one dimension.
+
+    What one pool does not use is no help to another one until it is given back.
+    """
+    return any(other.is_short(index) for other in others)
--- a/packages/savorylead/savorylead/pools/_grants.py
+++ b/packages/savorylead/savorylead/pools/_grants.py
@@ -13,14 +13,19 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Mapping, Sequence
-from typing import NamedTuple, TypeVar
-
-import msgspec
+from typing import NamedTuple
 
 from savorylead.resources import ZERO, Resources, total
 
 from ._contracts import Queue
-from ._fair_parts import Demand, fair_part
+from ._fair_parts import Demand, OtherPool, fair_part, is_any_short
+from ._grant_record import (
+    NO_PART,
+    GrantRecord,
+    Part,
+    has_same_entries,
+    without_pools,
+)
 from ._limit_claims import BlockedTeam, LimitClaim, LimitClaims
 
 #: Share of a limit's unused part that a pool takes of a kind of resource that no other
@@ -38,23 +43,6 @@
 #: and leads update the record every 0.8 s. An earlier version records no part while its
 #: pool has no demand.
 PART_WAIT_MS = 3_000
-#: Earlier versions keep the parts of teams that they do not know, but reject records
-#: with further fields. Claims are therefore stored as parts of a team with this prefix,
-#: which no team's name begins with.
-CLAIMS_PREFIX = "\0claims/"
-
-_Value = TypeVar("_Value")
-
-
-class _Part(NamedTuple):
-    """One pool's grant and demand under one team's limit."""
-
-    granted: tuple[int, ...]
-    #: Demand: resources of running and waiting tasks, capped at the limit.
-    wanted: tuple[int, ...]
-
-
-_NO_PART = _Part(tuple(ZERO), tuple(ZERO))
 
 
 class PoolDemand(NamedTuple):
@@ -70,48 +58,6 @@
     lasting: Mapping[str, Resources] = {}
 
 
-class GrantRecord(NamedTuple):
-    """The stored record of grants and claims, by team, then by pool."""
-
-    parts: Mapping[str, Mapping[str, _Part]] = {}
-    claims: Mapping[str, Mapping[str, LimitClaim]] = {}
-
-
-class _StoredGrants(NamedTuple):
-    """The record as it is stored."""
-
-    parts: Mapping[str, Mapping[str, _Part]] = {}
-
-
-def encode_grants(record: GrantRecord) -> bytes:
-    """Return the record as JSON."""
-    claims = {
-        CLAIMS_PREFIX + team: {
-            pool: _Part(tuple(claim.needed), (claim.ticket, claim.turn_ms))
-            for pool, claim in by_pool.items()
-        }
-        for team, by_pool in record.claims.items()
-        if by_pool
-    }
-    return msgspec.json.encode(_StoredGrants({**record.parts, **claims}))
-
-
-def decode_grants(value: bytes) -> GrantRecord:
-    """Return the record; raises msgspec.DecodeError."""
-    stored = msgspec.json.decode(value, type=_StoredGrants)
-    parts: dict[str, Mapping[str, _Part]] = {}
-    claims: dict[str, Mapping[str, LimitClaim]] = {}
-    for team, pools in stored.parts.items():
-        if team.startswith(CLAIMS_PREFIX):
-            claims[team.removeprefix(CLAIMS_PREFIX)] = {
-                pool: LimitClaim(_as_resources(part.granted), *part.wanted)
-                for pool, part in pools.items()
-            }
-        else:
-            parts[team] = pools
-    return GrantRecord(parts, claims)
-
-
 def _as_resources(amounts: tuple[int, ...]) -> Resources:
     return Resources(*amounts)
 
@@ -195,7 +141,7 @@
             own = pools.get(self.pool)
             if own is None:
                 continue
-            cap = other.parts.get(team, {}).get(self.pool, _NO_PART)
+            cap = other.parts.get(team, {}).get(self.pool, NO_PART)
             granted = tuple(map(min, own.granted, cap.granted))
             pools[self.pool] = own._replace(granted=granted)
         return GrantRecord(parts, one.claims)
@@ -246,8 +192,8 @@
         """
         self._now_ms = now_ms
         self._demand = demand
-        parts = _without(self.record.parts, idle)
-        claims = _without(self.record.claims, idle)
+        parts = without_pools(self.record.parts, idle)
+        claims = without_pools(self.record.claims, idle)
         self._claims.forget_ended(claims)
         self._note_missing(parts, idle)
         for team in parts.keys() - self._limits.keys():
@@ -260,15 +206,15 @@
             team_claims = claims.setdefault(team, {})
             if self._pools == {self.pool} and pools.keys() <= {self.pool}:
                 team_claims.pop(self.pool, None)
-                old = pools.get(self.pool, _NO_PART)
+                old = pools.get(self.pool, NO_PART)
                 pools[self.pool] = old._replace(granted=tuple(limit))
             else:
                 self._update_team(team, limit, pools, team_claims)
         record = GrantRecord(parts, claims)
-        return None if _is_equal(record, self.record) else record
+        return None if has_same_entries(record, self.record) else record
 
     def _note_missing(
-        self, parts: Mapping[str, Mapping[str, _Part]], idle: Collection[str]
+        self, parts: Mapping[str, Mapping[str, Part]], idle: Collection[str]
     ) -> None:
         """Record since when parts of other pools have been missing."""
         missing_since_ms = {}
@@ -291,14 +237,14 @@
         self,
         team: str,
         limit: Resources,
-        pools: dict[str, _Part],
+        pools: dict[str, Part],
         claims: dict[str, LimitClaim],
     ) -> None:
         """Set this pool's part of a team's limit, and its claim."""
         held = self._demand.held.get(team, ZERO)
         wanted = held.plus(self._demand.waiting.get(team, ZERO))
         wanted = _elementwise_min(limit, wanted)
-        old = pools.get(self.pool, _NO_PART)
+        old = pools.get(self.pool, NO_PART)
         blocked = self._demand.blocked.get(team)
         inputs = _Inputs(limit, dict(pools), held, wanted, self._surplus_share)
         is_simple = not claims and blocked is None and not self._may_lack_parts(team)
@@ -352,7 +298,7 @@
         floors = self._floors(team, limit, self.record.claims.get(team, {}))
         others = self._others(pools, floors)
         without_ceiling = Resources(*map(max, limit, own.granted))
-        is_short = [_is_any_short(others, index) for index in range(len(limit))]
+        is_short = [is_any_short(others, index) for index in range(len(limit))]
         if not any(is_short):
             return without_ceiling
         own_floor = floors.get(self.pool, ZERO)
@@ -375,10 +321,10 @@
         return self._claims.floors(team, limit, claims, lasting, self._now_ms)
 
     def _others(
-        self, pools: Mapping[str, _Part], floors: Mapping[str, Resources]
-    ) -> list[_OtherPool]:
+        self, pools: Mapping[str, Part], floors: Mapping[str, Resources]
+    ) -> list[OtherPool]:
         return [
-            _OtherPool(part.granted, part.wanted, floors.get(pool, ZERO))
+            OtherPool(part.granted, part.wanted, floors.get(pool, ZERO))
             for pool, part in pools.items()
             if pool != self.pool
         ]
@@ -387,7 +333,7 @@
         self,
         limit: Resources,
         wanted: Resources,
-        others: Sequence[_OtherPool],
+        others: Sequence[OtherPool],
         floor: Resources,
     ) -> Resources:
         """Return this pool's fair part of a limit; ``floor`` is what it has claimed."""
@@ -407,12 +353,12 @@
     def _next_part(
         self,
         limit: Resources,
-        old: _Part,
-        pools: Mapping[str, _Part],
+        old: Part,
+        pools: Mapping[str, Part],
         held: Resources,
         wanted: Resources,
         floors: Mapping[str, Resources],
-    ) -> _Part:
+    ) -> Part:
         others = self._others(pools, floors)
         to_others = total(Resources(*other.granted) for other in others)
         floor = floors.get(self.pool, ZERO)
@@ -429,7 +375,7 @@
                     wanted=max(wanted[index], floor[index]),
                     target=target[index],
                     granted_to_others=to_others[index],
-                    others_are_short=_is_any_short(others, index),
+                    others_are_short=is_any_short(others, index),
                 )
                 for index, bound in enumerate(limit)
             )
@@ -437,73 +383,21 @@
         published = old.wanted
         if _should_publish(limit, old, granted, wanted):
             published = tuple(wanted)
-        return _Part(tuple(granted), published)
+        return Part(tuple(granted), published)
 
 
 class _Inputs(NamedTuple):
     """What determines a pool's part of a limit where nobody claims anything."""
 
     limit: Resources
-    pools: Mapping[str, _Part]
+    pools: Mapping[str, Part]
     held: Resources
     wanted: Resources
     surplus_share: float
 
 
-class _OtherPool(NamedTuple):
-    """What another pool holds and demands of a limit."""
-
-    granted: tuple[int, ...]
-    wanted: tuple[int, ...]
-    #: What it is granted first, since it has claimed it.
-    floor: Resources
-
-    def demand(self, index: int) -> Demand:
-        """Return its demand in one dimension.
-
-        What it is granted and still demands may be held by runs that go on for long.
-        """
-        kept = min(self.granted[index], self.wanted[index])
-        return Demand(self.wanted[index], max(self.floor[index], kept))
-
-    def uses(self, index: int) -> bool:
-        """Return whether it is granted or demands anything in one dimension."""
-        return bool(self.granted[index] or self.wanted[index] or self.floor[index])
-
-    def is_short(self, index: int) -> bool:
-        """Return whether it demands more than its grant in one dimension."""
-        return max(self.wanted[index], self.floor[index]) > self.granted[index]
-
-
-def _without(
-    by_team: Mapping[str, Mapping[str, _Value]], pools: Collection[str]
-) -> dict[str, dict[str, _Value]]:
-    """Return a copy without the entries of some pools."""
-    return {
-        team: {pool: value for pool, value in values.items() if pool not in pools}
-        for team, values in by_team.items()
-    }
-
-
-def _is_equal(one: GrantRecord, other: GrantRecord) -> bool:
-    """Return whether two records have the same entries."""
-    return all(
-        a.get(team, {}) == b.get(team, {})
-        for a, b in zip(one, other, strict=True)
-        for team in a.keys() | b.keys()
-    )
-
-
-def _is_any_short(others: Iterable[_OtherPool], index: int) -> bool:
-    """Return whether a pool demands more than its grant in one dimension.
-
-    What one pool does not use is no help to another one until it is given back.
-    """
-    return any(other.is_short(index) for other in others)
-
-
 def _should_publish(
-    limit: Resources, old: _Part, granted: Resources, wanted: Resources
+    limit: Resources, old: Part, granted: Resources, wanted: Resources
 ) -> bool:
     """Return whether this pool's demand has changed enough to be published."""
     published = _as_resources(old.wanted)
--- a/packages/savorylead/savorylead/pools/_pool_worker.py
+++ b/packages/savorylead/savorylead/pools/_pool_worker.py
@@ -10,8 +10,8 @@
 from ._contracts import WorkerEntry
 from ._failures import FAILURES_TO_QUARANTINE, FailureRecord, failures_of
 
-#: A worker counts as slow when the moving geometric mean of the
-#: ratio of actual to expected task duration reaches this value.
+#: A worker counts as slow when the moving geometric mean of the ratio of actual to
+#: expected task duration reaches this value.
 SLOW_FACTOR = 3.0
 #: Time for which a slow worker is avoided, in milliseconds.
 SLOW_QUARANTINE_MS = 2_000
@@ -109,10 +109,7 @@
 
     def can_start(self, now_ms: int) -> bool:
         """Return whether it would start tasks now, though it may better be avoided."""
-        is_ready = self.usable and self.listed and self.accepts_tasks
-        if not is_ready or self.unknown_runs or not self.is_entry_current:
-            return False
-        if now_ms < self.unhealthy_until_ms:
+        if not self._is_known or now_ms < self.unhealthy_until_ms:
             return False
         is_isolated = now_ms < self.isolated_until_ms
         return not is_isolated or now_ms >= self._isolated_since_ms + MAX_EXCLUSIVE_MS
@@ -123,8 +120,7 @@
 
     def may_start_at_ms(self) -> float:
         """Return the time from which tasks may start on it; infinite if unknown."""
-        is_ready = self.usable and self.listed and self.accepts_tasks
-        if not is_ready or self.unknown_runs or not self.is_entry_current:
+        if not self._is_known:
             return math.inf
         return float(max(self.unhealthy_until_ms, self.avoided_until_ms()))
 
@@ -136,6 +132,12 @@
             self._slow_until_ms,
         )
 
+    @property
+    def _is_known(self) -> bool:
+        """Whether it accepts tasks, and what it is and runs is known."""
+        is_ready = self.usable and self.listed and self.accepts_tasks
+        return is_ready and not self.unknown_runs and self.is_entry_current
+
     @property
     def is_entry_current(self) -> bool:
         """Whether its entry describes the incarnation that answers.
