--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -91,8 +91,9 @@
     Switch(
         "health",
         f"{_PLANNING}/_pool_worker.py",
-        "        return float(max(self.quarantined_until_ms, self.isolated_until_ms))",
-        "        return float(self.isolated_until_ms)",
+        "            self.failures.avoided_until_ms(),\n"
+        "            self._slow_until_ms,\n",
+        "",
     ),
     Switch(
         "early-hand-over",
