A pass counts only the avoided workers for each step

Cause: while any worker was avoided, each waiting step was compared with all workers a second time, and each candidate's rank cost two calls more.

Change: a step is compared with the avoided workers, and with no more trusted ones than these. The rule is the same, and its tests pass unchanged.

--- a/packages/savorylead/savorylead/pools/_failures.py
+++ b/packages/savorylead/savorylead/pools/_failures.py
@@ -57,6 +57,8 @@
 def has_failed_on(step: StepRun, worker: str) -> bool:
     """Return whether a run of the step has failed on a worker."""
     failures = step.failures
+    if failures is None:
+        return False
     return isinstance(failures, StepFailures) and worker in failures.failed_on
 
 
--- a/packages/savorylead/savorylead/pools/_planning_pass.py
+++ b/packages/savorylead/savorylead/pools/_planning_pass.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterable, Sequence
 from functools import cached_property
+from itertools import islice
 from typing import NamedTuple
 
 from savorylead.jobs import Run, RunState, StepRun, Task
@@ -19,6 +20,9 @@
 #: A prime suspect waits until it can be isolated for at most this long after the crash,
 #: in milliseconds. The crash itself is known only after three to four seconds.
 ISOLATION_WAIT_MS = 6_000
+#: Rank of a worker that is avoided, and of one that gets one task at a time.
+AVOIDED_RANK = 1.0
+PROBED_RANK = 0.5
 
 
 class Placement(NamedTuple):
@@ -70,18 +74,28 @@
         self.now_ms = now_ms
         self.advice_slots = advice_slots
         self.workers = list(workers)
-        #: Ids of the workers to which others are preferred.
-        self._avoided = {w.id for w in self.workers if now_ms < w.avoided_until_ms()}
         #: Ids of the workers that should get one task at a time.
-        self._probed = {
-            w.id
-            for w in self.workers
-            if w.id not in self._avoided and w.failures.is_probed()
-        }
+        self._probed = {w.id for w in self.workers if w.failures.is_probed()}
+        #: Ranks by what is known against workers; those without an entry have 0.
+        self.doubts = dict.fromkeys(self._probed, PROBED_RANK)
         #: Workers that would start tasks now.
         self.able = [w for w in self.workers if w.can_start(now_ms)]
-        #: Those of them on which tasks should start.
-        self.startable = self._preferred(self.able)
+        #: Those of them to which others are preferred, the first to be used first.
+        self._avoided = sorted(
+            (w for w in self.able if now_ms < w.avoided_until_ms()),
+            key=lambda worker: worker.avoided_until_ms(),
+        )
+        self.doubts.update((w.id, AVOIDED_RANK) for w in self._avoided)
+        self._probed -= {w.id for w in self._avoided}
+        #: The others.
+        self._trusted = [
+            w for w in self.able if self.doubts.get(w.id, 0.0) < AVOIDED_RANK
+        ]
+        #: Workers on which tasks should start, unless a step may use few of them.
+        self.startable = (
+            self._trusted
+            + self._avoided[: _to_be_used(len(self._avoided), len(self._trusted))]
+        )
         self._may_be_allowed = may_be_allowed
         self.free = {w.id: w.free() for w in self.workers}
         self.free_cores = sum(
@@ -113,45 +127,27 @@
         """Resources held by runs that are being stopped, by worker."""
         return {w.id: releasing_resources(w) for w in self.able}
 
-    def _preferred(self, workers: Sequence[PoolWorker]) -> list[PoolWorker]:
-        """Return the workers that are not avoided, and at least half of all.
-
-        If more than half are avoided, the others would have to do work that these can
-        do as well: what they have in common is then rather the work.
-        """
-        trusted = [w for w in workers if not self.is_avoided(w)]
-        missing = len(workers) - len(workers) // 2 - len(trusted)
-        if missing <= 0:
-            return trusted
-        avoided = [w for w in workers if self.is_avoided(w)]
-        avoided.sort(key=lambda worker: worker.avoided_until_ms())
-        return trusted + avoided[:missing]
-
     def startable_for(self, step: StepRun) -> list[PoolWorker]:
         """Return the workers on which tasks of a step should start.
 
         Of the workers that the step may use, at most half are left out, and none if a
         gang could not start without them.
         """
-        if len(self.startable) == len(self.able):
-            return self.startable
-        usable = [
-            w
-            for w in self.able
-            if could_ever_hold(w, step) and self._may_be_allowed(step, w)
-        ]
-        preferred = self._preferred(usable)
-        if step.spec.gang and not could_start(step, preferred, None):
-            return usable
-        return preferred
-
-    def is_avoided(self, worker: PoolWorker) -> bool:
-        """Return whether other workers are preferred to it now."""
-        return worker.id in self._avoided
-
-    def doubt(self, worker: PoolWorker) -> float:
-        """Return the rank of a worker by what is known against it; 0 for nothing."""
-        return float(self.is_avoided(worker)) or 0.5 * (worker.id in self._probed)
+        avoided = [w for w in self._avoided if self._may_use(step, w)]
+        if not avoided:
+            return self._trusted
+        # No more than as many trusted ones are needed to leave out all avoided ones.
+        trusted = (w for w in self._trusted if self._may_use(step, w))
+        trusted_count = sum(1 for _ in islice(trusted, len(avoided)))
+        used_count = _to_be_used(len(avoided), trusted_count)
+        chosen = self._trusted + avoided[:used_count] if used_count else self._trusted
+        if step.spec.gang and not could_start(step, chosen, None):
+            return self._trusted + avoided
+        return chosen
+
+    def _may_use(self, step: StepRun, worker: PoolWorker) -> bool:
+        """Return whether the step fits on the worker, and is not forbidden there."""
+        return could_ever_hold(worker, step) and self._may_be_allowed(step, worker)
 
     def _ending_on(self, worker: PoolWorker) -> Resources:
         ending = self._ending.get(worker.id)
@@ -243,6 +239,15 @@
         return worker.count_of(step) + placed < bound
 
 
+def _to_be_used(avoided: int, trusted: int) -> int:
+    """Return how many of the avoided workers have to be used nevertheless.
+
+    If more than half are avoided, the others would have to do work that these can do as
+    well: what they have in common is then rather the work.
+    """
+    return max(0, (avoided - trusted + 1) // 2)
+
+
 def could_ever_hold(worker: PoolWorker, step: StepRun) -> bool:
     """Return whether an empty worker could run a task of the step."""
     label = step.spec.required_label
@@ -322,7 +327,7 @@
     spec = step.spec
     free = state.free[worker.id]
     # An attempt is worth more than a local copy of the data.
-    failing = state.doubt(worker) + float(has_failed_on(step, worker.id))
+    failing = state.doubts.get(worker.id, 0.0) + has_failed_on(step, worker.id)
     remote = float(bool(spec.data_rack) and worker.entry.rack != spec.data_rack)
     cold = float(worker.is_cold(state.now_ms))
     risky = float(worker.hosts_other_suspects(step.job, state.now_ms))
