--- a/packages/savorylead/savorylead/pools/_failures.py
+++ b/packages/savorylead/savorylead/pools/_failures.py
@@ -34,7 +34,7 @@
     __slots__ = ("failed_on", "proved_failures", "was_done")
 
     def __init__(self) -> None:
-        #: The health of the workers on which runs of it have failed, by worker id.
+        #: The records of the workers on which runs of it have failed, by worker id.
         self.failed_on: dict[str, FailureRecord] = {}
         #: Number of workers that were proved when a run of it first failed there.
         self.proved_failures = 0
--- a/packages/savorylead/savorylead/pools/_grants.py
+++ b/packages/savorylead/savorylead/pools/_grants.py
@@ -147,7 +147,7 @@
         return GrantRecord(parts, one.claims)
 
     def explain(self, team: str) -> dict[str, object]:
-        """Return the amounts that determine ``room``, as fields of a log event."""
+        """Return the amounts that determine the headroom, as fields of a log event."""
         pools = self.record.parts.get(team, {})
         return {
             "limit": self._limits.get(team, ZERO)[:3],
