Settings say which optional scheduling decisions a lead makes

Cause: moving a task costs up to 1.5 s on some platforms, so that a bad placement is not corrected. The decisions that follow from this need a switch that is off elsewhere.

Change: section scheduling of the settings, a SchedulingPolicy that reaches the lead and the planner, and an abstract base for predictions of durations. No decision changes yet.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -66,8 +66,8 @@
     Switch(
         "learned-lengths",
         f"{_PLANNING}/_durations.py",
-        "        durations = self._queues.get(queue)",
-        "        return declared\n        durations = self._queues.get(queue)",
+        "        averages = self._queues.get(queue)",
+        "        return declared\n        averages = self._queues.get(queue)",
     ),
     Switch(
         "surplus-last",
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -282,7 +282,7 @@
                         self._stop(other)
         else:
             step.mark_done(run.task.index)
-            self._planner.durations.observe(job.record.queue, step.spec, took_ms)
+            self._planner.durations.observe(step, run.worker, took_ms)
         self._leave(run)
         if job.final is None and job.is_complete():
             self._finish(job, JobState.COMPLETED)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_lead_parts.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_lead_parts.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from savorylead.clock import Clock
-from savorylead.pools import AdviceSlots, CellStore, WorkerCalls
+from savorylead.pools import AdviceSlots, CellStore, SchedulingPolicy, WorkerCalls
 from savorylead_daemon.observability import EventLog
 
 from ._advice_caller import CallAdviser
@@ -39,3 +39,4 @@
     crash_counts: CrashCounts
     #: Notifies the other pools' leads that the teams' limit grants have changed.
     on_grants_written: Callable[[str], None]
+    policy: SchedulingPolicy
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -100,7 +100,7 @@
         self._listed_workers: Sequence[WorkerEntry] | None = None
         #: Since when the configuration lacks this pool; None if it names it.
         self._unnamed_since: datetime | None = None
-        self._state = PoolState(parts.clock, parts.status_for_ms)
+        self._state = PoolState(parts.clock, parts.status_for_ms, parts.policy)
         self.admission = Admission(self._state, parts.log)
         self._plan_timer = PlanTimer(parts.clock, self._plan_now)
         self._waiting_demand: dict[str, Resources] = {}
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_state.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_state.py
@@ -4,7 +4,7 @@
 
 from savorylead.clock import Clock, to_millis
 from savorylead.jobs import Run
-from savorylead.pools import PoolPlanner, PoolWorker, Queue
+from savorylead.pools import PoolPlanner, PoolWorker, Queue, SchedulingPolicy
 from savorylead.resources import ZERO, Resources
 
 from ._job_registry import JobRegistry
@@ -14,7 +14,12 @@
 class PoolState:
     """Jobs, workers and teams' usage; each change fits in one reactor iteration."""
 
-    def __init__(self, clock: Clock, status_for_ms: int) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        status_for_ms: int,
+        policy: SchedulingPolicy = SchedulingPolicy(),  # noqa: B008 - immutable.
+    ) -> None:
         self._clock = clock
         self.jobs = JobRegistry(status_for_ms)
         #: By worker id, like the sessions.
@@ -29,7 +34,7 @@
         self.lasting: dict[str, Resources] = {}
         #: When a run of each team was last added, in Unix milliseconds.
         self.last_start_ms: dict[str, int] = {}
-        self.planner = PoolPlanner()
+        self.planner = PoolPlanner(policy)
 
     def now_ms(self) -> int:
         """Return the time in Unix milliseconds."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
@@ -156,7 +156,7 @@
         queue = run.task.step.job.record.queue
         durations = self._state.planner.durations
         expected_ms = durations.estimate_ms(queue, spec)
-        durations.observe(queue, spec, took_ms)
+        durations.observe(run.task.step, run.worker, took_ms)
         if worker.note_duration(took_ms / expected_ms, self._state.now_ms()):
             self._log.log_event(LogLevel.INFO, "worker_slow", worker=worker.id)
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
@@ -110,6 +110,7 @@
                 key_withdrawn=timedelta(milliseconds=bounds.key_withdrawn_ms),
                 status_for=timedelta(seconds=bounds.status_for_s),
                 max_worker_lease=timedelta(milliseconds=bounds.worker_lease_ms),
+                policy=settings.scheduling.policy(),
                 machine=Machine(
                     machine.cpu_share * machine.cores,
                     machine.link_mbps,
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -11,7 +11,14 @@
 
 from savorylead.clock import Clock
 from savorylead.links import DeadlineExceededError, within
-from savorylead.pools import Advice, AdviserError, CellDocument, Put, WorkerEntry
+from savorylead.pools import (
+    Advice,
+    AdviserError,
+    CellDocument,
+    Put,
+    SchedulingPolicy,
+    WorkerEntry,
+)
 from savorylead.store import KeyValue, StoreError
 from savorylead_daemon.concurrency import spawn, supervised
 from savorylead_daemon.observability import EventLog
@@ -72,6 +79,8 @@
     machine: Machine = Machine()
     #: Workers shorten longer leases to this.
     max_worker_lease: timedelta = timedelta(milliseconds=6_000)
+    #: Which optional scheduling decisions its leads make.
+    policy: SchedulingPolicy = SchedulingPolicy()
 
 
 class PoolNode:
@@ -341,6 +350,7 @@
             status_for_ms=self._settings.status_for // timedelta(milliseconds=1),
             max_worker_lease_ms=self._settings.max_worker_lease
             // timedelta(milliseconds=1),
+            policy=self._settings.policy,
         )
         evacuated = self.config.evacuations.domains()
         lead = PoolLead(parts, term, document, evacuated, self._superseded)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/settings.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/settings.py
@@ -3,17 +3,24 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
 from savorylead.documents import DocumentFault
+from savorylead.pools import FULL_POLICY, SchedulingPolicy
 from savorylead_daemon.settings import LogLevel, SettingsError
 
 _Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$")]
 _Endpoint = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 _Seconds = Annotated[float, msgspec.Meta(gt=0, le=86_400)]
 _Millis = Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
+_OptionalMillis = Annotated[int, msgspec.Meta(ge=0, le=3_600_000)]
+
+#: In mode ``auto``, optional scheduling decisions are made where moving a task takes
+#: longer than this. Workers report once a second, so a faster move corrects a bad
+#: placement before the next report shows it.
+MAX_CHEAP_MOVE_MS = 1_000
 
 
 class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -72,6 +79,24 @@
     worker_lease_ms: _Millis = 6_000
 
 
+class SchedulingSettings(_Section):
+    """How expensive it is to move a running task, and what follows from it."""
+
+    #: Longest time that a worker takes to stop a task; 0 if not specified.
+    stop_ms: _OptionalMillis = 0
+    #: Time that a task takes to resume from a checkpoint; 0 if not specified.
+    restore_ms: _OptionalMillis = 0
+    #: Whether the optional decisions are made; ``auto`` decides by the cost of a move.
+    mode: Literal["auto", "on", "off"] = "auto"
+
+    def policy(self) -> SchedulingPolicy:
+        """Return the optional decisions that the leads make."""
+        is_move_expensive = self.stop_ms + self.restore_ms > MAX_CHEAP_MOVE_MS
+        if self.mode == "on" or (self.mode == "auto" and is_move_expensive):
+            return FULL_POLICY
+        return SchedulingPolicy()
+
+
 class LogSettings(_Section):
     """What is logged."""
 
@@ -90,6 +115,7 @@
     platform: PlatformSettings
     machine: MachineSettings = MachineSettings()
     bounds: BoundSettings = BoundSettings()
+    scheduling: SchedulingSettings = SchedulingSettings()
     log: LogSettings = LogSettings()
 
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_settings.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_settings.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from savorylead.pools import FULL_POLICY, SchedulingPolicy
 from savorylead_daemon.main import main
 from savorylead_daemon.pool import is_for_pools, parse_pool_settings
 from savorylead_daemon.settings import SettingsError
@@ -67,6 +68,9 @@
         ("machine", {"link_mbps": "wide"}, "$.machine.link_mbps"),
         ("machine", {"memory_mb": 0.5}, "$.machine.memory_mb"),
         ("machine", {"disk_mb": 1}, "disk_mb"),
+        ("scheduling", {"mode": "maybe"}, "$.scheduling.mode"),
+        ("scheduling", {"stop_ms": -1}, "$.scheduling.stop_ms"),
+        ("scheduling", {"restore_ms": 0.5}, "$.scheduling.restore_ms"),
     ],
 )
 def test_a_fault_is_told_with_its_path(path: str, value: Any, expected: str) -> None:
@@ -99,3 +103,21 @@
     with pytest.raises(SystemExit) as stopped:
         main(["--config", str(path), "--check-config"])
     assert stopped.value.code == code
+
+
+@pytest.mark.parametrize(
+    "scheduling, policy",
+    [
+        ({}, SchedulingPolicy()),
+        ({"stop_ms": 900, "restore_ms": 100}, SchedulingPolicy()),
+        ({"stop_ms": 900, "restore_ms": 101}, FULL_POLICY),
+        ({"stop_ms": 900, "restore_ms": 600, "mode": "off"}, SchedulingPolicy()),
+        ({"mode": "on"}, FULL_POLICY),
+    ],
+)
+def test_optional_decisions_are_made_where_a_move_takes_over_a_second(
+    scheduling: dict[str, Any], policy: SchedulingPolicy
+) -> None:
+    # Deployments that don't ask for them must be served as before.
+    settings = parse_pool_settings(changed("scheduling", scheduling))
+    assert settings.scheduling.policy() == policy
--- a/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_pool_cell.py
@@ -21,6 +21,7 @@
     ConfigSource,
     Pool,
     Queue,
+    SchedulingPolicy,
     Team,
     WorkerEntry,
     WorkerListing,
@@ -193,6 +194,7 @@
         seed: int = 1,
         machines: Mapping[str, Machine] | None = None,
         domains: tuple[str, ...] = ("zone",),
+        policy: SchedulingPolicy = SchedulingPolicy(),  # noqa: B008 - immutable.
     ) -> None:
         """``machines`` gives the machine of each node, by node name.
 
@@ -224,6 +226,7 @@
         #: machine refuses at once; longer if the machine is without power.
         self.connect_wait = timedelta(0)
         self.machines = dict(machines or {})
+        self._policy = policy
         self._advised = advised
         self._answers: dict[str, CallerAnswer] = {}
         self.document = self._document(pools, limit, advised)
@@ -256,6 +259,7 @@
             key_withdrawn=timedelta(seconds=5),
             status_for=timedelta(seconds=120),
             machine=self.machines.get(name, Machine()),
+            policy=self._policy,
         )
         node = PoolNode(
             settings, adapter, _Peers(self, name), self.clock, self.rng, log
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_deploy_files.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_deploy_files.py
@@ -9,7 +9,7 @@
 import pytest
 
 from savorylead_daemon.pool import parse_pool_settings
-from savorylead_daemon.pool.settings import MachineSettings
+from savorylead_daemon.pool.settings import MachineSettings, SchedulingSettings
 from savorylead_platform_standin._settings_template import render
 
 DEPLOY = Path(__file__).resolve().parents[5] / "deploy"
@@ -29,11 +29,15 @@
 
 
 @pytest.mark.parametrize(
-    ("bounds", "worker_lease_ms"),
-    [({}, 6_000), ({"hold_max_ms": 4_000}, 4_000)],
+    ("bounds", "worker_lease_ms", "scheduling"),
+    [
+        ({}, 6_000, SchedulingSettings()),
+        ({"hold_max_ms": 4_000}, 4_000, SchedulingSettings()),
+        ({"stop_ms": 900, "restore_ms": 600}, 6_000, SchedulingSettings(900, 600)),
+    ],
 )
 def test_the_template_gives_settings_that_pass_the_check(
-    bounds: dict[str, int], worker_lease_ms: int
+    bounds: dict[str, int], worker_lease_ms: int, scheduling: SchedulingSettings
 ) -> None:
     template = (DEPLOY / "settings.json.tmpl").read_text()
     text = render(template, {**FIELDS, "bounds": {**BOUNDS, **bounds}})
@@ -41,6 +45,7 @@
     assert settings.listen.peers == "10.1.0.5:7180"
     assert settings.bounds.status_for_s == 120
     assert settings.bounds.worker_lease_ms == worker_lease_ms
+    assert settings.scheduling == scheduling
     assert settings.machine == MachineSettings(0.5, 3.0, 100.0, 300)
 
 
--- a/packages/savorylead/savorylead/pools/__init__.py
+++ b/packages/savorylead/savorylead/pools/__init__.py
@@ -44,7 +44,7 @@
     isolate,
     record_crash,
 )
-from ._durations import DurationEstimator
+from ._durations import DurationEstimator, QueueDurations
 from ._failures import FailureRecord, StepFailures, failures_of
 from ._grant_record import GrantRecord, decode_grants, encode_grants
 from ._grants import PoolDemand, PoolGrants
@@ -57,6 +57,7 @@
     copies_that_fit,
     could_ever_hold,
 )
+from ._policy import FULL_POLICY, SchedulingPolicy
 from ._pool_planner import PoolPlanner
 from ._pool_worker import PoolWorker, reservation_of
 from ._reconcile import Ended, Finding, Listed, UnknownRun, Vanished, reconcile
@@ -77,6 +78,7 @@
 from ._urgency import Urgency, urgency_of
 
 __all__ = [
+    "FULL_POLICY",
     "SHORT_CALL_MS",
     "UNBOUNDED",
     "ActiveRun",
@@ -88,12 +90,12 @@
     "AdviserBusyError",
     "AdviserError",
     "AdviserRefusedError",
+    "Backlog",
     "BlockedTeam",
     "CellDocument",
     "CellStore",
     "Change",
     "Changes",
-    "LimitClaim",
     "Committed",
     "ConfigDecodeError",
     "ConfigSource",
@@ -101,11 +103,12 @@
     "DurationEstimator",
     "Ended",
     "EndedRun",
-    "Finding",
     "FailureRecord",
+    "Finding",
     "GrantRecord",
     "HistoryLostError",
     "LeaseGrant",
+    "LimitClaim",
     "Listed",
     "PaceController",
     "Placement",
@@ -119,10 +122,12 @@
     "PoolWorker",
     "Put",
     "Queue",
+    "QueueDurations",
     "RunEnd",
     "RunOrder",
     "RunRejected",
     "RunStarted",
+    "SchedulingPolicy",
     "StaleFenceError",
     "StartRejection",
     "StepAdvice",
@@ -141,22 +146,21 @@
     "WorkerReport",
     "WorkerUnhealthyError",
     "WrongIncarnationError",
+    "backlog_of",
     "copies_that_fit",
     "could_ever_hold",
     "decode_grants",
+    "drain_time_ms",
     "encode_grants",
     "failures_of",
     "has_common_cause",
     "isolate",
-    "record_crash",
-    "reservation_of",
     "note_reported",
     "read_pages",
     "reconcile",
+    "record_crash",
+    "reservation_of",
+    "retry_after_ms",
     "stalled_runs",
     "urgency_of",
-    "Backlog",
-    "backlog_of",
-    "drain_time_ms",
-    "retry_after_ms",
 ]
--- a/packages/savorylead/savorylead/pools/_durations.py
+++ b/packages/savorylead/savorylead/pools/_durations.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 import math
+from abc import ABC, abstractmethod
 
-from savorylead.jobs import StepSpec
+from savorylead.jobs import StepRun, StepSpec
 
 #: Assumed duration of a task without a caller's estimate, in milliseconds.
 DEFAULT_ESTIMATE_MS = 1_000
@@ -40,7 +41,7 @@
         self.lognormal_mean = math.exp(self.mean + self.variance / 2)
 
 
-class _QueueDurations:
+class _QueueAverages:
     __slots__ = ("lengths", "ratios")
 
     def __init__(self) -> None:
@@ -48,27 +49,55 @@
         self.ratios = _LogAverage()
 
 
-class DurationEstimator:
+class DurationEstimator(ABC):
     """Predicts the duration of tasks. Pure."""
 
+    @abstractmethod
+    def observe(self, step: StepRun, worker: str, took_ms: int) -> None:
+        """Record the duration of a task that ran in one piece and succeeded."""
+
+    @abstractmethod
+    def estimate_ms(self, queue: str, spec: StepSpec) -> float:
+        """Return the expected duration of a task on a typical worker.
+
+        It is the expectation before any task of the step has run.
+        """
+
+    def step_ms(self, step: StepRun) -> float:
+        """Return the expected duration, given what is known of the step's tasks."""
+        return self.estimate_ms(step.job.record.queue, step.spec)
+
+    def tail_ms(self, step: StepRun) -> float:
+        """Return the duration below which 95 of 100 tasks of the step stay."""
+        return self.step_ms(step)
+
+    def factor(self, worker: str) -> float:
+        """Return the duration of tasks on a worker relative to a typical one."""
+        return 1.0
+
+
+class QueueDurations(DurationEstimator):
+    """Predicts from the averages of each queue, all workers alike."""
+
     def __init__(self) -> None:
-        self._queues: dict[str, _QueueDurations] = {}
+        self._queues: dict[str, _QueueAverages] = {}
 
-    def observe(self, queue: str, spec: StepSpec, took_ms: int) -> None:
+    def observe(self, step: StepRun, worker: str, took_ms: int) -> None:
         """Record the duration of a task that ran in one piece and succeeded."""
-        durations = self._queues.setdefault(queue, _QueueDurations())
+        spec = step.spec
+        averages = self._queues.setdefault(step.job.record.queue, _QueueAverages())
         took = max(1, took_ms)
-        durations.lengths.add(math.log(took))
+        averages.lengths.add(math.log(took))
         if spec.estimate_ms > 0:
-            durations.ratios.add(math.log(took / spec.estimate_ms))
+            averages.ratios.add(math.log(took / spec.estimate_ms))
 
     def estimate_ms(self, queue: str, spec: StepSpec) -> float:
-        """Return the expected duration of a task of the step."""
+        """Return the expected duration of a task on a typical worker."""
         declared = spec.estimate_ms or DEFAULT_ESTIMATE_MS
-        durations = self._queues.get(queue)
-        if durations is None or durations.lengths.count < MIN_OBSERVATIONS:
+        averages = self._queues.get(queue)
+        if averages is None or averages.lengths.count < MIN_OBSERVATIONS:
             return declared
-        lengths, ratios = durations.lengths, durations.ratios
+        lengths, ratios = averages.lengths, averages.ratios
         declares = spec.estimate_ms > 0 and ratios.count >= MIN_OBSERVATIONS
         if declares and ratios.variance < lengths.variance:
             return declared * ratios.lognormal_mean
--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -17,7 +17,7 @@
 from ._advice import UNBOUNDED, AdviceBook, AdviceSlots
 from ._advice_calls import AdviceCalls
 from ._contracts import Queue
-from ._durations import DurationEstimator
+from ._durations import DurationEstimator, QueueDurations
 from ._headroom import UrgentHeadroom
 from ._idle_jobs import IdleJobs
 from ._planning_pass import (
@@ -33,6 +33,7 @@
     rack_groups,
     suitability,
 )
+from ._policy import SchedulingPolicy
 from ._pool_worker import PoolWorker, reservation_of
 from ._preemption import Preemption
 from ._reservation import Reservation, may_reserve
@@ -56,9 +57,10 @@
 class PoolPlanner:
     """Plans for one pool. Does no I/O; its state is observed load and advice."""
 
-    def __init__(self) -> None:
+    def __init__(self, policy: SchedulingPolicy = SchedulingPolicy()) -> None:  # noqa: B008 - immutable.
+        self.policy = policy
         self.book = AdviceBook()
-        self.durations = DurationEstimator()
+        self.durations: DurationEstimator = QueueDurations()
         #: Names of the queues whose steps need advice.
         self._advised_queues: frozenset[str] = frozenset()
         self._headroom = UrgentHeadroom()
--- a/packages/savorylead/savorylead/pools/tests/test_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/tests/test_pool_planner.py
@@ -192,8 +192,8 @@
     planner = PoolPlanner()
     for n in range(40):
         declared = 100 if n % 2 else 9_000
-        spec = step_of(f"j{n}", "urgent", estimate_ms=declared).spec
-        planner.durations.observe("urgent", spec, 900)
+        step = step_of(f"j{n}", "urgent", estimate_ms=declared)
+        planner.durations.observe(step, "w", 900)
     spec = step_of("j", "urgent", estimate_ms=100).spec
     assert 700 <= planner.durations.estimate_ms("urgent", spec) <= 1_100
 
--- a/packages/savorylead/savorylead/pools/tests/test_worker_health.py
+++ b/packages/savorylead/savorylead/pools/tests/test_worker_health.py
@@ -7,7 +7,7 @@
 import pytest
 
 from savorylead.jobs import Run, StepRun
-from savorylead.pools import DurationEstimator, PoolWorker, stalled_runs
+from savorylead.pools import PoolWorker, QueueDurations, stalled_runs
 from savorylead.resources import Resources
 
 from .pool_cases import NOW_MS, plan, run_on, starts, step_of, worker
@@ -191,4 +191,4 @@
     step = step_of("j", "normal", estimate_ms=estimate_ms, **changes)
     run = run_on(one, step, confirmed_at_ms=NOW_MS - still_ms)
     run.percent_at_ms = NOW_MS - still_ms
-    assert bool(stalled_runs(one, DurationEstimator(), NOW_MS)) is is_stalled
+    assert bool(stalled_runs(one, QueueDurations(), NOW_MS)) is is_stalled
