Lengths of steps and speeds of workers are learned apart, and recorded

One average per queue mixes long steps with slow workers, and takes either the callers' estimates or the queue's mean. LearnedDurations regresses actual on declared durations by queue, adds what a step's own tasks show, and divides by each worker's factor. The lead keeps it in the record savorylead/durations/POOL. Only with the policy's learns_durations.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_keys.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_keys.py
@@ -77,6 +77,14 @@
     return f"{_ROOT}crashes/{pool}"
 
 
+def durations_key(pool: str) -> str:
+    """Return the key of what the pool's leads have learned of durations and workers.
+
+    Daemons of earlier versions ignore it.
+    """
+    return f"{_ROOT}durations/{pool}"
+
+
 def intake_prefix(pool: str) -> str:
     """Return the prefix of the records that the lead of a pool must process."""
     return f"{_ROOT}in/{pool}/"
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -22,6 +22,7 @@
     CellDocument,
     Committed,
     Finding,
+    LearnedDurations,
     Plan,
     PoolDemand,
     PoolGrants,
@@ -37,6 +38,7 @@
 from ._advice_caller import AdviceCaller
 from ._crash_records import CrashRecords
 from ._crash_tracker import CrashTracker
+from ._duration_records import DurationRecords
 from ._former_queues import FormerQueues
 from ._grant_updater import GrantUpdater
 from ._job_intake import JobIntake
@@ -131,6 +133,14 @@
             self._crash_records,
             self._give_up,
         )
+        durations = self._state.planner.durations
+        self._duration_records = (
+            DurationRecords(
+                term.pool, durations, store, writes, clock, log, self._tasks
+            )
+            if isinstance(durations, LearnedDurations)
+            else None
+        )
         self._starter = RunStarter(
             self._state,
             log,
@@ -182,6 +192,8 @@
         ):
             self._tasks.spawn(what, supervised(what, self._clock, begin))
         self._grant_updater.start()
+        if self._duration_records is not None:
+            self._duration_records.start()
 
     def close(self) -> None:
         """Stop all orders and writes; workers continue until their leases expire."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
@@ -48,6 +48,9 @@
         """Apply the findings of one report."""
         worker = session.worker
         worker.unknown_runs = 0
+        self._state.planner.durations.note_incarnation(
+            worker.id, worker.answering_incarnation_ms
+        )
         for finding in findings:
             if isinstance(finding, Listed):
                 self._listed(finding)
@@ -153,9 +156,10 @@
             # Neither the worker's usual speed nor the queue's usual duration.
             return
         took_ms = self._state.now_ms() - run.confirmed_at_ms
-        queue = run.task.step.job.record.queue
         durations = self._state.planner.durations
-        expected_ms = durations.estimate_ms(queue, spec)
+        # Compared with the step's other tasks where they are known, so that a step that
+        # takes long by itself does not make its workers count as slow.
+        expected_ms = durations.step_ms(run.task.step)
         durations.observe(run.task.step, run.worker, took_ms)
         if worker.note_duration(took_ms / expected_ms, self._state.now_ms()):
             self._log.log_event(LogLevel.INFO, "worker_slow", worker=worker.id)
--- a/packages/savorylead/savorylead/jobs/_job.py
+++ b/packages/savorylead/savorylead/jobs/_job.py
@@ -153,6 +153,7 @@
     __slots__ = (
         "advice",
         "done_count",
+        "durations",
         "failed_runs",
         "failures",
         "has_suspects",
@@ -182,6 +183,8 @@
         self.advice: object | None = None
         #: The workers on which runs of this step fail; owned by the planner.
         self.failures: object | None = None
+        #: What is known of its tasks' durations; owned by the planner.
+        self.durations: object | None = None
         #: Cached due time and expected duration; owned by the planner.
         self.time: object | None = None
 
--- a/packages/savorylead/savorylead/pools/__init__.py
+++ b/packages/savorylead/savorylead/pools/__init__.py
@@ -44,10 +44,12 @@
     isolate,
     record_crash,
 )
+from ._duration_record import DurationRecord, decode_durations, encode_durations
 from ._durations import DurationEstimator, QueueDurations
 from ._failures import FailureRecord, StepFailures, failures_of
 from ._grant_record import GrantRecord, decode_grants, encode_grants
 from ._grants import PoolDemand, PoolGrants
+from ._learned_durations import LearnedDurations
 from ._limit_claims import BlockedTeam, LimitClaim
 from ._pace import PaceController
 from ._planning_pass import (
@@ -101,12 +103,14 @@
     "ConfigSource",
     "Conflict",
     "DurationEstimator",
+    "DurationRecord",
     "Ended",
     "EndedRun",
     "FailureRecord",
     "Finding",
     "GrantRecord",
     "HistoryLostError",
+    "LearnedDurations",
     "LeaseGrant",
     "LimitClaim",
     "Listed",
@@ -149,8 +153,10 @@
     "backlog_of",
     "copies_that_fit",
     "could_ever_hold",
+    "decode_durations",
     "decode_grants",
     "drain_time_ms",
+    "encode_durations",
     "encode_grants",
     "failures_of",
     "has_common_cause",
--- a/packages/savorylead/savorylead/pools/_durations.py
+++ b/packages/savorylead/savorylead/pools/_durations.py
@@ -63,6 +63,17 @@
         It is the expectation before any task of the step has run.
         """
 
+    def note_time(self, now_ms: int) -> None:  # noqa: B027 - optional.
+        """Set the time by which cached estimates of steps are outdated."""
+
+    def note_incarnation(  # noqa: B027 - optional.
+        self, worker: str, incarnation_start_ms: int
+    ) -> None:
+        """Forget a worker's speed if another incarnation of it answers.
+
+        ``incarnation_start_ms`` is 0 if unknown.
+        """
+
     def step_ms(self, step: StepRun) -> float:
         """Return the expected duration, given what is known of the step's tasks."""
         return self.estimate_ms(step.job.record.queue, step.spec)
--- /dev/null
+++ b/packages/savorylead/savorylead/pools/_learned_durations.py
@@ -0,0 +1,251 @@
+"""Estimates that tell the speeds of workers from the lengths of steps.
+
+Load pattern: durations of steps differ by a factor of e between callers' estimates and
+the truth, three in a hundred take seven times as long, and workers differ by a factor
+of two. The tasks of one step are alike, so they show both: what a step's tasks have in
+common is its length, what a worker's tasks have in common is its speed.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from savorylead.jobs import Run, RunState, StepRun, StepSpec
+
+from ._duration_record import MAX_QUEUES, DurationRecord
+from ._durations import DurationEstimator
+from ._queue_regression import Prediction, QueueRegression
+from ._run_ends import MIN_PERCENT
+from ._worker_speeds import WorkerSpeeds
+
+#: Done tasks of an unfinished step whose workers are judged together. A first task
+#: tells little of its worker before others of its step are done.
+MAX_PENDING = 8
+#: Learned tasks after which the workers' factors are centred again.
+CENTRE_INTERVAL = 32
+#: Weight of a running task's projected duration, relative to a done task's. Reported
+#: percentages are whole numbers and up to a second apart.
+RUNNING_WEIGHT = 0.5
+#: How long the estimate of a step is cached, in milliseconds; reports arrive once a
+#: second.
+CACHE_TTL_MS = 200
+#: Standard deviations from the mean to the 95th percentile of a normal distribution.
+TAIL_DEVIATIONS = 1.645
+
+
+class _StepDurations:
+    """What is known of the durations of one step's tasks; kept with the step."""
+
+    __slots__ = (
+        "by_worker",
+        "computed_at_ms",
+        "expected_ms",
+        "is_current",
+        "pending",
+        "tail_ms",
+    )
+
+    def __init__(self) -> None:
+        #: Number of done tasks and sum of their log durations, by worker.
+        self.by_worker: dict[str, tuple[int, float]] = {}
+        #: Workers and log durations of done tasks that are not learned from yet.
+        self.pending: list[tuple[str, float]] = []
+        #: Cached results.
+        self.expected_ms = 0.0
+        self.tail_ms = 0.0
+        self.computed_at_ms = 0
+        self.is_current = False
+
+    def add(self, worker: str, log_ms: float) -> None:
+        """Add a done task."""
+        count, total = self.by_worker.get(worker, (0, 0.0))
+        self.by_worker[worker] = (count + 1, total + log_ms)
+        self.pending.append((worker, log_ms))
+        self.is_current = False
+
+    def totals(self, speeds: WorkerSpeeds) -> dict[str, tuple[int, float]]:
+        """Return counts and sums by worker, of durations on a typical worker."""
+        return {
+            worker: (count, total - count * speeds.log_factor(worker))
+            for worker, (count, total) in self.by_worker.items()
+        }
+
+
+class LearnedDurations(DurationEstimator):
+    """Predicts by queue, by step and by worker."""
+
+    def __init__(self) -> None:
+        #: Number of observed durations.
+        self.observations = 0
+        #: By name, least recently observed first.
+        self._queues: dict[str, QueueRegression] = {}
+        self._speeds = WorkerSpeeds()
+        self._since_centred = 0
+        self._now_ms = 0
+
+    def note_time(self, now_ms: int) -> None:
+        """Set the time by which cached estimates of steps are outdated."""
+        self._now_ms = now_ms
+
+    def note_incarnation(self, worker: str, incarnation_start_ms: int) -> None:
+        """Forget a worker's speed if another incarnation of it answers."""
+        self._speeds.note_incarnation(worker, incarnation_start_ms)
+
+    def observe(self, step: StepRun, worker: str, took_ms: int) -> None:
+        """Record the duration of a task that ran in one piece and succeeded."""
+        self.observations += 1
+        known = _known_of(step)
+        known.add(worker, math.log(max(1, took_ms)))
+        if step.is_done or len(known.pending) >= MAX_PENDING:
+            self._learn(step, known)
+
+    def estimate_ms(self, queue: str, spec: StepSpec) -> float:
+        """Return the expected duration of a task on a typical worker."""
+        regression = self._queues.get(queue)
+        if regression is None:
+            regression = _UNKNOWN_QUEUE
+        return regression.expected_ms(spec.estimate_ms)
+
+    def step_ms(self, step: StepRun) -> float:
+        """Return the expected duration, given what is known of the step's tasks."""
+        return self._current(step).expected_ms
+
+    def tail_ms(self, step: StepRun) -> float:
+        """Return the duration below which 95 of 100 tasks of the step stay."""
+        return self._current(step).tail_ms
+
+    def factor(self, worker: str) -> float:
+        """Return the duration of tasks on a worker relative to a typical one."""
+        return self._speeds.factor(worker)
+
+    def record(self) -> DurationRecord:
+        """Return what a later lead goes on with."""
+        queues = {name: queue.moments for name, queue in self._queues.items()}
+        return DurationRecord(queues, dict(self._speeds))
+
+    def restore(self, record: DurationRecord) -> None:
+        """Go on with a former lead's record, except for what was observed since."""
+        for name, moments in record.queues.items():
+            if name not in self._queues and len(self._queues) < MAX_QUEUES:
+                self._queues[name] = QueueRegression(moments)
+        observed = dict(self._speeds)
+        # What this lead has observed is the most recent, so it is evicted last.
+        for worker, speed in (record.workers | observed).items():
+            self._speeds.set(worker, observed.get(worker, speed))
+
+    def _current(self, step: StepRun) -> _StepDurations:
+        known = _known_of(step)
+        is_fresh = 0 <= self._now_ms - known.computed_at_ms < CACHE_TTL_MS
+        if not known.is_current or not is_fresh:
+            self._compute(step, known)
+            known.computed_at_ms = self._now_ms
+            known.is_current = True
+        return known
+
+    def _predict(self, step: StepRun) -> Prediction:
+        queue = self._queues.get(step.job.record.queue, _UNKNOWN_QUEUE)
+        return queue.predict(step.spec.estimate_ms)
+
+    def _compute(self, step: StepRun, known: _StepDurations) -> None:
+        prior = self._predict(step)
+        log_factor = self._speeds.log_factor
+        count, total = 0.0, 0.0
+        for done, log_sum in known.totals(self._speeds).values():
+            count += done
+            total += log_sum
+        floors = []
+        for run in _progressing_runs(step):
+            worked_ms = run.percent_at_ms - run.confirmed_at_ms
+            if worked_ms <= 0:
+                continue
+            worked = math.log(worked_ms) - log_factor(run.worker)
+            if run.percent >= MIN_PERCENT:
+                share = math.log(min(99, run.percent) / 100)
+                count += RUNNING_WEIGHT
+                total += RUNNING_WEIGHT * (worked - share)
+            else:
+                floors.append(worked)
+        mean, variance = _combine(prior, count, total)
+        # A task that is stuck shows nothing of the others, so the estimate is raised
+        # only if most of the tasks that are known have worked for longer.
+        if len(floors) > count:
+            floors.sort()
+            mean = max(mean, floors[(len(floors) - 1) // 2])
+        shift = prior.mean_shift * (variance / prior.variance)
+        known.expected_ms = math.exp(mean + shift)
+        known.tail_ms = math.exp(mean + TAIL_DEVIATIONS * math.sqrt(variance))
+
+    def _learn(self, step: StepRun, known: _StepDurations) -> None:
+        """Learn from the pending tasks, compared with others of the step."""
+        pending, known.pending = known.pending, []
+        prior = self._predict(step)
+        log_factor = self._speeds.log_factor
+        typical = [log_ms - log_factor(worker) for worker, log_ms in pending]
+        totals = known.totals(self._speeds)
+        count = sum(done for done, _ in totals.values())
+        total = sum(log_sum for _, log_sum in totals.values())
+        for worker, log_ms in pending:
+            # Tasks on the same worker tell nothing of its speed.
+            done, log_sum = totals[worker]
+            expected, variance = _combine(prior, count - done, total - log_sum)
+            weight = prior.within_variance / variance
+            self._speeds.add(worker, log_ms - expected, weight)
+        self._learn_queue(step, typical, count, total)
+        self._since_centred += len(pending)
+        if self._since_centred >= CENTRE_INTERVAL:
+            self._since_centred = 0
+            offset = self._speeds.centre()
+            for queue in self._queues.values():
+                queue.shift(offset)
+
+    def _learn_queue(
+        self, step: StepRun, typical: Iterable[float], count: int, total: float
+    ) -> None:
+        name = step.job.record.queue
+        queue = self._queues.pop(name, None) or QueueRegression()
+        self._queues[name] = queue
+        for log_ms in typical:
+            queue.add(log_ms, step.spec.estimate_ms, 1 / step.spec.count)
+            if count > 1:
+                others = count - 1
+                queue.add_within(log_ms - (total - log_ms) / others, others)
+        if len(self._queues) > MAX_QUEUES:
+            del self._queues[next(iter(self._queues))]
+
+
+#: Predicts for queues without observations.
+_UNKNOWN_QUEUE = QueueRegression()
+
+
+def _progressing_runs(step: StepRun) -> list[Run]:
+    """Return the runs of a step whose progress shows how long its tasks take."""
+    return [
+        run
+        for task in step.tasks
+        if (run := task.run) is not None
+        and run.state is RunState.RUNNING
+        and run.confirmed_at_ms
+        and not run.adopted
+        and not run.resumed
+        and run.pace_percent >= 100
+    ]
+
+
+def _known_of(step: StepRun) -> _StepDurations:
+    known = step.durations
+    if not isinstance(known, _StepDurations):
+        known = step.durations = _StepDurations()
+    return known
+
+
+def _combine(prior: Prediction, count: float, total: float) -> tuple[float, float]:
+    """Return mean and variance of a task's log duration, given others of its step.
+
+    ``total`` is the sum of the log durations of ``count`` others.
+    """
+    if not count:
+        return prior.mean, prior.variance
+    prior_weight = prior.within_variance / prior.step_variance
+    mean = (prior_weight * prior.mean + total) / (prior_weight + count)
+    return mean, prior.within_variance * (1 + 1 / (prior_weight + count))
--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -20,6 +20,7 @@
 from ._durations import DurationEstimator, QueueDurations
 from ._headroom import UrgentHeadroom
 from ._idle_jobs import IdleJobs
+from ._learned_durations import LearnedDurations
 from ._planning_pass import (
     Placement,
     Plan,
@@ -60,7 +61,9 @@
     def __init__(self, policy: SchedulingPolicy = SchedulingPolicy()) -> None:  # noqa: B008 - immutable.
         self.policy = policy
         self.book = AdviceBook()
-        self.durations: DurationEstimator = QueueDurations()
+        self.durations: DurationEstimator = (
+            LearnedDurations() if policy.learns_durations else QueueDurations()
+        )
         #: Names of the queues whose steps need advice.
         self._advised_queues: frozenset[str] = frozenset()
         self._headroom = UrgentHeadroom()
@@ -88,6 +91,7 @@
         team's limit, None for no limit. ``advice_slots`` bounds the advice requests
         made now; the most urgent steps get them.
         """
+        self.durations.note_time(now_ms)
         is_ending = self.run_ends.is_ending
         may_be_allowed = self.book.may_be_allowed
         state = PlanningPass(workers, now_ms, advice_slots, is_ending, may_be_allowed)
