--- a/packages/savorylead/savorylead/pools/_learned_durations.py
+++ b/packages/savorylead/savorylead/pools/_learned_durations.py
@@ -22,7 +22,8 @@
 #: Done tasks of an unfinished step whose workers are judged together. A first task
 #: tells little of its worker before others of its step are done.
 MAX_PENDING = 8
-#: Learned tasks after which the workers' factors are centred again.
+#: Fewest learned tasks after which the factors are again made relative to a typical
+#: worker, which takes as long as learning from one task of each worker.
 CENTRE_INTERVAL = 32
 #: Weight of a running task's projected duration, relative to a done task's. Reported
 #: percentages are whole numbers and up to a second apart.
@@ -193,7 +194,7 @@
             self._speeds.add(worker, log_ms - expected, weight)
         self._learn_queue(step, typical, count, total)
         self._since_centred += len(pending)
-        if self._since_centred >= CENTRE_INTERVAL:
+        if self._since_centred >= max(CENTRE_INTERVAL, len(self._speeds)):
             self._since_centred = 0
             offset = self._speeds.centre()
             for queue in self._queues.values():
--- a/packages/savorylead/savorylead/pools/_queue_regression.py
+++ b/packages/savorylead/savorylead/pools/_queue_regression.py
@@ -38,6 +38,8 @@
 #: Largest variance for which the mean of a log-normal distribution is computed; beyond
 #: it, few observations would change the estimate by more than e^2.
 MAX_VARIANCE = 4.0
+#: Cached results per queue, so that memory is bounded.
+MAX_CACHED = 512
 
 
 class QueueMoments(NamedTuple):
@@ -75,12 +77,14 @@
 class QueueRegression:
     """Learns a queue's durations, those of a typical worker."""
 
-    __slots__ = ("_line", "moments")
+    __slots__ = ("_expected_ms", "_line", "moments")
 
     def __init__(self, moments: QueueMoments = QueueMoments()) -> None:  # noqa: B008 - immutable.
         self.moments = moments
         #: Intercept, slope, step variance and shift of the mean; None if outdated.
         self._line: tuple[float, float, float, float] | None = None
+        #: Cached results by declared duration; a pass asks for the same ones often.
+        self._expected_ms: dict[int, float] = {}
 
     def add(self, actual: float, declared_ms: int, weight: float) -> None:
         """Add a task's log duration; ``weight`` is its share of its step."""
@@ -88,24 +92,26 @@
         count = old.count + weight
         alpha = weight / min(count, WINDOW_STEPS)
         change = actual - old.mean_actual
-        new = old._replace(
-            count=count,
-            mean_actual=old.mean_actual + alpha * change,
-            variance_actual=(1 - alpha) * (old.variance_actual + alpha * change**2),
-        )
+        mean_declared = old.mean_declared
+        variance_declared = old.variance_declared
+        covariance = old.covariance
         if declared_ms > 0:
             # A task without a declared duration tells nothing of the relation.
-            declared = log_declared(declared_ms) - old.mean_declared
-            if not old.mean_declared:
-                alpha = 1.0
-            new = new._replace(
-                mean_declared=old.mean_declared + alpha * declared,
-                variance_declared=(1 - alpha)
-                * (old.variance_declared + alpha * declared**2),
-                covariance=(1 - alpha) * (old.covariance + alpha * declared * change),
-            )
-        self.moments = new
-        self._line = None
+            declared = log_declared(declared_ms) - mean_declared
+            beta = alpha if mean_declared else 1.0
+            mean_declared += beta * declared
+            variance_declared = _moved(variance_declared, beta, declared * declared)
+            covariance = _moved(covariance, beta, declared * change)
+        self.moments = QueueMoments(
+            count,
+            old.mean_actual + alpha * change,
+            mean_declared,
+            _moved(old.variance_actual, alpha, change * change),
+            variance_declared,
+            covariance,
+            old.variance_within,
+        )
+        self._forget_results()
 
     def add_within(self, deviation: float, others: float) -> None:
         """Add a task's deviation from the mean of ``others`` tasks of its step."""
@@ -113,24 +119,30 @@
         sample = min(MAX_VARIANCE, deviation**2 * others / (others + 1))
         within = max(MIN_WITHIN_VARIANCE, old + WITHIN_WEIGHT * (sample - old))
         self.moments = self.moments._replace(variance_within=within)
-        self._line = None
+        self._forget_results()
 
     def shift(self, by: float) -> None:
         """Follow a change of what a typical worker is."""
         if self.moments.count:
             mean = self.moments.mean_actual + by
             self.moments = self.moments._replace(mean_actual=mean)
-            self._line = None
+            self._forget_results()
+
+    def _forget_results(self) -> None:
+        self._line = None
+        self._expected_ms = {}
 
     def expected_ms(self, declared_ms: int) -> float:
         """Return the mean duration of tasks with this declared duration."""
-        if not self.moments.count:
-            return math.exp(log_declared(declared_ms))
-        if declared_ms <= 0:
-            prediction = self._predict_undeclared()
-            return math.exp(prediction.mean + prediction.mean_shift)
-        intercept, slope, _, shift = self._line or self._fit()
-        return math.exp(intercept + slope * log_declared(declared_ms) + shift)
+        cached_ms = self._expected_ms.get(declared_ms)
+        if cached_ms is not None:
+            return cached_ms
+        prediction = self.predict(declared_ms)
+        result_ms = math.exp(prediction.mean + prediction.mean_shift)
+        if len(self._expected_ms) >= MAX_CACHED:
+            self._expected_ms = {}
+        self._expected_ms[declared_ms] = result_ms
+        return result_ms
 
     def predict(self, declared_ms: int) -> Prediction:
         """Return the distribution of the duration of a task."""
@@ -185,6 +197,11 @@
         return self._line
 
 
+def _moved(moment: float, alpha: float, product: float) -> float:
+    """Return a moving second moment after a deviation from the mean."""
+    return (1 - alpha) * (moment + alpha * product)
+
+
 def log_declared(declared_ms: int) -> float:
     """Return the logarithm of a declared duration, or of the default for none."""
     if declared_ms <= 0:
--- a/packages/savorylead/savorylead/pools/_worker_speeds.py
+++ b/packages/savorylead/savorylead/pools/_worker_speeds.py
@@ -70,7 +70,7 @@
         count = old.count + weight
         log_ratio = max(-MAX_LOG_RATIO, min(MAX_LOG_RATIO, log_ratio))
         mean = old.mean + weight / min(count, WINDOW_TASKS) * (log_ratio - old.mean)
-        self.set(worker, old._replace(count=count, mean=mean))
+        self.set(worker, WorkerSpeed(count, mean, old.incarnation_start_ms))
 
     def set(self, worker: str, speed: WorkerSpeed) -> None:
         """Set what is known of a worker, as the one observed last."""
@@ -96,16 +96,23 @@
             )
 
     def centre(self) -> float:
-        """Make the geometric mean of the factors 1; return the change of logarithms.
+        """Make a typical worker's factor 1; return the change of the logarithms.
 
-        Only ratios of factors can be learned, so their common level would drift.
+        Only ratios of factors can be learned, so their common level would drift. The
+        typical one is the mean of the middle half: a quarter of the workers that are
+        fast does not move it, as it would a mean of all, and where two speeds are about
+        equally frequent it does not jump between them, as a median would.
         """
-        known = [s for s in self._speeds.values() if s.count >= 1]
-        if not known:
+        logs = sorted(speed.log_factor for speed in self._speeds.values())
+        if not logs:
             return 0.0
-        offset = sum(s.log_factor for s in known) / len(known)
+        cut = len(logs) // 4
+        middle = logs[cut : len(logs) - cut]
+        offset = sum(middle) / len(middle)
         for worker, speed in self._speeds.items():
-            moved = speed._replace(mean=speed.mean - offset)
+            moved = WorkerSpeed(
+                speed.count, speed.mean - offset, speed.incarnation_start_ms
+            )
             self._speeds[worker] = moved
             self._factors[worker] = math.exp(moved.log_factor)
         return offset
