Workers are judged by the tasks of a step that run elsewhere

A step that took long by itself counted against its workers, which were then avoided: on a cell of four, all were after a step 40 times as long as usual. What is known of a step is read in a module of its own.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
@@ -157,9 +157,9 @@
             return
         took_ms = self._state.now_ms() - run.confirmed_at_ms
         durations = self._state.planner.durations
-        # Compared with the step's other tasks where they are known, so that a step that
-        # takes long by itself does not make its workers count as slow.
-        expected_ms = durations.step_ms(run.task.step)
+        # Compared with the step's tasks elsewhere where they are known, so that a step
+        # that takes long by itself does not make its workers count as slow.
+        expected_ms = durations.elsewhere_ms(run.task.step, run.worker)
         durations.observe(run.task.step, run.worker, took_ms)
         if worker.note_duration(took_ms / expected_ms, self._state.now_ms()):
             self._log.log_event(LogLevel.INFO, "worker_slow", worker=worker.id)
--- a/packages/savorylead/savorylead/pools/_durations.py
+++ b/packages/savorylead/savorylead/pools/_durations.py
@@ -78,6 +78,10 @@
         """Return the expected duration, given what is known of the step's tasks."""
         return self.estimate_ms(step.job.record.queue, step.spec)
 
+    def elsewhere_ms(self, step: StepRun, worker: str) -> float:
+        """Return the expected duration, given the step's tasks on other workers."""
+        return self.step_ms(step)
+
     def tail_ms(self, step: StepRun) -> float:
         """Return the duration below which 95 of 100 tasks of the step stay."""
         return self.step_ms(step)
--- a/packages/savorylead/savorylead/pools/_learned_durations.py
+++ b/packages/savorylead/savorylead/pools/_learned_durations.py
@@ -11,12 +11,12 @@
 import math
 from collections.abc import Iterable
 
-from savorylead.jobs import Run, RunState, StepRun, StepSpec
+from savorylead.jobs import StepRun, StepSpec
 
 from ._duration_record import MAX_QUEUES, DurationRecord
 from ._durations import DurationEstimator
 from ._queue_regression import Prediction, QueueRegression
-from ._run_ends import MIN_PERCENT
+from ._step_durations import StepDurations, known_of
 from ._worker_speeds import WorkerSpeeds
 
 #: Done tasks of an unfinished step whose workers are judged together. A first task
@@ -25,9 +25,6 @@
 #: Fewest learned tasks after which the factors are again made relative to a typical
 #: worker, which takes as long as learning from one task of each worker.
 CENTRE_INTERVAL = 32
-#: Weight of a running task's projected duration, relative to a done task's. Reported
-#: percentages are whole numbers and up to a second apart.
-RUNNING_WEIGHT = 0.5
 #: How long the estimate of a step is cached, in milliseconds; reports arrive once a
 #: second.
 CACHE_TTL_MS = 200
@@ -35,44 +32,6 @@
 TAIL_DEVIATIONS = 1.645
 
 
-class _StepDurations:
-    """What is known of the durations of one step's tasks; kept with the step."""
-
-    __slots__ = (
-        "by_worker",
-        "computed_at_ms",
-        "expected_ms",
-        "is_current",
-        "pending",
-        "tail_ms",
-    )
-
-    def __init__(self) -> None:
-        #: Number of done tasks and sum of their log durations, by worker.
-        self.by_worker: dict[str, tuple[int, float]] = {}
-        #: Workers and log durations of done tasks that are not learned from yet.
-        self.pending: list[tuple[str, float]] = []
-        #: Cached results.
-        self.expected_ms = 0.0
-        self.tail_ms = 0.0
-        self.computed_at_ms = 0
-        self.is_current = False
-
-    def add(self, worker: str, log_ms: float) -> None:
-        """Add a done task."""
-        count, total = self.by_worker.get(worker, (0, 0.0))
-        self.by_worker[worker] = (count + 1, total + log_ms)
-        self.pending.append((worker, log_ms))
-        self.is_current = False
-
-    def totals(self, speeds: WorkerSpeeds) -> dict[str, tuple[int, float]]:
-        """Return counts and sums by worker, of durations on a typical worker."""
-        return {
-            worker: (count, total - count * speeds.log_factor(worker))
-            for worker, (count, total) in self.by_worker.items()
-        }
-
-
 class LearnedDurations(DurationEstimator):
     """Predicts by queue, by step and by worker."""
 
@@ -96,7 +55,7 @@
     def observe(self, step: StepRun, worker: str, took_ms: int) -> None:
         """Record the duration of a task that ran in one piece and succeeded."""
         self.observations += 1
-        known = _known_of(step)
+        known = known_of(step)
         known.add(worker, math.log(max(1, took_ms)))
         if step.is_done or len(known.pending) >= MAX_PENDING:
             self._learn(step, known)
@@ -116,6 +75,11 @@
         """Return the duration below which 95 of 100 tasks of the step stay."""
         return self._current(step).tail_ms
 
+    def elsewhere_ms(self, step: StepRun, worker: str) -> float:
+        """Return the expected duration, given the step's tasks on other workers."""
+        known = self._read(step)
+        return _mean_ms(*self._distribution(step, known, without=worker))
+
     def factor(self, worker: str) -> float:
         """Return the duration of tasks on a worker relative to a typical one."""
         return self._speeds.factor(worker)
@@ -135,55 +99,63 @@
         for worker, speed in (record.workers | observed).items():
             self._speeds.set(worker, observed.get(worker, speed))
 
-    def _current(self, step: StepRun) -> _StepDurations:
-        known = _known_of(step)
-        is_fresh = 0 <= self._now_ms - known.computed_at_ms < CACHE_TTL_MS
-        if not known.is_current or not is_fresh:
-            self._compute(step, known)
-            known.computed_at_ms = self._now_ms
+    def _current(self, step: StepRun) -> StepDurations:
+        known = self._read(step)
+        if not known.is_current:
+            mean, variance, prior = self._distribution(step, known)
+            known.expected_ms = _mean_ms(mean, variance, prior)
+            known.tail_ms = math.exp(mean + TAIL_DEVIATIONS * math.sqrt(variance))
             known.is_current = True
         return known
 
+    def _read(self, step: StepRun) -> StepDurations:
+        known = known_of(step)
+        read_at_ms = known.read_at_ms
+        if read_at_ms is None or not 0 <= self._now_ms - read_at_ms < CACHE_TTL_MS:
+            known.read_runs(step, self._now_ms)
+        return known
+
     def _predict(self, step: StepRun) -> Prediction:
         queue = self._queues.get(step.job.record.queue, _UNKNOWN_QUEUE)
         return queue.predict(step.spec.estimate_ms)
 
-    def _compute(self, step: StepRun, known: _StepDurations) -> None:
+    def _distribution(
+        self, step: StepRun, known: StepDurations, without: str | None = None
+    ) -> tuple[float, float, Prediction]:
+        """Return mean and variance of a task's log duration, and what they began with.
+
+        Tasks on the worker ``without`` are left out.
+        """
         prior = self._predict(step)
         log_factor = self._speeds.log_factor
         count, total = 0.0, 0.0
-        for done, log_sum in known.totals(self._speeds).values():
-            count += done
-            total += log_sum
-        floors = []
-        for run in _progressing_runs(step):
-            worked_ms = run.percent_at_ms - run.confirmed_at_ms
-            if worked_ms <= 0:
-                continue
-            worked = math.log(worked_ms) - log_factor(run.worker)
-            if run.percent >= MIN_PERCENT:
-                share = math.log(min(99, run.percent) / 100)
-                count += RUNNING_WEIGHT
-                total += RUNNING_WEIGHT * (worked - share)
-            else:
-                floors.append(worked)
+        for by_worker in (known.done, known.running):
+            for worker, (weight, log_sum) in by_worker.items():
+                if worker != without:
+                    count += weight
+                    total += log_sum - weight * log_factor(worker)
         mean, variance = _combine(prior, count, total)
+        floors = sorted(
+            log_ms - log_factor(worker)
+            for worker, log_ms in known.worked
+            if worker != without
+        )
         # A task that is stuck shows nothing of the others, so the estimate is raised
         # only if most of the tasks that are known have worked for longer.
         if len(floors) > count:
-            floors.sort()
             mean = max(mean, floors[(len(floors) - 1) // 2])
-        shift = prior.mean_shift * (variance / prior.variance)
-        known.expected_ms = math.exp(mean + shift)
-        known.tail_ms = math.exp(mean + TAIL_DEVIATIONS * math.sqrt(variance))
+        return mean, variance, prior
 
-    def _learn(self, step: StepRun, known: _StepDurations) -> None:
+    def _learn(self, step: StepRun, known: StepDurations) -> None:
         """Learn from the pending tasks, compared with others of the step."""
         pending, known.pending = known.pending, []
         prior = self._predict(step)
         log_factor = self._speeds.log_factor
         typical = [log_ms - log_factor(worker) for worker, log_ms in pending]
-        totals = known.totals(self._speeds)
+        totals = {
+            worker: (done, log_sum - done * log_factor(worker))
+            for worker, (done, log_sum) in known.done.items()
+        }
         count = sum(done for done, _ in totals.values())
         total = sum(log_sum for _, log_sum in totals.values())
         for worker, log_ms in pending:
@@ -201,7 +173,7 @@
                 queue.shift(offset)
 
     def _learn_queue(
-        self, step: StepRun, typical: Iterable[float], count: int, total: float
+        self, step: StepRun, typical: Iterable[float], count: float, total: float
     ) -> None:
         name = step.job.record.queue
         queue = self._queues.pop(name, None) or QueueRegression()
@@ -219,27 +191,6 @@
 _UNKNOWN_QUEUE = QueueRegression()
 
 
-def _progressing_runs(step: StepRun) -> list[Run]:
-    """Return the runs of a step whose progress shows how long its tasks take."""
-    return [
-        run
-        for task in step.tasks
-        if (run := task.run) is not None
-        and run.state is RunState.RUNNING
-        and run.confirmed_at_ms
-        and not run.adopted
-        and not run.resumed
-        and run.pace_percent >= 100
-    ]
-
-
-def _known_of(step: StepRun) -> _StepDurations:
-    known = step.durations
-    if not isinstance(known, _StepDurations):
-        known = step.durations = _StepDurations()
-    return known
-
-
 def _combine(prior: Prediction, count: float, total: float) -> tuple[float, float]:
     """Return mean and variance of a task's log duration, given others of its step.
 
@@ -250,3 +201,8 @@
     prior_weight = prior.within_variance / prior.step_variance
     mean = (prior_weight * prior.mean + total) / (prior_weight + count)
     return mean, prior.within_variance * (1 + 1 / (prior_weight + count))
+
+
+def _mean_ms(mean: float, variance: float, prior: Prediction) -> float:
+    """Return the mean duration, of which the median is that of ``mean``."""
+    return math.exp(mean + prior.mean_shift * (variance / prior.variance))
