--- a/packages/savorylead/savorylead/pools/_learned_durations.py
+++ b/packages/savorylead/savorylead/pools/_learned_durations.py
@@ -95,9 +95,10 @@
             if name not in self._queues and len(self._queues) < MAX_QUEUES:
                 self._queues[name] = QueueRegression(moments)
         observed = dict(self._speeds)
+        recorded = {w: s for w, s in record.workers.items() if w not in observed}
         # What this lead has observed is the most recent, so it is evicted last.
-        for worker, speed in (record.workers | observed).items():
-            self._speeds.set(worker, observed.get(worker, speed))
+        for worker, speed in (recorded | observed).items():
+            self._speeds.set(worker, speed)
 
     def _current(self, step: StepRun) -> StepDurations:
         known = self._read(step)
--- a/packages/savorylead/savorylead/pools/tests/test_duration_record.py
+++ b/packages/savorylead/savorylead/pools/tests/test_duration_record.py
@@ -63,6 +63,7 @@
     record = durations.record()
     assert record.queues["q"] == learned.queues["q"]
     assert record.workers["w0"] == learned.workers["w0"]
+    assert list(record.workers)[-2:] == ["w0", "w1"]
     assert record.workers["w2"] == speeds["w2"]
     assert len(record.workers) == MAX_WORKERS
     assert len(record.queues) == MAX_QUEUES
