Durations and worker speeds decide placement, due times and stalls

Best fit alone places urgent tasks on workers that need 1.2 where others need 0.55, and a job whose step turns out long counts as late at its former due time.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_fleet.py
@@ -360,7 +360,7 @@
             return True
         if not spec.checkpoints:
             return False
-        queue = run.task.step.job.record.queue
-        length_ms = self._state.planner.durations.estimate_ms(queue, spec)
+        durations = self._state.planner.durations
+        length_ms = durations.step_ms(run.task.step) * durations.factor(run.worker)
         left_ms = length_ms * (1 - run.percent / 100)
         return left_ms > remaining_ms - LEAVING_MARGIN_MS
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
@@ -18,6 +18,7 @@
     failures_of,
     note_reported,
     stalled_runs,
+    urgent_queues,
 )
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
@@ -216,8 +217,9 @@
 
     def _stop_stalled(self, session: WorkerSession) -> None:
         now_ms = self._state.now_ms()
-        durations = self._state.planner.durations
-        for run in stalled_runs(session.worker, durations, now_ms):
+        planner = self._state.planner
+        urgent = urgent_queues(planner.policy, self._state.queues.values())
+        for run in stalled_runs(session.worker, planner.durations, now_ms, urgent):
             self._starter.log_start(run, "stalled", percent=run.percent)
             session.worker.note_stalled(run, now_ms)
             session.stop_run(run, "stalled")
--- a/packages/savorylead/savorylead/pools/__init__.py
+++ b/packages/savorylead/savorylead/pools/__init__.py
@@ -61,7 +61,7 @@
 from ._pool_planner import PoolPlanner
 from ._pool_worker import PoolWorker, reservation_of
 from ._reconcile import Ended, Finding, Listed, UnknownRun, Vanished, reconcile
-from ._stalls import note_reported, stalled_runs
+from ._stalls import note_reported, stalled_runs, urgent_queues
 from ._store_contracts import (
     CellStore,
     Change,
@@ -163,4 +163,5 @@
     "retry_after_ms",
     "stalled_runs",
     "urgency_of",
+    "urgent_queues",
 ]
--- a/packages/savorylead/savorylead/pools/_planning_pass.py
+++ b/packages/savorylead/savorylead/pools/_planning_pass.py
@@ -13,6 +13,7 @@
 from ._advice import AdviceRequest, AdviceSlots
 from ._failures import has_failed_on
 from ._pool_worker import PoolWorker, reservation_of
+from ._speed_classes import NO_RANKS, SpeedRanks
 
 #: Age up to which a run is as likely to crash its worker as one that starts now, in
 #: milliseconds.
@@ -69,9 +70,11 @@
         advice_slots: AdviceSlots,
         is_ending: Callable[[Run, int], bool],
         may_be_allowed: Callable[[StepRun, PoolWorker], bool],
+        speeds: SpeedRanks = NO_RANKS,
     ) -> None:
         """``may_be_allowed()`` is False if a policy is known to forbid a worker."""
         self.now_ms = now_ms
+        self.speeds = speeds
         self.advice_slots = advice_slots
         self.workers = list(workers)
         #: Ids of the workers that should get one task at a time.
@@ -348,10 +351,13 @@
             disturbed,
             -free.cores_milli,
         )
+    # A slower worker costs an urgent task more than best fit gains; of workers of one
+    # class of speed, best fit decides.
+    speed = state.speeds.rank(step, worker)
     # Best fit: the least capacity remains, which leaves other workers for large tasks.
     remaining = free.minus(reservation_of(step))
     left = remaining.dominant_share(worker.entry.capacity)
-    return (failing, remote, cold, risky, left)
+    return (failing, remote, cold, risky, speed, left)
 
 
 def choose_worker(
--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -38,6 +38,7 @@
 from ._preemption import Preemption
 from ._reservation import Reservation, may_reserve
 from ._run_ends import RunEnds
+from ._speed_classes import NO_RANKS, speed_ranks
 from ._step_times import StepTimes
 from ._turns import Turns, may_take_turn
 from ._urgency import Urgency, urgency_of
@@ -57,10 +58,14 @@
 class PoolPlanner:
     """Plans for one pool. Does no I/O; its state is observed load and advice."""
 
-    def __init__(self, policy: SchedulingPolicy = SchedulingPolicy()) -> None:  # noqa: B008 - immutable.
+    def __init__(
+        self,
+        policy: SchedulingPolicy = SchedulingPolicy(),  # noqa: B008 - immutable.
+        durations: DurationEstimator | None = None,
+    ) -> None:
         self.policy = policy
         self.book = AdviceBook()
-        self.durations: DurationEstimator = QueueDurations()
+        self.durations = durations or QueueDurations()
         #: Names of the queues whose steps need advice.
         self._advised_queues: frozenset[str] = frozenset()
         self._headroom = UrgentHeadroom()
@@ -90,7 +95,13 @@
         """
         is_ending = self.run_ends.is_ending
         may_be_allowed = self.book.may_be_allowed
-        state = PlanningPass(workers, now_ms, advice_slots, is_ending, may_be_allowed)
+        workers = list(workers)
+        speeds = NO_RANKS
+        if self.policy.learns_durations:
+            speeds = speed_ranks(self.durations, workers, queues)
+        state = PlanningPass(
+            workers, now_ms, advice_slots, is_ending, may_be_allowed, speeds
+        )
         preemption = Preemption(self.times, queues, now_ms, is_ending)
         self._idle.update(steps, now_ms)
         ranked = sorted(
@@ -239,6 +250,9 @@
         tickets = self._usable_tickets(state, step, workers)
         if tickets is not None:
             workers = [w for w in workers if w.id in tickets]
+        if state.speeds.any:
+            # Of equally cheap workers, the first one is preempted.
+            workers.sort(key=lambda w: state.speeds.rank(step, w))
         # Room that is freed bit by bit does not serve a gang.
         if not step.spec.gang:
             missing -= state.take_ending(workers, step, missing)
@@ -276,9 +290,8 @@
 
         A starved job may use workers that are reserved for others.
         """
-        queue = step.job.record.queue
-        length_ms = self.durations.estimate_ms(queue, step.spec) * BACKFILL_MARGIN
-        ends_ms = state.now_ms + length_ms
+        durations = self.durations
+        length_ms = durations.step_ms(step) * BACKFILL_MARGIN
         is_long_running = step.spec.long_running
         found = [
             worker
@@ -294,7 +307,11 @@
                     and state.reserved[worker.id] - state.now_ms
                     > IMMINENT_RESERVATION_MS
                 )
-                or (ends_ms <= state.reserved[worker.id] and not is_long_running)
+                or (
+                    state.now_ms + length_ms * durations.factor(worker.id)
+                    <= state.reserved[worker.id]
+                    and not is_long_running
+                )
             )
         ]
         found.sort(key=lambda worker: suitability(state, step, worker))
--- a/packages/savorylead/savorylead/pools/_run_ends.py
+++ b/packages/savorylead/savorylead/pools/_run_ends.py
@@ -41,8 +41,8 @@
             return run.percent_at_ms + worked_ms * remaining_share / (
                 1 - remaining_share
             )
-        queue = run.task.step.job.record.queue
-        length_ms = self._durations.estimate_ms(queue, run.task.step.spec)
+        step_ms = self._durations.step_ms(run.task.step)
+        length_ms = step_ms * self._durations.factor(run.worker)
         return run.percent_at_ms + length_ms * remaining_share
 
     def is_ending(self, run: Run, now_ms: int) -> bool:
--- a/packages/savorylead/savorylead/pools/_step_times.py
+++ b/packages/savorylead/savorylead/pools/_step_times.py
@@ -48,7 +48,7 @@
             return time
         job = step.job
         begun_ms = _begun_ms(job, step.occurrence)
-        due_ms = begun_ms + int(self.objective_ms(queue, job.record.spec.steps))
+        due_ms = begun_ms + int(self._objective_ms(step, queue))
         time = StepTime(begun_ms, due_ms, self._remaining_ms(step), now_ms)
         step.time = time
         return time
@@ -59,29 +59,56 @@
 
     def chain_ms(self, queue: str, steps: Sequence[StepSpec]) -> float:
         """Return the expected duration of a job's critical path."""
-        ends: list[float] = []
-        for step in steps:
-            begin = max((ends[i] for i in step.after), default=0.0)
-            ends.append(begin + self._durations.estimate_ms(queue, step))
-        return max(ends, default=0.0)
+        estimate_ms = self._durations.estimate_ms
+        return _chain_ms(steps, [estimate_ms(queue, step) for step in steps])
 
     def length_ms(self, step: StepRun) -> float:
-        """Return the expected duration of a task of the step."""
+        """Return the expected duration of a task of the step on a typical worker."""
+        if _has_begun(step):
+            return self._durations.step_ms(step)
         return self._durations.estimate_ms(step.job.record.queue, step.spec)
 
+    def _objective_ms(self, step: StepRun, queue: Queue) -> float:
+        """Return the time within which the step's occurrence should end.
+
+        An occurrence whose step turns out longer than estimated is due later by that,
+        as is its critical path.
+        """
+        steps = step.job.occurrences[step.occurrence]
+        chain_ms = _chain_ms(
+            step.job.record.spec.steps, [self.length_ms(each) for each in steps]
+        )
+        return queue.stretch * chain_ms + queue.objective_ms
+
     def _remaining_ms(self, step: StepRun) -> float:
         """Return the expected duration of the critical path from the step on."""
-        queue = step.job.record.queue
-        steps = step.job.record.spec.steps
-        estimate_ms = self._durations.estimate_ms
-        ends: dict[int, float] = {step.index: estimate_ms(queue, step.spec)}
-        for index in range(step.index + 1, len(steps)):
-            begins = [ends[i] for i in steps[index].after if i in ends]
+        steps = step.job.occurrences[step.occurrence]
+        ends: dict[int, float] = {step.index: self.length_ms(step)}
+        for later in steps[step.index + 1 :]:
+            begins = [ends[i] for i in later.spec.after if i in ends]
             if begins:
-                ends[index] = max(begins) + estimate_ms(queue, steps[index])
+                ends[later.index] = max(begins) + self.length_ms(later)
         return max(ends.values())
 
 
+def _chain_ms(steps: Sequence[StepSpec], lengths_ms: Sequence[float]) -> float:
+    """Return the duration of the critical path of steps of these durations."""
+    ends: list[float] = []
+    for step, length_ms in zip(steps, lengths_ms, strict=True):
+        begin = max((ends[i] for i in step.after), default=0.0)
+        ends.append(begin + length_ms)
+    return max(ends, default=0.0)
+
+
+def _has_begun(step: StepRun) -> bool:
+    """Return whether a task of the step runs, has run or is done."""
+    if step.done_count:
+        return True
+    return step.ready_at_ms is not None and any(
+        task.run is not None or task.last_run for task in step.tasks
+    )
+
+
 def _begun_ms(job: Job, occurrence: int) -> int:
     spec = job.record.spec
     if spec.repeats:
