--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -63,9 +63,12 @@
         policy: SchedulingPolicy = SchedulingPolicy(),  # noqa: B008 - immutable.
         durations: DurationEstimator | None = None,
     ) -> None:
+        """``durations`` are used only if the policy is to learn durations."""
         self.policy = policy
         self.book = AdviceBook()
-        self.durations = durations or QueueDurations()
+        self.durations: DurationEstimator = QueueDurations()
+        if policy.learns_durations and durations is not None:
+            self.durations = durations
         #: Names of the queues whose steps need advice.
         self._advised_queues: frozenset[str] = frozenset()
         self._headroom = UrgentHeadroom()
