--- a/packages/savorylead/savorylead/pools/_advice_calls.py
+++ b/packages/savorylead/savorylead/pools/_advice_calls.py
@@ -63,8 +63,7 @@
                 )
                 if w.id not in state.reserved and w.id not in state.requested
             ]
-            if state.speeds.any:
-                preemptable.sort(key=lambda w: state.speeds.rank(step, w))
+            state.sort_by_speed(preemptable, step)
         else:
             preemptable = []
         if step.spec.gang:
@@ -91,9 +90,8 @@
         """Return the request for a step whose tasks start independently."""
         assert queue.advice is not None
         others = _eligible_workers(state, step)
-        others.sort(
-            key=lambda w: (state.speeds.rank(step, w), -state.free[w.id].cores_milli)
-        )
+        others.sort(key=lambda w: -state.free[w.id].cores_milli)
+        state.sort_by_speed(others, step)
         fitting = tasks_per_worker(step, available or others)
         return self._book.request(
             step, queue.advice, available, others, fitting, state.now_ms
--- a/packages/savorylead/savorylead/pools/_planning_pass.py
+++ b/packages/savorylead/savorylead/pools/_planning_pass.py
@@ -13,7 +13,7 @@
 from ._advice import AdviceRequest, AdviceSlots
 from ._failures import has_failed_on
 from ._pool_worker import PoolWorker, reservation_of
-from ._speed_classes import NO_RANKS, SpeedRanks
+from ._speed_classes import SpeedRanks
 
 #: Age up to which a run is as likely to crash its worker as one that starts now, in
 #: milliseconds.
@@ -70,9 +70,12 @@
         advice_slots: AdviceSlots,
         is_ending: Callable[[Run, int], bool],
         may_be_allowed: Callable[[StepRun, PoolWorker], bool],
-        speeds: SpeedRanks = NO_RANKS,
+        speeds: SpeedRanks | None = None,
     ) -> None:
-        """``may_be_allowed()`` is False if a policy is known to forbid a worker."""
+        """``may_be_allowed()`` is False if a policy is known to forbid a worker.
+
+        ``speeds`` is None if workers are not told apart by speed.
+        """
         self.now_ms = now_ms
         self.speeds = speeds
         self.advice_slots = advice_slots
@@ -125,6 +128,15 @@
         self.free_at: dict[tuple[str, Resources], tuple[Resources, float]] = {}
         self.plan = Plan([], [], [], {}, {}, [], [])
 
+    def sort_by_speed(self, workers: list[PoolWorker], step: StepRun) -> None:
+        """Sort workers by their speed, those first that the step prefers.
+
+        The order of others is kept.
+        """
+        speeds = self.speeds
+        if speeds is not None:
+            workers.sort(key=lambda worker: speeds.rank(step, worker))
+
     @cached_property
     def releasing(self) -> dict[str, Resources]:
         """Resources held by runs that are being stopped, by worker."""
@@ -353,7 +365,10 @@
         )
     # A slower worker costs an urgent task more than best fit gains; of workers of one
     # class of speed, best fit decides.
-    speed = state.speeds.rank(step, worker)
+    speed = 0
+    if state.speeds is not None and not spec.gang:
+        # Looked up without a call: a pass ranks workers a hundred thousand times.
+        speed = state.speeds.by_queue[step.job.record.queue][worker.id]
     # Best fit: the least capacity remains, which leaves other workers for large tasks.
     remaining = free.minus(reservation_of(step))
     left = remaining.dominant_share(worker.entry.capacity)
--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -38,7 +38,7 @@
 from ._preemption import Preemption
 from ._reservation import Reservation, may_reserve
 from ._run_ends import RunEnds
-from ._speed_classes import NO_RANKS, speed_ranks
+from ._speed_classes import speed_ranks
 from ._step_times import StepTimes
 from ._turns import Turns, may_take_turn
 from ._urgency import Urgency, urgency_of
@@ -99,7 +99,7 @@
         is_ending = self.run_ends.is_ending
         may_be_allowed = self.book.may_be_allowed
         workers = list(workers)
-        speeds = NO_RANKS
+        speeds = None
         if self.policy.learns_durations:
             speeds = speed_ranks(self.durations, workers, queues)
         state = PlanningPass(
@@ -253,9 +253,8 @@
         tickets = self._usable_tickets(state, step, workers)
         if tickets is not None:
             workers = [w for w in workers if w.id in tickets]
-        if state.speeds.any:
-            # Of equally cheap workers, the first one is preempted.
-            workers.sort(key=lambda w: state.speeds.rank(step, w))
+        # Of workers with equally cheap victims, the first one is chosen.
+        state.sort_by_speed(workers, step)
         # Room that is freed bit by bit does not serve a gang.
         if not step.spec.gang:
             missing -= state.take_ending(workers, step, missing)
--- a/packages/savorylead/savorylead/pools/_speed_classes.py
+++ b/packages/savorylead/savorylead/pools/_speed_classes.py
@@ -35,47 +35,43 @@
 
 
 class SpeedRanks:
-    """Ranks workers by their speed for each step of one pass. Immutable."""
+    """Ranks workers by their speed for the steps of one pass. Immutable."""
 
     def __init__(self, classes: Mapping[str, int], signs: Mapping[str, int]) -> None:
-        """``signs`` has 1 for queues that prefer fast workers, -1 for slow ones."""
-        self._classes = classes
-        self._signs = signs
-
-    @property
-    def any(self) -> bool:
-        """Whether any worker ranks differently from others for any queue."""
-        return bool(self._classes and self._signs)
+        """``signs`` has 1 for queues that prefer fast workers, else -1 or 0."""
+        #: Ranks of workers for finite tasks outside gangs, by queue and worker.
+        self.by_queue: dict[str, dict[str, int]] = {
+            queue: {worker: sign * number for worker, number in classes.items()}
+            for queue, sign in signs.items()
+        }
 
     def rank(self, step: StepRun, worker: PoolWorker) -> int:
-        """Return the rank of a worker for a task of the step; lower is better."""
-        sign = self._signs.get(step.job.record.queue)
-        if sign is None:
-            return 0
+        """Return the rank of a worker for a task of the step; lower is better.
+
+        A gang is as fast as its slowest member, and long-running and filling tasks do
+        not end: they rank all workers alike.
+        """
         spec = step.spec
         if spec.gang or spec.long_running or spec.fills:
             return 0
-        return sign * self._classes[worker.id]
-
-
-#: Ranks for pools whose workers are not told apart.
-NO_RANKS = SpeedRanks({}, {})
+        return self.by_queue[step.job.record.queue][worker.id]
 
 
 def speed_ranks(
     durations: DurationEstimator,
     workers: Iterable[PoolWorker],
     queues: Mapping[str, Queue],
-) -> SpeedRanks:
-    """Return the ranks for one pass."""
+) -> SpeedRanks | None:
+    """Return the ranks for one pass; None if they tell no workers apart."""
     classes = {w.id: speed_class(durations.factor(w.id)) for w in workers}
-    if len(set(classes.values())) < 2:
-        return NO_RANKS
-    return SpeedRanks(classes, _signs(queues))
+    signs = _signs(queues)
+    if not any(signs.values()) or len(set(classes.values())) < 2:
+        return None
+    return SpeedRanks(classes, signs)
 
 
 def _signs(queues: Mapping[str, Queue]) -> dict[str, int]:
-    """Return which queues prefer fast workers (1) and which slow ones (-1).
+    """Return which queues prefer fast workers (1), slow ones (-1) or none (0).
 
     A queue has no preference if its pool has no queues of the other kind: fast workers
     are left free only where urgent tasks need them.
@@ -83,8 +79,10 @@
     with_urgent = {q.pool for q in queues.values() if q.priority <= URGENT_PRIORITY}
     with_others = {q.pool for q in queues.values() if q.priority > URGENT_PRIORITY}
     divided = with_urgent & with_others
-    return {
-        name: 1 if queue.priority <= URGENT_PRIORITY else -1
-        for name, queue in queues.items()
-        if queue.pool in divided
-    }
+
+    def sign(queue: Queue) -> int:
+        if queue.pool not in divided:
+            return 0
+        return 1 if queue.priority <= URGENT_PRIORITY else -1
+
+    return {name: sign(queue) for name, queue in queues.items()}
--- a/packages/savorylead/savorylead/pools/tests/test_pass_cost.py
+++ b/packages/savorylead/savorylead/pools/tests/test_pass_cost.py
@@ -6,6 +6,7 @@
 
 from savorylead.pools import PoolPlanner
 
+from .duration_cases import LEARNS, FixedDurations
 from .pool_cases import plan, run_on, step_of, worker
 
 WORKERS = 24
@@ -55,3 +56,27 @@
     steps = [step_of(f"u{n}", "urgent", cores=3) for n in range(2)]
     result = plan(steps, [one])
     assert len({run.task.index for run in result.preempted}) == 2
+
+
+class CountingDurations(FixedDurations):
+    """Counts the factors that are asked for."""
+
+    def __init__(self, factors: dict[str, float]) -> None:
+        super().__init__(factors)
+        self.asked = 0
+
+    def factor(self, worker: str) -> float:
+        self.asked += 1
+        return super().factor(worker)
+
+
+@pytest.mark.parametrize("waiting", [10, 100])
+def test_speeds_are_asked_for_once_a_pass_however_many_steps_wait(waiting: int) -> None:
+    # A pass ranks all workers for each waiting step, and a factor takes an exponential.
+    workers = [worker(f"w{n}", cores=4) for n in range(WORKERS)]
+    durations = CountingDurations({w.id: 0.5 for w in workers[::4]})
+    names = ("urgent", "normal", "batch")
+    steps = [step_of(f"j{n}", names[n % 3]) for n in range(waiting)]
+    result = plan(steps, workers, PoolPlanner(LEARNS, durations))
+    assert result.placements
+    assert durations.asked == WORKERS
