Copies of late speculative tasks: planner, runs of a task, starts and ends

Cause: the end of a task on a hung worker is known 4 to 7 s after its start, and no decision reads the callers' permission to run a task twice. Change: with copy_share over 0, a second run starts beside one that is silent, stalled or late, on capacity that no waiting task can use in the pass; with the default policy nothing is planned or adopted.

--- a/packages/savorylead-ctl/savorylead_ctl/explain/_explanation.py
+++ b/packages/savorylead-ctl/savorylead_ctl/explain/_explanation.py
@@ -59,6 +59,14 @@
 }
 #: Task outcomes that are not problems.
 GOOD_OUTCOMES = frozenset({"done", "started"})
+#: Descriptions of the reasons for a second run beside a task's first one.
+COPY_REASONS = {
+    "silent": "the worker of its first run did not answer",
+    "stalled": "its first run made no progress or did not stop",
+    "late": "its first run took longer than expected",
+}
+#: Reason for which a run is stopped that the job does not need any more.
+NOT_NEEDED = "not_needed"
 #: Events of a whole daemon that may have delayed any request.
 CELL_EVENTS = frozenset(
     {
@@ -190,8 +198,12 @@
     details = line.details
     if line.event in ("task_start", "task_end"):
         outcome = str(details.get("outcome", ""))
+        if details.get("copy") is True and outcome == "started":
+            return _describe_copy(line)
         if outcome in GOOD_OUTCOMES:
             return ""
+        if outcome == "stopped" and details.get("stop_reason") == NOT_NEEDED:
+            return ""
         where = details.get("worker", "")
         return f"{details.get('task_name')} on {where}: {outcome or 'no outcome'}"
     if line.event == "lead_lease_ended":
@@ -209,6 +221,15 @@
     return PROBLEM_EVENTS.get(line.event, "")
 
 
+def _describe_copy(line: LogLine) -> str:
+    details = line.details
+    reason = str(details.get("reason", ""))
+    return (
+        f"a copy of {details.get('task_name')} was started on "
+        f"{details.get('worker')}: {COPY_REASONS.get(reason, reason)}"
+    )
+
+
 def _describe_ended_lease(line: LogLine) -> str:
     lead, unable = line.details.get("lead"), line.details.get("cannot_connect")
     if line.details.get("detail"):
--- a/packages/savorylead-ctl/savorylead_ctl/explain/_overlaps.py
+++ b/packages/savorylead-ctl/savorylead_ctl/explain/_overlaps.py
@@ -51,8 +51,10 @@
 ) -> Overlap | None:
     """Return the first overlap in the lines of one task, in order of time."""
     begun: list[LogLine] = []
+    # The caller permits copies to run beside the first run of a task.
+    copies = {each.details["run"] for each in lines if each.details.get("copy") is True}
     for line in lines:
-        if not _tells_begin(line):
+        if not _tells_begin(line) or line.details["run"] in copies:
             continue
         for former in begun:
             if (
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_lead_parts.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_lead_parts.py
@@ -11,6 +11,7 @@
 
 from ._advice_caller import CallAdviser
 from ._cell_lease import CellLease
+from ._copy_counts import CopyCounts
 from ._crash_tracker import CrashCounts
 
 
@@ -37,6 +38,8 @@
     all_mark_ended_leases: Callable[[], bool]
     #: Counts crashes of workers; outlives the lead.
     crash_counts: CrashCounts
+    #: Counts copies of late tasks; outlives the lead.
+    copy_counts: CopyCounts
     #: Notifies the other pools' leads that the teams' limit grants have changed.
     on_grants_written: Callable[[str], None]
     policy: SchedulingPolicy
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_metrics.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_metrics.py
@@ -12,6 +12,7 @@
 from savorylead.links import LinkCount
 from savorylead_daemon.observability import escape_label
 
+from ._copy_counts import CopyCounts
 from ._crash_tracker import CrashCounts
 
 
@@ -61,6 +62,12 @@
             "Tasks that were given up since they crash their workers.",
             registry=self._registry,
         )
+        self._copies = CounterSeries(
+            "savorylead_pool_copies_total",
+            "Second runs of late tasks beside their first ones: started, won (the task "
+            "was done by it), or lost.",
+            registry=self._registry,
+        )
         self._evacuated = Gauge(
             "savorylead_evacuated_since_seconds",
             "Unix time at which each failure domain under evacuation was found so.",
@@ -84,6 +91,7 @@
         ended_terms: Mapping[tuple[str, str], int],
         ended_leases: Mapping[str, int],
         crashes: CrashCounts,
+        copies: CopyCounts,
         evacuated_since: Mapping[str, datetime],
         ready: bool,
     ) -> tuple[bytes, str]:
@@ -107,6 +115,8 @@
             self._worker_ends.set_value({"pool": pool, "how": how}, total)
         for pool, total in crashes.given_up.items():
             self._given_up.set_value({"pool": pool}, total)
+        for (pool, outcome), total in copies.copies.items():
+            self._copies.set_value({"pool": pool, "outcome": outcome}, total)
         self._evacuated.values.store.clear()
         for domain, since in evacuated_since.items():
             labels = {"domain": escape_label(domain)}
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -35,6 +35,7 @@
 
 from ._admission import Admission
 from ._advice_caller import AdviceCaller
+from ._copy_counts import CopyCounter
 from ._crash_records import CrashRecords
 from ._crash_tracker import CrashTracker
 from ._former_queues import FormerQueues
@@ -139,6 +140,7 @@
             self.may_act,
             self._plan_soon,
             self._crashes,
+            CopyCounter(term.pool, parts.copy_counts),
         )
         self._asker = AdviceCaller(self._state, log, parts.ask_adviser, self._plan_soon)
         self._intake = JobIntake(
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_state.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_state.py
@@ -61,5 +61,4 @@
         self.held[team] = self.held[team].minus(spec.resources)
         if spec.long_running:
             self.lasting[team] = self.lasting[team].minus(spec.resources)
-        if run.task.run is run:
-            run.task.run = None
+        run.task.forget_run(run)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
@@ -86,16 +86,19 @@
             run.unreported_ms = 0
         run.load = active.load
         step = run.task.step
-        if active.checkpoint and step.spec.checkpoints:
+        if active.checkpoint and step.spec.checkpoints and not _is_behind_partner(run):
             for task in step.tasks if step.spec.gang else [run.task]:
                 task.checkpoint = active.checkpoint
 
     def _ended(self, worker: PoolWorker, finding: Ended) -> None:
         ended = finding.ended
         task = self._state.jobs.task(ended.task)
+        was_done = task is not None and task.done
         if finding.run is not None:
             self._state.free(finding.run)
             self._record_stop(finding.run, ended)
+            won = ended.outcome is RunEnd.DONE and not was_done
+            self._starter.note_copy_over(finding.run, won)
         if task is None:
             return
         job = task.step.job
@@ -109,6 +112,8 @@
             run=ended.number,
             worker=worker.id,
             outcome=ended.outcome.value,
+            **_stop_details(finding.run),
+            **_copy_details(finding.run),
         )
         if ended.outcome is RunEnd.DONE:
             worker.note_done(task.step, self._state.now_ms())
@@ -171,8 +176,10 @@
             worker=run.worker,
             outcome=reason,
             stop_reason=run.stop_reason,
+            **_copy_details(run),
         )
         self._state.free(run)
+        self._starter.note_copy_over(run)
         self._starter.stop_rest_of_gang(run, "gang_broken")
 
     def _handle_unknown_run(self, session: WorkerSession, finding: UnknownRun) -> None:
@@ -199,10 +206,14 @@
         self._state.hold(worker, run)
         job = task.step.job
         self._starter.mark_started(job)
-        if task.run is not None or task.done or job.final is not None:
+        if self._state.planner.policy.copy_share > 0 and task.may_have_copy:
+            # A former lead started both, or this one restarted a task that ran still.
+            task.add_copy(run, "adopted")
+        elif task.run is not None or task.done or job.final is not None:
             session.stop_run(run, "not_needed")
             return
-        task.run = run
+        else:
+            task.run = run
         if active.checkpoint and task.step.spec.checkpoints:
             task.checkpoint = active.checkpoint
         self._log.log_event(
@@ -212,6 +223,7 @@
             task_name=str(active.task),
             run=active.number,
             worker=worker.id,
+            **_copy_details(run),
         )
 
     def _stop_stalled(self, session: WorkerSession) -> None:
@@ -221,3 +233,20 @@
             self._starter.log_start(run, "stalled", percent=run.percent)
             session.worker.note_stalled(run, now_ms)
             session.stop_run(run, "stalled")
+
+
+def _stop_details(run: Run | None) -> dict[str, object]:
+    """Return why the run was stopped, if it was."""
+    return {"stop_reason": run.stop_reason} if run and run.stop_reason else {}
+
+
+def _copy_details(run: Run | None) -> dict[str, object]:
+    """Return the details that log lines have for copies alone."""
+    return {"copy": True} if run is not None and run.copy_reason else {}
+
+
+def _is_behind_partner(run: Run) -> bool:
+    """Return whether the other run of the task has made more progress."""
+    task = run.task
+    other = task.run if run is task.copy else task.copy
+    return other is not None and other.percent > run.percent
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
@@ -8,6 +8,7 @@
 from savorylead.pools import (
     Placement,
     Plan,
+    PlannedCopy,
     PlannedGang,
     RunOrder,
     RunRejected,
@@ -19,6 +20,7 @@
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
+from ._copy_counts import CopyCounter
 from ._crash_tracker import CrashTracker
 from ._pool_state import PoolState
 
@@ -41,6 +43,7 @@
         may_act: Callable[[], bool],
         plan_soon: Callable[[], None],
         crashes: CrashTracker,
+        copies: CopyCounter,
     ) -> None:
         self._state = state
         self._log = log
@@ -49,6 +52,7 @@
         self._may_act = may_act
         self._plan_soon = plan_soon
         self._crashes = crashes
+        self._copies = copies
 
     def execute(self, plan: Plan) -> None:
         """Start the placed tasks and stop the preempted runs."""
@@ -72,6 +76,24 @@
         for run in plan.preempted:
             self.log_start(run, "preempted", percent=run.percent)
             self._state.sessions[run.worker].stop_run(run, "preempted")
+        for copy in plan.copies:
+            self._start_copy(copy, now_ms)
+
+    def _start_copy(self, copy: PlannedCopy, now_ms: int) -> None:
+        """Start a second run beside the first one.
+
+        Raises CopyNotAllowedError before anything is sent if the task may have only one
+        run at a time.
+        """
+        placement = copy.placement
+        task, worker = placement.task, placement.worker
+        run = Run(task, self._next_number(task), worker.id, now_ms)
+        run.resumed = bool(task.checkpoint)
+        task.add_copy(run, copy.reason)
+        task.last_run = run.number
+        self._state.hold(worker, run)
+        self._copies.note_started()
+        self._tasks.spawn("start of a copy", self._start(run, placement))
 
     def _start_gang(self, gang: PlannedGang, now_ms: int) -> None:
         number = max(self._next_number(p.task) for p in gang.placements)
@@ -102,9 +124,10 @@
             await self._crashes.wait_until_recorded()
         session = self._state.sessions.get(run.worker)
         may_start = session is not None and await session.confirm_incarnation()
-        is_needed = run.state is RunState.STARTING and task.run is run
+        is_needed = run.state is RunState.STARTING and task.has_run(run)
         if session is None or not is_needed or not self._may_act():
             self._state.free(run)
+            self.note_copy_over(run)
             self.stop_rest_of_gang(run, "gang_incomplete")
             return
         if not may_start:
@@ -161,8 +184,14 @@
             worker.quarantine(self._state.now_ms())
         self._failed_to_start(run)
 
+    def note_copy_over(self, run: Run, won: bool = False) -> None:
+        """Count the run if it is a copy and over; it won if it made its task done."""
+        if run.copy_reason:
+            self._copies.note_ended(won)
+
     def _failed_to_start(self, run: Run) -> None:
         self._state.free(run)
+        self.note_copy_over(run)
         self.stop_rest_of_gang(run, "gang_incomplete")
         self._plan_soon()
 
@@ -184,6 +213,8 @@
 
     def log_start(self, run: Run, outcome: str, **details: object) -> None:
         """Log the outcome of a start, or a decision about the run."""
+        if run.copy_reason:
+            details = {"copy": True, "reason": run.copy_reason, **details}
         self._log.log_event(
             LogLevel.INFO,
             "task_start",
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -293,6 +293,7 @@
             return
         run.state = RunState.STOPPING
         run.stop_reason = reason
+        run.stop_ordered_at_ms = to_millis(self._clock.now())
         stopping = supervised(
             "stop of a run", self._clock, lambda: self._stop_until_gone(run)
         )
--- a/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
@@ -233,6 +233,7 @@
             self._node.ended_terms(),
             self._node.ended_leases(),
             self._node.crash_counts,
+            self._node.copy_counts,
             self._node.evacuated_since(),
             self._readiness.is_ready(),
         )
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -30,6 +30,7 @@
 from ._cell_lease import CellLease
 from ._cell_view import CellView, MemberRecord, decode_member, encode_record
 from ._config_feed import ConfigFeed
+from ._copy_counts import CopyCounts
 from ._crash_tracker import CrashCounts
 from ._early_ends import mark_ended
 from ._elections import Elections
@@ -105,6 +106,8 @@
         self.leads: dict[str, PoolLead] = {}
         #: Crashes of workers that the leads of this daemon have seen.
         self.crash_counts = CrashCounts()
+        #: Copies of late tasks that the leads of this daemon have started.
+        self.copy_counts = CopyCounts()
         self._leases_ended_for_peers = 0
         store = adapter.store
         self._lease = CellLease(
@@ -346,6 +349,7 @@
             has_lead=lambda pool: pool in self.view.leads,
             all_mark_ended_leases=self.view.all_mark_ended_leases,
             crash_counts=self.crash_counts,
+            copy_counts=self.copy_counts,
             on_grants_written=self._grants_written,
             status_for_ms=self._settings.status_for // timedelta(milliseconds=1),
             max_worker_lease_ms=self._settings.max_worker_lease
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
@@ -22,6 +22,7 @@
 from savorylead.resources import Resources
 from savorylead_daemon.concurrency import TaskSet
 from savorylead_daemon.observability import EventLog
+from savorylead_daemon.pool._copy_counts import CopyCounter, CopyCounts
 from savorylead_daemon.pool._crash_tracker import CrashCounts, CrashTracker
 from savorylead_daemon.pool._pace_orders import PaceOrders
 from savorylead_daemon.pool._pool_state import PoolState
@@ -190,7 +191,14 @@
     step = step_run(3, gang=True)
     crashes = bench.crash_tracker(state)
     starter = RunStarter(
-        state, bench.log, 1, bench.tasks, bench.owner.may_act, lambda: None, crashes
+        state,
+        bench.log,
+        1,
+        bench.tasks,
+        bench.owner.may_act,
+        lambda: None,
+        crashes,
+        CopyCounter("p", CopyCounts()),
     )
     bench.owner.checks = checks
     placements = tuple(Placement(t, bench.worker, "") for t in step.tasks)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_still_runs.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_still_runs.py
@@ -6,6 +6,7 @@
 
 from savorylead.jobs import Run, RunState
 from savorylead.pools import ActiveRun, Listed, PoolWorker
+from savorylead_daemon.pool._copy_counts import CopyCounter, CopyCounts
 from savorylead_daemon.pool._pool_state import PoolState
 from savorylead_daemon.pool._report_processor import ReportProcessor
 from savorylead_daemon.pool._run_starter import RunStarter
@@ -56,7 +57,14 @@
     session = Session(bench.worker)
     crashes = bench.crash_tracker(state)
     starter = RunStarter(
-        state, bench.log, 1, bench.tasks, lambda: True, lambda: None, crashes
+        state,
+        bench.log,
+        1,
+        bench.tasks,
+        lambda: True,
+        lambda: None,
+        crashes,
+        CopyCounter("p", CopyCounts()),
     )
     processor = ReportProcessor(state, starter, None, bench.log)
     run = Run(step_run().tasks[0], 1, "w", state.now_ms())
--- a/packages/savorylead/savorylead/jobs/__init__.py
+++ b/packages/savorylead/savorylead/jobs/__init__.py
@@ -7,7 +7,16 @@
     decode_suspects,
     encode_suspects,
 )
-from ._job import Job, JobState, Run, RunState, StepRun, Task, saved_state
+from ._job import (
+    CopyNotAllowedError,
+    Job,
+    JobState,
+    Run,
+    RunState,
+    StepRun,
+    Task,
+    saved_state,
+)
 from ._records import (
     JobRecord,
     ProgressRecord,
@@ -30,6 +39,7 @@
 __all__ = [
     "MAX_AMOUNT",
     "MAX_TIME_MS",
+    "CopyNotAllowedError",
     "IsolatedRun",
     "Job",
     "JobRecord",
--- a/packages/savorylead/savorylead/jobs/_job.py
+++ b/packages/savorylead/savorylead/jobs/_job.py
@@ -37,6 +37,8 @@
     __slots__ = (
         "adopted",
         "confirmed_at_ms",
+        "copy_reason",
+        "has_partner",
         "load",
         "number",
         "pace_percent",
@@ -46,6 +48,7 @@
         "last_reported_at_ms",
         "sent_at_ms",
         "state",
+        "stop_ordered_at_ms",
         "stop_reason",
         "stopped_at_ms",
         "suspect_until_ms",
@@ -82,6 +85,12 @@
         self.load = 0
         #: Speed to which it was throttled, in percent of its normal speed.
         self.pace_percent = 100
+        #: Why it was started beside the task's first run; empty if it was not.
+        self.copy_reason = ""
+        #: Whether another run of its task was active beside it at any time.
+        self.has_partner = False
+        #: When a stop was first ordered; 0 before.
+        self.stop_ordered_at_ms = 0
         #: When the worker accepted a stop; 0 before.
         self.stopped_at_ms = 0
         self.stop_reason = ""
@@ -94,11 +103,16 @@
         return self.adopted and not self.confirmed_at_ms
 
 
+class CopyNotAllowedError(Exception):
+    """A second run of a task must not be started beside its first one."""
+
+
 class Task:
     """One task of a step's occurrence."""
 
     __slots__ = (
         "checkpoint",
+        "copy",
         "crashes",
         "done",
         "index",
@@ -113,7 +127,10 @@
         self.step = step
         self.index = index
         self.done = False
+        #: Its only run, or the first of two.
         self.run: Run | None = None
+        #: The second run of a speculative task, beside the first.
+        self.copy: Run | None = None
         #: Highest run number of this task.
         self.last_run = 0
         #: The last checkpoint that a worker reported; empty for none.
@@ -130,6 +147,38 @@
         """Whether it may still have to run."""
         return not self.done and self.step.job.final is None
 
+    @property
+    def may_have_copy(self) -> bool:
+        """Whether a second run may be active beside its present one.
+
+        Only the caller can permit it. A suspect starts apart from others, so that a
+        further crash has one likely cause.
+        """
+        spec = self.step.spec
+        if not spec.speculative or spec.gang or spec.long_running or spec.fills:
+            return False
+        has_one_run = self.run is not None and self.copy is None
+        return has_one_run and self.is_open and not self.is_suspect
+
+    def add_copy(self, run: Run, reason: str) -> None:
+        """Add a second run; raises CopyNotAllowedError unless the task may have one."""
+        if not self.may_have_copy or self.run is None:
+            raise CopyNotAllowedError(f"{self.name}/{run.number}")
+        run.copy_reason = reason
+        run.has_partner = self.run.has_partner = True
+        self.copy = run
+
+    def forget_run(self, run: Run) -> None:
+        """Record that a run is over; a copy takes the place of the first run."""
+        if run is self.copy:
+            self.copy = None
+        elif run is self.run:
+            self.run, self.copy = self.copy, None
+
+    def has_run(self, run: Run) -> bool:
+        """Return whether a run is its first run or its copy."""
+        return run is self.run or run is self.copy
+
     @property
     def is_suspect(self) -> bool:
         """Whether a worker has crashed under it lately."""
@@ -287,7 +336,13 @@
 
     def runs(self) -> list[Run]:
         """Return every run that may still be active on a worker."""
-        return [t.run for s in self.steps() for t in s.tasks if t.run is not None]
+        return [
+            run
+            for step in self.steps()
+            for task in step.tasks
+            for run in (task.run, task.copy)
+            if run is not None
+        ]
 
     def task(self, occurrence: int, step: int, index: int) -> Task | None:
         """Return a task by its indices, or None if it does not exist."""
--- a/packages/savorylead/savorylead/pools/__init__.py
+++ b/packages/savorylead/savorylead/pools/__init__.py
@@ -38,6 +38,7 @@
     WorkerUnhealthyError,
     WrongIncarnationError,
 )
+from ._copies import PlannedCopy
 from ._crash_blame import (
     WorkerCrash,
     has_common_cause,
@@ -113,6 +114,7 @@
     "PaceController",
     "Placement",
     "Plan",
+    "PlannedCopy",
     "PlannedGang",
     "PolicyAdviser",
     "Pool",
--- a/packages/savorylead/savorylead/pools/_crash_blame.py
+++ b/packages/savorylead/savorylead/pools/_crash_blame.py
@@ -75,7 +75,11 @@
 
 def record_crash(crash: WorkerCrash) -> list[Task]:
     """Add a crash to the tasks that ran there; return those that are to be given up."""
-    runs = {run.task: run for run in crash.runs if run.task.is_open}
+    runs = {
+        run.task: run
+        for run in crash.runs
+        if run.task.is_open and not _is_blamed_by_partner(run)
+    }
     culprits = {
         task
         for task, run in runs.items()
@@ -100,6 +104,15 @@
     return [t for t in runs if t in culprits or len(t.crashes) >= MAX_CRASHES]
 
 
+def _is_blamed_by_partner(run: Run) -> bool:
+    """Return whether a crash under the other one of two runs was recorded.
+
+    The first of two crashes makes the task a suspect. The second run was started before
+    that and not isolated, so its crash proves no more.
+    """
+    return run.has_partner and run.task.is_suspect
+
+
 def _is_culprit(run: Run, crash: WorkerCrash) -> bool:
     """Return whether a suspect's run is the only likely cause of a second crash."""
     has_crashed = any(earlier.is_confirmed for earlier in run.task.crashes)
@@ -115,7 +128,7 @@
 def _is_confirmed(run: Run, crash: WorkerCrash) -> bool:
     """Return whether the run was certainly on the worker when it crashed."""
     # After its lease lapsed, a run is no longer its task's run.
-    is_current = run.task.run is run
+    is_current = run.task.has_run(run)
     return crash.is_certain and is_current and bool(run.confirmed_at_ms)
 
 
--- a/packages/savorylead/savorylead/pools/_planning_pass.py
+++ b/packages/savorylead/savorylead/pools/_planning_pass.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from functools import cached_property
 from itertools import islice
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from savorylead.jobs import Run, RunState, StepRun, Task
 from savorylead.resources import ZERO, Resources
@@ -14,6 +14,9 @@
 from ._failures import has_failed_on
 from ._pool_worker import PoolWorker, reservation_of
 
+if TYPE_CHECKING:
+    from ._copies import PlannedCopy
+
 #: Age up to which a run is as likely to crash its worker as one that starts now, in
 #: milliseconds.
 NEW_RUN_MS = 60
@@ -57,6 +60,8 @@
     #: Steps whose turn begins in this pass, and how long their jobs have waited, in
     #: milliseconds.
     turns: list[tuple[StepRun, int]]
+    #: Second runs to start beside first ones.
+    copies: Sequence[PlannedCopy] = ()
 
 
 class PlanningPass:
--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -17,6 +17,7 @@
 from ._advice import UNBOUNDED, AdviceBook, AdviceSlots
 from ._advice_calls import AdviceCalls
 from ._contracts import Queue
+from ._copies import CopyPlanner, TeamLimits
 from ._durations import DurationEstimator, QueueDurations
 from ._headroom import UrgentHeadroom
 from ._idle_jobs import IdleJobs
@@ -72,6 +73,9 @@
         self.run_ends = RunEnds(self.durations)
         self._reservation = Reservation(self.book, self.run_ends)
         self._calls = AdviceCalls(self.book, self._reservation)
+        self._copies = CopyPlanner(
+            policy.copy_share, self.book, self.durations, self.run_ends
+        )
 
     def plan(
         self,
@@ -185,7 +189,14 @@
                 reserving += self._reservation.reserve(
                     state, step, len(waiting), allowed
                 )
-        return state.plan
+        copies = self._copies.choose(
+            state,
+            [(urgency, steps[index]) for urgency, index in ranked],
+            queues,
+            TeamLimits(limits_left, team_limit_left),
+            headroom,
+        )
+        return state.plan._replace(copies=copies)
 
     def _place_prime_suspects(
         self,
