--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
@@ -61,6 +61,9 @@
         self.gang_size_of: Callable[[TaskName], int] = lambda _: 0
         #: Gang members that wait or work, by step and run number.
         self._gangs: dict[tuple[str, int], list[tuple[MemoryMachine, TaskName]]] = {}
+        #: Whether two runs of a task may be active at once, since its step is
+        #: speculative; no third one may.
+        self.may_run_twice: Callable[[TaskName], bool] = lambda _: False
         #: Returns the names of the tasks that must be done before a task starts.
         self.waits_for: Callable[[TaskName], Iterable[str]] = lambda _: ()
         #: Whether workers reject starts that exceed their capacity; if not, they
@@ -108,9 +111,12 @@
             if key[0] == name and not (other is machine and key[1] == order.number)
             if other.clock_ms() < other.deadline_ms
         ]
-        if elsewhere:
+        may_run_twice = self.may_run_twice(order.task)
+        if len(elsewhere) > may_run_twice:
             self.breaches.append(f"{name}/{order.number} runs twice: {elsewhere}")
-        if name in self._done and not self.done_is_void(order.task):
+        # The lead may not have read the end of the first run yet.
+        is_over = name in self._done and not self.done_is_void(order.task)
+        if is_over and not may_run_twice:
             self.breaches.append(f"{name}/{order.number} starts after it was done")
         early = [
             other for other in self.waits_for(order.task) if other not in self._done
