--- a/packages/savorylead-ctl/savorylead_ctl/tests/test_explain.py
+++ b/packages/savorylead-ctl/savorylead_ctl/tests/test_explain.py
@@ -278,6 +278,22 @@
         (FIRST, run_line(12.0, "edge-2", "run_adopted", run=1, worker="w1")),
         # A worker has one run of a task at a time.
         (FIRST, started(16.0, "edge-2", 65, "w1")),
+        # The caller permits copies, which a new lead may adopt.
+        (
+            FIRST,
+            run_line(
+                11.0,
+                "edge-1",
+                "task_start",
+                run=2,
+                worker="w2",
+                outcome="started",
+                copy=True,
+                reason="late",
+            ),
+            run_line(16.0, "edge-2", "run_adopted", run=1, worker="w1"),
+            run_line(16.0, "edge-2", "run_adopted", run=2, worker="w2", copy=True),
+        ),
         # Some lines of a busy daemon are left out.
         (FIRST, started(16.0, "edge-1", 2, "w2")),
         (
@@ -300,6 +316,7 @@
         "crash",
         "adopted run",
         "same worker",
+        "copy",
         "same daemon",
         "no start",
     ],
@@ -309,6 +326,50 @@
     assert " ran on " not in capsys.readouterr().out
 
 
+@pytest.mark.parametrize(
+    ("reason", "meaning"),
+    [
+        ("silent", "the worker of its first run did not answer"),
+        ("stalled", "its first run made no progress or did not stop"),
+        ("late", "its first run took longer than expected"),
+    ],
+)
+def test_a_copy_is_described_with_its_reason(tmp_path, capsys, reason, meaning):
+    copy = run_line(
+        11.0,
+        "edge-1",
+        "task_start",
+        run=2,
+        worker="w2",
+        outcome="started",
+        copy=True,
+        reason=reason,
+    )
+    explain(tmp_path, JOB, "\n".join([ACCEPTED, TAKEN, FIRST, copy]))
+    out = capsys.readouterr().out.rstrip()
+    assert out.endswith(f"a copy of {TASK} was started on w2: {meaning}")
+
+
+@pytest.mark.parametrize(
+    ("stop_reason", "is_trouble"), [("not_needed", False), ("stalled", True)]
+)
+def test_the_stop_of_a_run_that_is_not_needed_is_no_trouble(
+    tmp_path, capsys, stop_reason, is_trouble
+):
+    stopped = run_line(
+        19.0,
+        "edge-2",
+        "task_end",
+        run=1,
+        worker="w1",
+        outcome="stopped",
+        stop_reason=stop_reason,
+    )
+    explain(tmp_path, JOB, "\n".join([ACCEPTED, TAKEN, stopped]))
+    ends_well = "nothing went wrong in these lines\n"
+    assert capsys.readouterr().out.endswith(ends_well) is not is_trouble
+
+
 def test_a_presumed_crash_ends_no_run(tmp_path, capsys):
     presumed = line(14.0, "edge-2", "worker_crashed", worker="w1", certain=False)
     explain(tmp_path, TASK, "\n".join([ACCEPTED, FIRST, presumed, SECOND]))
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_copied_tasks.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_copied_tasks.py
@@ -17,6 +17,16 @@
 from savorylead_standins.pools._memory_workers import RunRecord
 
 from .cell_cases import LoggedEvent, ready_cell
+from .crash_cases import (
+    CRASHES,
+    CRASHING_JOB,
+    GIVEN_UP_WITHIN_S,
+    MAX_STARTS_AFTER,
+    cell_with_crashes,
+    starts_of,
+    state_of,
+    submit_innocent_jobs,
+)
 
 JOB = "job"
 #: Only copies are switched on, so that the tests don't depend on the other decisions.
@@ -246,6 +256,27 @@
     assert cell.workers.breaches == []
 
 
+@pytest.mark.parametrize("policy", [COPIES, FULL_POLICY], ids=["copies", "full"])
+@pytest.mark.parametrize("returns_as_new", [True, False])
+@pytest.mark.parametrize("after_ms", [10, 700])
+def test_a_speculative_task_that_crashes_its_workers_is_given_up_as_soon(
+    policy: SchedulingPolicy, returns_as_new: bool, after_ms: int
+) -> None:
+    # Guards against copies of a crashing task that take along one worker after the
+    # other before the first crash is known.
+    cell = cell_with_crashes(timedelta(milliseconds=after_ms), workers=8, policy=policy)
+    cell.workers.may_run_twice = lambda _: True
+    cell.workers.returns_as_new = returns_as_new
+    spec = job_spec(count=2, speculative=True)
+    innocent = submit_innocent_jobs(cell, 6, spec)
+    cell.submit(CRASHING_JOB, spec)
+    cell.run(GIVEN_UP_WITHIN_S + 10.0)
+    assert starts_of(cell) <= CRASHES + MAX_STARTS_AFTER
+    assert state_of(cell, CRASHING_JOB) is JobState.FAILED
+    assert {state_of(cell, job) for job in innocent} == {JobState.COMPLETED}
+    assert cell.workers.breaches == []
+
+
 @pytest.mark.parametrize("lost_first", [False, True])
 @pytest.mark.parametrize("policy", [COPIES, FULL_POLICY], ids=["copies", "full"])
 def test_a_new_lead_adopts_both_runs(
