Copies: crashes of two runs at once count once, exactly; cheaper passes

Cause: the rule skipped each crash of a paired run once its task was a suspect, so a later pair counted nothing; an end could be counted twice in the metric; each running task caused a look at all free workers. Change: a run knows its partner and whether it is blamed, a task whose copy was lost with its worker gets no other one, only freed runs are counted, and the fastest worker decides first whether a run is late.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_state.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_state.py
@@ -50,11 +50,14 @@
             self.lasting[team] = self.lasting.get(team, ZERO).plus(spec.resources)
         self.last_start_ms[team] = self.now_ms()
 
-    def free(self, run: Run) -> None:
-        """Release all resources of a run, which must be over."""
+    def free(self, run: Run) -> bool:
+        """Release all resources of a run, which must be over.
+
+        Returns whether it held any.
+        """
         worker = self.workers.get(run.worker)
         if worker is None or (str(run.task.name), run.number) not in worker.runs:
-            return
+            return False
         worker.remove(run)
         spec = run.task.step.spec
         team = run.task.step.job.record.team
@@ -62,3 +65,4 @@
         if spec.long_running:
             self.lasting[team] = self.lasting[team].minus(spec.resources)
         run.task.forget_run(run)
+        return True
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
@@ -95,10 +95,9 @@
         task = self._state.jobs.task(ended.task)
         was_done = task is not None and task.done
         if finding.run is not None:
-            self._state.free(finding.run)
-            self._record_stop(finding.run, ended)
             won = ended.outcome is RunEnd.DONE and not was_done
-            self._starter.note_copy_over(finding.run, won)
+            self._starter.free(finding.run, won)
+            self._record_stop(finding.run, ended)
         if task is None:
             return
         job = task.step.job
@@ -178,8 +177,9 @@
             stop_reason=run.stop_reason,
             **_copy_details(run),
         )
-        self._state.free(run)
-        self._starter.note_copy_over(run)
+        if run.copy_reason and reason != "vanished":
+            run.task.has_lost_copy = True
+        self._starter.free(run)
         self._starter.stop_rest_of_gang(run, "gang_broken")
 
     def _handle_unknown_run(self, session: WorkerSession, finding: UnknownRun) -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
@@ -126,8 +126,7 @@
         may_start = session is not None and await session.confirm_incarnation()
         is_needed = run.state is RunState.STARTING and task.has_run(run)
         if session is None or not is_needed or not self._may_act():
-            self._state.free(run)
-            self.note_copy_over(run)
+            self.free(run)
             self.stop_rest_of_gang(run, "gang_incomplete")
             return
         if not may_start:
@@ -184,14 +183,13 @@
             worker.quarantine(self._state.now_ms())
         self._failed_to_start(run)
 
-    def note_copy_over(self, run: Run, won: bool = False) -> None:
-        """Count the run if it is a copy and over; it won if it made its task done."""
-        if run.copy_reason:
+    def free(self, run: Run, won: bool = False) -> None:
+        """Release a run that is over; a copy won if it made its task done."""
+        if self._state.free(run) and run.copy_reason:
             self._copies.note_ended(won)
 
     def _failed_to_start(self, run: Run) -> None:
-        self._state.free(run)
-        self.note_copy_over(run)
+        self.free(run)
         self.stop_rest_of_gang(run, "gang_incomplete")
         self._plan_soon()
 
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_copied_tasks.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_copied_tasks.py
@@ -355,7 +355,7 @@
         RunEnd.FAILED if rng.random() < 0.02 else RunEnd.DONE
     )
     jobs = []
-    killed_at = rng.randrange(20)
+    killed_at = rng.randrange(40)
     for turn in range(24):
         job = f"{rng.choice(['plain', 'copied'])}-{turn}"
         jobs.append(job)
@@ -387,3 +387,6 @@
     assert lead._state.held.get("team", Resources()) == Resources()
     total = counts(cell)
     assert total.get("started", 0) > 0
+    if killed_at >= len(jobs):
+        # Each copy is counted once, however it ends.
+        assert total["started"] == total.get("won", 0) + total.get("lost", 0)
--- a/packages/savorylead/savorylead/jobs/_job.py
+++ b/packages/savorylead/savorylead/jobs/_job.py
@@ -38,10 +38,11 @@
         "adopted",
         "confirmed_at_ms",
         "copy_reason",
-        "has_partner",
+        "is_blamed",
         "load",
         "number",
         "pace_percent",
+        "partner",
         "percent",
         "percent_at_ms",
         "resumed",
@@ -87,8 +88,10 @@
         self.pace_percent = 100
         #: Why it was started beside the task's first run; empty if it was not.
         self.copy_reason = ""
-        #: Whether another run of its task was active beside it at any time.
-        self.has_partner = False
+        #: The last other run of its task that was active beside it.
+        self.partner: Run | None = None
+        #: Whether a crash of its worker counts against its task.
+        self.is_blamed = False
         #: When a stop was first ordered; 0 before.
         self.stop_ordered_at_ms = 0
         #: When the worker accepted a stop; 0 before.
@@ -115,6 +118,7 @@
         "copy",
         "crashes",
         "done",
+        "has_lost_copy",
         "index",
         "isolated_run",
         "last_run",
@@ -131,6 +135,8 @@
         self.run: Run | None = None
         #: The second run of a speculative task, beside the first.
         self.copy: Run | None = None
+        #: Whether the worker of a copy was lost with it.
+        self.has_lost_copy = False
         #: Highest run number of this task.
         self.last_run = 0
         #: The last checkpoint that a worker reported; empty for none.
@@ -152,20 +158,22 @@
         """Whether a second run may be active beside its present one.
 
         Only the caller can permit it. A suspect starts apart from others, so that a
-        further crash has one likely cause.
+        further crash has one likely cause. A task whose copy was lost with its worker
+        may become one once the crash is known.
         """
         spec = self.step.spec
         if not spec.speculative or spec.gang or spec.long_running or spec.fills:
             return False
         has_one_run = self.run is not None and self.copy is None
-        return has_one_run and self.is_open and not self.is_suspect
+        may_be_suspect = self.is_suspect or self.has_lost_copy
+        return has_one_run and self.is_open and not may_be_suspect
 
     def add_copy(self, run: Run, reason: str) -> None:
         """Add a second run; raises CopyNotAllowedError unless the task may have one."""
         if not self.may_have_copy or self.run is None:
             raise CopyNotAllowedError(f"{self.name}/{run.number}")
         run.copy_reason = reason
-        run.has_partner = self.run.has_partner = True
+        run.partner, self.run.partner = self.run, run
         self.copy = run
 
     def forget_run(self, run: Run) -> None:
--- a/packages/savorylead/savorylead/pools/_copies.py
+++ b/packages/savorylead/savorylead/pools/_copies.py
@@ -126,12 +126,14 @@
         if self._share <= 0:
             return []
         workers = {worker.id: worker for worker in state.workers}
+        factors = (self._durations.factor(worker.id) for worker in state.startable)
+        best_factor = min(factors, default=1.0)
         chosen: list[PlannedCopy] = []
         left_milli: int | None = None
         spare: _SpareCapacity | None = None
         may_request = True
         for urgency, step in ranked:
-            late = self._late_runs(step, workers, state.now_ms)
+            late = self._late_runs(step, workers, best_factor, state.now_ms)
             if not late:
                 continue
             if left_milli is None or spare is None:
@@ -183,23 +185,45 @@
         return chosen
 
     def _late_runs(
-        self, step: StepRun, workers: Mapping[str, PoolWorker], now_ms: int
+        self,
+        step: StepRun,
+        workers: Mapping[str, PoolWorker],
+        best_factor: float,
+        now_ms: int,
     ) -> list[tuple[Run, str]]:
-        """Return the runs of the step that may need a copy, and the reason of each."""
+        """Return the runs of the step that need a copy, and the reason of each.
+
+        ``best_factor`` is that of the fastest worker. Whether one as fast is free is
+        not known yet, so a late run may turn out to need none.
+        """
         if not step.spec.speculative:
             return []
+        late_after_ms = now_ms + self._min_left_ms(step, best_factor)
         found = []
         for task in step.tasks:
             run = task.run
             if run is None or not task.may_have_copy or run.worker not in workers:
                 continue
-            reason = self._reason(run, workers[run.worker], now_ms)
+            reason = self._reason(run, workers[run.worker], late_after_ms, now_ms)
             if reason:
                 found.append((run, reason))
         return found
 
-    def _reason(self, run: Run, worker: PoolWorker, now_ms: int) -> str:
-        """Return the reason for a copy, if a worker for it is found; empty if none."""
+    def _min_left_ms(self, step: StepRun, factor: float) -> float:
+        """Return how far from now a run must end for a copy to be worthwhile.
+
+        ``factor`` is that of the copy's worker.
+        """
+        expected_ms = self._durations.step_ms(step)
+        return expected_ms * (factor + MARGIN_SHARE) + MARGIN_MS
+
+    def _reason(
+        self, run: Run, worker: PoolWorker, late_after_ms: float, now_ms: int
+    ) -> str:
+        """Return the reason for a copy, empty for none.
+
+        The run is late if it is expected to end after ``late_after_ms``.
+        """
         since_ms = worker.silent_since_ms
         if since_ms and now_ms - since_ms >= SILENT_MS:
             # Two workers that fell silent under one task may have crashed by it.
@@ -212,9 +236,8 @@
             stopping_ms = now_ms - run.stop_ordered_at_ms
             is_late = run.stop_reason == "stalled" or stopping_ms >= STOPPING_MS
             return STALLED if is_late else ""
-        is_overdue = self._is_overdue(run, worker, now_ms)
-        ends_late = self._run_ends.ends_at_ms(run) > now_ms + MARGIN_MS
-        return LATE if is_overdue or ends_late else ""
+        ends_late = self._run_ends.ends_at_ms(run) > late_after_ms
+        return LATE if ends_late or self._is_overdue(run, worker, now_ms) else ""
 
     def _is_overdue(self, run: Run, worker: PoolWorker, now_ms: int) -> bool:
         """Return whether a run took far longer than expected, with no end in sight.
@@ -247,11 +270,8 @@
             return False
         if self._is_overdue(run, worker, state.now_ms):
             return True
-        expected_ms = self._durations.step_ms(step)
-        copy_ms = expected_ms * self._durations.factor(other.id)
-        margin_ms = MARGIN_SHARE * expected_ms + MARGIN_MS
-        ends_at_ms = self._run_ends.ends_at_ms(run)
-        return ends_at_ms > state.now_ms + copy_ms + margin_ms
+        left_ms = self._min_left_ms(step, self._durations.factor(other.id))
+        return self._run_ends.ends_at_ms(run) > state.now_ms + left_ms
 
     def _candidates(
         self, state: PlanningPass, step: StepRun, spare: _SpareCapacity
--- a/packages/savorylead/savorylead/pools/_crash_blame.py
+++ b/packages/savorylead/savorylead/pools/_crash_blame.py
@@ -91,6 +91,7 @@
         age_ms = max(0, crash.at_ms - run.sent_at_ms)
         is_youngest = run.sent_at_ms >= youngest_ms and age_ms <= YOUNG_MS
         task.step.has_suspects = True
+        run.is_blamed = True
         task.crashes = (
             *(earlier for earlier in task.crashes if earlier.at_ms > oldest_ms),
             TaskCrash(
@@ -105,12 +106,12 @@
 
 
 def _is_blamed_by_partner(run: Run) -> bool:
-    """Return whether a crash under the other one of two runs was recorded.
+    """Return whether a crash under the run beside it counts against its task.
 
-    The first of two crashes makes the task a suspect. The second run was started before
-    that and not isolated, so its crash proves no more.
+    The second run was started before that crash was known and was not isolated, so its
+    own crash proves no more.
     """
-    return run.has_partner and run.task.is_suspect
+    return run.partner is not None and run.partner.is_blamed
 
 
 def _is_culprit(run: Run, crash: WorkerCrash) -> bool:
--- a/packages/savorylead/savorylead/pools/tests/test_copies.py
+++ b/packages/savorylead/savorylead/pools/tests/test_copies.py
@@ -148,6 +148,10 @@
     step.has_suspects = True
 
 
+def have_lost_a_copy(step: StepRun) -> None:
+    step.tasks[0].has_lost_copy = True
+
+
 def be_second_on_silent_worker(step: StepRun) -> None:
     step.tasks[0].run.copy_reason = "silent"
 
@@ -175,7 +179,9 @@
     assert copies_of([step], workers, policy) == []
 
 
-@pytest.mark.parametrize("apply", [be_suspect, be_second_on_silent_worker])
+@pytest.mark.parametrize(
+    "apply", [be_suspect, have_lost_a_copy, be_second_on_silent_worker]
+)
 def test_a_task_that_may_crash_its_workers_gets_no_copy(
     apply: Callable[[StepRun], None],
 ) -> None:
