--- a/packages/savorylead/savorylead/pools/_crash_blame.py
+++ b/packages/savorylead/savorylead/pools/_crash_blame.py
@@ -75,7 +75,11 @@
 
 def record_crash(crash: WorkerCrash) -> list[Task]:
     """Add a crash to the tasks that ran there; return those that are to be given up."""
-    runs = {run.task: run for run in crash.runs if run.task.is_open}
+    runs = {
+        run.task: run
+        for run in crash.runs
+        if run.task.is_open and not _is_blamed_by_partner(run)
+    }
     culprits = {
         task
         for task, run in runs.items()
@@ -87,6 +91,7 @@
         age_ms = max(0, crash.at_ms - run.sent_at_ms)
         is_youngest = run.sent_at_ms >= youngest_ms and age_ms <= YOUNG_MS
         task.step.has_suspects = True
+        run.is_blamed = True
         task.crashes = (
             *(earlier for earlier in task.crashes if earlier.at_ms > oldest_ms),
             TaskCrash(
@@ -100,6 +105,15 @@
     return [t for t in runs if t in culprits or len(t.crashes) >= MAX_CRASHES]
 
 
+def _is_blamed_by_partner(run: Run) -> bool:
+    """Return whether a crash under the run beside it counts against its task.
+
+    The second run was started before that crash was known and was not isolated, so its
+    own crash proves no more.
+    """
+    return run.partner is not None and run.partner.is_blamed
+
+
 def _is_culprit(run: Run, crash: WorkerCrash) -> bool:
     """Return whether a suspect's run is the only likely cause of a second crash."""
     has_crashed = any(earlier.is_confirmed for earlier in run.task.crashes)
@@ -115,7 +129,7 @@
 def _is_confirmed(run: Run, crash: WorkerCrash) -> bool:
     """Return whether the run was certainly on the worker when it crashed."""
     # After its lease lapsed, a run is no longer its task's run.
-    is_current = run.task.run is run
+    is_current = run.task.has_run(run)
     return crash.is_certain and is_current and bool(run.confirmed_at_ms)
 
 
