--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_registry.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_registry.py
@@ -119,7 +119,7 @@
         self,
         now_ms: int,
         may_start: Callable[[Job], bool],
-        may_repeat: Callable[[StepRun], bool],
+        may_repeat: Callable[[StepRun], bool] = lambda _: False,
     ) -> Iterator[StepRun]:
         """Yield the ready steps of the open jobs that may start.
 
