Tests of jobs that the former lead has not seen

Cause: a lead that starts jobs beside workers it has not reached must be right about which jobs no former lead has started.

--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_overlapping_cuts.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_overlapping_cuts.py
@@ -16,6 +16,7 @@
 from twisted.internet.defer import Deferred
 
 from savorylead.jobs import JobState
+from savorylead.pools import SchedulingPolicy
 from savorylead.resources import Resources
 from savorylead_daemon.pool import CallerAnswer
 from savorylead_standins.pools import PoolCell, job_spec
@@ -36,6 +37,8 @@
 SEEDS: Sequence[int] = (76, 122, 132, 182, 187, 271, 0, 1)
 if "DRAWN_CUTS" in os.environ:
     SEEDS = range(*map(int, os.environ["DRAWN_CUTS"].split(":")))
+#: With marks, a lead starts some jobs beside workers that it has not reached.
+POLICIES = [SchedulingPolicy(), SchedulingPolicy(marks_jobs=True)]
 
 
 def unfinished(cell: PoolCell, jobs: list[str], via: str) -> dict[str, JobState | None]:
@@ -109,11 +112,19 @@
 class DrawnCell:
     """A cell whose jobs and cuts are drawn."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        policy: SchedulingPolicy = SchedulingPolicy(),  # noqa: B008 - immutable.
+    ) -> None:
         self._rng = rng = random.Random(seed)
         self.pools = ("pool", "other")[: rng.choice((1, 2))]
         self.cell = ready_cell(
-            nodes=NODES, workers=4 * len(self.pools), pools=self.pools, seed=seed
+            nodes=NODES,
+            workers=4 * len(self.pools),
+            pools=self.pools,
+            seed=seed,
+            policy=policy,
         )
         self.cell.connect_wait = timedelta(seconds=rng.choice((0.0, 0.5)))
         self.cuts = Cuts(self.cell)
@@ -228,9 +239,10 @@
         return self._rng.uniform(3.0, 12.0)
 
 
+@pytest.mark.parametrize("policy", POLICIES, ids=["off", "marks"])
 @pytest.mark.parametrize("seed", SEEDS)
-def test_drawn_cuts_break_nothing(seed: int) -> None:
-    drawn = DrawnCell(seed)
+def test_drawn_cuts_break_nothing(seed: int, policy: SchedulingPolicy) -> None:
+    drawn = DrawnCell(seed, policy)
     drawn.run()
     cell = drawn.cell
     assert cell.workers.breaches == [], "\n".join(drawn.cuts.story)
