--- a/packages/savorylead-ctl/savorylead_ctl/explain/_explanation.py
+++ b/packages/savorylead-ctl/savorylead_ctl/explain/_explanation.py
@@ -43,6 +43,8 @@
     "lease_given_up": "a daemon abandoned its lease",
     "store_failed": "the store failed",
     "progress_unwritten": "ends of tasks could not be made durable",
+    "marks_overdue": "jobs waited for the store before their first start",
+    "marked_since_unreadable": "a lead could not tell which jobs were started before",
     "worker_unreachable": "a worker could not be reached",
     "worker_reborn": "a worker had restarted and lost its tasks",
     "worker_gone": "a worker was removed",
