--- a/packages/savorylead/savorylead/pools/_speed_classes.py
+++ b/packages/savorylead/savorylead/pools/_speed_classes.py
@@ -18,8 +18,9 @@
 
 #: Ratio of duration factors from one class to the next.
 CLASS_RATIO = 1.5
-#: Least factor that is told apart from faster ones; it bounds the logarithm.
+#: Bounds within which factors are told apart, so that each has a finite class.
 MIN_FACTOR = 0.01
+MAX_FACTOR = 100.0
 #: Priority of the most urgent queues.
 URGENT_PRIORITY = 0
 
@@ -31,7 +32,8 @@
     and CLASS_RATIO are one class. With rounding to nearest, the slower three quarters
     of such a pool, whose factor is 1.22, would be divided at 1.225 by noise alone.
     """
-    return int(math.log(max(MIN_FACTOR, factor)) / math.log(CLASS_RATIO))
+    bounded = min(MAX_FACTOR, max(MIN_FACTOR, factor))
+    return int(math.log(bounded) / math.log(CLASS_RATIO))
 
 
 class SpeedRanks:
