--- a/packages/savorylead/savorylead/pools/tests/test_speed_classes.py
+++ b/packages/savorylead/savorylead/pools/tests/test_speed_classes.py
@@ -173,6 +173,17 @@
     assert any(named_fast) == (queue_name == "urgent")
 
 
+def test_workers_named_for_preemption_are_fast_for_urgent_steps() -> None:
+    # Victims are stopped where the tickets are for.
+    workers, planner = two_speeds(48)
+    for n, each in enumerate(workers):
+        run_on(each, step_of(f"b{n}", "batch", cores=16, checkpoints=True))
+    (request,) = plan(
+        [step_of("j", "urgent")], workers, planner, queues=ADVISED
+    ).requests
+    assert set(request.workers) <= {w.id for n, w in enumerate(workers) if not n % 4}
+
+
 def test_further_workers_named_are_fast_for_urgent_steps() -> None:
     # One worker has room; the request names others with it, which costs less than a
     # second request later.
