--- a/packages/savorylead/savorylead/pools/_duration_record.py
+++ b/packages/savorylead/savorylead/pools/_duration_record.py
@@ -20,9 +20,10 @@
 MAX_BYTES = 65_536
 #: Longest recorded name of a queue or worker, in bytes of JSON.
 MAX_NAME_BYTES = 256
-#: Largest absolute value of a recorded number, other than a count or a time: logarithms
-#: of durations of thousands of years are below it, and its square is.
-MAX_NUMBER = 1_000.0
+#: Largest absolute value of a recorded number, other than a count or a time. Logarithms
+#: of durations of thousands of years are below it, and e to some times its power is a
+#: float.
+MAX_NUMBER = 50.0
 #: Largest recorded count. Beyond it, counts make no difference.
 MAX_COUNT = 1_000_000.0
 #: Decimals of recorded numbers, an error of 0.01% of a duration.
--- a/packages/savorylead/savorylead/pools/_queue_regression.py
+++ b/packages/savorylead/savorylead/pools/_queue_regression.py
@@ -23,6 +23,9 @@
 #: logarithms that gives this assumption its weight.
 PRIOR_SLOPE = 0.7
 PRIOR_DECLARED_VARIANCE = 0.3
+#: Largest slope. Steeper ones come from few observations, or from a record that was not
+#: written by this code.
+MAX_SLOPE = 1.5
 #: Assumed variance of the logarithm of a task's duration, given the declared one.
 PRIOR_VARIANCE = 1.0
 #: Assumed variance among the tasks of a step. Their 5th to 95th percentiles span a
@@ -174,6 +177,7 @@
         slope = (count * moments.covariance + prior * PRIOR_SLOPE) / (
             count * moments.variance_declared + prior
         )
+        slope = max(0.0, min(MAX_SLOPE, slope))
         # Variance about a line of this slope, which is not quite the best one.
         residual = max(
             0.0,
--- a/packages/savorylead/savorylead/pools/tests/test_duration_record.py
+++ b/packages/savorylead/savorylead/pools/tests/test_duration_record.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import Any
 
 import pytest
@@ -127,6 +128,40 @@
         decode_durations(KEY, BROKEN[name])
 
 
+@pytest.mark.parametrize("count", [0.001, 1.0, 1e6])
+@pytest.mark.parametrize(
+    "row",
+    [
+        [50.0, 50.0, 50.0, 50.0, 50.0, 50.0],
+        [50.0, -50.0, 50.0, 0.0, 50.0, 0.001],
+        [-50.0, 50.0, 0.0, 0.0, -50.0, 50.0],
+    ],
+)
+@pytest.mark.parametrize("mean", [50.0, -50.0])
+def test_estimates_from_extreme_records_are_finite(
+    count: float, row: list[float], mean: float
+) -> None:
+    # Guards against a lead that fails in each pass since a record that decodes leads to
+    # a number beyond floats.
+    queues = {"normal": [count, *row]}
+    workers = {"w0": [count, mean, 1], "w1": [count, -mean, 1]}
+    durations = LearnedDurations()
+    durations.restore(decode_durations(KEY, document(queues=queues, workers=workers)))
+    for number, declared_ms in enumerate((0, 1, 10**300)):
+        step = step_of(f"j{number}", "normal", count=3, estimate_ms=declared_ms)
+        for index in range(2):
+            values = [
+                durations.estimate_ms("normal", step.spec),
+                durations.step_ms(step),
+                durations.tail_ms(step),
+                durations.elsewhere_ms(step, "w0"),
+                durations.factor("w0"),
+            ]
+            assert all(math.isfinite(value) and value > 0 for value in values)
+            step.mark_done(index)
+            durations.observe(step, f"w{index}", 1_000)
+
+
 def test_unknown_fields_of_a_record_are_ignored() -> None:
     record = decode_durations(KEY, document(since_ms=5))
     assert record.queues == {"q": QueueMoments(*QUEUE)}
