Logs keep the lines that give a reason

task_end carries stop_reason for reported ends too, and savoryctl explain names it. job_ended has no limit; task_start with started and task_end with done are counted apart from lines with other outcomes.

--- a/packages/savorylead-ctl/savorylead_ctl/explain/_explanation.py
+++ b/packages/savorylead-ctl/savorylead_ctl/explain/_explanation.py
@@ -28,6 +28,7 @@
     "start_unanswered": "a worker did not answer a start",
     "step_goes_first": "a step was prioritized after a long wait behind others",
     "team_short_of_limit": "the team's limit kept tasks waiting",
+    "capacity_short": "the pool had too little free capacity for the waiting tasks",
     "limit_claimed": "a pool claimed a larger part of the team's limit",
     "limit_claim_ended": "a pool's claim to the team's limit ended",
     "lead_not_reached": "the lead of the pool could not be reached",
@@ -207,7 +208,9 @@
         if outcome == "stopped" and details.get("stop_reason") == NOT_NEEDED:
             return ""
         where = details.get("worker", "")
-        return f"{details.get('task_name')} on {where}: {outcome or 'no outcome'}"
+        reason = details.get("stop_reason")
+        why = f" ({reason})" if reason else ""
+        return f"{details.get('task_name')} on {where}: {outcome or 'no outcome'}{why}"
     if line.event == "lead_lease_ended":
         return _describe_ended_lease(line)
     if line.event == "advice" and details.get("allowed") == 0:
--- a/packages/savorylead-daemon/savorylead_daemon/observability/_event_log.py
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/_event_log.py
@@ -30,6 +30,11 @@
 }
 #: Length of the window in which the lines of an event are counted.
 RATE_WINDOW = timedelta(seconds=1)
+#: Events without a limit: one line per job, from which its time is read.
+UNLIMITED_EVENTS = frozenset({"job_ended"})
+#: Outcomes that are counted apart from others of the event. Under load they exceed the
+#: limit, and would suppress the lines that give a reason.
+EXPECTED_OUTCOMES = frozenset({("task_start", "started"), ("task_end", "done")})
 
 
 class LogSubject(NamedTuple):
@@ -105,7 +110,7 @@
 
 
 class _Window:
-    """Counts of the lines of one event since the start of the window."""
+    """Counts of the lines under one limit since the start of the window."""
 
     __slots__ = ("began_at", "suppressed", "written")
 
@@ -118,13 +123,15 @@
 class EventLog:
     """Writes events; those beyond the rate limit are counted instead of written.
 
-    The next line of the event has the number of omitted lines in ``suppressed``.
+    The next line under the same limit has the number of omitted lines in
+    ``suppressed``. Lines of an event share one limit, apart from EXPECTED_OUTCOMES.
     """
 
     def __init__(self, clock: Clock, lines_per_event_per_s: int) -> None:
         self._clock = clock
         self._lines_per_window = lines_per_event_per_s
-        self._windows: dict[str, _Window] = {}
+        #: By event, and whether the outcome is an expected one.
+        self._windows: dict[tuple[str, bool], _Window] = {}
 
     def set_rate(self, lines_per_event_per_s: int) -> None:
         """Set the rate limit, in lines per event and second."""
@@ -141,14 +148,16 @@
 
         Returns whether the line was written. ``event`` is a constant name in snake
         case; variable data goes into ``details``, whose values are encoded as JSON.
-        Errors are exempt from the rate limit.
+        Errors and UNLIMITED_EVENTS are exempt from the rate limit.
         """
         severity = _SEVERITIES[level]
         if not logging.get_absl_logger().isEnabledFor(
             logging.converter.absl_to_standard(severity)
         ):
             return False
-        suppressed = self._admit(event, exempt=level is LogLevel.ERROR)
+        is_expected = (event, details.get("outcome")) in EXPECTED_OUTCOMES
+        is_exempt = level is LogLevel.ERROR or event in UNLIMITED_EVENTS
+        suppressed = self._admit((event, is_expected), is_exempt)
         if suppressed is None:
             return False
         fields = {"event": event, **subject.fields(), **details}
@@ -157,15 +166,15 @@
         logging.log(severity, "%s", event, extra={"event_fields": fields})
         return True
 
-    def _admit(self, event: str, exempt: bool) -> int | None:
+    def _admit(self, limited: tuple[str, bool], exempt: bool) -> int | None:
         """Return the number of lines suppressed before this one.
 
         None means that this line is suppressed as well.
         """
         now = self._clock.now()
-        window = self._windows.get(event)
+        window = self._windows.get(limited)
         if window is None:
-            window = self._windows[event] = _Window(now)
+            window = self._windows[limited] = _Window(now)
         if now - window.began_at >= RATE_WINDOW:
             window.began_at = now
             window.written = 0
--- a/packages/savorylead-daemon/savorylead_daemon/observability/tests/test_event_log.py
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/tests/test_event_log.py
@@ -64,6 +64,39 @@
     assert "suppressed" not in records[-1].event_fields
 
 
+def test_ends_of_jobs_are_never_left_out(records):
+    # Guards against jobs whose time can't be read from the log.
+    log, _ = new_log(lines_per_event_per_s=1)
+    assert all(log.log_event(LogLevel.INFO, "job_ended") for _ in range(3))
+
+
+@pytest.mark.parametrize(
+    ("event", "expected", "others"),
+    [
+        ("task_start", "started", ("no_room", "preempted")),
+        ("task_end", "done", ("stopped", "failed")),
+    ],
+)
+def test_expected_outcomes_leave_the_limit_to_the_others(
+    records, event, expected, others
+):
+    # Guards against lines with a reason being suppressed by those without one.
+    log, time = new_log(lines_per_event_per_s=2)
+    outcomes = (expected,) * 4 + others + (others[0],)
+    written = [log.log_event(LogLevel.INFO, event, outcome=o) for o in outcomes]
+    assert written == [True, True, False, False, True, True, False]
+    time.advance(1)
+    for outcome in (expected, others[0]):
+        log.log_event(LogLevel.INFO, event, outcome=outcome)
+    assert [r.event_fields["suppressed"] for r in records[-2:]] == [2, 1]
+
+
+def test_expected_outcomes_of_other_events_are_not_counted_apart(records):
+    log, _ = new_log(lines_per_event_per_s=1)
+    assert log.log_event(LogLevel.INFO, "advice", outcome="done")
+    assert not log.log_event(LogLevel.INFO, "advice", outcome="failed")
+
+
 def test_errors_are_never_left_out(records):
     log, _ = new_log(lines_per_event_per_s=1)
     assert all(log.log_event(LogLevel.ERROR, "journal_corrupt") for _ in range(3))
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
@@ -115,7 +115,7 @@
             run=ended.number,
             worker=worker.id,
             outcome=ended.outcome.value,
-            **_stop_details(finding.run),
+            stop_reason="" if finding.run is None else finding.run.stop_reason,
             **_copy_details(finding.run),
         )
         if ended.outcome is RunEnd.DONE:
@@ -241,11 +241,6 @@
             session.stop_run(run, "stalled")
 
 
-def _stop_details(run: Run | None) -> dict[str, object]:
-    """Return why the run was stopped, if it was."""
-    return {"stop_reason": run.stop_reason} if run and run.stop_reason else {}
-
-
 def _copy_details(run: Run | None) -> dict[str, object]:
     """Return the details that log lines have for copies alone."""
     return {"copy": True} if run is not None and run.copy_reason else {}
