Work beyond a team's weight waits for late work within the weights

Change: with defers_surplus a surplus job ranks with the late ones, behind those within the weights. The order is as before where it is off.

--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -247,7 +247,8 @@
         self, step: StepRun, queues: Mapping[str, Queue], now_ms: int
     ) -> Urgency:
         queue = queues[step.job.record.queue]
-        return urgency_of(step, queue, self.times, now_ms)
+        defers_surplus = self.policy.defers_surplus
+        return urgency_of(step, queue, self.times, now_ms, defers_surplus)
 
     def _preempt(
         self,
