--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_marks.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_marks.py
@@ -66,4 +66,7 @@
                 p for p in plan.placements if not self.is_awaited(p.task.step.job)
             ],
             gangs=[g for g in plan.gangs if not self.is_awaited(g.step.job)],
+            copies=[
+                c for c in plan.copies if not self.is_awaited(c.placement.task.step.job)
+            ],
         )
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_job_registry.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_job_registry.py
@@ -119,7 +119,7 @@
         self,
         now_ms: int,
         may_start: Callable[[Job], bool],
-        may_repeat: Callable[[StepRun], bool] = lambda _: False,
+        may_repeat: Callable[[StepRun], bool] | None = None,
     ) -> Iterator[StepRun]:
         """Yield the ready steps of the open jobs that may start.
 
@@ -128,7 +128,7 @@
         for job in self.open.values():
             if may_start(job):
                 yield from job.ready_steps(now_ms)
-            elif any(may_repeat(step) for step in job.steps()):
+            elif may_repeat is not None and any(map(may_repeat, job.steps())):
                 yield from filter(may_repeat, job.ready_steps(now_ms))
 
     def open_due(self, now_ms: int) -> int | None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -492,9 +492,10 @@
     def _plan_once(self, now_ms: int) -> None:
         self._fleet.all_runs_located()
         self._state.jobs.open_due(now_ms)
-        steps = list(
-            self._state.jobs.ready_steps(now_ms, self._may_start, self._may_repeat)
-        )
+        may_repeat = None
+        if self._parts.policy.marks_jobs and self._parts.policy.copy_share > 0:
+            may_repeat = self._may_repeat
+        steps = list(self._state.jobs.ready_steps(now_ms, self._may_start, may_repeat))
         workers = [
             w for w in self._state.workers.values() if self._records.is_recorded(w.id)
         ]
@@ -507,6 +508,9 @@
             self._parts.advice_slots(),
         )
         self._note_demand(plan)
+        if not self._fleet.all_runs_located():
+            # A task of an earlier lead may have two runs already.
+            plan = plan._replace(copies=[])
         self._starter.execute(self._marks.startable(plan))
         for request in plan.requests:
             self._tasks.spawn("call for advice", self._asker.call(request))
@@ -526,11 +530,13 @@
     def _may_repeat(self, step: StepRun) -> bool:
         """Return whether tasks of a step may start beside runs of earlier leads.
 
-        Gangs may not: members of two gangs would break each other.
+        The same steps may as may have copies: members of two gangs would break each
+        other, and a run that is found later is kept only as a copy.
         """
-        if not self._parts.policy.marks_jobs or self._marks.is_overdue(step.job):
+        spec = step.spec
+        if not spec.speculative or spec.gang or spec.long_running or spec.fills:
             return False
-        return step.spec.speculative and not step.spec.gang
+        return not step.has_suspects and not self._marks.is_overdue(step.job)
 
     def _team_headroom(self, team: str) -> Resources | None:
         # Runs of earlier leads on workers that have not answered yet may belong to any
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
@@ -99,6 +99,8 @@
         task = self._state.jobs.task(ended.task)
         was_done = task is not None and task.done
         if finding.run is not None:
+            if _is_behind_partner(finding.run):
+                ended = ended._replace(checkpoint="")
             won = ended.outcome is RunEnd.DONE and not was_done
             self._starter.free(finding.run, won)
             self._record_stop(finding.run, ended)
@@ -219,7 +221,11 @@
             return
         else:
             task.run = run
-        if active.checkpoint and task.step.spec.checkpoints:
+        if (
+            active.checkpoint
+            and task.step.spec.checkpoints
+            and not _is_behind_partner(run)
+        ):
             task.checkpoint = active.checkpoint
         self._log.log_event(
             LogLevel.INFO,
@@ -238,6 +244,7 @@
         for run in stalled_runs(session.worker, planner.durations, now_ms, urgent):
             self._starter.log_start(run, "stalled", percent=run.percent)
             session.worker.note_stalled(run, now_ms)
+            run.task.step.has_stalled = True
             session.stop_run(run, "stalled")
 
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_learned_run_ends.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_learned_run_ends.py
@@ -13,6 +13,7 @@
     QueueDurations,
     SchedulingPolicy,
 )
+from savorylead_daemon.pool._copy_counts import CopyCounter, CopyCounts
 from savorylead_daemon.pool._pool_fleet import PoolFleet
 from savorylead_daemon.pool._pool_state import PoolState
 from savorylead_daemon.pool._report_processor import ReportProcessor
@@ -58,8 +59,9 @@
     state.planner.durations = FixedDurations(700, 1.0)
     session = Session(bench.worker)
     crashes = bench.crash_tracker(state)
+    copies = CopyCounter("p", CopyCounts())
     starter = RunStarter(
-        state, bench.log, 1, bench.tasks, lambda: True, lambda: None, crashes
+        state, bench.log, 1, bench.tasks, lambda: True, lambda: None, crashes, copies
     )
     processor = ReportProcessor(state, starter, None, bench.log)
     run = Run(step_run().tasks[0], 1, "w", state.now_ms())
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_unseen_jobs.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_unseen_jobs.py
@@ -495,14 +495,19 @@
 
 # Steps that may run twice.
 
+#: Marks, and copies of tasks that may run twice.
+COPIES = MARKS._replace(copy_share=0.05)
+
 
 @pytest.mark.parametrize(
     ("policy", "changes", "starts_at_once"),
     [
-        (MARKS, {"speculative": True}, True),
-        (MARKS, {"speculative": False}, False),
+        (COPIES, {"speculative": True}, True),
+        (COPIES, {"speculative": False}, False),
         # Members of two gangs would break each other.
-        (MARKS, {"speculative": True, "gang": True, "count": 2}, False),
+        (COPIES, {"speculative": True, "gang": True, "count": 2}, False),
+        # A run that is found later would be stopped in favour of the new one.
+        (MARKS, {"speculative": True}, False),
         (NO_MARKS, {"speculative": True}, False),
     ],
 )
@@ -510,6 +515,8 @@
     policy: SchedulingPolicy, changes: dict[str, object], starts_at_once: bool
 ) -> None:
     cell = ready_cell(policy=policy)
+    is_speculative = bool(changes.get("speculative"))
+    cell.workers.may_run_twice = lambda task: is_speculative and task.job == "once"
     cell.workers.duration_of = lambda _: timedelta(seconds=20)
     lead, via = cell.lead_of(), other_node(cell)
     cell.submit("plain", job_spec(), via)
@@ -526,9 +533,7 @@
     assert starts(cell, "plain") == 1
     assert cell.clock.now() - elected_at < LOCATED_AFTER
     cell.run(25.0)
-    # The stand-in doesn't know which tasks may run twice.
-    harmful = [b for b in cell.workers.breaches if not b.startswith("once.")]
-    assert harmful == []
+    assert cell.workers.breaches == []
     assert cell.state("once", via) is JobState.COMPLETED
 
 
--- a/packages/savorylead/savorylead/jobs/_job.py
+++ b/packages/savorylead/savorylead/jobs/_job.py
@@ -213,6 +213,7 @@
         "durations",
         "failed_runs",
         "failures",
+        "has_stalled",
         "has_suspects",
         "index",
         "job",
@@ -232,6 +233,8 @@
         self.done_count = 0
         #: Numbers of the runs that failed, by task; a gang counts under -1.
         self.failed_runs: dict[int, set[int]] = {}
+        #: Whether one of its runs was stopped as stalled.
+        self.has_stalled = False
         #: Whether a worker has crashed under one of its tasks.
         self.has_suspects = False
         #: When the steps it depends on were done; None before.
--- a/packages/savorylead/savorylead/pools/_copies.py
+++ b/packages/savorylead/savorylead/pools/_copies.py
@@ -214,7 +214,12 @@
 
         ``factor`` is that of the copy's worker.
         """
-        expected_ms = self._durations.step_ms(step)
+        if step.spec.count == 1:
+            # A single task's own progress says nothing of how long a copy takes.
+            queue = step.job.record.queue
+            expected_ms = self._durations.estimate_ms(queue, step.spec)
+        else:
+            expected_ms = self._durations.step_ms(step)
         return expected_ms * (factor + MARGIN_SHARE) + MARGIN_MS
 
     def _reason(
--- a/packages/savorylead/savorylead/pools/_learned_durations.py
+++ b/packages/savorylead/savorylead/pools/_learned_durations.py
@@ -113,7 +113,7 @@
         known = known_of(step)
         read_at_ms = known.read_at_ms
         if read_at_ms is None or not 0 <= self._now_ms - read_at_ms < CACHE_TTL_MS:
-            known.read_runs(step, self._now_ms)
+            known.read_runs(step, self._now_ms, self._predict(step).mean)
         return known
 
     def _predict(self, step: StepRun) -> Prediction:
--- a/packages/savorylead/savorylead/pools/_speed_classes.py
+++ b/packages/savorylead/savorylead/pools/_speed_classes.py
@@ -21,6 +21,9 @@
 #: Bounds within which factors are told apart, so that each has a finite class.
 MIN_FACTOR = 0.01
 MAX_FACTOR = 100.0
+#: Classes of workers clearly faster and clearly slower than a typical one; those of
+#: typical workers are 0.
+FAST, SLOW = -1, 1
 #: Priority of the most urgent queues.
 URGENT_PRIORITY = 0
 
@@ -31,19 +34,22 @@
     The logarithm is rounded towards zero, so that all factors between 1 / CLASS_RATIO
     and CLASS_RATIO are one class. With rounding to nearest, the slower three quarters
     of such a pool, whose factor is 1.22, would be divided at 1.225 by noise alone.
+    There are three classes, as noise would divide the fast workers at the square of the
+    ratio.
     """
     bounded = min(MAX_FACTOR, max(MIN_FACTOR, factor))
-    return int(math.log(bounded) / math.log(CLASS_RATIO))
+    number = int(math.log(bounded) / math.log(CLASS_RATIO))
+    return max(FAST, min(SLOW, number))
 
 
 class SpeedRanks:
     """Ranks workers by their speed for the steps of one pass. Immutable."""
 
     def __init__(self, classes: Mapping[str, int], signs: Mapping[str, int]) -> None:
-        """``signs`` has 1 for queues that prefer fast workers, else -1 or 0."""
+        """``signs`` has 1 for queues that prefer fast workers, -1 if they avoid them."""
         #: Ranks of workers for finite tasks outside gangs, by queue and worker.
         self.by_queue: dict[str, dict[str, int]] = {
-            queue: {worker: sign * number for worker, number in classes.items()}
+            queue: {worker: _rank(sign, number) for worker, number in classes.items()}
             for queue, sign in signs.items()
         }
 
@@ -72,8 +78,17 @@
     return SpeedRanks(classes, signs)
 
 
+def _rank(sign: int, number: int) -> int:
+    """Return the rank of workers of a class; lower is better.
+
+    Less urgent tasks only avoid fast workers: if they preferred the slowest ones, a
+    worker that is impaired would be filled with them.
+    """
+    return sign * number if sign >= 0 else max(0, -number)
+
+
 def _signs(queues: Mapping[str, Queue]) -> dict[str, int]:
-    """Return which queues prefer fast workers (1), slow ones (-1) or none (0).
+    """Return which queues prefer fast workers (1), avoid them (-1) or neither (0).
 
     A queue has no preference if its pool has no queues of the other kind: fast workers
     are left free only where urgent tasks need them.
--- a/packages/savorylead/savorylead/pools/_stalls.py
+++ b/packages/savorylead/savorylead/pools/_stalls.py
@@ -55,29 +55,53 @@
     return [
         run
         for run in worker.runs.values()
-        if _is_stalled(run, durations, now_ms, urgent)
+        if _is_stalled(run, worker, durations, now_ms, urgent)
     ]
 
 
 def _is_stalled(
-    run: Run, durations: DurationEstimator, now_ms: int, urgent: Container[str]
+    run: Run,
+    worker: PoolWorker,
+    durations: DurationEstimator,
+    now_ms: int,
+    urgent: Container[str],
 ) -> bool:
     spec = run.task.step.spec
     if run.state is not RunState.RUNNING or spec.long_running or spec.fills:
         return False
     if spec.gang or run.pace_percent < 100 or run.percent >= 100:
         return False
-    step = run.task.step
-    length_ms = durations.step_ms(step) * durations.factor(run.worker)
-    min_stall_ms = MIN_STALL_MS
-    if step.job.record.queue in urgent and _is_short(run, durations, length_ms, now_ms):
-        min_stall_ms = URGENT_STALL_MS
     # Time without reports does not count: the whole worker or its machine may have
     # been paused.
     still_ms = now_ms - max(run.percent_at_ms, run.confirmed_at_ms) - run.unreported_ms
+    if still_ms <= URGENT_STALL_MS:
+        return False
+    step = run.task.step
+    # The run's own report shows nothing of how long it should stand still.
+    length_ms = durations.elsewhere_ms(step, run.worker) * durations.factor(run.worker)
+    min_stall_ms = MIN_STALL_MS
+    if (
+        step.job.record.queue in urgent
+        and _may_stall_early(run, worker)
+        and _is_short(run, durations, length_ms, now_ms)
+    ):
+        min_stall_ms = URGENT_STALL_MS
     return still_ms > max(min_stall_ms, STALL_SHARE * length_ms)
 
 
+def _may_stall_early(run: Run, worker: PoolWorker) -> bool:
+    """Return whether progress should show within URGENT_STALL_MS.
+
+    Resuming and cold workers take time without progress. After one stall the step's
+    runs get more time: their first progress may take longer than that.
+    """
+    return (
+        not run.resumed
+        and not run.task.step.has_stalled
+        and not worker.is_cold(run.confirmed_at_ms)
+    )
+
+
 def _is_short(
     run: Run, durations: DurationEstimator, length_ms: float, now_ms: int
 ) -> bool:
--- a/packages/savorylead/savorylead/pools/_step_durations.py
+++ b/packages/savorylead/savorylead/pools/_step_durations.py
@@ -12,9 +12,10 @@
 
 from ._run_ends import MIN_PERCENT
 
-#: Weight of a running task's projected duration, relative to a done task's. Reported
-#: percentages are whole numbers and up to a second apart.
-RUNNING_WEIGHT = 0.5
+#: Largest ratio of a running task's projected duration to the queue's expectation, as a
+#: logarithm. The longest steps take seven times as long, and a worker that was paused
+#: projects much more from its first progress.
+MAX_LOG_PROJECTION = math.log(20)
 
 
 class StepDurations:
@@ -53,8 +54,12 @@
         self.pending.append((worker, log_ms))
         self.is_current = False
 
-    def read_runs(self, step: StepRun, now_ms: int) -> None:
-        """Read the progress of the running tasks."""
+    def read_runs(self, step: StepRun, now_ms: int, prior_log_ms: float) -> None:
+        """Read the progress of the running tasks.
+
+        ``prior_log_ms`` is the queue's expected logarithm of the duration.
+        """
+        max_log_ms = prior_log_ms + MAX_LOG_PROJECTION
         self.running = {}
         self.worked = []
         for run in _progressing_runs(step):
@@ -63,8 +68,11 @@
                 continue
             log_ms = math.log(worked_ms)
             if run.percent >= MIN_PERCENT:
-                log_ms -= math.log(min(99, run.percent) / 100)
-                _add(self.running, run.worker, RUNNING_WEIGHT, log_ms)
+                # The more of a task is done, the less a pause or the rounding of the
+                # percentage changes the projection.
+                share = min(99, run.percent) / 100
+                projected = min(max_log_ms, log_ms - math.log(share))
+                _add(self.running, run.worker, share, projected)
             else:
                 self.worked.append((run.worker, log_ms))
         self.read_at_ms = now_ms
--- a/packages/savorylead/savorylead/pools/_step_times.py
+++ b/packages/savorylead/savorylead/pools/_step_times.py
@@ -37,6 +37,9 @@
 
     def __init__(self, durations: DurationEstimator) -> None:
         self._durations = durations
+        #: Critical paths by job and occurrence, which the steps of a pass share.
+        self._chains: dict[tuple[str, int], float] = {}
+        self._chains_at_ms = 0
 
     def of(self, step: StepRun, queue: Queue, now_ms: int) -> StepTime:
         """Return the times of a step."""
@@ -48,7 +51,7 @@
             return time
         job = step.job
         begun_ms = _begun_ms(job, step.occurrence)
-        due_ms = begun_ms + int(self._objective_ms(step, queue))
+        due_ms = begun_ms + int(self._objective_ms(step, queue, now_ms))
         time = StepTime(begun_ms, due_ms, self._remaining_ms(step), now_ms)
         step.time = time
         return time
@@ -68,16 +71,22 @@
             return self._durations.step_ms(step)
         return self._durations.estimate_ms(step.job.record.queue, step.spec)
 
-    def _objective_ms(self, step: StepRun, queue: Queue) -> float:
+    def _objective_ms(self, step: StepRun, queue: Queue, now_ms: int) -> float:
         """Return the time within which the step's occurrence should end.
 
         An occurrence whose step turns out longer than estimated is due later by that,
         as is its critical path.
         """
-        steps = step.job.occurrences[step.occurrence]
-        chain_ms = _chain_ms(
-            step.job.record.spec.steps, [self.length_ms(each) for each in steps]
-        )
+        if now_ms != self._chains_at_ms:
+            self._chains = {}
+            self._chains_at_ms = now_ms
+        key = (step.job.id, step.occurrence)
+        chain_ms = self._chains.get(key)
+        if chain_ms is None:
+            steps = step.job.occurrences[step.occurrence]
+            lengths_ms = [self.length_ms(each) for each in steps]
+            chain_ms = _chain_ms(step.job.record.spec.steps, lengths_ms)
+            self._chains[key] = chain_ms
         return queue.stretch * chain_ms + queue.objective_ms
 
     def _remaining_ms(self, step: StepRun) -> float:
--- a/packages/savorylead/savorylead/pools/tests/test_learned_durations.py
+++ b/packages/savorylead/savorylead/pools/tests/test_learned_durations.py
@@ -345,3 +345,16 @@
         )
         squares.append(math.log(length_ms * SLOW / expected[-1]) ** 2)
     assert least < math.sqrt(statistics.fmean(squares[300:])) < most
+
+
+@pytest.mark.parametrize("percent, worked_ms", [(10, 5_000), (12, 6_000)])
+def test_a_paused_run_projects_no_absurd_duration(percent: int, worked_ms: int) -> None:
+    # One worker that was paused for 4.5 s made its step look 50 times as long, so that
+    # its job was due a minute later.
+    durations = LearnedDurations()
+    step = step_of("j", "urgent", count=2, estimate_ms=700)
+    where = worker("w")
+    run = run_on(where, step, confirmed_at_ms=NOW_MS - worked_ms)
+    run.percent, run.percent_at_ms = percent, NOW_MS
+    durations.note_time(NOW_MS)
+    assert durations.step_ms(step) < 10 * 700
--- a/packages/savorylead/savorylead/pools/tests/test_shown_durations.py
+++ b/packages/savorylead/savorylead/pools/tests/test_shown_durations.py
@@ -228,3 +228,33 @@
 def test_runs_stall_as_before_where_durations_are_not_learned() -> None:
     assert urgent_queues(SchedulingPolicy(), QUEUES.values()) == frozenset()
     assert urgent_queues(LEARNS, QUEUES.values()) == {"urgent"}
+
+
+@pytest.mark.parametrize(
+    "load_pattern, has_stalled, resumed, cold_for_ms, is_stalled",
+    [
+        ("first run", False, False, 0, True),
+        # A step whose first progress takes long would be stopped again and again.
+        ("run after a stall", True, False, 0, False),
+        ("resuming from a checkpoint", False, True, 0, False),
+        ("on a worker that has just started", False, False, 1_000, False),
+    ],
+)
+def test_only_runs_that_should_show_progress_soon_stall_early(
+    load_pattern: str,
+    has_stalled: bool,
+    resumed: bool,
+    cold_for_ms: int,
+    is_stalled: bool,
+) -> None:
+    where = worker("w")
+    step = step_of("j", "urgent", estimate_ms=SHORT_MS)
+    step.has_stalled = has_stalled
+    run = run_on(where, step, confirmed_at_ms=NOW_MS)
+    run.resumed = resumed
+    where.cold_until_ms = NOW_MS + cold_for_ms
+    urgent = urgent_queues(LEARNS, QUEUES.values())
+    for at_ms, _ in STILL:
+        note_reported(run, NOW_MS + at_ms)
+    found = stalled_runs(where, FixedDurations(), NOW_MS + STILL[-1][0], urgent)
+    assert (found == [run]) == is_stalled, load_pattern
--- a/packages/savorylead/savorylead/pools/tests/test_speed_classes.py
+++ b/packages/savorylead/savorylead/pools/tests/test_speed_classes.py
@@ -333,3 +333,15 @@
         assert found == decisions(seed, PoolPlanner(), is_advised), seed
         moved += bool(found[0])
     assert moved > 40
+
+
+@pytest.mark.parametrize("queue_name", ["normal", "batch"])
+def test_an_impaired_worker_is_not_filled_with_less_urgent_work(
+    queue_name: str,
+) -> None:
+    # A worker that had become 2.6 times slower got all tasks of less urgent queues.
+    factors = {"fast": 0.46, "impaired": 2.6, "w0": 1.0, "w1": 1.0}
+    workers = [sized("impaired", 16), sized("w0", 4), sized("w1", 4), sized("fast", 4)]
+    step = step_of("j", queue_name, cores=2, count=4)
+    placed = starts(plan([step], workers, learning_planner(factors)))
+    assert sorted(name for _, name in placed) == ["w0", "w0", "w1", "w1"]
