--- a/packages/savorylead/savorylead/pools/_speed_classes.py
+++ b/packages/savorylead/savorylead/pools/_speed_classes.py
@@ -46,7 +46,7 @@
     """Ranks workers by their speed for the steps of one pass. Immutable."""
 
     def __init__(self, classes: Mapping[str, int], signs: Mapping[str, int]) -> None:
-        """``signs`` has 1 for queues that prefer fast workers, -1 if they avoid them."""
+        """``signs`` has 1 for queues that prefer fast workers, -1 to avoid them."""
         #: Ranks of workers for finite tasks outside gangs, by queue and worker.
         self.by_queue: dict[str, dict[str, int]] = {
             queue: {worker: _rank(sign, number) for worker, number in classes.items()}
