--- a/packages/savorylead-ctl/savorylead_ctl/explain/_explanation.py
+++ b/packages/savorylead-ctl/savorylead_ctl/explain/_explanation.py
@@ -28,7 +28,6 @@
     "start_unanswered": "a worker did not answer a start",
     "step_goes_first": "a step was prioritized after a long wait behind others",
     "team_short_of_limit": "the team's limit kept tasks waiting",
-    "capacity_short": "the pool had too little free capacity for the waiting tasks",
     "limit_claimed": "a pool claimed a larger part of the team's limit",
     "limit_claim_ended": "a pool's claim to the team's limit ended",
     "lead_not_reached": "the lead of the pool could not be reached",
--- a/packages/savorylead-ctl/savorylead_ctl/tests/test_explain.py
+++ b/packages/savorylead-ctl/savorylead_ctl/tests/test_explain.py
@@ -83,10 +83,6 @@
             ),
             f"{TASK} on w1: stopped (preempted)",
         ),
-        (
-            line(4.0, "edge-1", "capacity_short", pool="pool", dimension="cores"),
-            "the pool had too little free capacity for the waiting tasks",
-        ),
         (
             line(4.0, "edge-1", "advice", step=f"{JOB}.0.0", asked=8, allowed=0),
             f"the policy allows {JOB}.0.0 on none of the given workers",
