The first test of a worker's free capacity takes one call

Change: the planner compares a task with a worker's free capacity before it calls has_capacity, which tests the same again. No decision changes.

--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -309,10 +309,13 @@
         durations = self.durations
         length_ms = durations.step_ms(step) * BACKFILL_MARGIN
         is_long_running = step.spec.long_running
+        free, fits = state.free, reservation_of(step).fits
         found = [
             worker
             for worker in state.startable_for(step)
-            if state.has_capacity(worker, step)
+            # In a full pool most workers fail this first test, so it takes one call.
+            if fits(free[worker.id])
+            and state.has_capacity(worker, step)
             and could_ever_hold(worker, step)
             and (
                 worker.id not in state.reserved
@@ -403,10 +406,12 @@
         tickets: Mapping[str, str] | None,
     ) -> list[PoolWorker]:
         """Return the workers on which one more task of the step may start."""
+        free, fits = state.free, reservation_of(step).fits
         return [
             worker
             for worker in candidates
             if (tickets is None or worker.id in tickets)
+            and fits(free[worker.id])
             and state.has_capacity(worker, step)
         ]
 
