--- a/packages/savorylead/savorylead/pools/_pool_planner.py
+++ b/packages/savorylead/savorylead/pools/_pool_planner.py
@@ -247,8 +247,7 @@
         self, step: StepRun, queues: Mapping[str, Queue], now_ms: int
     ) -> Urgency:
         queue = queues[step.job.record.queue]
-        defers_surplus = self.policy.defers_surplus
-        return urgency_of(step, queue, self.times, now_ms, defers_surplus)
+        return urgency_of(step, queue, self.times, now_ms)
 
     def _preempt(
         self,
--- a/packages/savorylead/savorylead/pools/_urgency.py
+++ b/packages/savorylead/savorylead/pools/_urgency.py
@@ -4,9 +4,7 @@
 in time go first, then late ones that still score a little, then those that score
 nothing any more; within each, jobs within their team's weight precede those beyond it,
 then the queue's priority and the due time decide. Long-running steps are restarted
-first. Where the burst is that of one team and makes the jobs of all others late, its
-jobs beyond the weight would precede them as long as they are new, so these can be
-deferred until late jobs within the weights have started.
+first.
 """
 
 from __future__ import annotations
@@ -25,17 +23,14 @@
 #: Tolerance past the due time before a job counts as late, as a share of its objective,
 #: since estimates of its length are rough.
 DUE_TOLERANCE = 0.15
-#: Lateness of jobs that can still end in time, of those that end late, and of those
-#: whose result has no value any more.
-IN_TIME = 0
-LATE = 1
+#: Lateness of jobs whose result has no value any more.
 NO_VALUE = 2
 
 
 class Urgency(NamedTuple):
     """Sort key of a step; lower goes first."""
 
-    #: ``IN_TIME``, ``LATE`` or ``NO_VALUE``.
+    #: 0 in time, 1 late, 2 too late to have any value.
     lateness: int
     #: 1 for jobs beyond the team's weight, else 0.
     surplus: int
@@ -43,28 +38,17 @@
     due_ms: int
 
 
-def urgency_of(
-    step: StepRun,
-    queue: Queue,
-    times: StepTimes,
-    now_ms: int,
-    defers_surplus: bool = False,
-) -> Urgency:
-    """Return the sort key of a step.
-
-    With ``defers_surplus``, jobs beyond their team's weight go after late jobs within
-    the weights, but before those without any value.
-    """
+def urgency_of(step: StepRun, queue: Queue, times: StepTimes, now_ms: int) -> Urgency:
+    """Return the sort key of a step."""
     surplus = int(step.job.surplus)
     time = times.of(step, queue, now_ms)
     if step.spec.long_running:
         # It serves its own users continuously, so it is restarted before all others.
-        return Urgency(IN_TIME, 0, LONG_RUNNING_PRIORITY, time.due_ms)
+        return Urgency(0, 0, LONG_RUNNING_PRIORITY, time.due_ms)
     objective_ms = time.due_ms - time.begun_ms
     end_ms = now_ms + time.remaining_ms
     if end_ms > time.begun_ms + LATE_FACTOR * objective_ms:
         return Urgency(NO_VALUE, surplus, queue.priority, time.due_ms)
     if end_ms > time.due_ms + DUE_TOLERANCE * objective_ms:
-        return Urgency(LATE, surplus, queue.priority, time.due_ms)
-    lateness = LATE if surplus and defers_surplus else IN_TIME
-    return Urgency(lateness, surplus, queue.priority, time.due_ms)
+        return Urgency(1, surplus, queue.priority, time.due_ms)
+    return Urgency(0, surplus, queue.priority, time.due_ms)
--- a/packages/savorylead/savorylead/pools/tests/test_hot_team.py
+++ b/packages/savorylead/savorylead/pools/tests/test_hot_team.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from savorylead.pools import AdviceSlots, PoolPlanner, SchedulingPolicy
+from savorylead.pools import AdviceSlots
 
-from .pool_cases import NOW_MS, QUEUES, plan, queue, run_on, starts, step_of, worker
+from .pool_cases import QUEUES, plan, queue, run_on, starts, step_of, worker
 
 ADVISED = {
     "urgent": queue("urgent", 0, advised=True, stretch=1.5, objective_ms=250),
@@ -65,28 +65,3 @@
     small = step_of("small", "batch", cores=1, estimate_ms=60_000)
     result = plan([waits, small], [one], queues=QUEUES)
     assert starts(result) == [("small", "w")]
-
-
-@pytest.mark.parametrize(
-    "defers_surplus, accepted_ms_ago, winner",
-    [
-        # New jobs beyond the weight go before late ones within it, unless deferred.
-        (False, 3_000, "surplus"),
-        (True, 3_000, "own"),
-        # A job in time goes first in any case, one without value last.
-        (False, 0, "own"),
-        (True, 0, "own"),
-        (True, 60_000, "surplus"),
-    ],
-)
-def test_a_burst_beyond_a_teams_weight_waits_for_late_work_of_others(
-    defers_surplus: bool, accepted_ms_ago: int, winner: str
-) -> None:
-    # Guards against one team's burst that keeps the late jobs of all other teams from
-    # running until they have no value.
-    planner = PoolPlanner(SchedulingPolicy(defers_surplus=defers_surplus))
-    steps = [
-        surplus_step("surplus", "urgent", cores=16),
-        step_of("own", "urgent", cores=16, accepted_at_ms=NOW_MS - accepted_ms_ago),
-    ]
-    assert starts(plan(steps, [worker("w")], planner)) == [(winner, "w")]
