--- a/packages/savorylead/savorylead/pools/_policy.py
+++ b/packages/savorylead/savorylead/pools/_policy.py
@@ -15,11 +15,7 @@
     marks_jobs: bool = False
     #: Largest share of a pool's cores that copies of late tasks hold; 0 starts none.
     copy_share: float = 0.0
-    #: Whether capacity is divided among teams by weight while it is short.
-    divides_when_short: bool = False
 
 
 #: Everything on, for cells in which moving a misplaced task takes long.
-FULL_POLICY = SchedulingPolicy(
-    learns_durations=True, marks_jobs=True, copy_share=0.05, divides_when_short=True
-)
+FULL_POLICY = SchedulingPolicy(learns_durations=True, marks_jobs=True, copy_share=0.05)
