--- a/bench/_capacity_page.py
+++ b/bench/_capacity_page.py
@@ -148,15 +148,15 @@
 ## Pools of a platform
 
 The slopes above are those of cells without a platform; none were taken yet by growing
-a cell with one. Single played days of 32 and 42 daemons with 176 workers, learned
-durations, marks of jobs and copies on, give these parts of one core and memory peaks:
+a cell with one. Single trial days of 680ce3f, an intermediate state, with 32 and 42
+daemons and 176 workers, learned durations, marks of jobs and copies on, give these
+parts of one core and memory peaks:
 
 | Load | Daemon, mean | Busiest daemon | Memory |
 |---|---|---|---|
 | 690 to 950 jobs in 34 s, four days | 0.061 to 0.074 | 0.41 to 0.81 | 47 to 51 MB |
 | some 1,400 jobs, two bursts, capacity short | 0.082 | 1.17 | 62 MB |
 
-The busiest daemon leads a pool. Its processor goes into passes of the planner, which
-ask every worker for each waiting step: 126 workers and 300 waiting steps take 644,515
-calls.
+The busiest daemon leads a pool. Passes of the planner ask every worker for each waiting
+step, so their cost grows with both.
 """
--- a/packages/savorylead/savorylead/pools/tests/test_speed_classes.py
+++ b/packages/savorylead/savorylead/pools/tests/test_speed_classes.py
@@ -1,4 +1,4 @@
-"""Urgent tasks get fast workers and batch tasks slow ones, where speeds differ."""
+"""Urgent tasks get fast workers and batch tasks avoid them, where speeds differ."""
 
 from __future__ import annotations
 
