--- a/review/cell-3/cell.py
+++ b/review/cell-3/cell.py
@@ -541,13 +541,19 @@
             self._leave_gang(key, how)
 
     async def _hold(self, body):
+        lease_left_ms = self.deadline - self.clock()
         if "deadline_ms" in body:
             self._extend(body["deadline_ms"])
         seen = body.get("last_seen", 0)
         gone = [row for row in self.finished if row[0] <= seen]
         for row in gone:
             self.record.add(
-                "end taken note of", worker=self.id, task=row[1], run=row[2], how=row[3]
+                "end taken note of",
+                worker=self.id,
+                task=row[1],
+                run=row[2],
+                how=row[3],
+                lease_left_ms=lease_left_ms,
             )
         self.finished = [row for row in self.finished if row[0] > seen]
         wait = body.get("wait_ms", 0) / 1000
