Long-running tasks that outlive failed runs speak for their worker

Cause: a failed run counts against its worker until a run is done there. Long-running tasks are never done. After three failures among 33 runs of a service, its worker was quarantined for 2 s and then got one start a second without end.

`worker_rested` names the worker; `failures_outlived` is new and says when doubts about it end.

Change: a failed run no longer counts once a task in service, sent at most 1 s before it or later, is 2 s older than it was. A worker whose failures are all outlived is proved, and a step whose tasks outlive its failed runs is not at fault.

Why it works: what makes a worker fail its runs does so at about one age, so a later run that passes that age by 2 s has met a sound worker. Runs from before the failures say nothing of a worker that became bad since.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_report_processor.py
@@ -61,6 +61,7 @@
                 self.record_lost(finding.run, "vanished")
             else:
                 self._handle_unknown_run(session, finding)
+        self._note_in_service(worker)
         self._stop_stalled(session)
         self._adjust_pace(session)
 
@@ -146,6 +147,22 @@
             for_ms=max(0, worker.failures.quarantined_until_ms - now_ms),
         )
 
+    def _note_in_service(self, worker: PoolWorker) -> None:
+        failed_before = worker.failures.failed_runs()
+        worker.note_report(self._state.now_ms())
+        failed = worker.failures.failed_runs()
+        if failed < failed_before:
+            self._log.log_event(
+                LogLevel.INFO,
+                "failures_outlived",
+                worker=worker.id,
+                failed_before=failed_before,
+                failed_in_row=failed,
+                for_ms=max(
+                    0, worker.failures.quarantined_until_ms - self._state.now_ms()
+                ),
+            )
+
     def _record_stop(self, run: Run, ended: EndedRun) -> None:
         if ended.outcome is RunEnd.STOPPED and run.stopped_at_ms:
             took_ms = self._state.now_ms() - run.stopped_at_ms
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_machine.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_machine.py
@@ -230,6 +230,8 @@
         """Return the progress of a run in percent."""
         if run.works_since is None:
             return 0
+        if self._owner.is_long_running(run.order.task):
+            return 100
         length = self._owner.duration_of(run.order.task)
         return min(99, int(100 * (self._clock.now() - run.works_since) / length))
 
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
@@ -58,6 +58,8 @@
         )
         self.resources_of: Callable[[TaskName], Resources] = lambda _: Resources(1_000)
         self.how_ends: Callable[[TaskName, int], RunEnd] = lambda *_: RunEnd.DONE
+        #: Whether a task runs until it is stopped; it is in service at once.
+        self.is_long_running: Callable[[TaskName], bool] = lambda _: False
         #: Returns whether a ticket is valid for starting the task on the worker.
         self.ticket_accepted: Callable[[str, TaskName, str], bool] = lambda *_: True
         #: Number of members in a task's gang; 0 for a task outside a gang.
--- a/packages/savorylead/savorylead/pools/_pool_worker.py
+++ b/packages/savorylead/savorylead/pools/_pool_worker.py
@@ -8,7 +8,13 @@
 from savorylead.resources import ZERO, Resources
 
 from ._contracts import WorkerEntry
-from ._failures import FAILURES_TO_QUARANTINE, FailureRecord, failures_of
+from ._failures import (
+    FAILURES_TO_QUARANTINE,
+    FailureRecord,
+    failures_of,
+    note_outlived,
+    served_ms,
+)
 
 #: A worker counts as slow when the moving geometric mean of the ratio of actual to
 #: expected task duration reaches this value.
@@ -208,7 +214,21 @@
         ``run`` is None if the lead does not know when the run began.
         """
         sent_at_ms = now_ms if run is None else run.sent_at_ms
-        return self.failures.note_failed(failures_of(step), sent_at_ms, now_ms)
+        is_quarantined = self.failures.note_failed(
+            failures_of(step), sent_at_ms, now_ms
+        )
+        if step.spec.long_running:
+            note_outlived(step, now_ms)
+        return is_quarantined
+
+    def note_report(self, now_ms: int) -> None:
+        """Record which long-running tasks a report has shown to be in service."""
+        if not self.failures.needs_proof:
+            return
+        for run in self.runs.values():
+            in_service_ms = served_ms(run)
+            if in_service_ms:
+                self.failures.note_in_service(run.sent_at_ms, in_service_ms, now_ms)
 
     def note_duration(self, ratio: float, now_ms: int) -> bool:
         """Record a task that took ``ratio`` times as long as expected.
--- a/packages/savorylead/savorylead/pools/tests/test_worker_health.py
+++ b/packages/savorylead/savorylead/pools/tests/test_worker_health.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, NamedTuple
 
 import pytest
+from hypothesis import given, settings, strategies as st
 
 from savorylead.jobs import Run, StepRun
 from savorylead.pools import PoolWorker, QueueDurations, stalled_runs
+from savorylead.pools._failures import FAILURES_TO_QUARANTINE, OUTLIVED_BY_MS
 from savorylead.resources import Resources
 
 from .pool_cases import NOW_MS, plan, run_on, starts, step_of, worker
@@ -62,6 +64,99 @@
     assert len(starts(plan(waiting, [bad], now_ms=later_ms + 1_500))) == 11
 
 
+class InService(NamedTuple):
+    """A run beside three failed ones of 3 s, and whether these count no longer."""
+
+    name: str
+    #: When it was sent, relative to them, and its age at the last report.
+    sent_after_ms: int
+    age_ms: int
+    excuses: bool
+    percent: int = 100
+    is_long_running: bool = True
+    is_adopted: bool = False
+
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        InService("outlived them", 0, 5_000, True),
+        InService("not yet", 0, 4_900, False),
+        InService("sent a pass earlier", -1_000, 6_000, True),
+        InService("sent long before", -1_100, 60_000, False),
+        InService("sent later", 4_000, 5_000, True),
+        InService("not in service", 0, 60_000, False, percent=99),
+        InService("may still fail at its end", 0, 60_000, False, is_long_running=False),
+        InService("of an earlier lead", 0, 60_000, False, is_adopted=True),
+    ],
+    ids=lambda case: case.name,
+)
+def test_a_service_that_outlives_failed_runs_excuses_its_worker(
+    case: InService,
+) -> None:
+    # Guards against the incident of review/13 (LOST): only a run that was done excused
+    # a worker, and long-running tasks never are.
+    doubted = worker("w")
+    failing = step_of("j", "normal", count=36, long_running=True)
+    for _ in range(3):
+        fail(doubted, failing, NOW_MS, NOW_MS - 3_000)
+    step = step_of("k", "normal", long_running=case.is_long_running)
+    sent_at_ms = NOW_MS - 3_000 + case.sent_after_ms
+    run = run_on(doubted, step, confirmed_at_ms=sent_at_ms)
+    run.percent = case.percent
+    run.adopted = case.is_adopted
+    run.last_reported_at_ms = sent_at_ms + case.age_ms
+    doubted.note_report(max(NOW_MS, run.last_reported_at_ms))
+    waiting = [step_of(f"l{number}", "normal") for number in range(4)]
+    later_ms = NOW_MS + 60_000
+    assert len(starts(plan(waiting, [doubted], now_ms=later_ms))) == (
+        4 if case.excuses else 1
+    )
+
+
+@given(
+    age_ms=st.integers(100, 20_000),
+    runs=st.lists(
+        st.tuples(st.integers(0, 5_000), st.integers(0, OUTLIVED_BY_MS - 1)),
+        min_size=4,
+        max_size=30,
+    ),
+)
+@settings(derandomize=True, deadline=None, max_examples=200)
+def test_runs_that_all_fail_at_about_one_age_never_excuse_their_worker(
+    age_ms: int, runs: list[tuple[int, int]]
+) -> None:
+    bad = worker("w")
+    step = step_of("j", "normal", count=len(runs), long_running=True)
+    ends = []
+    for index, (sent_after_ms, jitter_ms) in enumerate(runs):
+        run = run_on(bad, step, index, confirmed_at_ms=NOW_MS + sent_after_ms)
+        run.percent = 100
+        ends.append((run.sent_at_ms + age_ms + jitter_ms, run))
+    for number, (at_ms, run) in enumerate(sorted(ends, key=lambda end: end[0]), 1):
+        for other in bad.runs.values():
+            other.last_reported_at_ms = max(other.sent_at_ms, at_ms)
+        bad.remove(run)
+        bad.note_failed(step, run, at_ms)
+        bad.note_report(at_ms)
+        assert bad.failures.failed_runs() >= min(number, FAILURES_TO_QUARANTINE)
+
+
+@pytest.mark.parametrize("is_late", [True, False])
+def test_a_service_that_runs_elsewhere_is_not_at_fault(is_late: bool) -> None:
+    # Two proved workers on which it fails would blame it, and excuse a bad worker.
+    step = step_of("j", "normal", count=36, long_running=True)
+    workers = [worker("w1"), worker("w2"), worker("w3")]
+    for each in workers[:2]:
+        each.note_done(step_of("k", "normal"), NOW_MS - 1_000)
+    run = run_on(workers[2], step, confirmed_at_ms=NOW_MS - 10_000)
+    run.percent = 100
+    run.last_reported_at_ms = NOW_MS if is_late else NOW_MS - 9_000
+    for each in (*workers[:2], *[workers[1]] * 2):
+        fail(each, step, NOW_MS, NOW_MS - 300)
+    assert workers[1].may_start(NOW_MS + 1) is not is_late
+
+
 @pytest.mark.parametrize("first, second", [(3, 1), (9, 9), (1, 3)])
 def test_a_step_that_fails_on_two_proved_workers_quarantines_none(
     first: int, second: int
