Workers full of long-running tasks are no choice beside an avoided one

Cause: of the workers that a step may use, at most half are avoided. A worker counted if an empty one like it could hold the step, also if services hold its room for good. One avoided worker beside one full worker was one of two, and so was not used.

Change: what long-running tasks hold is taken off a worker's capacity when the choice is counted.

Why it works: waiting for a worker makes sense only if something ends there. Room of tasks that end counts as before, so a bad worker is still avoided beside busy ones.

--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_failing_services.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_failing_services.py
@@ -52,6 +52,7 @@
     Failures("several times each", 2, 1.0, 6.0, repeats=4),
     Failures("only worker", 3, 3.0, 9.0, workers=1),
     Failures("one of four", 3, 3.0, 9.0, workers=4),
+    Failures("a hopeless job", 4, 0.5, 6.0, is_timed=True),
 ]
 
 
--- a/packages/savorylead/savorylead/pools/_planning_pass.py
+++ b/packages/savorylead/savorylead/pools/_planning_pass.py
@@ -116,6 +116,8 @@
         #: Resources held by runs that end by themselves as soon as if they were stopped
         #: now, by worker; computed on demand.
         self._ending: dict[str, Resources] = {}
+        #: Resources held by long-running tasks, by worker; computed on demand.
+        self._lasting: dict[str, Resources] = {}
         #: Tasks placed in this pass, by step name and worker.
         self.placed_counts: dict[tuple[str, str], int] = {}
         #: Ids of the jobs with tasks placed in this pass, by worker.
@@ -150,8 +152,8 @@
     def startable_for(self, step: StepRun) -> list[PoolWorker]:
         """Return the workers on which tasks of a step should start.
 
-        Of the workers that the step may use, at most half are left out, and none if a
-        gang could not start without them.
+        Of the workers that the step may use, now or once others end there, at most half
+        are left out, and none if a gang could not start without them.
         """
         avoided = [w for w in self._avoided if self._may_use(step, w)]
         if not avoided:
@@ -166,8 +168,24 @@
         return chosen
 
     def _may_use(self, step: StepRun, worker: PoolWorker) -> bool:
-        """Return whether the step fits on the worker, and is not forbidden there."""
-        return could_ever_hold(worker, step) and self._may_be_allowed(step, worker)
+        """Return whether the step may fit on the worker, and is not forbidden there.
+
+        What long-running tasks hold is not freed by waiting for them.
+        """
+        if not could_ever_hold(worker, step) or not self._may_be_allowed(step, worker):
+            return False
+        left = worker.entry.capacity.minus(self._held_for_good(worker))
+        return reservation_of(step).fits(left)
+
+    def _held_for_good(self, worker: PoolWorker) -> Resources:
+        held = self._lasting.get(worker.id)
+        if held is None:
+            held = ZERO
+            for run in worker.runs.values():
+                if run.task.step.spec.long_running:
+                    held = held.plus(reservation_of(run.task.step))
+            self._lasting[worker.id] = held
+        return held
 
     def _ending_on(self, worker: PoolWorker) -> Resources:
         ending = self._ending.get(worker.id)
--- a/packages/savorylead/savorylead/pools/tests/test_worker_health.py
+++ b/packages/savorylead/savorylead/pools/tests/test_worker_health.py
@@ -218,6 +218,23 @@
     assert placed >= {each.id for each in everyone[count:]}
 
 
+@pytest.mark.parametrize("is_long_running", [True, False])
+@pytest.mark.parametrize("workers", [2, 3, 7])
+def test_room_that_services_hold_is_no_choice(
+    workers: int, is_long_running: bool
+) -> None:
+    # Guards against the incident of review/13 (LOST): workers full of a service counted
+    # as those that an avoided worker need not stand in for.
+    everyone = [worker(f"w{number}") for number in range(workers)]
+    fail_alone(everyone[0])
+    for each in everyone[1:]:
+        filling = step_of(each.id, "normal", cores=16, long_running=is_long_running)
+        run_on(each, filling)
+    placed = starts(plan([step_of("j", "normal")], everyone))
+    # A task that ends frees its worker soon.
+    assert placed == [("j", "w0")] * is_long_running
+
+
 def fail_alone(where: PoolWorker) -> None:
     """Quarantine a worker by steps that fail on no other one."""
     for number in range(3):
