Runs under which a worker may crash are known to the next lead

Cause: a crash is recognized three to four seconds after it happened, when another incarnation answers. Until then only the pool's lead knows what ran there. A lead that ended before left no record of it, unless the task was a suspect already, and its successor started the task afresh. Leads that resign follow one another faster than that.

Change: the record of suspects also holds runs on workers that left two polls in a row unanswered, and, at a planned stop, runs that began in the last 2.5 s. It has the times of the start, its confirmation and the silence, so that the next lead judges a crash as one lead would that had seen all of it. A lead that is asked to stop starts nothing more and takes up to 200 ms for that write.

Why it works: whichever lead recognizes the crash finds the runs under it, and the count of crashes is in the store. Builds up to read the record: it uses fields that they know, and they ignore the new ones.

test_no_call_of_a_lead_outlasts_it took the call of resign() for the end of the lead. It now waits for the end of its term, within those 200 ms, and checks the same.

Left: a lead that is killed before a crash is noticed, and one that hands its pool over to a stronger machine, leave no trace of it.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_crash_tracker.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_crash_tracker.py
@@ -5,7 +5,15 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 
-from savorylead.jobs import IsolatedRun, JobState, Run, SuspectTask, Task, TaskName
+from savorylead.jobs import (
+    JobState,
+    RecordedRun,
+    Run,
+    RunState,
+    SuspectTask,
+    Task,
+    TaskName,
+)
 from savorylead.pools import (
     PoolWorker,
     WorkerCrash,
@@ -18,9 +26,14 @@
 
 from ._crash_records import CrashRecords
 from ._pool_state import PoolState
+from ._worker_session import WorkerSession
 
 #: Maximum number of runs named in a log line; a worker rarely has more.
 MAX_LOGGED_RUNS = 40
+#: Age up to which a run is recorded when its lead resigns, in milliseconds: its worker
+#: may have crashed without being found silent yet. A poll waits for an end for 1 s, and
+#: its answer and that of the next poll are overdue after 0.7 s at most.
+UNSEEN_CRASH_MS = 2_500
 
 
 class CrashCounts:
@@ -56,6 +69,12 @@
         self._tasks: dict[Task, None] = {}
         #: Workers that are presumed to have crashed, and their incarnation's start.
         self._presumed: dict[str, int] = {}
+        #: Whether the former lead's record was read; it is not overwritten before.
+        self._is_restored = False
+        #: Workers whose runs are recorded since they do not answer.
+        self._silent: set[str] = set()
+        #: Runs that began just before this lead resigned.
+        self._last_runs: list[Run] = []
 
     async def wait_until_recorded(self) -> None:
         """Return once the suspects are durable, or cannot be made so in time."""
@@ -66,30 +85,84 @@
         for task in [t for t in self._tasks if not t.crashes or not t.is_open]:
             del self._tasks[task]
         by_crashes = sorted(self._tasks, key=lambda task: -len(task.crashes))
-        self._records.schedule_write(
-            [SuspectTask(str(t.name), t.crashes, t.isolated_run) for t in by_crashes]
-        )
+        exposed = self._exposed_runs()
+        suspects = [
+            SuspectTask(str(t.name), t.crashes, exposed.pop(t, t.recorded_run))
+            for t in by_crashes
+        ]
+        suspects += [SuspectTask(str(t.name), (), run) for t, run in exposed.items()]
+        self._records.schedule_write(suspects)
+
+    def _exposed_runs(self) -> dict[Task, RecordedRun]:
+        """Return the runs whose worker may have crashed, the youngest ones first."""
+        runs = [*self._last_runs]
+        for worker_id in self._silent & self._state.workers.keys():
+            runs += self._state.workers[worker_id].runs.values()
+        runs.sort(key=lambda run: -run.sent_at_ms)
+        exposed: dict[Task, RecordedRun] = {}
+        for run in runs:
+            session = self._state.sessions.get(run.worker)
+            if session is not None and run.task.is_open and run.task.run is run:
+                exposed[run.task] = _record_of(run, session)
+        return exposed
+
+    def note_silent(self, worker: PoolWorker) -> None:
+        """Record the runs of a worker that does not answer.
+
+        If it has crashed, that is recognized seconds later, perhaps by the next lead.
+        """
+        if worker.runs and self._is_restored:
+            self._silent.add(worker.id)
+            self._record()
+
+    def note_answered(self, worker: PoolWorker) -> None:
+        """Forget the record of a worker's runs once it has answered."""
+        if worker.id in self._silent:
+            self._silent.discard(worker.id)
+            self._record()
+
+    async def note_resigning(self) -> None:
+        """Record the runs under which workers may have crashed unnoticed by now."""
+        since_ms = self._state.now_ms() - UNSEEN_CRASH_MS
+        self._last_runs = [
+            run
+            for worker in self._state.workers.values()
+            for run in worker.runs.values()
+            if run.sent_at_ms >= since_ms
+        ]
+        if self._is_restored and self._last_runs:
+            self._record()
+        await self._records.wait_until_written()
 
     def isolate(self, run: Run, worker: PoolWorker, incarnation_start_ms: int) -> None:
         """Isolate a suspect's run whose start is about to be ordered."""
         isolate(run, worker, self._state.now_ms())
-        run.task.isolated_run = IsolatedRun(worker.id, incarnation_start_ms, run.number)
+        run.task.recorded_run = RecordedRun(
+            worker.id,
+            incarnation_start_ms,
+            run.number,
+            sent_at_ms=run.sent_at_ms,
+            suspect_until_ms=run.suspect_until_ms,
+        )
         self._record()
 
     def restore(self, suspects: Iterable[SuspectTask]) -> None:
         """Go on with the suspects that the former lead recorded.
 
-        Their last runs count as started until their workers' reports tell more.
+        Their last runs count as started until their workers' reports tell more. So do
+        runs on workers that did not answer the former lead.
         """
+        self._is_restored = True
         for suspect in suspects:
             task = self._find(suspect.task)
             if task is None or not task.is_open:
                 continue
-            task.crashes = suspect.crashes
-            task.step.has_suspects = True
-            self._tasks[task] = None
-            if suspect.isolated_run is not None:
-                self._restore_run(task, suspect.isolated_run)
+            if suspect.crashes:
+                task.crashes = suspect.crashes
+                task.step.has_suspects = True
+                self._tasks[task] = None
+            if suspect.recorded_run is not None:
+                self._restore_run(task, suspect.recorded_run)
 
     def _find(self, name: str) -> Task | None:
         try:
@@ -97,17 +170,30 @@
         except ValueError:
             return None
 
-    def _restore_run(self, task: Task, isolated: IsolatedRun) -> None:
-        task.last_run = max(task.last_run, isolated.number)
-        session = self._state.sessions.get(isolated.worker)
+    def _restore_run(self, task: Task, recorded: RecordedRun) -> None:
+        task.last_run = max(task.last_run, recorded.number)
+        session = self._state.sessions.get(recorded.worker)
         if session is None or task.run is not None:
             return
-        task.isolated_run = isolated
-        session.expect_incarnation(isolated.incarnation_start_ms)
-        run = Run(task, isolated.number, isolated.worker, self._state.now_ms())
+        worker = session.worker
+        if task.crashes:
+            task.recorded_run = recorded
+        session.expect_incarnation(recorded.incarnation_start_ms)
+        sent_at_ms = recorded.sent_at_ms or self._state.now_ms()
+        run = Run(task, recorded.number, worker.id, sent_at_ms)
         run.adopted = True
+        run.suspect_until_ms = recorded.suspect_until_ms
+        if recorded.confirmed_at_ms:
+            run.confirmed_at_ms = recorded.confirmed_at_ms
+            run.state = RunState.RUNNING
+        if not session.claimed:
+            worker.last_answer_ms = recorded.last_answer_ms
+            if recorded.silent_since_ms:
+                # A crash would have happened when the former lead noticed the silence.
+                worker.silent_since_ms = recorded.silent_since_ms
+                self._silent.add(worker.id)
         task.run = run
-        self._state.hold(session.worker, run)
+        self._state.hold(worker, run)
 
     def note_worker_ended(
         self, worker: PoolWorker, runs: Sequence[Run], is_certain: bool
@@ -187,3 +273,17 @@
             )
             self._give_up(task)
         self._record()
+
+
+def _record_of(run: Run, session: WorkerSession) -> RecordedRun:
+    worker = session.worker
+    return RecordedRun(
+        worker.id,
+        session.incarnation_start_ms,
+        run.number,
+        run.sent_at_ms,
+        run.confirmed_at_ms,
+        run.suspect_until_ms,
+        worker.silent_since_ms,
+        worker.last_answer_ms,
+    )
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_elections.py
@@ -129,11 +129,15 @@
         self._timers.clear()
         self.review()
 
-    def resign_all(self) -> None:
-        """End all terms for good; the keys end with the lease."""
+    def stand_down(self) -> None:
+        """Take part in no further election."""
         self._closed = True
         for timer in self._timers.values():
             timer.cancel()
+
+    def resign_all(self) -> None:
+        """End all terms for good; the keys end with the lease."""
+        self.stand_down()
         self.hand_over.close()
         for pool in list(self.terms):
             self.depose(pool, "resigned")
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_pool_lead.py
@@ -65,6 +65,9 @@
 RENEW_AFTER = timedelta(milliseconds=500)
 #: Shortest interval between two log lines on the same team at its limit.
 LIMIT_LOG_INTERVAL = timedelta(seconds=1)
+#: Longest delay of a resignation until what the next lead needs is recorded: a write
+#: takes 4 ms, and the pool has no decisions meanwhile.
+RESIGN_WAIT = timedelta(milliseconds=200)
 #: Longest delay of a state request until a final state is durable.
 FINAL_STATE_WAIT = timedelta(milliseconds=200)
 #: Time for which a pool that has left the configuration keeps its lead, at least.
@@ -97,6 +100,7 @@
         #: Whether a later lead was detected; this one then ends at the next iteration
         #: of the reactor.
         self._is_superseded = False
+        self._is_resigning = False
         #: Whether the jobs are loaded; callers are not answered before that.
         self.loaded = False
         #: Whether a member was of the earlier version at any time in this term.
@@ -224,6 +228,17 @@
         self._crash_records.close()
         self._plan_timer.close()
 
+    async def prepare_to_resign(self) -> None:
+        """Start nothing more, and record what the next lead cannot find out."""
+        self._is_resigning = True
+        recording = Deferred.fromCoroutine(self._crashes.note_resigning())
+        try:
+            await within(self._clock, RESIGN_WAIT, recording)
+        except (DeadlineExceededError, CancelledError):
+            self._log.log_event(
+                LogLevel.INFO, "resigned_unrecorded", pool=self.term.pool
+            )
+
     def _log_unwritten(self) -> None:
         """Log the unwritten changes, which the next lead must discover itself."""
         jobs = self._progress.unwritten()
@@ -486,7 +501,7 @@
     def _plan_now(self, now_ms: int) -> None:
         if self._fleet.is_isolated():
             self._report_cannot_lead("workers_not_reached")
-        elif self.may_act():
+        elif self.may_act() and not self._is_resigning:
             self._plan_once(now_ms)
 
     def _plan_once(self, now_ms: int) -> None:
@@ -610,6 +625,14 @@
         """Record that the worker's incarnation ended while ``runs`` were on it."""
         self._crashes.note_worker_ended(session.worker, runs, is_certain)
 
+    def worker_silent(self, worker: PoolWorker) -> None:
+        """Record the worker's runs, since it may have crashed."""
+        self._crashes.note_silent(worker)
+
+    def worker_answered(self, worker: PoolWorker) -> None:
+        """Handle that a worker has answered a poll."""
+        self._crashes.note_answered(worker)
+
     def worker_listed(self, worker: PoolWorker) -> None:
         """Handle that a worker has appeared in the platform's list."""
         self._crashes.note_listed(worker)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_session_owner.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_session_owner.py
@@ -54,6 +54,14 @@
         ``is_certain`` is False if that is only presumed.
         """
 
+    @abstractmethod
+    def worker_silent(self, worker: PoolWorker) -> None:
+        """Handle that a worker has not answered two polls in a row."""
+
+    @abstractmethod
+    def worker_answered(self, worker: PoolWorker) -> None:
+        """Handle that a worker has answered a poll."""
+
     @abstractmethod
     def worker_listed(self, worker: PoolWorker) -> None:
         """Handle that a worker has appeared in the platform's list."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -69,6 +69,9 @@
 #: The same while the worker may return and execute a start order that was given up. It
 #: must be told before the order arrives.
 LATE_START_RETRY_AFTER = timedelta(milliseconds=50)
+#: Failed polls in a row after which a worker's runs are recorded. A single answer may
+#: have been lost.
+MISSES_TO_RECORD = 2
 #: Delay before an accepted stop is sent again if the run is still reported.
 STOP_RETRY_DELAY = timedelta(milliseconds=1_500)
 #: Interval between checks whether the lead may act again.
@@ -629,6 +632,7 @@
         if self._is_restart(report):
             self._note_restart(report)
         self.worker.note_answer(to_millis(self._clock.now()))
+        self._owner.worker_answered(self.worker)
         self._lapsed = []
         self._incarnation_start_ms = report.incarnation_start_ms
         self.worker.answering_incarnation_ms = report.incarnation_start_ms
@@ -725,6 +729,8 @@
                 runs=len(self.worker.runs),
                 detail=f"{type(exc).__name__}: {exc}",
             )
+        elif self._misses == MISSES_TO_RECORD:
+            self._owner.worker_silent(self.worker)
         self.worker.usable = False
         if self.worker.runs and self._worker_clock.lease_is_over():
             runs = list(self.worker.runs.values())
--- a/packages/savorylead-daemon/savorylead_daemon/pool/node.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/node.py
@@ -8,7 +8,7 @@
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, gatherResults
 
 from savorylead.clock import Clock
 from savorylead.links import DeadlineExceededError, within
@@ -195,6 +195,13 @@
 
     async def resign(self) -> None:
         """Resign from all pools; callers are still served."""
+        self._elections.stand_down()
+        await gatherResults(
+            [
+                Deferred.fromCoroutine(lead.prepare_to_resign())
+                for lead in self.leads.values()
+            ]
+        )
         self._elections.resign_all()
         await self._lease.end()
 
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_earlier_build.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_earlier_build.py
@@ -9,7 +9,7 @@
 import pytest
 
 from savorylead.jobs import (
-    IsolatedRun,
+    RecordedRun,
     RecordError,
     SuspectTask,
     TaskCrash,
@@ -243,17 +243,40 @@
 SUSPECT = SuspectTask(
     "0a1b2c3d4e5f6071.0.0.2",
     (TaskCrash("i-1", 1_764_950_400_000, 12, True, True),),
-    IsolatedRun("i-2", 1_764_950_000_000, 66),
+    RecordedRun("i-2", 1_764_950_000_000, 66),
+)
+
+
+#: A run on a worker that did not answer; nothing has crashed under its task so far.
+EXPOSED = SuspectTask(
+    "0a1b2c3d4e5f6071.0.0.3",
+    (),
+    RecordedRun("i-3", 1_764_950_000_000, 67, 11, 12, 13, 14, 15),
 )
 
 
 @pytest.mark.parametrize(
-    "suspects", [[], [SUSPECT], [SUSPECT, SUSPECT._replace(isolated_run=None)]]
+    "suspects",
+    [[], [SUSPECT], [SUSPECT, SUSPECT._replace(recorded_run=None)], [EXPOSED]],
 )
 def test_suspects_are_read_as_they_were_written(suspects: list[SuspectTask]) -> None:
     assert decode_suspects("key", encode_suspects(suspects)) == suspects
 
 
+def test_an_exposed_run_is_written_as_earlier_builds_read_it() -> None:
+    # Builds up to ea1850b take these fields, ignore further ones, and begin the task's
+    # crashes with an empty list.
+    [document] = msgspec.json.decode(encode_suspects([EXPOSED]))
+    assert (document["task"], document["crashes"]) == (EXPOSED.task, [])
+    known = {"worker", "incarnation_start_ms", "number"}
+    run = {key: document["isolated_run"][key] for key in known}
+    assert run == {
+        "worker": "i-3",
+        "incarnation_start_ms": 1_764_950_000_000,
+        "number": 67,
+    }
+
+
 def test_fields_of_a_later_build_are_ignored() -> None:
     [document] = msgspec.json.decode(encode_suspects([SUSPECT]))
     document["added"] = [1]
--- a/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/tests/test_permission.py
@@ -73,6 +73,12 @@
     def count_unanswered_start(self, event: str) -> None:
         pass
 
+    def worker_silent(self, worker: PoolWorker) -> None:
+        pass
+
+    def worker_answered(self, worker: PoolWorker) -> None:
+        pass
+
     def worker_ended(
         self, session: WorkerSession, runs: Sequence[Run], is_certain: bool
     ) -> None:
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_machine.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_machine.py
@@ -98,8 +98,11 @@
         another id at the same address.
         """
         self._owner.crashed(self)
+        waiting = self._waiting
         self.crash()
         self.is_cut = self.is_down = True
+        if self._owner.refuses_when_down:
+            self._fire(waiting)
         self._clock.call_later(down_for, self._return, is_new_worker)
 
     def _return(self, is_new_worker: bool) -> None:
@@ -277,6 +280,10 @@
         self.ended.append(EndedRun(self._sequence, run.order.task, key[1], how, ""))
         self._owner.ended(self, run.order.task, key[1], how)
         waiting, self._waiting = self._waiting, []
+        self._fire(waiting)
+
+    @staticmethod
+    def _fire(waiting: list[Deferred[None]]) -> None:
         for each in waiting:
             if not each.called:
                 each.callback(None)
--- a/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/_memory_workers.py
@@ -24,7 +24,7 @@
     WrongIncarnationError,
 )
 from savorylead.resources import Resources
-from savorylead.workers import WorkerTimeoutError
+from savorylead.workers import WorkerTimeoutError, WorkerUnavailableError
 
 from ._memory_machine import MemoryMachine
 
@@ -82,8 +82,8 @@
         #: worker at its address rather than under its own id.
         self.crash_duration = timedelta(seconds=3.2)
         self.returns_as_new = True
-        #: Whether a crashed worker's machine refuses connections, as it does if only
-        #: the process has ended; otherwise calls time out.
+        #: Whether a crashed worker's machine closes and refuses connections, as it does
+        #: if only the process has ended; otherwise calls time out.
         self.refuses_when_down = False
         #: For how long a worker that has returned executes no late start.
         self.refuses_late_starts_for = timedelta(0)
@@ -259,6 +259,8 @@
             timer = self.clock.call_later(wait, _fire, ended)
             await ended
             timer.cancel()
+            if machine.is_down and self.refuses_when_down:
+                raise WorkerUnavailableError("connection closed")
             machine.expire()
         report = machine.report()
         await self._answer(machine)
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_ended_lead.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_ended_lead.py
@@ -288,8 +288,12 @@
     cell = ready_cell(advised=True, pools=POOLS, limit=LIMIT)
     prepare(cell)
     run_until_called(cell, is_meant)
-    ended = lead_calls(cell)
-    Deferred.fromCoroutine(cell.nodes[cell.lead_of()].resign())
+    ended, former = lead_calls(cell), cell.nodes[cell.lead_of()]
+    asked_at = cell.clock.now()
+    Deferred.fromCoroutine(former.resign())
+    # It first records which runs may crash their workers.
+    run_until(cell, lambda: "pool" not in former.terms())
+    assert cell.clock.now() - asked_at <= _pool_lead.RESIGN_WAIT
     began = len(ended.began)
     assert ended.under_way == []
     cell.run(WATCHED_S)
--- a/packages/savorylead/savorylead/jobs/__init__.py
+++ b/packages/savorylead/savorylead/jobs/__init__.py
@@ -1,7 +1,7 @@
 """Jobs as graphs of steps: their specification, state and durable records."""
 
 from ._crashes import (
-    IsolatedRun,
+    RecordedRun,
     SuspectTask,
     TaskCrash,
     decode_suspects,
@@ -40,7 +40,7 @@
     "MAX_AMOUNT",
     "MAX_TIME_MS",
     "CopyNotAllowedError",
-    "IsolatedRun",
+    "RecordedRun",
     "Job",
     "JobRecord",
     "JobSpec",
--- a/packages/savorylead/savorylead/jobs/_crashes.py
+++ b/packages/savorylead/savorylead/jobs/_crashes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple, NotRequired, TypedDict
 
 import msgspec
 
@@ -27,24 +27,38 @@
     is_confirmed: bool
 
 
-class IsolatedRun(NamedTuple):
-    """A suspect's run, recorded before its start was ordered."""
+class RecordedRun(NamedTuple):
+    """A run under which a worker may crash before a lead recognizes it.
 
-    #: Id of the worker, and the start of its incarnation in Unix milliseconds.
+    It is a suspect's, recorded before its start was ordered, or it is on a worker that
+    does not answer, or it began just before its lead resigned. All times are in Unix
+    milliseconds, and 0 if unknown or in a record of an earlier build.
+    """
+
+    #: Id of the worker, and the start of its incarnation.
     worker: str
     incarnation_start_ms: int
     #: The run's number.
     number: int
+    #: When its start was ordered, and when the worker confirmed it.
+    sent_at_ms: int = 0
+    confirmed_at_ms: int = 0
+    #: Until when it may be about to crash its worker, as a suspect's run.
+    suspect_until_ms: int = 0
+    #: Since when the worker does not answer, and when it last did.
+    silent_since_ms: int = 0
+    last_answer_ms: int = 0
 
 
 class SuspectTask(NamedTuple):
-    """A task under which workers have crashed."""
+    """A task under which workers have crashed, or may just crash."""
 
     #: The task's name.
     task: str
+    #: Empty if no crash under it is known yet.
     crashes: tuple[TaskCrash, ...]
-    #: The last run that was started while the task was a suspect, if any.
-    isolated_run: IsolatedRun | None
+    #: Its run under which a crash would count; None if there is none.
+    recorded_run: RecordedRun | None
 
 
 class _CrashDocument(TypedDict):
@@ -59,6 +73,12 @@
     worker: str
     incarnation_start_ms: int
     number: int
+    # Not in records of ea1850b and before.
+    sent_at_ms: NotRequired[int]
+    confirmed_at_ms: NotRequired[int]
+    suspect_until_ms: NotRequired[int]
+    silent_since_ms: NotRequired[int]
+    last_answer_ms: NotRequired[int]
 
 
 # Objects with named fields, so that later versions can add fields to them.
@@ -75,13 +95,21 @@
             {
                 "task": suspect.task,
                 "crashes": [crash._asdict() for crash in suspect.crashes],
-                "isolated_run": suspect.isolated_run and suspect.isolated_run._asdict(),
+                "isolated_run": _run_document(suspect.recorded_run),
             }
             for suspect in suspects
         ]
     )
 
 
+def _run_document(run: RecordedRun | None) -> dict[str, object] | None:
+    """Return a run as it is recorded, without the times that are unknown."""
+    if run is None:
+        return None
+    defaults = RecordedRun._field_defaults
+    return {k: v for k, v in run._asdict().items() if k not in defaults or v}
+
+
 def decode_suspects(key: str, value: bytes) -> Sequence[SuspectTask]:
     """Return the suspects stored under ``key``; raises RecordError."""
     try:
@@ -96,5 +124,5 @@
     return SuspectTask(
         document["task"],
         tuple(TaskCrash(**crash) for crash in document["crashes"]),
-        None if run is None else IsolatedRun(**run),
+        None if run is None else RecordedRun(**run),
     )
--- a/packages/savorylead/savorylead/jobs/_job.py
+++ b/packages/savorylead/savorylead/jobs/_job.py
@@ -5,7 +5,7 @@
 import enum
 from collections.abc import Iterator
 
-from ._crashes import IsolatedRun, TaskCrash
+from ._crashes import RecordedRun, TaskCrash
 from ._records import JobRecord, ProgressRecord, RecordError, StepProgress
 from ._spec import StepSpec
 from ._task_name import TaskName
@@ -103,7 +103,7 @@
     @property
     def is_only_recorded(self) -> bool:
         """Whether it is only known from the record of an earlier lead."""
-        return self.adopted and not self.confirmed_at_ms
+        return self.adopted and not self.last_reported_at_ms
 
 
 class CopyNotAllowedError(Exception):
@@ -120,7 +120,7 @@
         "done",
         "has_lost_copy",
         "index",
-        "isolated_run",
+        "recorded_run",
         "last_run",
         "run",
         "step",
@@ -143,8 +143,8 @@
         self.checkpoint = ""
         #: Recent crashes of workers under its runs, oldest first.
         self.crashes: tuple[TaskCrash, ...] = ()
-        #: Its last run that was started while it was a suspect.
-        self.isolated_run: IsolatedRun | None = None
+        #: Its last run that was started while it was a suspect, as recorded.
+        self.recorded_run: RecordedRun | None = None
         #: When it last became ready without a run, in milliseconds.
         self.unplaced_at = 0
 
