--- a/packages/savorylead-daemon/savorylead_daemon/pool/_session_owner.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_session_owner.py
@@ -4,6 +4,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from savorylead.jobs import Run
@@ -12,6 +13,12 @@
 if TYPE_CHECKING:
     from ._worker_session import WorkerSession
 
+#: Delay before a failed call to a worker is retried. The first failed poll after an
+#: answer is retried at once, since a single message may have been lost by the network.
+RETRY_AFTER = timedelta(milliseconds=200)
+#: Interval between checks whether the lead may act again.
+MAY_ACT_CHECK_INTERVAL = timedelta(milliseconds=50)
+
 
 class SessionOwner(ABC):
     """Callbacks and state that a worker session needs from its lead."""
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_worker_session.py
@@ -17,7 +17,6 @@
     RunStarted,
     StaleFenceError,
     StartRejection,
-    UnansweredStart,
     UnansweredStarts,
     WorkerCalls,
     WorkerNotReachedError,
@@ -31,8 +30,9 @@
 from savorylead_daemon.observability import EventLog
 from savorylead_daemon.settings import LogLevel
 
+from ._late_starts import LateStarts
 from ._pace_orders import PaceOrders
-from ._session_owner import SessionOwner
+from ._session_owner import MAY_ACT_CHECK_INTERVAL, RETRY_AFTER, SessionOwner
 from ._start_answers import Poll, StartAnswers
 from ._worker_answers import WorkerAnswers
 from ._worker_clock import WorkerClock
@@ -63,19 +63,14 @@
 #: Unanswered orders, without a report in between, after which a worker is not used.
 #: The answer to a single one may have been lost by the network.
 MAX_UNANSWERED_ORDERS = 2
-#: Delay before a failed call is retried. The first failed poll after an answer is
-#: retried at once, since a single message may have been lost by the network.
-RETRY_AFTER = timedelta(milliseconds=200)
-#: The same while the worker may return and execute a start order that was given up. It
-#: must be told before the order arrives.
+#: Delay before a failed poll is retried while the worker may return and execute a start
+#: order that was given up. It must be told before the order arrives.
 LATE_START_RETRY_AFTER = timedelta(milliseconds=50)
 #: Failed polls in a row after which a worker's runs are recorded. A single answer may
 #: have been lost.
 MISSES_TO_RECORD = 2
 #: Delay before an accepted stop is sent again if the run is still reported.
 STOP_RETRY_DELAY = timedelta(milliseconds=1_500)
-#: Interval between checks whether the lead may act again.
-MAY_ACT_CHECK_INTERVAL = timedelta(milliseconds=50)
 #: Longest interval between polls of an idle worker.
 IDLE_POLL_INTERVAL = timedelta(seconds=60)
 #: Releases no ends. A worker that has restarted numbers its ends from 1 again, so any
@@ -113,9 +108,6 @@
         self._log = log
         self._answers = answers
         self._max_lease_ms = max_lease_ms
-        self._unanswered_starts = unanswered_starts
-        #: Whether the present incarnation is being told to refuse unanswered starts.
-        self._is_refusing = False
         self._wakeup = Wakeup(clock)
         self._poll_soon = False
         self._tasks = TaskSet()
@@ -142,6 +134,17 @@
         #: Runs whose lease lapsed in the present silence, which a crash may explain.
         self._lapsed: list[Run] = []
         self._start_answers = StartAnswers()
+        self._late_starts = LateStarts(
+            worker,
+            owner,
+            calls,
+            clock,
+            log,
+            self._tasks,
+            unanswered_starts,
+            lambda: self._incarnation_start_ms,
+            self._poll_in_parallel,
+        )
         self._reported_at: datetime | None = None
         #: Starts that wait for the report of a worker that was not polled for a while.
         self._waiting_starts: list[Deferred[None]] = []
@@ -251,12 +254,7 @@
         run.void_clock_ms = deadline_ms + 1
         order = order._replace(deadline_ms=deadline_ms)
         earliest_clock_ms = self._worker_clock.now_ms()
-        start = UnansweredStart(
-            order.task,
-            order.number,
-            to_millis(self._clock.now()),
-            self._incarnation_start_ms,
-        )
+        start = self._late_starts.start_of(order)
         try:
             result = await self._calls.start(
                 self.worker.entry, self._owner.fence, order
@@ -268,8 +266,7 @@
             raise
         except WorkerError as exc:
             self._unanswered += 1
-            self._unanswered_starts.note_unanswered(start)
-            self._owner.count_unanswered_start("unanswered")
+            self._late_starts.note_unanswered(start)
             self._start_answers.note_doubtful()
             # A restarted worker may have taken the deadline for a later one.
             self._worker_clock.extend_lease(self._max_lease_ms)
@@ -400,7 +397,10 @@
                 if is_replaced and address == self.worker.entry.address:
                     self._note_replaced()
                 if self._misses != 1:
-                    await self._clock.sleep(self._retry_after())
+                    is_urgent = self._late_starts.has_open
+                    await self._clock.sleep(
+                        LATE_START_RETRY_AFTER if is_urgent else RETRY_AFTER
+                    )
                 continue
             except CancelledError:
                 raise
@@ -414,7 +414,7 @@
                 await self._wakeup.wait(UNRELEASED_POLL_INTERVAL)
             elif any(r.state is RunState.STOPPING for r in self.worker.runs.values()):
                 await self._wakeup.wait(STOPPING_POLL_INTERVAL)
-            elif not self.worker.runs and self._awaits_late_starts():
+            elif not self.worker.runs and self._late_starts.may_arrive:
                 await self._wakeup.wait(RENEW_WAIT)
 
     def _is_idle(self) -> bool:
@@ -423,19 +423,9 @@
             and not self.worker.unknown_runs
             and self._released_end == self._seen_end
             and not self._misses
-            and not self._awaits_late_starts()
+            and not self._late_starts.may_arrive
         )
 
-    def _retry_after(self) -> timedelta:
-        now_ms = to_millis(self._clock.now())
-        if self._unanswered_starts.has_open(now_ms):
-            return LATE_START_RETRY_AFTER
-        return RETRY_AFTER
-
-    def _awaits_late_starts(self) -> bool:
-        """Return whether a restart of the worker has to be noticed soon."""
-        return self._unanswered_starts.may_arrive(to_millis(self._clock.now()))
-
     async def _renew(self) -> None:
         """Renew the worker's lease, without applying its report."""
         deadline_ms = None
@@ -513,8 +503,8 @@
         if not self.claimed:
             self._assume_former_lease(report)
         self.claimed = True
-        self._note_executed(report)
-        self.worker.usable = not self._refuse_late_starts()
+        self._late_starts.note_executed(report)
+        self.worker.usable = not self._late_starts.refuse()
         self._owner.apply(self, findings, report)
         if seen != self._seen_end:
             self._seen_end = seen
@@ -523,73 +513,6 @@
                 self._release_when_durable(seen, self._incarnation_start_ms),
             )
 
-    def _note_executed(self, report: WorkerReport) -> None:
-        if self._unanswered_starts.is_empty:
-            return
-        runs = (*report.active, *report.ended)
-        listed = {(str(run.task), run.number) for run in runs}
-        for start in self._unanswered_starts.note_executed(listed):
-            self._owner.count_unanswered_start("listed")
-            self._log_unanswered_start("unanswered_start_listed", start)
-
-    def _refuse_late_starts(self) -> bool:
-        """Stop the runs of orders that the present incarnation may still execute.
-
-        Returns whether there are any.
-        """
-        is_needed = bool(self._startable_late())
-        if is_needed and not self._is_refusing:
-            self._is_refusing = True
-            refusing = supervised(
-                "refusal of late starts", self._clock, self._refuse_all_late_starts
-            )
-            self._tasks.spawn("refusal of late starts", refusing)
-        return is_needed
-
-    def _startable_late(self) -> list[UnansweredStart]:
-        now_ms = to_millis(self._clock.now())
-        return self._unanswered_starts.to_refuse(self._incarnation_start_ms, now_ms)
-
-    async def _refuse_all_late_starts(self) -> None:
-        while starts := self._startable_late():
-            if not self._owner.may_act():
-                await self._clock.sleep(MAY_ACT_CHECK_INTERVAL)
-                continue
-            try:
-                await self._refuse(starts[0])
-            except StaleFenceError:
-                self._owner.superseded()
-                return
-            except (WorkerError, WrongIncarnationError, WorkerUnhealthyError):
-                await self._clock.sleep(RETRY_AFTER)
-        self._is_refusing = False
-        # The worker is used again after its next report.
-        await self._poll_in_parallel()
-
-    async def _refuse(self, start: UnansweredStart) -> None:
-        # If the worker restarts again meanwhile, its next report asks for another stop.
-        incarnation_ms = self._incarnation_start_ms
-        await self._calls.stop(
-            self.worker.entry, self._owner.fence, start.task, start.number
-        )
-        self._unanswered_starts.note_refused(start, incarnation_ms)
-        run = self.worker.runs.get(start.key)
-        if run is not None:
-            run.stopped_at_ms = to_millis(self._clock.now())
-        self._owner.count_unanswered_start("refused")
-        self._log_unanswered_start("late_start_refused", start)
-
-    def _log_unanswered_start(self, event: str, start: UnansweredStart) -> None:
-        self._log.log_event(
-            LogLevel.INFO,
-            event,
-            worker=self.worker.id,
-            task_run=f"{start.task}/{start.number}",
-            sent_ms_ago=to_millis(self._clock.now()) - start.sent_at_ms,
-            sent_to_born=start.sent_to_ms,
-            born=self._incarnation_start_ms,
-        )
-
     def _assume_former_lease(self, report: WorkerReport) -> None:
         """Assume that a former lead renewed the lease just before the report.
 
