A crash of a worker counts once, whichever leads follow

What callers saw: nothing yet; a job could be shown as failed after one crash less than it needs, as each change of the lead counted the same crash again.

Cause: the record of suspects kept a suspect's last run after that run was over. A new lead restored it on its worker with the incarnation of the record. If that incarnation had crashed, and the crash was counted, the worker's next report looked like another crash.

Change: what is recorded of a suspect is the run that it has at the moment, and no run whose crash was counted. `Task` no longer keeps a copy of it.

Why it works: a recorded run is one under which no crash was counted, so the first crash that its worker's next incarnation shows is a new one.

--- a/packages/savorylead-daemon/savorylead_daemon/pool/_crash_tracker.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_crash_tracker.py
@@ -85,26 +85,29 @@
         for task in [t for t in self._tasks if not t.crashes or not t.is_open]:
             del self._tasks[task]
         by_crashes = sorted(self._tasks, key=lambda task: -len(task.crashes))
-        exposed = self._exposed_runs()
-        suspects = [
-            SuspectTask(str(t.name), t.crashes, exposed.pop(t, t.recorded_run))
-            for t in by_crashes
-        ]
-        suspects += [SuspectTask(str(t.name), (), run) for t, run in exposed.items()]
-        self._records.schedule_write(suspects)
+        exposed = [run.task for run in self._exposed_runs()]
+        tasks = dict.fromkeys([*by_crashes, *exposed])
+        self._records.schedule_write(
+            [SuspectTask(str(t.name), t.crashes, self._run_of(t)) for t in tasks]
+        )
 
-    def _exposed_runs(self) -> dict[Task, RecordedRun]:
+    def _exposed_runs(self) -> list[Run]:
         """Return the runs whose worker may have crashed, the youngest ones first."""
         runs = [*self._last_runs]
         for worker_id in self._silent & self._state.workers.keys():
             runs += self._state.workers[worker_id].runs.values()
-        runs.sort(key=lambda run: -run.sent_at_ms)
-        exposed: dict[Task, RecordedRun] = {}
-        for run in runs:
-            session = self._state.sessions.get(run.worker)
-            if session is not None and run.task.is_open and run.task.run is run:
-                exposed[run.task] = _record_of(run, session)
-        return exposed
+        return sorted(
+            (r for r in runs if r.task.is_open and r.task.run is r and not r.is_blamed),
+            key=lambda run: -run.sent_at_ms,
+        )
+
+    def _run_of(self, task: Task) -> RecordedRun | None:
+        """Return a task's run as it is recorded; None if no further crash can count."""
+        run = task.run
+        session = None if run is None else self._state.sessions.get(run.worker)
+        if run is None or session is None or run.is_blamed:
+            return None
+        return _record_of(run, session)
 
     def note_silent(self, worker: PoolWorker) -> None:
         """Record the runs of a worker that does not answer.
@@ -134,16 +137,9 @@
             self._record()
         await self._records.wait_until_written()
 
-    def isolate(self, run: Run, worker: PoolWorker, incarnation_start_ms: int) -> None:
+    def isolate(self, run: Run, worker: PoolWorker) -> None:
         """Isolate a suspect's run whose start is about to be ordered."""
         isolate(run, worker, self._state.now_ms())
-        run.task.recorded_run = RecordedRun(
-            worker.id,
-            incarnation_start_ms,
-            run.number,
-            sent_at_ms=run.sent_at_ms,
-            suspect_until_ms=run.suspect_until_ms,
-        )
         self._record()
 
     def restore(self, suspects: Iterable[SuspectTask]) -> None:
@@ -176,8 +172,6 @@
         if session is None or task.run is not None:
             return
         worker = session.worker
-        if task.crashes:
-            task.recorded_run = recorded
         session.expect_incarnation(recorded.incarnation_start_ms)
         sent_at_ms = recorded.sent_at_ms or self._state.now_ms()
         run = Run(task, recorded.number, worker.id, sent_at_ms)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/_run_starter.py
@@ -112,9 +112,8 @@
         task.run = run
         task.last_run = number
         self._state.hold(worker, run)
-        session = self._state.sessions.get(worker.id)
-        if task.is_suspect and session is not None:
-            self._crashes.isolate(run, worker, session.incarnation_start_ms)
+        if task.is_suspect and worker.id in self._state.sessions:
+            self._crashes.isolate(run, worker)
         return run
 
     async def _start(self, run: Run, placement: Placement) -> None:
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_crashes_across_leads.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_crashes_across_leads.py
@@ -17,8 +17,10 @@
 from twisted.internet.defer import Deferred
 
 from savorylead.jobs import JobState
+from savorylead.resources import Resources
 from savorylead_standins.pools import PoolCell, job_spec
 
+from .cell_cases import LoggedEvent
 from .crash_cases import (
     CRASHES,
     MAX_STARTS_AFTER,
@@ -76,6 +78,14 @@
         cell.start_node(name)
 
 
+def check_counts(cell: PoolCell, events: list[LoggedEvent]) -> None:
+    """Assert that no crash was counted twice under one task."""
+    for event in events:
+        if event.event == "job_given_up":
+            counted = Counter(event.details["crashed_workers"])
+            assert counted <= Counter(cell.workers.crashed_workers), event
+
+
 def check_innocent_jobs(cell: PoolCell, jobs: list[str]) -> None:
     """Assert that jobs are done, or that two workers crashed under one of their tasks.
 
@@ -98,7 +108,11 @@
 @pytest.mark.parametrize("after_ms", [10, 150])
 @pytest.mark.parametrize("bad_jobs", [1, 5])
 def test_crashes_under_a_task_add_up_over_the_leads(
-    changes: Changes, returns_as_new: bool, after_ms: int, bad_jobs: int
+    events: list[LoggedEvent],
+    changes: Changes,
+    returns_as_new: bool,
+    after_ms: int,
+    bad_jobs: int,
 ) -> None:
     # Guards against the incident of review/10 (BUDGET): each lead forgot the crashes
     # that it had not recognized, and its successor started the task once more.
@@ -125,11 +139,14 @@
     assert most <= CRASHES + MAX_STARTS_AFTER
     assert {state_of(cell, job) for job in bad} == {JobState.FAILED}
     check_innocent_jobs(cell, innocent)
+    check_counts(cell, events)
     assert cell.workers.breaches == []
 
 
 @pytest.mark.parametrize("seed", range(20))
-def test_drawn_lead_changes_keep_the_budget_of_crashing_tasks(seed: int) -> None:
+def test_drawn_lead_changes_keep_the_budget_of_crashing_tasks(
+    events: list[LoggedEvent], seed: int
+) -> None:
     rng = random.Random(seed)
     cell = cell_with_crashes(
         timedelta(milliseconds=rng.choice([5, 20, 100, 400])),
@@ -155,4 +172,35 @@
     starts = {job: starts_of(cell, f"{job}.0.0.0") for job in bad}
     assert max(starts.values()) <= CRASHES + MAX_STARTS_AFTER, starts
     check_innocent_jobs(cell, innocent)
+    check_counts(cell, events)
     assert cell.workers.breaches == []
+
+
+@pytest.mark.parametrize("stop", [stop_as_planned, kill])
+def test_a_crash_counts_once_however_often_the_lead_changes(
+    events: list[LoggedEvent], stop: Callable[[PoolCell, str], None]
+) -> None:
+    # Regression: the record still held a suspect's run after its crash was counted, so
+    # each new lead expected the crashed incarnation, and counted the crash once more.
+    cell = cell_with_crashes(nodes=6, workers=2, crashing=lambda _: False)
+    cell.workers.duration_of = lambda _: timedelta(hours=1)
+    cell.workers.is_long_running = lambda _: True
+    cell.submit("beside", job_spec(cores=8, long_running=True))
+    cell.submit("one", job_spec(cores=8, long_running=True))
+    cell.run(1.0)
+    [worker] = [r.worker for r in cell.workers.records if r.task.job == "one"]
+    machine = cell.workers.machines[worker]
+    machine.crash_and_return(timedelta(seconds=3), is_new_worker=False)
+    # The second run is a suspect's, which is recorded before its start.
+    cell.run(10.0)
+    machine.crash_and_return(timedelta(seconds=3), is_new_worker=False)
+    # What returns is too small for the task, which waits from then on.
+    machine.entry = machine.entry._replace(capacity=Resources(1_000, 64_000, 0))
+    cell.run(4.0)
+    for _ in range(6):
+        cell.run(2.0)
+        change_lead(cell, Changes("", stop, 2.0, 1))
+    cell.run(3.0)
+    crashes = [e for e in events if e.event == "worker_crashed" and e.details["runs"]]
+    assert [e.details["worker"] for e in crashes] == [worker] * 2
+    assert state_of(cell, "one") is not JobState.FAILED
--- a/packages/savorylead/savorylead/jobs/_job.py
+++ b/packages/savorylead/savorylead/jobs/_job.py
@@ -5,7 +5,7 @@
 import enum
 from collections.abc import Iterator
 
-from ._crashes import RecordedRun, TaskCrash
+from ._crashes import TaskCrash
 from ._records import JobRecord, ProgressRecord, RecordError, StepProgress
 from ._spec import StepSpec
 from ._task_name import TaskName
@@ -120,7 +120,6 @@
         "done",
         "has_lost_copy",
         "index",
-        "recorded_run",
         "last_run",
         "run",
         "step",
@@ -143,8 +142,6 @@
         self.checkpoint = ""
         #: Recent crashes of workers under its runs, oldest first.
         self.crashes: tuple[TaskCrash, ...] = ()
-        #: Its last run that was started while it was a suspect, as recorded.
-        self.recorded_run: RecordedRun | None = None
         #: When it last became ready without a run, in milliseconds.
         self.unplaced_at = 0
 
