A task in service ends a quarantine and never begins one

Failed runs of before a quarantine count without extending it. A report of a service that outlived some of them reviewed the rest, and could have begun a quarantine for those. Found by reading; what ends a quarantine is now one function, and only that is called.

--- a/packages/savorylead/savorylead/pools/_failures.py
+++ b/packages/savorylead/savorylead/pools/_failures.py
@@ -41,8 +41,6 @@
 #: A run speaks for its worker as it was until this time after the run's start, in
 #: milliseconds. The tasks of a step may be placed by several passes.
 STARTED_WITH_MS = 1_000
-
-
 #: Progress of a long-running task that is in service.
 IN_SERVICE_PERCENT = 100
 
@@ -195,7 +193,8 @@
         if not self._failed and served_ms >= OUTLIVED_BY_MS:
             self._is_proved = True
             self._quarantines = 0
-        self.review(now_ms)
+        if self.failed_runs() < FAILURES_TO_QUARANTINE:
+            self._end_quarantine(now_ms)
 
     def note_failed(
         self, step: StepFailures, sent_at_ms: int, now_ms: int, count: int = 1
@@ -230,7 +229,11 @@
         if self.failed_runs() >= FAILURES_TO_QUARANTINE:
             if not self._is_quarantined:
                 self._quarantine(now_ms)
-        elif self._is_quarantined:
+        else:
+            self._end_quarantine(now_ms)
+
+    def _end_quarantine(self, now_ms: int) -> None:
+        if self._is_quarantined:
             self._is_quarantined = False
             self._quarantines = max(0, self._quarantines - 1)
             self.quarantined_until_ms = min(self.quarantined_until_ms, now_ms)
