Daemons import from their own packages only, whatever the interpreter brings

Cause: PYTHONPATH comes before an interpreter's packages and doesn't hide them. Twisted imports its TLS and HTTP/2 parts whenever it finds OpenSSL or h2 anywhere. Started with the system's Python 3.11.2, which has a pyOpenSSL, each daemon ended with "ModuleNotFoundError: No module named 'service_identity'". The working directory, the user's site, import hooks and packages that a .pth file had loaded took part in the same way.

Change: the build seals target/deps: it loads every module and extension from that folder and the standard library alone, and writes a manifest with the kind of interpreter that the compiled parts are for. With a manifest, savoryleadd removes everything else from the import path, the import hooks and the loaded modules before it imports a library. Packages that can't be loaded, or an interpreter of another kind, give one line and exit code 3.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -8,6 +8,7 @@
         -r deploy/requirements.txt
     touch "$deps/.installed"
 fi
+rm -f "$deps"/savorylead-bundle.txt
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 for source in packages/savorylead packages/savorylead-daemon platform; do
@@ -16,3 +17,4 @@
 done
 python3 -m pip install -q -U --no-deps --target "$deps" \
     "$work/savorylead" "$work/savorylead-daemon" "$work/platform"
+PYTHONPATH=$deps python3 -m savorylead_daemon.seal_bundle savorylead_platform
--- a/packages/savorylead-daemon/savorylead_daemon/main.py
+++ b/packages/savorylead-daemon/savorylead_daemon/main.py
@@ -1,88 +1,26 @@
-"""Entry point of savoryleadd."""
+"""Entry point of savoryleadd.
+
+Nothing else of the daemon is imported before its bundle is in use, since a foreign
+package of the interpreter could take the place of a library.
+"""
 
 from __future__ import annotations
 
-import argparse
 import sys
 from collections.abc import Sequence
-from importlib.metadata import version
-from pathlib import Path
-
-from savorylead_daemon.pool.settings import (
-    PoolSettings,
-    is_for_pools,
-    load_pool_settings,
-)
-from savorylead_daemon.settings import Settings, SettingsError, load_settings
-
-EXIT_OK = 0
-EXIT_BAD_SETTINGS = 2
 
-
-def build_parser() -> argparse.ArgumentParser:
-    """Return the parser of the command line."""
-    parser = argparse.ArgumentParser(
-        prog="savoryleadd",
-        description="Accepts callers' tasks and leads shards of the cell.",
-        epilog="Exit codes: 0 after a planned stop, 1 after a failure, "
-        "2 for a wrong command line or wrong settings.",
-    )
-    parser.add_argument(
-        "--config",
-        required=True,
-        type=Path,
-        metavar="FILE",
-        help="settings of this daemon, in JSON",
-    )
-    parser.add_argument(
-        "--check-config",
-        action="store_true",
-        help="check the settings, print every fault with its path, and stop",
-    )
-    parser.add_argument(
-        "--version",
-        action="version",
-        version=f"%(prog)s {version('savorylead-daemon')}",
-    )
-    return parser
+from savorylead_daemon._bundle import load_module, use_bundle
+from savorylead_daemon._start_error import StartError
 
 
 def main(argv: Sequence[str] | None = None) -> None:
     """Run the daemon until it is stopped; always raises SystemExit."""
-    args = build_parser().parse_args(argv)
     try:
-        settings = _load(args.config)
-    except SettingsError as exc:
-        for path, message in exc.faults:
-            print(f"{args.config}: {path}: {message}", file=sys.stderr)
-        raise SystemExit(EXIT_BAD_SETTINGS) from exc
-    if args.check_config:
-        print(f"{args.config}: ok")
-        raise SystemExit(EXIT_OK)
-    raise SystemExit(_run(settings, args.config))
-
-
-def _load(path: Path) -> Settings | PoolSettings:
-    """Load settings of either kind; those of a platform's daemon name an adapter."""
-    try:
-        for_pools = is_for_pools(path.read_bytes())
-    except OSError:
-        # load_settings() reports the error.
-        for_pools = False
-    return load_pool_settings(path) if for_pools else load_settings(path)
-
-
-def _run(settings: Settings | PoolSettings, path: Path) -> int:
-    """Build the daemon and run it; return the exit code."""
-    # Imported lazily: only a running daemon needs the reactor and its dependencies, and
-    # each kind of daemon needs only its own modules.
-    if isinstance(settings, PoolSettings):
-        from savorylead_daemon.pool.composition import compose_pools
-
-        return compose_pools(settings, path)
-    from savorylead_daemon.composition import compose
-
-    return compose(settings)
+        use_bundle()
+        load_module("savorylead_daemon._command_line").run_command(argv)
+    except StartError as exc:
+        print(f"savoryleadd: {exc}", file=sys.stderr)
+        raise SystemExit(exc.exit_code) from exc
 
 
 if __name__ == "__main__":
--- a/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import gc
-import importlib
 import random
 import signal
 import sys
@@ -16,6 +15,7 @@
 from twisted.internet.interfaces import IListeningPort
 
 from savorylead.links import LinkSettings
+from savorylead_daemon._bundle import load_module
 from savorylead_daemon.concurrency import spawn, supervised
 from savorylead_daemon.http import (
     HttpLinks,
@@ -192,7 +192,7 @@
 
     def _open_adapter(self) -> AdapterParts:
         platform = self._settings.platform
-        module = importlib.import_module(platform.adapter)
+        module = load_module(platform.adapter)
         addresses = PlatformAddresses(
             platform.store, platform.adviser or None, platform.machines or None
         )
--- /dev/null
+++ b/packages/savorylead-daemon/savorylead_daemon/seal_bundle.py
@@ -0,0 +1,72 @@
+"""Makes the folder of this package a bundle.
+
+A build runs ``python -m savorylead_daemon.seal_bundle`` once all packages are in the
+folder. The arguments are the platform's
+adapters, which are loaded like the daemon to see that the folder lacks nothing.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+from collections.abc import Iterable, Sequence
+from importlib.machinery import EXTENSION_SUFFIXES
+from pathlib import Path
+
+from savorylead_daemon._bundle import (
+    FOLDER,
+    describe_interpreter,
+    load_module,
+    manifest_path,
+    use_bundle,
+)
+from savorylead_daemon._start_error import StartError
+
+#: What a daemon loads when it starts, for each kind of settings.
+ENTRY_MODULES = (
+    "savorylead_daemon._command_line",
+    "savorylead_daemon.composition",
+    "savorylead_daemon.pool.composition",
+)
+
+
+def extension_modules(folder: Path) -> Iterable[str]:
+    """Return the names of the compiled modules in a folder."""
+    for path in sorted(folder.rglob("*.so")):
+        base = path.name.partition(".")[0]
+        suffixes = (s for s in EXTENSION_SUFFIXES if path.name == base + s)
+        if any(suffixes):
+            yield ".".join([*path.parent.relative_to(folder).parts, base])
+
+
+def seal(folder: Path, adapters: Sequence[str]) -> None:
+    """Write the manifest and load all of the daemon's modules.
+
+    Raises StartError, and leaves no manifest, if a module can't be loaded.
+    """
+    manifest = Path(manifest_path(os.fspath(folder)))
+    manifest.write_text(describe_interpreter() + "\n")
+    try:
+        use_bundle(os.fspath(folder))
+        for name in (*ENTRY_MODULES, *adapters, *extension_modules(folder)):
+            load_module(name)
+    except StartError:
+        manifest.unlink()
+        raise
+
+
+def main(argv: Sequence[str] | None = None) -> None:
+    """Seal the folder of this package; raises SystemExit if it is incomplete."""
+    parser = argparse.ArgumentParser(prog="seal_bundle", description=seal.__doc__)
+    parser.add_argument("adapters", nargs="*", metavar="ADAPTER")
+    args = parser.parse_args(argv)
+    try:
+        seal(Path(FOLDER), args.adapters)
+    except StartError as exc:
+        print(f"seal_bundle: {exc}", file=sys.stderr)
+        raise SystemExit(exc.exit_code) from exc
+
+
+if __name__ == "__main__":
+    main()
