A daemon whose address is taken says so in one line

Cause: the error of the listening socket left the composition root as it was.

Change: both composition roots open their sockets with http.listen(), whose StartError the entry point prints as one line with the address; the exit code is 1, as for other failures.

Evidence: six rows of test_surroundings.py, one for each listener of both kinds of daemon, failed before (the error was more than one line) and pass.

--- a/packages/savorylead-daemon/savorylead_daemon/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/composition.py
@@ -40,6 +40,7 @@
     HttpWorkerContract,
     JsonSite,
     Traffic,
+    listen,
 )
 from savorylead_daemon.http.peer_transport import HttpPeerTransport, peer_resource
 from savorylead_daemon.lead import LeadTimes, Periodic
@@ -224,8 +225,7 @@
         self._metrics.set_ready(self._readiness.is_ready())
 
     def _listen(self, endpoint: Endpoint, site: JsonSite) -> None:
-        port = reactor.listenTCP(endpoint.port, site, interface=endpoint.host)
-        self._ports.append(port)
+        self._ports.append(listen(reactor, endpoint.host, endpoint.port, site))
 
     def _open_links(self, link: LinkSettings) -> HttpLinks:
         headers = {"x-client": self._settings.name}
--- a/packages/savorylead-daemon/savorylead_daemon/http/__init__.py
+++ b/packages/savorylead-daemon/savorylead_daemon/http/__init__.py
@@ -14,6 +14,7 @@
     json_response,
 )
 from ._json_site import BodyFault, ClientLimits, JsonSite, body_fault
+from ._listening import listen
 from ._polling_watch import PollingWatch, WatchSettings
 from ._traffic import Traffic
 
@@ -40,4 +41,5 @@
     "WorkerTimeouts",
     "body_fault",
     "json_response",
+    "listen",
 ]
--- a/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
@@ -23,6 +23,7 @@
     JsonResource,
     JsonResponse,
     JsonSite,
+    listen,
 )
 from savorylead_daemon.observability import (
     EventLog,
@@ -57,6 +58,8 @@
 #: Readiness reason of a daemon that the store does not answer. It cannot accept jobs,
 #: but another daemon may be able to.
 STORE_SILENT = "store_silent"
+#: Length of the queue of connections that a daemon has not accepted yet.
+LISTEN_BACKLOG = 200
 #: Size limit of a message between daemons.
 MAX_PEER_MESSAGE_BYTES = 2_000_000
 #: Thresholds for gc.set_threshold: new objects before a collection of the youngest
@@ -204,7 +207,7 @@
         host, _, port = endpoint.rpartition(":")
         site = JsonSite(JsonResource(handler), max_body_bytes)
         self._sites.append(site)
-        self._ports.append(reactor.listenTCP(int(port), site, 200, host))
+        self._ports.append(listen(reactor, host, int(port), site, LISTEN_BACKLOG))
 
     # -- probes --
 
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_surroundings.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_surroundings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import sys
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -9,7 +10,8 @@
 
 import pytest
 
-from savorylead_daemon._start_error import EXIT_UNUSABLE_PACKAGES
+from savorylead_daemon._start_error import EXIT_FAILURE, EXIT_UNUSABLE_PACKAGES
+from savorylead_standins.rig import HOST
 
 from .started_daemon import (
     StartedDaemon,
@@ -84,7 +86,7 @@
 
     def start(kind: str, environment: dict[str, str], **more: Any) -> StartedDaemon:
         settings, probe = KINDS[kind]()
-        settings["platform"].update(more.pop("platform", {}))
+        settings["listen"].update(more.pop("listen", {}))
         daemons.append(StartedDaemon(tmp_path, settings, probe, environment, **more))
         return daemons[-1]
 
@@ -173,3 +175,28 @@
     assert expected in line
     assert sealed.returncode == EXIT_UNUSABLE_PACKAGES
     assert not list(packages.glob("savorylead-bundle.*"))
+
+
+# A daemon whose address was taken ended with a traceback of many lines.
+@pytest.mark.parametrize(
+    ("kind", "listener"),
+    [
+        *(("pools", name) for name in ("callers", "readiness", "peers", "metrics")),
+        *(("shards", name) for name in ("callers", "peers")),
+    ],
+)
+def test_a_daemon_says_in_one_line_that_an_address_is_taken(
+    kind: str, listener: str, packages: Path, started: Any
+) -> None:
+    with socket.socket() as taken:
+        taken.bind((HOST, 0))
+        taken.listen()
+        address = f"{HOST}:{taken.getsockname()[1]}"
+        daemon = started(
+            kind, {"PYTHONPATH": str(packages)}, listen={listener: address}
+        )
+        ended = daemon.wait_until_it_ends()
+    (line,) = ended.errors.splitlines()
+    assert line.startswith(f"savoryleadd: can't listen on {address}: ")
+    assert "Address already in use" in line
+    assert ended.code == EXIT_FAILURE
