A daemon serves when it is started without standard streams

Callers saw a daemon for pools that never got ready, if a supervisor had closed its standard output; it ended with "AttributeError: 'NoneType' object has no attribute 'fileno'".

Cause: the composition root asked sys.stdout for its descriptor. Python has no such object if the descriptor is closed, and the next socket may get the number.

Change: closed standard descriptors are connected to the null device before anything else is opened, and the log goes to descriptor 1.

Evidence: of eight rows of test_surroundings.py, each with one or all descriptors closed and both kinds of daemon, two failed before; all pass.

--- a/packages/savorylead-daemon/savorylead_daemon/_command_line.py
+++ b/packages/savorylead-daemon/savorylead_daemon/_command_line.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from savorylead_daemon._bundle import load_module
+from savorylead_daemon._standard_streams import open_missing_streams
 from savorylead_daemon._start_error import EXIT_BAD_SETTINGS, EXIT_OK
 from savorylead_daemon.pool.settings import (
     PoolSettings,
@@ -63,6 +64,7 @@
 
     Raises SystemExit, or StartError if the daemon can't start to serve.
     """
+    open_missing_streams()
     args = build_parser().parse_args(argv)
     try:
         settings = _load(args.config)
--- a/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
@@ -5,7 +5,6 @@
 import gc
 import random
 import signal
-import sys
 import time
 from datetime import timedelta
 from pathlib import Path
@@ -16,6 +15,7 @@
 
 from savorylead.links import LinkSettings
 from savorylead_daemon._bundle import load_module
+from savorylead_daemon._standard_streams import STDOUT
 from savorylead_daemon.concurrency import spawn, supervised
 from savorylead_daemon.http import (
     HttpLinks,
@@ -249,7 +249,7 @@
 
     The settings file at ``path`` is reread when it changes.
     """
-    stream = LogStream(sys.stdout.fileno())
+    stream = LogStream(STDOUT)
     configure_logging(settings.name, settings.log.level, stream)
     daemon = PoolDaemon(settings, path)
     daemon.start()
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_surroundings.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_surroundings.py
@@ -200,3 +200,14 @@
     assert line.startswith(f"savoryleadd: can't listen on {address}: ")
     assert "Address already in use" in line
     assert ended.code == EXIT_FAILURE
+
+
+# A daemon that was started without a standard output ended before it served.
+@pytest.mark.parametrize("closed", ["<&-", ">&-", "2>&-", "<&- >&- 2>&-"])
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_daemon_serves_without_standard_streams(
+    kind: str, closed: str, packages: Path, started: Any
+) -> None:
+    shell = ["sh", "-c", f'exec "$0" "$@" {closed}']
+    daemon = started(kind, {"PYTHONPATH": str(packages)}, prefix=shell)
+    daemon.wait_until_it_serves()
