A full disk drops log lines without an error for each

Cause: only a full pipe and a reader that has gone were taken as refusals. On a full disk each log line raised an error inside the handler, and a traceback of it was written to standard error, often to the same disk, while callers waited.

Change: a line that the descriptor doesn't accept counts as dropped, whatever the reason; the count is written with the next line that is accepted, as before.

Evidence: a new row of test_log_stream.py on /dev/full failed before with "OSError: [Errno 28] No space left on device" and passes.

--- a/packages/savorylead-daemon/savorylead_daemon/observability/_log_stream.py
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/_log_stream.py
@@ -7,10 +7,10 @@
 
 
 class LogStream:
-    """Writes lines to a file descriptor, and drops lines while a pipe is full.
+    """Writes lines to a file descriptor, and drops lines that it does not accept.
 
     A partially written line is completed before the next one. The number of dropped
-    lines is written as a separate line once the pipe accepts data again.
+    lines is written as a separate line once it accepts data again.
     """
 
     def __init__(self, descriptor: int) -> None:
@@ -54,7 +54,8 @@
         """Return whether the data was accepted; the remainder is sent later."""
         try:
             written = os.write(self._descriptor, data)
-        except (BlockingIOError, BrokenPipeError):
+        except OSError:
+            # A full pipe or disk, or no reader: the lines are counted as dropped.
             return False
         self._unsent = data[written:]
         return True
--- a/packages/savorylead-daemon/savorylead_daemon/observability/tests/test_log_stream.py
+++ b/packages/savorylead-daemon/savorylead_daemon/observability/tests/test_log_stream.py
@@ -52,6 +52,15 @@
     assert stream.dropped == 1
 
 
+# Each line that a full disk refused put a traceback into standard error.
+def test_a_full_disk_drops_lines_without_an_error() -> None:
+    with open("/dev/full", "wb", buffering=0) as full:
+        stream = LogStream(full.fileno())
+        stream.write(LINE)
+        stream.write(LINE)
+    assert stream.dropped == 2
+
+
 def test_lines_of_a_daemon_go_to_standard_output() -> None:
     program = (
         "import sys;"
