A build folder of another machine or interpreter is not used again

Callers saw daemons that ended at their start after a build that had succeeded: beside an older target/deps the build kept its libraries, although their compiled parts were for another machine or release of Python, or constraints.txt named other releases.

Cause: the build compared the time of its last installation with that of requirements.txt only, and left packages in the folder that a later list doesn't have.

Change: the folder notes the kind of interpreter, the releases and the list that it was installed for. If one of them differs it is removed and filled again.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -3,10 +3,16 @@
 set -eu
 cd "$(dirname "$0")/.."
 deps=target/deps
-if [ ! "$deps/.installed" -nt deploy/requirements.txt ]; then
-    python3 -m pip install -q -U --target "$deps" -c constraints.txt \
+# Libraries are installed again for another interpreter, machine or list of releases.
+inputs=$({
+    python3 -c 'from importlib.machinery import EXTENSION_SUFFIXES as names; print(names)'
+    cat constraints.txt deploy/requirements.txt
+} | cksum)
+if [ "$(cat "$deps/.installed" 2>/dev/null || true)" != "$inputs" ]; then
+    rm -rf "$deps"
+    python3 -m pip install -q --target "$deps" -c constraints.txt \
         -r deploy/requirements.txt
-    touch "$deps/.installed"
+    echo "$inputs" >"$deps/.installed"
 fi
 rm -f "$deps"/savorylead-bundle.txt
 work=$(mktemp -d)
