Bytecode of the build stays valid in a copy

Cause: pip compiles with the time of each source, which a copy changes. A daemon that may not write then compiles all of its some 450 modules at each start.

Change: sealing the build compiles everything once more, into bytecode that is not compared with its source. The build is the only writer of the folder and always compiles it anew; pip no longer compiles.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -10,7 +10,7 @@
 } | cksum)
 if [ "$(cat "$deps/.installed" 2>/dev/null || true)" != "$inputs" ]; then
     rm -rf "$deps"
-    python3 -m pip install -q --target "$deps" -c constraints.txt \
+    python3 -m pip install -q --no-compile --target "$deps" -c constraints.txt \
         -r deploy/requirements.txt
     echo "$inputs" >"$deps/.installed"
 fi
@@ -21,6 +21,6 @@
     # Built from a copy, so that no build folder appears beside the source.
     cp -R "$source" "$work/"
 done
-python3 -m pip install -q -U --no-deps --target "$deps" \
+python3 -m pip install -q -U --no-compile --no-deps --target "$deps" \
     "$work/savorylead" "$work/savorylead-daemon" "$work/platform"
 PYTHONPATH=$deps python3 -m savorylead_daemon.seal_bundle savorylead_platform
--- a/packages/savorylead-daemon/savorylead_daemon/seal_bundle.py
+++ b/packages/savorylead-daemon/savorylead_daemon/seal_bundle.py
@@ -8,11 +8,13 @@
 from __future__ import annotations
 
 import argparse
+import compileall
 import os
 import sys
 from collections.abc import Iterable, Sequence
 from importlib.machinery import EXTENSION_SUFFIXES
 from pathlib import Path
+from py_compile import PycInvalidationMode
 
 from savorylead_daemon._bundle import (
     FOLDER,
@@ -31,6 +33,21 @@
 )
 
 
+def compile_packages(folder: Path) -> None:
+    """Write bytecode that stays valid when the folder is copied.
+
+    Usual bytecode has the time of its source, which a copy may change. A daemon that
+    may not write would then compile every module at each start.
+    """
+    compileall.compile_dir(
+        folder,
+        force=True,
+        quiet=2,
+        workers=0,
+        invalidation_mode=PycInvalidationMode.UNCHECKED_HASH,
+    )
+
+
 def extension_modules(folder: Path) -> Iterable[str]:
     """Return the names of the compiled modules in a folder."""
     for path in sorted(folder.rglob("*.so")):
@@ -41,10 +58,11 @@
 
 
 def seal(folder: Path, adapters: Sequence[str]) -> None:
-    """Write the manifest and load all of the daemon's modules.
+    """Compile the packages, write the manifest and load all of the daemon's modules.
 
     Raises StartError, and leaves no manifest, if a module can't be loaded.
     """
+    compile_packages(folder)
     manifest = Path(manifest_path(os.fspath(folder)))
     manifest.write_text(describe_interpreter() + "\n")
     try:
