--- a/packages/savorylead-standins/savorylead_standins/rig/_http_caller.py
+++ b/packages/savorylead-standins/savorylead_standins/rig/_http_caller.py
@@ -20,6 +20,8 @@
 CALL_TIMEOUT = timedelta(seconds=15)
 #: A daemon that failed gets no call for this long.
 AVOID_FOR = timedelta(seconds=5)
+#: Status of a call that no daemon answered.
+NO_ANSWER = 0
 NOT_READY = 503
 #: The caller repeats a call at another daemon, so the link tries once.
 _LINK = LinkSettings(max_attempts=1, max_connections=32, max_waiting=512)
@@ -31,7 +33,7 @@
 
     def __init__(self, status: int, detail: str) -> None:
         super().__init__(f"{status} {detail}")
-        #: HTTP status; 0 if no daemon answered.
+        #: HTTP status, or NO_ANSWER.
         self.status = status
         self.detail = detail
 
@@ -150,5 +152,5 @@
 
 def _give_up(failure: LinkReply | LinkError) -> CallFailedError:
     if isinstance(failure, LinkError):
-        return CallFailedError(0, f"{type(failure).__name__}: {failure}")
+        return CallFailedError(NO_ANSWER, f"{type(failure).__name__}: {failure}")
     return CallFailedError(failure.status, failure.body.decode(errors="replace"))
--- a/packages/savorylead-standins/savorylead_standins/rig/_processes.py
+++ b/packages/savorylead-standins/savorylead_standins/rig/_processes.py
@@ -30,7 +30,7 @@
 
 
 class ChildError(Exception):
-    """A child process ended before it was ready."""
+    """A child process ended, or was not ready in time."""
 
 
 class Child(ProcessProtocol):
@@ -41,6 +41,7 @@
         self.ended: Deferred[int] = Deferred()
         self.first_line: Deferred[bytes] = Deferred()
         self.exit_code: int | None = None
+        self._errors_path = errors
         self._errors = errors.open("ab")
         self._kept_output = None if output is None else output.open("ab")
         self._output = b""
@@ -55,6 +56,13 @@
         """Return the process id."""
         return self._process().pid
 
+    def raise_if_ended(self) -> None:
+        """Raise ChildError with the last line of standard error if it has ended."""
+        if not self.is_running:
+            lines = self._errors_path.read_text(errors="replace").splitlines()
+            reason = lines[-1] if lines else "it wrote no reason"
+            raise ChildError(f"{self.name} ended with {self.exit_code}: {reason}")
+
     def signal(self, name: str) -> None:
         """Send a signal such as "KILL"; does nothing once the process ended."""
         try:
--- a/packages/savorylead-standins/savorylead_standins/rig/_real_cell.py
+++ b/packages/savorylead-standins/savorylead_standins/rig/_real_cell.py
@@ -19,11 +19,14 @@
 from savorylead_standins.checkers import RunHistory
 from savorylead_standins.workers import Execution
 
-from ._http_caller import HttpCaller
-from ._processes import HOST, CellProcesses, Child
+from ._http_caller import NO_ANSWER, NOT_READY, CallFailedError, HttpCaller
+from ._processes import HOST, CellProcesses, Child, ChildError
 from ._recorder import CallRecorder
 
 READY_POLL = timedelta(milliseconds=200)
+#: Longest wait for a lead of every shard. A daemon is ready within 15 s, also on a busy
+#: machine, and an election follows.
+READY_TIMEOUT = timedelta(seconds=30)
 #: Requests that one call waits for.
 ANSWERS_PER_CALL = 200
 
@@ -102,15 +105,33 @@
         return self.open_caller(self.example["demo"]["operator_key"], endpoints)
 
     async def wait_until_led(self) -> None:
-        """Wait until every shard has a lead, as any daemon tells."""
+        """Wait until every shard has a lead, as any daemon tells.
+
+        Raises ChildError if a daemon ends, or if that takes longer than READY_TIMEOUT.
+        """
         operator = self.open_operator()
-        while True:
-            answer = await operator.call("GET", "/v1/operators/shards")
-            shards = answer["shards"]
-            if shards and all(shard["lead"] for shard in shards):
-                break
-            await self.clock.sleep(READY_POLL)
-        operator.close()
+        deadline = self.clock.now() + READY_TIMEOUT
+        try:
+            while not await self._is_led(operator):
+                for daemon in self.processes.daemons.values():
+                    daemon.raise_if_ended()
+                if self.clock.now() >= deadline:
+                    raise ChildError(f"a shard has no lead after {READY_TIMEOUT}")
+                await self.clock.sleep(READY_POLL)
+        finally:
+            operator.close()
+
+    async def _is_led(self, operator: HttpCaller) -> bool:
+        try:
+            answer = await operator.call(
+                "GET", "/v1/operators/shards", give_up_after=READY_POLL
+            )
+        except CallFailedError as exc:
+            if exc.status not in (NO_ANSWER, NOT_READY):
+                raise
+            return False
+        shards = answer["shards"]
+        return bool(shards) and all(shard["lead"] for shard in shards)
 
     async def submit(
         self,
