Other releases of Python than that of the build can start daemons

Callers saw daemons that ended at their start where the python3 of the daemon's user is of another release than that of the build.

Cause: target/deps had the compiled modules of five libraries for one release of Python only; msgspec alone is enough to end a daemon.

The manifest lists the releases that no compiled module lacks, so any other interpreter is refused in one line.

--- a/packages/savorylead-daemon/savorylead_daemon/_bundle.py
+++ b/packages/savorylead-daemon/savorylead_daemon/_bundle.py
@@ -32,7 +32,7 @@
 
 
 def manifest_path(folder: str) -> str:
-    """Return the path of the manifest: one line, what the packages were built for."""
+    """Return the path of the manifest: the kinds of interpreters, one a line."""
     return os.path.join(folder, MANIFEST)
 
 
@@ -50,12 +50,12 @@
         )
     try:
         with open(manifest_path(folder), encoding="utf-8") as file:
-            built_for = file.read().strip()
+            built_for = file.read().split()
     except FileNotFoundError:
         return
-    if built_for != describe_interpreter():
+    if describe_interpreter() not in built_for:
         raise UnusablePackagesError(
-            f"the packages in {folder} were built for {built_for}, not for "
+            f"the packages in {folder} were built for {', '.join(built_for)}, not for "
             f"{_this_interpreter()}; build them with this interpreter"
         )
     _restrict_imports(folder)
--- a/packages/savorylead-daemon/savorylead_daemon/seal_bundle.py
+++ b/packages/savorylead-daemon/savorylead_daemon/seal_bundle.py
@@ -11,6 +11,7 @@
 import compileall
 import os
 import sys
+from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from importlib.machinery import EXTENSION_SUFFIXES
 from pathlib import Path
@@ -31,6 +32,8 @@
     "savorylead_daemon.composition",
     "savorylead_daemon.pool.composition",
 )
+#: Kinds in the names of modules that each interpreter of this machine loads.
+_ANY_INTERPRETER = {"", "abi3"}
 
 
 def compile_packages(folder: Path) -> None:
@@ -57,6 +60,17 @@
             yield ".".join([*path.parent.relative_to(folder).parts, base])
 
 
+def supported_interpreters(folder: Path) -> Sequence[str]:
+    """Return the kinds of interpreters that every compiled module is there for."""
+    kinds: dict[Path, set[str]] = defaultdict(set)
+    for path in folder.rglob("*.so"):
+        base, _, kind = path.stem.partition(".")
+        kinds[path.with_name(base)].add(kind)
+    of_one_kind = [found for found in kinds.values() if not found & _ANY_INTERPRETER]
+    common = set.intersection(*of_one_kind) if of_one_kind else set()
+    return sorted({describe_interpreter(), *common})
+
+
 def seal(folder: Path, adapters: Sequence[str]) -> None:
     """Compile the packages, write the manifest and load all of the daemon's modules.
 
@@ -64,7 +78,7 @@
     """
     compile_packages(folder)
     manifest = Path(manifest_path(os.fspath(folder)))
-    manifest.write_text(describe_interpreter() + "\n")
+    manifest.write_text("\n".join(supported_interpreters(folder)) + "\n")
     try:
         use_bundle(os.fspath(folder))
         for name in (*ENTRY_MODULES, *adapters, *extension_modules(folder)):
--- a/packages/savorylead-daemon/savorylead_daemon/tests/test_seal_bundle.py
+++ b/packages/savorylead-daemon/savorylead_daemon/tests/test_seal_bundle.py
@@ -9,7 +9,16 @@
 import sys
 from pathlib import Path
 
-from savorylead_daemon.seal_bundle import compile_packages, extension_modules
+import pytest
+
+from savorylead_daemon._bundle import describe_interpreter
+from savorylead_daemon.seal_bundle import (
+    compile_packages,
+    extension_modules,
+    supported_interpreters,
+)
+
+THIS = describe_interpreter()
 
 
 # A copy of the build with new times of its files made a daemon compile every module at
@@ -42,3 +51,21 @@
     (package / "_core.cpython-310-riscv64-linux-gnu.so").touch()
     (tmp_path / "alone.so").touch()
     assert list(extension_modules(tmp_path)) == ["alone", "package._core"]
+
+
+@pytest.mark.parametrize(
+    ("modules", "expected"),
+    [
+        ((), {THIS}),
+        ((f"a.{THIS}.so", f"b.{THIS}.so"), {THIS}),
+        ((f"a.{THIS}.so", "a.other.so", f"b.{THIS}.so"), {THIS}),
+        ((f"a.{THIS}.so", "a.other.so", f"b.{THIS}.so", "b.other.so"), {THIS, "other"}),
+        ((f"a.{THIS}.so", "a.other.so", "b.abi3.so", "c.so"), {THIS, "other"}),
+    ],
+)
+def test_interpreters_are_listed_that_no_compiled_module_lacks(
+    modules: tuple[str, ...], expected: set[str], tmp_path: Path
+) -> None:
+    for name in modules:
+        (tmp_path / name).touch()
+    assert set(supported_interpreters(tmp_path)) == expected
