Bundle: an unreadable manifest is told in one line, and the seal starts no processes

The standard library's entry of the import path is found by its real path, since an interpreter may name it through a link. Names in build.sh say what they hold.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -3,8 +3,8 @@
 set -eu
 cd "$(dirname "$0")/.."
 deps=target/deps
-# Releases of Python, beside that of the build, that may start a daemon.
-other_pythons="3.11 3.12 3.13 3.14"
+# Releases of Python that may start a daemon, which need not be that of the build.
+pythons="3.11 3.12 3.13 3.14"
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 
@@ -30,9 +30,9 @@
     rm -rf "$deps"
     python3 -m pip install -q --no-compile --target "$deps" -c constraints.txt \
         -r deploy/requirements.txt
-    for python in $other_pythons; do
-        add_compiled_modules "$python" ||
-            echo "deploy/build.sh: no compiled modules for Python $python" >&2
+    for release in $pythons; do
+        add_compiled_modules "$release" ||
+            echo "deploy/build.sh: no compiled modules for Python $release" >&2
     done
     echo "$inputs" >"$deps/.installed"
 fi
--- a/packages/savorylead-daemon/savorylead_daemon/_bundle.py
+++ b/packages/savorylead-daemon/savorylead_daemon/_bundle.py
@@ -53,6 +53,8 @@
             built_for = file.read().split()
     except FileNotFoundError:
         return
+    except OSError as exc:
+        raise UnusablePackagesError(f"can't read the manifest: {exc}") from exc
     if describe_interpreter() not in built_for:
         raise UnusablePackagesError(
             f"the packages in {folder} were built for {', '.join(built_for)}, not for "
@@ -101,11 +103,12 @@
 
 
 def _is_standard_library(entry: str) -> bool:
+    """Return whether an entry of the import path has the interpreter's own modules."""
     archive = f"python{sys.version_info[0]}{sys.version_info[1]}.zip"
+    library = os.path.realpath(os.path.dirname(os.__file__))
     return (
-        entry == os.path.dirname(os.__file__)
-        or os.path.basename(entry) == "lib-dynload"
-        or os.path.basename(entry) == archive
+        os.path.basename(entry) in ("lib-dynload", archive)
+        or os.path.realpath(entry) == library
     )
 
 
--- a/packages/savorylead-daemon/savorylead_daemon/seal_bundle.py
+++ b/packages/savorylead-daemon/savorylead_daemon/seal_bundle.py
@@ -1,8 +1,8 @@
 """Makes the folder of this package a bundle.
 
-A build runs ``python -m savorylead_daemon.seal_bundle`` once all packages are in the
-folder. The arguments are the platform's
-adapters, which are loaded like the daemon to see that the folder lacks nothing.
+A build runs ``python -m savorylead_daemon.seal_bundle ADAPTER`` once all packages are
+in the folder. The platform's adapter is loaded like the daemon itself, which shows
+whether the folder lacks a package.
 """
 
 from __future__ import annotations
@@ -32,7 +32,7 @@
     "savorylead_daemon.composition",
     "savorylead_daemon.pool.composition",
 )
-#: Kinds in the names of modules that each interpreter of this machine loads.
+#: What stands for the kind in names of modules that each interpreter loads.
 _ANY_INTERPRETER = {"", "abi3"}
 
 
@@ -46,17 +46,15 @@
         folder,
         force=True,
         quiet=2,
-        workers=0,
         invalidation_mode=PycInvalidationMode.UNCHECKED_HASH,
     )
 
 
 def extension_modules(folder: Path) -> Iterable[str]:
-    """Return the names of the compiled modules in a folder."""
+    """Return the names of the compiled modules that this interpreter loads."""
     for path in sorted(folder.rglob("*.so")):
         base = path.name.partition(".")[0]
-        suffixes = (s for s in EXTENSION_SUFFIXES if path.name == base + s)
-        if any(suffixes):
+        if path.name.removeprefix(base) in EXTENSION_SUFFIXES:
             yield ".".join([*path.parent.relative_to(folder).parts, base])
 
 
