Each change of a daemon's readiness is logged, with its reasons

A daemon that is not ready 15 s after its start left nothing that told a start that takes long from a store that does not answer. readiness_changed has the reasons and the processor time that the process has used; daemon_started names the kind of interpreter and the folder of the packages, which tells daemons of two builds apart.

--- a/packages/savorylead-daemon/savorylead_daemon/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/composition.py
@@ -22,6 +22,7 @@
 from savorylead.links import LinkCount, LinkSettings
 from savorylead.placement import IndexedPlanner
 from savorylead.store import WatchSettings
+from savorylead_daemon._bundle import FOLDER, describe_interpreter
 from savorylead_daemon.cell import DigestTimes, ObservedStore
 from savorylead_daemon.daemon import (
     Daemon,
@@ -49,6 +50,7 @@
     Metrics,
     Readiness,
     configure_logging,
+    log_readiness,
 )
 from savorylead_daemon.observability.lead_reporter import LeadReporter
 from savorylead_daemon.settings import Endpoint, LogLevel, Settings
@@ -125,7 +127,7 @@
         self._rng = random.Random(random.SystemRandom().getrandbits(128))
         self._log = EventLog(self._clock, settings.log.lines_per_event_per_s)
         self._metrics = Metrics(time.process_time)
-        self._readiness = Readiness()
+        self._readiness = Readiness(log_readiness(self._log, time.process_time))
         self._links = {
             name: self._open_links(link)
             for name, link in {
@@ -172,7 +174,11 @@
             Periodic(self._clock, READINESS_INTERVAL, self._update_readiness),
         ]
         self._log.log_event(
-            LogLevel.INFO, "daemon_started", callers=str(listen.callers)
+            LogLevel.INFO,
+            "daemon_started",
+            callers=str(listen.callers),
+            interpreter=describe_interpreter(),
+            packages=FOLDER,
         )
 
     def stop(self) -> None:
--- a/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
+++ b/packages/savorylead-daemon/savorylead_daemon/pool/composition.py
@@ -14,7 +14,7 @@
 from twisted.internet.interfaces import IListeningPort
 
 from savorylead.links import LinkSettings
-from savorylead_daemon._bundle import load_module
+from savorylead_daemon._bundle import FOLDER, describe_interpreter, load_module
 from savorylead_daemon._standard_streams import STDOUT
 from savorylead_daemon.concurrency import spawn, supervised
 from savorylead_daemon.http import (
@@ -30,6 +30,7 @@
     LogStream,
     Readiness,
     configure_logging,
+    log_readiness,
     set_log_level,
 )
 from savorylead_daemon.settings import LogLevel
@@ -96,7 +97,7 @@
         self._rng = random.Random(random.SystemRandom().getrandbits(128))
         self._log = EventLog(self._clock, settings.log.lines_per_event_per_s)
         self._links: dict[str, HttpLinks] = {}
-        self._readiness = Readiness()
+        self._readiness = Readiness(log_readiness(self._log, time.process_time))
         self._ports: list[IListeningPort] = []
         self._stopping = False
         self._member = MemberRecord(
@@ -148,6 +149,8 @@
             "daemon_started",
             incarnation=self._member.incarnation,
             callers=listen.callers,
+            interpreter=describe_interpreter(),
+            packages=FOLDER,
         )
 
     def read_settings(self) -> None:
