A build takes the place of the former one as a whole

Callers saw daemons that ended at their start while a build ran in their checkout.

Cause: pip replaced the packages inside target/deps one after the other, some seconds long, also if nothing had changed. A daemon that started meanwhile imported the half of them.

Change: packages are gathered and sealed in a folder aside, which is then renamed to target/deps. A build whose inputs have not changed does nothing. What is left is the moment between two renames.

--- a/packages/savorylead-daemon/savorylead_daemon/seal_bundle.py
+++ b/packages/savorylead-daemon/savorylead_daemon/seal_bundle.py
@@ -9,8 +9,12 @@
 
 import argparse
 import compileall
+import contextlib
+import errno
 import os
+import shutil
 import sys
+import tempfile
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from importlib.machinery import EXTENSION_SUFFIXES
@@ -86,13 +90,43 @@
         raise
 
 
+def install(folder: Path, place: Path) -> None:
+    """Move a sealed folder to ``place``, and delete the one that was there.
+
+    Daemons may start from ``place`` meanwhile, and never find a part of a folder.
+    Another build may do the same; the later one stays.
+    """
+    while True:
+        former = Path(tempfile.mkdtemp(prefix="former-", dir=folder.parent), place.name)
+        with contextlib.suppress(FileNotFoundError):
+            place.rename(former)
+        try:
+            folder.rename(place)
+        except OSError as exc:
+            if exc.errno not in (errno.ENOTEMPTY, errno.EEXIST):
+                raise
+            # Another build took the place after the former folder had left it.
+        else:
+            return
+        finally:
+            shutil.rmtree(former.parent)
+
+
 def main(argv: Sequence[str] | None = None) -> None:
     """Seal the folder of this package; raises SystemExit if it is incomplete."""
     parser = argparse.ArgumentParser(prog="seal_bundle", description=seal.__doc__)
     parser.add_argument("adapters", nargs="*", metavar="ADAPTER")
+    parser.add_argument(
+        "--install",
+        type=Path,
+        metavar="PLACE",
+        help="move the sealed folder there, in place of what is there",
+    )
     args = parser.parse_args(argv)
     try:
         seal(Path(FOLDER), args.adapters)
+        if args.install is not None:
+            install(Path(FOLDER), args.install)
     except StartError as exc:
         print(f"seal_bundle: {exc}", file=sys.stderr)
         raise SystemExit(exc.exit_code) from exc
--- a/packages/savorylead-daemon/savorylead_daemon/tests/test_seal_bundle.py
+++ b/packages/savorylead-daemon/savorylead_daemon/tests/test_seal_bundle.py
@@ -7,6 +7,7 @@
 import shutil
 import subprocess
 import sys
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
@@ -15,10 +16,13 @@
 from savorylead_daemon.seal_bundle import (
     compile_packages,
     extension_modules,
+    install,
     supported_interpreters,
 )
 
 THIS = describe_interpreter()
+#: Files of a folder.
+PARTS = 5
 
 
 # A copy of the build with new times of its files made a daemon compile every module at
@@ -69,3 +73,36 @@
     for name in modules:
         (tmp_path / name).touch()
     assert set(supported_interpreters(tmp_path)) == expected
+
+
+# A daemon that started during a build found half of a package, and ended at once.
+@pytest.mark.parametrize("is_there", [True, False])
+def test_a_folder_is_replaced_as_a_whole(tmp_path: Path, is_there: bool) -> None:
+    place, work = tmp_path / "deps", tmp_path / "work"
+    work.mkdir()
+    if is_there:
+        place.mkdir()
+        (place / "old").touch()
+    new = work / "deps"
+    new.mkdir()
+    (new / "new").touch()
+    install(new, place)
+    assert [path.name for path in place.iterdir()] == ["new"]
+    assert list(work.iterdir()) == []
+
+
+def test_builds_at_the_same_time_leave_one_whole_folder(tmp_path: Path) -> None:
+    place = tmp_path / "deps"
+
+    def build(number: int) -> None:
+        new = tmp_path / f"work-{number}" / "deps"
+        new.mkdir(parents=True)
+        for part in range(PARTS):
+            (new / f"{number}.{part}").touch()
+        install(new, place)
+
+    with ThreadPoolExecutor(8) as builds:
+        list(builds.map(build, range(64)))
+    names = [path.name.partition(".")[0] for path in place.iterdir()]
+    assert len(names) == PARTS
+    assert len(set(names)) == 1
--- a/packages/savorylead-standins/savorylead_standins/pools/tests/test_build.py
+++ b/packages/savorylead-standins/savorylead_standins/pools/tests/test_build.py
@@ -1,4 +1,4 @@
-"""The build of the deploy folder installs libraries when they may not fit any more."""
+"""The build of the deploy folder: what it installs again, and when."""
 
 from __future__ import annotations
 
@@ -19,6 +19,13 @@
 -c) cat {folder}/kind; exit ;;
 esac
 echo "$@" >>{folder}/commands
+if [ "$2" = savorylead_daemon.seal_bundle ]; then
+    # The daemons that start meanwhile use the former packages.
+    ls -A target/deps >{folder}/meanwhile 2>&1 || true
+    rm -rf "$4"
+    mv "$PYTHONPATH" "$4"
+    exit
+fi
 release=own
 while [ $# -gt 0 ]; do
     case "$1" in
@@ -97,12 +104,17 @@
     path.write_text(path.read_text() + "more\n")
 
 
+def another_source(checkout: Checkout) -> None:
+    (checkout.root / SOURCES[0] / "new.py").touch()
+
+
 # A build folder that another machine had filled kept its compiled libraries, which the
 # daemons could not load.
 @pytest.mark.parametrize(
     ("change", "is_needed"),
     [
         (nothing, False),
+        (another_source, False),
         (another_interpreter, True),
         (another_machine, True),
         (another_release, True),
@@ -126,10 +138,28 @@
     manifest = checkout.root / "target" / "deps" / "savorylead-bundle.txt"
     manifest.parent.mkdir(parents=True)
     manifest.touch()
-    assert "seal_bundle savorylead_platform" in checkout.build()[-1]
+    seal = "seal_bundle --install target/deps savorylead_platform"
+    assert seal in checkout.build()[-1]
     assert not manifest.exists()
 
 
+# A daemon that started during a build found half of a package, and ended at once.
+def test_a_build_leaves_the_former_packages_until_its_end(tmp_path: Path) -> None:
+    checkout = Checkout(tmp_path)
+    checkout.build()
+    former = sorted(path.name for path in (checkout.root / "target/deps").glob("*"))
+    another_source(checkout)
+    assert checkout.build()
+    assert (tmp_path / "meanwhile").read_text().split() == former
+    assert [path.name for path in (checkout.root / "target").iterdir()] == ["deps"]
+
+
+def test_a_build_that_is_up_to_date_does_nothing(tmp_path: Path) -> None:
+    checkout = Checkout(tmp_path)
+    checkout.build()
+    assert checkout.build() == []
+
+
 # A daemon that another release of Python started than that of the build ended at once.
 def test_compiled_modules_for_other_interpreters_are_added(tmp_path: Path) -> None:
     checkout = Checkout(tmp_path)
